--- /dev/null
+++ b/src/main/java/beechfall/Policy.java
@@ -0,0 +1,667 @@
+package beechfall;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+
+/**
+ * Decides where one proxy sends its requests. Settings, events and actions are in Balancer.java.
+ *
+ * <p>A request goes to the eligible backend with the earliest deadline (currentTime + 1) / weight, with
+ * weight = c / sum of c and c = 1 / response time of the backend's kind, as this proxy has seen it.
+ */
+public final class Policy implements Balancer {
+    /** Answers that a kind's mean response time remembers: its weight drifts slowly. */
+    private static final int KIND_MEMORY = 1024;
+    /** A kind's mean counts as so many of a backend's own answers, of which a refresh keeps a part. */
+    private static final double OWN_PRIOR = 4;
+    private static final double OWN_KEPT = 0.8;
+    /** A backend that is likely warm for a request's key counts as this many times its weight. */
+    private static final double WARM = 4;
+    /** A backend in the proxy's own zone counts as this many times its weight. */
+    private static final double NEAR = 4;
+    /** So many proxies share a backend, if there are no more proxies than backends. */
+    private static final double PART = 3;
+    /** A backend's c is never less than this part of the largest. */
+    private static final double FLOOR = 0.05;
+    /** Part of the cold budget that is used: requests differ in size and capacity is a guess. */
+    private static final double COLD_MARGIN = 0.4;
+    /** Attempts out may take this part of the shortest aim, by the rate of answers; held ones that again. */
+    private static final double CROWD = 1 / 5.0;
+    /** But never less than this part of the least mean response time, or backends idle and it cannot grow. */
+    private static final double BUSY = 1.2;
+    /** Attempts out for each backend, by all proxies, that are never too many; under 3 it is a mean. */
+    private static final double CROWD_FLOOR = 3;
+    /** Further attempts allowed for each request, and how many may be saved up. */
+    private static final double RETRY_RATE = 0.2;
+    private static final double RETRY_BURST = 10;
+    /** An attempt is cut off after this multiple of the time to its aim: sooner, its work goes on unseen. */
+    private static final double LATE = 2;
+    /** A flow that keeps failing at a backend is put off for at most so many refreshes. */
+    private static final int PAUSES = 8;
+
+    private final Settings settings;
+    private final Rules rules;
+    private final Random random;
+    private final Map<String, RequestClass> classes = new HashMap<>();
+    private final Map<String, Quota> quotas = new HashMap<>();
+    private final Map<String, Long> leastLeft = new HashMap<>();
+    private final Map<String, Kind> kinds = new HashMap<>();
+    private final Kind all = new Kind();
+    private final Map<String, Server> byId = new HashMap<>();
+    private final List<Server> servers = new ArrayList<>();
+    private final Map<String, Request> requests = new HashMap<>();
+    private final long refreshUs;
+    private final int flowsOfClass;
+    private long refreshAt = Long.MIN_VALUE;
+    private double retryTokens = RETRY_BURST;
+    private long askAt = Long.MIN_VALUE;
+    private int failedAsks;
+    private int outstanding;
+    private final long crowdUs;
+    private final List<Request> held = new ArrayList<>();
+    private double room;
+    private double spare;
+    private double refused;
+    private long spareAt;
+    private long wakeAt = Long.MIN_VALUE;
+    private double answersPerUs;
+    private double borne;
+    private int refreshes;
+    private double idleUs;
+    private long answersAt;
+    private long now;
+    private Consumer<Action> out;
+
+    /** Starts an instance that knows nothing but its settings. */
+    public Policy(Settings settings) {
+        this.settings = settings;
+        this.rules = settings.rules();
+        this.random = new Random(settings.seed());
+        settings.classes().forEach(c -> classes.put(c.name(), c));
+        settings.tenants().forEach(t -> quotas.put(t.name(), new Quota(t, settings, quotas.size())));
+        this.flowsOfClass = 1 + quotas.size();
+        var aims = settings.classes().stream().mapToLong(RequestClass::aimUs).summaryStatistics();
+        this.crowdUs = (long) (CROWD * aims.getMin());
+        this.refreshUs = 2 * aims.getMax();
+    }
+
+    /** The answers of one kind of machine. */
+    private static final class Kind {
+        private double meanUs;
+        private int samples;
+
+        void learn(double latencyUs) {
+            samples = Math.min(samples + 1, KIND_MEMORY);
+            meanUs += (latencyUs - meanUs) / samples;
+        }
+    }
+
+    /** What a tenant may still send through this proxy as part of its share. */
+    private static final class Quota {
+        private final int number;
+        private final double perUs;
+        private double left;
+        private long at;
+
+        Quota(Tenant tenant, Settings settings, int number) {
+            this.number = number;
+            this.perUs = tenant.quotaPerS() / 1e6 / settings.balancers();
+        }
+    }
+
+    /** What was seen of a backend as a whole, or of one flow there: the requests of a class and tenant. */
+    private static final class Trust {
+        private int out;
+        private long heardAt;
+        private long pauseUs;
+        private long tryAt = Long.MIN_VALUE;
+
+        /** Not put off, nor silent for too long; after a pause one attempt at a time until one goes well. */
+        boolean holds(long now, long silenceUs) {
+            return now >= tryAt && (out == 0 || pauseUs == 0 && now - heardAt < silenceUs);
+        }
+
+        void sent(long now) {
+            heardAt = out++ == 0 ? now : heardAt;
+        }
+
+        void ended(long now, boolean heard) {
+            out--;
+            heardAt = heard ? now : heardAt;
+        }
+
+        /** A failure brings the least pause; each that follows a pause doubles it, each answer halves it. */
+        void judge(boolean good, long now, long leastUs) {
+            if (now >= tryAt) {
+                pauseUs = good ? (pauseUs > leastUs ? pauseUs / 2 : 0)
+                        : Math.min(Math.max(2 * pauseUs, leastUs), PAUSES * leastUs);
+                tryAt = good ? tryAt : now + pauseUs;
+            }
+        }
+    }
+
+    /** A backend that this proxy may send to. */
+    private static final class Server {
+        private final String id;
+        private Backend listed;
+        private Kind kind;
+        private double weight;
+        private double near;
+        private double currentTime;
+        private double ownUs;
+        private double ownSamples;
+        private double coldTokens;
+        private final Trust whole = new Trust();
+        private final Trust[] flows;
+        private boolean ready;
+        private long coldTokensAt;
+
+        Server(String id, int flows) {
+            this.id = id;
+            this.flows = Stream.generate(Trust::new).limit(flows).toArray(Trust[]::new);
+        }
+    }
+
+    /** A request that has no final answer yet, or has attempts still out, and the ledger of its attempts. */
+    private static final class Request {
+        private final String id;
+        private final RequestClass type;
+        private final int flow;
+        private final String key;
+        private final double worth;
+        private final long aimAt;
+        private final long deadline;
+        private final List<Attempt> attempts = new ArrayList<>(2);
+        private int out;
+        private boolean over;
+        private long giveUpAt;
+        private double cheaper;
+        private Server home;
+
+        Request(String id, RequestClass type, int flow, String key, double worth, long began, long deadline) {
+            this.id = id;
+            this.type = type;
+            this.flow = flow;
+            this.key = key;
+            this.worth = worth;
+            this.deadline = deadline;
+            this.aimAt = type.lateWorth() > 0 ? deadline : Math.min(deadline, began + type.aimUs());
+        }
+
+        boolean outranks(Request other) {
+            return worth > other.worth || worth == other.worth && aimAt < other.aimAt;
+        }
+    }
+
+    /** One attempt: {@code outcome} is null while it is out. */
+    private static final class Attempt {
+        private final Server server;
+        private final Backend sentTo;
+        private final long sentAt;
+        private final long timeoutUs;
+        private Outcome outcome;
+
+        Attempt(Server server, long sentAt, long timeoutUs) {
+            this.server = server;
+            this.sentTo = server.listed;
+            this.sentAt = sentAt;
+            this.timeoutUs = timeoutUs;
+        }
+    }
+
+    @Override
+    public void handle(long nowUs, Event event, Consumer<Action> actions) {
+        now = nowUs;
+        room = crowd();
+        // One of hundreds of proxies may have less than one attempt out: in the mean of a time.
+        spare = Math.min(room * refreshUs, spare + (room - outstanding) * (now - spareAt));
+        spareAt = now;
+        out = actions;
+        if (askAt == Long.MIN_VALUE) {
+            ask();
+        }
+        if (event instanceof Arrival e) {
+            arrival(e);
+        } else if (event instanceof AttemptEnded e) {
+            attemptEnded(e);
+        } else if (event instanceof TimerFired e && e.token().equals("ask") && now >= askAt) {
+            ask();
+        } else if (event instanceof Members e) {
+            members(e);
+        } else if (event instanceof ClientGone e && requests.containsKey(e.id())) {
+            close(requests.get(e.id()));
+        }
+        release();
+    }
+
+    // Membership
+
+    private void members(Members news) {
+        if (news.kind() == ListKind.FAILED) {
+            // A call that failed is made again, later each time and not in step with the other proxies.
+            failedAsks = Math.min(failedAsks + 1, 4);
+            askIn((long) (rules.askWithinUs() / 64.0 * (1 << failedAsks) * (0.5 + random.nextDouble())));
+            return;
+        }
+        if (news.kind() != ListKind.CACHED) {
+            failedAsks = 0;
+            askAt = Long.MAX_VALUE;
+        }
+        List<Server> before = List.copyOf(servers);
+        if (news.kind() != ListKind.DELTA) {
+            servers.forEach(s -> s.ready = false);
+            servers.clear();
+        }
+        for (Backend b : news.backends()) {
+            Server s = byId.computeIfAbsent(b.id(), id -> new Server(id, classes.size() * flowsOfClass));
+            if (s.listed == null || b.startedAtUs() != s.listed.startedAtUs()) {
+                s.ownUs = s.ownSamples = 0;
+                // Of hundreds of proxies each may send it less than one request: so some send theirs.
+                s.coldTokens = random.nextDouble();
+                s.coldTokensAt = now;
+            }
+            s.listed = b;
+            s.near = settings.zone().equals(b.zone()) ? NEAR : 1;
+            s.kind = kinds.computeIfAbsent(String.valueOf(b.kind()), name -> new Kind());
+            s.ready = b.state() == State.READY;
+            servers.remove(s);
+            if (s.ready) {
+                servers.add(s);
+            }
+        }
+        before.forEach(this::releaseUnlessReady);
+        if (news.kind() != ListKind.DELTA) {
+            byId.values().retainAll(servers);
+        }
+        refresh();
+    }
+
+    /** Rule 6: no idle connection is kept to a backend that drains or is gone: nobody has a use for it. */
+    private void releaseUnlessReady(Server s) {
+        if (!s.ready) {
+            out.accept(new Release(s.id));
+        }
+    }
+
+    /**
+     * Puts the list in this proxy's order. Where proxies outnumber backends, as many as there are backends
+     * stand evenly along the list, by weight, as many in another order: no two stand and fall back alike.
+     */
+    private void order() {
+        int rounds = Math.max(1, settings.balancers() / Math.max(1, servers.size()));
+        int shuffle = mix(settings.rank() % rounds);
+        servers.sort(Comparator.comparing((Server s) -> mix(s.id.hashCode() ^ shuffle)));
+        double at = (settings.rank() / rounds) * (double) rounds / settings.balancers();
+        int first = 0;
+        while (first < servers.size() - 1 && at > servers.get(first).weight - 1e-9) {
+            at -= servers.get(first++).weight;
+        }
+        Collections.rotate(servers, -first);
+    }
+
+    /** Guards against backends hung, dead, slow or ill for some requests only, whatever the cause. */
+    private boolean trusted(Server s, Request r) {
+        long silenceUs = (long) Math.max(2 * crowdUs, s.kind.meanUs);
+        return s.whole.holds(now, silenceUs) && s.flows[r.flow].holds(now, silenceUs);
+    }
+
+    /** Returns the part of its capacity that a backend is sure to have: 1 once it is warm. */
+    private double warmth(Server s) {
+        long started = s.listed.startedAtUs();
+        if (started <= 0 || now - started >= rules.coldUs()) {
+            return 1;
+        }
+        return rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, now - started) / rules.coldUs();
+    }
+
+    // Weights
+
+    /** Sets w = c / sum of c and starts the earliest-deadline order afresh, once in twice the longest aim. */
+    private void refresh() {
+        refreshAt = now + refreshUs;
+        // A kind without answers yet goes by its list weight, in the unit of the kinds that have some.
+        double scale = servers.stream().filter(s -> s.kind.samples > 0)
+                .mapToDouble(s -> 1 / (s.kind.meanUs * s.listed.weight())).average().orElse(1);
+        servers.forEach(s -> s.weight = s.kind.samples > 0 ? 1 / responseUs(s) : s.listed.weight() * scale);
+        double floor = FLOOR * servers.stream().mapToDouble(s -> s.weight).max().orElse(1);
+        double sum = servers.stream().mapToDouble(s -> Math.max(s.weight, floor)).sum();
+        for (Server s : servers) {
+            s.weight = Math.max(s.weight, floor) / sum;
+            s.currentTime = 0;
+            s.ownUs *= OWN_KEPT;
+            s.ownSamples *= OWN_KEPT;
+        }
+        order();
+    }
+
+    private void learn(Server s, double latencyUs) {
+        s.kind.learn(latencyUs);
+        s.ownUs += latencyUs;
+        s.ownSamples++;
+    }
+
+    /** The response time of a backend: its kind's mean, drawn to its own by the number of its own answers. */
+    private double responseUs(Server s) {
+        return (OWN_PRIOR * s.kind.meanUs + s.ownUs) / (OWN_PRIOR + s.ownSamples);
+    }
+
+    // Pick
+
+    private void arrival(Arrival a) {
+        RequestClass type = classes.get(a.requestClass());
+        if (type == null) {
+            throw new IllegalArgumentException("request of a class not in the settings: " + a.requestClass());
+        }
+        if (now >= refreshAt) {
+            // Slowly: the answers of backends that have just left the list tell nothing of those that stay.
+            double mean = all.samples < KIND_MEMORY / 32 ? 0 : all.meanUs;
+            idleUs = idleUs == 0 ? mean : Math.min(idleUs, mean);
+            double bears = answerRate() / Math.max(1, servers.size());
+            borne += (bears - borne) * Math.max(1.0 / ++refreshes, 1 - OWN_KEPT);
+            refresh();
+        }
+        retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_RATE);
+        Quota quota = quotas.get(a.tenant());
+        int tenant = quota == null ? quotas.size() : quota.number;
+        int flow = settings.classes().indexOf(type) * flowsOfClass + tenant;
+        double worth = overShare(quota, a.repeat()) ? settings.overShareWorth() : 1;
+        // A repeat that is left less than first tries get began so long ago: past its aim, it ranks as late.
+        long least = leastLeft.merge(type.name(), a.repeat() ? Long.MAX_VALUE : a.leftUs(), Math::min);
+        long began = a.leftUs() < least ? now + a.leftUs() - type.deadlineUs() : now;
+        worth *= type.worth() * (now < began + type.aimUs() ? 1 : type.lateWorth());
+        String key = settings.warmKeys() ? a.key() : null;
+        var r = new Request(a.id(), type, flow, key, worth, began, now + a.leftUs());
+        requests.put(r.id, r);
+        hold(r);
+    }
+
+    private Server pick(Request r) {
+        Server best = null;
+        double earliest = Double.POSITIVE_INFINITY;
+        int balance = 0;
+        // Far busier than others, a proxy takes a larger part: a backend for each attempt out in the mean.
+        double left = Math.max(PART * servers.size() / settings.balancers(), answerRate() * idleUs);
+        for (Server s : servers) {
+            if (!effectAllows(s, r)) {
+                continue;
+            }
+            boolean trust = trusted(s, r);
+            balance += trust ? 3 : -1;
+            double deadline = (s.currentTime + 1) / (s.weight * s.near * (s == r.home ? WARM : 1));
+            deadline *= r.attempts.isEmpty() || r.attempts.stream().noneMatch(a -> a.server == s) ? 1 : 1e6;
+            deadline *= trust ? 1 : 1e18;
+            // Few have a cold backend in their part: it would get nothing of what the rest may send it.
+            boolean open = !trust || left > 0 || warmth(s) < 1;
+            if (open && deadline < earliest && hasRoom(s) && coldBudget(s) >= 1) {
+                best = s;
+                earliest = deadline;
+            }
+            boolean sound = s.kind.samples == 0 || responseUs(s) < 4 * s.kind.meanUs;
+            left -= settings.balancers() > PART && trust && sound && warmth(s) >= 1 ? 1 : 0;
+        }
+        // If nearly all look ill, it is this proxy that is cut off, or the load: then all are tried on.
+        return best == null || balance < 0 || trusted(best, r) ? best : null;
+    }
+
+    /** The backend where a key is likely to be warm: all proxies find the same one, by rendezvous hashing. */
+    private Server home(String key) {
+        return servers.stream().max(Comparator.comparingInt(s -> mix(key.hashCode() ^ s.id.hashCode())))
+                .orElse(null);
+    }
+
+    private static int mix(int hash) {
+        int mixed = hash * 0x9E3779B1;
+        mixed = (mixed ^ mixed >>> 15) * 0x85EBCA6B;
+        return mixed ^ mixed >>> 13;
+    }
+
+    /**
+     * A backend may have its weight's share of all attempts out, at least 1. Counters see sends alone; this
+     * sees a backend that answers late or not at all, whatever the cause.
+     */
+    private boolean hasRoom(Server s) {
+        return s.whole.out < Math.max(1, Math.ceil(s.weight * (outstanding + 1)));
+    }
+
+    /** Rule 2: a request that may have run goes only where its class lets it run again. */
+    private boolean effectAllows(Server s, Request r) {
+        return r.attempts.isEmpty() || r.type.effect() == Effect.SAFE || r.attempts.stream().allMatch(a ->
+                !mayHaveRun(a) || r.type.effect() == Effect.KEYED && now < a.sentAt + r.type.windowUs()
+                && sameGroup(r.type.scope(), a.sentTo, s.listed));
+    }
+
+    /** Rule 5: where 'full' is no proof, it counts as any other failure, for sends and refusals alike. */
+    private boolean mayHaveRun(Attempt a) {
+        return a.outcome == null || !a.outcome.neverRan()
+                || a.outcome == Outcome.FULL && rules.fullUnproven();
+    }
+
+    private static boolean sameGroup(Scope scope, Backend a, Backend b) {
+        return switch (scope) {
+            case ALL -> true;
+            case ZONE -> String.valueOf(a.zone()).equals(b.zone());
+            case CELL -> a.cell() == b.cell();
+        };
+    }
+
+    /**
+     * Rule 4: what a cold backend may still be sent, in requests. A quarter of this proxy's part of the
+     * budget may come at once and the rest in the course of each window: no window holds more than the whole.
+     * The capacity is a guess: what backends of its weight bear by our answers, or one request at a time.
+     */
+    private double coldBudget(Server s) {
+        double warmth = warmth(s);
+        if (warmth >= 1) {
+            return Double.POSITIVE_INFINITY;
+        }
+        double requestUs = s.kind.samples > 0 ? s.kind.meanUs : settings.classes().get(0).aimUs();
+        double perUs = Math.max(1 / (requestUs * settings.balancers()), borne * s.weight * servers.size());
+        double budgetPerUs = COLD_MARGIN * rules.fallMultiple() * warmth * perUs;
+        s.coldTokens = Math.min(Math.max(1, budgetPerUs * rules.fallUs() / 4),
+                s.coldTokens + 0.75 * budgetPerUs * (now - s.coldTokensAt));
+        s.coldTokensAt = now;
+        return s.coldTokens;
+    }
+
+    /** What may be out: what is answered in crowdUs, what keeps backends busy, or a floor by their cores. */
+    private double crowd() {
+        double byRate = answerRate() * Math.max(crowdUs, BUSY * idleUs);
+        // With less than a backend to itself, a proxy tells a crowd from bad luck by how much it refuses.
+        double share = servers.size() / (double) settings.balancers();
+        double cores = Math.min(CROWD_FLOOR, Math.max(1, borne * settings.balancers() * idleUs));
+        return Math.max(byRate, share * (CROWD_FLOOR + (share < 1 ? cores * (1 - refused) - refused : 0)));
+    }
+
+    private double answerRate() {
+        return answersPerUs * Math.exp((answersAt - now) / (double) refreshUs);
+    }
+
+    /** Whether one more may be out: the limit's whole part always, the rest as it was left unused. */
+    private boolean mayGo(Request r) {
+        // Dearer ones may overdraw: a proxy of hundreds never holds enough requests to order them by worth.
+        return outstanding < Math.max(room, CROWD_FLOOR)
+                && (outstanding + 1 <= room || spare >= -r.cheaper * room * refreshUs);
+    }
+
+    private void send(Request r, Server s) {
+        s.currentTime += 1;
+        s.whole.sent(now);
+        s.flows[r.flow].sent(now);
+        outstanding++;
+        s.coldTokens -= 1;
+        r.out++;
+        // A slow answer is worth waiting for, but not long past its aim: silence takes up the room of others.
+        long cutUs = now < r.aimAt ? (long) (LATE * (r.aimAt - now)) : Long.MAX_VALUE;
+        var a = new Attempt(s, now, Math.min(r.deadline - now, cutUs));
+        r.attempts.add(a);
+        out.accept(new Send(r.id, s.id, a.timeoutUs));
+    }
+
+    // Attempt outcome
+
+    private void attemptEnded(AttemptEnded e) {
+        Request r = requests.get(e.id());
+        if (r == null || e.attempt() >= r.attempts.size() || r.attempts.get(e.attempt()).outcome != null) {
+            return;
+        }
+        Attempt a = r.attempts.get(e.attempt());
+        a.outcome = e.outcome();
+        boolean heard = e.outcome() != Outcome.TIMEOUT && e.outcome() != Outcome.CANCELLED;
+        a.server.whole.ended(now, heard);
+        a.server.flows[r.flow].ended(now, heard);
+        outstanding--;
+        r.out--;
+        releaseUnlessReady(a.server);
+        boolean ok = e.outcome() == Outcome.OK;
+        // What cannot be reached fails for all; any other failure tells of the flow alone.
+        if (e.outcome() != Outcome.CANCELLED && e.outcome() != Outcome.NOT_SENT) {
+            a.server.whole.judge(e.outcome() != Outcome.CONNECT_FAILED, now, refreshUs);
+            a.server.flows[r.flow].judge(ok, now, refreshUs);
+            learn(a.server, ok ? e.latencyUs() : e.outcome() == Outcome.ERROR ? r.type.aimUs() : a.timeoutUs);
+        }
+        if (ok) {
+            all.learn(e.latencyUs());
+            answersPerUs = answerRate() + 1.0 / refreshUs;
+            answersAt = now;
+            refused -= refused / 16;
+        }
+        if (r.over || e.last()) {
+            close(r);
+        } else if (r.out == 0) {
+            retry(r);
+        }
+    }
+
+    /** Forgets a request that is over once none of its attempts is out, and calls off those that are. */
+    private void close(Request r) {
+        if (!r.over && settings.limits().cancel()) {
+            for (int i = 0; i < r.attempts.size(); i++) {
+                if (r.attempts.get(i).outcome == null) {
+                    out.accept(new Cancel(r.id, i));
+                }
+            }
+        }
+        r.over = true;
+        held.remove(r);
+        if (r.out == 0) {
+            requests.remove(r.id);
+        }
+    }
+
+    // Retry
+
+    private void retry(Request r) {
+        // A request that no backend may be sent is over: held, it would only take up room.
+        if (now < r.aimAt && retryTokens >= 1 && r.attempts.size() < settings.limits().maxAttempts()
+                && servers.stream().anyMatch(s -> effectAllows(s, r))) {
+            retryTokens -= 1;
+            hold(r);
+        } else {
+            finish(r);
+        }
+    }
+
+    // Refusal
+
+    /** Returns whether a tenant is past this proxy's part of its share; a repeat was counted before. */
+    private boolean overShare(Quota quota, boolean repeat) {
+        if (quota == null) {
+            return false;
+        }
+        quota.left = Math.min(quota.perUs * refreshUs, quota.left + quota.perUs * (now - quota.at));
+        quota.at = now;
+        if (quota.left < 1) {
+            return true;
+        }
+        quota.left -= repeat ? 0 : 1;
+        return false;
+    }
+
+    /** Queues a request, to be sent in this round if there is room: highest worth, then earliest aim. */
+    private void hold(Request r) {
+        // Sent at the last moment, it is to be answered in time: twice a crowd's time ahead.
+        r.giveUpAt = Math.min(r.aimAt - 2 * crowdUs, r.deadline - 2 * settings.tickUs());
+        r.cheaper = 1.0 * classes.values().stream().filter(c -> c.worth() < r.worth).count() / classes.size();
+        r.home = r.key == null ? null : home(r.key);
+        int i = held.size();
+        while (i > 0 && r.outranks(held.get(i - 1))) {
+            i--;
+        }
+        held.add(i, r);
+    }
+
+    /** Sends what there is room for; the rest waits, if it can still be in time and is not too much. */
+    private void release() {
+        if (held.isEmpty()) {
+            return;
+        }
+        // A key away from its home costs its full work: in a crowd, the very room that is missing.
+        for (int i = 0; i < held.size() && held.get(i).worth == held.get(0).worth && mayGo(held.get(i));) {
+            Request r = held.get(i);
+            if (r.home != null && pick(r) == r.home) {
+                held.remove(i);
+                send(r, r.home);
+            } else {
+                i++;
+            }
+        }
+        for (int i = 0; i < held.size() && mayGo(held.get(i));) {
+            Request r = held.get(i);
+            Server s = pick(r);
+            if (s != null) {
+                held.remove(i);
+                send(r, s);
+            } else if (r.attempts.isEmpty()) {
+                break;
+            } else {
+                i++;
+            }
+        }
+        for (int i = held.size() - 1; i >= 0; i--) {
+            Request r = held.get(i);
+            if (r.giveUpAt <= now || servers.isEmpty() || i >= Math.max(room, 1)) {
+                held.remove(i);
+                finish(r);
+            }
+        }
+        // Rule 1: whatever is held has a timer ahead of its deadline; sooner, as time brings room too.
+        long next = held.stream().mapToLong(r -> r.giveUpAt).min().orElse(Long.MAX_VALUE);
+        if (!held.isEmpty() && (now >= wakeAt || next < wakeAt)) {
+            wakeAt = Math.min(now + crowdUs / 4, next);
+            out.accept(new SetTimer(wakeAt, "held"));
+        }
+    }
+
+    /** Gives the final answer: a refusal where a repeat is harmless, else a failure. */
+    private void finish(Request r) {
+        refused += (1 - refused) / 16;
+        boolean harmless = r.type.effect() == Effect.SAFE
+                || r.type.effect() == Effect.KEYED && r.type.scope() == Scope.ALL
+                || r.attempts.stream().noneMatch(this::mayHaveRun);
+        out.accept(harmless ? new Refuse(r.id, 0) : new Fail(r.id));
+        close(r);
+    }
+
+    // Timers
+
+    private void ask() {
+        if (settings.limits().listMustBeAsked()) {
+            out.accept(new Watch(true));
+            askIn(rules.askWithinUs());
+        } else {
+            askAt = Long.MAX_VALUE;
+        }
+    }
+
+    private void askIn(long delayUs) {
+        askAt = now + delayUs;
+        out.accept(new SetTimer(askAt, "ask"));
+    }
+}
--- /dev/null
+++ b/src/test/java/beechfall/CrowdTest.java
@@ -0,0 +1,435 @@
+package beechfall;
+
+import static beechfall.Proxy.LIMITS;
+import static beechfall.Proxy.MS;
+import static beechfall.Proxy.PAY;
+import static beechfall.Proxy.READ;
+import static beechfall.Proxy.RULES;
+import static beechfall.Proxy.backend;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beechfall.Balancer.Fail;
+import beechfall.Balancer.Outcome;
+import beechfall.Balancer.Refuse;
+import beechfall.Balancer.Send;
+import beechfall.Balancer.Tenant;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What happens when more comes than the backends can do. */
+class CrowdTest {
+    private final Proxy proxy = new Proxy();
+
+    @Test
+    void moreThanTheLimitIsHeldAndThenRefusedAtOnce() {
+        proxy.list(backend("a"), backend("b"));
+        for (int i = 0; i < 100; i++) {
+            proxy.arrive(READ);
+        }
+        long sent = proxy.actions.stream().filter(a -> a instanceof Send).count();
+        long refused = proxy.actions.stream().filter(a -> a instanceof Refuse).count();
+        assertThat(sent).isBetween(2L, 10L);
+        assertThat(refused).isBetween(80L, 96L);
+        assertThat(sent + refused).isLessThan(100);
+    }
+
+    @Test
+    void theDearestHeldRequestGoesFirst() {
+        proxy.list(backend("a"));
+        var sent = new ArrayList<String>();
+        for (int i = 0; i < 3; i++) {
+            sent.add(proxy.arrive(READ));
+        }
+        String read = proxy.arrive(READ);
+        String pay = proxy.arrive(PAY);
+        assertThat(proxy.sends(read) + proxy.sends(pay)).isZero();
+        proxy.end(sent.get(0), Outcome.OK, 30 * MS);
+        assertThat(proxy.sends(pay)).isEqualTo(1);
+        assertThat(proxy.sends(read)).isZero();
+    }
+
+    @Test
+    void theLeastWorthIsRefusedFirst() {
+        proxy.list(backend("a"));
+        for (int i = 0; i < 20; i++) {
+            proxy.arrive(READ);
+        }
+        String pay = proxy.arrive(PAY);
+        assertThat(proxy.has(new Refuse(pay, 0))).isFalse();
+        assertThat(proxy.has(new Fail(pay))).isFalse();
+    }
+
+    @Test
+    void aTenantPastItsShareGivesWay() {
+        var p = new Proxy(Proxy.settings(LIMITS, RULES, new Tenant("greedy", 1), new Tenant("modest", 1000)));
+        p.list(backend("a"));
+        p.now += 10_000 * MS;
+        var held = new ArrayList<String>();
+        for (int i = 0; i < 60; i++) {
+            held.add(p.arrive(READ, "greedy"));
+        }
+        String modest = p.arrive(READ, "modest");
+        String first = held.stream().filter(id -> p.sends(id) == 1).findFirst().orElseThrow();
+        p.end(first, Outcome.OK, 30 * MS);
+        p.end(held.stream().filter(id -> p.sends(id) == 1).skip(1).findFirst().orElseThrow(), Outcome.OK, 30 * MS);
+        assertThat(p.sends(modest)).isEqualTo(1);
+    }
+
+    @Test
+    void theLimitFollowsTheRateOfAnswers() {
+        proxy.list(backend("a"), backend("b"));
+        for (int round = 0; round < 600; round++) {
+            proxy.now += 5 * MS;
+            for (String id : List.of(proxy.arrive(READ), proxy.arrive(READ))) {
+                if (proxy.sends(id) > 0) {
+                    proxy.end(id, Outcome.OK, MS);
+                }
+            }
+        }
+        int before = proxy.actions.size();
+        for (int i = 0; i < 100; i++) {
+            proxy.arrive(READ);
+        }
+        long sent = proxy.actions.subList(before, proxy.actions.size()).stream().filter(a -> a instanceof Send).count();
+        // 400 answers a second, and a fifth of the shortest aim (400 ms).
+        assertThat(sent).isBetween(25L, 35L);
+    }
+
+    @Test
+    void aLoneProxyKeepsItsBackendsBusyWhenUnqueuedWorkFillsTheLimit() {
+        // One of three, the others gone. An answer takes 200 ms without a queue, more than a fifth of the shortest aim.
+        var p = new Proxy(new Balancer.Settings(3, 0, "a", MS, List.of(READ, Proxy.PAY), List.of(), 1, false, LIMITS, RULES, 1));
+        p.list(backend("a"), backend("b"), backend("c"));
+        var out = new java.util.ArrayDeque<String>();
+        int seen = 0;
+        int inLastSecond = 0;
+        for (int step = 0; step < 3000; step++) {
+            p.now += 20 * MS;
+            p.arrive(READ);
+            for (; seen < p.actions.size(); seen++) {
+                if (p.actions.get(seen) instanceof Send s) {
+                    out.add(s.id() + " " + p.now);
+                    inLastSecond += step >= 2950 ? 1 : 0;
+                }
+            }
+            while (!out.isEmpty() && Long.parseLong(out.peek().split(" ")[1]) + 200 * MS <= p.now) {
+                p.end(out.remove().split(" ")[0], Outcome.OK, 200 * MS);
+            }
+        }
+        // Fifty came in; three at a time would be fifteen.
+        assertThat(inLastSecond).isGreaterThan(45);
+    }
+
+    @Test
+    void twelveProxiesTogetherHoldNoMoreThanOne() {
+        var alone = new Proxy();
+        var oneOfTwelve = new Proxy(new Balancer.Settings(12, 0, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, 1));
+        var backends = new Balancer.Backend[24];
+        for (int i = 0; i < backends.length; i++) {
+            backends[i] = backend("s" + i);
+        }
+        assertThat(burst(oneOfTwelve, backends)).isBetween(1L, burst(alone, backends) / 6);
+    }
+
+    @Test
+    void aBackendThatIsStuckGathersAttemptsOfAFewProxiesOnly() {
+        var backends = new Balancer.Backend[24];
+        var gathered = new java.util.HashMap<String, Integer>();
+        for (int i = 0; i < backends.length; i++) {
+            backends[i] = backend("s" + i, "std", i % 2 == 0 ? "a" : "b", 1);
+        }
+        for (int rank = 0; rank < 12; rank++) {
+            var p = new Proxy(new Balancer.Settings(12, rank, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, rank));
+            p.list(backends);
+            for (int i = 0; i < 6; i++) {
+                gathered.merge(p.lastSend(p.arrive(READ)).backend(), 1, Integer::sum);
+            }
+        }
+        assertThat(gathered).hasSize(24).allSatisfy((id, proxies) -> assertThat(proxies).isEqualTo(3));
+    }
+
+    @Test
+    void aHeldRequestIsGivenUpWhileItCouldStillBeAnsweredInTime() {
+        proxy.list(backend("a"));
+        for (int i = 0; i < 3; i++) {
+            proxy.arrive(READ);
+        }
+        String held = proxy.arrive(READ);
+        // Its aim is 600 ms away; an attempt may take 0.4 of the shortest aim, 400 ms.
+        proxy.run(439 * MS);
+        assertThat(proxy.has(new Balancer.Refuse(held, 0))).isFalse();
+        proxy.run(1 * MS);
+        assertThat(proxy.has(new Balancer.Refuse(held, 0))).isTrue();
+    }
+
+    @Test
+    void roomIsNotGivenToARepeatThatIsLateAlready() {
+        proxy.list(backend("a"));
+        var out = new ArrayList<String>();
+        for (int i = 0; i < 4; i++) {
+            String id = "first" + i;
+            proxy.feed(new Balancer.Arrival(id, "read", null, null, 1800 * MS, false));
+            out.add(id);
+        }
+        assertThat(proxy.sends("first2")).isEqualTo(1);
+        assertThat(proxy.sends("first3")).isZero();
+        // 1.2 s of 2 s are left, so the client began 0.8 s ago; its aim was 0.6 s.
+        proxy.feed(new Balancer.Arrival("late", "read", null, null, 1200 * MS, true));
+        // As much patience as first tries have: nothing is known of when it began.
+        proxy.feed(new Balancer.Arrival("again", "read", null, null, 1800 * MS, true));
+        assertThat(proxy.has(new Balancer.Refuse("late", 0))).isTrue();
+        proxy.end("first0", Outcome.OK, MS);
+        proxy.end("first1", Outcome.OK, MS);
+        assertThat(proxy.sends("again")).isEqualTo(1);
+        // With room to spare it is still served.
+        proxy.now += 100 * MS;
+        proxy.end("first2", Outcome.OK, MS);
+        proxy.end("first3", Outcome.OK, MS);
+        proxy.end("again", Outcome.OK, MS);
+        proxy.feed(new Balancer.Arrival("idle", "read", null, null, 1200 * MS, true));
+        assertThat(proxy.sends("idle")).isEqualTo(1);
+    }
+
+    @Test
+    void roomGoesToARequestWhoseKeyIsAtHomeThere() {
+        var p = new Proxy(new Balancer.Settings(3, 0, "a", MS, List.of(READ), List.of(), 1, true, LIMITS, RULES, 1));
+        p.list(backend("a"), backend("b"), backend("c"), backend("d"), backend("e"), backend("f"));
+        String[] key = new String[60];
+        var home = new java.util.HashMap<String, String>();
+        for (int i = 0; i < key.length; i++) {
+            key[i] = "key" + i;
+            p.feed(new Balancer.Arrival("probe" + i, "read", null, key[i], 2 * Proxy.S, false));
+            home.put(key[i], p.lastSend("probe" + i).backend());
+            p.end("probe" + i, Outcome.OK, MS);
+        }
+        p.now += 20 * Proxy.S;
+        var out = new ArrayList<String>();
+        for (int i = 0; i < 6; i++) {
+            out.add(p.arrive(READ));
+        }
+        String freed = p.lastSend(out.get(0)).backend();
+        String other = java.util.Arrays.stream(key).filter(k -> !home.get(k).equals(freed)).findFirst().orElseThrow();
+        String fits = java.util.Arrays.stream(key).filter(k -> home.get(k).equals(freed)).findFirst().orElseThrow();
+        p.feed(new Balancer.Arrival("other", "read", null, other, 2 * Proxy.S, false));
+        p.now += MS;
+        p.feed(new Balancer.Arrival("fits", "read", null, fits, 2 * Proxy.S, false));
+        assertThat(p.sends("other") + p.sends("fits")).isZero();
+        p.end(out.get(0), Outcome.OK, MS);
+        assertThat(p.sends("fits")).isEqualTo(1);
+        assertThat(p.sends("other")).isZero();
+    }
+
+    /** One of 400 proxies at 60 backends: its part of what all may have out is 3 x 60 / 400, under half an attempt. */
+    private static Proxy oneOfHundreds(int rank, Balancer.RequestClass... classes) {
+        var all = classes.length == 0 ? List.of(READ) : List.of(classes);
+        var p = new Proxy(new Balancer.Settings(400, rank, "a", MS, all, List.of(), 1, false, LIMITS, RULES, rank));
+        p.list(java.util.stream.IntStream.range(0, 60).mapToObj(i -> backend("s" + i)).toArray(Balancer.Backend[]::new));
+        p.run(5 * Proxy.S);
+        return p;
+    }
+
+    @Test
+    void oneOfHundredsOfProxiesSendsBesideASlowAttempt() {
+        var p = oneOfHundreds(0);
+        p.serve(READ, 20 * MS);
+        p.arrive(READ);
+        p.run(300 * MS);
+        assertThat(p.sends(p.arrive(READ))).isEqualTo(1);
+    }
+
+    @Test
+    void oneOfHundredsOfProxiesKeepsToItsLimitInTheMeanAndGoesOnInTime() {
+        var p = oneOfHundreds(0);
+        var sentAt = new java.util.HashMap<String, Long>();
+        var ended = new java.util.HashSet<String>();
+        for (int step = 0; step < 500; step++) {
+            if (step % 5 == 0) {
+                p.arrive(READ);
+            }
+            p.run(50 * MS);
+            p.actions.stream().filter(a -> a instanceof Send).forEach(a -> sentAt.putIfAbsent(((Send) a).id(), p.now));
+            for (String id : List.copyOf(sentAt.keySet())) {
+                if (p.now - sentAt.get(id) >= 250 * MS && ended.add(id)) {
+                    p.end(id, Outcome.OK, 250 * MS);
+                }
+            }
+        }
+        // In the mean of 25 s 2 to 4 x 60 / 400 may be out, and what a refresh of 1.2 s has saved up.
+        assertThat(sentAt.size()).isBetween(25 * 3 / 10 * 4, 27 * 6 / 10 * 4);
+    }
+
+    @Test
+    void oneOfHundredsThatRefusesMuchKeepsLessOut() {
+        var calm = oneOfHundreds(0);
+        var crowded = oneOfHundreds(0);
+        for (int i = 0; i < 100; i++) {
+            crowded.arrive(READ);
+        }
+        assertThat(sentIn(crowded)).isLessThan(sentIn(calm));
+    }
+
+    /** Sends in ten seconds with a request every 400 ms that takes all of them. */
+    private static long sentIn(Proxy p) {
+        p.run(10 * Proxy.S);
+        long before = p.actions.stream().filter(a -> a instanceof Send).count();
+        for (int i = 0; i < 25; i++) {
+            String id = p.arrive(READ);
+            p.run(400 * MS);
+            if (p.sends(id) > 0) {
+                p.end(id, Outcome.ERROR, 400 * MS);
+            }
+        }
+        return p.actions.stream().filter(a -> a instanceof Send).count() - before;
+    }
+
+    @Test
+    void aColdBackendGetsItsPartOfEveryProxyAndNotTooMuch() {
+        int got = 0;
+        for (int rank = 0; rank < 400; rank++) {
+            var p = oneOfHundreds(rank);
+            for (int i = 0; i < 50; i++) {
+                p.serve(READ, 30 * MS);
+                p.run(170 * MS);
+            }
+            long from = p.now;
+            p.feed(new Balancer.Members(Balancer.ListKind.DELTA, List.of(Proxy.started("new", from))));
+            for (int i = 0; i < 25; i++) {
+                got += p.serve(READ, 30 * MS).equals("new") ? 1 : 0;
+                p.run(170 * MS);
+            }
+        }
+        // All serve 33 a second at each of 60 backends. In 5 s a new one starts at 40% of that and may get up to 4 times as much.
+        assertThat(got).isBetween(5 * 33 * 4 / 10 / 2, 5 * 33 * 4 / 10 * 3);
+    }
+
+    @Test
+    void oneOfHundredsOverdrawsForTheDearest() {
+        var cheap = oneOfHundreds(0, READ, PAY);
+        var dear = oneOfHundreds(0, READ, PAY);
+        for (var p : List.of(cheap, dear)) {
+            String slow = p.arrive(READ);
+            p.run(2 * Proxy.S);
+            p.end(slow, Outcome.TIMEOUT, 2 * Proxy.S);
+        }
+        assertThat(cheap.sends(cheap.arrive(READ))).isZero();
+        assertThat(dear.sends(dear.arrive(PAY))).isEqualTo(1);
+    }
+
+    @Test
+    void hundredsOfProxiesStandEvenlyAndFallBackToDifferentBackends() {
+        var first = new java.util.HashMap<String, Integer>();
+        var second = new java.util.HashMap<String, java.util.Set<String>>();
+        for (int rank = 0; rank < 400; rank++) {
+            var p = oneOfHundreds(rank);
+            p.serve(READ, 20 * MS);
+            String stuckAt = p.lastSend(p.arrive(READ)).backend();
+            first.merge(stuckAt, 1, Integer::sum);
+            p.run(300 * MS);
+            second.computeIfAbsent(stuckAt, id -> new java.util.HashSet<>()).add(p.lastSend(p.arrive(READ)).backend());
+        }
+        assertThat(first).hasSize(60).allSatisfy((id, proxies) -> assertThat(proxies).isBetween(4, 9));
+        assertThat(second).allSatisfy((id, next) -> assertThat(next).doesNotContain(id).hasSizeGreaterThan(3));
+    }
+
+    @Test
+    void oneOfHundredsWaitsForABackendThatIsMerelyBusy() {
+        var p = oneOfHundreds(0);
+        String home = p.serve(READ, 20 * MS);
+        String busy = p.arrive(READ);
+        p.now += MS;
+        String next = p.arrive(READ);
+        assertThat(p.sends(next)).isZero();
+        p.end(busy, Outcome.OK, MS);
+        assertThat(p.lastSend(next).backend()).isEqualTo(home);
+    }
+
+    @Test
+    void oneOfHundredsHoldsNoMoreThanItCanSoonSend() {
+        var p = oneOfHundreds(0);
+        p.arrive(READ);
+        String held = p.arrive(READ);
+        String tooMany = p.arrive(READ);
+        assertThat(p.has(new Balancer.Refuse(tooMany, 0))).isTrue();
+        assertThat(p.has(new Balancer.Refuse(held, 0))).isFalse();
+    }
+
+    @Test
+    void oneOfHundredsTurnsToTheNextBackendInTimeForItsAim() {
+        var p = oneOfHundreds(0);
+        for (int i = 0; i < 20; i++) {
+            p.serve(READ, 200 * MS);
+            p.run(Proxy.S);
+        }
+        String busy = p.arrive(READ);
+        p.now += MS;
+        String next = p.arrive(READ);
+        // Its aim is 600 ms: 0.4 of that is 240.
+        p.run(230 * MS);
+        assertThat(p.sends(next)).isZero();
+        p.run(50 * MS);
+        assertThat(p.lastSend(next).backend()).isNotEqualTo(p.lastSend(busy).backend());
+    }
+
+    @Test
+    void aBackendFoundSlowIsLeftForAWhile() {
+        var p = oneOfHundreds(0);
+        for (int i = 0; i < 300; i++) {
+            p.serve(READ, 20 * MS);
+            p.run(100 * MS);
+        }
+        String slow = p.serve(READ, 20 * MS);
+        for (int i = 0; i < 40; i++) {
+            String id = p.arrive(READ);
+            long latency = p.lastSend(id).backend().equals(slow) ? 400 * MS : 20 * MS;
+            p.now += latency;
+            p.end(id, Outcome.OK, latency);
+            p.run(200 * MS);
+        }
+        assertThat(p.serve(READ, 20 * MS)).isNotEqualTo(slow);
+        for (int i = 0; i < 30; i++) {
+            p.serve(READ, 20 * MS);
+            p.run(2 * Proxy.S);
+        }
+        assertThat(p.serve(READ, 20 * MS)).as("its own answers are forgotten in time").isEqualTo(slow);
+    }
+
+    private static long burst(Proxy p, Balancer.Backend... backends) {
+        p.list(backends);
+        for (int i = 0; i < 100; i++) {
+            p.arrive(READ);
+        }
+        return p.actions.stream().filter(a -> a instanceof Send).count();
+    }
+
+    @Test
+    void anAttemptIsCutOffSoonAfterItsAimWhereALateAnswerIsWorthNothing() {
+        var p = oneOfHundreds(0);
+        String id = p.arrive(READ);
+        assertThat(p.lastSend(id).timeoutUs()).isBetween(READ.aimUs(), READ.deadlineUs() * 2 / 3);
+    }
+
+    @Test
+    void oneOfHundredsThatIsFarBusierUsesMoreThanOneBackend() {
+        assertThat(backendsUsed(1)).isEqualTo(1);
+        assertThat(backendsUsed(4)).isBetween(3L, 8L);
+    }
+
+    /** Backends that got something from a proxy that keeps so many requests of 100 ms out, once it has settled. */
+    private static long backendsUsed(int together) {
+        var p = oneOfHundreds(0);
+        int before = 0;
+        for (int i = 0; i < 200; i++) {
+            before = i == 150 ? p.actions.size() : before;
+            var out = new ArrayList<String>();
+            for (int n = 0; n < together; n++) {
+                out.add(p.arrive(READ));
+            }
+            p.run(100 * MS);
+            out.stream().filter(id -> p.sends(id) > 0).forEach(id -> p.end(id, Outcome.OK, 100 * MS));
+            p.run(together == 1 ? 200 * MS : 0);
+        }
+        return p.actions.subList(before, p.actions.size()).stream().filter(a -> a instanceof Send)
+                .map(a -> ((Send) a).backend()).distinct().count();
+    }
+}
