--- /dev/null
+++ b/src/main/java/beechfall/Main.java
@@ -0,0 +1,27 @@
+package beechfall;
+
+import beechfall.proxy.Serve;
+import java.io.IOException;
+
+/** The command line: {@code serve} runs one real proxy, {@code drill} the module on the simulator's wire. */
+public final class Main {
+    private Main() { }
+
+    /**
+     * Runs one of the two commands.
+     *
+     * @param args one word, the command
+     * @throws IOException if standard input or output of {@code drill} fails
+     */
+    public static void main(String[] args) throws IOException {
+        String command = args.length == 1 ? args[0] : "";
+        switch (command) {
+            case "serve" -> Serve.main(args);
+            case "drill" -> beechfall.wire.Main.main(args);
+            default -> {
+                System.err.println("usage: java -jar beechfall.jar serve|drill");
+                System.exit(2);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beechfall/proxy/Backends.java
@@ -0,0 +1,360 @@
+package beechfall.proxy;
+
+import beechfall.Balancer;
+import beechfall.Balancer.Outcome;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.pool.AbstractChannelPoolHandler;
+import io.netty.channel.pool.SimpleChannelPool;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpContentException;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The connections to the backends, and what becomes of the attempts sent over them. A connection carries one attempt
+ * at a time. Nothing is ever sent again from here: each attempt is one that the module has asked for.
+ */
+final class Backends {
+    static final int MAX_BODY = 64 * 1024;
+
+    /** What goes to a backend; it is the same for each attempt, but for the time left. */
+    record Outgoing(HttpMethod method, String uri, HttpHeaders headers, ByteBuf body) { }
+
+    /** A backend's 200. The body is the receiver's to release. */
+    record Answer(HttpHeaders headers, ByteBuf body) { }
+
+    /** A line of the list, and where this proxy finds that backend. */
+    record Listed(Balancer.Backend backend, InetSocketAddress address) { }
+
+    /** Hears the one end of an attempt; {@code answer} is there for {@link Outcome#OK} alone. */
+    interface End {
+        void ended(Outcome outcome, long latencyUs, Answer answer);
+    }
+
+    private final Clock clock;
+    private final EventLoop loop;
+    private final Sockets sockets;
+    private final Bootstrap bootstrap;
+    private final long idleUs;
+    private final Map<String, Target> targets = new HashMap<>();
+
+    Backends(Clock clock, EventLoop loop, Sockets sockets, long connIdleUs, long connectTimeoutUs) {
+        this.clock = clock;
+        this.loop = loop;
+        this.sockets = sockets;
+        // Well before the backend does: a request that crosses its close ends as a reset, and may have run.
+        this.idleUs = connIdleUs * 3 / 5;
+        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutUs / 1_000));
+    }
+
+    /** Returns whether there is a backend to send to. */
+    boolean anyReady() {
+        return targets.values().stream().anyMatch(t -> t.ready);
+    }
+
+    /**
+     * Takes over what discovery tells.
+     *
+     * @return the attempts that are to be stopped, as no byte of theirs has gone to a backend that wants nothing new
+     */
+    List<Attempt> update(Balancer.ListKind kind, List<Listed> listed) {
+        var named = new HashSet<String>();
+        for (Listed l : listed) {
+            named.add(l.backend().id());
+            Target target = targets.get(l.backend().id());
+            if (target == null || !target.address.equals(l.address())) {
+                if (target != null) {
+                    target.pool.close();
+                }
+                target = new Target(l.address());
+                targets.put(l.backend().id(), target);
+            }
+            target.ready = l.backend().state() == Balancer.State.READY;
+        }
+        if (kind != Balancer.ListKind.DELTA) {
+            targets.forEach((id, t) -> t.ready &= named.contains(id));
+        }
+        var unsent = new ArrayList<Attempt>();
+        targets.values().removeIf(t -> {
+            if (!t.ready) {
+                t.out.stream().filter(a -> !a.written).forEach(unsent::add);
+                t.pool.close();
+            }
+            return !t.ready && t.out.isEmpty();
+        });
+        return unsent;
+    }
+
+    /** Closes the idle connections to a backend. */
+    void release(String id) {
+        Target target = targets.get(id);
+        if (target != null) {
+            target.pool.close();
+        }
+    }
+
+    /** Returns an attempt that is yet to be started, or null where there is no such backend or no socket left. */
+    Attempt attempt(String id, Outgoing outgoing, long timeoutUs, End end) {
+        Target target = targets.get(id);
+        if (target == null || !target.ready || !target.pool.hasIdle() && !sockets.roomForBackend()) {
+            return null;
+        }
+        return new Attempt(target, outgoing, timeoutUs, end);
+    }
+
+    /** One backend. */
+    private final class Target {
+        private final InetSocketAddress address;
+        private final Pool pool;
+        private final Set<Attempt> out = new LinkedHashSet<>();
+        private boolean ready;
+
+        Target(InetSocketAddress address) {
+            this.address = address;
+            this.pool = new Pool(bootstrap.clone().remoteAddress(address));
+        }
+    }
+
+    /**
+     * Netty's pool, which leaves the choice of the idle connection to its subclass: the one used last, so that the
+     * others grow old and are closed, and never one that was closed meanwhile.
+     */
+    private final class Pool extends SimpleChannelPool {
+        private final Deque<Channel> idle = new ArrayDeque<>();
+        private ChannelFuture connecting;
+
+        Pool(Bootstrap bootstrap) {
+            super(bootstrap, new AbstractChannelPoolHandler() {
+                @Override
+                public void channelCreated(Channel channel) {
+                    sockets.backendOpened(channel);
+                    channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_BODY),
+                            new IdleStateHandler(0, 0, idleUs, TimeUnit.MICROSECONDS), new Connection());
+                }
+            });
+        }
+
+        boolean hasIdle() {
+            return !idle.isEmpty();
+        }
+
+        @Override
+        protected ChannelFuture connectChannel(Bootstrap to) {
+            connecting = super.connectChannel(to);
+            return connecting;
+        }
+
+        /** Takes a connection; returns the one that is being opened for it, or null. */
+        ChannelFuture acquireOrConnect(Promise<Channel> promise) {
+            connecting = null;
+            acquire(promise);
+            return connecting;
+        }
+
+        @Override
+        protected Channel pollChannel() {
+            Channel channel = idle.pollLast();
+            if (channel != null) {
+                sockets.backendIdle(channel, false);
+            }
+            return channel;
+        }
+
+        @Override
+        protected boolean offerChannel(Channel channel) {
+            idle.addLast(channel);
+            sockets.backendIdle(channel, true);
+            return true;
+        }
+
+        void closed(Channel channel) {
+            idle.remove(channel);
+        }
+    }
+
+    /** One attempt, from the wish for a connection to its end. */
+    final class Attempt {
+        private final Target target;
+        private final Outgoing outgoing;
+        private final long timeoutUs;
+        private final End end;
+        private long startedAt;
+        private Future<?> timer;
+        private ChannelFuture connecting;
+        private Channel channel;
+        private boolean written;
+        private boolean ended;
+
+        private Attempt(Target target, Outgoing outgoing, long timeoutUs, End end) {
+            this.target = target;
+            this.outgoing = outgoing;
+            this.timeoutUs = timeoutUs;
+            this.end = end;
+        }
+
+        void start() {
+            startedAt = clock.now();
+            target.out.add(this);
+            // Before its last byte is written it has not run for certain; after that it may, even if nothing comes.
+            timer = loop.schedule(() -> abort(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED), timeoutUs,
+                    TimeUnit.MICROSECONDS);
+            Promise<Channel> promise = loop.newPromise();
+            connecting = target.pool.acquireOrConnect(promise);
+            promise.addListener((Future<Channel> f) -> connected(f));
+        }
+
+        private void connected(Future<Channel> f) {
+            connecting = null;
+            if (!f.isSuccess()) {
+                end(Outcome.CONNECT_FAILED, null);
+            } else if (ended) {
+                target.pool.release(f.getNow());
+            } else {
+                write(f.getNow());
+            }
+        }
+
+        private void write(Channel to) {
+            channel = to;
+            var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, outgoing.method(), outgoing.uri(),
+                    outgoing.body().retainedDuplicate());
+            Headers.copyEndToEnd(outgoing.headers(), request.headers());
+            request.headers().set(Headers.TIMEOUT, Math.max(1, startedAt + timeoutUs - clock.now()) + "u");
+            if (!outgoing.method().equals(HttpMethod.GET)) {
+                HttpUtil.setContentLength(request, request.content().readableBytes());
+            }
+            channel.pipeline().get(Connection.class).attempt = this;
+            channel.writeAndFlush(request).addListener(f -> {
+                written = f.isSuccess();
+                if (!written) {
+                    abort(Outcome.CONNECT_FAILED);
+                }
+            });
+        }
+
+        /** Ends the attempt from this side. Its connection is closed first: no other attempt goes out beside it. */
+        void abort(Outcome outcome) {
+            if (!ended) {
+                if (channel != null) {
+                    channel.pipeline().get(Connection.class).attempt = null;
+                    channel.close();
+                } else if (connecting != null) {
+                    ended = true;
+                    connecting.channel().close();
+                    ended = false;
+                }
+                end(outcome, null);
+            }
+        }
+
+        private void end(Outcome outcome, Answer answer) {
+            if (!ended) {
+                ended = true;
+                timer.cancel(false);
+                target.out.remove(this);
+                end.ended(outcome, clock.now() - startedAt, answer);
+            }
+        }
+    }
+
+    /** The reading side of a connection to a backend. */
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private Attempt attempt;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                return;
+            }
+            Attempt a = attempt;
+            attempt = null;
+            if (a == null) {
+                // An answer that nobody has asked for: what comes next on this connection can't be trusted.
+                ctx.close();
+                return;
+            }
+            boolean sound = response.decoderResult().isSuccess();
+            // Back into the pool before the module hears: what it sends next may take this very connection.
+            if (sound && a.written && HttpUtil.isKeepAlive(response) && a.target.ready) {
+                a.target.pool.release(ctx.channel());
+            } else {
+                ctx.close();
+            }
+            Outcome outcome = outcome(response, sound);
+            a.end(outcome, outcome == Outcome.OK ? new Answer(response.headers(), response.content().retain()) : null);
+        }
+
+        private Outcome outcome(FullHttpResponse response, boolean sound) {
+            int status = response.status().code();
+            if (sound && status == 200) {
+                return Outcome.OK;
+            }
+            boolean turnedAway = (status == 503 || status == 504)
+                    && "1".equals(response.headers().get(Headers.NOT_PROCESSED));
+            return sound && turnedAway ? Outcome.FULL : Outcome.ERROR;
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) throws Exception {
+            targets.values().forEach(t -> t.pool.closed(ctx.channel()));
+            if (attempt != null) {
+                Attempt a = attempt;
+                attempt = null;
+                a.end(a.written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
+            }
+            super.channelInactive(ctx);
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+            if (event instanceof IdleStateEvent && attempt == null) {
+                ctx.close();
+            }
+            super.userEventTriggered(ctx, event);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            // An answer too long to pass on is an answer all the same; anything else is a break of the connection.
+            if (cause instanceof TooLongHttpContentException && attempt != null) {
+                Attempt a = attempt;
+                attempt = null;
+                ctx.close();
+                a.end(Outcome.ERROR, null);
+            } else {
+                ctx.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beechfall/proxy/Config.java
@@ -0,0 +1,129 @@
+package beechfall.proxy;
+
+import beechfall.Balancer;
+import beechfall.wire.SettingsReader;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.util.NetUtil;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What a proxy is told at its start.
+ *
+ * @param known the backends as this proxy last had them, in discovery's form; null where there are none
+ * @param connIdleUs a backend closes a connection that has stood idle for so long
+ */
+record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets, JsonNode known,
+        Balancer.Settings settings, long connIdleUs, long connectTimeoutUs) {
+
+    static final ObjectMapper JSON = new ObjectMapper();
+
+    /** A configuration that no proxy can run with; the message is for the operators and names the field. */
+    static final class BadConfig extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        BadConfig(String message) {
+            super(message);
+        }
+    }
+
+    static Config read(Path file) throws BadConfig {
+        try {
+            return parse(JSON.readTree(Files.readAllBytes(file)));
+        } catch (JsonProcessingException e) {
+            throw new BadConfig("not JSON: " + e.getOriginalMessage());
+        } catch (IOException e) {
+            throw new BadConfig("cannot be read: " + e);
+        }
+    }
+
+    static Config parse(JsonNode json) throws BadConfig {
+        JsonNode settings = json.path("settings");
+        if (!settings.isObject()) {
+            throw new BadConfig("'settings': an object is wanted");
+        }
+        var values = new HashMap<String, String>();
+        flatten("", settings, values);
+        try {
+            return new Config(text(json, "name"), address(json, "listen"), address(json, "discovery"), sockets(json),
+                    json.path("known").isObject() ? json.path("known") : null,
+                    SettingsReader.read(values, seed(json)),
+                    SettingsReader.whole(values, "bounds.conn_idle_us"),
+                    SettingsReader.whole(values, "bounds.connect_timeout_us"));
+        } catch (IllegalArgumentException e) {
+            throw new BadConfig("'settings': " + e.getMessage());
+        }
+    }
+
+    /** Spells nested JSON out as paths, as the simulator's wire has them. */
+    private static void flatten(String path, JsonNode node, Map<String, String> values) {
+        if (node.isObject()) {
+            node.properties().forEach(e ->
+                    flatten(path.isEmpty() ? e.getKey() : path + "." + e.getKey(), e.getValue(), values));
+        } else if (node.isArray()) {
+            values.put(path + ".count", Integer.toString(node.size()));
+            for (int i = 0; i < node.size(); i++) {
+                flatten(path + "." + i, node.get(i), values);
+            }
+        } else {
+            values.put(path, node.asText());
+        }
+    }
+
+    private static String text(JsonNode json, String field) throws BadConfig {
+        String text = json.path(field).asText("");
+        if (text.isEmpty()) {
+            throw new BadConfig("'" + field + "': missing");
+        }
+        return text;
+    }
+
+    private static InetSocketAddress address(JsonNode json, String field) throws BadConfig {
+        String text = text(json, field);
+        InetSocketAddress address = address(text);
+        if (address == null) {
+            throw new BadConfig("'" + field + "': '" + text + "' is no address and port");
+        }
+        return address;
+    }
+
+    private static long seed(JsonNode json) throws BadConfig {
+        String text = text(json, "seed");
+        try {
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            throw new BadConfig("'seed': '" + text + "' is no hexadecimal number of 64 bits");
+        }
+    }
+
+    private static int sockets(JsonNode json) throws BadConfig {
+        JsonNode limit = json.path("limits").path("sockets");
+        if (!limit.canConvertToInt() || limit.asInt() < 128) {
+            throw new BadConfig("'limits.sockets': a number of at least 128 is wanted");
+        }
+        return limit.asInt();
+    }
+
+    /** Reads a numeric address and a port, or returns null: there is no DNS, and none is to be waited for. */
+    static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        byte[] host = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+        if (host == null) {
+            return null;
+        }
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            return port < 0 || port > 65_535 ? null : new InetSocketAddress(InetAddress.getByAddress(host), port);
+        } catch (NumberFormatException | UnknownHostException e) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beechfall/proxy/Discovery.java
@@ -0,0 +1,215 @@
+package beechfall.proxy;
+
+import beechfall.Balancer;
+import beechfall.Balancer.ListKind;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Asks discovery for the list of backends. A watch is a row of calls, each sent as soon as the last is answered; when
+ * one fails the watch is over, the module is told, and it is the module that asks again, later each time.
+ */
+final class Discovery {
+    private static final String PATH = "/v1/endpoints";
+    private static final int MAX_ANSWER = 8 * 1024 * 1024;
+    private static final int CONNECT_TIMEOUT_MS = 1_000;
+    /** An answer that is later than this, beyond the time it may wait, is not coming: the other end is silent. */
+    private static final long SILENCE_MS = 4_000;
+    private static final long MOST_HOLD_MS = 60_000;
+    private static final Map<String, Balancer.State> STATES = Map.of(
+            "ready", Balancer.State.READY,
+            "draining", Balancer.State.DRAINING,
+            "gone", Balancer.State.GONE);
+
+    private final EventLoop loop;
+    private final Log log;
+    private final Proxy proxy;
+    private final InetSocketAddress address;
+    private final long holdMs;
+    private Call watch;
+    private long version = -1;
+    private boolean heard;
+
+    Discovery(EventLoop loop, Log log, Proxy proxy, InetSocketAddress address, long askWithinUs) {
+        this.loop = loop;
+        this.log = log;
+        this.proxy = proxy;
+        this.address = address;
+        // Twice the time within which a proxy has to ask: each empty answer is work for a service that all share.
+        this.holdMs = Math.min(MOST_HOLD_MS, 2 * askWithinUs / 1_000);
+    }
+
+    /** Returns whether a first call has ended: until then the list is as old as the last life of this proxy. */
+    boolean heard() {
+        return heard;
+    }
+
+    /** Takes in the list that this proxy had in its last life. */
+    void known(JsonNode list) {
+        if (list != null) {
+            take(ListKind.CACHED, list);
+        }
+    }
+
+    /** Begins the watch, or ends it. One that goes on already is left alone. */
+    void watch(boolean on) {
+        if (!on && watch != null) {
+            watch.end();
+            watch = null;
+        } else if (on && watch == null) {
+            // The first call does not wait: what was missed comes at once, or the news that there is none.
+            watch = new Call(true, 0);
+        }
+    }
+
+    /** Asks for the whole list, once. */
+    void fetch() {
+        new Call(false, 0);
+    }
+
+    private void answered(Call call, JsonNode list) {
+        heard = true;
+        ListKind kind = list == null ? null : list.path("full").asBoolean() ? ListKind.FULL : ListKind.DELTA;
+        if (call == watch) {
+            // The next call goes first: what changes in between counts as told for 200 ms only.
+            version = list == null ? version : list.path("version").asLong();
+            watch = list == null ? null : new Call(true, holdMs);
+        }
+        if (list == null) {
+            proxy.members(ListKind.FAILED, List.of());
+        } else {
+            take(kind, list);
+        }
+    }
+
+    private void take(ListKind kind, JsonNode list) {
+        version = Math.max(version, list.path("version").asLong(-1));
+        var listed = new ArrayList<Backends.Listed>();
+        for (JsonNode entry : list.path("servers")) {
+            Backends.Listed line = line(entry);
+            if (line == null) {
+                log.line("discovery: a malformed entry is left out: " + entry);
+            } else {
+                listed.add(line);
+            }
+        }
+        proxy.members(kind, listed);
+    }
+
+    private static Backends.Listed line(JsonNode entry) {
+        Balancer.State state = STATES.get(entry.path("state").asText());
+        InetSocketAddress address = Config.address(entry.path("addr").asText());
+        String id = entry.path("id").asText();
+        double weight = entry.path("weight").asDouble(1);
+        if (state == null || address == null || id.isEmpty() || !(weight > 0) || Double.isInfinite(weight)) {
+            return null;
+        }
+        return new Backends.Listed(new Balancer.Backend(id, state, entry.path("kind").asText(null),
+                entry.path("zone").asText(null), entry.path("cell").asInt(), entry.path("started_ms").asLong() * 1_000,
+                weight), address);
+    }
+
+    /** One call, on a connection of its own: a few in a minute are not worth keeping any. */
+    private final class Call extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final String uri;
+        private final Future<?> timer;
+        private final Channel channel;
+        private boolean ended;
+
+        Call(boolean watching, long waitMs) {
+            uri = watching && version >= 0 ? PATH + "?from=" + version + "&hold_ms=" + waitMs : PATH;
+            // Guards against a discovery that is cut off and says nothing: TCP alone would never tell.
+            timer = loop.schedule(() -> finish(null, "no answer in time"), waitMs + SILENCE_MS, TimeUnit.MILLISECONDS);
+            ChannelFuture connect = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel ch) {
+                            ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER),
+                                    Call.this);
+                        }
+                    }).connect(address);
+            channel = connect.channel();
+            connect.addListener(f -> {
+                if (!f.isSuccess()) {
+                    finish(null, "no connection");
+                }
+            });
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
+            request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+            HttpUtil.setKeepAlive(request, false);
+            ctx.writeAndFlush(request);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            if (!response.status().equals(HttpResponseStatus.OK) || response.decoderResult().isFailure()) {
+                finish(null, "answer " + response.status());
+                return;
+            }
+            try (InputStream body = new ByteBufInputStream(response.content())) {
+                JsonNode list = Config.JSON.readTree(body);
+                boolean sound = list.path("version").canConvertToLong() && list.path("servers").isArray();
+                finish(sound ? list : null, "the answer is no list");
+            } catch (IOException e) {
+                finish(null, "the answer is not JSON");
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            finish(null, "the connection broke");
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            finish(null, cause.toString());
+        }
+
+        private void finish(JsonNode list, String trouble) {
+            if (!ended) {
+                end();
+                if (list == null) {
+                    log.line("discovery: " + trouble);
+                }
+                answered(this, list);
+            }
+        }
+
+        void end() {
+            ended = true;
+            timer.cancel(false);
+            channel.close();
+        }
+    }
+}
--- a/src/main/java/beechfall/wire/Codec.java
+++ b/src/main/java/beechfall/wire/Codec.java
@@ -1,7 +1,6 @@
 package beechfall.wire;
 
 import beechfall.Balancer;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -25,49 +24,16 @@
             "whole", Balancer.ListKind.FULL,
             "stale_copy", Balancer.ListKind.CACHED,
             "broken", Balancer.ListKind.FAILED);
-    private static final Map<String, Balancer.Effect> EFFECTS = Map.of(
-            "idempotent", Balancer.Effect.SAFE,
-            "deduplicated", Balancer.Effect.KEYED,
-            "at_most_once", Balancer.Effect.UNSAFE);
-    private static final Map<String, Balancer.Scope> SCOPES = Map.of(
-            "all", Balancer.Scope.ALL,
-            "zone", Balancer.Scope.ZONE,
-            "cell", Balancer.Scope.CELL);
-    private static final Map<String, Boolean> MODES = Map.of("pushed", false, "on_request", true);
 
     private Codec() { }
 
     /** Reads the settings of an {@code up} line. */
     static Balancer.Settings settings(Fields up) {
-        var pairs = new Pairs(up);
-        var classes = new ArrayList<Balancer.RequestClass>();
-        for (int i = 0; i < pairs.whole("profiles.count"); i++) {
-            String path = "profiles." + i + ".";
-            var effect = pairs.word(path + "effect", EFFECTS);
-            boolean keyed = effect == Balancer.Effect.KEYED;
-            classes.add(new Balancer.RequestClass(pairs.text(path + "name"), pairs.whole(path + "aim_us"),
-                    pairs.whole(path + "deadline_us"), pairs.number(path + "value"),
-                    pairs.number(path + "late_worth"), effect,
-                    keyed ? pairs.word(path + "key_scope", SCOPES) : Balancer.Scope.ALL,
-                    keyed ? pairs.whole(path + "window_us") : 0));
+        var values = new HashMap<String, String>();
+        for (int i = 0; i < up.size(); i++) {
+            values.put(up.key(i), up.value(i));
         }
-        var tenants = new ArrayList<Balancer.Tenant>();
-        int tenantCount = pairs.has("projects.count") ? (int) pairs.whole("projects.count") : 0;
-        for (int i = 0; i < tenantCount; i++) {
-            String path = "projects." + i + ".";
-            tenants.add(new Balancer.Tenant(pairs.text(path + "name"), pairs.number(path + "allowance_per_s")));
-        }
-        var limits = new Balancer.Limits(pairs.flag("bounds.cancel"), pairs.flag("bounds.may_duplicate"),
-                pairs.flag("bounds.probes"), pairs.word("registry_mode", MODES),
-                (int) pairs.whole("bounds.most_tries"), pairs.whole("bounds.max_retry_after_us"));
-        var rules = new Balancer.Rules(pairs.number("invariants.cold_from"), pairs.whole("invariants.cold_us"),
-                pairs.number("invariants.fall_multiple"), pairs.whole("invariants.fall_us"),
-                pairs.whole("invariants.must_ask_in_us"),
-                pairs.has("invariants.full_unproven") && pairs.flag("invariants.full_unproven"));
-        return new Balancer.Settings((int) pairs.whole("balancers"), (int) pairs.whole("rank"), pairs.text("locality"),
-                pairs.whole("quantum_us"), classes, tenants,
-                tenantCount > 0 ? pairs.number("over_share_worth") : 1,
-                pairs.has("extra.warm_keys") && pairs.flag("extra.warm_keys"), limits, rules, up.whole("prng"));
+        return SettingsReader.read(values, up.whole("prng"));
     }
 
     /** Reads an event that fits on one line, or returns null for one that the module has no use for. */
@@ -157,59 +123,4 @@
         }
         return meaning;
     }
-
-    /** The settings of an {@code up} line by their path. */
-    private static final class Pairs {
-        private final Map<String, String> values = new HashMap<>();
-
-        Pairs(Fields up) {
-            for (int i = 0; i < up.size(); i++) {
-                values.put(up.key(i), up.value(i));
-            }
-        }
-
-        boolean has(String path) {
-            return values.containsKey(path);
-        }
-
-        String text(String path) {
-            String value = values.get(path);
-            if (value == null || value.isEmpty()) {
-                throw new WireException("up: missing setting '" + path + "'");
-            }
-            return value;
-        }
-
-        long whole(String path) {
-            double value = number(path);
-            if (value != Math.rint(value)) {
-                throw new WireException("up: bad number '" + text(path) + "' in setting '" + path + "'");
-            }
-            return (long) value;
-        }
-
-        double number(String path) {
-            try {
-                double value = Double.parseDouble(text(path));
-                if (Double.isFinite(value)) {
-                    return value;
-                }
-            } catch (NumberFormatException e) {
-                // told below
-            }
-            throw new WireException("up: bad number '" + text(path) + "' in setting '" + path + "'");
-        }
-
-        boolean flag(String path) {
-            return word(path, Map.of("true", true, "1", true, "false", false, "0", false));
-        }
-
-        <T> T word(String path, Map<String, T> words) {
-            T meaning = words.get(text(path));
-            if (meaning == null) {
-                throw new WireException("up: unknown value '" + text(path) + "' in setting '" + path + "'");
-            }
-            return meaning;
-        }
-    }
 }
