Test the proxy over loopback sockets; mend what that showed

An attempt's end is reported in one place. - Discovery: a pushed list had no watch at all, and a proxy with no known list never gave the module the event at which it begins to ask.

--- a/src/main/java/beechfall/proxy/Backends.java
+++ b/src/main/java/beechfall/proxy/Backends.java
@@ -11,12 +11,12 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.pool.AbstractChannelPoolHandler;
+import io.netty.channel.pool.ChannelPoolHandler;
 import io.netty.channel.pool.SimpleChannelPool;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -95,7 +95,7 @@
             Target target = targets.get(l.backend().id());
             if (target == null || !target.address.equals(l.address())) {
                 if (target != null) {
-                    target.pool.close();
+                    target.pool.closeIdle();
                 }
                 target = new Target(l.address());
                 targets.put(l.backend().id(), target);
@@ -109,7 +109,7 @@
         targets.values().removeIf(t -> {
             if (!t.ready) {
                 t.out.stream().filter(a -> !a.written).forEach(unsent::add);
-                t.pool.close();
+                t.pool.closeIdle();
             }
             return !t.ready && t.out.isEmpty();
         });
@@ -120,7 +120,7 @@
     void release(String id) {
         Target target = targets.get(id);
         if (target != null) {
-            target.pool.close();
+            target.pool.closeIdle();
         }
     }
 
@@ -142,7 +142,14 @@
 
         Target(InetSocketAddress address) {
             this.address = address;
-            this.pool = new Pool(bootstrap.clone().remoteAddress(address));
+            this.pool = new Pool(bootstrap.clone().remoteAddress(address), new AbstractChannelPoolHandler() {
+                @Override
+                public void channelCreated(Channel channel) {
+                    sockets.backendOpened(channel);
+                    channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_BODY),
+                            new IdleStateHandler(0, 0, idleUs, TimeUnit.MICROSECONDS), new Connection(Target.this));
+                }
+            });
         }
     }
 
@@ -154,15 +161,8 @@
         private final Deque<Channel> idle = new ArrayDeque<>();
         private ChannelFuture connecting;
 
-        Pool(Bootstrap bootstrap) {
-            super(bootstrap, new AbstractChannelPoolHandler() {
-                @Override
-                public void channelCreated(Channel channel) {
-                    sockets.backendOpened(channel);
-                    channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_BODY),
-                            new IdleStateHandler(0, 0, idleUs, TimeUnit.MICROSECONDS), new Connection());
-                }
-            });
+        Pool(Bootstrap bootstrap, ChannelPoolHandler handler) {
+            super(bootstrap, handler);
         }
 
         boolean hasIdle() {
@@ -201,6 +201,12 @@
         void closed(Channel channel) {
             idle.remove(channel);
         }
+
+        void closeIdle() {
+            for (Channel channel = pollChannel(); channel != null; channel = pollChannel()) {
+                channel.close();
+            }
+        }
     }
 
     /** One attempt, from the wish for a connection to its end. */
@@ -239,7 +245,7 @@
             if (!f.isSuccess()) {
                 end(Outcome.CONNECT_FAILED, null);
             } else if (ended) {
-                target.pool.release(f.getNow());
+                f.getNow().close();
             } else {
                 write(f.getNow());
             }
@@ -251,7 +257,7 @@
                     outgoing.body().retainedDuplicate());
             Headers.copyEndToEnd(outgoing.headers(), request.headers());
             request.headers().set(Headers.TIMEOUT, Math.max(1, startedAt + timeoutUs - clock.now()) + "u");
-            if (!outgoing.method().equals(HttpMethod.GET)) {
+            if (!outgoing.method().equals(HttpMethod.GET) || request.content().isReadable()) {
                 HttpUtil.setContentLength(request, request.content().readableBytes());
             }
             channel.pipeline().get(Connection.class).attempt = this;
@@ -265,33 +271,41 @@
 
         /** Ends the attempt from this side. Its connection is closed first: no other attempt goes out beside it. */
         void abort(Outcome outcome) {
-            if (!ended) {
-                if (channel != null) {
-                    channel.pipeline().get(Connection.class).attempt = null;
-                    channel.close();
-                } else if (connecting != null) {
-                    ended = true;
-                    connecting.channel().close();
-                    ended = false;
-                }
-                end(outcome, null);
+            if (ended) {
+                return;
+            }
+            ended = true;
+            if (channel != null) {
+                channel.close();
+            } else if (connecting != null) {
+                connecting.channel().close();
             }
+            report(outcome, null);
         }
 
         private void end(Outcome outcome, Answer answer) {
             if (!ended) {
                 ended = true;
-                timer.cancel(false);
-                target.out.remove(this);
-                end.ended(outcome, clock.now() - startedAt, answer);
+                report(outcome, answer);
             }
         }
+
+        private void report(Outcome outcome, Answer answer) {
+            timer.cancel(false);
+            target.out.remove(this);
+            end.ended(outcome, clock.now() - startedAt, answer);
+        }
     }
 
     /** The reading side of a connection to a backend. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final Target target;
         private Attempt attempt;
 
+        Connection(Target target) {
+            this.target = target;
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
             if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
@@ -306,8 +320,8 @@
             }
             boolean sound = response.decoderResult().isSuccess();
             // Back into the pool before the module hears: what it sends next may take this very connection.
-            if (sound && a.written && HttpUtil.isKeepAlive(response) && a.target.ready) {
-                a.target.pool.release(ctx.channel());
+            if (sound && a.written && HttpUtil.isKeepAlive(response) && target.ready) {
+                target.pool.release(ctx.channel());
             } else {
                 ctx.close();
             }
@@ -327,7 +341,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) throws Exception {
-            targets.values().forEach(t -> t.pool.closed(ctx.channel()));
+            target.pool.closed(ctx.channel());
             if (attempt != null) {
                 Attempt a = attempt;
                 attempt = null;
--- a/src/main/java/beechfall/proxy/Discovery.java
+++ b/src/main/java/beechfall/proxy/Discovery.java
@@ -42,6 +42,7 @@
     /** An answer that is later than this, beyond the time it may wait, is not coming: the other end is silent. */
     private static final long SILENCE_MS = 4_000;
     private static final long MOST_HOLD_MS = 60_000;
+    private static final long AGENT_RETRY_MS = 200;
     private static final Map<String, Balancer.State> STATES = Map.of(
             "ready", Balancer.State.READY,
             "draining", Balancer.State.DRAINING,
@@ -51,18 +52,20 @@
     private final Log log;
     private final Proxy proxy;
     private final InetSocketAddress address;
+    private final boolean pushed;
     private final long holdMs;
     private Call watch;
     private long version = -1;
     private boolean heard;
 
-    Discovery(EventLoop loop, Log log, Proxy proxy, InetSocketAddress address, long askWithinUs) {
+    Discovery(EventLoop loop, Log log, Proxy proxy, InetSocketAddress address, Balancer.Settings settings) {
         this.loop = loop;
         this.log = log;
         this.proxy = proxy;
         this.address = address;
+        this.pushed = !settings.limits().listMustBeAsked();
         // Twice the time within which a proxy has to ask: each empty answer is work for a service that all share.
-        this.holdMs = Math.min(MOST_HOLD_MS, 2 * askWithinUs / 1_000);
+        this.holdMs = Math.min(MOST_HOLD_MS, 2 * settings.rules().askWithinUs() / 1_000);
     }
 
     /** Returns whether a first call has ended: until then the list is as old as the last life of this proxy. */
@@ -70,10 +73,14 @@
         return heard;
     }
 
-    /** Takes in the list that this proxy had in its last life. */
+    /** Takes in the list that this proxy had in its last life, if any; the module begins with this. */
     void known(JsonNode list) {
         if (list != null) {
-            take(ListKind.CACHED, list);
+            version = list.path("version").asLong(-1);
+        }
+        take(ListKind.CACHED, list == null ? Config.JSON.createObjectNode() : list);
+        if (pushed) {
+            watch(true);
         }
     }
 
@@ -95,21 +102,29 @@
 
     private void answered(Call call, JsonNode list) {
         heard = true;
-        ListKind kind = list == null ? null : list.path("full").asBoolean() ? ListKind.FULL : ListKind.DELTA;
+        if (list == null) {
+            watch = call == watch ? null : watch;
+            failed();
+            return;
+        }
         if (call == watch) {
-            // The next call goes first: what changes in between counts as told for 200 ms only.
-            version = list == null ? version : list.path("version").asLong();
-            watch = list == null ? null : new Call(true, holdMs);
+            // The next call goes out first: a watch is over 200 ms after its last answer.
+            version = list.path("version").asLong();
+            watch = new Call(true, holdMs);
         }
-        if (list == null) {
-            proxy.members(ListKind.FAILED, List.of());
+        take(list.path("full").asBoolean() ? ListKind.FULL : ListKind.DELTA, list);
+    }
+
+    /** Where the module has to ask, it decides when to ask again; an agent on the same machine is simply kept up. */
+    private void failed() {
+        if (pushed) {
+            loop.schedule(() -> watch(true), AGENT_RETRY_MS, TimeUnit.MILLISECONDS);
         } else {
-            take(kind, list);
+            proxy.members(ListKind.FAILED, List.of());
         }
     }
 
     private void take(ListKind kind, JsonNode list) {
-        version = Math.max(version, list.path("version").asLong(-1));
         var listed = new ArrayList<Backends.Listed>();
         for (JsonNode entry : list.path("servers")) {
             Backends.Listed line = line(entry);
@@ -179,7 +194,8 @@
             }
             try (InputStream body = new ByteBufInputStream(response.content())) {
                 JsonNode list = Config.JSON.readTree(body);
-                boolean sound = list.path("version").canConvertToLong() && list.path("servers").isArray();
+                boolean sound = list.path("version").canConvertToLong() && list.path("full").isBoolean()
+                        && list.path("servers").isArray();
                 finish(sound ? list : null, "the answer is no list");
             } catch (IOException e) {
                 finish(null, "the answer is not JSON");
--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -50,6 +51,7 @@
     /** An answer is on its way for a moment, and the proxy may be late by a few milliseconds. */
     private static final long ON_ITS_WAY_US = 8_000;
     private static final long IDLE_S = 60;
+    private static final long LINGER_MS = 1_000;
     private static final int BACKLOG = 1_024;
     /** Requests read ahead on one connection; clients send one at a time, so more is not worth memory. */
     private static final int PIPELINED = 4;
@@ -102,9 +104,9 @@
         List.copyOf(connections).forEach(Connection::closeIfIdle);
     }
 
-    /** Returns whether any client still waits for an answer. */
+    /** Returns whether any client is still connected: it waits for an answer, or the answer is still being written. */
     boolean busy() {
-        return connections.stream().anyMatch(c -> c.exchange != null);
+        return !connections.isEmpty();
     }
 
     /** A request that can't be passed on, and the status that says so. */
@@ -124,6 +126,8 @@
         private Channel channel;
         private Exchange exchange;
         private long firstByteAt = -1;
+        private long lastReadAt;
+        private boolean hungUp;
 
         @Override
         public void handlerAdded(ChannelHandlerContext ctx) {
@@ -158,8 +162,19 @@
         }
 
         void request(FullHttpRequest request) {
-            var next = new Exchange(this, request, firstByteAt);
+            if (hungUp) {
+                request.release();
+                return;
+            }
+            if (request.decoderResult().isFailure()) {
+                request.release();
+                answerAndHangUp(plain(HttpResponseStatus.BAD_REQUEST, "not a request that can be read"));
+                return;
+            }
+            // Where several came in one read, all of them came when that read did.
+            lastReadAt = firstByteAt < 0 ? lastReadAt : firstByteAt;
             firstByteAt = -1;
+            var next = new Exchange(this, request, lastReadAt);
             if (exchange == null) {
                 exchange = next;
                 next.begin();
@@ -185,6 +200,19 @@
                 channel.close();
             }
         }
+
+        /**
+         * Answers a request that is not read to its end. Closing with bytes unread would reset the connection, and the
+         * client would lose the answer: so this side ends its sending, and the rest is read and dropped for a while.
+         */
+        void answerAndHangUp(FullHttpResponse answer) {
+            hungUp = true;
+            HttpUtil.setKeepAlive(answer, false);
+            channel.writeAndFlush(answer).addListener(f -> {
+                ((SocketChannel) channel).shutdownOutput();
+                channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+            });
+        }
     }
 
     /** Puts requests together; one that is too long is answered as such, and its rest is not waited for. */
@@ -198,9 +226,8 @@
 
         @Override
         protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-            var answer = plain(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is longer than 64 KiB");
-            HttpUtil.setKeepAlive(answer, false);
-            ctx.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+            connection.answerAndHangUp(
+                    plain(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is longer than 64 KiB"));
         }
     }
 
@@ -257,9 +284,6 @@
         void begin() {
             Proxy.Incoming incoming;
             try {
-                if (request.decoderResult().isFailure()) {
-                    throw new Rejected(HttpResponseStatus.BAD_REQUEST, "not a request that can be read");
-                }
                 var uri = new QueryStringDecoder(request.uri());
                 if (uri.rawPath().equals("/ready")) {
                     answer(ready.getAsBoolean() && !closing ? plain(HttpResponseStatus.OK, "ready")
@@ -357,7 +381,7 @@
                 answer.release();
                 return;
             }
-            boolean keepAlive = HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess() && !closing;
+            boolean keepAlive = HttpUtil.isKeepAlive(request) && !(closing && connection.waiting.isEmpty());
             HttpUtil.setKeepAlive(answer, keepAlive);
             request.release();
             ChannelFuture written = connection.channel.writeAndFlush(answer);
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -1,9 +1,12 @@
 package beechfall.proxy;
 
+import beechfall.Balancer;
 import beechfall.Policy;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -25,14 +28,18 @@
     private final CountDownLatch drained = new CountDownLatch(1);
 
     Serve(Config config) {
+        this(config, new Policy(config.settings()));
+    }
+
+    Serve(Config config, Balancer module) {
         this.config = config;
         loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         var clock = new Clock();
         var settings = config.settings();
         var sockets = new Sockets(config.sockets());
         var backends = new Backends(clock, loop, sockets, config.connIdleUs(), config.connectTimeoutUs());
-        proxy = new Proxy(clock, loop, log, settings, new Policy(settings), backends);
-        discovery = new Discovery(loop, log, proxy, config.discovery(), settings.rules().askWithinUs());
+        proxy = new Proxy(clock, loop, log, settings, module, backends);
+        discovery = new Discovery(loop, log, proxy, config.discovery(), settings);
         proxy.discovery(discovery);
         frontend = new Frontend(clock, log, proxy, sockets, settings, () -> discovery.heard() && backends.anyReady());
     }
@@ -48,25 +55,31 @@
             if (file == null || file.isEmpty()) {
                 throw new Config.BadConfig("PROXY_CONFIG is not set");
             }
-            new Serve(Config.read(Path.of(file))).start();
+            var serve = new Serve(Config.read(Path.of(file)));
+            serve.start();
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                serve.drain();
+                // All is answered and nothing is left to be tidied up.
+                Runtime.getRuntime().halt(0);
+            }, "drain"));
         } catch (Config.BadConfig e) {
             System.err.println("bad configuration: " + e.getMessage());
             System.exit(2);
         }
     }
 
-    private void start() {
+    /** Begins to serve; returns the address. */
+    InetSocketAddress start() throws Config.BadConfig {
         loop.execute(() -> discovery.known(config.known()));
-        var bound = frontend.listen(loop, config.listen()).awaitUninterruptibly();
+        ChannelFuture bound = frontend.listen(loop, config.listen()).awaitUninterruptibly();
         if (!bound.isSuccess()) {
-            System.err.println("cannot listen on " + config.listen() + ": " + bound.cause());
-            System.exit(1);
+            throw new Config.BadConfig("'listen': " + bound.cause().getMessage());
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
+        return (InetSocketAddress) bound.channel().localAddress();
     }
 
     /** Answers all that is taken, sends the clients elsewhere, and ends the process in time. */
-    private void drain() {
+    void drain() {
         long longestMs = config.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max().orElse(0) / 1_000;
         loop.execute(frontend::closeAfterAnswers);
         loop.schedule(() -> {
@@ -82,6 +95,10 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        Runtime.getRuntime().halt(0);
+    }
+
+    /** Ends at once, whatever is still open. */
+    void stop() {
+        loop.parent().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
     }
 }
--- a/src/main/java/beechfall/proxy/Sockets.java
+++ b/src/main/java/beechfall/proxy/Sockets.java
@@ -41,8 +41,8 @@
                 listener.config().setAutoRead(true);
             }
         });
-        if (clientsFull() && !giveUp(idleBackends, clients + backends >= most)
-                && !giveUp(idleClients, true) && listener != null) {
+        if (clientsFull() && !(clients < mostClients && giveUp(idleBackends)) && !giveUp(idleClients)
+                && listener != null) {
             listener.config().setAutoRead(false);
         }
     }
@@ -53,7 +53,7 @@
 
     /** Returns whether one more connection to a backend may be opened. */
     boolean roomForBackend() {
-        return clients + backends < most || giveUp(idleBackends, true) || giveUp(idleClients, true);
+        return clients + backends < most || giveUp(idleBackends) || giveUp(idleClients);
     }
 
     void backendOpened(Channel channel) {
@@ -79,8 +79,8 @@
         }
     }
 
-    private static boolean giveUp(Set<Channel> idle, boolean wanted) {
-        if (!wanted || idle.isEmpty()) {
+    private static boolean giveUp(Set<Channel> idle) {
+        if (idle.isEmpty()) {
             return false;
         }
         Channel longest = idle.iterator().next();
--- /dev/null
+++ b/src/test/java/beechfall/proxy/BackendsTest.java
@@ -0,0 +1,177 @@
+package beechfall.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beechfall.Balancer.Arrival;
+import beechfall.Balancer.AttemptEnded;
+import beechfall.Balancer.Outcome;
+import beechfall.Balancer.Release;
+import beechfall.Balancer.Send;
+import beechfall.Balancer.Watch;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What becomes of an attempt: rule 2 rests on 'never ran' being said only where that is certain. */
+class BackendsTest {
+    @ParameterizedTest
+    @CsvSource({"503 Unavailable,X-Not-Processed: 1,FULL", "504 Late,X-Not-Processed: 1,FULL",
+        "503 Unavailable,X-Not-Processed: 0,ERROR", "504 Late,X-Other: 1,ERROR", "500 Error,X-Not-Processed: 1,ERROR",
+        "404 Unknown,X-Other: 1,ERROR", "200 OK,X-Not-Processed: 1,OK"})
+    void tellsOutcomesByTheirAnswers(String status, String header, Outcome outcome) throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            backend.always(Peer.answer(status, "x", header));
+            client.send(Fixture.get("r1"));
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(outcome);
+            assertThat(client.read().status()).isEqualTo(outcome == Outcome.OK ? 200 : 502);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"''", "HTTP/1.1 200 OK\r\nContent-Le", "'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf'",
+        "'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n'"})
+    void aBreakAfterTheLastByteMayHaveRun(String part) throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            try (Wire attempt = backend.accept()) {
+                attempt.read();
+                attempt.send(part);
+            }
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.RESET);
+            assertThat(client.read().status()).isEqualTo(502);
+        }
+    }
+
+    @Test
+    void aRefusedConnectionNeverRan() throws Exception {
+        var backend = new Peer();
+        backend.close();
+        try (var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.CONNECT_FAILED);
+            assertThat(client.read().status()).isEqualTo(502);
+        }
+    }
+
+    @Test
+    void anAnswerTooLongIsAnError() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            backend.always(Peer.ok("x".repeat(70_000)));
+            client.send(Fixture.get("r1"));
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.ERROR);
+        }
+    }
+
+    /** While one attempt is out no other may be: the connection of one that is given up ends before the next begins. */
+    @Test
+    void aTimeOutClosesTheConnectionBeforeTheNextAttempt() throws Exception {
+        try (var slow = new Peer(); var other = new Peer(); var proxy = new Fixture((event, actions) -> {
+            if (event instanceof Arrival a) {
+                actions.accept(new Send(a.id(), "s0", 50_000));
+            } else if (event instanceof AttemptEnded e && e.outcome() == Outcome.TIMEOUT) {
+                actions.accept(new Send(e.id(), "s1", 0));
+            }
+        }, slow, other); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire first = slow.accept();
+            first.read();
+            Wire second = other.accept();
+            second.read();
+            assertThat(first.ended()).isTrue();
+            second.send(Peer.ok("x"));
+            assertThat(client.read().status()).isEqualTo(200);
+        }
+    }
+
+    @Test
+    void keepsConnectionsAndReleasesThem() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
+            if (event instanceof Arrival a && a.id().equals("r3")) {
+                actions.accept(new Release("s0"));
+            }
+            Fixture.sendTo("s0").handle(event, actions);
+        }, backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire first = backend.accept();
+            for (String next : List.of("r2", "r3")) {
+                first.read();
+                first.send(Peer.ok("x"));
+                assertThat(client.read().status()).isEqualTo(200);
+                client.send(Fixture.get(next));
+            }
+            assertThat(first.ended()).isTrue();
+            Wire second = backend.accept();
+            assertThat(second.read().header("X-Request-ID")).isEqualTo("r3");
+        }
+    }
+
+    /** A request that crosses the backend's close of an idle connection may have run: this side closes it first. */
+    @Test
+    void closesIdleConnectionsBeforeTheBackendDoes() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), 1_024, 500_000, backend);
+                var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            attempt.send(Peer.ok("x"));
+            client.read();
+            assertThat(attempt.ended()).isTrue();
+        }
+    }
+
+    /** Rule 3 counts a send from its first byte: one that still waits for its connection must not go out any more. */
+    @Test
+    void aDrainStopsWhatIsStillConnecting() throws Exception {
+        try (var full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress()); var backend = new Peer();
+                var proxy = new Fixture(watching("s1"), backend); var client = proxy.client()) {
+            List<Socket> crowd = fill(full);
+            String address = "127.0.0.1:" + full.getLocalPort();
+            Wire watch = proxy.discovery.accept();
+            watch.read();
+            watch.send(Peer.ok(Fixture.list(42, false, Fixture.entry("s1", address, "ready"))));
+            Wire next = proxy.discovery.accept();
+            next.read();
+            client.send(Fixture.get("r1"));
+            proxy.next(Arrival.class);
+            next.send(Peer.ok(Fixture.list(43, false, Fixture.entry("s1", address, "draining"))));
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.NOT_SENT);
+            assertThat(client.read().status()).isEqualTo(502);
+            for (Socket socket : crowd) {
+                socket.close();
+            }
+        }
+    }
+
+    private static Fixture.Module watching(String backend) {
+        var asked = new boolean[1];
+        return (event, actions) -> {
+            if (!asked[0]) {
+                asked[0] = true;
+                actions.accept(new Watch(true));
+            }
+            Fixture.sendTo(backend).handle(event, actions);
+        };
+    }
+
+    /** Connects until the queue of a listener that accepts nothing is full: whoever comes next waits. */
+    private static List<Socket> fill(ServerSocket server) throws IOException {
+        var crowd = new ArrayList<Socket>();
+        while (true) {
+            var socket = new Socket();
+            try {
+                socket.connect(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), 100);
+                crowd.add(socket);
+            } catch (java.net.SocketTimeoutException e) {
+                socket.close();
+                return crowd;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/beechfall/proxy/FrontendTest.java
@@ -0,0 +1,149 @@
+package beechfall.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beechfall.Balancer.Arrival;
+import beechfall.Balancer.ClientGone;
+import beechfall.Balancer.Fail;
+import beechfall.Balancer.Refuse;
+import java.util.concurrent.BlockingQueue;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The clients' side on loopback sockets. */
+class FrontendTest {
+    private static final Fixture.Module SILENT = (event, actions) -> { };
+
+    @Test
+    void passesRequestAndAnswerOnUnchanged() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            BlockingQueue<Wire.Message> seen = backend.always(Peer.answer("200 OK", "an\r\n\r\nswer", "Content-Type: a/b",
+                    "Connection: X-Hop", "X-Hop: 1"));
+            Wire.Message answer = client.send(Fixture.post("r1", "bo\r\n\0dy")).read();
+            Wire.Message request = Peer.next(seen);
+            assertThat(request.first()).isEqualTo("POST /api?k=u%201&x HTTP/1.1");
+            assertThat(request.body()).isEqualTo("bo\r\n\0dy");
+            assertThat(request.header("X-Request-ID")).isEqualTo("r1");
+            assertThat(request.header("Idempotency-Key")).isEqualTo("5c0f");
+            assertThat(request.header("X-Timeout")).matches("1[0-9]{6}u");
+            assertThat(answer.status()).isEqualTo(200);
+            assertThat(answer.body()).isEqualTo("an\r\n\r\nswer");
+            assertThat(answer.header("Content-Type")).isEqualTo("a/b");
+            assertThat(answer.header("X-Hop")).isNull();
+            Arrival arrival = proxy.next(Arrival.class);
+            assertThat(arrival.requestClass()).isEqualTo("pay");
+            assertThat(arrival.tenant()).isEqualTo("acme");
+            assertThat(arrival.key()).isEqualTo("u 1");
+            assertThat(arrival.repeat()).isFalse();
+            assertThat(arrival.leftUs()).isPositive().isLessThan(1_900_000);
+            assertThat(client.send(Fixture.get("r2")).read().status()).isEqualTo(200);
+        }
+    }
+
+    /** Whatever is wrong with a request, it costs neither a backend nor the module anything. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "X-Priority-Class: read|X-Priority-Class: write|400",
+        "X-Priority-Class: read|X-Other: read|400",
+        "X-Priority-Class: read|X-Priority-Class: pay|405",
+        "X-Request-ID: r1|X-Other: r1|400",
+        "X-Tenant-Id: acme|X-Tenant-Id: nobody|400",
+        "X-Tenant-Id: acme|X-Other: acme|400",
+        "X-Timeout: 1900m|X-Timeout: soon|400",
+        "X-Timeout: 1900m|X-Timeout: 0m|400",
+        "X-Timeout: 1900m|X-Timeout: -5m|400",
+        "X-Timeout: 1900m|X-Timeout: 123456789m|400",
+        "X-Timeout: 1900m|X-Other: 1900m|400",
+        "GET /api?k=u1|GET /apis|404",
+        "GET /api?k=u1|GET /api?k=%zz|400",
+        "GET /api?k=u1|PUT /api|405",
+        "GET /api?k=u1 HTTP/1.1|NONSENSE|400"})
+    void turnsBadRequestsAway(String good, String bad, int status) throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            assertThat(client.send(Fixture.get("r1").replace(good, bad)).read().status()).isEqualTo(status);
+            backend.always(Peer.ok("x"));
+            assertThat(proxy.client().send(Fixture.get("good")).read().status()).isEqualTo(200);
+            assertThat(proxy.next(Arrival.class).id()).isEqualTo("good");
+        }
+    }
+
+    @Test
+    void aKeyedRequestNeedsItsKey() throws Exception {
+        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
+            assertThat(client.send(Fixture.post("r1", "x").replace("Idempotency-Key", "X-Other")).read().status()).isEqualTo(400);
+        }
+    }
+
+    /** The client must read why it was turned away, even while it is still sending: no reset may overtake the answer. */
+    @Test
+    void aBodyTooLongIsToldSo() throws Exception {
+        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
+            client.send(Fixture.post("r1", "x".repeat(70_000)));
+            assertThat(client.read().status()).isEqualTo(413);
+            assertThat(client.ended()).isTrue();
+        }
+    }
+
+    @Test
+    void tellsTheModuleThatAClientIsGone() throws Exception {
+        try (var proxy = new Fixture(SILENT)) {
+            try (var client = proxy.client()) {
+                client.send(Fixture.get("r1"));
+                assertThat(proxy.next(Arrival.class).id()).isEqualTo("r1");
+            }
+            assertThat(proxy.next(ClientGone.class).id()).isEqualTo("r1");
+        }
+    }
+
+    @Test
+    void aRefusalTellsWhenToComeBack() throws Exception {
+        try (var proxy = new Fixture((event, actions) -> {
+            if (event instanceof Arrival a) {
+                actions.accept(new Refuse(a.id(), a.id().equals("r1") ? 250_000 : 0));
+            }
+        }); var client = proxy.client()) {
+            Wire.Message answer = client.send(Fixture.get("r1")).read();
+            assertThat(answer.status()).isEqualTo(503);
+            assertThat(answer.header("Retry-After")).isEqualTo("0.250");
+            answer = client.send(Fixture.get("r2")).read();
+            assertThat(answer.status()).isEqualTo(503);
+            assertThat(answer.header("Retry-After")).isNull();
+        }
+    }
+
+    /** One answer for each request, in their order, also where a client sends ahead; and only the first answer counts. */
+    @Test
+    void answersInOrderAndOnce() throws Exception {
+        try (var proxy = new Fixture((event, actions) -> {
+            if (event instanceof Arrival a) {
+                actions.accept(new Refuse(a.id(), 0));
+                actions.accept(new Fail(a.id()));
+            }
+        }); var client = proxy.client()) {
+            client.send(Fixture.get("r1") + Fixture.get("r2").replace("/api", "/other") + Fixture.get("r3"));
+            assertThat(client.read().status()).isEqualTo(503);
+            assertThat(client.read().status()).isEqualTo(404);
+            assertThat(client.read().status()).isEqualTo(503);
+        }
+    }
+
+    @Test
+    void anIdThatIsBeingServedIsNotTakenTwice() throws Exception {
+        try (var proxy = new Fixture(SILENT); var one = proxy.client(); var two = proxy.client()) {
+            one.send(Fixture.get("r1"));
+            proxy.next(Arrival.class);
+            assertThat(two.send(Fixture.get("r1")).read().status()).isEqualTo(409);
+        }
+    }
+
+    @Test
+    void closesWhereTheClientAsksForIt() throws Exception {
+        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
+            Wire.Message answer = client.send("GET /other HTTP/1.1\r\nConnection: close\r\n\r\n").read();
+            assertThat(answer.status()).isEqualTo(404);
+            assertThat(answer.header("Connection")).isEqualTo("close");
+            assertThat(client.ended()).isTrue();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/beechfall/proxy/Peer.java
@@ -0,0 +1,99 @@
+package beechfall.proxy;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A backend, or discovery, played by hand: the test accepts its connections and says what goes over them. */
+final class Peer implements Closeable {
+    private final ServerSocket server;
+    private final List<Wire> open = new ArrayList<>();
+
+    Peer() throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        server.setSoTimeout(10_000);
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    Wire accept() throws IOException {
+        var wire = new Wire(server.accept());
+        synchronized (open) {
+            open.add(wire);
+        }
+        return wire;
+    }
+
+    /** Answers every request in the same way from now on, on threads of its own; returns the requests as they come. */
+    BlockingQueue<Wire.Message> always(String answer) {
+        var seen = new LinkedBlockingQueue<Wire.Message>();
+        background(() -> {
+            while (true) {
+                Wire wire = accept();
+                background(() -> {
+                    for (Wire.Message m = wire.read(); m != null; m = wire.read()) {
+                        seen.add(m);
+                        wire.send(answer);
+                    }
+                });
+            }
+        });
+        return seen;
+    }
+
+    static String ok(String body) {
+        return answer("200 OK", body);
+    }
+
+    static String answer(String status, String body, String... headers) {
+        return "HTTP/1.1 " + status + "\r\n" + (headers.length == 0 ? "" : String.join("\r\n", headers) + "\r\n")
+                + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    static <T> T next(BlockingQueue<T> queue) throws InterruptedException {
+        T next = queue.poll(10, TimeUnit.SECONDS);
+        if (next == null) {
+            throw new AssertionError("nothing came");
+        }
+        return next;
+    }
+
+    interface Work {
+        void run() throws IOException;
+    }
+
+    private static void background(Work work) {
+        var thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (IOException e) {
+                // The test is over, or the other side has hung up: either way there is nothing more to answer.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    int port() {
+        return ((InetSocketAddress) server.getLocalSocketAddress()).getPort();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        synchronized (open) {
+            for (Wire wire : open) {
+                wire.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/beechfall/proxy/Wire.java
@@ -0,0 +1,98 @@
+package beechfall.proxy;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Locale;
+
+/** One end of a connection, read and written byte by byte: tests see just what is sent, and when it ends. */
+final class Wire implements Closeable {
+    private static final int PATIENCE_MS = 10_000;
+
+    final Socket socket;
+    private final InputStream in;
+
+    Wire(Socket socket) throws IOException {
+        this.socket = socket;
+        socket.setSoTimeout(PATIENCE_MS);
+        socket.setTcpNoDelay(true);
+        in = new BufferedInputStream(socket.getInputStream());
+    }
+
+    static Wire to(InetSocketAddress address) throws IOException {
+        return new Wire(new Socket(InetAddress.getLoopbackAddress(), address.getPort()));
+    }
+
+    Wire send(String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        return this;
+    }
+
+    /** Reads one message: its first line, its headers and its body; null if the connection ends before one begins. */
+    Message read() throws IOException {
+        String first = line();
+        if (first == null) {
+            return null;
+        }
+        var headers = new StringBuilder("\n");
+        int length = 0;
+        for (String line = line(); line != null && !line.isEmpty(); line = line()) {
+            headers.append(line).append('\n');
+            if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+                length = Integer.parseInt(line.substring(line.indexOf(':') + 1).trim());
+            }
+        }
+        byte[] body = in.readNBytes(length);
+        if (body.length < length) {
+            throw new IOException("cut short after " + body.length + " of " + length);
+        }
+        return new Message(first, headers.toString(), new String(body, StandardCharsets.ISO_8859_1));
+    }
+
+    /** Waits until the other side has ended the connection; returns whether it did so without sending anything. */
+    boolean ended() throws IOException {
+        try {
+            return in.read() < 0;
+        } catch (java.net.SocketTimeoutException e) {
+            return false;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    private String line() throws IOException {
+        var line = new ByteArrayOutputStream();
+        for (int b = in.read(); b != '\n'; b = in.read()) {
+            if (b < 0) {
+                return null;
+            }
+            if (b != '\r') {
+                line.write(b);
+            }
+        }
+        return line.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+
+    record Message(String first, String headers, String body) {
+        int status() {
+            return Integer.parseInt(first.split(" ")[1]);
+        }
+
+        String header(String name) {
+            return Arrays.stream(headers.split("\n")).filter(l -> l.regionMatches(true, 0, name + ":", 0, name.length() + 1))
+                    .map(l -> l.substring(name.length() + 1).trim()).findFirst().orElse(null);
+        }
+    }
+}
