Give up no connection that has not been asked on; test discovery, drain, limits

Seen: ServeTest.acceptsAgainOnceThereIsRoom, with 61 clients and room for 20, lost a request: its connection was closed without an answer. Looked at: the accept pause (right), the safety timer (answered the others); the cause was Frontend.Connection.handlerAdded, which offered a connection as idle as soon as it was accepted, so that the next accept could give it up with its first request unread. Now a connection counts as idle only after its first answer.

Tests added: discovery (watch, failures, malformed data, readiness), the configuration's messages, the drain after SIGTERM, the limit on sockets. Checked: mvn verify.

--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -133,7 +133,6 @@
         public void handlerAdded(ChannelHandlerContext ctx) {
             channel = ctx.channel();
             connections.add(this);
-            sockets.clientIdle(channel, true);
             channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_S, TimeUnit.SECONDS), new HttpServerCodec(),
                     new Aggregator(this), new Requests(this));
         }
@@ -191,6 +190,7 @@
                 channel.config().setAutoRead(true);
                 exchange.begin();
             } else if (keepAlive && firstByteAt < 0) {
+                // Not sooner: a new connection's first request may wait unread, and is taken all the same.
                 sockets.clientIdle(channel, true);
             }
         }
--- /dev/null
+++ b/src/test/java/beechfall/proxy/ConfigTest.java
@@ -0,0 +1,60 @@
+package beechfall.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import beechfall.Balancer;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The configuration: what it says, and one plain line on what is wrong with it. */
+class ConfigTest {
+    @Test
+    void readsTheSettings() throws Exception {
+        Config config = Config.parse(Fixture.config());
+        assertThat(config.settings().seed()).isEqualTo(0x92094eb940cf389aL);
+        assertThat(config.settings().limits().listMustBeAsked()).isTrue();
+        assertThat(config.settings().classes()).extracting(Balancer.RequestClass::effect)
+                .containsExactly(Balancer.Effect.SAFE, Balancer.Effect.KEYED, Balancer.Effect.UNSAFE);
+        assertThat(config.settings().tenants()).containsExactly(new Balancer.Tenant("acme", 100));
+        assertThat(config.connIdleUs()).isEqualTo(15_000_000);
+        assertThat(config.known().path("version").asLong()).isEqualTo(41);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "name|''|'name': missing",
+        "listen|'8080'|'listen': '8080' is no address and port",
+        "discovery|'host:80'|'discovery': 'host:80' is no address and port",
+        "seed|'xyz'|'seed': 'xyz' is no hexadecimal number of 64 bits",
+        "limits|''|'limits.sockets': a number of at least 128 is wanted",
+        "settings|'x'|'settings': an object is wanted"})
+    void namesTheFieldThatIsWrong(String field, String value, String message) throws Exception {
+        assertThatThrownBy(() -> Config.parse(Fixture.config().put(field, value)))
+                .isInstanceOf(Config.BadConfig.class).hasMessage(message);
+    }
+
+    @Test
+    void namesTheSettingThatIsWrong() throws Exception {
+        ObjectNode missing = Fixture.config();
+        ((ObjectNode) missing.path("settings").path("bounds")).remove("conn_idle_us");
+        assertThatThrownBy(() -> Config.parse(missing)).hasMessage("'settings': missing setting 'bounds.conn_idle_us'");
+        ObjectNode wrong = Fixture.config();
+        ((ObjectNode) wrong.path("settings").path("profiles").get(1)).put("effect", "sometimes");
+        assertThatThrownBy(() -> Config.parse(wrong))
+                .hasMessage("'settings': unknown value 'sometimes' in setting 'profiles.1.effect'");
+    }
+
+    @Test
+    void saysWhereAFileIsNoConfiguration(@TempDir Path folder) throws Exception {
+        Path file = folder.resolve("config.json");
+        assertThatThrownBy(() -> Config.read(file)).isInstanceOf(Config.BadConfig.class).hasMessageStartingWith("cannot be read");
+        Files.writeString(file, "{");
+        assertThatThrownBy(() -> Config.read(file)).isInstanceOf(Config.BadConfig.class).hasMessageStartingWith("not JSON");
+    }
+}
--- /dev/null
+++ b/src/test/java/beechfall/proxy/DiscoveryTest.java
@@ -0,0 +1,119 @@
+package beechfall.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beechfall.Balancer.Backend;
+import beechfall.Balancer.Event;
+import beechfall.Balancer.Fetch;
+import beechfall.Balancer.ListKind;
+import beechfall.Balancer.Members;
+import beechfall.Balancer.State;
+import beechfall.Balancer.Watch;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The watch on the list of backends, with discovery played by the test. */
+class DiscoveryTest {
+    /** Asks to watch at its first event, and again whenever a call has failed. */
+    private static Fixture.Module watcher() {
+        return (event, actions) -> {
+            if (event instanceof Members m && (m.kind() == ListKind.CACHED || m.kind() == ListKind.FAILED)) {
+                actions.accept(new Watch(true));
+            }
+        };
+    }
+
+    private static Wire.Message ready(Fixture proxy) throws Exception {
+        try (var client = proxy.client()) {
+            return client.send("GET /ready HTTP/1.1\r\n\r\n").read();
+        }
+    }
+
+    /** Ready means that it can serve: not on the list of its last life alone, and not without a backend. */
+    @Test
+    void isReadyOnceDiscoveryHasSpoken() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(watcher(), backend)) {
+            Members known = proxy.next(Members.class);
+            assertThat(known.kind()).isEqualTo(ListKind.CACHED);
+            assertThat(known.backends()).containsExactly(new Backend("s0", State.READY, "m", "a", 1, 7_000, 1));
+            Wire call = proxy.discovery.accept();
+            assertThat(call.read().first()).isEqualTo("GET /v1/endpoints?from=41&hold_ms=0 HTTP/1.1");
+            assertThat(ready(proxy).status()).isEqualTo(503);
+            call.send(Peer.ok(Fixture.list(41, false)));
+            // The watch goes on at once, and now it may wait.
+            Wire next = proxy.discovery.accept();
+            assertThat(next.read().first()).isEqualTo("GET /v1/endpoints?from=41&hold_ms=20000 HTTP/1.1");
+            assertThat(ready(proxy).status()).isEqualTo(200);
+            next.send(Peer.ok(Fixture.list(43, false, Fixture.entry("s0", backend.address(), "gone"))));
+            Wire last = proxy.discovery.accept();
+            assertThat(last.read().first()).contains("from=43&");
+            assertThat(ready(proxy).status()).isEqualTo(503);
+        }
+    }
+
+    @Test
+    void tellsChangesAndWholeLists() throws Exception {
+        try (var proxy = new Fixture(watcher())) {
+            proxy.next(Members.class);
+            Wire call = proxy.discovery.accept();
+            call.read();
+            call.send(Peer.ok(Fixture.list(42, true, Fixture.entry("s7", "127.0.0.1:1", "ready"))));
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.FULL);
+            call = proxy.discovery.accept();
+            call.read();
+            call.send(Peer.ok(Fixture.list(43, false, Fixture.entry("s7", "127.0.0.1:1", "draining"))));
+            Members change = proxy.next(Members.class);
+            assertThat(change.kind()).isEqualTo(ListKind.DELTA);
+            assertThat(change.backends()).extracting(Backend::state).containsExactly(State.DRAINING);
+        }
+    }
+
+    /** A failed call is told to the module, which decides when to ask again: nothing asks on its own. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nha",
+        "", "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nnot JSON", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]", "rubbish\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{\"version\":\"x\",\"full\":true,\"servers\":[]}"})
+    void tellsOfAFailedCall(String answer) throws Exception {
+        try (var proxy = new Fixture(watcher())) {
+            proxy.next(Members.class);
+            try (Wire call = proxy.discovery.accept()) {
+                call.read();
+                call.send(answer);
+            }
+            assertThat(proxy.next(Members.class)).isEqualTo(new Members(ListKind.FAILED, List.of()));
+            assertThat(proxy.discovery.accept().read().first()).contains("from=41&hold_ms=0");
+        }
+    }
+
+    /** One entry that makes no sense must not cost the others. */
+    @Test
+    void leavesMalformedEntriesOut() throws Exception {
+        try (var proxy = new Fixture(watcher())) {
+            proxy.next(Members.class);
+            Wire call = proxy.discovery.accept();
+            call.read();
+            call.send(Peer.ok(Fixture.list(42, true, Fixture.entry("", "127.0.0.1:1", "ready"), "7", "null", "{}",
+                    Fixture.entry("s1", "localhost:1", "ready"), Fixture.entry("s2", "127.0.0.1:99999", "ready"),
+                    Fixture.entry("s3", "127.0.0.1:1", "asleep"), Fixture.entry("s4", "127.0.0.1:1", "ready"))));
+            assertThat(proxy.next(Members.class).backends()).extracting(Backend::id).containsExactly("s4");
+        }
+    }
+
+    @Test
+    void fetchesTheWholeListOnce() throws Exception {
+        try (var proxy = new Fixture((Event event, java.util.function.Consumer<beechfall.Balancer.Action> actions) -> {
+            if (event instanceof Members m && m.kind() == ListKind.CACHED) {
+                actions.accept(new Fetch());
+            }
+        })) {
+            proxy.next(Members.class);
+            Wire call = proxy.discovery.accept();
+            assertThat(call.read().first()).isEqualTo("GET /v1/endpoints HTTP/1.1");
+            call.send(Peer.ok(Fixture.list(42, true, Fixture.entry("s1", "127.0.0.1:1", "ready"))));
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.FULL);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/beechfall/proxy/ServeTest.java
@@ -0,0 +1,97 @@
+package beechfall.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beechfall.Balancer.Arrival;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** A planned restart, and the limit on sockets. */
+class ServeTest {
+    /** Rule 1 at a restart: what is taken is answered, new clients are served while the front still sends them. */
+    @Test
+    void answersAllThatItHasTakenBeforeItEnds() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var busy = proxy.client(); var idle = proxy.client(); var used = proxy.client()) {
+            busy.send(Fixture.get("r1"));
+            Wire slow = backend.accept();
+            slow.read();
+            idle.send("GET /other HTTP/1.1\r\n\r\n").read();
+            used.send("GET /other HTTP/1.1\r\n\r\n").read();
+            CompletableFuture<Void> drained = CompletableFuture.runAsync(proxy::drain);
+            // The signal shows in the answers: each is its connection's last.
+            Wire.Message answer = used.send("GET /other HTTP/1.1\r\n\r\n").read();
+            while (answer.header("Connection") == null) {
+                answer = used.send("GET /other HTTP/1.1\r\n\r\n").read();
+            }
+            assertThat(answer.header("Connection")).isEqualTo("close");
+            assertThat(used.ended()).isTrue();
+            try (var late = proxy.client()) {
+                late.send(Fixture.get("r2"));
+                Wire attempt = backend.accept();
+                attempt.read();
+                attempt.send(Peer.ok("late"));
+                answer = late.read();
+                assertThat(answer.body()).isEqualTo("late");
+                assertThat(answer.header("Connection")).isEqualTo("close");
+            }
+            assertThat(idle.ended()).isTrue();
+            assertThat(drained).isNotDone();
+            slow.send(Peer.ok("slow"));
+            answer = busy.read();
+            assertThat(answer.body()).isEqualTo("slow");
+            assertThat(busy.ended()).isTrue();
+            drained.get(10, TimeUnit.SECONDS);
+        }
+    }
+
+    /** More clients than there are sockets: idle ones are given up, and whoever asks is served. */
+    @Test
+    void givesUpIdleConnectionsRatherThanFail() throws Exception {
+        var crowd = new ArrayList<Wire>();
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), 128, 15_000_000, backend)) {
+            backend.always(Peer.ok("x"));
+            for (int i = 0; i < 200; i++) {
+                Wire client = proxy.client();
+                crowd.add(client);
+                assertThat(client.send(Fixture.get("r" + i)).read().status()).isEqualTo(200);
+            }
+            assertThat(crowd.get(0).ended()).isTrue();
+            assertThat(crowd.get(199).send(Fixture.get("again")).read().status()).isEqualTo(200);
+        } finally {
+            for (Wire client : crowd) {
+                client.close();
+            }
+        }
+    }
+
+    /** Where all are busy, whoever comes next waits to be accepted, and is served when there is room again. */
+    @Test
+    void acceptsAgainOnceThereIsRoom() throws Exception {
+        var crowd = new ArrayList<Wire>();
+        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
+            if (event instanceof Arrival a && a.id().startsWith("last")) {
+                Fixture.sendTo("s0").handle(event, actions);
+            }
+        }, 128, 15_000_000, backend)) {
+            backend.always(Peer.ok("x"));
+            for (int i = 0; i < 60; i++) {
+                crowd.add(proxy.client().send(Fixture.get("r" + i)));
+            }
+            Wire last = proxy.client().send(Fixture.get("last"));
+            crowd.add(last);
+            // The silent ones are answered in the end, by the proxy, and make room.
+            assertThat(last.read()).isNotNull();
+            for (Wire client : List.copyOf(crowd).subList(0, 20)) {
+                assertThat(client.read().status()).isEqualTo(502);
+            }
+        } finally {
+            for (Wire client : crowd) {
+                client.close();
+            }
+        }
+    }
+}
