Accept again when a connection falls idle, and one client at a time

Lines: Sockets.clientIdle and the close listener. Now a connection that falls idle lets the next client in, which takes its place; and the listener accepts one at a time, so that a burst of 16 can't pass the bound (ruled in by reading Netty's default for server channels).

--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -79,6 +80,8 @@
 
     ChannelFuture listen(EventLoop loop, InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                // One at a time: each that is accepted counts before the next is.
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator())
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
--- a/src/main/java/beechfall/proxy/Sockets.java
+++ b/src/main/java/beechfall/proxy/Sockets.java
@@ -37,13 +37,18 @@
         channel.closeFuture().addListener(f -> {
             clients--;
             idleClients.remove(channel);
-            if (listener != null && !clientsFull() && !listener.config().isAutoRead()) {
-                listener.config().setAutoRead(true);
+            if (!clientsFull()) {
+                accept(true);
             }
         });
-        if (clientsFull() && !(clients < mostClients && giveUp(idleBackends)) && !giveUp(idleClients)
-                && listener != null) {
-            listener.config().setAutoRead(false);
+        if (clientsFull() && !(clients < mostClients && giveUp(idleBackends)) && !giveUp(idleClients)) {
+            accept(false);
+        }
+    }
+
+    private void accept(boolean on) {
+        if (listener != null && listener.config().isAutoRead() != on) {
+            listener.config().setAutoRead(on);
         }
     }
 
@@ -68,8 +73,12 @@
         mark(idleBackends, channel, idle);
     }
 
+    /** Whoever waits to be accepted may have the place of a connection that has fallen idle. */
     void clientIdle(Channel channel, boolean idle) {
         mark(idleClients, channel, idle);
+        if (idle) {
+            accept(true);
+        }
     }
 
     private static void mark(Set<Channel> set, Channel channel, boolean idle) {
