A refusal says when to come back

Seen: every refusal left without Retry-After (Policy.finish gave 0), while the operators ask that a client that is turned away at once be told when to come back.

Done: Policy.comeBackUs: the time in which what is held now is answered, at least a crowd's time and at most what the settings allow, spread over the requests by their ids.

The tests' module has hints off, so that a refusal equals any other; a test of its own covers them (CrowdTest.aRefusalTellsWhenThereMayBeRoom).

--- a/src/main/java/beechfall/Policy.java
+++ b/src/main/java/beechfall/Policy.java
@@ -645,10 +645,17 @@
         boolean harmless = r.type.effect() == Effect.SAFE
                 || r.type.effect() == Effect.KEYED && r.type.scope() == Scope.ALL
                 || r.attempts.stream().noneMatch(this::mayHaveRun);
-        out.accept(harmless ? new Refuse(r.id, 0) : new Fail(r.id));
+        out.accept(harmless ? new Refuse(r.id, comeBackUs(r)) : new Fail(r.id));
         close(r);
     }
 
+    /** When there may be room: what is held now has been answered by then. Not in step with the others refused. */
+    private long comeBackUs(Request r) {
+        double heldUs = servers.isEmpty() ? refreshUs : held.size() / Math.max(answerRate(), 1.0 / refreshUs);
+        double spread = 1 - (mix(r.id.hashCode()) >>> 16) / 262_144.0;
+        return (long) (spread * Math.min(Math.max(crowdUs, heldUs), settings.limits().maxRetryAfterUs()));
+    }
+
     // Timers
 
     private void ask() {
--- a/src/test/java/beechfall/CrowdTest.java
+++ b/src/test/java/beechfall/CrowdTest.java
@@ -60,6 +60,20 @@
         assertThat(proxy.has(new Fail(pay))).isFalse();
     }
 
+    /** A client that is told when to come back doesn't come back into the crowd that it was turned away from. */
+    @Test
+    void aRefusalTellsWhenThereMayBeRoom() {
+        long most = 700 * MS;
+        var p = new Proxy(Proxy.settings(new Balancer.Limits(true, false, false, false, 4, most), RULES));
+        p.list(backend("a"));
+        for (int i = 0; i < 20; i++) {
+            p.arrive(READ);
+        }
+        var hints = p.actions.stream().filter(a -> a instanceof Refuse).map(a -> ((Refuse) a).retryAfterUs()).toList();
+        assertThat(hints).hasSizeGreaterThan(5).doesNotHaveDuplicates()
+                .allSatisfy(hint -> assertThat(hint).isBetween(60 * MS, most));
+    }
+
     @Test
     void aTenantPastItsShareGivesWay() {
         var p = new Proxy(Proxy.settings(LIMITS, RULES, new Tenant("greedy", 1), new Tenant("modest", 1000)));
--- a/src/test/java/beechfall/Proxy.java
+++ b/src/test/java/beechfall/Proxy.java
@@ -42,7 +42,8 @@
     static final RequestClass VOTE =
             new RequestClass("vote", 600 * MS, 2 * S, 3, 0, Effect.UNSAFE, Scope.ALL, 0);
 
-    static final Limits LIMITS = new Limits(true, false, false, false, 4, 2 * S);
+    /** No hints when to come back: a refusal then equals any other. */
+    static final Limits LIMITS = new Limits(true, false, false, false, 4, 0);
     static final Rules RULES = new Rules(0.4, 8 * S, 4, S, 10 * S, false);
 
     final Policy policy;
