Answer a request whatever goes wrong with its answer; follow moved backends

Seen, in reading the code against the protocol: - Proxy.ended marked a request as over before its answer was put together: an error there would have lost it. Proxy.answer now falls back to a failure. - Backends.Attempt: an error while a request is written down was swallowed by the promise that called it, and the connection stayed out until the time-out. Now the attempt ends at once as not sent. - Backends.update: attempts that still connect to a backend's old address were not stopped when it moved, and idle connections there stayed open. - An OK that came after the request was over kept its body (a leak).

Checked: followsABackendToItsNewAddress fails without Target.stopped (tried). Tried and taken back: a check of the path for control characters; with it taken out the test still passes, as Netty's decoder turns them away itself.

--- a/src/main/java/beechfall/proxy/Backends.java
+++ b/src/main/java/beechfall/proxy/Backends.java
@@ -89,13 +89,16 @@
      * @return the attempts that are to be stopped, as no byte of theirs has gone to a backend that wants nothing new
      */
     List<Attempt> update(Balancer.ListKind kind, List<Listed> listed) {
+        var unsent = new ArrayList<Attempt>();
         var named = new HashSet<String>();
         for (Listed l : listed) {
             named.add(l.backend().id());
             Target target = targets.get(l.backend().id());
             if (target == null || !target.address.equals(l.address())) {
                 if (target != null) {
-                    target.pool.closeIdle();
+                    // The same backend in another place: the old one gets nothing new.
+                    target.ready = false;
+                    unsent.addAll(target.stopped());
                 }
                 target = new Target(l.address());
                 targets.put(l.backend().id(), target);
@@ -105,11 +108,9 @@
         if (kind != Balancer.ListKind.DELTA) {
             targets.forEach((id, t) -> t.ready &= named.contains(id));
         }
-        var unsent = new ArrayList<Attempt>();
         targets.values().removeIf(t -> {
             if (!t.ready) {
-                t.out.stream().filter(a -> !a.written).forEach(unsent::add);
-                t.pool.closeIdle();
+                unsent.addAll(t.stopped());
             }
             return !t.ready && t.out.isEmpty();
         });
@@ -151,6 +152,12 @@
                 }
             });
         }
+
+        /** Closes what is idle; returns the attempts that have not been written whole and so never ran. */
+        List<Attempt> stopped() {
+            pool.closeIdle();
+            return out.stream().filter(a -> !a.written).toList();
+        }
     }
 
     /**
@@ -247,12 +254,17 @@
             } else if (ended) {
                 f.getNow().close();
             } else {
-                write(f.getNow());
+                channel = f.getNow();
+                try {
+                    write();
+                } catch (RuntimeException e) {
+                    // A request that can't be written down has gone nowhere; nobody else must suffer for it.
+                    abort(Outcome.NOT_SENT);
+                }
             }
         }
 
-        private void write(Channel to) {
-            channel = to;
+        private void write() {
             var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, outgoing.method(), outgoing.uri(),
                     outgoing.body().retainedDuplicate());
             Headers.copyEndToEnd(outgoing.headers(), request.headers());
--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -31,6 +31,7 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -256,7 +257,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (!(cause instanceof java.io.IOException)) {
+            if (!(cause instanceof IOException)) {
                 log.failure("a client's connection failed", cause);
             }
             ctx.close();
--- a/src/main/java/beechfall/proxy/Headers.java
+++ b/src/main/java/beechfall/proxy/Headers.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 
@@ -26,7 +27,7 @@
         boolean named = from.contains(HttpHeaderNames.CONNECTION);
         for (Map.Entry<String, String> header : from) {
             String name = header.getKey();
-            if (!HOP_BY_HOP.contains(name.toLowerCase(java.util.Locale.ROOT))
+            if (!HOP_BY_HOP.contains(name.toLowerCase(Locale.ROOT))
                     && !(named && from.containsValue(HttpHeaderNames.CONNECTION, name, true))) {
                 to.add(name, header.getValue());
             }
--- a/src/main/java/beechfall/proxy/Proxy.java
+++ b/src/main/java/beechfall/proxy/Proxy.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Stands between the module and the sockets: hands the module its events, one at a time, and carries out its actions.
@@ -116,8 +117,7 @@
     /** Guards against a module that never answers: whatever happens, the client hears of its request in time. */
     private void overdue(Request r) {
         if (!r.over) {
-            over(r);
-            r.reply.failed();
+            answer(r, Reply::failed);
             deliver(new Balancer.ClientGone(r.incoming.id()));
             forget(r);
         }
@@ -135,13 +135,25 @@
             Backends.Answer answer) {
         r.out--;
         if (outcome == Outcome.OK && !r.over) {
-            over(r);
-            r.reply.served(answer);
+            answer(r, reply -> reply.served(answer));
+        } else if (answer != null) {
+            answer.body().release();
         }
         deliver(new Balancer.AttemptEnded(r.incoming.id(), number, backend, outcome, latencyUs, r.over));
         forget(r);
     }
 
+    /** Gives the one answer; where that goes wrong it is a failure, as the request is taken all the same. */
+    private void answer(Request r, Consumer<Reply> answer) {
+        over(r);
+        try {
+            answer.accept(r.reply);
+        } catch (RuntimeException e) {
+            log.failure("could not answer " + r.incoming.id(), e);
+            r.reply.failed();
+        }
+    }
+
     private void over(Request r) {
         r.over = true;
         r.safety.cancel(false);
@@ -189,11 +201,8 @@
     /** An error costs the request that it came with, not the proxy and all the others that it holds. */
     private void failRequestOf(Event event) {
         String id = event instanceof Balancer.Arrival a ? a.id() : event instanceof Balancer.AttemptEnded a ? a.id() : null;
-        Request r = id == null ? null : requests.get(id);
-        if (r != null && !r.over) {
-            over(r);
-            r.reply.failed();
-            forget(r);
+        if (id != null) {
+            finish(id, Reply::failed);
         }
     }
 
@@ -229,11 +238,10 @@
         }
     }
 
-    private void finish(String id, java.util.function.Consumer<Reply> answer) {
+    private void finish(String id, Consumer<Reply> answer) {
         Request r = requests.get(id);
         if (r != null && !r.over) {
-            over(r);
-            answer.accept(r.reply);
+            answer(r, answer);
             forget(r);
         }
     }
--- a/src/test/java/beechfall/proxy/BackendsTest.java
+++ b/src/test/java/beechfall/proxy/BackendsTest.java
@@ -160,6 +160,25 @@
         };
     }
 
+    /** The id says which backend it is, the address only where: what was kept open to the old place is not used again. */
+    @Test
+    void followsABackendToItsNewAddress() throws Exception {
+        try (var old = new Peer(); var moved = new Peer(); var proxy = new Fixture(watching("s0"), 1_024, 60_000_000, old);
+                var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = old.accept();
+            attempt.read();
+            attempt.send(Peer.ok("old"));
+            assertThat(client.read().body()).isEqualTo("old");
+            Wire watch = proxy.discovery.accept();
+            watch.read();
+            watch.send(Peer.ok(Fixture.list(42, false, Fixture.entry("s0", moved.address(), "ready"))));
+            assertThat(attempt.ended()).isTrue();
+            moved.always(Peer.ok("new"));
+            assertThat(client.send(Fixture.get("r2")).read().body()).isEqualTo("new");
+        }
+    }
+
     /** Connects until the queue of a listener that accepts nothing is full: whoever comes next waits. */
     private static List<Socket> fill(ServerSocket server) throws IOException {
         var crowd = new ArrayList<Socket>();
--- a/src/test/java/beechfall/proxy/DiscoveryTest.java
+++ b/src/test/java/beechfall/proxy/DiscoveryTest.java
@@ -88,6 +88,18 @@
         }
     }
 
+    /** A discovery that is cut off says nothing, and TCP tells nobody: only the time does. */
+    @Test
+    void noticesASilentDiscovery() throws Exception {
+        try (var proxy = new Fixture(watcher())) {
+            proxy.next(Members.class);
+            Wire call = proxy.discovery.accept();
+            call.read();
+            assertThat(call.ended()).isTrue();
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.FAILED);
+        }
+    }
+
     /** One entry that makes no sense must not cost the others. */
     @Test
     void leavesMalformedEntriesOut() throws Exception {
--- a/src/test/java/beechfall/proxy/FrontendTest.java
+++ b/src/test/java/beechfall/proxy/FrontendTest.java
@@ -6,6 +6,7 @@
 import beechfall.Balancer.ClientGone;
 import beechfall.Balancer.Fail;
 import beechfall.Balancer.Refuse;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -68,6 +69,28 @@
         }
     }
 
+    @Test
+    void aPathThatIsNoSingleLineIsNotPassedOn() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend)) {
+            for (String bad : List.of("/api?k=a\rb", "/api?k=a\0b", "/api?k=a\u007fb")) {
+                try (var client = proxy.client()) {
+                    assertThat(client.send(Fixture.get("r1").replace("/api?k=u1", bad)).read().status()).isEqualTo(400);
+                }
+            }
+            assertThat(proxy.events).noneMatch(Arrival.class::isInstance);
+        }
+    }
+
+    @Test
+    void passesTheLongestBodies() throws Exception {
+        String body = "0123456789abcdef".repeat(4_096);
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            BlockingQueue<Wire.Message> seen = backend.always(Peer.ok(body));
+            assertThat(client.send(Fixture.post("r1", body)).read().body()).isEqualTo(body);
+            assertThat(Peer.next(seen).body()).isEqualTo(body);
+        }
+    }
+
     @Test
     void aKeyedRequestNeedsItsKey() throws Exception {
         try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
