Answer rubbish behind a request in its turn

Seen, in reading: an over-long or malformed request that followed one still being served was answered at once and the sending ended, so that the answer to the first was lost. Lines: Frontend.Connection.answerAndHangUp; now the parting answer waits for those before it (part, hangUp). Test: FrontendTest.rubbishBehindARequestIsAnsweredAfterIt.

--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -131,7 +131,7 @@
         private Exchange exchange;
         private long firstByteAt = -1;
         private long lastReadAt;
-        private boolean hungUp;
+        private FullHttpResponse parting;
 
         @Override
         public void handlerAdded(ChannelHandlerContext ctx) {
@@ -165,13 +165,9 @@
         }
 
         void request(FullHttpRequest request) {
-            if (hungUp) {
+            if (parting != null || request.decoderResult().isFailure()) {
                 request.release();
-                return;
-            }
-            if (request.decoderResult().isFailure()) {
-                request.release();
-                answerAndHangUp(plain(HttpResponseStatus.BAD_REQUEST, "not a request that can be read"));
+                part(plain(HttpResponseStatus.BAD_REQUEST, "not a request that can be read"));
                 return;
             }
             // Where several came in one read, all of them came when that read did.
@@ -193,26 +189,42 @@
             if (exchange != null) {
                 channel.config().setAutoRead(true);
                 exchange.begin();
+            } else if (parting != null) {
+                hangUp();
             } else if (keepAlive && firstByteAt < 0) {
                 // Not sooner: a new connection's first request may wait unread, and is taken all the same.
                 sockets.clientIdle(channel, true);
             }
         }
 
+        /** Returns whether nothing more is to be answered after the exchange that is under way. */
+        boolean last() {
+            return waiting.isEmpty() && parting == null;
+        }
+
         void closeIfIdle() {
             if (exchange == null && firstByteAt < 0) {
                 channel.close();
             }
         }
 
+        /** Answers what can't be read as a request, after those that came before it; nothing is read beyond it. */
+        void part(FullHttpResponse answer) {
+            if (parting == null) {
+                parting = answer;
+                if (exchange == null) {
+                    hangUp();
+                }
+            }
+        }
+
         /**
-         * Answers a request that is not read to its end. Closing with bytes unread would reset the connection, and the
-         * client would lose the answer: so this side ends its sending, and the rest is read and dropped for a while.
+         * Closing with bytes unread would reset the connection, and the client would lose the answer: so this side
+         * ends its sending, and the rest is read and dropped for a while.
          */
-        void answerAndHangUp(FullHttpResponse answer) {
-            hungUp = true;
-            HttpUtil.setKeepAlive(answer, false);
-            channel.writeAndFlush(answer).addListener(f -> {
+        private void hangUp() {
+            HttpUtil.setKeepAlive(parting, false);
+            channel.writeAndFlush(parting).addListener(f -> {
                 ((SocketChannel) channel).shutdownOutput();
                 channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
             });
@@ -230,8 +242,7 @@
 
         @Override
         protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-            connection.answerAndHangUp(
-                    plain(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is longer than 64 KiB"));
+            connection.part(plain(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is longer than 64 KiB"));
         }
     }
 
@@ -385,7 +396,7 @@
                 answer.release();
                 return;
             }
-            boolean keepAlive = HttpUtil.isKeepAlive(request) && !(closing && connection.waiting.isEmpty());
+            boolean keepAlive = HttpUtil.isKeepAlive(request) && !(closing && connection.last());
             HttpUtil.setKeepAlive(answer, keepAlive);
             request.release();
             ChannelFuture written = connection.channel.writeAndFlush(answer);
--- a/src/test/java/beechfall/proxy/FrontendTest.java
+++ b/src/test/java/beechfall/proxy/FrontendTest.java
@@ -108,6 +108,20 @@
         }
     }
 
+    /** What comes behind a request that is being served must neither overtake its answer nor cost it. */
+    @Test
+    void rubbishBehindARequestIsAnsweredAfterIt() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1") + "RUBBISH\r\n\r\n" + Fixture.get("r2"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            attempt.send(Peer.ok("x"));
+            assertThat(client.read().body()).isEqualTo("x");
+            assertThat(client.read().status()).isEqualTo(400);
+            assertThat(client.ended()).isTrue();
+        }
+    }
+
     @Test
     void tellsTheModuleThatAClientIsGone() throws Exception {
         try (var proxy = new Fixture(SILENT)) {
