Count a client's patience through the time in which the proxy is held up

Seen, in reading: a request's deadline was counted from when its first byte was read. While the loop is held up (a stall of the process, a long batch) requests wait unread, and their deadlines came out too late by as much. Measured with the test: 400 ms held up, 1,890,846 us left of 1,900,000 instead of under 1.5 s. First try: compare with the last beat of the loop at the read alone. The test showed why that is not enough: after a long batch the loop runs its timers before it reads again, so the beat looks fresh. Now an overdue beat is kept in mind until the next one (Frontend.beat, arrivedAt). Test: FrontendTest.patienceRunsOnWhileTheProxyIsHeldUp, fails without.

--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -52,6 +52,8 @@
     private static final Pattern TIMEOUT = Pattern.compile("(\\d{1,8})([mu])");
     /** An answer is on its way for a moment, and the proxy may be late by a few milliseconds. */
     private static final long ON_ITS_WAY_US = 8_000;
+    /** How often the loop shows that it runs, and how late that may be before it counts as held up. */
+    private static final long BEAT_US = 10_000;
     private static final long IDLE_S = 60;
     private static final long LINGER_MS = 1_000;
     private static final int BACKLOG = 1_024;
@@ -68,6 +70,8 @@
     private final Set<Connection> connections = new HashSet<>();
     private Channel listener;
     private boolean closing;
+    private long beatAt;
+    private long heldUpFrom = Long.MAX_VALUE;
 
     Frontend(Clock clock, Log log, Proxy proxy, Sockets sockets, Balancer.Settings settings, BooleanSupplier ready) {
         this.clock = clock;
@@ -80,6 +84,8 @@
     }
 
     ChannelFuture listen(EventLoop loop, InetSocketAddress address) {
+        beatAt = clock.now();
+        loop.scheduleWithFixedDelay(this::beat, BEAT_US, BEAT_US, TimeUnit.MICROSECONDS);
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 // One at a time: each that is accepted counts before the next is.
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator())
@@ -96,6 +102,20 @@
         return bound;
     }
 
+    private void beat() {
+        heldUpFrom = arrivedAt(Long.MAX_VALUE);
+        beatAt = clock.now();
+    }
+
+    /**
+     * When a byte that is read now may have come. Where the loop was held up, by a pause of the process or a long batch,
+     * the byte may have waited all the while, and a deadline counted from now would be too late. That shows in an
+     * overdue beat; as beats and reads take turns, it holds until the beat after it.
+     */
+    private long arrivedAt(long otherwise) {
+        return clock.now() - beatAt > 2 * BEAT_US ? beatAt + BEAT_US : otherwise;
+    }
+
     /** From now on each answer is its connection's last, so that the clients go elsewhere. */
     void closeAfterAnswers() {
         closing = true;
@@ -141,11 +161,11 @@
                     new Aggregator(this), new Requests(this));
         }
 
-        /** A client's patience began when it sent; the nearest to it that can be known is the first byte. */
+        /** A client's patience began when it sent; the nearest to it that can be known is its first byte. */
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
             if (firstByteAt < 0) {
-                firstByteAt = clock.now();
+                firstByteAt = Math.min(heldUpFrom, arrivedAt(clock.now()));
                 sockets.clientIdle(channel, false);
             }
             super.channelRead(ctx, message);
--- a/src/test/java/beechfall/proxy/FrontendTest.java
+++ b/src/test/java/beechfall/proxy/FrontendTest.java
@@ -8,6 +8,7 @@
 import beechfall.Balancer.Refuse;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -108,6 +109,32 @@
         }
     }
 
+    /** Rule 1 counts from when the client sent: while the proxy is held up, what waits to be read grows old. */
+    @Test
+    void patienceRunsOnWhileTheProxyIsHeldUp() throws Exception {
+        var goOn = new CountDownLatch(1);
+        try (var proxy = new Fixture((event, actions) -> {
+            if (event instanceof Arrival a && a.id().equals("r1")) {
+                try {
+                    goOn.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+        }); var one = proxy.client(); var two = proxy.client()) {
+            two.send("GET /other HTTP/1.1\r\n\r\n").read();
+            one.send(Fixture.get("r1"));
+            proxy.next(Arrival.class);
+            two.send(Fixture.get("r2"));
+            long sent = System.nanoTime();
+            while (System.nanoTime() - sent < 400_000_000) {
+                Thread.sleep(10);
+            }
+            goOn.countDown();
+            assertThat(proxy.next(Arrival.class).leftUs()).isLessThan(1_500_000);
+        }
+    }
+
     /** What comes behind a request that is being served must neither overtake its answer nor cost it. */
     @Test
     void rubbishBehindARequestIsAnsweredAfterIt() throws Exception {
