Test the proxy with the module that it has in service

One test over loopback for all of it together: the watch, a backend that is down and the try elsewhere, and a refusal with Retry-After once the list is empty.

--- a/src/test/java/beechfall/proxy/Fixture.java
+++ b/src/test/java/beechfall/proxy/Fixture.java
@@ -3,6 +3,7 @@
 import beechfall.Balancer;
 import beechfall.Balancer.Action;
 import beechfall.Balancer.Event;
+import beechfall.Policy;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.Closeable;
 import java.io.IOException;
@@ -10,6 +11,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /** A proxy on loopback, with a module that does as the test says and keeps what it was told. */
 final class Fixture implements Closeable {
@@ -47,14 +49,26 @@
     }
 
     Fixture(Module module, int sockets, long idleUs, Peer... backends) throws Exception {
+        this(settings -> (now, event, actions) -> module.handle(event, actions), sockets, idleUs, backends);
+    }
+
+    /** A proxy with the module that it has in service. */
+    static Fixture inService(Peer... backends) throws Exception {
+        return new Fixture(Policy::new, 1_024, 15_000_000, backends);
+    }
+
+    private Fixture(Function<Balancer.Settings, Balancer> factory, int sockets, long idleUs, Peer... backends)
+            throws Exception {
         var servers = new StringBuilder();
         for (int i = 0; i < backends.length; i++) {
             servers.append(i == 0 ? "" : ",").append(entry("s" + i, backends[i].address(), "ready"));
         }
         String json = CONFIG.formatted(discovery.address(), sockets, servers, idleUs);
-        serve = new Serve(Config.parse(Config.JSON.readTree(json)), (now, event, actions) -> {
+        Config config = Config.parse(Config.JSON.readTree(json));
+        Balancer module = factory.apply(config.settings());
+        serve = new Serve(config, (now, event, actions) -> {
             events.add(event);
-            module.handle(event, actions);
+            module.handle(now, event, actions);
         });
         address = serve.start();
     }
--- a/src/test/java/beechfall/proxy/ServeTest.java
+++ b/src/test/java/beechfall/proxy/ServeTest.java
@@ -11,6 +11,26 @@
 
 /** A planned restart, and the limit on sockets. */
 class ServeTest {
+    /** All of it together, with the module that is in service: it watches, serves, tries elsewhere, and refuses. */
+    @Test
+    void servesWithTheModule() throws Exception {
+        var dead = new Peer();
+        dead.close();
+        try (var backend = new Peer(); var proxy = Fixture.inService(dead, backend); var client = proxy.client()) {
+            backend.always(Peer.ok("served"));
+            Wire call = proxy.discovery.accept();
+            assertThat(call.read().first()).contains("from=41&hold_ms=0");
+            for (int i = 0; i < 10; i++) {
+                assertThat(client.send(Fixture.post("r" + i, "pay")).read().body()).isEqualTo("served");
+            }
+            call.send(Peer.ok(Fixture.list(42, true)));
+            proxy.discovery.accept().read();
+            Wire.Message answer = client.send(Fixture.get("none")).read();
+            assertThat(answer.status()).isEqualTo(503);
+            assertThat(answer.header("Retry-After")).matches("[01]\\.[0-9]{3}");
+        }
+    }
+
     /** Rule 1 at a restart: what is taken is answered, new clients are served while the front still sends them. */
     @Test
     void answersAllThatItHasTakenBeforeItEnds() throws Exception {
