--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -75,13 +75,18 @@
         if (!bound.isSuccess()) {
             throw new Config.BadConfig("'listen': " + bound.cause().getMessage());
         }
-        return (InetSocketAddress) bound.channel().localAddress();
+        var address = (InetSocketAddress) bound.channel().localAddress();
+        loop.execute(() -> log.line(config.name() + ": listening on " + address.getPort()));
+        return address;
     }
 
     /** Answers all that is taken, sends the clients elsewhere, and ends the process in time. */
     void drain() {
         long longestMs = config.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max().orElse(0) / 1_000;
-        loop.execute(frontend::closeAfterAnswers);
+        loop.execute(() -> {
+            log.line(config.name() + ": draining");
+            frontend.closeAfterAnswers();
+        });
         loop.schedule(() -> {
             frontend.stopListening();
             loop.scheduleWithFixedDelay(() -> {
@@ -91,7 +96,9 @@
             }, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
         }, FRONT_LAG_MS, TimeUnit.MILLISECONDS);
         try {
-            drained.await(longestMs + KILL_MS, TimeUnit.MILLISECONDS);
+            boolean all = drained.await(longestMs + KILL_MS, TimeUnit.MILLISECONDS);
+            loop.submit(() -> log.line(config.name() + (all ? ": drained" : ": ends with clients still connected")))
+                    .awaitUninterruptibly(LOOK_MS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
