Spread the watches of the proxies, and don't spin on one that does not wait

Seen, in reading: all proxies start together and hold their watches for the same 20 s, so that hundreds of calls end in step at a service that works through them in turn; and a discovery (or an agent, which answers at once) that has no news and does not wait was asked again as fast as the CPU allows. Lines: Discovery.answered. The hold is now 15 to 20 s, drawn from the instance's seed, and after an answer without news the next call goes out 50 ms later, well within the 200 ms of a watch. Where there is news it goes out at once, as before.

--- a/src/main/java/beechfall/proxy/Discovery.java
+++ b/src/main/java/beechfall/proxy/Discovery.java
@@ -29,6 +29,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -42,6 +43,7 @@
     /** An answer that is later than this, beyond the time it may wait, is not coming: the other end is silent. */
     private static final long SILENCE_MS = 4_000;
     private static final long MOST_HOLD_MS = 60_000;
+    private static final long NO_NEWS_MS = 50;
     private static final long AGENT_RETRY_MS = 200;
     private static final Map<String, Balancer.State> STATES = Map.of(
             "ready", Balancer.State.READY,
@@ -54,6 +56,7 @@
     private final InetSocketAddress address;
     private final boolean pushed;
     private final long holdMs;
+    private final SplittableRandom random;
     private Call watch;
     private long version = -1;
     private boolean heard;
@@ -63,6 +66,7 @@
         this.log = log;
         this.proxy = proxy;
         this.address = address;
+        this.random = new SplittableRandom(settings.seed());
         this.pushed = !settings.limits().listMustBeAsked();
         // Twice the time within which a proxy has to ask: each empty answer is work for a service that all share.
         this.holdMs = Math.min(MOST_HOLD_MS, 2 * settings.rules().askWithinUs() / 1_000);
@@ -108,13 +112,25 @@
             return;
         }
         if (call == watch) {
-            // The next call goes out first: a watch is over 200 ms after its last answer.
             version = list.path("version").asLong();
-            watch = new Call(true, holdMs);
+            if (call.waitMs == 0 || !list.path("servers").isEmpty()) {
+                // Before the news is taken in: a watch is over 200 ms after its last answer.
+                goOn(call);
+            } else {
+                // One that answers at once without any news would be asked as fast as the CPU allows.
+                loop.schedule(() -> goOn(call), NO_NEWS_MS, TimeUnit.MILLISECONDS);
+            }
         }
         take(list.path("full").asBoolean() ? ListKind.FULL : ListKind.DELTA, list);
     }
 
+    private void goOn(Call answered) {
+        if (watch == answered) {
+            // Not in step with the other proxies, which all start together.
+            watch = new Call(true, holdMs - random.nextLong(holdMs / 4 + 1));
+        }
+    }
+
     /** Where the module has to ask, it decides when to ask again; an agent on the same machine is simply kept up. */
     private void failed() {
         if (pushed) {
@@ -153,11 +169,13 @@
     /** One call, on a connection of its own: a few in a minute are not worth keeping any. */
     private final class Call extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final String uri;
+        private final long waitMs;
         private final Future<?> timer;
         private final Channel channel;
         private boolean ended;
 
         Call(boolean watching, long waitMs) {
+            this.waitMs = waitMs;
             uri = watching && version >= 0 ? PATH + "?from=" + version + "&hold_ms=" + waitMs : PATH;
             // Guards against a discovery that is cut off and says nothing: TCP alone would never tell.
             timer = loop.schedule(() -> finish(null, "no answer in time"), waitMs + SILENCE_MS, TimeUnit.MILLISECONDS);
