Test rubbish and unasked answers from a backend

Two tests over loopback for what Backends.Connection already did: an answer that is no HTTP is an error (it may have run), and one that nobody asked for ends the connection. Both pass as the code stands.

--- a/src/test/java/beechfall/proxy/BackendsTest.java
+++ b/src/test/java/beechfall/proxy/BackendsTest.java
@@ -60,6 +60,37 @@
         }
     }
 
+    /** Something came back, so it may have run; and nothing that follows on that connection is taken for an answer. */
+    @Test
+    void rubbishIsAnErrorAndEndsTheConnection() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            attempt.send("rubbish\r\n\r\n" + Peer.ok("not asked for"));
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.ERROR);
+            assertThat(client.read().status()).isEqualTo(502);
+            assertThat(attempt.ended()).isTrue();
+        }
+    }
+
+    @Test
+    void anAnswerBehindAnAnswerIsNotTakenForTheNext() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            attempt.send(Peer.ok("one") + Peer.ok("two"));
+            assertThat(client.read().body()).isEqualTo("one");
+            assertThat(attempt.ended()).isTrue();
+            client.send(Fixture.get("r2"));
+            Wire next = backend.accept();
+            next.read();
+            next.send(Peer.ok("three"));
+            assertThat(client.read().body()).isEqualTo("three");
+        }
+    }
+
     @Test
     void anAnswerTooLongIsAnError() throws Exception {
         try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
