SIGHUP reads the configuration again and moves the watch to its discovery

Change: Serve.reload reads and checks the file on the signal's thread, one signal after another; Discovery.moveTo drops the old watch and asks the new address for the whole list (its versions need not be the old one's); the known backends stay until then. A file that is bad is logged and changes nothing. sun.misc.Signal is called by name: its warning can't be silenced under -Werror (tried: -XDignore.symbol.file has no effect when Maven compiles in-process). Tests: DiscoveryTest (move, bad file, two in a row), ServeTest.readsItsFileAgainOnSighup (the program itself, kill -HUP).

--- a/src/main/java/beechfall/proxy/Discovery.java
+++ b/src/main/java/beechfall/proxy/Discovery.java
@@ -53,11 +53,12 @@
     private final EventLoop loop;
     private final Log log;
     private final Proxy proxy;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final boolean pushed;
     private final long holdMs;
     private final SplittableRandom random;
     private Call watch;
+    private boolean wanted;
     private long version = -1;
     private boolean heard;
 
@@ -90,6 +91,7 @@
 
     /** Begins the watch, or ends it. One that goes on already is left alone. */
     void watch(boolean on) {
+        wanted = on;
         if (!on && watch != null) {
             watch.end();
             watch = null;
@@ -99,12 +101,36 @@
         }
     }
 
+    /**
+     * Asks at another address from now on. The backends that are known stay until it has told its own list: the whole
+     * of it, as its versions need not count what those of the old address did.
+     */
+    void moveTo(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        address = to;
+        version = -1;
+        if (watch != null) {
+            watch.end();
+            watch = null;
+        }
+        if (wanted) {
+            watch(true);
+        }
+    }
+
     /** Asks for the whole list, once. */
     void fetch() {
         new Call(false, 0);
     }
 
     private void answered(Call call, JsonNode list) {
+        if (!call.address.equals(address)) {
+            // A list from where this proxy asked before would undo what the new address has told meanwhile.
+            fetch();
+            return;
+        }
         heard = true;
         if (list == null) {
             watch = call == watch ? null : watch;
@@ -168,6 +194,7 @@
 
     /** One call, on a connection of its own: a few in a minute are not worth keeping any. */
     private final class Call extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final InetSocketAddress address = Discovery.this.address;
         private final String uri;
         private final long waitMs;
         private final Future<?> timer;
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -6,12 +6,13 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.lang.reflect.InvocationHandler;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
-/** Runs one real proxy: puts its parts together, and takes it down when it is told to end. */
+/** Runs one real proxy: puts its parts together, reads a new configuration, and ends when it is told to. */
 public final class Serve {
     /** New connections go on coming for so long after the signal. */
     private static final long FRONT_LAG_MS = 500;
@@ -56,6 +57,8 @@
                 throw new Config.BadConfig("PROXY_CONFIG is not set");
             }
             var serve = new Serve(Config.read(Path.of(file)));
+            // Before it listens: without a handler the signal ends the process.
+            onHangUp(() -> serve.reload(Path.of(file)));
             serve.start();
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 serve.drain();
@@ -68,6 +71,27 @@
         }
     }
 
+    /**
+     * Has each SIGHUP run an action, on a thread of its own. The platform's one way to hear of signals is
+     * {@code sun.misc.Signal}; it is called by name, as the compiler's warning about it can't be silenced.
+     */
+    private static void onHangUp(Runnable action) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            InvocationHandler handle = (self, method, args) -> {
+                if (method.getName().equals("handle")) {
+                    action.run();
+                }
+                return null;
+            };
+            signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class).newInstance("HUP"),
+                    java.lang.reflect.Proxy.newProxyInstance(null, new Class<?>[] {handler}, handle));
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException("this Java can't handle signals", e);
+        }
+    }
+
     /** Begins to serve; returns the address. */
     InetSocketAddress start() throws Config.BadConfig {
         loop.execute(() -> discovery.known(config.known()));
@@ -80,6 +104,22 @@
         return address;
     }
 
+    /**
+     * Takes over the address of discovery from a new file; all else holds until the next start. Each signal comes on a
+     * thread of its own, so that reading the file holds nobody up; one after the other, so that the last file counts.
+     */
+    synchronized void reload(Path file) {
+        try {
+            InetSocketAddress address = Config.read(file).discovery();
+            loop.execute(() -> {
+                log.line(config.name() + ": new configuration, discovery is at " + address);
+                discovery.moveTo(address);
+            });
+        } catch (Config.BadConfig e) {
+            loop.execute(() -> log.line("the new configuration is left alone: " + e.getMessage()));
+        }
+    }
+
     /** Answers all that is taken, sends the clients elsewhere, and ends the process in time. */
     void drain() {
         long longestMs = config.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max().orElse(0) / 1_000;
--- a/src/test/java/beechfall/proxy/DiscoveryTest.java
+++ b/src/test/java/beechfall/proxy/DiscoveryTest.java
@@ -144,4 +144,46 @@
             assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.FULL);
         }
     }
+
+    /** A new configuration: the watch moves at once, asks for the whole list, and the known backends serve meanwhile. */
+    @Test
+    void movesToTheDiscoveryOfANewConfiguration() throws Exception {
+        try (var backend = new Peer(); var moved = new Peer(); var proxy = new Fixture((event, actions) -> {
+            watcher().handle(event, actions);
+            Fixture.sendTo("s0").handle(event, actions);
+        }, backend); var client = proxy.client()) {
+            backend.always(Peer.ok("x"));
+            Wire old = proxy.discovery.accept();
+            old.read();
+            proxy.reload(Fixture.config(moved.address()));
+            assertThat(old.ended()).isTrue();
+            Wire call = moved.accept();
+            assertThat(call.read().first()).isEqualTo("GET /v1/endpoints HTTP/1.1");
+            assertThat(client.send(Fixture.get("r1")).read().status()).isEqualTo(200);
+            call.send(Peer.ok(Fixture.list(3, true, Fixture.entry("s7", "127.0.0.1:1", "ready"))));
+            assertThat(moved.accept().read().first()).contains("?from=3&");
+            assertThat(client.send(Fixture.get("r2")).read().status()).isEqualTo(502);
+        }
+    }
+
+    @Test
+    void aBadConfigurationLeavesTheWatchAlone() throws Exception {
+        try (var moved = new Peer(); var proxy = new Fixture(watcher())) {
+            Wire call = proxy.discovery.accept();
+            call.read();
+            proxy.reload("{\"discovery\":");
+            proxy.reload(Fixture.config("nowhere"));
+            call.send(Peer.ok(Fixture.list(42, false)));
+            Wire next = proxy.discovery.accept();
+            assertThat(next.read().first()).contains("?from=42&");
+            // The last of two counts, and one that names the same address again changes nothing.
+            proxy.reload(Fixture.config("127.0.0.1:1"));
+            proxy.reload(Fixture.config(moved.address()));
+            Wire last = moved.accept();
+            last.read();
+            proxy.reload(Fixture.config(moved.address()));
+            last.send(Peer.ok(Fixture.list(7, true)));
+            assertThat(moved.accept().read().first()).contains("?from=7&");
+        }
+    }
 }
--- a/src/test/java/beechfall/proxy/Fixture.java
+++ b/src/test/java/beechfall/proxy/Fixture.java
@@ -8,6 +8,8 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.Consumer;
@@ -63,8 +65,8 @@
         for (int i = 0; i < backends.length; i++) {
             servers.append(i == 0 ? "" : ",").append(entry("s" + i, backends[i].address(), "ready"));
         }
-        String json = CONFIG.formatted(discovery.address(), sockets, servers, idleUs);
-        Config config = Config.parse(Config.JSON.readTree(json));
+        Config config = Config.parse(Config.JSON.readTree(
+                CONFIG.formatted(discovery.address(), sockets, servers, idleUs)));
         Balancer module = factory.apply(config.settings());
         serve = new Serve(config, (now, event, actions) -> {
             events.add(event);
@@ -74,7 +76,22 @@
     }
 
     static ObjectNode config() throws IOException {
-        return (ObjectNode) Config.JSON.readTree(CONFIG.formatted("127.0.0.1:1", 1_024, "", 15_000_000));
+        return (ObjectNode) Config.JSON.readTree(config("127.0.0.1:1"));
+    }
+
+    static String config(String discovery) {
+        return CONFIG.formatted(discovery, 1_024, "", 15_000_000);
+    }
+
+    /** What SIGHUP does. */
+    void reload(String json) throws IOException {
+        Path file = Files.createTempFile("config", ".json");
+        try {
+            Files.writeString(file, json);
+            serve.reload(file);
+        } finally {
+            Files.delete(file);
+        }
     }
 
     static String entry(String id, String address, String state) {
--- a/src/test/java/beechfall/proxy/ServeTest.java
+++ b/src/test/java/beechfall/proxy/ServeTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import beechfall.Balancer.Arrival;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -114,4 +116,29 @@
             }
         }
     }
+
+    /** The program as it runs in service: without a handler SIGHUP would end it. */
+    @Test
+    void readsItsFileAgainOnSighup() throws Exception {
+        Path file = Files.createTempFile("config", ".json");
+        try (var first = new Peer(); var second = new Peer()) {
+            Files.writeString(file, Fixture.config(first.address()));
+            var command = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "beechfall.Main", "serve");
+            command.environment().put("PROXY_CONFIG", file.toString());
+            Process process = command.inheritIO().start();
+            try {
+                first.accept().read();
+                Files.writeString(file, Fixture.config(second.address()));
+                new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).inheritIO().start().waitFor();
+                assertThat(second.accept().read().first()).isEqualTo("GET /v1/endpoints HTTP/1.1");
+                process.destroy();
+                assertThat(process.waitFor()).isZero();
+            } finally {
+                process.destroyForcibly();
+            }
+        } finally {
+            Files.delete(file);
+        }
+    }
 }
