Judge a backend's answer once all that came is read; refuse two lengths; reuse a connection only when it has settled

Checked with a probe that logged the odd reads: the heads come with a line without a colon, with two or negative lengths, with CL beside TE, without end, with 3 GB, with bad chunks, with 1xx ahead, and a second copy or noise behind. Ruled out: answers shorter than their length says (none seen; those hang). By test: Netty's response decoder takes 'no colon here' for a header 'no' and served it. Framing makes that a failure, and both lengths at once on either side (in answers they failed before, too). Backends.channelRead0 gave the connection back while the read went on, so that the next attempt could take it and the rest of the bytes with it: it is judged in channelReadComplete now, closed where anything is left or comes unasked, and taken again 3 ms later at the soonest. An answer that stops on its way for 100 ms, a 101, or more than 128 KiB is an error that may have run, told at once. Tests: BackendsTest, one case for each kind; five of them fail on the code before (no colon, 101, length too long, two without end).

--- a/src/main/java/beechfall/proxy/Backends.java
+++ b/src/main/java/beechfall/proxy/Backends.java
@@ -16,10 +16,11 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -34,6 +35,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -47,6 +49,11 @@
 final class Backends {
     static final int MAX_BODY = 64 * 1024;
 
+    /** An answer with its head, its padding and what comes ahead of it is never longer than this. */
+    private static final long MOST_BYTES = 2 * MAX_BODY;
+    private static final long STALL_MS = 100;
+    private static final long SETTLE_US = 3_000;
+
     /** What goes to a backend; it is the same for each attempt, but for the time left. */
     record Outgoing(HttpMethod method, String uri, HttpHeaders headers, ByteBuf body) { }
 
@@ -147,8 +154,10 @@
                 @Override
                 public void channelCreated(Channel channel) {
                     sockets.backendOpened(channel);
-                    channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_BODY),
-                            new IdleStateHandler(0, 0, idleUs, TimeUnit.MICROSECONDS), new Connection(Target.this));
+                    var decoder = new Framing.Responses();
+                    channel.pipeline().addLast(new HttpRequestEncoder(), decoder, new HttpObjectAggregator(MAX_BODY),
+                            new IdleStateHandler(0, 0, idleUs, TimeUnit.MICROSECONDS),
+                            new Connection(Target.this, channel, decoder));
                 }
             });
         }
@@ -161,11 +170,11 @@
     }
 
     /**
-     * Netty's pool, which leaves the choice of the idle connection to its subclass: the one used last, so that the
-     * others grow old and are closed, and never one that was closed meanwhile.
+     * Netty's pool, which leaves the choice of the idle connection to its subclass: of those that have settled the one
+     * used last, so that the others grow old and are closed, and never one that was closed meanwhile.
      */
     private final class Pool extends SimpleChannelPool {
-        private final Deque<Channel> idle = new ArrayDeque<>();
+        private final Deque<Connection> idle = new ArrayDeque<>();
         private ChannelFuture connecting;
 
         Pool(Bootstrap bootstrap, ChannelPoolHandler handler) {
@@ -173,7 +182,9 @@
         }
 
         boolean hasIdle() {
-            return !idle.isEmpty();
+            long now = clock.now();
+            // The first has been idle for longest.
+            return !idle.isEmpty() && idle.getFirst().settled(now);
         }
 
         @Override
@@ -191,27 +202,34 @@
 
         @Override
         protected Channel pollChannel() {
-            Channel channel = idle.pollLast();
-            if (channel != null) {
-                sockets.backendIdle(channel, false);
+            long now = clock.now();
+            for (Iterator<Connection> i = idle.descendingIterator(); i.hasNext();) {
+                Connection connection = i.next();
+                if (connection.settled(now)) {
+                    i.remove();
+                    sockets.backendIdle(connection.channel, false);
+                    return connection.channel;
+                }
             }
-            return channel;
+            return null;
         }
 
         @Override
         protected boolean offerChannel(Channel channel) {
-            idle.addLast(channel);
+            Connection connection = channel.pipeline().get(Connection.class);
+            connection.idleSince = clock.now();
+            idle.addLast(connection);
             sockets.backendIdle(channel, true);
             return true;
         }
 
-        void closed(Channel channel) {
-            idle.remove(channel);
+        void closed(Connection connection) {
+            idle.remove(connection);
         }
 
         void closeIdle() {
-            for (Channel channel = pollChannel(); channel != null; channel = pollChannel()) {
-                channel.close();
+            for (Connection connection = idle.pollLast(); connection != null; connection = idle.pollLast()) {
+                connection.channel.close();
             }
         }
     }
@@ -272,7 +290,7 @@
             if (!outgoing.method().equals(HttpMethod.GET) || request.content().isReadable()) {
                 HttpUtil.setContentLength(request, request.content().readableBytes());
             }
-            channel.pipeline().get(Connection.class).attempt = this;
+            channel.pipeline().get(Connection.class).begin(this);
             channel.writeAndFlush(request).addListener(f -> {
                 written = f.isSuccess();
                 if (!written) {
@@ -309,36 +327,116 @@
         }
     }
 
-    /** The reading side of a connection to a backend. */
+    /**
+     * The reading side of a connection to a backend. An answer is judged once all that has come is read: it is the
+     * attempt's if it can be read whole, and its connection is used again only if it brought nothing else.
+     */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final Target target;
+        private final Channel channel;
+        private final Framing.Responses decoder;
         private Attempt attempt;
+        private FullHttpResponse answer;
+        private boolean unasked;
+        private long idleSince;
+        private Future<?> stall;
 
-        Connection(Target target) {
+        Connection(Target target, Channel channel, Framing.Responses decoder) {
             this.target = target;
+            this.channel = channel;
+            this.decoder = decoder;
+        }
+
+        void begin(Attempt next) {
+            attempt = next;
+            decoder.countAfresh();
+        }
+
+        /** Whatever came right behind the last answer, and a little later, has shown by then. */
+        boolean settled(long now) {
+            return now - idleSince >= SETTLE_US;
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-                return;
+            if (attempt == null || answer != null) {
+                unasked = true;
+            } else if (response.status().codeClass() != HttpStatusClass.INFORMATIONAL
+                    || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+                answer = response.retain();
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+            if (answer != null) {
+                answered();
+            } else if (attempt == null) {
+                if (decoder.bytes() > 0) {
+                    // Nobody has asked: what comes next on this connection can't be trusted.
+                    ctx.close();
+                }
+            } else if (decoder.bytes() > MOST_BYTES) {
+                spoilt();
+            } else if (decoder.bytes() > 0 && stall == null) {
+                awaitMore(decoder.bytes());
             }
+            super.channelReadComplete(ctx);
+        }
+
+        private void answered() {
+            FullHttpResponse response = answer;
             Attempt a = attempt;
+            answer = null;
             attempt = null;
-            if (a == null) {
-                // An answer that nobody has asked for: what comes next on this connection can't be trusted.
-                ctx.close();
-                return;
-            }
-            boolean sound = response.decoderResult().isSuccess();
-            // Back into the pool before the module hears: what it sends next may take this very connection.
-            if (sound && a.written && HttpUtil.isKeepAlive(response) && target.ready) {
-                target.pool.release(ctx.channel());
+            stopAwaiting();
+            // One that began before the request was written whole can't be its answer.
+            boolean sound = response.decoderResult().isSuccess() && a.written;
+            boolean clean = sound && !unasked && !decoder.holdsMore();
+            decoder.countAfresh();
+            // Back into the pool before the module hears: what it sends next may find no room for another.
+            if (clean && HttpUtil.isKeepAlive(response) && target.ready) {
+                target.pool.release(channel);
             } else {
-                ctx.close();
+                channel.close();
             }
             Outcome outcome = outcome(response, sound);
-            a.end(outcome, outcome == Outcome.OK ? new Answer(response.headers(), response.content().retain()) : null);
+            a.end(outcome, outcome == Outcome.OK ? new Answer(response.headers(), response.content()) : null);
+            if (outcome != Outcome.OK) {
+                response.release();
+            }
+        }
+
+        /** Backends send their answers in one go: one that stops on its way has a length that is wrong, or no end. */
+        private void awaitMore(long seen) {
+            stall = loop.schedule(() -> {
+                stall = null;
+                if (attempt == null) {
+                    return;
+                }
+                if (decoder.bytes() == seen) {
+                    spoilt();
+                } else {
+                    awaitMore(decoder.bytes());
+                }
+            }, STALL_MS, TimeUnit.MILLISECONDS);
+        }
+
+        private void stopAwaiting() {
+            if (stall != null) {
+                stall.cancel(false);
+                stall = null;
+            }
+        }
+
+        /** Something has come back, so that the attempt may have run; but it is no answer, and none will follow. */
+        private void spoilt() {
+            Attempt a = attempt;
+            attempt = null;
+            channel.close();
+            if (a != null) {
+                a.end(Outcome.ERROR, null);
+            }
         }
 
         private Outcome outcome(FullHttpResponse response, boolean sound) {
@@ -353,7 +451,12 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) throws Exception {
-            target.pool.closed(ctx.channel());
+            target.pool.closed(this);
+            stopAwaiting();
+            if (answer != null) {
+                answer.release();
+                answer = null;
+            }
             if (attempt != null) {
                 Attempt a = attempt;
                 attempt = null;
@@ -372,12 +475,8 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            // An answer too long to pass on is an answer all the same; anything else is a break of the connection.
-            if (cause instanceof TooLongHttpContentException && attempt != null) {
-                Attempt a = attempt;
-                attempt = null;
-                ctx.close();
-                a.end(Outcome.ERROR, null);
+            if (cause instanceof TooLongHttpContentException) {
+                spoilt();
             } else {
                 ctx.close();
             }
--- /dev/null
+++ b/src/main/java/beechfall/proxy/Framing.java
@@ -0,0 +1,82 @@
+package beechfall.proxy;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AsciiString;
+
+/**
+ * Where a message ends, as both sides of a proxy must agree on it. What Netty's decoders mend or let pass is a failure
+ * here: a guess may hide a request in the body of another, or give a client what no backend meant.
+ */
+final class Framing {
+    private Framing() { }
+
+    /** Decodes what clients send. */
+    static final class Requests extends HttpRequestDecoder {
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw twoLengths();
+        }
+
+        @Override
+        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+            requireColon(line, start + length);
+            return super.splitHeaderName(line, start, length);
+        }
+    }
+
+    /** Decodes what a backend sends, and counts it. */
+    static final class Responses extends HttpResponseDecoder {
+        private long bytes;
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+            bytes += message instanceof ByteBuf read ? read.readableBytes() : 0;
+            super.channelRead(ctx, message);
+        }
+
+        /** Returns the bytes that have come since the count began. */
+        long bytes() {
+            return bytes;
+        }
+
+        void countAfresh() {
+            bytes = 0;
+        }
+
+        /** Returns whether bytes have come that belong to no message so far. */
+        boolean holdsMore() {
+            return actualReadableBytes() > 0;
+        }
+
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw twoLengths();
+        }
+
+        @Override
+        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+            requireColon(line, start + length);
+            return super.splitHeaderName(line, start, length);
+        }
+    }
+
+    /** RFC 9112, 6.1: whoever sends both may be smuggling a second message in the first. */
+    private static IllegalArgumentException twoLengths() {
+        return new IllegalArgumentException("both Content-Length and Transfer-Encoding");
+    }
+
+    /** A line without a colon is no header; Netty takes its first word for a name. */
+    private static void requireColon(byte[] line, int from) {
+        int i = from;
+        while (i < line.length && (line[i] == ' ' || line[i] == '\t')) {
+            i++;
+        }
+        if (i >= line.length || line[i] != ':') {
+            throw new IllegalArgumentException("a header line without a colon");
+        }
+    }
+}
--- a/src/test/java/beechfall/proxy/BackendsTest.java
+++ b/src/test/java/beechfall/proxy/BackendsTest.java
@@ -18,9 +18,12 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** What becomes of an attempt: rule 2 rests on 'never ran' being said only where that is certain. */
 class BackendsTest {
+    private static final String OK_X = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+
     @ParameterizedTest
     @CsvSource({"503 Unavailable,X-Not-Processed: 1,FULL", "504 Late,X-Not-Processed: 1,FULL",
         "503 Unavailable,X-Not-Processed: 0,ERROR", "504 Late,X-Other: 1,ERROR", "500 Error,X-Not-Processed: 1,ERROR",
@@ -74,6 +77,87 @@
         }
     }
 
+    /** A connection is used again a moment after its answer, when it has shown whether it brings anything else. */
+    private static void settle() throws InterruptedException {
+        long from = System.nanoTime();
+        while (System.nanoTime() - from < 10_000_000) {
+            Thread.sleep(1);
+        }
+    }
+
+    /** The request has run, and no answer that can be believed will follow: that is told now, not when time is up. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 1\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 1\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nx", "HTTP/1.1 200 OK\r\nContent-Length: 0x1\r\n\r\nx",
+        "HTTP/1.1 2x0 OK\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 OK 200\r\nContent-Length: 1\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\nzz\r\nx\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx", "HTTP/1.1 101 Switching Protocols\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", "HTTP/1.1 200 OK\r\nX-Pad: p\r\n", "\0noise without end"})
+    void aSpoiltAnswerMayHaveRunAndIsToldAtOnce(String answer) throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            attempt.send(answer);
+            AttemptEnded end = proxy.next(AttemptEnded.class);
+            assertThat(end.outcome()).isEqualTo(Outcome.ERROR);
+            assertThat(client.read().status()).isEqualTo(502);
+            assertThat(attempt.ended()).isTrue();
+        }
+    }
+
+    /** What never ends is cut off by its length, long before it has filled any memory. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 103 Early Hints\r\n\r\n", "X-Pad: pppppppp\r\n"})
+    void anAnswerWithoutEndIsCutOff(String more) throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            // It may be cut off before all of it is written.
+            Peer.background(() -> attempt.send((more.startsWith("HTTP") ? "" : "HTTP/1.1 200 OK\r\n") + more.repeat(10_000)));
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.ERROR);
+        }
+    }
+
+    /** A good answer is the client's, whatever comes with it; only its connection is of no further use. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxnoise", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx\r\n\0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny"})
+    void whatComesBehindAnAnswerEndsItsConnection(String answer) throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            attempt.send(answer);
+            assertThat(client.read().body()).isEqualTo("x");
+            assertThat(attempt.ended()).isTrue();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + OK_X,
+        "HTTP/1.1 200 OK\r\nX-Server-Load: TEXT ?\r\nContent-Length: 1\r\n\r\nx"})
+    void aGoodAnswerIsServedAndItsConnectionKept(String answer) throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            attempt.send(answer);
+            assertThat(client.read().body()).isEqualTo("x");
+            settle();
+            client.send(Fixture.get("r2"));
+            assertThat(attempt.read().header("X-Request-ID")).isEqualTo("r2");
+            attempt.send(OK_X);
+            assertThat(client.read().body()).isEqualTo("x");
+            // Out of turn, and not even a whole line: what follows on this connection is nobody's answer.
+            attempt.send("noise");
+            assertThat(attempt.ended()).isTrue();
+        }
+    }
+
     @Test
     void anAnswerBehindAnAnswerIsNotTakenForTheNext() throws Exception {
         try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
@@ -135,6 +219,7 @@
                 first.read();
                 first.send(Peer.ok("x"));
                 assertThat(client.read().status()).isEqualTo(200);
+                settle();
                 client.send(Fixture.get(next));
             }
             assertThat(first.ended()).isTrue();
--- a/src/test/java/beechfall/proxy/Peer.java
+++ b/src/test/java/beechfall/proxy/Peer.java
@@ -71,7 +71,7 @@
         void run() throws IOException;
     }
 
-    private static void background(Work work) {
+    static void background(Work work) {
         var thread = new Thread(() -> {
             try {
                 work.run();
