Warm up inside the process before a first life; start from an archive of classes

Change: Warmup serves made-up requests through a second set of the proxy's parts, over Netty's in-process channels, so that no socket is opened and no peer asked. So it is left out where the known list shows an earlier life (version above 0).

--- a/src/main/java/beechfall/Main.java
+++ b/src/main/java/beechfall/Main.java
@@ -3,12 +3,15 @@
 import beechfall.proxy.Serve;
 import java.io.IOException;
 
-/** The command line: {@code serve} runs one real proxy, {@code drill} the module on the simulator's wire. */
+/**
+ * The command line: {@code serve} runs one real proxy, {@code drill} the module on the simulator's wire, and
+ * {@code train} the warm-up alone, for the archive of loaded classes that makes starts fast.
+ */
 public final class Main {
     private Main() { }
 
     /**
-     * Runs one of the two commands.
+     * Runs one of the commands.
      *
      * @param args one word, the command
      * @throws IOException if standard input or output of {@code drill} fails
@@ -17,9 +20,10 @@
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
             case "serve" -> Serve.main(args);
+            case "train" -> Serve.train();
             case "drill" -> beechfall.wire.Main.main(args);
             default -> {
-                System.err.println("usage: java -jar beechfall.jar serve|drill");
+                System.err.println("usage: java -jar beechfall.jar serve|train|drill");
                 System.exit(2);
             }
         }
--- a/src/main/java/beechfall/proxy/Backends.java
+++ b/src/main/java/beechfall/proxy/Backends.java
@@ -13,7 +13,6 @@
 import io.netty.channel.pool.AbstractChannelPoolHandler;
 import io.netty.channel.pool.ChannelPoolHandler;
 import io.netty.channel.pool.SimpleChannelPool;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -70,18 +69,20 @@
 
     private final Clock clock;
     private final EventLoop loop;
+    private final Transport transport;
     private final Sockets sockets;
     private final Bootstrap bootstrap;
     private final long idleUs;
     private final Map<String, Target> targets = new HashMap<>();
 
-    Backends(Clock clock, EventLoop loop, Sockets sockets, long connIdleUs, long connectTimeoutUs) {
+    Backends(Clock clock, Transport transport, Sockets sockets, long connIdleUs, long connectTimeoutUs) {
         this.clock = clock;
-        this.loop = loop;
+        this.loop = transport.loop();
+        this.transport = transport;
         this.sockets = sockets;
         // Well before the backend does: a request that crosses its close ends as a reset, and may have run.
         this.idleUs = connIdleUs * 3 / 5;
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        this.bootstrap = transport.client().clone()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutUs / 1_000));
     }
 
@@ -150,7 +151,7 @@
 
         Target(InetSocketAddress address) {
             this.address = address;
-            this.pool = new Pool(bootstrap.clone().remoteAddress(address), new AbstractChannelPoolHandler() {
+            this.pool = new Pool(bootstrap.clone().remoteAddress(transport.address(address)), new AbstractChannelPoolHandler() {
                 @Override
                 public void channelCreated(Channel channel) {
                     sockets.backendOpened(channel);
--- a/src/main/java/beechfall/proxy/Config.java
+++ b/src/main/java/beechfall/proxy/Config.java
@@ -35,6 +35,14 @@
         }
     }
 
+    /**
+     * Returns whether this proxy is new, as far as can be known: it has no list that discovery has ever changed. One
+     * that comes back is missed meanwhile, and has no time for anything that can be left out.
+     */
+    boolean isFirstLife() {
+        return known == null || known.path("version").asLong() == 0;
+    }
+
     static Config read(Path file) throws BadConfig {
         try {
             return parse(JSON.readTree(Files.readAllBytes(file)));
--- a/src/main/java/beechfall/proxy/Discovery.java
+++ b/src/main/java/beechfall/proxy/Discovery.java
@@ -3,7 +3,6 @@
 import beechfall.Balancer;
 import beechfall.Balancer.ListKind;
 import com.fasterxml.jackson.databind.JsonNode;
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufInputStream;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -12,7 +11,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -51,6 +49,7 @@
             "gone", Balancer.State.GONE);
 
     private final EventLoop loop;
+    private final Transport transport;
     private final Log log;
     private final Proxy proxy;
     private InetSocketAddress address;
@@ -62,8 +61,10 @@
     private long version = -1;
     private boolean heard;
 
-    Discovery(EventLoop loop, Log log, Proxy proxy, InetSocketAddress address, Balancer.Settings settings) {
-        this.loop = loop;
+    Discovery(Transport transport, Log log, Proxy proxy, InetSocketAddress address,
+            Balancer.Settings settings) {
+        this.loop = transport.loop();
+        this.transport = transport;
         this.log = log;
         this.proxy = proxy;
         this.address = address;
@@ -206,7 +207,7 @@
             uri = watching && version >= 0 ? PATH + "?from=" + version + "&hold_ms=" + waitMs : PATH;
             // Guards against a discovery that is cut off and says nothing: TCP alone would never tell.
             timer = loop.schedule(() -> finish(null, "no answer in time"), waitMs + SILENCE_MS, TimeUnit.MILLISECONDS);
-            ChannelFuture connect = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            ChannelFuture connect = transport.client().clone()
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
@@ -214,7 +215,7 @@
                             ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER),
                                     Call.this);
                         }
-                    }).connect(address);
+                    }).connect(transport.address(address));
             channel = connect.channel();
             connect.addListener(f -> {
                 if (!f.isSuccess()) {
--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -1,7 +1,6 @@
 package beechfall.proxy;
 
 import beechfall.Balancer;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -10,12 +9,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
-import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -56,7 +51,6 @@
     private static final long BEAT_US = 10_000;
     private static final long IDLE_S = 60;
     private static final long LINGER_MS = 1_000;
-    private static final int BACKLOG = 1_024;
     /** Requests read ahead on one connection; clients send one at a time, so more is not worth memory. */
     private static final int PIPELINED = 4;
 
@@ -83,20 +77,17 @@
         settings.tenants().forEach(t -> tenants.add(t.name()));
     }
 
-    ChannelFuture listen(EventLoop loop, InetSocketAddress address) {
+    ChannelFuture listen(Transport transport, InetSocketAddress address) {
         beatAt = clock.now();
-        loop.scheduleWithFixedDelay(this::beat, BEAT_US, BEAT_US, TimeUnit.MICROSECONDS);
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                // One at a time: each that is accepted counts before the next is.
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator())
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+        transport.loop().scheduleWithFixedDelay(this::beat, BEAT_US, BEAT_US, TimeUnit.MICROSECONDS);
+        ChannelFuture bound = transport.server().clone()
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         sockets.clientOpened(channel);
                         channel.pipeline().addLast(new Connection());
                     }
-                }).bind(address);
+                }).bind(transport.address(address));
         listener = bound.channel();
         sockets.listener(listener);
         return bound;
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -4,8 +4,6 @@
 import beechfall.Policy;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.lang.reflect.InvocationHandler;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -20,7 +18,12 @@
     /** The process is killed so long after the longest deadline, counted from the signal; a little earlier it ends. */
     private static final long KILL_MS = 600;
 
+    /** What the warm-up may take. */
+    private static final long WARM_MS = 2_500;
+    private static final long TRAIN_MS = 60_000;
+
     private final Config config;
+    private final Transport transport;
     private final Log log = new Log();
     private final EventLoop loop;
     private final Proxy proxy;
@@ -33,14 +36,19 @@
     }
 
     Serve(Config config, Balancer module) {
+        this(config, module, Transport.sockets());
+    }
+
+    Serve(Config config, Balancer module, Transport transport) {
         this.config = config;
-        loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        this.transport = transport;
+        loop = transport.loop();
         var clock = new Clock();
         var settings = config.settings();
         var sockets = new Sockets(config.sockets());
-        var backends = new Backends(clock, loop, sockets, config.connIdleUs(), config.connectTimeoutUs());
+        var backends = new Backends(clock, transport, sockets, config.connIdleUs(), config.connectTimeoutUs());
         proxy = new Proxy(clock, loop, log, settings, module, backends);
-        discovery = new Discovery(loop, log, proxy, config.discovery(), settings);
+        discovery = new Discovery(transport, log, proxy, config.discovery(), settings);
         proxy.discovery(discovery);
         frontend = new Frontend(clock, log, proxy, sockets, settings, () -> discovery.heard() && backends.anyReady());
     }
@@ -51,14 +59,15 @@
      * @param args not used: all that a proxy is told stands in the file that {@code PROXY_CONFIG} names
      */
     public static void main(String[] args) {
-        String file = System.getenv("PROXY_CONFIG");
         try {
-            if (file == null || file.isEmpty()) {
-                throw new Config.BadConfig("PROXY_CONFIG is not set");
+            Path file = file();
+            Config config = Config.read(file);
+            if (config.isFirstLife()) {
+                Warmup.run(config, WARM_MS);
             }
-            var serve = new Serve(Config.read(Path.of(file)));
+            var serve = new Serve(config);
             // Before it listens: without a handler the signal ends the process.
-            onHangUp(() -> serve.reload(Path.of(file)));
+            onHangUp(() -> serve.reload(file));
             serve.start();
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 serve.drain();
@@ -66,11 +75,34 @@
                 Runtime.getRuntime().halt(0);
             }, "drain"));
         } catch (Config.BadConfig e) {
-            System.err.println("bad configuration: " + e.getMessage());
-            System.exit(2);
+            exit(e);
+        }
+    }
+
+    /** Loads what {@code serve} needs, and ends: the Java runtime keeps it in an archive for the starts to come. */
+    public static void train() {
+        try {
+            Config config = Config.read(file());
+            Warmup.run(config, TRAIN_MS);
+            new Serve(config).stop();
+        } catch (Config.BadConfig e) {
+            exit(e);
         }
     }
 
+    private static Path file() throws Config.BadConfig {
+        String file = System.getenv("PROXY_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new Config.BadConfig("PROXY_CONFIG is not set");
+        }
+        return Path.of(file);
+    }
+
+    private static void exit(Config.BadConfig e) {
+        System.err.println("bad configuration: " + e.getMessage());
+        System.exit(2);
+    }
+
     /**
      * Has each SIGHUP run an action, on a thread of its own. The platform's one way to hear of signals is
      * {@code sun.misc.Signal}; it is called by name, as the compiler's warning about it can't be silenced.
@@ -92,15 +124,20 @@
         }
     }
 
+    ChannelFuture listen() {
+        loop.execute(() -> discovery.known(config.known()));
+        return frontend.listen(transport, config.listen());
+    }
+
     /** Begins to serve; returns the address. */
     InetSocketAddress start() throws Config.BadConfig {
-        loop.execute(() -> discovery.known(config.known()));
-        ChannelFuture bound = frontend.listen(loop, config.listen()).awaitUninterruptibly();
+        ChannelFuture bound = listen().awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw new Config.BadConfig("'listen': " + bound.cause().getMessage());
         }
         var address = (InetSocketAddress) bound.channel().localAddress();
-        loop.execute(() -> log.line(config.name() + ": listening on " + address.getPort()));
+        loop.execute(() -> log.line(config.name() + ": listening on " + address.getPort()
+                + (config.isFirstLife() ? "" : ", back with a list that it had")));
         return address;
     }
 
@@ -146,6 +183,7 @@
 
     /** Ends at once, whatever is still open. */
     void stop() {
+        loop.submit(() -> discovery.watch(false)).awaitUninterruptibly();
         loop.parent().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
     }
 }
--- /dev/null
+++ b/src/main/java/beechfall/proxy/Warmup.java
@@ -0,0 +1,154 @@
+package beechfall.proxy;
+
+import beechfall.Balancer;
+import beechfall.Policy;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Runs the program's own code before it has anything to serve. Cold code is loaded and interpreted at many times its
+ * later cost; on part of a core the first seconds of service would answer most requests too late. All of it stays
+ * inside the process: a second set of the proxy's parts, and a client, a backend and a discovery made of channels that
+ * are no sockets.
+ */
+final class Warmup {
+    private static final int REQUESTS = 3_000;
+    private static final int CLIENTS = 8;
+    private static final int BACKENDS = 10;
+    private static final byte[] BODY = "x".repeat(1_000).getBytes(StandardCharsets.US_ASCII);
+
+    private final Config config;
+    private final Transport transport = Transport.inProcess();
+    private final String list;
+    private final CountDownLatch done = new CountDownLatch(CLIENTS);
+    private int sent;
+
+    private Warmup(Config like) {
+        ObjectNode known = Config.JSON.createObjectNode().put("version", 1).put("full", true);
+        ArrayNode servers = known.putArray("servers");
+        for (int i = 0; i < BACKENDS; i++) {
+            servers.addObject().put("id", "warm-" + i).put("addr", "127.0.0.1:" + (i + 1)).put("zone", "a")
+                    .put("kind", "k").put("cell", 0).put("state", "ready").put("weight", 1.0).put("started_ms", 0);
+        }
+        list = known.toString();
+        config = new Config("warm-up", address(0), address(BACKENDS + 1), like.sockets(), known, like.settings(),
+                like.connIdleUs(), like.connectTimeoutUs());
+    }
+
+    /** Serves made-up requests until the code is warm or the time is up; returns whether all were answered. */
+    static boolean run(Config config, long mostMs) {
+        return new Warmup(config).run(mostMs);
+    }
+
+    private static InetSocketAddress address(int port) {
+        return new InetSocketAddress("127.0.0.1", port);
+    }
+
+    private boolean run(long mostMs) {
+        var serve = new Serve(config, new Policy(config.settings()), transport);
+        try {
+            for (int i = 1; i <= BACKENDS + 1; i++) {
+                transport.server().clone().childHandler(pipeline(new Peer()))
+                        .bind(transport.address(address(i))).syncUninterruptibly();
+            }
+            serve.listen().syncUninterruptibly();
+            for (int i = 0; i < CLIENTS; i++) {
+                transport.client().clone().handler(pipeline(new Client()))
+                        .connect(transport.address(address(0)));
+            }
+            return done.await(mostMs, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        } finally {
+            serve.stop();
+        }
+    }
+
+    private static ChannelInitializer<Channel> pipeline(ChannelHandler end) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(end instanceof Client ? new HttpClientCodec() : new HttpServerCodec(),
+                        new HttpObjectAggregator(Backends.MAX_BODY), end);
+            }
+        };
+    }
+
+    /** A backend, or discovery. */
+    @ChannelHandler.Sharable
+    private final class Peer extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            boolean asksForList = request.uri().startsWith("/v1/");
+            if (asksForList && request.uri().contains("hold_ms") && !request.uri().contains("hold_ms=0")) {
+                return;
+            }
+            byte[] body = asksForList ? list.getBytes(StandardCharsets.US_ASCII) : BODY;
+            var answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
+                    Unpooled.wrappedBuffer(body));
+            HttpUtil.setContentLength(answer, body.length);
+            ctx.writeAndFlush(answer);
+        }
+    }
+
+    /** A client that asks again whenever it is answered. */
+    private final class Client extends SimpleChannelInboundHandler<FullHttpResponse> {
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            ask(ctx);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+            ask(ctx);
+        }
+
+        private void ask(ChannelHandlerContext ctx) {
+            if (++sent > REQUESTS) {
+                done.countDown();
+                return;
+            }
+            List<Balancer.RequestClass> classes = config.settings().classes();
+            List<Balancer.Tenant> tenants = config.settings().tenants();
+            Balancer.RequestClass type = classes.get(sent % classes.size());
+            boolean safe = type.effect() == Balancer.Effect.SAFE;
+            var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, safe ? HttpMethod.GET : HttpMethod.POST,
+                    "/api?k=" + sent, safe ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(BODY));
+            request.headers().set("host", "warm-up").set(Headers.REQUEST_ID, Integer.toHexString(sent))
+                    .set(Headers.REQUEST_CLASS, type.name()).set(Headers.TIMEOUT, type.deadlineUs() / 1_000 + "m");
+            if (!tenants.isEmpty()) {
+                request.headers().set(Headers.TENANT, tenants.get(sent % tenants.size()).name());
+            }
+            if (!safe) {
+                HttpUtil.setContentLength(request, BODY.length);
+                if (type.effect() == Balancer.Effect.KEYED) {
+                    request.headers().set(Headers.IDEMPOTENCY_KEY, Integer.toHexString(sent));
+                }
+            }
+            ctx.writeAndFlush(request);
+        }
+    }
+}
--- a/src/test/java/beechfall/proxy/ConfigTest.java
+++ b/src/test/java/beechfall/proxy/ConfigTest.java
@@ -26,6 +26,16 @@
         assertThat(config.known().path("version").asLong()).isEqualTo(41);
     }
 
+    @Test
+    void aListThatHasChangedWasHadInAnEarlierLife() throws Exception {
+        ObjectNode json = Fixture.config();
+        assertThat(Config.parse(json).isFirstLife()).isFalse();
+        ((ObjectNode) json.get("known")).put("version", 0);
+        assertThat(Config.parse(json).isFirstLife()).isTrue();
+        json.remove("known");
+        assertThat(Config.parse(json).isFirstLife()).isTrue();
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "name|''|'name': missing",
