Bound clients' connections in time, bytes and number; rubbish ends its connection

Checked in the log of reads: silent connections and half requests stay until the 60 s of IdleStateHandler; a 4xx keeps its connection, so that the same rubbish comes back at once; 400 requests in one read were all put in a queue (the limit only stopped further reads); 60 MB were decoded to be dropped. Ruled out: the CPU (0.3 of a core in most seconds). Change in Frontend: a request has 2.2 s to come whole, from the connect or its first byte, whatever trickles in (408); idle connections close after 2.2 s; any 4xx ends its connection and stops the decoder; of what follows at most 256 KiB and 1 s are dropped; two requests are read ahead, then 429; chunked with anything odd is 400. In Sockets: the oldest connection without a request is given up first, silent ones before used ones, as a task behind the reads and not within 20 ms of the connect; answers end their connections when three quarters of the places are taken; 48 descriptors spare in place of 96 (the runtime itself holds 10).

--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -9,8 +9,11 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -18,14 +21,15 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
-import io.netty.handler.timeout.IdleStateEvent;
-import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -49,10 +53,19 @@
     private static final long ON_ITS_WAY_US = 8_000;
     /** How often the loop shows that it runs, and how late that may be before it counts as held up. */
     private static final long BEAT_US = 10_000;
-    private static final long IDLE_S = 60;
-    private static final long LINGER_MS = 1_000;
+    /** How often connections are looked at that hold no request. */
+    private static final long SWEEP_US = 100_000;
+    /** A connection on which nothing is asked for so long is closed. */
+    private static final long IDLE_US = 2_200_000;
+    /** A request must have come whole by then, counted from its first byte, a connection's first from the connect. */
+    private static final long WHOLE_US = 2_200_000;
+    /** A client that takes nothing of its answer for so long has gone. */
+    private static final long UNREAD_US = 10_000_000;
+    /** After the last answer what else the client sends is dropped, so much and for so long: see {@code hangUp}. */
+    private static final long DROPPED = 256 * 1024;
+    private static final long LINGER_US = 1_000_000;
     /** Requests read ahead on one connection; clients send one at a time, so more is not worth memory. */
-    private static final int PIPELINED = 4;
+    private static final int PIPELINED = 2;
 
     private final Clock clock;
     private final Log log;
@@ -80,6 +93,7 @@
     ChannelFuture listen(Transport transport, InetSocketAddress address) {
         beatAt = clock.now();
         transport.loop().scheduleWithFixedDelay(this::beat, BEAT_US, BEAT_US, TimeUnit.MICROSECONDS);
+        transport.loop().scheduleWithFixedDelay(this::sweep, SWEEP_US, SWEEP_US, TimeUnit.MICROSECONDS);
         ChannelFuture bound = transport.server().clone()
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -98,6 +112,12 @@
         beatAt = clock.now();
     }
 
+    /** One timer for all: one for each connection would have to be set anew with each request. */
+    private void sweep() {
+        long now = clock.now();
+        List.copyOf(connections).forEach(c -> c.expire(now));
+    }
+
     /**
      * When a byte that is read now may have come. Where the loop was held up, by a pause of the process or a long batch,
      * the byte may have waited all the while, and a deadline counted from now would be too late. That shows in an
@@ -138,26 +158,35 @@
     /** One client's connection. */
     private final class Connection extends ChannelInboundHandlerAdapter {
         private final Queue<Exchange> waiting = new ArrayDeque<>();
+        private final Framing.Requests decoder = new Framing.Requests();
         private Channel channel;
         private Exchange exchange;
         private long firstByteAt = -1;
         private long lastReadAt;
+        /** Since when nothing is open here: the connect, or the last answer. */
+        private long idleSince;
+        private boolean used;
         private FullHttpResponse parting;
+        private long partedAt = -1;
+        private long dropped;
 
         @Override
         public void handlerAdded(ChannelHandlerContext ctx) {
             channel = ctx.channel();
+            idleSince = clock.now();
             connections.add(this);
-            channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_S, TimeUnit.SECONDS), new HttpServerCodec(),
-                    new Aggregator(this), new Requests(this));
+            channel.pipeline().addLast(decoder, new HttpResponseEncoder(), new Aggregator(this), new Requests(this));
         }
 
         /** A client's patience began when it sent; the nearest to it that can be known is its first byte. */
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+            if (parting != null) {
+                drop((ByteBuf) message);
+                return;
+            }
             if (firstByteAt < 0) {
                 firstByteAt = Math.min(heldUpFrom, arrivedAt(clock.now()));
-                sockets.clientIdle(channel, false);
             }
             super.channelRead(ctx, message);
         }
@@ -167,6 +196,9 @@
             connections.remove(this);
             waiting.forEach(e -> e.request.release());
             waiting.clear();
+            if (parting != null && partedAt < 0) {
+                parting.release();
+            }
             if (exchange != null) {
                 Exchange gone = exchange;
                 exchange = null;
@@ -176,7 +208,11 @@
         }
 
         void request(FullHttpRequest request) {
-            if (parting != null || request.decoderResult().isFailure()) {
+            if (parting != null || !channel.isActive()) {
+                request.release();
+                return;
+            }
+            if (request.decoderResult().isFailure()) {
                 request.release();
                 part(plain(HttpResponseStatus.BAD_REQUEST, "not a request that can be read"));
                 return;
@@ -186,25 +222,42 @@
             firstByteAt = -1;
             var next = new Exchange(this, request, lastReadAt);
             if (exchange == null) {
+                sockets.clientBusy(channel);
                 exchange = next;
                 next.begin();
-            } else {
+            } else if (waiting.size() < PIPELINED) {
                 waiting.add(next);
-                channel.config().setAutoRead(waiting.size() < PIPELINED);
+            } else {
+                request.release();
+                part(plain(HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests at once; these have not been begun"));
             }
         }
 
         /** The exchange is over; the next that was read ahead begins. */
         void answered(boolean keepAlive) {
+            used = true;
+            idleSince = clock.now();
             exchange = keepAlive ? waiting.poll() : null;
             if (exchange != null) {
-                channel.config().setAutoRead(true);
                 exchange.begin();
-            } else if (parting != null) {
+            } else if (keepAlive && parting != null) {
+                hangUp();
+            } else if (keepAlive) {
+                sockets.clientIdle(channel);
+            }
+        }
+
+        /** The exchange is no request that can be passed on: the answer says so, and is the last. */
+        void rejected(FullHttpResponse answer) {
+            exchange = null;
+            waiting.forEach(e -> e.request.release());
+            waiting.clear();
+            if (parting != null) {
+                parting.release();
+                parting = answer;
                 hangUp();
-            } else if (keepAlive && firstByteAt < 0) {
-                // Not sooner: a new connection's first request may wait unread, and is taken all the same.
-                sockets.clientIdle(channel, true);
+            } else {
+                part(answer);
             }
         }
 
@@ -214,35 +267,83 @@
         }
 
         void closeIfIdle() {
-            if (exchange == null && firstByteAt < 0) {
+            if (exchange == null && firstByteAt < 0 && parting == null) {
+                channel.close();
+            }
+        }
+
+        /** Whatever a client does or leaves undone, its connection is not kept for longer than it is of use. */
+        void expire(long now) {
+            if (exchange != null) {
+                return;
+            }
+            if (partedAt >= 0) {
+                if (now - partedAt > LINGER_US) {
+                    channel.close();
+                }
+            } else if (firstByteAt >= 0) {
+                // A byte now and then renews nothing: the time is for the whole request.
+                if (now - (used ? firstByteAt : idleSince) > WHOLE_US) {
+                    part(plain(HttpResponseStatus.REQUEST_TIMEOUT, "the request has not come in time"));
+                }
+            } else if (now - idleSince > (unsent() ? UNREAD_US : IDLE_US)) {
                 channel.close();
             }
         }
 
+        private boolean unsent() {
+            ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
+            return out != null && !out.isEmpty();
+        }
+
         /** Answers what can't be read as a request, after those that came before it; nothing is read beyond it. */
         void part(FullHttpResponse answer) {
-            if (parting == null) {
-                parting = answer;
-                if (exchange == null) {
-                    hangUp();
-                }
+            if (parting != null) {
+                answer.release();
+                return;
+            }
+            parting = answer;
+            // What it holds, and what comes, is not decoded any more.
+            channel.pipeline().remove(decoder);
+            if (exchange == null) {
+                hangUp();
             }
         }
 
         /**
          * Closing with bytes unread would reset the connection, and the client would lose the answer: so this side
-         * ends its sending, and the rest is read and dropped for a while.
+         * ends its sending, and some of the rest is read and dropped for a while.
          */
         private void hangUp() {
+            partedAt = clock.now();
+            sockets.clientIdle(channel);
             HttpUtil.setKeepAlive(parting, false);
             channel.writeAndFlush(parting).addListener(f -> {
-                ((SocketChannel) channel).shutdownOutput();
-                channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+                if (f.isSuccess() && dropped < DROPPED && channel instanceof SocketChannel socket) {
+                    socket.shutdownOutput();
+                } else {
+                    channel.close();
+                }
             });
         }
+
+        private void drop(ByteBuf rest) {
+            dropped += rest.readableBytes();
+            rest.release();
+            if (dropped >= DROPPED) {
+                if (partedAt >= 0) {
+                    channel.close();
+                } else {
+                    channel.config().setAutoRead(false);
+                }
+            }
+        }
     }
 
-    /** Puts requests together; one that is too long is answered as such, and its rest is not waited for. */
+    /**
+     * Puts requests together. A head that can't be believed is turned away before its body is waited for, and so is a
+     * body that is too long.
+     */
     private static final class Aggregator extends HttpObjectAggregator {
         private final Connection connection;
 
@@ -251,6 +352,36 @@
             this.connection = connection;
         }
 
+        @Override
+        protected void decode(ChannelHandlerContext ctx, HttpObject part, List<Object> out) throws Exception {
+            FullHttpResponse bad = part instanceof HttpRequest head ? judged(head) : null;
+            if (bad != null) {
+                ReferenceCountUtil.release(part);
+                connection.part(bad);
+            } else {
+                super.decode(ctx, part, out);
+            }
+        }
+
+        private static FullHttpResponse judged(HttpRequest head) {
+            if (head.decoderResult().isFailure()) {
+                return plain(HttpResponseStatus.BAD_REQUEST, "not a request that can be read");
+            }
+            List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+            boolean plainChunks = codings.size() == 1 && codings.get(0).trim().equalsIgnoreCase("chunked")
+                    && head.protocolVersion().equals(HttpVersion.HTTP_1_1);
+            if (!codings.isEmpty() && !plainChunks) {
+                return plain(HttpResponseStatus.BAD_REQUEST, "a body that is not sent in plain chunks");
+            }
+            return null;
+        }
+
+        @Override
+        protected Object newContinueResponse(HttpMessage head, int most, ChannelPipeline pipeline) {
+            // Where the body is too long, that is told in its turn.
+            return isContentLengthInvalid(head, most) ? null : super.newContinueResponse(head, most, pipeline);
+        }
+
         @Override
         protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
             connection.part(plain(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is longer than 64 KiB"));
@@ -269,17 +400,10 @@
             connection.request(request.retain());
         }
 
-        @Override
-        public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
-            if (event instanceof IdleStateEvent && connection.exchange == null) {
-                ctx.close();
-            }
-            super.userEventTriggered(ctx, event);
-        }
-
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (!(cause instanceof IOException)) {
+            // A client that goes away, or stops half-way, is nothing to tell the operators.
+            if (!(cause instanceof IOException) && !(cause instanceof CodecException)) {
                 log.failure("a client's connection failed", cause);
             }
             ctx.close();
@@ -318,16 +442,22 @@
                 }
                 incoming = incoming(uri);
             } catch (Rejected e) {
-                answer(plain(e.status, e.getMessage()));
+                reject(plain(e.status, e.getMessage()));
                 return;
             } catch (IllegalArgumentException e) {
-                answer(plain(HttpResponseStatus.BAD_REQUEST, "not a path that can be read"));
+                reject(plain(HttpResponseStatus.BAD_REQUEST, "not a path that can be read"));
                 return;
             }
             id = incoming.id();
             proxy.arrived(incoming, this);
         }
 
+        /** The connection ends with this: on one that is kept, rubbish would come again at the speed of its answers. */
+        private void reject(FullHttpResponse answer) {
+            request.release();
+            connection.rejected(answer);
+        }
+
         private Proxy.Incoming incoming(QueryStringDecoder uri) throws Rejected {
             if (!uri.rawPath().equals("/api") && !uri.rawPath().startsWith("/api/")) {
                 throw new Rejected(HttpResponseStatus.NOT_FOUND, "no such path");
@@ -407,7 +537,8 @@
                 answer.release();
                 return;
             }
-            boolean keepAlive = HttpUtil.isKeepAlive(request) && !(closing && connection.last());
+            boolean keepAlive = HttpUtil.isKeepAlive(request)
+                    && !((closing || sockets.crowded()) && connection.last());
             HttpUtil.setKeepAlive(answer, keepAlive);
             request.release();
             ChannelFuture written = connection.channel.writeAndFlush(answer);
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -45,7 +45,7 @@
         loop = transport.loop();
         var clock = new Clock();
         var settings = config.settings();
-        var sockets = new Sockets(config.sockets());
+        var sockets = new Sockets(loop, config.sockets());
         var backends = new Backends(clock, transport, sockets, config.connIdleUs(), config.connectTimeoutUs());
         proxy = new Proxy(clock, loop, log, settings, module, backends);
         discovery = new Discovery(transport, log, proxy, config.discovery(), settings);
--- a/src/main/java/beechfall/proxy/Sockets.java
+++ b/src/main/java/beechfall/proxy/Sockets.java
@@ -1,28 +1,40 @@
 package beechfall.proxy;
 
 import io.netty.channel.Channel;
-import java.util.LinkedHashSet;
-import java.util.Set;
+import io.netty.channel.EventLoop;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Counts the open connections, so that the process stays under its limit of descriptors: one too many fails at a place
- * where nothing can be done about it. Idle connections are given up first, the longest idle of the backends' before
- * the clients'; where none is left, no further client is accepted for a while.
+ * where nothing can be done about it. As places run short, clients' connections end with their answers and those that
+ * hold no request are given up; where all hold one, no further client is accepted for a while.
  */
 final class Sockets {
-    /** Descriptors for the jar, the selector, the listener, discovery and connections that are just closing. */
-    private static final int SPARE = 96;
+    /** Descriptors for the runtime (ten), discovery, and connections whose close the selector is yet to see. */
+    private static final int SPARE = 48;
+    /** Clients that are accepted beyond the limit: each takes the place of a connection that holds no request. */
+    private static final int LOBBY = 32;
+    /** A request that is on its way to a new connection has come by then. */
+    private static final long GREETING_NS = TimeUnit.MILLISECONDS.toNanos(20);
 
+    private final EventLoop loop;
     private final int most;
     private final int mostClients;
-    private final Set<Channel> idleBackends = new LinkedHashSet<>();
-    private final Set<Channel> idleClients = new LinkedHashSet<>();
+    private final Map<Channel, Long> idleBackends = new LinkedHashMap<>();
+    /** Connections on which no whole request has come yet, and those idle after an answer; the oldest first. */
+    private final Map<Channel, Long> silentClients = new LinkedHashMap<>();
+    private final Map<Channel, Long> idleClients = new LinkedHashMap<>();
     private int clients;
     private int backends;
+    private boolean makingRoom;
     private Channel listener;
 
-    Sockets(int limit) {
-        most = Math.max(16, limit - SPARE);
+    Sockets(EventLoop loop, int limit) {
+        this.loop = loop;
+        most = limit - SPARE;
         // A request needs a connection on either side: clients alone can't use up what their requests need.
         mostClients = most * 5 / 8;
     }
@@ -34,31 +46,67 @@
 
     void clientOpened(Channel channel) {
         clients++;
+        silentClients.put(channel, System.nanoTime());
         channel.closeFuture().addListener(f -> {
             clients--;
-            idleClients.remove(channel);
-            if (!clientsFull()) {
-                accept(true);
-            }
+            clientBusy(channel);
+            accept();
         });
-        if (clientsFull() && !(clients < mostClients && giveUp(idleBackends)) && !giveUp(idleClients)) {
-            accept(false);
+        makeRoomSoon();
+        accept();
+    }
+
+    /** As a task: what the loop has found to be readable is read first, and its connection is idle no more. */
+    private void makeRoomSoon() {
+        if (clients > mostClients && !makingRoom) {
+            makingRoom = true;
+            loop.execute(this::makeRoom);
+        }
+    }
+
+    private void makeRoom() {
+        makingRoom = false;
+        while (clients > mostClients) {
+            if (!giveUp(silentClients, GREETING_NS) && !giveUp(idleClients, 0)) {
+                makingRoom = !silentClients.isEmpty();
+                if (makingRoom) {
+                    loop.schedule(this::makeRoom, GREETING_NS, TimeUnit.NANOSECONDS);
+                }
+                return;
+            }
         }
     }
 
-    private void accept(boolean on) {
+    private void accept() {
+        boolean on = clients < mostClients + LOBBY;
         if (listener != null && listener.config().isAutoRead() != on) {
             listener.config().setAutoRead(on);
         }
     }
 
-    private boolean clientsFull() {
-        return clients >= mostClients || clients + backends >= most;
+    /** Returns whether a client's connection is to end with its answer: no request of its client's meets that close. */
+    boolean crowded() {
+        return clients > mostClients * 3 / 4;
+    }
+
+    void clientBusy(Channel channel) {
+        silentClients.remove(channel);
+        idleClients.remove(channel);
+    }
+
+    /** A client's connection holds no request. Whoever waits to be accepted may have its place. */
+    void clientIdle(Channel channel) {
+        clientBusy(channel);
+        if (channel.isOpen()) {
+            idleClients.put(channel, System.nanoTime());
+            makeRoomSoon();
+        }
     }
 
     /** Returns whether one more connection to a backend may be opened. */
     boolean roomForBackend() {
-        return clients + backends < most || giveUp(idleBackends) || giveUp(idleClients);
+        return clients + backends < most || giveUp(idleBackends, 0) || giveUp(silentClients, GREETING_NS)
+                || giveUp(idleClients, 0);
     }
 
     void backendOpened(Channel channel) {
@@ -70,31 +118,23 @@
     }
 
     void backendIdle(Channel channel, boolean idle) {
-        mark(idleBackends, channel, idle);
-    }
-
-    /** Whoever waits to be accepted may have the place of a connection that has fallen idle. */
-    void clientIdle(Channel channel, boolean idle) {
-        mark(idleClients, channel, idle);
-        if (idle) {
-            accept(true);
-        }
-    }
-
-    private static void mark(Set<Channel> set, Channel channel, boolean idle) {
-        set.remove(channel);
+        idleBackends.remove(channel);
         if (idle && channel.isOpen()) {
-            set.add(channel);
+            idleBackends.put(channel, System.nanoTime());
         }
     }
 
-    private static boolean giveUp(Set<Channel> idle) {
-        if (idle.isEmpty()) {
+    private static boolean giveUp(Map<Channel, Long> since, long leastNs) {
+        Iterator<Map.Entry<Channel, Long>> i = since.entrySet().iterator();
+        if (!i.hasNext()) {
+            return false;
+        }
+        Map.Entry<Channel, Long> oldest = i.next();
+        if (System.nanoTime() - oldest.getValue() < leastNs) {
             return false;
         }
-        Channel longest = idle.iterator().next();
-        idle.remove(longest);
-        longest.close();
+        i.remove();
+        oldest.getKey().close();
         return true;
     }
 }
--- a/src/test/java/beechfall/proxy/Wire.java
+++ b/src/test/java/beechfall/proxy/Wire.java
@@ -67,6 +67,18 @@
         }
     }
 
+    /** As {@link #ended}, where what this side sent may have crossed the close. */
+    boolean endedQuietly() throws IOException {
+        try {
+            while (in.read() >= 0) {
+                // the rest of what was sent
+            }
+            return true;
+        } catch (java.net.SocketException e) {
+            return true;
+        }
+    }
+
     private String line() throws IOException {
         var line = new ByteArrayOutputStream();
         for (int b = in.read(); b != '\n'; b = in.read()) {
