Policy forgets what is gone, and takes a new process under an old id for a new backend

Seen by reading: members() pruned byId on whole lists only; a watch brings changes, so each replaced backend left a Server with all its flows (5,000 after 5,000 changes, ChurnTest). And a process that restarted under its id inherited the distrust earned by the last one.

--- a/src/main/java/beechfall/Policy.java
+++ b/src/main/java/beechfall/Policy.java
@@ -241,6 +241,11 @@
         release();
     }
 
+    /** How much it keeps of backends and requests; a test looks whether that grows. */
+    int remembered() {
+        return byId.size() + requests.size();
+    }
+
     // Membership
 
     private void members(Members news) {
@@ -260,9 +265,12 @@
             servers.clear();
         }
         for (Backend b : news.backends()) {
-            Server s = byId.computeIfAbsent(b.id(), id -> new Server(id, classes.size() * flowsOfClass));
-            if (s.listed == null || b.startedAtUs() != s.listed.startedAtUs()) {
-                s.ownUs = s.ownSamples = 0;
+            Server s = byId.get(b.id());
+            if (s == null || b.startedAtUs() != s.listed.startedAtUs()) {
+                // What was seen of the process that ran under this id before tells nothing of the new one.
+                servers.remove(s);
+                s = new Server(b.id(), classes.size() * flowsOfClass);
+                byId.put(s.id, s);
                 // Of hundreds of proxies each may send it less than one request: so some send theirs.
                 s.coldTokens = random.nextDouble();
                 s.coldTokensAt = now;
@@ -275,6 +283,9 @@
             if (s.ready) {
                 servers.add(s);
             }
+            if (b.state() == State.GONE) {
+                byId.remove(s.id);
+            }
         }
         before.forEach(this::releaseUnlessReady);
         if (news.kind() != ListKind.DELTA) {
