A burst of clients leaves the backends their places

Checked: SocketsTest accepts until the listener pauses, with no task run in between: 0 backends could be opened. Sockets.roomForBackend counted the 32 lobby clients against the backends' places; clients younger than 20 ms can't be given up, so at a limit of 128 (82 clients of 80 places) each attempt failed with no connection. Ruled out: the order of giving up, the test's own time-outs. Mend: the lobby has descriptors of its own, and clients count up to their share. The limit less 32 is still never passed (SocketsTest). Before: 0 backends in a full lobby; after: 3/8 of the places.

--- a/src/main/java/beechfall/proxy/Sockets.java
+++ b/src/main/java/beechfall/proxy/Sockets.java
@@ -14,8 +14,11 @@
  */
 final class Sockets {
     /** Descriptors for the runtime (ten), discovery, and connections whose close the selector is yet to see. */
-    private static final int SPARE = 48;
-    /** Clients that are accepted beyond the limit: each takes the place of a connection that holds no request. */
+    private static final int SPARE = 32;
+    /**
+     * Clients that are accepted beyond their share: each takes the place of a connection that holds no request, which
+     * it may be too early to give up. They have descriptors of their own, so that a burst leaves the backends theirs.
+     */
     private static final int LOBBY = 32;
     /** A request that is on its way to a new connection has come by then. */
     private static final long GREETING_NS = TimeUnit.MILLISECONDS.toNanos(20);
@@ -34,7 +37,7 @@
 
     Sockets(EventLoop loop, int limit) {
         this.loop = loop;
-        most = limit - SPARE;
+        most = limit - SPARE - LOBBY;
         // A request needs a connection on either side: clients alone can't use up what their requests need.
         mostClients = most * 5 / 8;
     }
@@ -105,7 +108,7 @@
 
     /** Returns whether one more connection to a backend may be opened. */
     boolean roomForBackend() {
-        return clients + backends < most || giveUp(idleBackends, 0) || giveUp(silentClients, GREETING_NS)
+        return Math.min(clients, mostClients) + backends < most || giveUp(idleBackends, 0) || giveUp(silentClients, GREETING_NS)
                 || giveUp(idleClients, 0);
     }
 
