--- a/src/main/java/beechfall/proxy/Config.java
+++ b/src/main/java/beechfall/proxy/Config.java
@@ -43,6 +43,10 @@
         return known == null || known.path("version").asLong() == 0;
     }
 
+    Config listeningAt(InetSocketAddress address) {
+        return new Config(name, address, discovery, sockets, known, settings, connIdleUs, connectTimeoutUs);
+    }
+
     static Config read(Path file) throws BadConfig {
         try {
             return parse(JSON.readTree(Files.readAllBytes(file)));
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.lang.reflect.InvocationHandler;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
@@ -84,7 +85,11 @@
         try {
             Config config = Config.read(file());
             Warmup.run(config, TRAIN_MS);
-            new Serve(config).stop();
+            onHangUp(() -> { });
+            // On a port that is free: what it listens with and connects with is loaded too.
+            var serve = new Serve(config.listeningAt(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)));
+            serve.listen().awaitUninterruptibly();
+            serve.stop();
         } catch (Config.BadConfig e) {
             exit(e);
         }
