A Maven reactor: the decision module in core, the proxy and the simulator's wire in daemon

Need: further fronts and a client plug-in are to share the decision module, and nothing but the package names kept what depends on Netty apart from what must not. No line of Java changed but the usage texts.

--- a/src/main/java/beechfall/Main.java
+++ b/daemon/src/main/java/beechfall/Main.java
@@ -23,7 +23,7 @@
             case "train" -> Serve.train();
             case "drill" -> beechfall.wire.Main.main(args);
             default -> {
-                System.err.println("usage: java -jar beechfall.jar serve|train|drill");
+                System.err.println("usage: java -jar grebehoist.jar serve|train|drill");
                 System.exit(2);
             }
         }
--- a/src/main/java/beechfall/wire/Main.java
+++ b/daemon/src/main/java/beechfall/wire/Main.java
@@ -16,7 +16,7 @@
      */
     public static void main(String[] args) throws IOException {
         if (args.length != 1 || !args[0].equals("drill")) {
-            System.err.println("usage: java -jar beechfall.jar drill");
+            System.err.println("usage: java -jar grebehoist.jar drill");
             System.exit(2);
         }
         try (var out = new FileOutputStream(FileDescriptor.out)) {
