--- /dev/null
+++ b/core/src/main/java/grebehoist/engine/Attempt.java
@@ -0,0 +1,27 @@
+package grebehoist.engine;
+
+import beechfall.Balancer.Outcome;
+
+/** One try at a backend, made by a {@link Transport}. It has exactly one end. Used by the engine's thread alone. */
+public interface Attempt {
+    /** Hears the one end of an attempt. */
+    interface End {
+        /**
+         * The attempt is over, and nothing of it will be sent any more.
+         *
+         * @param outcome how it ended; one that {@linkplain Outcome#neverRan() never ran} is told only where that is
+         *         certain
+         * @param answer the backend's answer for {@link Outcome#OK}, owned by whoever hears this; else null
+         */
+        void ended(Outcome outcome, Payload answer);
+    }
+
+    /** Begins to send. Its end may be told before this returns. */
+    void start();
+
+    /** Returns whether the backend may have begun with it: its last byte has been handed to the network. */
+    boolean mayHaveRun();
+
+    /** Ends it from this side with an outcome, before anything else is sent anywhere. Without effect once it has ended. */
+    void abort(Outcome outcome);
+}
--- /dev/null
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -0,0 +1,322 @@
+package grebehoist.engine;
+
+import beechfall.Balancer;
+import beechfall.Balancer.Action;
+import beechfall.Balancer.Event;
+import beechfall.Balancer.Outcome;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.function.Consumer;
+
+/**
+ * The ledger of one pool's requests and attempts: hands the decision module its events, one at a time, and carries out
+ * its actions. It decides nothing, but holds to the rules whatever the module asks for: a request has one answer, in
+ * time; no attempt goes out beside another, past the settings' number, or after the answer.
+ *
+ * <p>Single-threaded: everything is called on the one thread that {@link Timers} runs its actions on.
+ */
+public final class Engine implements Intake, MemberSource.Sink {
+    /** How long after its deadline a request is answered by the engine, if the module has not: the module goes first. */
+    private static final long SAFETY_US = 2_000;
+
+    private final Timers timers;
+    private final Log log;
+    private final Balancer.Limits limits;
+    private final Balancer module;
+    private final Transport transport;
+    private final Map<String, Open> open = new HashMap<>();
+    private final Queue<Event> events = new ArrayDeque<>();
+    private final List<Action> actions = new ArrayList<>();
+    private MemberSource source;
+    private boolean handling;
+
+    /**
+     * Puts an engine together; {@link #source} is to follow.
+     *
+     * @param settings those that the module was made with
+     */
+    public Engine(Balancer.Settings settings, Balancer module, Timers timers, Transport transport, Log log) {
+        this.limits = settings.limits();
+        this.module = module;
+        this.timers = timers;
+        this.transport = transport;
+        this.log = log;
+    }
+
+    /** Names where the list of backends comes from, before anything else is asked of the engine. */
+    public void source(MemberSource members) {
+        source = members;
+    }
+
+    /** Returns the number of requests that still want an answer or have attempts out. */
+    public int open() {
+        return open.size();
+    }
+
+    /** A request and its attempts, kept until it is answered and no attempt is out. */
+    private static final class Open {
+        private final Request request;
+        private final Responder responder;
+        /** By their numbers; null where the attempt was never sent. */
+        private final List<Out> attempts = new ArrayList<>(2);
+        private int out;
+        private boolean over;
+        private Timers.Timer safety;
+
+        Open(Request request, Responder responder) {
+            this.request = request;
+            this.responder = responder;
+        }
+    }
+
+    /** An attempt and its time-out. */
+    private final class Out implements Attempt.End {
+        private final Open request;
+        private final int number;
+        private final String backend;
+        private final long startedAt = timers.now();
+        private Attempt attempt;
+        private Timers.Timer timeout;
+        private boolean ended;
+
+        Out(Open request, int number, String backend) {
+            this.request = request;
+            this.number = number;
+            this.backend = backend;
+        }
+
+        void start(long timeoutUs) {
+            timeout = timers.at(startedAt + timeoutUs, this::expire);
+            attempt.start();
+        }
+
+        /** Before its last byte has gone it has not run for certain; after that it may, even if nothing comes. */
+        private void expire() {
+            if (!ended) {
+                attempt.abort(attempt.mayHaveRun() ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
+            }
+        }
+
+        @Override
+        public void ended(Outcome outcome, Payload answer) {
+            if (ended) {
+                log.failure("a second end of an attempt", new IllegalStateException(outcome + " of " + request.request.id()));
+                if (answer != null) {
+                    answer.release();
+                }
+                return;
+            }
+            ended = true;
+            timeout.cancel();
+            attemptEnded(this, outcome, answer);
+        }
+    }
+
+    // Events
+
+    @Override
+    public boolean knows(String id) {
+        return open.containsKey(id);
+    }
+
+    @Override
+    public void arrived(Request request, Responder responder) {
+        long now = timers.now();
+        if (now >= request.deadlineUs() || open.containsKey(request.id())) {
+            responder.failed();
+            return;
+        }
+        var r = new Open(request, responder);
+        open.put(request.id(), r);
+        r.safety = timers.at(request.deadlineUs() + SAFETY_US, () -> overdue(r));
+        deliver(new Balancer.Arrival(request.id(), request.requestClass(), request.tenant(), request.key(),
+                request.deadlineUs() - now, request.repeat()));
+    }
+
+    @Override
+    public void clientGone(String id) {
+        Open r = open.get(id);
+        if (r != null && !r.over) {
+            over(r);
+            withdraw(r);
+            deliver(new Balancer.ClientGone(id));
+            forget(r);
+        }
+    }
+
+    /** Guards against a module that never answers: whatever happens, the client hears of its request in time. */
+    private void overdue(Open r) {
+        if (!r.over) {
+            answer(r, Responder::failed);
+            deliver(new Balancer.ClientGone(r.request.id()));
+            forget(r);
+        }
+    }
+
+    @Override
+    public void members(Balancer.ListKind kind, List<Listed> listed) {
+        List<? extends Attempt> unsent = kind == Balancer.ListKind.FAILED ? List.of() : transport.members(kind, listed);
+        deliver(new Balancer.Members(kind, listed.stream().map(Listed::backend).toList()));
+        // The module has heard why by now, and sends them elsewhere.
+        unsent.forEach(a -> a.abort(Outcome.NOT_SENT));
+    }
+
+    private void attemptEnded(Out out, Outcome outcome, Payload answer) {
+        Open r = out.request;
+        r.out--;
+        if (outcome == Outcome.OK && !r.over) {
+            answer(r, responder -> responder.served(answer));
+        } else if (answer != null) {
+            answer.release();
+        }
+        deliver(new Balancer.AttemptEnded(r.request.id(), out.number, out.backend, outcome,
+                timers.now() - out.startedAt, r.over));
+        forget(r);
+    }
+
+    /** Gives the one answer; where that goes wrong it is a failure, as the request is taken all the same. */
+    private void answer(Open r, Consumer<Responder> answer) {
+        over(r);
+        try {
+            answer.accept(r.responder);
+        } catch (RuntimeException e) {
+            log.failure("could not answer " + r.request.id(), e);
+            r.responder.failed();
+        }
+        withdraw(r);
+    }
+
+    private static void over(Open r) {
+        r.over = true;
+        r.safety.cancel();
+    }
+
+    /**
+     * The request is over: what is still unsent of it stays unsent. What may have run goes on, unless the module calls
+     * it off, as its end tells of the backend.
+     */
+    private static void withdraw(Open r) {
+        for (Out out : List.copyOf(r.attempts)) {
+            if (!out.ended && out.attempt != null && !out.attempt.mayHaveRun()) {
+                out.attempt.abort(Outcome.CANCELLED);
+            }
+        }
+    }
+
+    private void forget(Open r) {
+        if (r.over && r.out == 0) {
+            open.remove(r.request.id(), r);
+        }
+    }
+
+    /** Hands events over one by one: an action may bring the next event, which waits until all of them are done. */
+    private void deliver(Event event) {
+        events.add(event);
+        if (handling) {
+            return;
+        }
+        handling = true;
+        try {
+            for (Event next = events.poll(); next != null; next = events.poll()) {
+                handle(next);
+            }
+        } finally {
+            handling = false;
+        }
+    }
+
+    private void handle(Event event) {
+        try {
+            module.handle(timers.now(), event, actions::add);
+        } catch (RuntimeException e) {
+            log.failure("the module failed on " + event, e);
+            failRequestOf(event);
+        }
+        for (Action action : actions) {
+            try {
+                carryOut(action);
+            } catch (RuntimeException e) {
+                log.failure("could not carry out " + action, e);
+            }
+        }
+        actions.clear();
+    }
+
+    /** An error costs the request that it came with, not the proxy and all the others that it holds. */
+    private void failRequestOf(Event event) {
+        String id = event instanceof Balancer.Arrival a ? a.id() : event instanceof Balancer.AttemptEnded a ? a.id() : null;
+        if (id != null) {
+            finish(id, Responder::failed);
+        }
+    }
+
+    // Actions
+
+    private void carryOut(Action action) {
+        if (action instanceof Balancer.Send a) {
+            send(a);
+        } else if (action instanceof Balancer.SetTimer a) {
+            timers.at(a.atUs(), () -> deliver(new Balancer.TimerFired(a.token())));
+        } else if (action instanceof Balancer.Refuse a) {
+            finish(a.id(), responder -> responder.refused(a.retryAfterUs()));
+        } else if (action instanceof Balancer.Fail a) {
+            finish(a.id(), Responder::failed);
+        } else if (action instanceof Balancer.Cancel a) {
+            cancel(a);
+        } else if (action instanceof Balancer.Release a) {
+            transport.release(a.backend());
+        } else if (action instanceof Balancer.Watch a) {
+            source.watch(a.on());
+        } else if (action instanceof Balancer.Fetch) {
+            source.fetch();
+        } else if (action instanceof Balancer.Log a) {
+            log.line(a.text());
+        } else {
+            // The module never probes, and where this proxy runs it may not.
+            throw new UnsupportedOperationException("no such action here");
+        }
+    }
+
+    private void finish(String id, Consumer<Responder> answer) {
+        Open r = open.get(id);
+        if (r != null && !r.over) {
+            answer(r, answer);
+            forget(r);
+        }
+    }
+
+    private void cancel(Balancer.Cancel cancel) {
+        Open r = open.get(cancel.id());
+        if (r != null && cancel.attempt() < r.attempts.size() && limits.cancel()) {
+            Out out = r.attempts.get(cancel.attempt());
+            if (!out.ended) {
+                out.attempt.abort(Outcome.CANCELLED);
+            }
+        }
+    }
+
+    private void send(Balancer.Send send) {
+        Open r = open.get(send.id());
+        if (r == null) {
+            return;
+        }
+        var out = new Out(r, r.attempts.size(), send.backend());
+        long left = r.request.deadlineUs() - timers.now();
+        long timeoutUs = send.timeoutUs() == 0 ? left : Math.min(send.timeoutUs(), left);
+        if (!r.over && out.number < limits.maxAttempts() && timeoutUs > 0 && (r.out == 0 || limits.secondCopies())) {
+            out.attempt = transport.attempt(send.backend(), r.request.payload(), out.startedAt + timeoutUs, out);
+        }
+        r.attempts.add(out);
+        if (out.attempt == null) {
+            out.ended = true;
+            deliver(new Balancer.AttemptEnded(send.id(), out.number, send.backend(), Outcome.NOT_SENT, 0, r.over));
+        } else {
+            r.out++;
+            out.start(timeoutUs);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/grebehoist/engine/Intake.java
@@ -0,0 +1,18 @@
+package grebehoist.engine;
+
+/** Where fronts hand in their requests. Used by the engine's thread alone. */
+public interface Intake {
+    /** Returns whether a request with this id is open: no second one may be handed in meanwhile. */
+    boolean knows(String id);
+
+    /**
+     * Takes a request; it gets exactly one answer, perhaps before this returns.
+     *
+     * @param request the request; one that is past its deadline already, or has the id of an open one, fails at once
+     * @param responder hears the answer
+     */
+    void arrived(Request request, Responder responder);
+
+    /** The client has left before it had an answer; its responder is not called any more. */
+    void clientGone(String id);
+}
--- /dev/null
+++ b/core/src/test/java/grebehoist/engine/EngineTest.java
@@ -0,0 +1,303 @@
+package grebehoist.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beechfall.Balancer;
+import beechfall.Balancer.Arrival;
+import beechfall.Balancer.AttemptEnded;
+import beechfall.Balancer.Cancel;
+import beechfall.Balancer.ClientGone;
+import beechfall.Balancer.Fail;
+import beechfall.Balancer.Fetch;
+import beechfall.Balancer.ListKind;
+import beechfall.Balancer.Log;
+import beechfall.Balancer.Members;
+import beechfall.Balancer.Outcome;
+import beechfall.Balancer.Probe;
+import beechfall.Balancer.Refuse;
+import beechfall.Balancer.Release;
+import beechfall.Balancer.Send;
+import beechfall.Balancer.SetTimer;
+import beechfall.Balancer.TimerFired;
+import beechfall.Balancer.Watch;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** One request, one answer; one attempt, one outcome: whatever the module, the transport and the clock do. */
+class EngineTest {
+    private static final long MS = FakeHost.MS;
+
+    @Test
+    void passesTheAnswerOnAndForgetsTheRequest() {
+        var host = new FakeHost(FakeHost.sendTo("s0", 0));
+        var client = host.ask("r1");
+        assertThat(host.engine.knows("r1")).isTrue();
+        var answer = new FakeHost.Counted();
+        host.now += 30 * MS;
+        host.sent.get(0).answer(Outcome.OK, answer);
+        assertThat(client.answers).containsExactly("served");
+        assertThat(answer.owners).isZero();
+        assertThat(host.events(AttemptEnded.class))
+                .containsExactly(new AttemptEnded("r1", 0, "s0", Outcome.OK, 30 * MS, true));
+        assertThat(host.engine.open()).isZero();
+        assertThat(host.timers()).isZero();
+    }
+
+    /** Rule 1: a request that the module forgets is answered all the same, before its client gives up. */
+    @Test
+    void answersInTimeWhateverTheModuleDoes() {
+        var host = new FakeHost((event, actions) -> { });
+        var client = host.ask("r1");
+        host.run(1_001 * MS);
+        assertThat(client.answers).isEmpty();
+        host.run(1 * MS);
+        assertThat(client.answers).containsExactly("failed");
+        assertThat(host.events(ClientGone.class)).containsExactly(new ClientGone("r1"));
+        assertThat(host.engine.open()).isZero();
+    }
+
+    @Test
+    void aRequestThatComesTooLateOrTwiceFailsAtOnceAndTheFirstGoesOn() {
+        var host = new FakeHost(FakeHost.sendTo("s0", 0));
+        var late = new FakeHost.Client();
+        host.engine.arrived(new Request("r0", "read", null, null, false, host.now, Payload.NONE), late);
+        var first = host.ask("r1");
+        var second = host.ask("r1");
+        assertThat(late.answers).containsExactly("failed");
+        assertThat(second.answers).containsExactly("failed");
+        assertThat(first.answers).isEmpty();
+        host.sent.get(0).answer(Outcome.OK, new FakeHost.Counted());
+        assertThat(first.answers).containsExactly("served");
+        assertThat(host.events(Arrival.class)).hasSize(1);
+    }
+
+    /** Rule 2: no attempt goes out beside another, past the settings' number, or once the request is over. */
+    @Test
+    void sendsNoSecondCopyAndNoMoreThanAllowed() {
+        var host = new FakeHost((event, actions) -> {
+            if (event instanceof Arrival a) {
+                actions.accept(new Send(a.id(), "s0", 0));
+                actions.accept(new Send(a.id(), "s1", 0));
+            } else if (event instanceof AttemptEnded e && e.outcome() == Outcome.FULL) {
+                actions.accept(new Send(e.id(), "s0", 0));
+            } else if (event instanceof AttemptEnded e && e.attempt() > 3) {
+                actions.accept(new Fail(e.id()));
+                actions.accept(new Send(e.id(), "s0", 0));
+            }
+        });
+        var client = host.ask("r1");
+        assertThat(host.sent).hasSize(1);
+        assertThat(host.events(AttemptEnded.class))
+                .containsExactly(new AttemptEnded("r1", 1, "s1", Outcome.NOT_SENT, 0, false));
+        host.sent.get(0).answer(Outcome.FULL, null);
+        host.sent.get(1).answer(Outcome.FULL, null);
+        host.sent.get(2).answer(Outcome.FULL, null);
+        assertThat(host.sent).hasSize(3);
+        assertThat(client.answers).containsExactly("failed");
+        assertThat(host.events(AttemptEnded.class)).hasSize(5);
+        assertThat(host.engine.open()).isZero();
+    }
+
+    /** An attempt that is still on its way out when the request ends is not sent any more, whether or not the module may cancel. */
+    @ParameterizedTest
+    @EnumSource(names = {"OK", "TIMEOUT", "RESET"})
+    void nothingIsSentOnceTheRequestIsOver(Outcome how) {
+        var host = new FakeHost(new Balancer.Limits(false, false, false, true, 4, 0), FakeHost.sendTo("s0", 0));
+        host.onStart = s -> s.written = false;
+        var client = host.ask("r1");
+        switch (how) {
+            case OK -> host.engine.clientGone("r1");
+            case TIMEOUT -> host.run(1_002 * MS);
+            default -> host.sent.get(0).answer(Outcome.RESET, null);
+        }
+        assertThat(host.sent.get(0).ended).isNotNull();
+        assertThat(host.engine.open()).isZero();
+        assertThat(client.answers).hasSize(how == Outcome.OK ? 0 : 1);
+    }
+
+    /** What may have run already goes on where the settings allow no cancel, and its end is still told. */
+    @Test
+    void whatMayHaveRunIsHeardToItsEnd() {
+        var host = new FakeHost(new Balancer.Limits(false, false, false, true, 4, 0), FakeHost.sendTo("s0", 0));
+        host.ask("r1");
+        host.engine.clientGone("r1");
+        assertThat(host.sent.get(0).ended).isNull();
+        assertThat(host.engine.open()).isEqualTo(1);
+        var answer = new FakeHost.Counted();
+        host.sent.get(0).answer(Outcome.OK, answer);
+        assertThat(answer.owners).isZero();
+        assertThat(host.events(AttemptEnded.class)).extracting(AttemptEnded::last).containsExactly(true);
+        assertThat(host.engine.open()).isZero();
+        assertThat(host.timers()).isZero();
+    }
+
+    /** A time-out says 'never ran' only of what had not been written. */
+    @Test
+    void aTimeOutBeforeTheLastByteNeverRan() {
+        var host = new FakeHost(FakeHost.sendTo("s0", 50 * MS));
+        host.ask("r1");
+        host.onStart = s -> s.written = false;
+        host.ask("r2");
+        host.run(50 * MS);
+        assertThat(host.events(AttemptEnded.class)).extracting(AttemptEnded::outcome)
+                .containsExactly(Outcome.TIMEOUT, Outcome.CONNECT_FAILED);
+    }
+
+    /** An attempt's time-out races its answer: whichever comes first is its one end. */
+    @Test
+    void aTimeOutAndAnAnswerAreOneEnd() {
+        var host = new FakeHost(FakeHost.sendTo("s0", 50 * MS));
+        var client = host.ask("r1");
+        host.run(49 * MS);
+        host.sent.get(0).answer(Outcome.OK, new FakeHost.Counted());
+        host.run(10_000 * MS);
+        assertThat(client.answers).containsExactly("served");
+        assertThat(host.events(AttemptEnded.class)).hasSize(1);
+
+        var late = host.ask("r2");
+        host.run(50 * MS);
+        assertThat(host.sent.get(1).ended).isEqualTo(Outcome.TIMEOUT);
+        var answer = new FakeHost.Counted();
+        host.sent.get(1).end.ended(Outcome.OK, answer);
+        assertThat(late.answers).containsExactly("failed");
+        assertThat(answer.owners).isZero();
+        assertThat(host.events(AttemptEnded.class)).hasSize(2);
+        assertThat(host.log).hasSize(1);
+    }
+
+    /** The module hears of a drain before the unsent attempts that it ends, and sends them elsewhere. */
+    @Test
+    void aDrainEndsWhatIsUnsentOnceTheModuleHasHeardWhy() {
+        var host = new FakeHost((event, actions) -> {
+            if (event instanceof Arrival a) {
+                actions.accept(new Send(a.id(), "s0", 0));
+            } else if (event instanceof AttemptEnded e && e.outcome() == Outcome.NOT_SENT) {
+                actions.accept(new Send(e.id(), "s1", 0));
+            }
+        });
+        host.onStart = s -> s.written = false;
+        host.ask("r1");
+        host.toStop.add(host.sent.get(0));
+        host.engine.members(ListKind.DELTA, List.of(new Listed(
+                new Balancer.Backend("s0", Balancer.State.DRAINING, "k", "a", 0, 0, 1), "x")));
+        assertThat(host.events.get(1)).isInstanceOf(Members.class);
+        assertThat(host.events.get(2)).isEqualTo(new AttemptEnded("r1", 0, "s0", Outcome.NOT_SENT, 0, false));
+        assertThat(host.sent).extracting(s -> s.backend).containsExactly("s0", "s1");
+    }
+
+    @Test
+    void aClientThatHasGoneHearsNothing() {
+        var host = new FakeHost(FakeHost.sendTo("s0", 0));
+        var client = host.ask("r1");
+        host.engine.clientGone("r1");
+        host.engine.clientGone("r1");
+        host.engine.clientGone("unknown");
+        host.sent.get(0).answer(Outcome.OK, new FakeHost.Counted());
+        assertThat(client.answers).isEmpty();
+        assertThat(host.events(ClientGone.class)).hasSize(1);
+    }
+
+    @Test
+    void anErrorInTheModuleCostsOneRequest() {
+        var host = new FakeHost((event, actions) -> {
+            if (event instanceof Arrival a && a.id().equals("bad")) {
+                throw new IllegalStateException("as the test wants it");
+            }
+            FakeHost.sendTo("s0", 0).accept(event, actions);
+        });
+        assertThat(host.ask("bad").answers).containsExactly("failed");
+        var good = host.ask("good");
+        host.sent.get(0).answer(Outcome.OK, new FakeHost.Counted());
+        assertThat(good.answers).containsExactly("served");
+    }
+
+    /** A front that can't tell its client of an answer is asked for a failure: the request is taken all the same. */
+    @Test
+    void anAnswerThatCannotBeGivenIsAFailure() {
+        var host = new FakeHost((event, actions) -> {
+            if (event instanceof Arrival a) {
+                actions.accept(new Refuse(a.id(), 5));
+            }
+        });
+        var client = new FakeHost.Client();
+        client.onAnswer = () -> {
+            throw new IllegalStateException("no such header");
+        };
+        host.ask("r1", client);
+        assertThat(client.answers).containsExactly("refused 5", "failed");
+        assertThat(host.engine.open()).isZero();
+    }
+
+    /** A client asks again from within its answer: the second request is handled after the first is done with. */
+    @Test
+    void anAnswerMayBringTheNextRequest() {
+        var host = new FakeHost((event, actions) -> {
+            if (event instanceof Arrival a) {
+                actions.accept(a.id().equals("r1") ? new Refuse(a.id(), 0) : new Fail(a.id()));
+            }
+        });
+        var client = new FakeHost.Client();
+        var next = new FakeHost.Client();
+        client.onAnswer = () -> host.ask("r2", next);
+        host.ask("r1", client);
+        assertThat(client.answers).containsExactly("refused 0");
+        assertThat(next.answers).containsExactly("failed");
+        assertThat(host.engine.open()).isZero();
+    }
+
+    @Test
+    void carriesOutWhatElseTheModuleAsksFor() {
+        var host = new FakeHost((event, actions) -> {
+            if (event instanceof Arrival a) {
+                actions.accept(new Watch(true));
+                actions.accept(new Fetch());
+                actions.accept(new Release("s0"));
+                actions.accept(new Log("a line"));
+                actions.accept(new Probe("s0"));
+                actions.accept(new SetTimer(0, "past"));
+                actions.accept(new Cancel("unknown", 0));
+                actions.accept(new Cancel(a.id(), 3));
+                actions.accept(new Send(a.id(), "s0", 0));
+                actions.accept(new Cancel(a.id(), 0));
+            }
+        });
+        host.ask("r1");
+        assertThat(host.asked).containsExactly("watch true", "fetch", "release s0");
+        assertThat(host.log.get(0)).isEqualTo("a line");
+        assertThat(host.log.get(1)).contains("no such action here");
+        assertThat(host.sent.get(0).ended).isEqualTo(Outcome.CANCELLED);
+        host.run(0);
+        assertThat(host.events(TimerFired.class)).containsExactly(new TimerFired("past"));
+    }
+
+    /** Without room for a connection the attempt was never sent, and the module hears so. */
+    @Test
+    void anAttemptThatCannotBeMadeWasNotSent() {
+        var host = new FakeHost(FakeHost.sendTo("s0", 0));
+        host.room = false;
+        assertThat(host.ask("r1").answers).containsExactly("failed");
+        assertThat(host.events(AttemptEnded.class)).extracting(AttemptEnded::outcome).containsExactly(Outcome.NOT_SENT);
+        assertThat(host.engine.open()).isZero();
+    }
+
+    /** What is kept of requests goes away with them. */
+    @Test
+    void keepsNothingOfRequestsThatAreOver() {
+        var host = new FakeHost(FakeHost.sendTo("s0", 100 * MS));
+        for (int i = 0; i < 10_000; i++) {
+            host.ask("r" + i);
+            var attempt = host.sent.get(host.sent.size() - 1);
+            switch (i % 4) {
+                case 0 -> attempt.answer(Outcome.OK, new FakeHost.Counted());
+                case 1 -> host.engine.clientGone("r" + i);
+                case 2 -> attempt.answer(Outcome.ERROR, null);
+                default -> host.run(1);
+            }
+        }
+        host.run(2_000 * MS);
+        assertThat(host.engine.open()).isZero();
+        assertThat(host.timers()).isZero();
+    }
+}
--- a/daemon/src/main/java/beechfall/Main.java
+++ b/daemon/src/main/java/grebehoist/cli/Main.java
@@ -1,6 +1,5 @@
-package beechfall;
+package grebehoist.cli;
 
-import beechfall.proxy.Serve;
 import java.io.IOException;
 
 /**
@@ -21,7 +20,7 @@
         switch (command) {
             case "serve" -> Serve.main(args);
             case "train" -> Serve.train();
-            case "drill" -> beechfall.wire.Main.main(args);
+            case "drill" -> grebehoist.sim.Main.main(args);
             default -> {
                 System.err.println("usage: java -jar grebehoist.jar serve|train|drill");
                 System.exit(2);
--- a/daemon/src/main/java/beechfall/proxy/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -1,7 +1,14 @@
-package beechfall.proxy;
+package grebehoist.cli;
 
 import beechfall.Balancer;
 import beechfall.Policy;
+import grebehoist.config.Config;
+import grebehoist.engine.Log;
+import grebehoist.http.HttpFront;
+import grebehoist.net.LoopTimers;
+import grebehoist.net.Network;
+import grebehoist.net.Sockets;
+import grebehoist.net.StderrLog;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.lang.reflect.InvocationHandler;
@@ -24,12 +31,11 @@
     private static final long TRAIN_MS = 60_000;
 
     private final Config config;
-    private final Transport transport;
-    private final Log log = new Log();
+    private final Network network;
+    private final Log log = new StderrLog();
     private final EventLoop loop;
-    private final Proxy proxy;
-    private final Discovery discovery;
-    private final Frontend frontend;
+    private final Pool pool;
+    private final HttpFront front;
     private final CountDownLatch drained = new CountDownLatch(1);
 
     Serve(Config config) {
@@ -37,21 +43,16 @@
     }
 
     Serve(Config config, Balancer module) {
-        this(config, module, Transport.sockets());
+        this(config, module, Network.sockets());
     }
 
-    Serve(Config config, Balancer module, Transport transport) {
+    Serve(Config config, Balancer module, Network network) {
         this.config = config;
-        this.transport = transport;
-        loop = transport.loop();
-        var clock = new Clock();
-        var settings = config.settings();
-        var sockets = new Sockets(loop, config.sockets());
-        var backends = new Backends(clock, transport, sockets, config.connIdleUs(), config.connectTimeoutUs());
-        proxy = new Proxy(clock, loop, log, settings, module, backends);
-        discovery = new Discovery(transport, log, proxy, config.discovery(), settings);
-        proxy.discovery(discovery);
-        frontend = new Frontend(clock, log, proxy, sockets, settings, () -> discovery.heard() && backends.anyReady());
+        this.network = network;
+        loop = network.loop();
+        var host = new Pool.Host(network, new LoopTimers(loop), new Sockets(loop, config.sockets()), log);
+        pool = new Pool(host, config.settings(), module, config.discovery(), config.connIdleUs(), config.connectTimeoutUs());
+        front = pool.front();
     }
 
     /**
@@ -130,8 +131,8 @@
     }
 
     ChannelFuture listen() {
-        loop.execute(() -> discovery.known(config.known()));
-        return frontend.listen(transport, config.listen());
+        loop.execute(() -> pool.begin(config.known()));
+        return front.listen(network, config.listen());
     }
 
     /** Begins to serve; returns the address. */
@@ -155,7 +156,7 @@
             InetSocketAddress address = Config.read(file).discovery();
             loop.execute(() -> {
                 log.line(config.name() + ": new configuration, discovery is at " + address);
-                discovery.moveTo(address);
+                pool.moveTo(address);
             });
         } catch (Config.BadConfig e) {
             loop.execute(() -> log.line("the new configuration is left alone: " + e.getMessage()));
@@ -164,15 +165,15 @@
 
     /** Answers all that is taken, sends the clients elsewhere, and ends the process in time. */
     void drain() {
-        long longestMs = config.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max().orElse(0) / 1_000;
+        long longestMs = pool.longestDeadlineUs() / 1_000;
         loop.execute(() -> {
             log.line(config.name() + ": draining");
-            frontend.closeAfterAnswers();
+            front.closeAfterAnswers();
         });
         loop.schedule(() -> {
-            frontend.stopListening();
+            front.stopListening();
             loop.scheduleWithFixedDelay(() -> {
-                if (!frontend.busy()) {
+                if (!front.busy()) {
                     drained.countDown();
                 }
             }, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
@@ -188,7 +189,7 @@
 
     /** Ends at once, whatever is still open. */
     void stop() {
-        loop.submit(() -> discovery.watch(false)).awaitUninterruptibly();
+        loop.submit(() -> pool.end()).awaitUninterruptibly();
         loop.parent().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
     }
 }
--- a/daemon/src/main/java/beechfall/proxy/Warmup.java
+++ b/daemon/src/main/java/grebehoist/cli/Warmup.java
@@ -1,9 +1,13 @@
-package beechfall.proxy;
+package grebehoist.cli;
 
 import beechfall.Balancer;
 import beechfall.Policy;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import grebehoist.config.Config;
+import grebehoist.config.Json;
+import grebehoist.http.HttpTransport;
+import grebehoist.net.Network;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
@@ -40,7 +44,7 @@
     private static final byte[] BODY = "x".repeat(1_000).getBytes(StandardCharsets.US_ASCII);
 
     private final Config config;
-    private final Transport transport = Transport.inProcess();
+    private final Network network = Network.inProcess();
     private final String list;
     private final CountDownLatch done = new CountDownLatch(CLIENTS);
     private int sent;
@@ -68,11 +72,11 @@
     }
 
     private int run(long mostMs) {
-        var serve = new Serve(config, new Policy(config.settings()), transport);
+        var serve = new Serve(config, new Policy(config.settings()), network);
         try {
             for (int i = 1; i <= BACKENDS + 1; i++) {
-                transport.server().clone().childHandler(pipeline(new Peer()))
-                        .bind(transport.address(address(i))).syncUninterruptibly();
+                network.server().clone().childHandler(pipeline(new Peer()))
+                        .bind(network.address(address(i))).syncUninterruptibly();
             }
             serve.listen().syncUninterruptibly();
             for (int i = 0; i < CLIENTS; i++) {
@@ -88,7 +92,7 @@
     }
 
     private void connect() {
-        transport.client().clone().handler(pipeline(new Client())).connect(transport.address(address(0)));
+        network.client().clone().handler(pipeline(new Client())).connect(network.address(address(0)));
     }
 
     private static ChannelInitializer<Channel> pipeline(ChannelHandler end) {
@@ -96,7 +100,7 @@
             @Override
             protected void initChannel(Channel channel) {
                 channel.pipeline().addLast(end instanceof Client ? new HttpClientCodec() : new HttpServerCodec(),
-                        new HttpObjectAggregator(Backends.MAX_BODY), end);
+                        new HttpObjectAggregator(HttpTransport.MAX_BODY), end);
             }
         };
     }
@@ -147,7 +151,7 @@
         /** Where the machine is slow the proxy finds its client idle for too long, and ends the connection. */
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            if (sent <= REQUESTS && !transport.loop().isShuttingDown()) {
+            if (sent <= REQUESTS && !network.loop().isShuttingDown()) {
                 connect();
             }
         }
@@ -163,15 +167,15 @@
             boolean safe = type.effect() == Balancer.Effect.SAFE;
             var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, safe ? HttpMethod.GET : HttpMethod.POST,
                     "/api?k=" + sent, safe ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(BODY));
-            request.headers().set("host", "warm-up").set(Headers.REQUEST_ID, Integer.toHexString(sent))
-                    .set(Headers.REQUEST_CLASS, type.name()).set(Headers.TIMEOUT, type.deadlineUs() / 1_000 + "m");
+            request.headers().set("host", "warm-up").set("x-request-id", Integer.toHexString(sent))
+                    .set("x-priority-class", type.name()).set("x-timeout", type.deadlineUs() / 1_000 + "m");
             if (!tenants.isEmpty()) {
-                request.headers().set(Headers.TENANT, tenants.get(sent % tenants.size()).name());
+                request.headers().set("x-tenant-id", tenants.get(sent % tenants.size()).name());
             }
             if (!safe) {
                 HttpUtil.setContentLength(request, BODY.length);
                 if (type.effect() == Balancer.Effect.KEYED) {
-                    request.headers().set(Headers.IDEMPOTENCY_KEY, Integer.toHexString(sent));
+                    request.headers().set("idempotency-key", Integer.toHexString(sent));
                 }
             }
             later(ctx, request);
--- a/daemon/src/main/java/beechfall/proxy/Config.java
+++ b/daemon/src/main/java/grebehoist/config/Config.java
@@ -1,15 +1,12 @@
-package beechfall.proxy;
+package grebehoist.config;
 
 import beechfall.Balancer;
-import beechfall.wire.SettingsReader;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import io.netty.util.NetUtil;
+import grebehoist.net.Addresses;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -21,14 +18,15 @@
  * @param known the backends as this proxy last had them, in discovery's form; null where there are none
  * @param connIdleUs a backend closes a connection that has stood idle for so long
  */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets, JsonNode known,
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets, JsonNode known,
         Balancer.Settings settings, long connIdleUs, long connectTimeoutUs) {
 
     /** A configuration that no proxy can run with; the message is for the operators and names the field. */
-    static final class BadConfig extends Exception {
+    public static final class BadConfig extends Exception {
         private static final long serialVersionUID = 1L;
 
-        BadConfig(String message) {
+        /** Tells what is wrong. */
+        public BadConfig(String message) {
             super(message);
         }
     }
@@ -37,15 +35,17 @@
      * Returns whether this proxy is new, as far as can be known: it has no list that discovery has ever changed. One
      * that comes back is missed meanwhile, and has no time for anything that can be left out.
      */
-    boolean isFirstLife() {
+    public boolean isFirstLife() {
         return known == null || known.path("version").asLong() == 0;
     }
 
-    Config listeningAt(InetSocketAddress address) {
+    /** Returns the same for another place to listen at. */
+    public Config listeningAt(InetSocketAddress address) {
         return new Config(name, address, discovery, sockets, known, settings, connIdleUs, connectTimeoutUs);
     }
 
-    static Config read(Path file) throws BadConfig {
+    /** Reads a file. */
+    public static Config read(Path file) throws BadConfig {
         try (InputStream json = Files.newInputStream(file)) {
             return parse(Json.read(json));
         } catch (JsonProcessingException e) {
@@ -55,7 +55,8 @@
         }
     }
 
-    static Config parse(JsonNode json) throws BadConfig {
+    /** Reads what a file holds. */
+    public static Config parse(JsonNode json) throws BadConfig {
         JsonNode settings = json.path("settings");
         if (!settings.isObject()) {
             throw new BadConfig("'settings': an object is wanted");
@@ -98,7 +99,7 @@
 
     private static InetSocketAddress address(JsonNode json, String field) throws BadConfig {
         String text = text(json, field);
-        InetSocketAddress address = address(text);
+        InetSocketAddress address = Addresses.parse(text);
         if (address == null) {
             throw new BadConfig("'" + field + "': '" + text + "' is no address and port");
         }
@@ -121,19 +122,4 @@
         }
         return limit.asInt();
     }
-
-    /** Reads a numeric address and a port, or returns null: there is no DNS, and none is to be waited for. */
-    static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        byte[] host = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
-        if (host == null) {
-            return null;
-        }
-        try {
-            int port = Integer.parseInt(text.substring(colon + 1));
-            return port < 0 || port > 65_535 ? null : new InetSocketAddress(InetAddress.getByAddress(host), port);
-        } catch (NumberFormatException | UnknownHostException e) {
-            return null;
-        }
-    }
 }
--- a/daemon/src/main/java/beechfall/proxy/Json.java
+++ b/daemon/src/main/java/grebehoist/config/Json.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package grebehoist.config;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParseException;
@@ -16,18 +16,19 @@
  * Puts what Jackson's parser reads into Jackson's nodes. Its {@code ObjectMapper} does the same, but sets up formats of
  * dates, locales and all that beans need first: a quarter of what a start costs.
  */
-final class Json {
+public final class Json {
     private static final JsonFactory FACTORY = new JsonFactory();
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
     private Json() { }
 
-    static ObjectNode object() {
+    /** Returns an empty object. */
+    public static ObjectNode object() {
         return NODES.objectNode();
     }
 
     /** Returns the document, or a {@link MissingNode} where there is none. */
-    static JsonNode read(InputStream document) throws IOException {
+    public static JsonNode read(InputStream document) throws IOException {
         try (JsonParser parser = FACTORY.createParser(document)) {
             return parser.nextToken() == null ? MissingNode.getInstance() : value(parser);
         }
--- a/daemon/src/main/java/beechfall/wire/SettingsReader.java
+++ b/daemon/src/main/java/grebehoist/config/SettingsReader.java
@@ -1,4 +1,4 @@
-package beechfall.wire;
+package grebehoist.config;
 
 import beechfall.Balancer;
 import java.util.ArrayList;
--- a/daemon/src/main/java/beechfall/proxy/Discovery.java
+++ b/daemon/src/main/java/grebehoist/discovery/Discovery.java
@@ -1,8 +1,14 @@
-package beechfall.proxy;
+package grebehoist.discovery;
 
 import beechfall.Balancer;
 import beechfall.Balancer.ListKind;
 import com.fasterxml.jackson.databind.JsonNode;
+import grebehoist.config.Json;
+import grebehoist.engine.Listed;
+import grebehoist.engine.Log;
+import grebehoist.engine.MemberSource;
+import grebehoist.net.Addresses;
+import grebehoist.net.Network;
 import io.netty.buffer.ByteBufInputStream;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -34,7 +40,7 @@
  * Asks discovery for the list of backends. A watch is a row of calls, each sent as soon as the last is answered; when
  * one fails the watch is over, the module is told, and it is the module that asks again, later each time.
  */
-final class Discovery {
+public final class Discovery implements MemberSource {
     private static final String PATH = "/v1/endpoints";
     private static final int MAX_ANSWER = 8 * 1024 * 1024;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
@@ -52,9 +58,9 @@
             "gone", Balancer.State.GONE);
 
     private final EventLoop loop;
-    private final Transport transport;
+    private final Network network;
     private final Log log;
-    private final Proxy proxy;
+    private final Sink sink;
     private InetSocketAddress address;
     private final boolean pushed;
     private final long holdMs;
@@ -64,12 +70,16 @@
     private long version = -1;
     private boolean heard;
 
-    Discovery(Transport transport, Log log, Proxy proxy, InetSocketAddress address,
-            Balancer.Settings settings) {
-        this.loop = transport.loop();
-        this.transport = transport;
+    /**
+     * Makes a source that is yet to be begun with {@link #known}.
+     *
+     * @param address where discovery is
+     */
+    public Discovery(Network network, Log log, Sink sink, InetSocketAddress address, Balancer.Settings settings) {
+        this.loop = network.loop();
+        this.network = network;
         this.log = log;
-        this.proxy = proxy;
+        this.sink = sink;
         this.address = address;
         this.random = new SplittableRandom(settings.seed());
         this.pushed = !settings.limits().listMustBeAsked();
@@ -80,12 +90,12 @@
     }
 
     /** Returns whether a first call has ended: until then the list is as old as the last life of this proxy. */
-    boolean heard() {
+    public boolean heard() {
         return heard;
     }
 
     /** Takes in the list that this proxy had in its last life, if any; the module begins with this. */
-    void known(JsonNode list) {
+    public void known(JsonNode list) {
         if (list != null) {
             version = list.path("version").asLong(-1);
         }
@@ -95,8 +105,8 @@
         }
     }
 
-    /** Begins the watch, or ends it. One that goes on already is left alone. */
-    void watch(boolean on) {
+    @Override
+    public void watch(boolean on) {
         wanted = on;
         if (!on && watch != null) {
             watch.end();
@@ -111,7 +121,7 @@
      * Asks at another address from now on. The backends that are known stay until it has told its own list: the whole
      * of it, as its versions need not count what those of the old address did.
      */
-    void moveTo(InetSocketAddress to) {
+    public void moveTo(InetSocketAddress to) {
         if (to.equals(address)) {
             return;
         }
@@ -126,8 +136,8 @@
         }
     }
 
-    /** Asks for the whole list, once. */
-    void fetch() {
+    @Override
+    public void fetch() {
         new Call(false, 0);
     }
 
@@ -168,32 +178,32 @@
         if (pushed) {
             loop.schedule(() -> watch(true), AGENT_RETRY_MS, TimeUnit.MILLISECONDS);
         } else {
-            proxy.members(ListKind.FAILED, List.of());
+            sink.members(ListKind.FAILED, List.of());
         }
     }
 
     private void take(ListKind kind, JsonNode list) {
-        var listed = new ArrayList<Backends.Listed>();
+        var listed = new ArrayList<Listed>();
         for (JsonNode entry : list.path("servers")) {
-            Backends.Listed line = line(entry);
+            Listed line = line(entry);
             if (line == null) {
                 log.line("discovery: a malformed entry is left out: " + entry);
             } else {
                 listed.add(line);
             }
         }
-        proxy.members(kind, listed);
+        sink.members(kind, listed);
     }
 
-    private static Backends.Listed line(JsonNode entry) {
+    private static Listed line(JsonNode entry) {
         Balancer.State state = STATES.get(entry.path("state").asText());
-        InetSocketAddress address = Config.address(entry.path("addr").asText());
+        String address = entry.path("addr").asText();
         String id = entry.path("id").asText();
         double weight = entry.path("weight").asDouble(1);
-        if (state == null || address == null || id.isEmpty() || !(weight > 0) || Double.isInfinite(weight)) {
+        if (state == null || Addresses.parse(address) == null || id.isEmpty() || !(weight > 0) || Double.isInfinite(weight)) {
             return null;
         }
-        return new Backends.Listed(new Balancer.Backend(id, state, entry.path("kind").asText(null),
+        return new Listed(new Balancer.Backend(id, state, entry.path("kind").asText(null),
                 entry.path("zone").asText(null), entry.path("cell").asInt(), entry.path("started_ms").asLong() * 1_000,
                 weight), address);
     }
@@ -212,7 +222,7 @@
             uri = watching && version >= 0 ? PATH + "?from=" + version + "&hold_ms=" + waitMs : PATH;
             // Guards against a discovery that is cut off and says nothing: TCP alone would never tell.
             timer = loop.schedule(() -> finish(null, "no answer in time"), waitMs + SILENCE_MS, TimeUnit.MILLISECONDS);
-            ChannelFuture connect = transport.client().clone()
+            ChannelFuture connect = network.client().clone()
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
@@ -220,7 +230,7 @@
                             ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER),
                                     Call.this);
                         }
-                    }).connect(transport.address(address));
+                    }).connect(network.address(address));
             channel = connect.channel();
             connect.addListener(f -> {
                 if (!f.isSuccess()) {
--- /dev/null
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -0,0 +1,252 @@
+package grebehoist.http;
+
+import grebehoist.net.Sockets;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.CodecException;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Queue;
+
+/**
+ * One client's connection, and its hygiene: what a client does or leaves undone costs its own connection alone, and
+ * that for no longer than it is of use.
+ */
+final class ClientConnection extends ChannelInboundHandlerAdapter {
+    /** A connection on which nothing is asked for so long is closed. */
+    private static final long IDLE_US = 2_200_000;
+    /** A request must have come whole by then, counted from its first byte, a connection's first from the connect. */
+    private static final long WHOLE_US = 2_200_000;
+    /** A client that takes nothing of its answer for so long has gone. */
+    private static final long UNREAD_US = 10_000_000;
+    /** After the last answer what else the client sends is dropped, so much and for so long: see {@code hangUp}. */
+    private static final long DROPPED = 256 * 1024;
+    private static final long LINGER_US = 1_000_000;
+    /** Requests read ahead on one connection; clients send one at a time, so more is not worth memory. */
+    private static final int PIPELINED = 2;
+
+    private final HttpFront front;
+    private final Sockets sockets;
+    private final Queue<Exchange> waiting = new ArrayDeque<>();
+    private final Framing.Requests decoder = new Framing.Requests();
+    private Channel channel;
+    private Exchange exchange;
+    private long firstByteAt = -1;
+    private long lastReadAt;
+    /** Since when nothing is open here: the connect, or the last answer. */
+    private long idleSince;
+    private boolean used;
+    private FullHttpResponse parting;
+    private long partedAt = -1;
+    private long dropped;
+
+    ClientConnection(HttpFront front, Sockets sockets) {
+        this.front = front;
+        this.sockets = sockets;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+        idleSince = front.now();
+        front.opened(this);
+        channel.pipeline().addLast(decoder, new HttpResponseEncoder(), new RequestAggregator(this), new Requests());
+    }
+
+    /** A client's patience began when it sent; the nearest to it that can be known is its first byte. */
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+        if (parting != null) {
+            drop((ByteBuf) message);
+            return;
+        }
+        if (firstByteAt < 0) {
+            firstByteAt = front.arrivedAt();
+        }
+        super.channelRead(ctx, message);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) throws Exception {
+        front.closed(this);
+        waiting.forEach(e -> e.drop());
+        waiting.clear();
+        if (parting != null && partedAt < 0) {
+            parting.release();
+        }
+        if (exchange != null) {
+            Exchange gone = exchange;
+            exchange = null;
+            gone.clientGone();
+        }
+        super.channelInactive(ctx);
+    }
+
+    void request(FullHttpRequest request) {
+        if (parting != null || !channel.isActive()) {
+            request.release();
+            return;
+        }
+        if (request.decoderResult().isFailure()) {
+            request.release();
+            part(Answers.plain(HttpResponseStatus.BAD_REQUEST, "not a request that can be read"));
+            return;
+        }
+        // Where several came in one read, all of them came when that read did.
+        lastReadAt = firstByteAt < 0 ? lastReadAt : firstByteAt;
+        firstByteAt = -1;
+        var next = new Exchange(front, this, request, lastReadAt);
+        if (exchange == null) {
+            sockets.clientBusy(channel);
+            exchange = next;
+            next.begin();
+        } else if (waiting.size() < PIPELINED) {
+            waiting.add(next);
+        } else {
+            request.release();
+            part(Answers.plain(HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests at once; these have not been begun"));
+        }
+    }
+
+    /** The exchange is over; the next that was read ahead begins. */
+    void answered(boolean keepAlive) {
+        used = true;
+        idleSince = front.now();
+        exchange = keepAlive ? waiting.poll() : null;
+        if (exchange != null) {
+            exchange.begin();
+        } else if (keepAlive && parting != null) {
+            hangUp();
+        } else if (keepAlive) {
+            sockets.clientIdle(channel);
+        }
+    }
+
+    /** The exchange is no request that can be passed on: the answer says so, and is the last. */
+    void rejected(FullHttpResponse answer) {
+        exchange = null;
+        waiting.forEach(e -> e.drop());
+        waiting.clear();
+        if (parting != null) {
+            parting.release();
+            parting = answer;
+            hangUp();
+        } else {
+            part(answer);
+        }
+    }
+
+    /** Returns whether the exchange is the one that is to be answered now. */
+    boolean isCurrent(Exchange answering) {
+        return exchange == answering;
+    }
+
+    ChannelFuture write(FullHttpResponse answer) {
+        return channel.writeAndFlush(answer);
+    }
+
+    /** Returns whether nothing more is to be answered after the exchange that is under way. */
+    boolean last() {
+        return waiting.isEmpty() && parting == null;
+    }
+
+    void closeIfIdle() {
+        if (exchange == null && firstByteAt < 0 && parting == null) {
+            channel.close();
+        }
+    }
+
+    /** Whatever a client does or leaves undone, its connection is not kept for longer than it is of use. */
+    void expire(long now) {
+        if (exchange != null) {
+            return;
+        }
+        if (partedAt >= 0) {
+            if (now - partedAt > LINGER_US) {
+                channel.close();
+            }
+        } else if (firstByteAt >= 0) {
+            // A byte now and then renews nothing: the time is for the whole request.
+            if (now - (used ? firstByteAt : idleSince) > WHOLE_US) {
+                part(Answers.plain(HttpResponseStatus.REQUEST_TIMEOUT, "the request has not come in time"));
+            }
+        } else if (now - idleSince > (unsent() ? UNREAD_US : IDLE_US)) {
+            channel.close();
+        }
+    }
+
+    private boolean unsent() {
+        ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
+        return out != null && !out.isEmpty();
+    }
+
+    /** Answers what can't be read as a request, after those that came before it; nothing is read beyond it. */
+    void part(FullHttpResponse answer) {
+        if (parting != null) {
+            answer.release();
+            return;
+        }
+        parting = answer;
+        // What it holds, and what comes, is not decoded any more.
+        channel.pipeline().remove(decoder);
+        if (exchange == null) {
+            hangUp();
+        }
+    }
+
+    /**
+     * Closing with bytes unread would reset the connection, and the client would lose the answer: so this side
+     * ends its sending, and some of the rest is read and dropped for a while.
+     */
+    private void hangUp() {
+        partedAt = front.now();
+        sockets.clientIdle(channel);
+        HttpUtil.setKeepAlive(parting, false);
+        channel.writeAndFlush(parting).addListener(f -> {
+            if (f.isSuccess() && dropped < DROPPED && channel instanceof SocketChannel socket) {
+                socket.shutdownOutput();
+            } else {
+                channel.close();
+            }
+        });
+    }
+
+    private void drop(ByteBuf rest) {
+        dropped += rest.readableBytes();
+        rest.release();
+        if (dropped >= DROPPED) {
+            if (partedAt >= 0) {
+                channel.close();
+            } else {
+                channel.config().setAutoRead(false);
+            }
+        }
+    }
+
+    private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            ClientConnection.this.request(request.retain());
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            // A client that goes away, or stops half-way, is nothing to tell the operators.
+            if (!(cause instanceof IOException) && !(cause instanceof CodecException)) {
+                front.log().failure("a client's connection failed", cause);
+            }
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/grebehoist/http/ConnectionPool.java
@@ -0,0 +1,82 @@
+package grebehoist.http;
+
+import grebehoist.engine.Timers;
+import grebehoist.net.Sockets;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.pool.ChannelPoolHandler;
+import io.netty.channel.pool.SimpleChannelPool;
+import io.netty.util.concurrent.Promise;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Iterator;
+
+/**
+ * Netty's pool, which leaves the choice of the idle connection to its subclass: of those that have settled the one
+ * used last, so that the others grow old and are closed, and never one that was closed meanwhile.
+ */
+final class ConnectionPool extends SimpleChannelPool {
+    private final Timers timers;
+    private final Sockets sockets;
+    private final Deque<BackendConnection> idle = new ArrayDeque<>();
+    private ChannelFuture connecting;
+
+    ConnectionPool(Bootstrap bootstrap, ChannelPoolHandler handler, Timers timers, Sockets sockets) {
+        super(bootstrap, handler);
+        this.timers = timers;
+        this.sockets = sockets;
+    }
+
+    boolean hasIdle() {
+        long now = timers.now();
+        // The first has been idle for longest.
+        return !idle.isEmpty() && idle.getFirst().settled(now);
+    }
+
+    @Override
+    protected ChannelFuture connectChannel(Bootstrap to) {
+        connecting = super.connectChannel(to);
+        return connecting;
+    }
+
+    /** Takes a connection; returns the one that is being opened for it, or null. */
+    ChannelFuture acquireOrConnect(Promise<Channel> promise) {
+        connecting = null;
+        acquire(promise);
+        return connecting;
+    }
+
+    @Override
+    protected Channel pollChannel() {
+        long now = timers.now();
+        for (Iterator<BackendConnection> i = idle.descendingIterator(); i.hasNext();) {
+            BackendConnection connection = i.next();
+            if (connection.settled(now)) {
+                i.remove();
+                sockets.backendIdle(connection.channel(), false);
+                return connection.channel();
+            }
+        }
+        return null;
+    }
+
+    @Override
+    protected boolean offerChannel(Channel channel) {
+        BackendConnection connection = channel.pipeline().get(BackendConnection.class);
+        connection.idleFrom(timers.now());
+        idle.addLast(connection);
+        sockets.backendIdle(channel, true);
+        return true;
+    }
+
+    void closed(BackendConnection connection) {
+        idle.remove(connection);
+    }
+
+    void closeIdle() {
+        for (BackendConnection connection = idle.pollLast(); connection != null; connection = idle.pollLast()) {
+            connection.channel().close();
+        }
+    }
+}
--- a/daemon/src/main/java/beechfall/proxy/Framing.java
+++ b/daemon/src/main/java/grebehoist/http/Framing.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package grebehoist.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
--- a/daemon/src/main/java/beechfall/proxy/Headers.java
+++ b/daemon/src/main/java/grebehoist/http/Headers.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package grebehoist.http;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
--- /dev/null
+++ b/daemon/src/main/java/grebehoist/http/HttpCall.java
@@ -0,0 +1,19 @@
+package grebehoist.http;
+
+import grebehoist.engine.Payload;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+
+/** What goes to a backend; it is the same for each attempt, but for the time left. */
+record HttpCall(HttpMethod method, String uri, HttpHeaders headers, ByteBuf body) implements Payload {
+    @Override
+    public void retain() {
+        body.retain();
+    }
+
+    @Override
+    public void release() {
+        body.release();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/grebehoist/http/HttpFront.java
@@ -0,0 +1,145 @@
+package grebehoist.http;
+
+import beechfall.Balancer;
+import grebehoist.engine.Intake;
+import grebehoist.engine.Log;
+import grebehoist.engine.Timers;
+import grebehoist.net.Network;
+import grebehoist.net.Sockets;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/** One listener for HTTP clients: takes requests in, turns bad ones away, and gives each good one exactly one answer. */
+public final class HttpFront {
+    /** How often the loop shows that it runs, and how late that may be before it counts as held up. */
+    private static final long BEAT_US = 10_000;
+    /** How often connections are looked at that hold no request. */
+    private static final long SWEEP_US = 100_000;
+
+    private final Timers timers;
+    private final Log log;
+    private final Intake intake;
+    private final Sockets sockets;
+    private final BooleanSupplier ready;
+    private final RequestReader reader;
+    private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    private Channel listener;
+    private boolean closing;
+    private long beatAt;
+    private long heldUpFrom = Long.MAX_VALUE;
+
+    /**
+     * Makes a front that is yet to listen.
+     *
+     * @param settings the pool's classes and tenants
+     * @param ready whether the pool can serve, for whoever asks {@code GET /ready}
+     */
+    public HttpFront(Timers timers, Log log, Intake intake, Sockets sockets, Balancer.Settings settings,
+            BooleanSupplier ready) {
+        this.timers = timers;
+        this.log = log;
+        this.intake = intake;
+        this.sockets = sockets;
+        this.ready = ready;
+        this.reader = new RequestReader(settings);
+    }
+
+    /** Begins to accept clients; the future tells whether the address could be had. */
+    public ChannelFuture listen(Network network, InetSocketAddress address) {
+        beatAt = timers.now();
+        network.loop().scheduleWithFixedDelay(this::beat, BEAT_US, BEAT_US, TimeUnit.MICROSECONDS);
+        network.loop().scheduleWithFixedDelay(this::sweep, SWEEP_US, SWEEP_US, TimeUnit.MICROSECONDS);
+        ChannelFuture bound = network.server().clone()
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        sockets.clientOpened(channel);
+                        channel.pipeline().addLast(new ClientConnection(HttpFront.this, sockets));
+                    }
+                }).bind(network.address(address));
+        listener = bound.channel();
+        sockets.listener(listener);
+        return bound;
+    }
+
+    private void beat() {
+        heldUpFrom = arrivedAt(Long.MAX_VALUE);
+        beatAt = timers.now();
+    }
+
+    /** One timer for all: one for each connection would have to be set anew with each request. */
+    private void sweep() {
+        long now = timers.now();
+        List.copyOf(connections).forEach(c -> c.expire(now));
+    }
+
+    /**
+     * When a byte that is read now may have come. Where the loop was held up, by a pause of the process or a long batch,
+     * the byte may have waited all the while, and a deadline counted from now would be too late. That shows in an
+     * overdue beat; as beats and reads take turns, it holds until the beat after it.
+     */
+    long arrivedAt() {
+        return Math.min(heldUpFrom, arrivedAt(timers.now()));
+    }
+
+    private long arrivedAt(long otherwise) {
+        return timers.now() - beatAt > 2 * BEAT_US ? beatAt + BEAT_US : otherwise;
+    }
+
+    /** From now on each answer is its connection's last, so that the clients go elsewhere. */
+    public void closeAfterAnswers() {
+        closing = true;
+    }
+
+    /** Accepts no more, and closes the connections on which nothing is asked. */
+    public void stopListening() {
+        closing = true;
+        listener.close();
+        List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
+    }
+
+    /** Returns whether any client is still connected: it waits for an answer, or the answer is still being written. */
+    public boolean busy() {
+        return !connections.isEmpty();
+    }
+
+    long now() {
+        return timers.now();
+    }
+
+    Log log() {
+        return log;
+    }
+
+    Intake intake() {
+        return intake;
+    }
+
+    RequestReader reader() {
+        return reader;
+    }
+
+    boolean ready() {
+        return ready.getAsBoolean() && !closing;
+    }
+
+    /** Returns whether a connection on which nothing more is asked is to end with its answer. */
+    boolean partsSoon() {
+        return closing || sockets.crowded();
+    }
+
+    void opened(ClientConnection connection) {
+        connections.add(connection);
+    }
+
+    void closed(ClientConnection connection) {
+        connections.remove(connection);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/grebehoist/net/LoopTimers.java
@@ -0,0 +1,76 @@
+package grebehoist.net;
+
+import grebehoist.engine.Timers;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Ticker;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Time and timers of an event loop. The clock is Unix time in microseconds, read from the system once and carried on by
+ * the loop's monotonic ticker: so it compares with the start times that discovery tells, and never goes back when the
+ * system's time is set.
+ */
+public final class LoopTimers implements Timers {
+    /** A timer that is later than this finds a loop that was held up. */
+    private static final long HELD_UP_US = 20_000;
+    /** Long enough that the loop looks at its sockets in between. */
+    private static final long LOOK_US = 1_000;
+
+    private final EventLoop loop;
+    private final Ticker ticker;
+    private final long originUs;
+
+    /** Makes a clock that starts at the system's time. */
+    public LoopTimers(EventLoop loop) {
+        this(loop, ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()));
+    }
+
+    /** Makes a clock that shows {@code nowUs} now. */
+    public LoopTimers(EventLoop loop, long nowUs) {
+        this.loop = loop;
+        this.ticker = loop.ticker();
+        this.originUs = nowUs - ticker.nanoTime() / 1_000;
+    }
+
+    @Override
+    public long now() {
+        return originUs + ticker.nanoTime() / 1_000;
+    }
+
+    @Override
+    public Timer at(long atUs, Runnable action) {
+        return new Scheduled(atUs, action);
+    }
+
+    private final class Scheduled implements Timer, Runnable {
+        private final long atUs;
+        private final Runnable action;
+        private Future<?> future;
+        private boolean looked;
+
+        Scheduled(long atUs, Runnable action) {
+            long now = now();
+            this.atUs = Math.max(atUs, now);
+            this.action = action;
+            this.future = loop.schedule(this, this.atUs - now, TimeUnit.MICROSECONDS);
+        }
+
+        @Override
+        public void run() {
+            if (!looked && now() - atUs > HELD_UP_US) {
+                looked = true;
+                future = loop.schedule(this, LOOK_US, TimeUnit.MICROSECONDS);
+            } else {
+                action.run();
+            }
+        }
+
+        @Override
+        public void cancel() {
+            future.cancel(false);
+        }
+    }
+}
--- a/daemon/src/main/java/beechfall/proxy/Transport.java
+++ b/daemon/src/main/java/grebehoist/net/Network.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package grebehoist.net;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -19,31 +19,45 @@
 import java.util.function.Function;
 
 /**
- * What connections are made of, and the one thread that they are served by: sockets, or, for {@link Warmup}, Netty's
+ * What connections are made of, and the one thread that they are served by: sockets, or, for a warm-up or a test, Netty's
  * channels inside the process. The bootstraps are templates, to be cloned.
  */
-record Transport(EventLoop loop, ServerBootstrap server, Bootstrap client,
+public record Network(EventLoop loop, ServerBootstrap server, Bootstrap client,
         Function<InetSocketAddress, SocketAddress> addresses) {
     private static final int BACKLOG = 1_024;
 
-    static Transport sockets() {
+    /** Returns the sockets of this machine, with an event loop of their own. */
+    public static Network sockets() {
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         ServerBootstrap server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 // One at a time: each that is accepted counts before the next is.
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator())
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true);
-        return new Transport(loop, server, new Bootstrap().group(loop).channel(NioSocketChannel.class), a -> a);
+        return new Network(loop, server, new Bootstrap().group(loop).channel(NioSocketChannel.class), a -> a);
     }
 
-    static Transport inProcess() {
-        EventLoop loop = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory()).next();
-        // Such addresses are the whole process's: each transport has its own.
-        String world = UUID.randomUUID().toString();
-        return new Transport(loop, new ServerBootstrap().group(loop).channel(LocalServerChannel.class),
-                new Bootstrap().group(loop).channel(LocalChannel.class), a -> new LocalAddress(world + a));
+    /** Returns channels inside the process, with an event loop of their own. */
+    public static Network inProcess() {
+        return inProcess(new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory()).next(), new InProcess());
     }
 
-    SocketAddress address(InetSocketAddress address) {
+    /** Returns channels inside the process, on a loop that handles such channels: all in one world reach one another. */
+    public static Network inProcess(EventLoop loop, InProcess world) {
+        return new Network(loop, new ServerBootstrap().group(loop).channel(LocalServerChannel.class),
+                new Bootstrap().group(loop).channel(LocalChannel.class), world::at);
+    }
+
+    /** The addresses inside a process are the whole process's: each world has its own. */
+    public static final class InProcess {
+        private final String name = UUID.randomUUID().toString();
+
+        private SocketAddress at(InetSocketAddress address) {
+            return new LocalAddress(name + address);
+        }
+    }
+
+    /** Returns where in this network an address is. */
+    public SocketAddress address(InetSocketAddress address) {
         return addresses.apply(address);
     }
 }
--- a/daemon/src/main/java/beechfall/proxy/Sockets.java
+++ b/daemon/src/main/java/grebehoist/net/Sockets.java
@@ -1,9 +1,11 @@
-package beechfall.proxy;
+package grebehoist.net;
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
+import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -12,7 +14,7 @@
  * where nothing can be done about it. As places run short, clients' connections end with their answers and those that
  * hold no request are given up; where all hold one, no further client is accepted for a while.
  */
-final class Sockets {
+public final class Sockets {
     /** Descriptors for the runtime (ten), discovery, and connections whose close the selector is yet to see. */
     private static final int SPARE = 32;
     /**
@@ -33,23 +35,34 @@
     private int clients;
     private int backends;
     private boolean makingRoom;
-    private Channel listener;
+    private final List<Channel> listeners = new ArrayList<>();
 
-    Sockets(EventLoop loop, int limit) {
+    /**
+     * Makes the count of one process.
+     *
+     * @param limit the descriptors that the process may hold
+     */
+    public Sockets(EventLoop loop, int limit) {
         this.loop = loop;
         most = limit - SPARE - LOBBY;
         // A request needs a connection on either side: clients alone can't use up what their requests need.
         mostClients = most * 5 / 8;
     }
 
-    /** Names the socket that is not to accept while there is no room. */
-    void listener(Channel channel) {
-        listener = channel;
+    private long now() {
+        return loop.ticker().nanoTime();
     }
 
-    void clientOpened(Channel channel) {
+    /** Names a socket that is not to accept while there is no room. */
+    public void listener(Channel channel) {
+        listeners.add(channel);
+        channel.closeFuture().addListener(f -> listeners.remove(channel));
+    }
+
+    /** A client has connected. */
+    public void clientOpened(Channel channel) {
         clients++;
-        silentClients.put(channel, System.nanoTime());
+        silentClients.put(channel, now());
         channel.closeFuture().addListener(f -> {
             clients--;
             clientBusy(channel);
@@ -82,37 +95,41 @@
 
     private void accept() {
         boolean on = clients < mostClients + LOBBY;
-        if (listener != null && listener.config().isAutoRead() != on) {
-            listener.config().setAutoRead(on);
+        for (Channel listener : listeners) {
+            if (listener.config().isAutoRead() != on) {
+                listener.config().setAutoRead(on);
+            }
         }
     }
 
     /** Returns whether a client's connection is to end with its answer: no request of its client's meets that close. */
-    boolean crowded() {
+    public boolean crowded() {
         return clients > mostClients * 3 / 4;
     }
 
-    void clientBusy(Channel channel) {
+    /** A client's connection holds a request. */
+    public void clientBusy(Channel channel) {
         silentClients.remove(channel);
         idleClients.remove(channel);
     }
 
     /** A client's connection holds no request. Whoever waits to be accepted may have its place. */
-    void clientIdle(Channel channel) {
+    public void clientIdle(Channel channel) {
         clientBusy(channel);
         if (channel.isOpen()) {
-            idleClients.put(channel, System.nanoTime());
+            idleClients.put(channel, now());
             makeRoomSoon();
         }
     }
 
     /** Returns whether one more connection to a backend may be opened. */
-    boolean roomForBackend() {
+    public boolean roomForBackend() {
         return Math.min(clients, mostClients) + backends < most || giveUp(idleBackends, 0) || giveUp(silentClients, GREETING_NS)
                 || giveUp(idleClients, 0);
     }
 
-    void backendOpened(Channel channel) {
+    /** A connection to a backend is being opened. */
+    public void backendOpened(Channel channel) {
         backends++;
         channel.closeFuture().addListener(f -> {
             backends--;
@@ -120,20 +137,21 @@
         });
     }
 
-    void backendIdle(Channel channel, boolean idle) {
+    /** A connection to a backend carries an attempt no more, or does again. */
+    public void backendIdle(Channel channel, boolean idle) {
         idleBackends.remove(channel);
         if (idle && channel.isOpen()) {
-            idleBackends.put(channel, System.nanoTime());
+            idleBackends.put(channel, now());
         }
     }
 
-    private static boolean giveUp(Map<Channel, Long> since, long leastNs) {
+    private boolean giveUp(Map<Channel, Long> since, long leastNs) {
         Iterator<Map.Entry<Channel, Long>> i = since.entrySet().iterator();
         if (!i.hasNext()) {
             return false;
         }
         Map.Entry<Channel, Long> oldest = i.next();
-        if (System.nanoTime() - oldest.getValue() < leastNs) {
+        if (now() - oldest.getValue() < leastNs) {
             return false;
         }
         i.remove();
--- a/daemon/src/main/java/beechfall/proxy/Log.java
+++ b/daemon/src/main/java/grebehoist/net/StderrLog.java
@@ -1,15 +1,18 @@
-package beechfall.proxy;
+package grebehoist.net;
+
+import grebehoist.engine.Log;
 
 /** Lines for the operators, on standard error. One thread uses it: the event loop, or the main thread before that. */
-final class Log {
+public final class StderrLog implements Log {
     private static final int LINES_A_SECOND = 20;
 
     private long second = Long.MIN_VALUE;
     private int lines;
     private int dropped;
 
-    /** Writes a line; what goes wrong thousands of times a second must not take the CPU from what goes well. */
-    void line(String text) {
+    /** What goes wrong thousands of times a second must not take the CPU from what goes well. */
+    @Override
+    public void line(String text) {
         long now = System.nanoTime() / 1_000_000_000;
         if (now != second) {
             if (dropped > 0) {
@@ -26,7 +29,8 @@
         }
     }
 
-    void failure(String what, Throwable cause) {
+    @Override
+    public void failure(String what, Throwable cause) {
         StackTraceElement[] trace = cause.getStackTrace();
         line(what + ": " + cause + (trace.length > 0 ? " at " + trace[0] : ""));
     }
--- a/daemon/src/main/java/beechfall/wire/Codec.java
+++ b/daemon/src/main/java/grebehoist/sim/Codec.java
@@ -1,6 +1,7 @@
-package beechfall.wire;
+package grebehoist.sim;
 
 import beechfall.Balancer;
+import grebehoist.config.SettingsReader;
 import java.util.HashMap;
 import java.util.Map;
 
--- a/daemon/src/main/java/beechfall/wire/Fields.java
+++ b/daemon/src/main/java/grebehoist/sim/Fields.java
@@ -1,4 +1,4 @@
-package beechfall.wire;
+package grebehoist.sim;
 
 /** One line of the wire: a name and its name=value pairs, reused from line to line. */
 final class Fields {
--- a/daemon/src/main/java/beechfall/wire/Host.java
+++ b/daemon/src/main/java/grebehoist/sim/Host.java
@@ -1,4 +1,4 @@
-package beechfall.wire;
+package grebehoist.sim;
 
 import beechfall.Balancer;
 import beechfall.Policy;
--- a/daemon/src/main/java/beechfall/wire/Main.java
+++ b/daemon/src/main/java/grebehoist/sim/Main.java
@@ -1,4 +1,4 @@
-package beechfall.wire;
+package grebehoist.sim;
 
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
--- a/daemon/src/main/java/beechfall/wire/WireException.java
+++ b/daemon/src/main/java/grebehoist/sim/WireException.java
@@ -1,4 +1,4 @@
-package beechfall.wire;
+package grebehoist.sim;
 
 /** Input that is not a legal message of the wire; the message says what is wrong with it. */
 final class WireException extends RuntimeException {
--- a/daemon/src/test/java/beechfall/proxy/ProxyTest.java
+++ b/daemon/src/test/java/grebehoist/cli/EngineOnSocketsTest.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package grebehoist.cli;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -13,7 +13,7 @@
 import org.junit.jupiter.api.Test;
 
 /** What the proxy does round the module, whatever the module does. */
-class ProxyTest {
+class EngineOnSocketsTest {
     /** Rule 1: a request that the module forgets is answered all the same, before its client gives up. */
     @Test
     void answersInTimeWhateverTheModuleDoes() throws Exception {
--- a/daemon/src/test/java/beechfall/proxy/Fixture.java
+++ b/daemon/src/test/java/grebehoist/cli/Fixture.java
@@ -1,9 +1,11 @@
-package beechfall.proxy;
+package grebehoist.cli;
 
 import beechfall.Balancer;
 import beechfall.Balancer.Action;
 import beechfall.Balancer.Event;
 import beechfall.Policy;
+import grebehoist.config.Config;
+import grebehoist.config.Json;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.Closeable;
 import java.io.ByteArrayInputStream;
@@ -19,7 +21,7 @@
 import java.util.function.Function;
 
 /** A proxy on loopback, with a module that does as the test says and keeps what it was told. */
-final class Fixture implements Closeable {
+public final class Fixture implements Closeable {
     private static final String CONFIG = """
             {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"92094eb940cf389a",
              "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},
@@ -39,26 +41,26 @@
             """;
 
 
-    final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
-    final Peer discovery = new Peer();
+    public final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    public final Peer discovery = new Peer();
     private final Serve serve;
-    final InetSocketAddress address;
+    public final InetSocketAddress address;
 
     /** Does as the module would: gets the events, and says what is to be done. */
-    interface Module {
+    public interface Module {
         void handle(Event event, Consumer<Action> actions);
     }
 
-    Fixture(Module module, Peer... backends) throws Exception {
+    public Fixture(Module module, Peer... backends) throws Exception {
         this(module, 1_024, 15_000_000, backends);
     }
 
-    Fixture(Module module, int sockets, long idleUs, Peer... backends) throws Exception {
+    public Fixture(Module module, int sockets, long idleUs, Peer... backends) throws Exception {
         this(settings -> (now, event, actions) -> module.handle(event, actions), sockets, idleUs, backends);
     }
 
     /** A proxy with the module that it has in service. */
-    static Fixture inService(Peer... backends) throws Exception {
+    public static Fixture inService(Peer... backends) throws Exception {
         return new Fixture(Policy::new, 1_024, 15_000_000, backends);
     }
 
@@ -77,20 +79,20 @@
         address = serve.start();
     }
 
-    static JsonNode json(String text) throws IOException {
+    public static JsonNode json(String text) throws IOException {
         return Json.read(new ByteArrayInputStream(text.getBytes(StandardCharsets.UTF_8)));
     }
 
-    static ObjectNode config() throws IOException {
+    public static ObjectNode config() throws IOException {
         return (ObjectNode) json(config("127.0.0.1:1"));
     }
 
-    static String config(String discovery) {
+    public static String config(String discovery) {
         return CONFIG.formatted(discovery, 1_024, "", 15_000_000);
     }
 
     /** What SIGHUP does. */
-    void reload(String json) throws IOException {
+    public void reload(String json) throws IOException {
         Path file = Files.createTempFile("config", ".json");
         try {
             Files.writeString(file, json);
@@ -100,21 +102,21 @@
         }
     }
 
-    static String entry(String id, String address, String state) {
+    public static String entry(String id, String address, String state) {
         return "{\"id\":\"%s\",\"addr\":\"%s\",\"zone\":\"a\",\"kind\":\"m\",\"cell\":1,\"state\":\"%s\",\"weight\":1.0,\"started_ms\":7}"
                 .formatted(id, address, state);
     }
 
-    static String list(long version, boolean full, String... entries) {
+    public static String list(long version, boolean full, String... entries) {
         return "{\"version\":%d,\"full\":%b,\"servers\":[%s]}".formatted(version, full, String.join(",", entries));
     }
 
     /** A module that sends every request to a backend, and fails it when that goes wrong. */
-    static Module sendTo(String backend) {
+    public static Module sendTo(String backend) {
         return sendTo(backend, 0);
     }
 
-    static Module sendTo(String backend, long timeoutUs) {
+    public static Module sendTo(String backend, long timeoutUs) {
         return (event, actions) -> {
             if (event instanceof Balancer.Arrival a) {
                 actions.accept(new Balancer.Send(a.id(), backend, timeoutUs));
@@ -125,23 +127,23 @@
     }
 
     /** A client's request, as the protocol has it. */
-    static String get(String id) {
+    public static String get(String id) {
         return "GET /api?k=u1 HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: " + id
                 + "\r\nX-Priority-Class: read\r\nX-Tenant-Id: acme\r\nX-Timeout: 1900m\r\n\r\n";
     }
 
-    static String post(String id, String body) {
+    public static String post(String id, String body) {
         return "POST /api?k=u%201&x HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: " + id
                 + "\r\nX-Priority-Class: pay\r\nX-Tenant-Id: acme\r\nX-Timeout: 1900m\r\nIdempotency-Key: 5c0f"
                 + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
-    Wire client() throws IOException {
+    public Wire client() throws IOException {
         return Wire.to(address);
     }
 
     /** Waits for the next event of a type. */
-    <T extends Event> T next(Class<T> type) throws InterruptedException {
+    public <T extends Event> T next(Class<T> type) throws InterruptedException {
         while (true) {
             Event event = Peer.next(events);
             if (type.isInstance(event)) {
@@ -150,7 +152,7 @@
         }
     }
 
-    void drain() {
+    public void drain() {
         serve.drain();
     }
 
--- /dev/null
+++ b/daemon/src/test/java/grebehoist/cli/LayersTest.java
@@ -0,0 +1,41 @@
+package grebehoist.cli;
+
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Arrows point down only: docs/architecture.md has the picture. */
+class LayersTest {
+    private static final JavaClasses ALL = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("grebehoist", "beechfall");
+
+    @Test
+    void layersPointOneWay() {
+        layeredArchitecture().consideringOnlyDependenciesInLayers()
+                .layer("decisions").definedBy("beechfall")
+                .layer("engine").definedBy("grebehoist.engine")
+                .layer("net").definedBy("grebehoist.net")
+                .layer("config").definedBy("grebehoist.config")
+                .layer("http").definedBy("grebehoist.http")
+                .layer("discovery").definedBy("grebehoist.discovery")
+                .layer("sim").definedBy("grebehoist.sim")
+                .layer("cli").definedBy("grebehoist.cli")
+                .whereLayer("cli").mayNotBeAccessedByAnyLayer()
+                .whereLayer("sim").mayOnlyBeAccessedByLayers("cli")
+                .whereLayer("http").mayOnlyBeAccessedByLayers("cli")
+                .whereLayer("discovery").mayOnlyBeAccessedByLayers("cli")
+                .whereLayer("config").mayOnlyBeAccessedByLayers("cli", "discovery", "sim")
+                .whereLayer("net").mayOnlyBeAccessedByLayers("cli", "http", "discovery", "config")
+                .whereLayer("engine").mayOnlyBeAccessedByLayers("cli", "http", "discovery", "net")
+                .check(ALL);
+    }
+
+    @Test
+    void noPackageDependsOnItselfThroughOthers() {
+        slices().matching("grebehoist.(*)..").should().beFreeOfCycles().check(ALL);
+    }
+}
--- a/daemon/src/test/java/beechfall/proxy/Peer.java
+++ b/daemon/src/test/java/grebehoist/cli/Peer.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package grebehoist.cli;
 
 import java.io.Closeable;
 import java.io.IOException;
@@ -12,20 +12,20 @@
 import java.util.concurrent.TimeUnit;
 
 /** A backend, or discovery, played by hand: the test accepts its connections and says what goes over them. */
-final class Peer implements Closeable {
+public final class Peer implements Closeable {
     private final ServerSocket server;
     private final List<Wire> open = new ArrayList<>();
 
-    Peer() throws IOException {
+    public Peer() throws IOException {
         server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         server.setSoTimeout(10_000);
     }
 
-    String address() {
+    public String address() {
         return "127.0.0.1:" + server.getLocalPort();
     }
 
-    Wire accept() throws IOException {
+    public Wire accept() throws IOException {
         var wire = new Wire(server.accept());
         synchronized (open) {
             open.add(wire);
@@ -34,7 +34,7 @@
     }
 
     /** Answers every request in the same way from now on, on threads of its own; returns the requests as they come. */
-    BlockingQueue<Wire.Message> always(String answer) {
+    public BlockingQueue<Wire.Message> always(String answer) {
         var seen = new LinkedBlockingQueue<Wire.Message>();
         background(() -> {
             while (true) {
@@ -50,16 +50,16 @@
         return seen;
     }
 
-    static String ok(String body) {
+    public static String ok(String body) {
         return answer("200 OK", body);
     }
 
-    static String answer(String status, String body, String... headers) {
+    public static String answer(String status, String body, String... headers) {
         return "HTTP/1.1 " + status + "\r\n" + (headers.length == 0 ? "" : String.join("\r\n", headers) + "\r\n")
                 + "Content-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
-    static <T> T next(BlockingQueue<T> queue) throws InterruptedException {
+    public static <T> T next(BlockingQueue<T> queue) throws InterruptedException {
         T next = queue.poll(10, TimeUnit.SECONDS);
         if (next == null) {
             throw new AssertionError("nothing came");
@@ -67,11 +67,11 @@
         return next;
     }
 
-    interface Work {
+    public interface Work {
         void run() throws IOException;
     }
 
-    static void background(Work work) {
+    public static void background(Work work) {
         var thread = new Thread(() -> {
             try {
                 work.run();
@@ -83,7 +83,7 @@
         thread.start();
     }
 
-    int port() {
+    public int port() {
         return ((InetSocketAddress) server.getLocalSocketAddress()).getPort();
     }
 
--- a/daemon/src/test/java/beechfall/proxy/ServeTest.java
+++ b/daemon/src/test/java/grebehoist/cli/ServeTest.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package grebehoist.cli;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -149,7 +149,7 @@
         try (var first = new Peer(); var second = new Peer()) {
             Files.writeString(file, Fixture.config(first.address()));
             var command = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "beechfall.Main", "serve");
+                    "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "grebehoist.cli.Main", "serve");
             command.environment().put("PROXY_CONFIG", file.toString());
             Process process = command.inheritIO().start();
             try {
--- a/daemon/src/test/java/beechfall/proxy/WarmupTest.java
+++ b/daemon/src/test/java/grebehoist/cli/WarmupTest.java
@@ -1,7 +1,8 @@
-package beechfall.proxy;
+package grebehoist.cli;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import grebehoist.config.Config;
 import org.junit.jupiter.api.Test;
 
 /** The warm-up goes through all that a request goes through, or it warms nothing. */
--- a/daemon/src/test/java/beechfall/proxy/Wire.java
+++ b/daemon/src/test/java/grebehoist/cli/Wire.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package grebehoist.cli;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
@@ -13,30 +13,30 @@
 import java.util.Locale;
 
 /** One end of a connection, read and written byte by byte: tests see just what is sent, and when it ends. */
-final class Wire implements Closeable {
+public final class Wire implements Closeable {
     private static final int PATIENCE_MS = 10_000;
 
-    final Socket socket;
+    public final Socket socket;
     private final InputStream in;
 
-    Wire(Socket socket) throws IOException {
+    public Wire(Socket socket) throws IOException {
         this.socket = socket;
         socket.setSoTimeout(PATIENCE_MS);
         socket.setTcpNoDelay(true);
         in = new BufferedInputStream(socket.getInputStream());
     }
 
-    static Wire to(InetSocketAddress address) throws IOException {
+    public static Wire to(InetSocketAddress address) throws IOException {
         return new Wire(new Socket(InetAddress.getLoopbackAddress(), address.getPort()));
     }
 
-    Wire send(String text) throws IOException {
+    public Wire send(String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         return this;
     }
 
     /** Reads one message: its first line, its headers and its body; null if the connection ends before one begins. */
-    Message read() throws IOException {
+    public Message read() throws IOException {
         String first = line();
         if (first == null) {
             return null;
@@ -57,7 +57,7 @@
     }
 
     /** Waits until the other side has ended the connection; returns whether it did so without sending anything. */
-    boolean ended() throws IOException {
+    public boolean ended() throws IOException {
         try {
             return in.read() < 0;
         } catch (java.net.SocketTimeoutException e) {
@@ -68,7 +68,7 @@
     }
 
     /** As {@link #ended}, where what this side sent may have crossed the close. */
-    boolean endedQuietly() throws IOException {
+    public boolean endedQuietly() throws IOException {
         try {
             while (in.read() >= 0) {
                 // the rest of what was sent
@@ -97,12 +97,12 @@
         socket.close();
     }
 
-    record Message(String first, String headers, String body) {
-        int status() {
+    public record Message(String first, String headers, String body) {
+        public int status() {
             return Integer.parseInt(first.split(" ")[1]);
         }
 
-        String header(String name) {
+        public String header(String name) {
             return Arrays.stream(headers.split("\n")).filter(l -> l.regionMatches(true, 0, name + ":", 0, name.length() + 1))
                     .map(l -> l.substring(name.length() + 1).trim()).findFirst().orElse(null);
         }
--- a/daemon/src/test/java/beechfall/proxy/ConfigTest.java
+++ b/daemon/src/test/java/grebehoist/config/ConfigTest.java
@@ -1,10 +1,11 @@
-package beechfall.proxy;
+package grebehoist.config;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import beechfall.Balancer;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import grebehoist.cli.Fixture;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
--- a/daemon/src/test/java/beechfall/proxy/JsonTest.java
+++ b/daemon/src/test/java/grebehoist/config/JsonTest.java
@@ -1,10 +1,11 @@
-package beechfall.proxy;
+package grebehoist.config;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import grebehoist.cli.Fixture;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
--- a/daemon/src/test/java/beechfall/proxy/DiscoveryTest.java
+++ b/daemon/src/test/java/grebehoist/discovery/DiscoveryTest.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package grebehoist.discovery;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -9,6 +9,9 @@
 import beechfall.Balancer.Members;
 import beechfall.Balancer.State;
 import beechfall.Balancer.Watch;
+import grebehoist.cli.Fixture;
+import grebehoist.cli.Peer;
+import grebehoist.cli.Wire;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/daemon/src/test/java/beechfall/proxy/FrontendTest.java
+++ b/daemon/src/test/java/grebehoist/http/HttpFrontTest.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package grebehoist.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -6,6 +6,9 @@
 import beechfall.Balancer.ClientGone;
 import beechfall.Balancer.Fail;
 import beechfall.Balancer.Refuse;
+import grebehoist.cli.Fixture;
+import grebehoist.cli.Peer;
+import grebehoist.cli.Wire;
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -16,7 +19,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** The clients' side on loopback sockets. */
-class FrontendTest {
+class HttpFrontTest {
     private static final Fixture.Module SILENT = (event, actions) -> { };
 
     @Test
--- a/daemon/src/test/java/beechfall/proxy/BackendsTest.java
+++ b/daemon/src/test/java/grebehoist/http/HttpTransportTest.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package grebehoist.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -8,6 +8,9 @@
 import beechfall.Balancer.Release;
 import beechfall.Balancer.Send;
 import beechfall.Balancer.Watch;
+import grebehoist.cli.Fixture;
+import grebehoist.cli.Peer;
+import grebehoist.cli.Wire;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -21,7 +24,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** What becomes of an attempt: rule 2 rests on 'never ran' being said only where that is certain. */
-class BackendsTest {
+class HttpTransportTest {
     private static final String OK_X = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
 
     @ParameterizedTest
--- a/daemon/src/test/java/beechfall/proxy/SocketsTest.java
+++ b/daemon/src/test/java/grebehoist/net/SocketsTest.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package grebehoist.net;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/daemon/src/test/java/beechfall/wire/HostTest.java
+++ b/daemon/src/test/java/grebehoist/sim/HostTest.java
@@ -1,4 +1,4 @@
-package beechfall.wire;
+package grebehoist.sim;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -129,7 +129,7 @@
     @Test
     void aFailureOfTheModulePanicsThatInstanceAndSaysWhere() throws IOException {
         assertThat(run(batch(UP, "deadline_hit who=3 ctx=boom\n"))).isZero();
-        assertThat(written()).startsWith("panic who=3 message=java.lang.IllegalStateException: out of order at beechfall")
+        assertThat(written()).startsWith("panic who=3 message=java.lang.IllegalStateException: out of order at grebehoist.sim")
                 .endsWith("\nok\n").contains("HostTest.java:");
     }
 
