--- a/core/src/main/java/beechfall/Policy.java
+++ b/core/src/main/java/beechfall/Policy.java
@@ -254,6 +254,14 @@
         release();
     }
 
+    /** What this proxy thinks of a backend that it may send to: for people to look at, on the module's thread. */
+    public record View(String backend, double weight, int out) { }
+
+    /** Returns what it thinks of each backend now. */
+    public List<View> view() {
+        return servers.stream().map(s -> new View(s.id, s.weight, s.whole.out)).toList();
+    }
+
     /** How much it keeps of backends and requests; a test looks whether that grows. */
     int remembered() {
         return byId.size() + requests.size();
--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -161,10 +161,16 @@
     @Override
     public void arrived(Request request, Responder responder) {
         long now = timers.now();
-        if (now >= request.deadlineUs() || open.containsKey(request.id())) {
+        if (open.containsKey(request.id())) {
+            // What the other one does is not this one's to promise anything about.
             responder.failed();
             return;
         }
+        if (now >= request.deadlineUs()) {
+            // Nobody has begun with it: whoever still waits for it may ask again.
+            responder.refused(0);
+            return;
+        }
         var r = new Open(request, responder);
         open.put(request.id(), r);
         r.safety = timers.at(request.deadlineUs() + SAFETY_US, () -> overdue(r));
--- a/core/src/main/java/grebehoist/engine/Intake.java
+++ b/core/src/main/java/grebehoist/engine/Intake.java
@@ -8,7 +8,8 @@
     /**
      * Takes a request; it gets exactly one answer, perhaps before this returns.
      *
-     * @param request the request; one that is past its deadline already, or has the id of an open one, fails at once
+     * @param request the request; one that is past its deadline already is refused at once, and one that has the id of an
+     *         open one fails
      * @param responder hears the answer
      */
     void arrived(Request request, Responder responder);
--- /dev/null
+++ b/daemon/src/main/java/grebehoist/cli/InstalledPools.java
@@ -0,0 +1,66 @@
+package grebehoist.cli;
+
+import grebehoist.config.Config;
+import grebehoist.config.Installation;
+import grebehoist.pool.Pool;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+
+/** The pools and listeners of an installation file. Loaded only where the command line names one. */
+final class InstalledPools {
+    private final Installation installation;
+
+    private InstalledPools(Installation installation) {
+        this.installation = installation;
+    }
+
+    /** Reads the file; what is wrong with it is a bad configuration, all of it. */
+    static InstalledPools read(Path file) throws Config.BadConfig {
+        try {
+            return new InstalledPools(Installation.read(file));
+        } catch (Installation.BadInstallation e) {
+            throw new Config.BadConfig("\n" + e.getMessage());
+        }
+    }
+
+    /** Says whether a file is good: exit code 0, or 2 with a line for each error. */
+    static int check(Path file) {
+        try {
+            System.out.println(file + ": good, " + Installation.read(file).summary());
+            return 0;
+        } catch (Installation.BadInstallation e) {
+            e.problems().forEach(System.err::println);
+            return 2;
+        }
+    }
+
+    String name() {
+        return installation.name();
+    }
+
+    int sockets() {
+        return installation.sockets();
+    }
+
+    /** Starts what can be started, and says what can't; returns the number of listeners. */
+    int start(Serve serve) {
+        Map<String, Pool> pools = new HashMap<>();
+        for (Installation.PoolEntry p : installation.pools()) {
+            try {
+                pools.put(p.name(), serve.add(new Pool.Spec(p.name(), p.settings(), p.discovery(), p.connIdleUs(),
+                        p.connectTimeoutUs())));
+            } catch (RuntimeException e) {
+                serve.tell("pool " + p.name() + " does not start: " + e);
+            }
+        }
+        int started = 0;
+        for (Installation.ListenerEntry l : installation.listeners()) {
+            Pool pool = pools.get(l.pool());
+            InetSocketAddress at = pool == null ? null : serve.add(l.name(), pool, l.address());
+            started += at == null ? 0 : 1;
+        }
+        return started;
+    }
+}
--- a/daemon/src/main/java/grebehoist/cli/Main.java
+++ b/daemon/src/main/java/grebehoist/cli/Main.java
@@ -1,15 +1,18 @@
 package grebehoist.cli;
 
+import grebehoist.demo.Demo;
 import grebehoist.search.SearchCommand;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.Arrays;
 
 /**
- * The command line: {@code serve} runs one real proxy, {@code drill} the module on the simulator's wire, {@code train}
- * the warm-up alone, for the archive of loaded classes that makes starts fast, and {@code search} the fault search.
+ * The command line: {@code serve} runs one real proxy, {@code check} reads an installation file and says what is wrong with
+ * it, {@code drill} hosts the module on the simulator's wire, {@code train} runs the warm-up alone, for the archive of
+ * loaded classes that makes starts fast, {@code demo} shows the main job, and {@code search} is the fault search.
  */
 public final class Main {
-    private static final String USAGE = "usage: java -jar grebehoist.jar serve|train|drill|search";
+    private static final String USAGE = "usage: java -jar grebehoist.jar serve [--installation FILE] | check FILE | demo ... | search ... | train | drill";
 
     private Main() { }
 
@@ -27,11 +30,15 @@
             case "serve" -> Serve.main(rest);
             case "train" -> Serve.train();
             case "drill" -> grebehoist.sim.Main.main(args);
+            case "check" -> System.exit(rest.length == 1 ? InstalledPools.check(Path.of(rest[0])) : usage());
+            case "demo" -> System.exit(Demo.run(rest));
             case "search" -> System.exit(SearchCommand.run(rest));
-            default -> {
-                System.err.println(USAGE);
-                System.exit(2);
-            }
+            default -> System.exit(usage());
         }
     }
+
+    private static int usage() {
+        System.err.println(USAGE);
+        return 2;
+    }
 }
--- a/daemon/src/main/java/grebehoist/cli/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -16,10 +16,15 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
-/** Runs one real proxy: puts its parts together, reads a new configuration, and ends when it is told to. */
+/**
+ * Runs one process: puts its pools and listeners together, reads a new configuration, and ends when it is told to. The
+ * platform's configuration gives one pool and one listener; an installation file may give more, or stand alone.
+ */
 public final class Serve {
     /** New connections go on coming for so long after the signal. */
     private static final long FRONT_LAG_MS = 500;
@@ -31,12 +36,19 @@
     private static final long WARM_MS = 6_000;
     private static final long TRAIN_MS = 60_000;
 
+    /** A listener and where it is to listen. */
+    private record Listener(String name, Pool pool, HttpFront front, InetSocketAddress address) { }
+
+    private final String name;
+    /** What the platform tells, or null. */
     private final Config config;
     private final Network network;
     private final Log log = new StderrLog();
     private final EventLoop loop;
-    private final Pool pool;
-    private final HttpFront front;
+    private final Pool.Host host;
+    /** Added to by the main thread, and read by the loop's and by signals'. */
+    private final List<Pool> pools = new CopyOnWriteArrayList<>();
+    private final List<Listener> listeners = new CopyOnWriteArrayList<>();
     private final CountDownLatch drained = new CountDownLatch(1);
 
     Serve(Config config) {
@@ -48,32 +60,56 @@
     }
 
     Serve(Config config, Balancer module, Network network) {
+        this(config.name(), config, config.sockets(), network);
+        var spec = new Pool.Spec(config.name(), config.settings(), config.discovery(), config.connIdleUs(),
+                config.connectTimeoutUs());
+        Pool pool = new Pool(host, spec, new Pool.Wiring(settings -> module, t -> t, i -> i, m -> m));
+        pools.add(pool);
+        listeners.add(new Listener(config.name(), pool, pool.front(), config.listen()));
+    }
+
+    /** A process without a pool of the platform's. */
+    Serve(String name, int sockets) {
+        this(name, null, sockets, Network.sockets());
+    }
+
+    private Serve(String name, Config config, int sockets, Network network) {
+        this.name = name;
         this.config = config;
         this.network = network;
         loop = network.loop();
-        var host = new Pool.Host(network, new LoopTimers(loop), new Sockets(loop, config.sockets()), log);
-        var spec = new Pool.Spec(config.name(), config.settings(), config.discovery(), config.connIdleUs(),
-                config.connectTimeoutUs());
-        pool = new Pool(host, spec, new Pool.Wiring(settings -> module, t -> t, i -> i, m -> m));
-        front = pool.front();
+        host = new Pool.Host(network, new LoopTimers(loop), new Sockets(loop, sockets), log);
     }
 
     /**
      * Serves until the process is told to end.
      *
-     * @param args not used: all that a proxy is told stands in the file that {@code PROXY_CONFIG} names
+     * @param args none, as all that a proxy is told stands in the file that {@code PROXY_CONFIG} names; or
+     *         {@code --installation} and a file with more
      */
     public static void main(String[] args) {
+        boolean installed = args.length == 2 && args[0].equals("--installation");
+        if (args.length != 0 && !installed) {
+            System.err.println("usage: serve [--installation FILE]");
+            System.exit(2);
+        }
         try {
-            Path file = file();
-            Config config = Config.read(file);
-            if (config.isFirstLife()) {
+            Path file = installed && System.getenv("PROXY_CONFIG") == null ? null : file();
+            Config config = file == null ? null : Config.read(file);
+            InstalledPools more = installed ? InstalledPools.read(Path.of(args[1])) : null;
+            if (config != null && config.isFirstLife()) {
                 Warmup.run(config, WARM_MS);
             }
-            var serve = new Serve(config);
+            var serve = config != null ? new Serve(config) : new Serve(more.name(), more.sockets());
             // Before it listens: without a handler the signal ends the process.
             onHangUp(() -> serve.reload(file));
-            serve.start();
+            if (config != null) {
+                serve.start();
+            }
+            if (more != null && more.start(serve) == 0 && config == null) {
+                System.err.println("nothing could be started");
+                System.exit(1);
+            }
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 serve.drain();
                 // All is answered and nothing is left to be tidied up.
@@ -133,33 +169,71 @@
         }
     }
 
+    /** Begins the platform's pool, and listens for it. */
     ChannelFuture listen() {
-        loop.execute(() -> pool.begin(config.known()));
-        return front.listen(network, config.listen());
+        Listener first = listeners.get(0);
+        loop.execute(() -> first.pool().begin(config.known()));
+        return first.front().listen(network, first.address());
     }
 
-    /** Begins to serve; returns the address. */
+    /** Begins to serve what the platform tells of; returns the address. */
     InetSocketAddress start() throws Config.BadConfig {
         ChannelFuture bound = listen().awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw new Config.BadConfig("'listen': " + bound.cause().getMessage());
         }
         var address = (InetSocketAddress) bound.channel().localAddress();
-        loop.execute(() -> log.line(config.name() + ": listening on " + address.getPort()
+        loop.execute(() -> log.line(name + ": listening on " + address.getPort()
                 + (config.isFirstLife() ? "" : ", back with a list that it had")));
         return address;
     }
 
+    /** Adds a pool beside those that are there, and begins it. */
+    Pool add(Pool.Spec spec) {
+        var pool = new Pool(host, spec);
+        pools.add(pool);
+        loop.execute(() -> pool.begin(null));
+        return pool;
+    }
+
+    /**
+     * Adds a listener of a pool.
+     *
+     * @return where it listens, or null where it can't: that is told, and the others go on
+     */
+    InetSocketAddress add(String listener, Pool pool, InetSocketAddress at) {
+        HttpFront front = pool.front();
+        ChannelFuture bound = front.listen(network, at).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            loop.execute(() -> log.line(name + ": listener " + listener + " of pool " + pool.name() + " does not start: "
+                    + bound.cause().getMessage()));
+            return null;
+        }
+        listeners.add(new Listener(listener, pool, front, at));
+        var address = (InetSocketAddress) bound.channel().localAddress();
+        loop.execute(() -> log.line(name + ": listener " + listener + " of pool " + pool.name() + " is at port " + address.getPort()));
+        return address;
+    }
+
+    /** Writes a line for the operators. */
+    void tell(String line) {
+        loop.execute(() -> log.line(name + ": " + line));
+    }
+
     /**
      * Takes over the address of discovery from a new file; all else holds until the next start. Each signal comes on a
      * thread of its own, so that reading the file holds nobody up; one after the other, so that the last file counts.
      */
     synchronized void reload(Path file) {
+        if (file == null) {
+            tell("there is no configuration of the platform's to read again");
+            return;
+        }
         try {
             InetSocketAddress address = Config.read(file).discovery();
             loop.execute(() -> {
-                log.line(config.name() + ": new configuration, discovery is at " + address);
-                pool.moveTo(address);
+                log.line(name + ": new configuration, discovery is at " + address);
+                pools.get(0).moveTo(address);
             });
         } catch (Config.BadConfig e) {
             loop.execute(() -> log.line("the new configuration is left alone: " + e.getMessage()));
@@ -168,22 +242,22 @@
 
     /** Answers all that is taken, sends the clients elsewhere, and ends the process in time. */
     void drain() {
-        long longestMs = pool.longestDeadlineUs() / 1_000;
+        long longestMs = pools.stream().mapToLong(Pool::longestDeadlineUs).max().orElse(0) / 1_000;
         loop.execute(() -> {
-            log.line(config.name() + ": draining");
-            front.closeAfterAnswers();
+            log.line(name + ": draining");
+            listeners.forEach(l -> l.front().closeAfterAnswers());
         });
         loop.schedule(() -> {
-            front.stopListening();
+            listeners.forEach(l -> l.front().stopListening());
             loop.scheduleWithFixedDelay(() -> {
-                if (!front.busy()) {
+                if (listeners.stream().noneMatch(l -> l.front().busy())) {
                     drained.countDown();
                 }
             }, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
         }, FRONT_LAG_MS, TimeUnit.MILLISECONDS);
         try {
             boolean all = drained.await(longestMs + KILL_MS, TimeUnit.MILLISECONDS);
-            loop.submit(() -> log.line(config.name() + (all ? ": drained" : ": ends with clients still connected")))
+            loop.submit(() -> log.line(name + (all ? ": drained" : ": ends with clients still connected")))
                     .awaitUninterruptibly(LOOK_MS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -192,7 +266,7 @@
 
     /** Ends at once, whatever is still open. */
     void stop() {
-        loop.submit(() -> pool.end()).awaitUninterruptibly();
+        loop.submit(() -> pools.forEach(Pool::end)).awaitUninterruptibly();
         loop.parent().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/grebehoist/config/Installation.java
@@ -0,0 +1,249 @@
+package grebehoist.config;
+
+import beechfall.Balancer;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlFactory;
+import grebehoist.net.Addresses;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * The installation file: the pools and listeners that the platform's configuration does not tell of. docs/installation.md
+ * is its page. Loaded only where the command line names a file.
+ *
+ * @param name of the process, for its log
+ * @param sockets the descriptors that the process may hold
+ */
+public record Installation(String name, int sockets, List<PoolEntry> pools, List<ListenerEntry> listeners) {
+    /** A pool: backends that share a list and settings. */
+    public record PoolEntry(String name, String protocol, InetSocketAddress discovery, Balancer.Settings settings,
+            long connIdleUs, long connectTimeoutUs) { }
+
+    /** An address at which clients of a pool connect. */
+    public record ListenerEntry(String name, String protocol, InetSocketAddress address, String pool) { }
+
+    /** A file that nothing can run with: all that is wrong with it, each with file, table and key. */
+    public static final class BadInstallation extends Exception {
+        private static final long serialVersionUID = 1L;
+        private final transient List<String> problems;
+
+        BadInstallation(List<String> problems) {
+            super(String.join("\n", problems));
+            this.problems = List.copyOf(problems);
+        }
+
+        /** Returns one line for each error. */
+        public List<String> problems() {
+            return problems;
+        }
+    }
+
+    private static final Set<String> PROTOCOLS = Set.of("http");
+    private static final Map<String, Balancer.Effect> EFFECTS = Map.of("safe", Balancer.Effect.SAFE, "keyed",
+            Balancer.Effect.KEYED, "unsafe", Balancer.Effect.UNSAFE);
+    private static final Map<String, Balancer.Scope> SCOPES = Map.of("all", Balancer.Scope.ALL, "zone", Balancer.Scope.ZONE,
+            "cell", Balancer.Scope.CELL);
+    private static final Map<String, Boolean> MODES = Map.of("ask", true, "push", false);
+    private static final long MOST_MS = 24 * 3_600_000L;
+    private static final int LEAST_SOCKETS = 128;
+
+    /** Takes the lists over. */
+    public Installation {
+        pools = List.copyOf(pools);
+        listeners = List.copyOf(listeners);
+    }
+
+    /**
+     * Reads and checks a file.
+     *
+     * @throws BadInstallation with all that is wrong
+     */
+    public static Installation read(Path file) throws BadInstallation {
+        JsonNode root;
+        try (InputStream toml = Files.newInputStream(file)) {
+            root = Json.read(new TomlFactory().createParser(toml));
+        } catch (JsonProcessingException e) {
+            var at = e.getLocation();
+            throw new BadInstallation(List.of(file + (at == null ? "" : ": line " + at.getLineNr() + ", column " + at.getColumnNr())
+                    + ": not TOML: " + e.getOriginalMessage()));
+        } catch (IOException e) {
+            throw new BadInstallation(List.of(file + ": cannot be read: " + e));
+        }
+        var problems = new ArrayList<String>();
+        Installation read = new Reader(file.toString(), problems).read(root);
+        if (!problems.isEmpty()) {
+            throw new BadInstallation(problems);
+        }
+        return read;
+    }
+
+    /** Goes through the whole file, whatever it finds. */
+    private record Reader(String file, List<String> problems) {
+        Installation read(JsonNode root) {
+            var top = new TomlTable(file, "", root, problems);
+            TomlTable process = top.table("process");
+            String name = process.text("name", "grebehoist");
+            int sockets = (int) process.whole("sockets", 1_024L, LEAST_SOCKETS, 1 << 20);
+            process.done();
+            var pools = new ArrayList<PoolEntry>();
+            top.tables("pool", "[[pool]]", true).forEach(t -> pools.add(pool(t)));
+            var listeners = new ArrayList<ListenerEntry>();
+            var listenerTables = top.tables("listener", "[[listener]]", true);
+            listenerTables.forEach(t -> listeners.add(listener(t)));
+            top.done();
+            unique("[[pool]]", pools.stream().map(PoolEntry::name).toList());
+            unique("[[listener]]", listeners.stream().map(ListenerEntry::name).toList());
+            for (int i = 0; i < listeners.size(); i++) {
+                agree(listenerTables.get(i), listeners.get(i), pools, listeners.subList(0, i));
+            }
+            for (PoolEntry pool : pools) {
+                if (!pool.name().isEmpty() && listeners.stream().noneMatch(l -> l.pool().equals(pool.name()))) {
+                    problems.add(file + ": [[pool]] \"" + pool.name() + "\": no [[listener]] has pool = \"" + pool.name() + "\"");
+                }
+            }
+            return new Installation(name, sockets, pools, listeners);
+        }
+
+        private void unique(String table, List<String> names) {
+            var seen = new HashSet<String>();
+            var twice = new TreeSet<String>();
+            names.stream().filter(n -> !n.isEmpty() && !seen.add(n)).forEach(twice::add);
+            twice.forEach(n -> problems.add(file + ": " + table + " \"" + n + "\": key 'name': there are several of this name"));
+        }
+
+        private void agree(TomlTable table, ListenerEntry listener, List<PoolEntry> pools, List<ListenerEntry> before) {
+            PoolEntry pool = pools.stream().filter(p -> p.name().equals(listener.pool())).findFirst().orElse(null);
+            if (pool == null && !listener.pool().isEmpty()) {
+                table.problem("pool", "there is no [[pool]] \"" + listener.pool() + "\"");
+            } else if (pool != null && !pool.protocol().isEmpty() && !listener.protocol().isEmpty()
+                    && !pool.protocol().equals(listener.protocol())) {
+                table.problem("protocol", "pool \"" + pool.name() + "\" speaks \"" + pool.protocol() + "\"");
+            }
+            if (listener.address() != null && listener.address().getPort() != 0
+                    && before.stream().anyMatch(l -> listener.address().equals(l.address()))) {
+                table.problem("address", "another [[listener]] has it already");
+            }
+        }
+
+        private ListenerEntry listener(TomlTable t) {
+            var entry = new ListenerEntry(t.text("name"), t.word("protocol", PROTOCOLS), address(t, "address"), t.text("pool"));
+            t.done();
+            return entry;
+        }
+
+        private static InetSocketAddress address(TomlTable t, String key) {
+            String text = t.text(key);
+            InetSocketAddress address = text.isEmpty() ? null : Addresses.parse(text);
+            if (address == null && !text.isEmpty()) {
+                t.problem(key, "'" + text + "' is no numeric address and port");
+            }
+            return address;
+        }
+
+        private PoolEntry pool(TomlTable t) {
+            String name = t.text("name");
+            String protocol = t.word("protocol", PROTOCOLS);
+            InetSocketAddress discovery = address(t, "discovery");
+            boolean asked = Boolean.TRUE.equals(t.word("discovery_mode", MODES, true));
+            int balancers = (int) t.whole("balancers", 1L, 1, 1 << 20);
+            int rank = (int) t.whole("rank", 0L, 0, 1 << 20);
+            if (rank >= balancers) {
+                t.problem("rank", rank + " is not below 'balancers', " + balancers);
+            }
+            String zone = t.text("zone", "");
+            var classes = new ArrayList<Balancer.RequestClass>();
+            for (TomlTable c : t.tables("class", t.where() + " / [[pool.class]]", true)) {
+                Balancer.RequestClass read = requestClass(c);
+                if (read != null) {
+                    classes.add(read);
+                }
+            }
+            var tenants = new ArrayList<Balancer.Tenant>();
+            for (TomlTable c : t.tables("tenant", t.where() + " / [[pool.tenant]]", false)) {
+                String tenant = c.text("name");
+                double quota = c.number("quota_per_s", null, 0, 1e9);
+                c.done();
+                if (!tenant.isEmpty()) {
+                    tenants.add(new Balancer.Tenant(tenant, quota));
+                }
+            }
+            unique(t.where() + " / [[pool.class]]", classes.stream().map(Balancer.RequestClass::name).toList());
+            unique(t.where() + " / [[pool.tenant]]", tenants.stream().map(Balancer.Tenant::name).toList());
+            double overShare = t.number("over_share_worth", tenants.isEmpty() ? 1 : 0.05, 0, 1);
+            var limits = new Balancer.Limits(t.flag("cancel", true), false, false, asked,
+                    (int) t.whole("max_attempts", 4L, 1, 100), us(t.whole("max_retry_after_ms", 2_000L, 0, MOST_MS)));
+            Balancer.Rules rules = rules(t);
+            long tickUs = us(t.whole("tick_ms", 4L, 0, 1_000));
+            long idleUs = us(t.whole("conn_idle_ms", 15_000L, 10, MOST_MS));
+            long connectUs = us(t.whole("connect_timeout_ms", 200L, 1, 60_000));
+            long seed = seed(t);
+            t.done();
+            // What could not be read is told; the rest of the file is read on as if it were not there.
+            Balancer.Settings settings = classes.isEmpty() ? null : new Balancer.Settings(balancers, rank, zone, tickUs, classes,
+                    tenants, overShare, false, limits, rules, seed);
+            return new PoolEntry(name, protocol, discovery, settings, idleUs, connectUs);
+        }
+
+        private static Balancer.Rules rules(TomlTable pool) {
+            TomlTable t = pool.table("rules");
+            var rules = new Balancer.Rules(t.number("cold_from", null, 0.001, 1), us(t.whole("cold_ms", null, 0, MOST_MS)),
+                    t.number("fall_multiple", null, 0.001, 1e6), us(t.whole("fall_ms", null, 1, MOST_MS)),
+                    us(pool.whole("ask_within_ms", 10_000L, 100, MOST_MS)), t.flag("full_unproven", false));
+            t.done();
+            return rules;
+        }
+
+        private static long seed(TomlTable t) {
+            String text = t.text("seed", "");
+            if (!text.isEmpty() && !text.matches("[0-9a-fA-F]{1,16}")) {
+                t.problem("seed", "'" + text + "' is no hexadecimal number of 64 bits");
+            }
+            return text.matches("[0-9a-fA-F]{1,16}") ? Long.parseUnsignedLong(text, 16) : new Random().nextLong();
+        }
+
+        private static Balancer.RequestClass requestClass(TomlTable t) {
+            String name = t.text("name");
+            Balancer.Effect effect = t.word("effect", EFFECTS, null);
+            long aimUs = us(t.whole("aim_ms", null, 1, MOST_MS));
+            long deadlineUs = us(t.whole("deadline_ms", null, 1, MOST_MS));
+            double worth = t.number("worth", 1.0, 0, 1e9);
+            double lateWorth = t.number("late_worth", 0.0, 0, 1);
+            Balancer.Scope scope = Balancer.Scope.ALL;
+            long windowUs = 0;
+            if (effect == Balancer.Effect.KEYED) {
+                scope = t.word("scope", SCOPES, null);
+                windowUs = us(t.whole("window_ms", null, 0, MOST_MS));
+            } else if (effect != null) {
+                t.absent("scope", "only a class with effect = \"keyed\" has it");
+                t.absent("window_ms", "only a class with effect = \"keyed\" has it");
+            }
+            if (deadlineUs < aimUs) {
+                t.problem("deadline_ms", "it is before 'aim_ms'");
+            }
+            t.done();
+            return name.isEmpty() || effect == null || scope == null ? null
+                    : new Balancer.RequestClass(name, aimUs, deadlineUs, worth, lateWorth, effect, scope, windowUs);
+        }
+
+        private static long us(long ms) {
+            return 1_000 * ms;
+        }
+    }
+
+    /** Returns one line for a person. */
+    public String summary() {
+        return String.format(Locale.ROOT, "%d pools, %d listeners", pools.size(), listeners.size());
+    }
+}
--- a/daemon/src/main/java/grebehoist/config/Json.java
+++ b/daemon/src/main/java/grebehoist/config/Json.java
@@ -29,7 +29,12 @@
 
     /** Returns the document, or a {@link MissingNode} where there is none. */
     public static JsonNode read(InputStream document) throws IOException {
-        try (JsonParser parser = FACTORY.createParser(document)) {
+        return read(FACTORY.createParser(document));
+    }
+
+    /** Returns what a parser reads, whatever the format, and closes it. */
+    static JsonNode read(JsonParser parser) throws IOException {
+        try (parser) {
             return parser.nextToken() == null ? MissingNode.getInstance() : value(parser);
         }
     }
--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -18,6 +18,7 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.concurrent.TimeUnit;
 
 /**
  * One client's connection, and its hygiene: what a client does or leaves undone costs its own connection alone, and
@@ -33,6 +34,8 @@
     /** After the last answer what else the client sends is dropped, so much and for so long: see {@code hangUp}. */
     private static final long DROPPED = 256 * 1024;
     private static final long LINGER_US = 1_000_000;
+    /** Long enough that the loop reads on, and sees that a client has left. */
+    private static final long LOOK_MS = 2;
     /** Requests read ahead on one connection; clients send one at a time, so more is not worth memory. */
     private static final int PIPELINED = 2;
 
@@ -42,6 +45,7 @@
     private final Framing.Requests decoder = new Framing.Requests();
     private Channel channel;
     private Exchange exchange;
+    private long cameAt;
     private long firstByteAt = -1;
     private long lastReadAt;
     /** Since when nothing is open here: the connect, or the last answer. */
@@ -51,9 +55,15 @@
     private long partedAt = -1;
     private long dropped;
 
-    ClientConnection(HttpFront front, Sockets sockets) {
+    /**
+     * Takes over an accepted connection.
+     *
+     * @param cameAt when its first request may have come, where it may have waited to be accepted
+     */
+    ClientConnection(HttpFront front, Sockets sockets, long cameAt) {
         this.front = front;
         this.sockets = sockets;
+        this.cameAt = cameAt;
     }
 
     @Override
@@ -72,7 +82,8 @@
             return;
         }
         if (firstByteAt < 0) {
-            firstByteAt = front.arrivedAt();
+            firstByteAt = Math.min(cameAt, front.arrivedAt());
+            cameAt = Long.MAX_VALUE;
         }
         super.channelRead(ctx, message);
     }
@@ -110,7 +121,7 @@
         if (exchange == null) {
             sockets.clientBusy(channel);
             exchange = next;
-            next.begin();
+            beginExchange(next);
         } else if (waiting.size() < PIPELINED) {
             waiting.add(next);
         } else {
@@ -119,13 +130,29 @@
         }
     }
 
+    /**
+     * After a long stop a client's request is read, and then that it has left: it is not to be sent for a client that gave
+     * up long ago, so its end is looked for first.
+     */
+    private void beginExchange(Exchange next) {
+        if (!front.catchingUp()) {
+            next.begin();
+            return;
+        }
+        channel.eventLoop().schedule(() -> {
+            if (exchange == next) {
+                next.begin();
+            }
+        }, LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
     /** The exchange is over; the next that was read ahead begins. */
     void answered(boolean keepAlive) {
         used = true;
         idleSince = front.now();
         exchange = keepAlive ? waiting.poll() : null;
         if (exchange != null) {
-            exchange.begin();
+            beginExchange(exchange);
         } else if (keepAlive && parting != null) {
             hangUp();
         } else if (keepAlive) {
--- a/daemon/src/main/java/grebehoist/http/HttpFront.java
+++ b/daemon/src/main/java/grebehoist/http/HttpFront.java
@@ -51,19 +51,21 @@
 
     /** Begins to accept clients; the future tells whether the address could be had. */
     public ChannelFuture listen(Network network, InetSocketAddress address) {
+        var backlog = new AcceptBacklog(timers, network.loop());
         sweep = network.loop().scheduleWithFixedDelay(this::sweep, SWEEP_US, SWEEP_US, TimeUnit.MICROSECONDS);
         ChannelFuture bound = network.server().clone()
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         sockets.clientOpened(channel);
-                        channel.pipeline().addLast(new ClientConnection(HttpFront.this, sockets));
+                        channel.pipeline().addLast(new ClientConnection(HttpFront.this, sockets, backlog.accepted()));
                     }
                 }).bind(network.address(address));
         listener = bound.channel();
-        sockets.listener(listener);
         bound.addListener(f -> {
-            if (!f.isSuccess()) {
+            if (f.isSuccess()) {
+                sockets.listener(listener);
+            } else {
                 sweep.cancel(false);
             }
         });
@@ -81,6 +83,11 @@
         return timers.arrivedAt();
     }
 
+    /** Returns whether the end of a connection may wait behind a request that has just been read on it. */
+    boolean catchingUp() {
+        return timers.catchingUp();
+    }
+
     /** From now on each answer is its connection's last, so that the clients go elsewhere. */
     public void closeAfterAnswers() {
         closing = true;
--- a/daemon/src/main/java/grebehoist/search/World.java
+++ b/daemon/src/main/java/grebehoist/search/World.java
@@ -4,7 +4,6 @@
 import beechfall.Balancer.Effect;
 import beechfall.Balancer.RequestClass;
 import beechfall.Balancer.Scope;
-import beechfall.Balancer.State;
 import com.fasterxml.jackson.databind.JsonNode;
 import grebehoist.config.Json;
 import grebehoist.engine.Intake;
@@ -20,11 +19,12 @@
 import grebehoist.net.Sockets;
 import grebehoist.net.VirtualLoop;
 import grebehoist.pool.Pool;
-import grebehoist.testkit.KeyMemories;
+import grebehoist.testkit.Fleet;
 import grebehoist.testkit.StandInBackend;
 import grebehoist.testkit.StandInClients;
 import grebehoist.testkit.StandInClients.Manner;
 import grebehoist.testkit.StandInDiscovery;
+import grebehoist.testkit.Traffic;
 import grebehoist.testkit.Witness;
 import io.netty.channel.ChannelFuture;
 import io.netty.util.concurrent.MockTicker;
@@ -34,9 +34,9 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.nio.channels.ClosedChannelException;
 import java.util.ArrayList;
 import java.util.EnumMap;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -65,7 +65,7 @@
     private static final long START_US = 1_800_000_000_000_000L;
     /** After the last arrival, until all is answered and connections and retries have come to rest. */
     private static final long SETTLE_US = 9_000 * MS;
-    private static final double MEAN_WORK_US = 25_000;
+    private static final long IDLE_US = 1_500 * MS;
     private static final int SOCKETS = 512;
 
     static final List<RequestClass> CLASSES = List.of(
@@ -102,20 +102,10 @@
     private final StandInDiscovery discovery;
     private final StandInClients clients;
     private final List<Proxy> proxies = new ArrayList<>();
-    private final List<Machine> machines = new ArrayList<>();
-    private final KeyMemories memories = new KeyMemories();
+    private final Fleet fleet;
+    private final Traffic traffic;
     private final List<String> errors = new ArrayList<>();
-    private final Map<Manner, Double> manners = new EnumMap<>(Manner.class);
-    private final Map<String, RequestClass> classes = new HashMap<>();
-    /**
-     * Whether a new machine may have the address of one that has gone. A proxy that is told an old list, or nothing, would
-     * find it where it looks for the old one, and can't know.
-     */
-    private final boolean reuse;
     private int nextPort = 10_000;
-    private int nextOrder;
-    private double burst = 1;
-    private double capacity;
 
     private World(Script script, Pool.Wiring wiring) {
         this.script = script;
@@ -129,9 +119,12 @@
         this.discovery = new StandInDiscovery(outsideNetwork, timers, witness);
         this.clients = new StandInClients(outsideNetwork, timers, witness, i -> proxies.get(i).address,
                 (i, at) -> proxies.get(i).excused(at));
-        this.reuse = script.steps().stream().map(Script.Step::fault)
+        boolean reuse = script.steps().stream().map(Script.Step::fault)
                 .noneMatch(f -> f == Fault.KILL || f.name().startsWith("DISCOVERY"));
-        CLASSES.forEach(c -> classes.put(c.name(), c));
+        this.fleet = new Fleet(outsideNetwork, timers, witness, discovery, settings(0), IDLE_US, random, this::nextAddress, reuse,
+                this::bound);
+        this.traffic = new Traffic(timers, clients, random, settings(0), SHARES, () -> script.load() * fleet.capacity(),
+                () -> random.nextInt(proxies.size()));
     }
 
     /** Plays a script with the program as it is in service. */
@@ -155,8 +148,9 @@
 
     private Report run() {
         for (int i = 0; i < script.backends(); i++) {
-            new Machine(nextAddress(), true);
+            fleet.add(true);
         }
+        advance(0);
         for (int i = 0; i < script.proxies(); i++) {
             proxies.add(new Proxy(i, nextAddress(), nextAddress()));
         }
@@ -167,7 +161,7 @@
         for (Script.Step step : script.steps()) {
             timers.at(begin + step.atMs() * MS, () -> begin(step));
         }
-        arrivals(begin, begin + script.lengthMs() * MS);
+        traffic.run(begin + script.lengthMs() * MS);
         advance(script.lengthMs() * MS + SETTLE_US);
         proxies.forEach(Proxy::wake);
         advance(SETTLE_US);
@@ -205,16 +199,12 @@
 
     private void bound(ChannelFuture listening) {
         listening.addListener(f -> {
-            if (!f.isSuccess()) {
+            if (!f.isSuccess() && !(f.cause() instanceof ClosedChannelException)) {
                 errors.add("could not listen: " + f.cause());
             }
         });
     }
 
-    private static String text(InetSocketAddress address) {
-        return "127.0.0.1:" + address.getPort();
-    }
-
     // Time
 
     private void advance(long us) {
@@ -240,39 +230,6 @@
         }
     }
 
-    // Clients
-
-    private void arrivals(long at, long until) {
-        if (at >= until) {
-            return;
-        }
-        timers.at(at, () -> {
-            ask();
-            double perUs = Math.max(0.2, script.load() * capacity * burst) / MEAN_WORK_US;
-            arrivals(at + Math.max(1, (long) (-Math.log(1 - random.nextDouble()) / perUs)), until);
-        });
-    }
-
-    private void ask() {
-        double share = random.nextDouble();
-        int type = 0;
-        while (type < SHARES.length - 1 && share > SHARES[type]) {
-            share -= SHARES[type++];
-        }
-        RequestClass c = CLASSES.get(type);
-        Manner manner = Manner.PLAIN;
-        double drawn = random.nextDouble();
-        for (Map.Entry<Manner, Double> m : manners.entrySet()) {
-            manner = drawn > 0 && drawn < m.getValue() ? m.getKey() : manner;
-            drawn -= m.getValue();
-        }
-        long work = (long) (MEAN_WORK_US * random.nextDouble(0.6, 1.4));
-        long patience = (long) (c.deadlineUs() * random.nextDouble(0.7, 1));
-        var order = new StandInClients.Order("o" + nextOrder++, c, random.nextInt(4) > 0 ? "large" : "small", work, patience,
-                manner, random.nextLong(400 * MS), random.nextInt(3));
-        clients.ask(random.nextInt(proxies.size()), order);
-    }
-
     // Faults
 
     private void begin(Script.Step step) {
@@ -280,7 +237,7 @@
         Fault fault = step.fault();
         switch (fault.target()) {
             case BACKEND -> {
-                List<Machine> here = machines.stream().filter(m -> !m.leaving).toList();
+                List<Fleet.Machine> here = fleet.staying();
                 if (!here.isEmpty()) {
                     begin(fault, here.get(step.target() % here.size()), step, end);
                 }
@@ -299,50 +256,41 @@
         }
     }
 
-    private void begin(Fault fault, Machine m, Script.Step step, long end) {
+    private void begin(Fault fault, Fleet.Machine m, Script.Step step, long end) {
         if (fault.act() != null) {
-            m.backend.act(fault.act());
-            timers.at(end, () -> m.backend.act(StandInBackend.Act.SERVE));
+            m.backend().act(fault.act());
+            timers.at(end, () -> m.backend().act(StandInBackend.Act.SERVE));
             return;
         }
         switch (fault) {
             case SLOW -> {
-                m.backend.slower(step.size());
-                timers.at(end, () -> m.backend.slower(1));
+                m.backend().slower(step.size());
+                timers.at(end, () -> m.backend().slower(1));
             }
             case CRASH -> m.crash(end);
             case REPLACE -> m.leave(end, true);
             case SHRINK -> {
-                if (machines.stream().filter(o -> !o.leaving).count() > 1) {
+                if (fleet.staying().size() > 1) {
                     m.leave(end, false);
                 }
             }
             case MOVE -> m.move();
-            case DRAIN_AND_BACK -> {
-                discovery.state(m.id, State.DRAINING);
-                timers.at(end, () -> {
-                    if (!m.leaving) {
-                        discovery.state(m.id, State.READY);
-                    }
-                });
-            }
+            case DRAIN_AND_BACK -> m.drainUntil(end);
             default -> throw new IllegalStateException("no such fault");
         }
     }
 
     private void begin(Fault fault, Script.Step step, long end) {
         switch (fault) {
-            case GROW -> new Machine(machines.stream().filter(m -> reuse && m.gone).map(m -> m.address).findFirst()
-                    .filter(a -> machines.stream().noneMatch(m -> !m.gone && m.address.equals(a)))
-                    .orElseGet(this::nextAddress), false);
+            case GROW -> fleet.add(false);
             case DISCOVERY_DOWN -> discovery(StandInDiscovery.Mode.DOWN, end);
             case DISCOVERY_SILENT -> discovery(StandInDiscovery.Mode.SILENT, end);
             case DISCOVERY_BUSY -> discovery(StandInDiscovery.Mode.BUSY, end);
             case DISCOVERY_NOISE -> discovery(StandInDiscovery.Mode.NOISE, end);
             case DISCOVERY_STALE -> discovery(StandInDiscovery.Mode.STALE, end);
             case BURST -> {
-                burst = step.size();
-                timers.at(end, () -> burst = 1);
+                traffic.burst(step.size());
+                timers.at(end, () -> traffic.burst(1));
             }
             case HANG_UPS -> manner(Manner.HANGS_UP, step.size(), end);
             case DAWDLERS -> manner(Manner.DAWDLES, step.size(), end);
@@ -358,97 +306,8 @@
     }
 
     private void manner(Manner manner, double share, long end) {
-        manners.put(manner, share);
-        timers.at(end, () -> manners.remove(manner));
-    }
-
-    /** A backend and its place in the list. */
-    private final class Machine {
-        private final String id = "m" + machines.size();
-        private final InetSocketAddress first;
-        private final int cell = machines.size() % 2;
-        private final String zone = ZONES.get(random.nextInt(ZONES.size()));
-        private final String kind = random.nextInt(3) > 0 ? "std" : "old";
-        private final double speed = kind.equals("std") ? random.nextDouble(0.85, 1.1) : random.nextDouble(0.64, 0.86);
-        private final double weight = kind.equals("std") ? 1 : 0.8;
-        private final int cores = 1 + random.nextInt(2);
-        private InetSocketAddress address;
-        private StandInBackend backend;
-        private boolean up;
-        private boolean leaving;
-        private boolean gone;
-
-        Machine(InetSocketAddress address, boolean warm) {
-            this.first = address;
-            this.address = address;
-            machines.add(this);
-            capacity += cores * speed;
-            start(warm);
-            list(State.READY);
-        }
-
-        private void start(boolean warm) {
-            up = true;
-            backend = new StandInBackend(new StandInBackend.Machine(id, kind, zone, cell, cores, speed, 12, 1_500 * MS), address,
-                    outsideNetwork, timers, witness, rules, classes, memories);
-            bound(backend.start(warm));
-        }
-
-        private void list(State state) {
-            discovery.put(new StandInDiscovery.Entry(id, text(address), zone, kind, cell, state, weight, backend.startedAtUs()));
-        }
-
-        /** Discovery notices after a moment that the process has died, and that it is back. */
-        void crash(long end) {
-            if (leaving || !up) {
-                return;
-            }
-            die();
-            timers.at(timers.now() + random.nextLong(50 * MS, 2_000 * MS), () -> {
-                if (!leaving && !up) {
-                    discovery.state(id, State.GONE);
-                }
-            });
-            timers.at(end, () -> {
-                if (!leaving) {
-                    start(false);
-                    timers.at(timers.now() + random.nextLong(1 * MS, 500 * MS), () -> {
-                        if (!leaving) {
-                            list(State.READY);
-                        }
-                    });
-                }
-            });
-        }
-
-        private void die() {
-            up = false;
-            backend.die();
-        }
-
-        void leave(long end, boolean successor) {
-            leaving = true;
-            capacity -= cores * speed;
-            discovery.state(id, State.DRAINING);
-            timers.at(end, () -> {
-                die();
-                gone = true;
-                discovery.state(id, State.GONE);
-                if (successor) {
-                    new Machine(reuse && random.nextBoolean() ? address : nextAddress(), false);
-                }
-            });
-        }
-
-        void move() {
-            if (!up) {
-                return;
-            }
-            die();
-            address = nextAddress();
-            start(false);
-            list(State.READY);
-        }
+        traffic.manner(manner, share);
+        timers.at(end, () -> traffic.manner(manner, 0));
     }
 
     /** A proxy, in one life after the other. */
@@ -481,7 +340,7 @@
             boolean[] life = {true};
             alive = life;
             var host = new Pool.Host(network, new LoopTimers(loop, timers.now()), new Sockets(loop, SOCKETS), new Errors());
-            var spec = new Pool.Spec("n" + number, settings(number), discoveryAt, 1_500 * MS, 200 * MS);
+            var spec = new Pool.Spec("n" + number, settings(number), discoveryAt, IDLE_US, 200 * MS);
             pool = new Pool(host, spec, new Pool.Wiring(wiring.module(), t -> new MortalTransport(wiring.transport().apply(t), life),
                     i -> new MortalIntake(wiring.intake().apply(i), life), wiring.sink()));
             pool.begin(read(known));
--- /dev/null
+++ b/daemon/src/test/java/grebehoist/config/InstallationTest.java
@@ -0,0 +1,172 @@
+package grebehoist.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+import beechfall.Balancer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The installation file: what it says, and all that is wrong with it in one go. */
+class InstallationTest {
+    private static final String GOOD = """
+            [process]
+            name = "edge"
+            sockets = 512
+
+            [[pool]]
+            name = "billing"
+            protocol = "http"
+            discovery = "127.0.0.1:8500"
+            discovery_mode = "push"
+            zone = "ulven"
+            balancers = 3
+            rank = 2
+            seed = "ff"
+            over_share_worth = 0.1
+            [pool.rules]
+            cold_from = 0.4
+            cold_ms = 8100
+            fall_multiple = 4.0
+            fall_ms = 1000
+            [[pool.class]]
+            name = "read"
+            effect = "safe"
+            aim_ms = 600
+            deadline_ms = 2000
+            [[pool.class]]
+            name = "pay"
+            effect = "keyed"
+            scope = "zone"
+            window_ms = 1200
+            aim_ms = 400
+            deadline_ms = 2000
+            worth = 10
+            [[pool.tenant]]
+            name = "acme"
+            quota_per_s = 12.5
+
+            [[listener]]
+            name = "in"
+            protocol = "http"
+            address = "127.0.0.1:8080"
+            pool = "billing"
+            """;
+
+    @TempDir
+    private Path folder;
+
+    private Path file(String text) throws Exception {
+        return Files.writeString(folder.resolve("i.toml"), text);
+    }
+
+    private List<String> problems(String text) throws Exception {
+        Path file = file(text);
+        var bad = catchThrowableOfType(Installation.BadInstallation.class, () -> Installation.read(file));
+        assertThat(bad).as("a bad file is taken for a good one").isNotNull();
+        return bad.problems().stream().map(p -> {
+            assertThat(p).startsWith(file + ": ");
+            return p.substring(file.toString().length() + 2);
+        }).toList();
+    }
+
+    @Test
+    void readsPoolsAndListeners() throws Exception {
+        Installation i = Installation.read(file(GOOD));
+        assertThat(i.name()).isEqualTo("edge");
+        assertThat(i.sockets()).isEqualTo(512);
+        assertThat(i.listeners()).hasSize(1);
+        assertThat(i.listeners().get(0).address().getPort()).isEqualTo(8080);
+        Balancer.Settings settings = i.pools().get(0).settings();
+        assertThat(settings.classes()).containsExactly(
+                new Balancer.RequestClass("read", 600_000, 2_000_000, 1, 0, Balancer.Effect.SAFE, Balancer.Scope.ALL, 0),
+                new Balancer.RequestClass("pay", 400_000, 2_000_000, 10, 0, Balancer.Effect.KEYED, Balancer.Scope.ZONE, 1_200_000));
+        assertThat(settings.tenants()).containsExactly(new Balancer.Tenant("acme", 12.5));
+        assertThat(settings.limits()).isEqualTo(new Balancer.Limits(true, false, false, false, 4, 2_000_000));
+        assertThat(settings.rules()).isEqualTo(new Balancer.Rules(0.4, 8_100_000, 4, 1_000_000, 10_000_000, false));
+        assertThat(settings.seed()).isEqualTo(255);
+        assertThat(settings.rank()).isEqualTo(2);
+        assertThat(settings.overShareWorth()).isEqualTo(0.1);
+        assertThat(i.pools().get(0).connIdleUs()).isEqualTo(15_000_000);
+    }
+
+    @Test
+    void theExampleInDeployIsGood() throws Exception {
+        assertThat(Installation.read(Path.of("../deploy/installation.toml")).pools()).hasSize(2);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "sockets = 512|sockets = 12|[process]: key 'sockets': a whole number from 128 to 1048576 is wanted, not 12",
+        "sockets = 512|socket = 512|[process]: key 'socket': unknown",
+        "[process]|[proces]|key 'proces': unknown",
+        "name = \"billing\"|nam = \"x\"|[[pool]] number 1: key 'name': missing",
+        "protocol = \"http\"|protocol = \"smtp\"|[[pool]] \"billing\": key 'protocol': 'smtp' is none of http",
+        "discovery = \"127.0.0.1:8500\"|discovery = \"host:1\"|[[pool]] \"billing\": key 'discovery': 'host:1' is no numeric address and port",
+        "discovery_mode = \"push\"|discovery_mode = \"pull\"|[[pool]] \"billing\": key 'discovery_mode': 'pull' is none of ask, push",
+        "rank = 2|rank = 3|[[pool]] \"billing\": key 'rank': 3 is not below 'balancers', 3",
+        "balancers = 3|balancers = 3.5|[[pool]] \"billing\": key 'balancers': a whole number from 1 to 1048576 is wanted, not 3.5",
+        "seed = \"ff\"|seed = \"no\"|[[pool]] \"billing\": key 'seed': 'no' is no hexadecimal number of 64 bits",
+        "cold_from = 0.4|cold_from = 2|[[pool]] \"billing\" / [rules]: key 'cold_from': a number from 0.001 to 1.0 is wanted, not 2",
+        "fall_ms = 1000|fall_s = 1|[[pool]] \"billing\" / [rules]: key 'fall_ms': missing",
+        "effect = \"safe\"|effect = \"nice\"|[[pool]] \"billing\" / [[pool.class]] \"read\": key 'effect': 'nice' is none of keyed, safe, unsafe",
+        "effect = \"safe\"|effect = \"keyed\"|[[pool]] \"billing\" / [[pool.class]] \"read\": key 'scope': missing",
+        "effect = \"keyed\"|effect = \"unsafe\"|[[pool]] \"billing\" / [[pool.class]] \"pay\": key 'scope': only a class with effect = \"keyed\" has it",
+        "aim_ms = 600|aim_ms = 6000|[[pool]] \"billing\" / [[pool.class]] \"read\": key 'deadline_ms': it is before 'aim_ms'",
+        "name = \"pay\"|name = \"read\"|[[pool]] \"billing\" / [[pool.class]] \"read\": key 'name': there are several of this name",
+        "quota_per_s = 12.5|quota_per_s = \"many\"|[[pool]] \"billing\" / [[pool.tenant]] \"acme\": key 'quota_per_s': a number from 0.0 to 1.0E9 is wanted, not \"many\"",
+        "pool = \"billing\"|pool = \"bills\"|[[listener]] \"in\": key 'pool': there is no [[pool]] \"bills\"",
+        "address = \"127.0.0.1:8080\"|address = \"8080\"|[[listener]] \"in\": key 'address': '8080' is no numeric address and port",
+        "address = \"127.0.0.1:8080\"|address = 8080|[[listener]] \"in\": key 'address': a text is wanted, not 8080"})
+    void namesFileTableAndKey(String good, String bad, String problem) throws Exception {
+        assertThat(GOOD).contains(good);
+        assertThat(problems(GOOD.replace(good, bad))).contains(problem);
+    }
+
+    /** All of it at once: nobody wants to mend a file error by error. */
+    @Test
+    void findsAllErrorsInOneGo() throws Exception {
+        assertThat(problems(GOOD.replace("sockets = 512", "sockets = 1").replace("effect = \"safe\"", "effect = 3")
+                .replace("zone = \"ulven\"", "room = \"ulven\"").replace("pool = \"billing\"", "pool = \"x\"")))
+                .containsExactly(
+                        "[process]: key 'sockets': a whole number from 128 to 1048576 is wanted, not 1",
+                        "[[pool]] \"billing\" / [[pool.class]] \"read\": key 'effect': a text is wanted, not 3",
+                        "[[pool]] \"billing\": key 'room': unknown",
+                        "[[listener]] \"in\": key 'pool': there is no [[pool]] \"x\"",
+                        "[[pool]] \"billing\": no [[listener]] has pool = \"billing\"");
+    }
+
+    @Test
+    void twoListenersCannotShareAnAddressOrAName() throws Exception {
+        String listener = GOOD.substring(GOOD.indexOf("[[listener]]"));
+        assertThat(problems(GOOD + listener)).containsExactlyInAnyOrder(
+                "[[listener]] \"in\": key 'name': there are several of this name",
+                "[[listener]] \"in\": key 'address': another [[listener]] has it already");
+    }
+
+    @Test
+    void wantsAPoolAndAListener() throws Exception {
+        assertThat(problems("")).containsExactly("key 'pool': at least one [[pool]] is wanted",
+                "key 'listener': at least one [[listener]] is wanted");
+        assertThat(problems("pool = 3\n[listener]\nname = \"x\"")).containsExactly("key 'pool': it is written [[pool]]",
+                "key 'listener': it is written [[listener]]");
+    }
+
+    @Test
+    void saysWhereItIsNoToml() throws Exception {
+        assertThat(problems("[process]\nname = = 3\n")).hasSize(1).first().asString().startsWith("line 2, column ").contains("not TOML");
+        assertThat(problems("[process]\n[process]\n")).hasSize(1).first().asString().contains("not TOML");
+    }
+
+    @Test
+    void saysThatAFileCannotBeRead() {
+        Path missing = folder.resolve("missing.toml");
+        assertThat(catchThrowableOfType(Installation.BadInstallation.class, () -> Installation.read(missing)).problems())
+                .hasSize(1).first().asString().startsWith(missing + ": cannot be read");
+    }
+}
--- a/net/src/main/java/grebehoist/net/LoopTimers.java
+++ b/net/src/main/java/grebehoist/net/LoopTimers.java
@@ -20,6 +20,8 @@
     private static final long HELD_UP_US = 2 * BEAT_US;
     /** Held up for longer than this, a loop may have missed a good part of the 250 ms that a drain allows. */
     private static final long LONG_HELD_UP_US = 150_000;
+    /** So long at most a loop counts as catching up with what came while it was held up. */
+    private static final long MOST_CATCHING_UP_US = 3_000_000;
     /** Long enough that the loop looks at its sockets in between. */
     private static final long LOOK_US = 1_000;
 
@@ -28,6 +30,8 @@
     private final long originUs;
     private long beatAt;
     private long heldUpFrom = Long.MAX_VALUE;
+    private long catchingUpUntil;
+    private long lastHeldUpFrom = Long.MAX_VALUE;
 
     /** Makes a clock that starts at the system's time. */
     public LoopTimers(EventLoop loop) {
@@ -46,6 +50,10 @@
     private void beat() {
         long now = now();
         heldUpFrom = now - beatAt > HELD_UP_US ? beatAt + BEAT_US : Long.MAX_VALUE;
+        if (now - beatAt > LONG_HELD_UP_US) {
+            catchingUpUntil = now + Math.min(now - beatAt, MOST_CATCHING_UP_US);
+            lastHeldUpFrom = beatAt;
+        }
         beatAt = now;
     }
 
@@ -59,6 +67,21 @@
         return Math.min(heldUpFrom, now - beatAt > HELD_UP_US ? beatAt + BEAT_US : now);
     }
 
+    /**
+     * Returns whether the loop was held up for long, and not long ago: connections that came meanwhile are accepted one by
+     * one, and whoever is at their other end may have left.
+     */
+    public boolean catchingUp() {
+        long now = now();
+        return now < catchingUpUntil || now - beatAt > LONG_HELD_UP_US;
+    }
+
+    /** Returns when the loop was last seen before the long stop that it is catching up with, or {@link Long#MAX_VALUE}. */
+    public long heldUpSince() {
+        long now = now();
+        return now - beatAt > LONG_HELD_UP_US ? beatAt : now < catchingUpUntil ? lastHeldUpFrom : Long.MAX_VALUE;
+    }
+
     @Override
     public boolean settling() {
         return now() - arrivedAt() > LONG_HELD_UP_US;
--- a/testkit/src/main/java/grebehoist/testkit/StandInBackend.java
+++ b/testkit/src/main/java/grebehoist/testkit/StandInBackend.java
@@ -95,6 +95,7 @@
     private int life;
     private boolean fallen;
     private long made;
+    private long runs;
 
     /**
      * Makes a backend that is yet to be started.
@@ -128,6 +129,11 @@
         return startedAtUs;
     }
 
+    /** Returns how many requests it has run. */
+    public long runs() {
+        return runs;
+    }
+
     /** Returns how many requests it holds. */
     public int held() {
         return running + queue.size();
@@ -242,6 +248,7 @@
             if (repeat) {
                 sent.repeatDropped();
             } else {
+                runs++;
                 sent.ran(now);
             }
             double speed = machine.speed() * warmth(now) / slower;
--- a/testkit/src/main/java/grebehoist/testkit/StandInClients.java
+++ b/testkit/src/main/java/grebehoist/testkit/StandInClients.java
@@ -100,7 +100,7 @@
 
     /** Asks a proxy. */
     public void ask(int proxy, Order order) {
-        new Try(proxy, order, 0).begin();
+        new Try(proxy, order, 0, timers.now()).begin();
     }
 
     private Deque<Connection> idle(int proxy) {
@@ -116,12 +116,14 @@
         private final Order order;
         private final int number;
         private final String id;
+        private final long firstUs;
         private Connection connection;
         private boolean sent;
         private boolean over;
         private long deadlineUs;
 
-        Try(int proxy, Order order, int number) {
+        Try(int proxy, Order order, int number, long firstUs) {
+            this.firstUs = firstUs;
             this.proxy = proxy;
             this.order = order;
             this.number = number;
@@ -222,7 +224,7 @@
 
         private void hangUp() {
             if (!over) {
-                witness.left(id, timers.now());
+                witness.left(id, timers.now(), !excused.test(proxy, timers.now()));
                 end();
                 connection.channel.close();
             }
@@ -270,7 +272,12 @@
             if (number < order.retries() && (refused || status != 200 && effect == Balancer.Effect.SAFE)) {
                 String after = answer.headers().get("retry-after");
                 long waitUs = after == null ? BACKOFF_US : (long) (1e6 * Double.parseDouble(after));
-                timers.at(now + waitUs, () -> new Try(proxy, order, number + 1).begin());
+                if (effect == Balancer.Effect.KEYED && order.type().scope() == Balancer.Scope.ALL
+                        && now + waitUs + order.patienceUs() > firstUs + order.type().windowUs()) {
+                    // It may have run though it was refused: harmless only as long as all of them remember it.
+                    return;
+                }
+                timers.at(now + waitUs, () -> new Try(proxy, order, number + 1, firstUs).begin());
             }
         }
 
--- a/testkit/src/main/java/grebehoist/testkit/Witness.java
+++ b/testkit/src/main/java/grebehoist/testkit/Witness.java
@@ -226,11 +226,15 @@
         broken(Rule.ANSWER, id, atUs, "something came after the final answer");
     }
 
-    /** The client has hung up by itself. */
-    public void left(String id, long atUs) {
+    /**
+     * The client has hung up by itself.
+     *
+     * @param seen whether the proxy could see it then; one that is stopped reads the request and its end together
+     */
+    public void left(String id, long atUs, boolean seen) {
         Known r = requests.get(id);
         if (r != null && !r.over()) {
-            r.leftUs = atUs;
+            r.leftUs = seen ? atUs : Long.MAX_VALUE - 1;
             counts.merge(Count.LEFT, 1L, Long::sum);
         }
     }
