--- a/benchmarks/src/main/java/grebehoist/benchmarks/EngineCost.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/EngineCost.java
@@ -29,6 +29,7 @@
 import org.openjdk.jmh.annotations.Scope;
 import org.openjdk.jmh.annotations.Setup;
 import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.TearDown;
 import org.openjdk.jmh.annotations.Warmup;
 
 /** What a request takes in the engine and the module together, without sockets: the transport answers when asked. */
@@ -39,7 +40,7 @@
 @Measurement(iterations = 3, time = 1)
 @Fork(1)
 public class EngineCost {
-    private static final int OUT = 4;
+    private static final long INTERVAL_US = 250_000;
     private static final long LATENCY_US = 25_000;
 
     /** How many backends there are. */
@@ -51,6 +52,7 @@
     private long now;
     private int next;
     private int answers;
+    private int others;
 
     private record Sent(Attempt.End end) implements Attempt {
         @Override
@@ -129,13 +131,10 @@
         }
     }
 
-    /** One request comes, and one that came before is answered. */
+    /** One request comes and is answered. */
     @Benchmark
     public int request() {
-        now += LATENCY_US / OUT;
-        if (sent.size() >= OUT) {
-            sent.poll().end().ended(Outcome.OK, Payload.NONE);
-        }
+        now += INTERVAL_US - LATENCY_US;
         engine.arrived(new Request(Integer.toHexString(++next), Workload.CLASSES.get(next % 3).name(),
                 next % 4 == 0 ? "small" : "large", null, false, now + 2_000_000, Payload.NONE), new Responder() {
                     @Override
@@ -145,14 +144,24 @@
 
                     @Override
                     public void refused(long retryAfterUs) {
-                        answers--;
+                        others++;
                     }
 
                     @Override
                     public void failed() {
-                        answers--;
+                        others++;
                     }
                 });
+        now += LATENCY_US;
+        for (Sent attempt = sent.poll(); attempt != null; attempt = sent.poll()) {
+            attempt.end().ended(Outcome.OK, Payload.NONE);
+        }
         return answers;
     }
+
+    /** Says how many were not served: a figure with many of them is none of a whole request. */
+    @TearDown(Level.Trial)
+    public void tell() {
+        System.out.println("not served " + others + " of " + next);
+    }
 }
--- a/benchmarks/src/main/java/grebehoist/benchmarks/Loopback.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/Loopback.java
@@ -170,9 +170,9 @@
                 throw new IllegalStateException(what, cause);
             }
         });
-        var pool = new Pool(host, new Pool.Spec("bench", settings, backend, 15_000_000, 200_000));
+        var pool = new Pool(host, Pool.Spec.http("bench", settings, backend, 15_000_000, 200_000));
         network.loop().submit(() -> pool.begin(null)).sync();
-        var address = (InetSocketAddress) network.loop().submit(() -> pool.front().listen(network, anyPort())).sync().getNow().sync()
+        var address = (InetSocketAddress) network.loop().submit(() -> pool.httpFront().listen(network, anyPort())).sync().getNow().sync()
                 .channel().localAddress();
         while (!network.loop().submit(pool::ready).sync().getNow()) {
             TimeUnit.MILLISECONDS.sleep(1);
--- a/benchmarks/src/main/java/grebehoist/benchmarks/PolicyCost.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/PolicyCost.java
@@ -18,9 +18,13 @@
 import org.openjdk.jmh.annotations.Scope;
 import org.openjdk.jmh.annotations.Setup;
 import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.TearDown;
 import org.openjdk.jmh.annotations.Warmup;
 
-/** What the decision module takes for one request, from its arrival to its answer, with three others out. */
+/**
+ * What the decision module takes for one request, from its arrival to its answer. Four come in a second, as they do to each
+ * of hundreds of proxies; with its refreshes, of which one falls on five of them.
+ */
 @State(Scope.Benchmark)
 @BenchmarkMode(Mode.AverageTime)
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
@@ -28,7 +32,7 @@
 @Measurement(iterations = 3, time = 1)
 @Fork(1)
 public class PolicyCost {
-    private static final int OUT = 4;
+    private static final long INTERVAL_US = 250_000;
     private static final long LATENCY_US = 25_000;
 
     /** How many backends there are. */
@@ -41,11 +45,8 @@
 
     private Policy policy;
     private final List<Action> actions = new ArrayList<>();
-    private final String[] ids = new String[OUT];
-    private final String[] where = new String[OUT];
     private long now;
     private int next;
-    /** Requests that were refused: a figure with many of them is none of a whole request. */
     private long refused;
 
     /** A list, and answers enough for the module to know its backends. */
@@ -61,32 +62,30 @@
         refused = 0;
     }
 
-    /** One request comes, and one that came before is answered. */
+    /** One request comes and is answered. */
     @Benchmark
-    public int request() {
-        int slot = next++ % OUT;
-        now += LATENCY_US / OUT;
-        if (where[slot] != null) {
-            policy.handle(now, new Balancer.AttemptEnded(ids[slot], 0, where[slot], Outcome.OK, LATENCY_US, true), a -> { });
-        }
-        String id = Integer.toHexString(next);
-        ids[slot] = id;
-        where[slot] = null;
+    public long request() {
+        now += INTERVAL_US;
         actions.clear();
+        String id = Integer.toHexString(++next);
         policy.handle(now, new Balancer.Arrival(id, Workload.CLASSES.get(next % 3).name(), next % 4 == 0 ? "small" : "large", null,
                 2_000_000, false), actions::add);
+        String backend = null;
         for (Action a : actions) {
-            if (a instanceof Balancer.Send s && s.id().equals(id)) {
-                where[slot] = s.backend();
-            } else if (a instanceof Balancer.Refuse) {
-                refused++;
+            if (a instanceof Balancer.Send s) {
+                backend = s.backend();
             }
         }
-        return actions.size();
+        if (backend == null) {
+            refused++;
+        } else {
+            policy.handle(now + LATENCY_US, new Balancer.AttemptEnded(id, 0, backend, Outcome.OK, LATENCY_US, true), a -> { });
+        }
+        return refused;
     }
 
-    /** Says how many were refused. */
-    @org.openjdk.jmh.annotations.TearDown(Level.Trial)
+    /** Says how many were refused: a figure with many of them is none of a whole request. */
+    @TearDown(Level.Trial)
     public void tell() {
         System.out.println("refused " + refused + " of " + next);
     }
--- a/daemon/src/main/java/grebehoist/http/ConnectionPool.java
+++ b/daemon/src/main/java/grebehoist/backend/ConnectionPool.java
@@ -1,4 +1,4 @@
-package grebehoist.http;
+package grebehoist.backend;
 
 import grebehoist.engine.Timers;
 import grebehoist.net.Sockets;
@@ -16,10 +16,10 @@
  * Netty's pool, which leaves the choice of the idle connection to its subclass: of those that have settled the one
  * used last, so that the others grow old and are closed, and never one that was closed meanwhile.
  */
-final class ConnectionPool extends SimpleChannelPool {
+public final class ConnectionPool extends SimpleChannelPool {
     private final Timers timers;
     private final Sockets sockets;
-    private final Deque<BackendConnection> idle = new ArrayDeque<>();
+    private final Deque<PooledConnection> idle = new ArrayDeque<>();
     private ChannelFuture connecting;
 
     ConnectionPool(Bootstrap bootstrap, ChannelPoolHandler handler, Timers timers, Sockets sockets) {
@@ -50,8 +50,8 @@
     @Override
     protected Channel pollChannel() {
         long now = timers.now();
-        for (Iterator<BackendConnection> i = idle.descendingIterator(); i.hasNext();) {
-            BackendConnection connection = i.next();
+        for (Iterator<PooledConnection> i = idle.descendingIterator(); i.hasNext();) {
+            PooledConnection connection = i.next();
             if (connection.settled(now)) {
                 i.remove();
                 sockets.backendIdle(connection.channel(), false);
@@ -63,19 +63,20 @@
 
     @Override
     protected boolean offerChannel(Channel channel) {
-        BackendConnection connection = channel.pipeline().get(BackendConnection.class);
+        PooledConnection connection = channel.attr(PooledConnection.KEY).get();
         connection.idleFrom(timers.now());
         idle.addLast(connection);
         sockets.backendIdle(channel, true);
         return true;
     }
 
-    void closed(BackendConnection connection) {
+    /** A connection has ended by itself. */
+    public void closed(PooledConnection connection) {
         idle.remove(connection);
     }
 
     void closeIdle() {
-        for (BackendConnection connection = idle.pollLast(); connection != null; connection = idle.pollLast()) {
+        for (PooledConnection connection = idle.pollLast(); connection != null; connection = idle.pollLast()) {
             connection.channel().close();
         }
     }
--- /dev/null
+++ b/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
@@ -0,0 +1,105 @@
+package grebehoist.backend;
+
+import beechfall.Balancer.Outcome;
+import grebehoist.engine.Attempt;
+import grebehoist.engine.Payload;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
+
+/** One attempt, from the wish for a connection to its end. */
+public abstract class PooledAttempt implements Attempt {
+    private final PooledTransport.Target target;
+    private final End end;
+    private ChannelFuture connecting;
+    private Channel channel;
+    private boolean written;
+    private boolean ended;
+
+    /** Makes an attempt that is yet to be started. */
+    protected PooledAttempt(PooledTransport.Target target, End end) {
+        this.target = target;
+        this.end = end;
+    }
+
+    /** Makes what is to be written; the channel takes it over. */
+    protected abstract Object message(Channel on);
+
+    /** It has been written whole. */
+    protected void whole() { }
+
+    @Override
+    public final void start() {
+        target.begun(this);
+        Promise<Channel> promise = target.loop().newPromise();
+        connecting = target.pool().acquireOrConnect(promise);
+        promise.addListener((Future<Channel> f) -> connected(f));
+    }
+
+    @Override
+    public final boolean mayHaveRun() {
+        return written;
+    }
+
+    private void connected(Future<Channel> f) {
+        connecting = null;
+        if (!f.isSuccess()) {
+            end(Outcome.CONNECT_FAILED, null);
+        } else if (ended) {
+            f.getNow().close();
+        } else {
+            channel = f.getNow();
+            try {
+                write();
+            } catch (RuntimeException e) {
+                // A request that can't be written down has gone nowhere; nobody else must suffer for it.
+                abort(Outcome.NOT_SENT);
+            }
+        }
+    }
+
+    private void write() {
+        Object message = message(channel);
+        channel.attr(PooledConnection.KEY).get().begin(this);
+        channel.writeAndFlush(message).addListener(f -> {
+            written = f.isSuccess();
+            if (written) {
+                whole();
+            } else {
+                abort(Outcome.CONNECT_FAILED);
+            }
+        });
+    }
+
+    /** Its connection is closed before anybody hears: no other attempt goes out beside it. */
+    @Override
+    public final void abort(Outcome outcome) {
+        if (ended) {
+            return;
+        }
+        // The close fails a write that is under way, and that is not to end it a second time.
+        ended = true;
+        if (channel != null) {
+            channel.close();
+        } else if (connecting != null) {
+            connecting.channel().close();
+        }
+        report(outcome, null);
+    }
+
+    /** What has come from the other side ends it. The answer, if any, is the receiver's to release. */
+    public final void end(Outcome outcome, Payload answer) {
+        if (!ended) {
+            ended = true;
+            report(outcome, answer);
+        } else if (answer != null) {
+            answer.release();
+        }
+    }
+
+    private void report(Outcome outcome, Payload answer) {
+        target.ended(this);
+        end.ended(outcome, answer);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/grebehoist/backend/PooledConnection.java
@@ -0,0 +1,22 @@
+package grebehoist.backend;
+
+import io.netty.channel.Channel;
+import io.netty.util.AttributeKey;
+
+/** A connection to a backend, which carries one attempt at a time. */
+public interface PooledConnection {
+    /** Where a channel keeps it. */
+    AttributeKey<PooledConnection> KEY = AttributeKey.valueOf(PooledConnection.class, "connection");
+
+    /** Returns its channel. */
+    Channel channel();
+
+    /** The attempt is about to be written. */
+    void begin(PooledAttempt attempt);
+
+    /** It carries nothing from now on. */
+    void idleFrom(long nowUs);
+
+    /** Returns whether whatever came behind the last answer, and a little later, has shown by then. */
+    boolean settled(long nowUs);
+}
--- a/daemon/src/main/java/grebehoist/cli/InstalledPools.java
+++ b/daemon/src/main/java/grebehoist/cli/InstalledPools.java
@@ -1,11 +1,12 @@
 package grebehoist.cli;
 
 import grebehoist.config.Config;
-import grebehoist.config.Installation;
+import grebehoist.installation.Installation;
+import grebehoist.net.Front;
 import grebehoist.pool.Pool;
-import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 
 /** The pools and listeners of an installation file. Loaded only where the command line names one. */
@@ -49,8 +50,8 @@
         Map<String, Pool> pools = new HashMap<>();
         for (Installation.PoolEntry p : installation.pools()) {
             try {
-                pools.put(p.name(), serve.add(new Pool.Spec(p.name(), p.settings(), p.discovery(), p.connIdleUs(),
-                        p.connectTimeoutUs())));
+                pools.put(p.name(), serve.add(new Pool.Spec(p.name(), Pool.Protocol.valueOf(p.protocol().toUpperCase(Locale.ROOT)), p.settings(),
+                        p.discovery(), p.connIdleUs(), p.connectTimeoutUs(), p.maxFrame())));
             } catch (RuntimeException e) {
                 serve.tell("pool " + p.name() + " does not start: " + e);
             }
@@ -58,8 +59,10 @@
         int started = 0;
         for (Installation.ListenerEntry l : installation.listeners()) {
             Pool pool = pools.get(l.pool());
-            InetSocketAddress at = pool == null ? null : serve.add(l.name(), pool, l.address());
-            started += at == null ? 0 : 1;
+            if (pool != null) {
+                Front front = l.thrift() == null ? pool.httpFront() : pool.thriftFront(l.thrift(), l.name() + "-");
+                started += serve.add(l.name(), pool, front, l.address()) == null ? 0 : 1;
+            }
         }
         return started;
     }
--- a/daemon/src/main/java/grebehoist/cli/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -4,7 +4,7 @@
 import beechfall.Policy;
 import grebehoist.config.Config;
 import grebehoist.engine.Log;
-import grebehoist.http.HttpFront;
+import grebehoist.net.Front;
 import grebehoist.net.LoopTimers;
 import grebehoist.net.Network;
 import grebehoist.net.Sockets;
@@ -37,7 +37,7 @@
     private static final long TRAIN_MS = 60_000;
 
     /** A listener and where it is to listen. */
-    private record Listener(String name, Pool pool, HttpFront front, InetSocketAddress address) { }
+    private record Listener(String name, Pool pool, Front front, InetSocketAddress address) { }
 
     private final String name;
     /** What the platform tells, or null. */
@@ -61,11 +61,11 @@
 
     Serve(Config config, Balancer module, Network network) {
         this(config.name(), config, config.sockets(), network);
-        var spec = new Pool.Spec(config.name(), config.settings(), config.discovery(), config.connIdleUs(),
+        var spec = Pool.Spec.http(config.name(), config.settings(), config.discovery(), config.connIdleUs(),
                 config.connectTimeoutUs());
         Pool pool = new Pool(host, spec, new Pool.Wiring(settings -> module, t -> t, i -> i, m -> m));
         pools.add(pool);
-        listeners.add(new Listener(config.name(), pool, pool.front(), config.listen()));
+        listeners.add(new Listener(config.name(), pool, pool.httpFront(), config.listen()));
     }
 
     /** A process without a pool of the platform's. */
@@ -201,8 +201,7 @@
      *
      * @return where it listens, or null where it can't: that is told, and the others go on
      */
-    InetSocketAddress add(String listener, Pool pool, InetSocketAddress at) {
-        HttpFront front = pool.front();
+    InetSocketAddress add(String listener, Pool pool, Front front, InetSocketAddress at) {
         ChannelFuture bound = front.listen(network, at).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             loop.execute(() -> log.line(name + ": listener " + listener + " of pool " + pool.name() + " does not start: "
--- a/daemon/src/main/java/grebehoist/config/Json.java
+++ b/daemon/src/main/java/grebehoist/config/Json.java
@@ -33,7 +33,7 @@
     }
 
     /** Returns what a parser reads, whatever the format, and closes it. */
-    static JsonNode read(JsonParser parser) throws IOException {
+    public static JsonNode read(JsonParser parser) throws IOException {
         try (parser) {
             return parser.nextToken() == null ? MissingNode.getInstance() : value(parser);
         }
--- a/daemon/src/main/java/grebehoist/demo/Demo.java
+++ b/daemon/src/main/java/grebehoist/demo/Demo.java
@@ -62,7 +62,7 @@
         this.trouble = trouble;
         this.seconds = seconds;
         rig = new Rig(SETTINGS, SHARES, 15 * S, seed);
-        var spec = new Pool.Spec("demo", SETTINGS, rig.discoveryOfNextProxy(), 15 * S, 200 * MS);
+        var spec = Pool.Spec.http("demo", SETTINGS, rig.discoveryOfNextProxy(), 15 * S, 200 * MS);
         var host = new Pool.Host(network, new LoopTimers(network.loop()), new Sockets(network.loop(), 1_024), new StderrLog());
         pool = new Pool(host, spec, new Pool.Wiring(settings -> policy, t -> t, i -> i, m -> m));
     }
@@ -95,7 +95,7 @@
     private int play() throws InterruptedException {
         rig.machines(MACHINES);
         network.loop().submit(() -> pool.begin(null)).syncUninterruptibly();
-        ChannelFuture bound = network.loop().submit(() -> pool.front().listen(network,
+        ChannelFuture bound = network.loop().submit(() -> pool.httpFront().listen(network,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))).syncUninterruptibly().getNow().syncUninterruptibly();
         rig.proxyAt((InetSocketAddress) bound.channel().localAddress());
         while (!network.loop().submit(pool::ready).syncUninterruptibly().getNow()) {
--- a/daemon/src/main/java/grebehoist/http/BackendConnection.java
+++ b/daemon/src/main/java/grebehoist/http/BackendConnection.java
@@ -1,6 +1,9 @@
 package grebehoist.http;
 
 import beechfall.Balancer.Outcome;
+import grebehoist.backend.PooledAttempt;
+import grebehoist.backend.PooledConnection;
+import grebehoist.backend.PooledTransport;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -17,44 +20,45 @@
  * The reading side of a connection to a backend. An answer is judged once all that has come is read: it is the
  * attempt's if it can be read whole, and its connection is used again only if it brought nothing else.
  */
-final class BackendConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
+final class BackendConnection extends SimpleChannelInboundHandler<FullHttpResponse> implements PooledConnection {
     /** An answer with its head, its padding and what comes ahead of it is never longer than this, in bytes. */
     private static final long MOST_BYTES = 2 * HttpTransport.MAX_BODY;
     private static final long STALL_MS = 100;
     private static final long SETTLE_US = 3_000;
 
-    private final HttpTransport transport;
-    private final HttpTransport.Target target;
+    private final PooledTransport.Target target;
     private final Channel channel;
     private final Framing.Responses decoder;
-    private HttpAttempt attempt;
+    private PooledAttempt attempt;
     private FullHttpResponse answer;
     private boolean unasked;
     private long idleSince;
     private Future<?> stall;
 
-    BackendConnection(HttpTransport transport, HttpTransport.Target target, Channel channel, Framing.Responses decoder) {
-        this.transport = transport;
+    BackendConnection(PooledTransport.Target target, Channel channel, Framing.Responses decoder) {
         this.target = target;
         this.channel = channel;
         this.decoder = decoder;
     }
 
-    void begin(HttpAttempt next) {
+    @Override
+    public void begin(PooledAttempt next) {
         attempt = next;
         decoder.countAfresh();
     }
 
-    Channel channel() {
+    @Override
+    public Channel channel() {
         return channel;
     }
 
-    void idleFrom(long now) {
+    @Override
+    public void idleFrom(long now) {
         idleSince = now;
     }
 
-    /** Whatever came right behind the last answer, and a little later, has shown by then. */
-    boolean settled(long now) {
+    @Override
+    public boolean settled(long now) {
         return now - idleSince >= SETTLE_US;
     }
 
@@ -87,7 +91,7 @@
 
     private void answered() {
         FullHttpResponse response = answer;
-        HttpAttempt a = attempt;
+        PooledAttempt a = attempt;
         answer = null;
         attempt = null;
         stopAwaiting();
@@ -97,7 +101,7 @@
         decoder.countAfresh();
         // Back into the pool before the module hears: what it sends next may find no room for another.
         if (clean && HttpUtil.isKeepAlive(response) && target.ready()) {
-            target.pool.release(channel);
+            target.pool().release(channel);
         } else {
             channel.close();
         }
@@ -110,7 +114,7 @@
 
     /** Backends send their answers in one go: one that stops on its way has a length that is wrong, or no end. */
     private void awaitMore(long seen) {
-        stall = transport.loop().schedule(() -> {
+        stall = channel.eventLoop().schedule(() -> {
             stall = null;
             if (attempt == null) {
                 return;
@@ -132,7 +136,7 @@
 
     /** Something has come back, so that the attempt may have run; but it is no answer, and none will follow. */
     private void spoilt() {
-        HttpAttempt a = attempt;
+        PooledAttempt a = attempt;
         attempt = null;
         channel.close();
         if (a != null) {
@@ -142,14 +146,14 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) throws Exception {
-        target.pool.closed(this);
+        target.pool().closed(this);
         stopAwaiting();
         if (answer != null) {
             answer.release();
             answer = null;
         }
         if (attempt != null) {
-            HttpAttempt a = attempt;
+            PooledAttempt a = attempt;
             attempt = null;
             a.end(HttpOutcomes.ofBreak(a.mayHaveRun()), null);
         }
--- a/daemon/src/main/java/grebehoist/http/HttpFront.java
+++ b/daemon/src/main/java/grebehoist/http/HttpFront.java
@@ -3,6 +3,8 @@
 import beechfall.Balancer;
 import grebehoist.engine.Intake;
 import grebehoist.engine.Log;
+import grebehoist.net.AcceptBacklog;
+import grebehoist.net.Front;
 import grebehoist.net.LoopTimers;
 import grebehoist.net.Network;
 import grebehoist.net.Sockets;
@@ -18,7 +20,7 @@
 import java.util.function.BooleanSupplier;
 
 /** One listener for HTTP clients: takes requests in, turns bad ones away, and gives each good one exactly one answer. */
-public final class HttpFront {
+public final class HttpFront implements Front {
     /** How often connections are looked at that hold no request. */
     private static final long SWEEP_US = 100_000;
 
@@ -49,7 +51,7 @@
         this.reader = new RequestReader(settings);
     }
 
-    /** Begins to accept clients; the future tells whether the address could be had. */
+    @Override
     public ChannelFuture listen(Network network, InetSocketAddress address) {
         var backlog = new AcceptBacklog(timers, network.loop());
         sweep = network.loop().scheduleWithFixedDelay(this::sweep, SWEEP_US, SWEEP_US, TimeUnit.MICROSECONDS);
@@ -88,19 +90,19 @@
         return timers.catchingUp();
     }
 
-    /** From now on each answer is its connection's last, so that the clients go elsewhere. */
+    @Override
     public void closeAfterAnswers() {
         closing = true;
     }
 
-    /** Accepts no more, and closes the connections on which nothing is asked. */
+    @Override
     public void stopListening() {
         closing = true;
         listener.close();
         List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
     }
 
-    /** Returns whether any client is still connected: it waits for an answer, or the answer is still being written. */
+    @Override
     public boolean busy() {
         return !connections.isEmpty();
     }
--- a/daemon/src/main/java/grebehoist/config/Installation.java
+++ b/daemon/src/main/java/grebehoist/installation/Installation.java
@@ -1,10 +1,13 @@
-package grebehoist.config;
+package grebehoist.installation;
 
 import beechfall.Balancer;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlFactory;
+import grebehoist.config.Json;
 import grebehoist.net.Addresses;
+import grebehoist.thrift.ThriftMethod;
+import grebehoist.thrift.ThriftOptions;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
@@ -29,10 +32,10 @@
 public record Installation(String name, int sockets, List<PoolEntry> pools, List<ListenerEntry> listeners) {
     /** A pool: backends that share a list and settings. */
     public record PoolEntry(String name, String protocol, InetSocketAddress discovery, Balancer.Settings settings,
-            long connIdleUs, long connectTimeoutUs) { }
+            long connIdleUs, long connectTimeoutUs, int maxFrame) { }
 
-    /** An address at which clients of a pool connect. */
-    public record ListenerEntry(String name, String protocol, InetSocketAddress address, String pool) { }
+    /** An address at which clients of a pool connect; {@code thrift} is null where it is not Thrift that they speak. */
+    public record ListenerEntry(String name, String protocol, InetSocketAddress address, String pool, ThriftOptions thrift) { }
 
     /** A file that nothing can run with: all that is wrong with it, each with file, table and key. */
     public static final class BadInstallation extends Exception {
@@ -50,7 +53,7 @@
         }
     }
 
-    private static final Set<String> PROTOCOLS = Set.of("http");
+    private static final Set<String> PROTOCOLS = Set.of("http", "thrift");
     private static final Map<String, Balancer.Effect> EFFECTS = Map.of("safe", Balancer.Effect.SAFE, "keyed",
             Balancer.Effect.KEYED, "unsafe", Balancer.Effect.UNSAFE);
     private static final Map<String, Balancer.Scope> SCOPES = Map.of("all", Balancer.Scope.ALL, "zone", Balancer.Scope.ZONE,
@@ -58,6 +61,8 @@
     private static final Map<String, Boolean> MODES = Map.of("ask", true, "push", false);
     private static final long MOST_MS = 24 * 3_600_000L;
     private static final int LEAST_SOCKETS = 128;
+    private static final int HTTP_BODY = 64 * 1024;
+    private static final int MOST_FRAME = 16 * 1024 * 1024;
 
     /** Takes the lists over. */
     public Installation {
@@ -99,9 +104,10 @@
             process.done();
             var pools = new ArrayList<PoolEntry>();
             top.tables("pool", "[[pool]]", true).forEach(t -> pools.add(pool(t)));
+            ThriftReader thrift = ThriftReader.read(top.table("thrift"), pools);
             var listeners = new ArrayList<ListenerEntry>();
             var listenerTables = top.tables("listener", "[[listener]]", true);
-            listenerTables.forEach(t -> listeners.add(listener(t)));
+            listenerTables.forEach(t -> listeners.add(listener(t, pools, thrift)));
             top.done();
             unique("[[pool]]", pools.stream().map(PoolEntry::name).toList());
             unique("[[listener]]", listeners.stream().map(ListenerEntry::name).toList());
@@ -137,10 +143,15 @@
             }
         }
 
-        private ListenerEntry listener(TomlTable t) {
-            var entry = new ListenerEntry(t.text("name"), t.word("protocol", PROTOCOLS), address(t, "address"), t.text("pool"));
+        private static ListenerEntry listener(TomlTable t, List<PoolEntry> pools, ThriftReader thrift) {
+            String name = t.text("name");
+            String protocol = t.word("protocol", PROTOCOLS);
+            InetSocketAddress address = address(t, "address");
+            String pool = t.text("pool");
+            PoolEntry entry = pools.stream().filter(p -> p.name().equals(pool)).findFirst().orElse(null);
+            ThriftOptions options = protocol.equals("thrift") ? thrift.options(t, entry) : null;
             t.done();
-            return entry;
+            return new ListenerEntry(name, protocol, address, pool, options);
         }
 
         private static InetSocketAddress address(TomlTable t, String key) {
@@ -189,11 +200,17 @@
             long idleUs = us(t.whole("conn_idle_ms", 15_000L, 10, MOST_MS));
             long connectUs = us(t.whole("connect_timeout_ms", 200L, 1, 60_000));
             long seed = seed(t);
+            int maxFrame = HTTP_BODY;
+            if (protocol.equals("thrift")) {
+                maxFrame = (int) t.whole("max_frame", (long) HTTP_BODY, 64, MOST_FRAME);
+            } else {
+                t.absent("max_frame", "only a pool with protocol = \"thrift\" has it");
+            }
             t.done();
             // What could not be read is told; the rest of the file is read on as if it were not there.
             Balancer.Settings settings = classes.isEmpty() ? null : new Balancer.Settings(balancers, rank, zone, tickUs, classes,
                     tenants, overShare, false, limits, rules, seed);
-            return new PoolEntry(name, protocol, discovery, settings, idleUs, connectUs);
+            return new PoolEntry(name, protocol, discovery, settings, idleUs, connectUs, maxFrame);
         }
 
         private static Balancer.Rules rules(TomlTable pool) {
--- a/daemon/src/main/java/grebehoist/config/TomlTable.java
+++ b/daemon/src/main/java/grebehoist/installation/TomlTable.java
@@ -1,6 +1,7 @@
-package grebehoist.config;
+package grebehoist.installation;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import grebehoist.thrift.ThriftMethod;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -127,6 +128,30 @@
         return new TomlTable(file, where.isEmpty() ? "[" + key + "]" : where + " / [" + key + "]", value, problems);
     }
 
+    /** Returns a table inside this one, or null where there is none. */
+    TomlTable optionalTable(String key) {
+        return value(key).isMissingNode() ? null : table(key);
+    }
+
+    /** Returns where a figure of a call comes from: a path, or {@code { fixed = "..." }}; null where it is not given. */
+    ThriftMethod.Figure figure(String key) {
+        JsonNode value = value(key);
+        if (value.isMissingNode()) {
+            return null;
+        }
+        if (value.isObject()) {
+            TomlTable fixed = table(key);
+            String text = fixed.text("fixed");
+            fixed.done();
+            return new ThriftMethod.Fixed(text);
+        }
+        if (!value.isTextual() || !ThriftMethod.isPath(value.asText())) {
+            problem(key, "a path of field ids such as \"2.1\", or { fixed = \"...\" }, is wanted, not " + value);
+            return null;
+        }
+        return new ThriftMethod.At(value.asText());
+    }
+
     /** Returns the tables of an array. */
     List<TomlTable> tables(String key, String name, boolean wanted) {
         JsonNode value = value(key);
--- a/daemon/src/main/java/grebehoist/pool/Pool.java
+++ b/daemon/src/main/java/grebehoist/pool/Pool.java
@@ -11,9 +11,13 @@
 import grebehoist.engine.Transport;
 import grebehoist.http.HttpFront;
 import grebehoist.http.HttpTransport;
+import grebehoist.net.Front;
 import grebehoist.net.LoopTimers;
 import grebehoist.net.Network;
 import grebehoist.net.Sockets;
+import grebehoist.thrift.ThriftFront;
+import grebehoist.thrift.ThriftOptions;
+import grebehoist.thrift.ThriftTransport;
 import java.net.InetSocketAddress;
 import java.util.function.Function;
 import java.util.function.UnaryOperator;
@@ -32,9 +36,19 @@
      * @param discovery where its list of backends is asked for
      * @param connIdleUs backends close a connection that has stood idle for so long, in microseconds
      * @param connectTimeoutUs how long a connection to a backend may take, in microseconds
+     * @param maxFrame the longest Thrift message, in bytes
      */
-    public record Spec(String name, Balancer.Settings settings, InetSocketAddress discovery, long connIdleUs,
-            long connectTimeoutUs) { }
+    public record Spec(String name, Protocol protocol, Balancer.Settings settings, InetSocketAddress discovery, long connIdleUs,
+            long connectTimeoutUs, int maxFrame) {
+        /** A pool of HTTP backends. */
+        public static Spec http(String name, Balancer.Settings settings, InetSocketAddress discovery, long connIdleUs,
+                long connectTimeoutUs) {
+            return new Spec(name, Protocol.HTTP, settings, discovery, connIdleUs, connectTimeoutUs, HttpTransport.MAX_BODY);
+        }
+    }
+
+    /** What its backends speak. */
+    public enum Protocol { HTTP, THRIFT }
 
     /**
      * What the parts are and what stands between them: nothing in service; a test that wants to see a rule broken puts
@@ -64,14 +78,23 @@
         this.host = host;
         this.spec = spec;
         Balancer.Settings settings = spec.settings();
-        transport = wiring.transport().apply(new HttpTransport(host.timers(), host.network(), host.sockets(),
-                spec.connIdleUs(), spec.connectTimeoutUs()));
+        transport = wiring.transport().apply(spec.protocol() == Protocol.HTTP ? http(host, spec) : thrift(host, spec));
         engine = new Engine(settings, wiring.module().apply(settings), host.timers(), transport, host.log());
         intake = wiring.intake().apply(engine);
         discovery = new Discovery(host.network(), host.log(), wiring.sink().apply(engine), spec.discovery(), settings);
         engine.source(discovery);
     }
 
+    private static Transport http(Host host, Spec spec) {
+        return new HttpTransport(host.timers(), host.network(), host.sockets(), spec.connIdleUs(), spec.connectTimeoutUs());
+    }
+
+    /** In a method of its own: the class is loaded only where it is called. */
+    private static Transport thrift(Host host, Spec spec) {
+        return new ThriftTransport(host.timers(), host.network(), host.sockets(), spec.connIdleUs(), spec.connectTimeoutUs(),
+                spec.maxFrame());
+    }
+
     /** Returns its name. */
     public String name() {
         return spec.name();
@@ -82,8 +105,13 @@
         discovery.known(known);
     }
 
-    /** Returns a new listener's front, yet to listen. */
-    public HttpFront front() {
+    /** Returns a new listener's front for Thrift clients, yet to listen. */
+    public Front thriftFront(ThriftOptions options, String idPrefix) {
+        return new ThriftFront(host.timers(), host.log(), intake, host.sockets(), spec.settings(), options, idPrefix);
+    }
+
+    /** Returns a new listener's front for HTTP clients, yet to listen. */
+    public Front httpFront() {
         return new HttpFront(host.timers(), host.log(), intake, host.sockets(), spec.settings(), this::ready);
     }
 
--- a/daemon/src/main/java/grebehoist/search/World.java
+++ b/daemon/src/main/java/grebehoist/search/World.java
@@ -340,11 +340,11 @@
             boolean[] life = {true};
             alive = life;
             var host = new Pool.Host(network, new LoopTimers(loop, timers.now()), new Sockets(loop, SOCKETS), new Errors());
-            var spec = new Pool.Spec("n" + number, settings(number), discoveryAt, IDLE_US, 200 * MS);
+            var spec = Pool.Spec.http("n" + number, settings(number), discoveryAt, IDLE_US, 200 * MS);
             pool = new Pool(host, spec, new Pool.Wiring(wiring.module(), t -> new MortalTransport(wiring.transport().apply(t), life),
                     i -> new MortalIntake(wiring.intake().apply(i), life), wiring.sink()));
             pool.begin(read(known));
-            bound(pool.front().listen(network, address));
+            bound(pool.httpFront().listen(network, address));
             loop.runDue();
         }
 
--- /dev/null
+++ b/daemon/src/main/java/grebehoist/thrift/Frames.java
@@ -0,0 +1,39 @@
+package grebehoist.thrift;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+
+/**
+ * Cuts a stream into frames: four bytes of length ahead of each (Thrift, "Thrift Remote Procedure Call", framed transport).
+ * A length that is negative, zero or more than allowed ends it before anything of the frame is read. What is held is what
+ * has come.
+ */
+final class Frames extends LengthFieldBasedFrameDecoder {
+    private long bytes;
+
+    Frames(int maxFrame) {
+        // The limit counts the length itself.
+        super(maxFrame + 4, 0, 4, 0, 4, true);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+        bytes += message instanceof ByteBuf read ? read.readableBytes() : 0;
+        super.channelRead(ctx, message);
+    }
+
+    /** Returns the bytes that have come since the count began. */
+    long bytes() {
+        return bytes;
+    }
+
+    void countAfresh() {
+        bytes = 0;
+    }
+
+    /** Returns whether bytes have come that belong to no frame so far. */
+    boolean holdsMore() {
+        return actualReadableBytes() > 0;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
@@ -0,0 +1,292 @@
+package grebehoist.thrift;
+
+import grebehoist.net.Sockets;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.CodecException;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One client's connection. Many calls may be open on it; replies go back in the order of the calls, or as they come where
+ * the listener allows that, but never two of the same sequence id out of order. Past the bounds of calls and bytes it is
+ * not read any further, and nothing is dropped. What can't be read ends it, once the calls before have their replies.
+ */
+final class ThriftClientConnection extends ChannelInboundHandlerAdapter {
+    /** A frame must have come whole by then, counted from its first byte: the time in which HTTP clients are cut off. */
+    private static final long WHOLE_US = 2_200_000;
+    /** A client that takes nothing of its replies for so long has gone. */
+    private static final long UNREAD_US = 10_000_000;
+    /** After the last reply what else the client sends is dropped for so long. */
+    private static final long LINGER_US = 1_000_000;
+    /** Long enough that the loop reads on, and sees that a client has left. */
+    private static final long LOOK_MS = 2;
+
+    private final ThriftFront front;
+    private final Sockets sockets;
+    private final Frames frames;
+    private final List<ThriftExchange> open = new ArrayList<>();
+    private Channel channel;
+    private long cameAt;
+    private long firstByteAt = -1;
+    private long idleSince;
+    private long openBytes;
+    private long resumedAt;
+    private long partedAt = -1;
+    private boolean parting;
+    private boolean closed;
+
+    ThriftClientConnection(ThriftFront front, Sockets sockets, long cameAt) {
+        this.front = front;
+        this.sockets = sockets;
+        this.cameAt = cameAt;
+        this.frames = new Frames(front.options().maxFrame());
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+        idleSince = front.now();
+        front.opened(this);
+        channel.pipeline().addLast(frames, new Calls());
+    }
+
+    ByteBufAllocator alloc() {
+        return channel.alloc();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+        if (parting) {
+            ((ByteBuf) message).release();
+            return;
+        }
+        if (firstByteAt < 0) {
+            firstByteAt = Math.min(cameAt, front.arrivedAt());
+            cameAt = Long.MAX_VALUE;
+        }
+        super.channelRead(ctx, message);
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+        if (!frames.holdsMore()) {
+            firstByteAt = -1;
+        }
+        super.channelReadComplete(ctx);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) throws Exception {
+        closed = true;
+        front.closed(this);
+        List<ThriftExchange> gone = List.copyOf(open);
+        open.clear();
+        front.bytesOpen(-openBytes);
+        openBytes = 0;
+        for (ThriftExchange exchange : gone) {
+            boolean wanted = !exchange.done();
+            exchange.drop();
+            if (wanted && exchange.id() != null) {
+                front.intake().clientGone(exchange.id());
+            }
+        }
+        super.channelInactive(ctx);
+    }
+
+    private void call(ByteBuf frame) {
+        if (parting || closed) {
+            frame.release();
+            return;
+        }
+        Message message;
+        try {
+            message = Message.read(frame);
+            if (message.type() != Message.CALL && message.type() != Message.ONEWAY) {
+                throw new BadFrame("not a call");
+            }
+        } catch (BadFrame e) {
+            frame.release();
+            part();
+            return;
+        }
+        var exchange = new ThriftExchange(this, message, frame);
+        if (open.isEmpty()) {
+            sockets.clientBusy(channel);
+        }
+        open.add(exchange);
+        openBytes += exchange.bytes();
+        front.bytesOpen(exchange.bytes());
+        pace();
+        long cameFirst = firstByteAt;
+        if (front.catchingUp()) {
+            channel.eventLoop().schedule(() -> begin(exchange, cameFirst), LOOK_MS, TimeUnit.MILLISECONDS);
+        } else {
+            begin(exchange, cameFirst);
+        }
+    }
+
+    private void begin(ThriftExchange exchange, long cameFirst) {
+        if (closed || exchange.done()) {
+            return;
+        }
+        try {
+            CallReader.Read read = front.reader().read(exchange.message(), exchange.frame(), cameFirst < 0 ? front.now() : cameFirst);
+            if (front.intake().knows(read.request().id())) {
+                exchange.rejected(new CallReader.Rejected(ThriftOutcomes.PROTOCOL_ERROR, false, "a request with this id is being served"));
+                return;
+            }
+            exchange.begun(read.request().id(), read.method());
+            front.intake().arrived(read.request(), exchange);
+        } catch (CallReader.Rejected e) {
+            exchange.rejected(e);
+        } catch (BadFrame e) {
+            parting = true;
+            exchange.rejected(new CallReader.Rejected(ThriftOutcomes.PROTOCOL_ERROR, false, e.getMessage()));
+        }
+    }
+
+    /** Reading stops past the bounds, and goes on below them. */
+    void pace() {
+        ThriftOptions options = front.options();
+        boolean on = open.size() < options.maxOpen() && openBytes < options.maxOpenBytes() && (open.isEmpty() || !front.full());
+        if (channel.config().isAutoRead() != on) {
+            channel.config().setAutoRead(on);
+            resumedAt = front.now();
+        }
+    }
+
+    /** A reply is there, or a oneway call is done: all whose turn it is go back. */
+    void finished(ThriftExchange exchange) {
+        if (closed) {
+            exchange.drop();
+            return;
+        }
+        boolean wrote = false;
+        for (Iterator<ThriftExchange> i = open.iterator(); i.hasNext();) {
+            ThriftExchange next = i.next();
+            if (next.done() && mayGo(next)) {
+                i.remove();
+                openBytes -= next.bytes();
+                front.bytesOpen(-next.bytes());
+                ByteBuf reply = next.takeReply();
+                if (reply != null) {
+                    channel.write(reply);
+                    wrote = true;
+                }
+            } else if (!front.options().outOfOrder()) {
+                break;
+            }
+        }
+        if (wrote) {
+            channel.flush();
+        }
+        pace();
+        if (open.isEmpty()) {
+            idleSince = front.now();
+            if (parting || front.partsSoon()) {
+                parting = true;
+                hangUp();
+            } else {
+                sockets.clientIdle(channel);
+            }
+        }
+    }
+
+    /** None of the same sequence id is before it. */
+    private boolean mayGo(ThriftExchange exchange) {
+        for (ThriftExchange earlier : open) {
+            if (earlier == exchange) {
+                return true;
+            }
+            if (!front.options().outOfOrder() && !earlier.done() || earlier.message().sequenceId() == exchange.message().sequenceId()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Nothing is read beyond what can't be read; the calls before it still have their replies. */
+    private void part() {
+        parting = true;
+        if (open.isEmpty()) {
+            hangUp();
+        }
+    }
+
+    /**
+     * Closing with bytes unread would reset the connection, and the client would lose its last reply: so this side ends its
+     * sending, and the rest is read and dropped for a while.
+     */
+    private void hangUp() {
+        if (partedAt >= 0) {
+            return;
+        }
+        partedAt = front.now();
+        sockets.clientIdle(channel);
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
+            if (f.isSuccess() && channel instanceof SocketChannel socket) {
+                channel.config().setAutoRead(true);
+                socket.shutdownOutput();
+            } else {
+                channel.close();
+            }
+        });
+    }
+
+    void closeIfIdle() {
+        if (open.isEmpty() && firstByteAt < 0) {
+            parting = true;
+            hangUp();
+        }
+    }
+
+    /** Whatever a client does or leaves undone, its connection is not kept for longer than it is of use. */
+    void expire(long now) {
+        if (partedAt >= 0) {
+            if (now - partedAt > LINGER_US) {
+                channel.close();
+            }
+        } else if (firstByteAt >= 0 && frames.holdsMore()) {
+            // A byte now and then renews nothing: the time is for the whole frame, and reading has not been stopped.
+            if (now - Math.max(firstByteAt, resumedAt) > WHOLE_US && channel.config().isAutoRead()) {
+                part();
+            }
+        } else if (open.isEmpty() && now - idleSince > (unsent() ? UNREAD_US : front.options().idleUs())) {
+            channel.close();
+        }
+    }
+
+    private boolean unsent() {
+        ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
+        return out != null && !out.isEmpty();
+    }
+
+    private final class Calls extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object frame) {
+            call((ByteBuf) frame);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (cause instanceof CodecException) {
+                part();
+                return;
+            }
+            if (!(cause instanceof IOException)) {
+                front.log().failure("a client's connection failed", cause);
+            }
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftExchange.java
@@ -0,0 +1,118 @@
+package grebehoist.thrift;
+
+import grebehoist.engine.Payload;
+import grebehoist.engine.Responder;
+import io.netty.buffer.ByteBuf;
+
+/** A call and its one reply, which waits here until its turn has come. */
+final class ThriftExchange implements Responder {
+    private final ThriftClientConnection connection;
+    private final Message message;
+    private final ByteBuf frame;
+    private final int bytes;
+    private ThriftMethod method;
+    private String id;
+    private ByteBuf reply;
+    private boolean done;
+
+    ThriftExchange(ThriftClientConnection connection, Message message, ByteBuf frame) {
+        this.connection = connection;
+        this.message = message;
+        this.frame = frame;
+        this.bytes = frame.readableBytes();
+    }
+
+    Message message() {
+        return message;
+    }
+
+    ByteBuf frame() {
+        return frame;
+    }
+
+    int bytes() {
+        return bytes;
+    }
+
+    /** It is handed in under an id. */
+    void begun(String requestId, ThriftMethod called) {
+        id = requestId;
+        method = called;
+    }
+
+    String id() {
+        return id;
+    }
+
+    boolean done() {
+        return done;
+    }
+
+    boolean oneway() {
+        return message.type() == Message.ONEWAY;
+    }
+
+    /** Takes the reply out; null for a oneway call. */
+    ByteBuf takeReply() {
+        ByteBuf taken = reply;
+        reply = null;
+        return taken;
+    }
+
+    @Override
+    public void served(Payload answer) {
+        ByteBuf framed = null;
+        if (answer instanceof ThriftCall served) {
+            try {
+                framed = served.message().framed(connection.alloc(), served.frame(), message.sequenceId());
+            } finally {
+                served.release();
+            }
+        }
+        finish(framed);
+    }
+
+    @Override
+    public void refused(long retryAfterUs) {
+        finish(oneway() ? null : Replies.refused(connection.alloc(), message, method == null ? null : method.refusal(), retryAfterUs));
+    }
+
+    @Override
+    public void failed() {
+        finish(oneway() ? null : Replies.failed(connection.alloc(), message));
+    }
+
+    /** The call could not be passed on; its client is told why. */
+    void rejected(CallReader.Rejected why) {
+        if (why.harmless()) {
+            refused(0);
+        } else {
+            finish(oneway() ? null : Replies.exception(connection.alloc(), message, why.type(), why.getMessage()));
+        }
+    }
+
+    /** Its client has gone. */
+    void drop() {
+        if (!done) {
+            done = true;
+            frame.release();
+        }
+        if (reply != null) {
+            reply.release();
+            reply = null;
+        }
+    }
+
+    private void finish(ByteBuf framed) {
+        if (done) {
+            if (framed != null) {
+                framed.release();
+            }
+            return;
+        }
+        done = true;
+        frame.release();
+        reply = framed;
+        connection.finished(this);
+    }
+}
--- a/daemon/src/test/java/grebehoist/cli/LayersTest.java
+++ b/daemon/src/test/java/grebehoist/cli/LayersTest.java
@@ -21,6 +21,9 @@
                 .layer("net").definedBy("grebehoist.net")
                 .layer("config").definedBy("grebehoist.config")
                 .layer("http").definedBy("grebehoist.http")
+                .layer("backend").definedBy("grebehoist.backend")
+                .layer("thrift").definedBy("grebehoist.thrift")
+                .layer("installation").definedBy("grebehoist.installation")
                 .layer("discovery").definedBy("grebehoist.discovery")
                 .layer("sim").definedBy("grebehoist.sim")
                 .layer("pool").definedBy("grebehoist.pool")
@@ -35,10 +38,13 @@
                 .whereLayer("testkit").mayOnlyBeAccessedByLayers("search", "demo")
                 .whereLayer("pool").mayOnlyBeAccessedByLayers("cli", "search", "demo")
                 .whereLayer("http").mayOnlyBeAccessedByLayers("cli", "pool", "search", "demo")
+                .whereLayer("installation").mayOnlyBeAccessedByLayers("cli")
+                .whereLayer("backend").mayOnlyBeAccessedByLayers("http", "thrift")
+                .whereLayer("thrift").mayOnlyBeAccessedByLayers("cli", "pool", "installation", "search", "demo")
                 .whereLayer("discovery").mayOnlyBeAccessedByLayers("cli", "pool")
-                .whereLayer("config").mayOnlyBeAccessedByLayers("cli", "discovery", "sim", "search", "demo")
-                .whereLayer("net").mayOnlyBeAccessedByLayers("cli", "http", "discovery", "config", "pool", "testkit", "search", "demo")
-                .whereLayer("engine").mayOnlyBeAccessedByLayers("cli", "http", "discovery", "net", "pool", "testkit", "search", "demo")
+                .whereLayer("config").mayOnlyBeAccessedByLayers("installation", "cli", "discovery", "sim", "search", "demo")
+                .whereLayer("net").mayOnlyBeAccessedByLayers("backend", "thrift", "installation", "cli", "http", "discovery", "config", "pool", "testkit", "search", "demo")
+                .whereLayer("engine").mayOnlyBeAccessedByLayers("backend", "thrift", "cli", "http", "discovery", "net", "pool", "testkit", "search", "demo")
                 .check(ALL);
     }
 
--- a/daemon/src/test/java/grebehoist/cli/ProcessIT.java
+++ b/daemon/src/test/java/grebehoist/cli/ProcessIT.java
@@ -73,7 +73,6 @@
             rig.excuse(0, Long.MIN_VALUE);
             rig.avoid(0, false);
             awaitServed(rig, 200);
-            rig.load(0, 0);
             assertKept(rig);
             assertThat(second.alive()).isTrue();
         }
@@ -97,7 +96,6 @@
             first.signal("CONT");
             rig.excuse(0, rig.now() + Rig.SLACK_US);
             awaitServed(rig, 200);
-            rig.load(0, 0);
             assertKept(rig);
             assertThat(rig.on(() -> rig.witness().count(Count.TOLD))).isEqualTo(2);
             assertThat(second.alive()).isTrue();
@@ -116,7 +114,6 @@
             assertThat(first.awaitEnd()).isZero();
             assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - told)).isLessThan(2_500 + 700);
             awaitServed(rig, 100);
-            rig.load(0, 0);
             assertKept(rig);
             assertThat(first.log()).contains("draining").contains("drained");
             assertThat(second.alive()).isTrue();
@@ -137,7 +134,6 @@
             awaitServed(rig, 200);
             assertThat(first.alive()).isTrue();
             assertThat(first.log()).contains("new configuration, discovery is at");
-            rig.load(0, 0);
             assertKept(rig);
         }
     }
@@ -158,16 +154,14 @@
                 rig.await("it is ready", () -> ProxyProcess.ready(proxy.address()));
                 rig.load(1, 5 * S);
                 awaitServed(rig, 50);
-                rig.load(0, 0);
-                rig.finish();
+                    rig.finish();
             } finally {
                 process.destroy();
                 process.waitFor();
             }
             List<String> loaded = Files.readAllLines(classes);
             assertThat(loaded).anyMatch(l -> l.contains("grebehoist.http.HttpFront"));
-            assertThat(loaded).noneMatch(l -> l.matches(".*(grebehoist\\.(testkit|search|demo)|dataformat\\.toml|config\\.Installation"
-                    + "|config\\.TomlTable|cli\\.InstalledPools).*"));
+            assertThat(loaded).noneMatch(l -> l.matches(".*(grebehoist\\.(testkit|search|demo|installation|thrift)|dataformat\\.toml|cli\\.InstalledPools).*"));
         } finally {
             Files.delete(classes);
         }
@@ -192,7 +186,6 @@
             rig.proxyAt(proxy.address());
             rig.load(2, 30 * S);
             awaitServed(rig, 200);
-            rig.load(0, 0);
             assertKept(rig);
             assertThat(proxy.log()).contains("listener archive-in of pool archive does not start").contains("listener billing-in of pool billing");
             proxy.signal("TERM");
--- a/daemon/src/test/java/grebehoist/config/InstallationTest.java
+++ b/daemon/src/test/java/grebehoist/installation/InstallationTest.java
@@ -1,4 +1,4 @@
-package grebehoist.config;
+package grebehoist.installation;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
@@ -106,7 +106,7 @@
         "sockets = 512|socket = 512|[process]: key 'socket': unknown",
         "[process]|[proces]|key 'proces': unknown",
         "name = \"billing\"|nam = \"x\"|[[pool]] number 1: key 'name': missing",
-        "protocol = \"http\"|protocol = \"smtp\"|[[pool]] \"billing\": key 'protocol': 'smtp' is none of http",
+        "protocol = \"http\"|protocol = \"smtp\"|[[pool]] \"billing\": key 'protocol': 'smtp' is none of http, thrift",
         "discovery = \"127.0.0.1:8500\"|discovery = \"host:1\"|[[pool]] \"billing\": key 'discovery': 'host:1' is no numeric address and port",
         "discovery_mode = \"push\"|discovery_mode = \"pull\"|[[pool]] \"billing\": key 'discovery_mode': 'pull' is none of ask, push",
         "rank = 2|rank = 3|[[pool]] \"billing\": key 'rank': 3 is not below 'balancers', 3",
--- a/daemon/src/main/java/grebehoist/http/AcceptBacklog.java
+++ b/net/src/main/java/grebehoist/net/AcceptBacklog.java
@@ -1,6 +1,5 @@
-package grebehoist.http;
+package grebehoist.net;
 
-import grebehoist.net.LoopTimers;
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
 
@@ -9,7 +8,7 @@
  * kernel, first come first served, and then are accepted one in each pass of the loop: until a pass finds none, each may
  * have come, with its request, when the stop began. Nothing tells how long it waited.
  */
-final class AcceptBacklog {
+public final class AcceptBacklog {
     private static final long CHECK_MS = 1;
     private static final int QUIET_CHECKS = 2;
 
@@ -20,13 +19,14 @@
     private boolean accepted;
     private int quiet;
 
-    AcceptBacklog(LoopTimers timers, EventLoop loop) {
+    /** Makes one for a listener. */
+    public AcceptBacklog(LoopTimers timers, EventLoop loop) {
         this.timers = timers;
         this.loop = loop;
     }
 
     /** A connection is accepted. Returns when it may have come, or {@link Long#MAX_VALUE} for now. */
-    long accepted() {
+    public long accepted() {
         accepted = true;
         long since = timers.heldUpSince();
         if (since < mayHaveComeAt) {
--- /dev/null
+++ b/net/src/main/java/grebehoist/net/Front.java
@@ -0,0 +1,19 @@
+package grebehoist.net;
+
+import io.netty.channel.ChannelFuture;
+import java.net.InetSocketAddress;
+
+/** A listener of some protocol. Used by the loop's thread, but for {@link #listen}. */
+public interface Front {
+    /** Begins to accept clients; the future tells whether the address could be had. */
+    ChannelFuture listen(Network network, InetSocketAddress address);
+
+    /** From now on each answer is its connection's last, so that the clients go elsewhere. */
+    void closeAfterAnswers();
+
+    /** Accepts no more, and closes the connections on which nothing is asked. */
+    void stopListening();
+
+    /** Returns whether any client is still connected: it waits for an answer, or the answer is still being written. */
+    boolean busy();
+}
--- a/testkit/src/main/java/grebehoist/testkit/Rig.java
+++ b/testkit/src/main/java/grebehoist/testkit/Rig.java
@@ -169,8 +169,9 @@
         }
     }
 
-    /** Waits until all clients have their answers, and returns what the witness says of it all. */
+    /** Ends the traffic, waits until all clients have their answers, and returns what the witness says of it all. */
     public Witness finish() {
+        run(traffic::stop);
         await("all is answered", () -> clients.waiting() == 0);
         run(() -> witness.finish(timers.now()));
         return witness;
--- a/testkit/src/main/java/grebehoist/testkit/Traffic.java
+++ b/testkit/src/main/java/grebehoist/testkit/Traffic.java
@@ -29,6 +29,7 @@
     private double burst = 1;
     private long nextOrder;
     private long until;
+    private int runs;
 
     /**
      * Makes traffic that is yet to begin.
@@ -52,7 +53,12 @@
     /** Clients come from now on until then. */
     public void run(long untilUs) {
         until = untilUs;
-        next(timers.now());
+        next(timers.now(), ++runs);
+    }
+
+    /** No client comes any more. */
+    public void stop() {
+        runs++;
     }
 
     /** Multiplies the rate from now on. */
@@ -69,12 +75,15 @@
         }
     }
 
-    private void next(long at) {
+    private void next(long at, int run) {
         if (at < until) {
             timers.at(at, () -> {
+                if (run != runs) {
+                    return;
+                }
                 ask();
                 double perUs = Math.max(LEAST_PER_S / 1e6, cores.getAsDouble() * burst / MEAN_WORK_US);
-                next(at + Math.max(1, (long) (-Math.log(1 - random.nextDouble()) / perUs)));
+                next(at + Math.max(1, (long) (-Math.log(1 - random.nextDouble()) / perUs)), run);
             });
         }
     }
