--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -97,16 +97,23 @@
         void start() {
             request.out++;
             timeout = timers.at(startedAt + timeoutUs, this::expire);
-            startSettled();
+            startSettled(false);
         }
 
-        /** Once the host has settled the transport has heard of drains, and makes no attempt at such a backend. */
-        private void startSettled() {
+        /**
+         * Once the host has settled the transport has heard of drains, and makes no attempt at such a backend. What is sent
+         * again may have waited past the window in which its key is known: the module is to decide on it anew.
+         */
+        private void startSettled(boolean waited) {
             if (ended) {
                 return;
             }
             if (timers.settling()) {
-                timers.at(timers.now() + SETTLE_US, this::startSettled);
+                timers.at(timers.now() + SETTLE_US, () -> startSettled(true));
+                return;
+            }
+            if (waited && number > 0) {
+                ended(Outcome.NOT_SENT, null);
                 return;
             }
             attempt = transport.attempt(backend, request.request.payload(), startedAt + timeoutUs, this);
--- a/core/src/test/java/grebehoist/engine/EngineTest.java
+++ b/core/src/test/java/grebehoist/engine/EngineTest.java
@@ -216,6 +216,27 @@
         assertThat(host.engine.open()).isZero();
     }
 
+    /** Sent again after a wait it might be past its key's window: the module hears that it was not sent, and decides anew. */
+    @Test
+    void whatIsSentAgainDoesNotWait() {
+        var host = new FakeHost((event, actions) -> {
+            if (event instanceof Arrival a) {
+                actions.accept(new Send(a.id(), "s0", 0));
+            } else if (event instanceof AttemptEnded e && e.attempt() < 2) {
+                actions.accept(new Send(e.id(), "s1", 0));
+            }
+        });
+        host.ask("r1");
+        host.settling = true;
+        host.sent.get(0).answer(Outcome.RESET, null);
+        host.run(5 * MS);
+        assertThat(host.sent).hasSize(1);
+        host.settling = false;
+        host.run(5 * MS);
+        assertThat(host.events(AttemptEnded.class)).extracting(AttemptEnded::outcome).containsExactly(Outcome.RESET, Outcome.NOT_SENT);
+        assertThat(host.sent).hasSize(2);
+    }
+
     @Test
     void aClientThatHasGoneHearsNothing() {
         var host = new FakeHost(FakeHost.sendTo("s0", 0));
--- a/daemon/src/test/java/grebehoist/search/HardCasesTest.java
+++ b/daemon/src/test/java/grebehoist/search/HardCasesTest.java
@@ -100,6 +100,18 @@
         assertThat(report.violations()).isEmpty();
     }
 
+    /** Found by the search: what was sent again waited for the loop to settle, until its key's window was over. */
+    @Test
+    void whatIsSentAgainAfterAStopIsInItsWindow() {
+        World.Report report = World.play(Script.parse("""
+                seed=5040161 proxies=2 backends=5 load=0.866 length=2577
+                1994 PAUSE 7 238 0.23
+                1423 HALF_SILENT 6 617 0.42
+                1533 BURST 4 983 3.58
+                """));
+        assertThat(report.violations()).isEmpty();
+    }
+
     /** Killed in the middle of everything, and back with the list that it had. */
     @Test
     void proxiesAreKilledAgainAndAgain() {
