HTTP and Thrift listeners share one base

Change: net.ClientFront holds them; each front keeps what is its own (readiness, open bytes). Behaviour as before.

--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -1,5 +1,6 @@
 package grebehoist.http;
 
+import grebehoist.net.ClientFront;
 import grebehoist.net.Sockets;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -24,7 +25,7 @@
  * One client's connection, and its hygiene: what a client does or leaves undone costs its own connection alone, and
  * that for no longer than it is of use.
  */
-final class ClientConnection extends ChannelInboundHandlerAdapter {
+final class ClientConnection extends ChannelInboundHandlerAdapter implements ClientFront.Connection {
     /** A connection on which nothing is asked for so long is closed. */
     private static final long IDLE_US = 2_200_000;
     /** A request must have come whole by then, counted from its first byte, a connection's first from the connect. */
@@ -188,14 +189,16 @@
         return waiting.isEmpty() && parting == null;
     }
 
-    void closeIfIdle() {
+    @Override
+    public void closeIfIdle() {
         if (exchange == null && firstByteAt < 0 && parting == null) {
             channel.close();
         }
     }
 
     /** Whatever a client does or leaves undone, its connection is not kept for longer than it is of use. */
-    void expire(long now) {
+    @Override
+    public void expire(long now) {
         if (exchange != null) {
             return;
         }
--- a/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
@@ -1,5 +1,6 @@
 package grebehoist.thrift;
 
+import grebehoist.net.ClientFront;
 import grebehoist.net.Sockets;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
@@ -21,7 +22,7 @@
  * the listener allows that, but never two of the same sequence id out of order. Past the bounds of calls and bytes it is
  * not read any further, and nothing is dropped. What can't be read ends it, once the calls before have their replies.
  */
-final class ThriftClientConnection extends ChannelInboundHandlerAdapter {
+final class ThriftClientConnection extends ChannelInboundHandlerAdapter implements ClientFront.Connection {
     /** A frame must have come whole by then, counted from its first byte: the time in which HTTP clients are cut off. */
     private static final long WHOLE_US = 2_200_000;
     /** A client that takes nothing of its replies for so long has gone. */
@@ -243,7 +244,8 @@
         });
     }
 
-    void closeIfIdle() {
+    @Override
+    public void closeIfIdle() {
         if (open.isEmpty() && firstByteAt < 0) {
             parting = true;
             hangUp();
@@ -251,7 +253,8 @@
     }
 
     /** Whatever a client does or leaves undone, its connection is not kept for longer than it is of use. */
-    void expire(long now) {
+    @Override
+    public void expire(long now) {
         if (partedAt >= 0) {
             if (now - partedAt > LINGER_US) {
                 channel.close();
--- /dev/null
+++ b/net/src/main/java/grebehoist/net/ClientFront.java
@@ -0,0 +1,158 @@
+package grebehoist.net;
+
+import grebehoist.engine.Intake;
+import grebehoist.engine.Log;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What listeners of every protocol share: accepting clients, the time that their connections may take, and the end.
+ *
+ * @param <C> a client's connection, the first handler of its channel
+ */
+public abstract class ClientFront<C extends ChannelHandler & ClientFront.Connection> implements Front {
+    /** A client's connection, as its listener sees it. */
+    public interface Connection {
+        /** Looks whether it is of use any more; what is not is closed. */
+        void expire(long nowUs);
+
+        /** Closes it if nothing is asked on it. */
+        void closeIfIdle();
+    }
+
+    /** How often connections are looked at that hold no request. */
+    private static final long SWEEP_US = 100_000;
+
+    private final LoopTimers timers;
+    private final Log log;
+    private final Intake intake;
+    private final Sockets sockets;
+    private final Set<C> connections = new LinkedHashSet<>();
+    private Channel listener;
+    private boolean closing;
+    private Future<?> sweep;
+
+    /** Makes a front that is yet to listen. */
+    protected ClientFront(LoopTimers timers, Log log, Intake intake, Sockets sockets) {
+        this.timers = timers;
+        this.log = log;
+        this.intake = intake;
+        this.sockets = sockets;
+    }
+
+    /**
+     * Makes the handler of a connection that has been accepted.
+     *
+     * @param cameAt when its first request may have come, where it may have waited to be accepted
+     */
+    protected abstract C connection(long cameAt);
+
+    @Override
+    public final ChannelFuture listen(Network network, InetSocketAddress address) {
+        var backlog = new AcceptBacklog(timers, network.loop());
+        sweep = network.loop().scheduleWithFixedDelay(this::sweep, SWEEP_US, SWEEP_US, TimeUnit.MICROSECONDS);
+        ChannelFuture bound = network.server().clone()
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        sockets.clientOpened(channel);
+                        channel.pipeline().addLast(connection(backlog.accepted()));
+                    }
+                }).bind(network.address(address));
+        listener = bound.channel();
+        bound.addListener(f -> {
+            if (f.isSuccess()) {
+                sockets.listener(listener);
+            } else {
+                sweep.cancel(false);
+            }
+        });
+        return bound;
+    }
+
+    /** One timer for all: one for each connection would have to be set anew with each request. */
+    private void sweep() {
+        long now = timers.now();
+        List.copyOf(connections).forEach(c -> c.expire(now));
+    }
+
+    @Override
+    public final void closeAfterAnswers() {
+        closing = true;
+    }
+
+    @Override
+    public final void stopListening() {
+        closing = true;
+        listener.close();
+        List.copyOf(connections).forEach(Connection::closeIfIdle);
+    }
+
+    @Override
+    public final boolean busy() {
+        return !connections.isEmpty();
+    }
+
+    /** Returns the open connections, the oldest first. */
+    protected final Set<C> connections() {
+        return connections;
+    }
+
+    /** A connection begins. */
+    public final void opened(C connection) {
+        connections.add(connection);
+    }
+
+    /** A connection has ended. */
+    public final void closed(C connection) {
+        connections.remove(connection);
+    }
+
+    /** Returns the time in microseconds. */
+    public final long now() {
+        return timers.now();
+    }
+
+    /** Returns when a byte that is read now may have come. */
+    public final long arrivedAt() {
+        return timers.arrivedAt();
+    }
+
+    /** Returns whether the end of a connection may wait behind a request that has just been read on it. */
+    public final boolean catchingUp() {
+        return timers.catchingUp();
+    }
+
+    /** Returns where the operators read. */
+    public final Log log() {
+        return log;
+    }
+
+    /** Returns where requests are handed in. */
+    public final Intake intake() {
+        return intake;
+    }
+
+    /** Returns the count of the process's descriptors. */
+    protected final Sockets sockets() {
+        return sockets;
+    }
+
+    /** Returns whether all is to end soon. */
+    protected final boolean closing() {
+        return closing;
+    }
+
+    /** Returns whether a connection on which nothing more is asked is to end with its answer. */
+    public final boolean partsSoon() {
+        return closing || sockets.crowded();
+    }
+}
