Dead accessors and a second varint go; catching up follows from the stop

Cause: the last read of the change: three accessors that nobody calls, a wrapper round Cursor.writeVarint, and LoopTimers.catchingUp that worked out what heldUpSince knows. Change: they are gone, or call the one. Behaviour as before.

--- a/daemon/src/main/java/grebehoist/thrift/Encoding.java
+++ b/daemon/src/main/java/grebehoist/thrift/Encoding.java
@@ -26,8 +26,8 @@
         @Override
         void writeHeader(ByteBuf out, int type, byte[] name, int sequenceId) {
             out.writeByte(0x82).writeByte(type << 5 | 1);
-            writeVarint(out, sequenceId);
-            writeVarint(out, name.length);
+            Cursor.writeVarint(out, sequenceId);
+            Cursor.writeVarint(out, name.length);
             out.writeBytes(name);
         }
 
@@ -35,14 +35,14 @@
         void writeStringField(ByteBuf out, int id, int before, String text) {
             byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
             compactField(out, id, before, 8);
-            writeVarint(out, bytes.length);
+            Cursor.writeVarint(out, bytes.length);
             out.writeBytes(bytes);
         }
 
         @Override
         void writeI32Field(ByteBuf out, int id, int before, int value) {
             compactField(out, id, before, 5);
-            writeVarint(out, value << 1 ^ value >> 31);
+            Cursor.writeVarint(out, value << 1 ^ value >> 31);
         }
 
         @Override
@@ -79,11 +79,7 @@
             out.writeByte(delta << 4 | type);
         } else {
             out.writeByte(type);
-            writeVarint(out, (short) id << 1 ^ (short) id >> 15);
+            Cursor.writeVarint(out, (short) id << 1 ^ (short) id >> 15);
         }
     }
-
-    private static void writeVarint(ByteBuf out, int value) {
-        Cursor.writeVarint(out, value);
-    }
 }
--- a/daemon/src/main/java/grebehoist/thrift/Message.java
+++ b/daemon/src/main/java/grebehoist/thrift/Message.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.CompositeByteBuf;
-import java.nio.charset.StandardCharsets;
 
 /**
  * What stands at the head of a message, and where its parts are in the frame. The frame itself is not held.
@@ -71,10 +70,6 @@
         return in.text(length);
     }
 
-    byte[] nameBytes() {
-        return name.getBytes(StandardCharsets.UTF_8);
-    }
-
     /**
      * Returns the frame with its length ahead and another sequence id, for the network. The bytes of the frame are shared,
      * and one more owner of them is counted.
--- a/net/src/main/java/grebehoist/net/LoopTimers.java
+++ b/net/src/main/java/grebehoist/net/LoopTimers.java
@@ -73,8 +73,7 @@
      * one, and whoever is at their other end may have left.
      */
     public boolean catchingUp() {
-        long now = now();
-        return now < catchingUpUntil || now - beatAt > LONG_HELD_UP_US;
+        return heldUpSince() != Long.MAX_VALUE;
     }
 
     /** Returns when the loop was last seen before the long stop that it is catching up with, or {@link Long#MAX_VALUE}. */
--- a/net/src/main/java/grebehoist/net/VirtualLoop.java
+++ b/net/src/main/java/grebehoist/net/VirtualLoop.java
@@ -9,12 +9,9 @@
  * and moves the time on; so equal inputs give equal runs.
  */
 public final class VirtualLoop extends ManualIoEventLoop {
-    private final MockTicker ticker;
-
     /** Makes a loop for the calling thread. Several may share a ticker. */
     public VirtualLoop(MockTicker ticker) {
         super(null, Thread.currentThread(), LocalIoHandler.newFactory(), ticker);
-        this.ticker = ticker;
     }
 
     /** Runs all that can be run without time passing. Returns whether there was anything. */
@@ -30,9 +27,4 @@
     public long untilNextNanos() {
         return nextScheduledTaskNano();
     }
-
-    /** Returns the time of the ticker in microseconds. */
-    public long nowUs() {
-        return ticker.nanoTime() / 1_000;
-    }
 }
--- a/testkit/src/main/java/grebehoist/testkit/StandInBackend.java
+++ b/testkit/src/main/java/grebehoist/testkit/StandInBackend.java
@@ -181,11 +181,6 @@
         witness.coldNoMore(machine.id());
     }
 
-    /** Returns whether it was pushed over while it was cold. */
-    public boolean fallen() {
-        return fallen;
-    }
-
     private void sweep(int thisLife) {
         if (thisLife != life) {
             return;
