--- a/core/src/main/java/beechfall/Policy.java
+++ b/core/src/main/java/beechfall/Policy.java
@@ -180,11 +180,11 @@
     }
 
     /** What this proxy thinks of a backend that it may send to: for people to look at, on the module's thread. */
-    public record View(String backend, double weight, int out) { }
+    public record View(String backend, double weight, int out, boolean avoided) { }
 
     /** Returns what it thinks of each backend now. */
     public List<View> view() {
-        return order.all().stream().map(s -> new View(s.id(), s.weight(), s.out())).toList();
+        return order.all().stream().map(s -> new View(s.id(), s.weight(), s.out(), !s.whole().holds(now, silenceUs(s)))).toList();
     }
 
     /** How much it keeps of backends and requests; a test looks whether that grows. */
@@ -250,7 +250,11 @@
 
     /** Guards against backends hung, dead, slow or ill for some requests only, whatever the cause. */
     private boolean trusted(Server s, Request r) {
-        return s.trusted(r.flow, now, (long) Math.max(2 * crowdUs, s.kind().meanUs()));
+        return s.trusted(r.flow, now, silenceUs(s));
+    }
+
+    private long silenceUs(Server s) {
+        return (long) Math.max(2 * crowdUs, s.kind().meanUs());
     }
 
     private double warmth(Server s) {
--- a/core/src/main/java/grebehoist/engine/Attempt.java
+++ b/core/src/main/java/grebehoist/engine/Attempt.java
@@ -15,6 +15,9 @@
          *         where a request is answered by being written; else null
          */
         void ended(Outcome outcome, Payload answer);
+
+        /** The request's last byte has been handed to the network. Told once, before the end. */
+        default void written() { }
     }
 
     /** Begins to send. Its end may be told before this returns. */
--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -30,7 +30,10 @@
     private final Balancer.Limits limits;
     private final Balancer module;
     private final Transport transport;
+    private final Tally tally;
     private final Map<String, Open> open = new HashMap<>();
+    /** Of those that are open, how many still want their answer. */
+    private int unanswered;
     private final Queue<Event> events = new ArrayDeque<>();
     private final List<Action> actions = new ArrayList<>();
     private MemberSource source;
@@ -43,6 +46,7 @@
      */
     public Engine(Balancer.Settings settings, Balancer module, Timers timers, Transport transport, Log log) {
         this.limits = settings.limits();
+        this.tally = new Tally(settings);
         this.module = module;
         this.timers = timers;
         this.transport = transport;
@@ -59,19 +63,31 @@
         return open.size();
     }
 
+    /** Returns the number of requests that still want an answer. */
+    public int unanswered() {
+        return unanswered;
+    }
+
+    /** Returns what has become of requests so far. */
+    public Tally tally() {
+        return tally;
+    }
+
     /** A request and its attempts, kept until it is answered and no attempt is out. */
     private static final class Open {
         private final Request request;
         private final Responder responder;
+        private final Tally.Row row;
         /** By their numbers. */
         private final List<Out> attempts = new ArrayList<>(2);
         private int out;
         private boolean over;
         private Timers.Timer safety;
 
-        Open(Request request, Responder responder) {
+        Open(Request request, Responder responder, Tally.Row row) {
             this.request = request;
             this.responder = responder;
+            this.row = row;
         }
     }
 
@@ -143,6 +159,11 @@
             }
         }
 
+        @Override
+        public void written() {
+            request.row.countAttempt();
+        }
+
         @Override
         public void ended(Outcome outcome, Payload answer) {
             if (ended) {
@@ -168,18 +189,22 @@
     @Override
     public void arrived(Request request, Responder responder) {
         long now = timers.now();
+        Tally.Row row = tally.row(request.requestClass());
         if (open.containsKey(request.id())) {
             // What the other one does is not this one's to promise anything about.
+            row.countFailed();
             responder.failed();
             return;
         }
         if (now >= request.deadlineUs()) {
             // Nobody has begun with it: whoever still waits for it may ask again.
+            row.countRefused();
             responder.refused(0);
             return;
         }
-        var r = new Open(request, responder);
+        var r = new Open(request, responder, row);
         open.put(request.id(), r);
+        unanswered++;
         r.safety = timers.at(request.deadlineUs() + SAFETY_US, () -> overdue(r));
         deliver(new Balancer.Arrival(request.id(), request.requestClass(), request.tenant(), request.key(),
                 request.deadlineUs() - now, request.repeat()));
@@ -199,7 +224,7 @@
     /** Guards against a module that never answers: whatever happens, the client hears of its request in time. */
     private void overdue(Open r) {
         if (!r.over) {
-            answer(r, Responder::failed);
+            fail(r);
             deliver(new Balancer.ClientGone(r.request.id()));
             forget(r);
         }
@@ -217,6 +242,7 @@
         Open r = out.request;
         r.out--;
         if (outcome == Outcome.OK && !r.over) {
+            r.row.countServed();
             answer(r, responder -> responder.served(answer));
         } else if (answer != null) {
             answer.release();
@@ -238,8 +264,14 @@
         withdraw(r);
     }
 
-    private static void over(Open r) {
+    private void fail(Open r) {
+        r.row.countFailed();
+        answer(r, Responder::failed);
+    }
+
+    private void over(Open r) {
         r.over = true;
+        unanswered--;
         r.safety.cancel();
     }
 
@@ -298,7 +330,7 @@
     private void failRequestOf(Event event) {
         String id = event instanceof Balancer.Arrival a ? a.id() : event instanceof Balancer.AttemptEnded a ? a.id() : null;
         if (id != null) {
-            finish(id, Responder::failed);
+            finish(id, this::fail);
         }
     }
 
@@ -310,9 +342,12 @@
         } else if (action instanceof Balancer.SetTimer a) {
             timers.at(a.atUs(), () -> deliver(new Balancer.TimerFired(a.token())));
         } else if (action instanceof Balancer.Refuse a) {
-            finish(a.id(), responder -> responder.refused(a.retryAfterUs()));
+            finish(a.id(), r -> {
+                r.row.countRefused();
+                answer(r, responder -> responder.refused(a.retryAfterUs()));
+            });
         } else if (action instanceof Balancer.Fail a) {
-            finish(a.id(), Responder::failed);
+            finish(a.id(), this::fail);
         } else if (action instanceof Balancer.Cancel a) {
             cancel(a);
         } else if (action instanceof Balancer.Release a) {
@@ -329,10 +364,10 @@
         }
     }
 
-    private void finish(String id, Consumer<Responder> answer) {
+    private void finish(String id, Consumer<Open> answer) {
         Open r = open.get(id);
         if (r != null && !r.over) {
-            answer(r, answer);
+            answer.accept(r);
             forget(r);
         }
     }
--- a/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
+++ b/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
@@ -65,6 +65,7 @@
         channel.writeAndFlush(message).addListener(f -> {
             written = f.isSuccess();
             if (written) {
+                end.written();
                 whole();
             } else {
                 abort(Outcome.CONNECT_FAILED);
--- a/daemon/src/main/java/grebehoist/cli/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -9,16 +9,23 @@
 import grebehoist.net.Network;
 import grebehoist.net.Sockets;
 import grebehoist.net.StderrLog;
+import grebehoist.operations.Door;
+import grebehoist.operations.Operations;
+import grebehoist.operations.StateDirectory;
 import grebehoist.pool.Pool;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.lang.reflect.InvocationHandler;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -29,12 +36,18 @@
     /** New connections go on coming for so long after the signal. */
     private static final long FRONT_LAG_MS = 500;
     private static final long LOOK_MS = 10;
+    private static final int LEAST_SOCKETS = 96;
     /** The process is killed so long after the longest deadline, counted from the signal; a little earlier it ends. */
     private static final long KILL_MS = 600;
 
     /** What the warm-up may take: a first life has no clients yet, so they come once it is over. */
     private static final long WARM_MS = 6_000;
     private static final long TRAIN_MS = 60_000;
+    /** An old process is told to end when the new one says that it can serve, within 6 s at the latest: this leaves time for the rest. */
+    private static final long UPGRADE_WARM_MS = 3_000;
+    /** An upgraded process is used for so long on the connections that it has, each of which ends with its next answer. */
+    private static final long HANDED_OVER_MS = 1_000;
+    private static final long HEARD_MS = 2_000;
 
     /** A listener and where it is to listen. */
     private record Listener(String name, Pool pool, Front front, InetSocketAddress address) { }
@@ -46,34 +59,39 @@
     private final Log log = new StderrLog();
     private final EventLoop loop;
     private final Pool.Host host;
+    /** Null where the platform names no door for operators. */
+    private final Operations operations;
+    private volatile boolean succeeded;
     /** Added to by the main thread, and read by the loop's and by signals'. */
     private final List<Pool> pools = new CopyOnWriteArrayList<>();
     private final List<Listener> listeners = new CopyOnWriteArrayList<>();
     private final CountDownLatch drained = new CountDownLatch(1);
 
-    Serve(Config config) {
-        this(config, new Policy(config.settings()));
+    Serve(Config config, Operations operations) {
+        this(config, new Policy(config.settings()), Network.sockets(operations != null), operations);
     }
 
     Serve(Config config, Balancer module) {
-        this(config, module, Network.sockets());
+        this(config, module, Network.sockets(), null);
     }
 
-    Serve(Config config, Balancer module, Network network) {
-        this(config.name(), config, config.sockets(), network);
+    Serve(Config config, Balancer module, Network network, Operations operations) {
+        this(config.name(), config, config.sockets() - (operations == null ? 0 : Door.MOST_CALLERS), network, operations);
         var spec = Pool.Spec.http(config.name(), config.settings(), config.discovery(), config.connIdleUs(),
                 config.connectTimeoutUs());
-        Pool pool = new Pool(host, spec, new Pool.Wiring(settings -> module, t -> t, i -> i, m -> m));
+        Pool pool = new Pool(host, spec, new Pool.Wiring(settings -> module, t -> t, i -> i,
+                m -> operations == null ? m : operations.merge(m)));
         pools.add(pool);
         listeners.add(new Listener(config.name(), pool, pool.httpFront(), config.listen()));
     }
 
     /** A process without a pool of the platform's. */
     Serve(String name, int sockets) {
-        this(name, null, sockets, Network.sockets());
+        this(name, null, sockets, Network.sockets(), null);
     }
 
-    private Serve(String name, Config config, int sockets, Network network) {
+    private Serve(String name, Config config, int sockets, Network network, Operations operations) {
+        this.operations = operations;
         this.name = name;
         this.config = config;
         this.network = network;
@@ -97,14 +115,16 @@
             Path file = installed && System.getenv("PROXY_CONFIG") == null ? null : file();
             Config config = file == null ? null : Config.read(file);
             InstalledPools more = installed ? InstalledPools.read(Path.of(args[1])) : null;
-            if (config != null && config.isFirstLife()) {
-                Warmup.run(config, WARM_MS);
+            Operations operations = config == null || config.operator() == null ? null : operations(config);
+            boolean upgrade = operations != null && operations.besideAnother();
+            if (config != null && (upgrade || config.isFirstLife())) {
+                Warmup.run(config, upgrade ? UPGRADE_WARM_MS : WARM_MS);
             }
-            var serve = config != null ? new Serve(config) : new Serve(more.name(), more.sockets());
+            var serve = config != null ? new Serve(config, operations) : new Serve(more.name(), more.sockets());
             // Before it listens: without a handler the signal ends the process.
             onHangUp(() -> serve.reload(file));
             if (config != null) {
-                serve.start();
+                serve.start(upgrade);
             }
             if (more != null && more.start(serve) == 0 && config == null) {
                 System.err.println("nothing could be started");
@@ -127,8 +147,10 @@
             Warmup.run(config, TRAIN_MS);
             onHangUp(() -> { });
             // On a port that is free: what it listens with and connects with is loaded too.
-            var serve = new Serve(config.listeningAt(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)));
-            serve.listen().awaitUninterruptibly();
+            Config anywhere = config.listeningAt(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            Operations operations = anywhere.operator() == null ? null : operations(anywhere);
+            var serve = new Serve(anywhere, operations);
+            serve.start(false);
             serve.stop();
         } catch (Config.BadConfig e) {
             exit(e);
@@ -143,6 +165,19 @@
         return Path.of(file);
     }
 
+    /** What operators have asked of this proxy is kept by its name and port: others may use the same place for files. */
+    private static Operations operations(Config config) throws Config.BadConfig {
+        Path files = Path.of(System.getProperty("java.io.tmpdir"));
+        String own = System.getenv("TMPDIR");
+        Path directory = (own == null || own.isEmpty() ? files : Path.of(own))
+                .resolve("grebehoist-" + config.name().replaceAll("[^A-Za-z0-9._-]", "_") + "-" + config.listen().getPort());
+        try {
+            return new Operations(new StateDirectory(directory, ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now())));
+        } catch (IOException e) {
+            throw new Config.BadConfig("'operator': nothing can be kept in " + directory + ": " + e);
+        }
+    }
+
     private static void exit(Config.BadConfig e) {
         System.err.println("bad configuration: " + e.getMessage());
         System.exit(2);
@@ -169,25 +204,76 @@
         }
     }
 
-    /** Begins the platform's pool, and listens for it. */
+    /** Begins the platform's pool. */
+    void begin() {
+        Pool pool = pools.get(0);
+        if (operations != null) {
+            Front front = listeners.get(0).front();
+            operations.begin(new Operations.Target(pool::ready, pool::tally, pool::unanswered, pool::avoided, front::sendAway,
+                    this::companions), host.timers(), loop);
+        }
+        loop.execute(() -> pool.begin(config.known()));
+    }
+
+    /** Listens for the platform's pool. */
     ChannelFuture listen() {
         Listener first = listeners.get(0);
-        loop.execute(() -> first.pool().begin(config.known()));
         return first.front().listen(network, first.address());
     }
 
     /** Begins to serve what the platform tells of; returns the address. */
     InetSocketAddress start() throws Config.BadConfig {
+        return start(false);
+    }
+
+    /**
+     * Begins to serve what the platform tells of.
+     *
+     * @param upgrade whether another process still serves: clients come here as soon as this one listens, so it is to be able to
+     *         serve before
+     */
+    private InetSocketAddress start(boolean upgrade) throws Config.BadConfig {
+        begin();
+        if (upgrade) {
+            awaitReady();
+        }
         ChannelFuture bound = listen().awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw new Config.BadConfig("'listen': " + bound.cause().getMessage());
         }
+        if (operations != null) {
+            ChannelFuture door = new Door(operations, log).listen(network, config.operator()).awaitUninterruptibly();
+            if (!door.isSuccess()) {
+                throw new Config.BadConfig("'operator': " + door.cause().getMessage());
+            }
+        }
         var address = (InetSocketAddress) bound.channel().localAddress();
         loop.execute(() -> log.line(name + ": listening on " + address.getPort()
                 + (config.isFirstLife() ? "" : ", back with a list that it had")));
         return address;
     }
 
+    /** An old process that still serves is better than a new one that can't; after a while it listens all the same. */
+    private void awaitReady() {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HEARD_MS);
+        try {
+            while (System.nanoTime() - until < 0 && !loop.submit(() -> pools.get(0).ready()).get()) {
+                TimeUnit.MILLISECONDS.sleep(LOOK_MS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Two processes of one proxy share its descriptors: each has half of them while both live. */
+    private void companions(StateDirectory.Shared shared) {
+        int limit = config.sockets() - Door.MOST_CALLERS;
+        host.sockets().limit(Math.max(LEAST_SOCKETS, limit / (1 + shared.others())));
+        succeeded = shared.newer();
+    }
+
     /** Adds a pool beside those that are there, and begins it. */
     Pool add(Pool.Spec spec) {
         var pool = new Pool(host, spec);
@@ -231,20 +317,34 @@
         try {
             InetSocketAddress address = Config.read(file).discovery();
             loop.execute(() -> {
+                configured(true);
                 log.line(name + ": new configuration, discovery is at " + address);
                 pools.get(0).moveTo(address);
             });
         } catch (Config.BadConfig e) {
-            loop.execute(() -> log.line("the new configuration is left alone: " + e.getMessage()));
+            loop.execute(() -> {
+                configured(false);
+                log.line("the new configuration is left alone: " + e.getMessage());
+            });
+        }
+    }
+
+    private void configured(boolean taken) {
+        if (operations != null) {
+            operations.configured(taken);
         }
     }
 
     /** Answers all that is taken, sends the clients elsewhere, and ends the process in time. */
     void drain() {
         long longestMs = pools.stream().mapToLong(Pool::longestDeadlineUs).max().orElse(0) / 1_000;
+        boolean handsOver = succeeded;
         loop.execute(() -> {
-            log.line(name + ": draining");
+            log.line(name + (handsOver ? ": handing over to the process that has come up beside this one" : ": draining"));
             listeners.forEach(l -> l.front().closeAfterAnswers());
+            if (handsOver) {
+                listeners.forEach(l -> l.front().handOver(() -> log.line(name + ": listens no more")));
+            }
         });
         loop.schedule(() -> {
             listeners.forEach(l -> l.front().stopListening());
@@ -253,7 +353,7 @@
                     drained.countDown();
                 }
             }, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
-        }, FRONT_LAG_MS, TimeUnit.MILLISECONDS);
+        }, handsOver ? HANDED_OVER_MS : FRONT_LAG_MS, TimeUnit.MILLISECONDS);
         try {
             boolean all = drained.await(longestMs + KILL_MS, TimeUnit.MILLISECONDS);
             loop.submit(() -> log.line(name + (all ? ": drained" : ": ends with clients still connected")))
@@ -267,5 +367,12 @@
     void stop() {
         loop.submit(() -> pools.forEach(Pool::end)).awaitUninterruptibly();
         loop.parent().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+        if (operations != null) {
+            try {
+                operations.close();
+            } catch (IOException e) {
+                log.failure("could not leave the directory of its state", e);
+            }
+        }
     }
 }
--- a/daemon/src/main/java/grebehoist/cli/Warmup.java
+++ b/daemon/src/main/java/grebehoist/cli/Warmup.java
@@ -58,7 +58,7 @@
                     .put("kind", "k").put("cell", 0).put("state", "ready").put("weight", 1.0).put("started_ms", 0);
         }
         list = known.toString();
-        config = new Config("warm-up", address(0), address(BACKENDS + 1), like.sockets(), known, like.settings(),
+        config = new Config("warm-up", address(0), address(BACKENDS + 1), null, like.sockets(), known, like.settings(),
                 like.connIdleUs(), like.connectTimeoutUs());
     }
 
@@ -72,12 +72,13 @@
     }
 
     private int run(long mostMs) {
-        var serve = new Serve(config, new Policy(config.settings()), network);
+        var serve = new Serve(config, new Policy(config.settings()), network, null);
         try {
             for (int i = 1; i <= BACKENDS + 1; i++) {
                 network.server().clone().childHandler(pipeline(new Peer()))
                         .bind(network.address(address(i))).syncUninterruptibly();
             }
+            serve.begin();
             serve.listen().syncUninterruptibly();
             for (int i = 0; i < CLIENTS; i++) {
                 connect();
--- a/daemon/src/main/java/grebehoist/config/Config.java
+++ b/daemon/src/main/java/grebehoist/config/Config.java
@@ -16,9 +16,10 @@
  * What a proxy is told at its start.
  *
  * @param known the backends as this proxy last had them, in discovery's form; null where there are none
+ * @param operator where operators call, or null where there is no such door
  * @param connIdleUs a backend closes a connection that has stood idle for so long
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets, JsonNode known,
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress operator, int sockets, JsonNode known,
         Balancer.Settings settings, long connIdleUs, long connectTimeoutUs) {
 
     /** A configuration that no proxy can run with; the message is for the operators and names the field. */
@@ -41,7 +42,7 @@
 
     /** Returns the same for another place to listen at. */
     public Config listeningAt(InetSocketAddress address) {
-        return new Config(name, address, discovery, sockets, known, settings, connIdleUs, connectTimeoutUs);
+        return new Config(name, address, discovery, operator == null ? null : address, sockets, known, settings, connIdleUs, connectTimeoutUs);
     }
 
     /** Reads a file. */
@@ -64,7 +65,8 @@
         var values = new HashMap<String, String>();
         flatten("", settings, values);
         try {
-            return new Config(text(json, "name"), address(json, "listen"), address(json, "discovery"), sockets(json),
+            return new Config(text(json, "name"), address(json, "listen"), address(json, "discovery"),
+                    json.hasNonNull("operator") ? address(json, "operator") : null, sockets(json),
                     json.path("known").isObject() ? json.path("known") : null,
                     SettingsReader.read(values, seed(json)),
                     SettingsReader.whole(values, "bounds.conn_idle_us"),
--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -196,6 +196,11 @@
         }
     }
 
+    @Override
+    public long idleSince() {
+        return idleSince;
+    }
+
     /** Whatever a client does or leaves undone, its connection is not kept for longer than it is of use. */
     @Override
     public void expire(long now) {
--- a/daemon/src/main/java/grebehoist/http/HttpFront.java
+++ b/daemon/src/main/java/grebehoist/http/HttpFront.java
@@ -36,6 +36,6 @@
     }
 
     boolean ready() {
-        return ready.getAsBoolean() && !closing();
+        return ready.getAsBoolean() && !turnsAway();
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/grebehoist/operations/Operations.java
@@ -0,0 +1,127 @@
+package grebehoist.operations;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import grebehoist.config.Json;
+import grebehoist.engine.MemberSource;
+import grebehoist.engine.Tally;
+import grebehoist.members.Suspensions;
+import grebehoist.net.LoopTimers;
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+
+/**
+ * What the operators have asked of one pool and its listener, applied as it changes. Used by the loop's thread, but for the
+ * constructor and {@link #begin}.
+ */
+public final class Operations implements Door.Calls {
+    /**
+     * What it looks at and acts on.
+     *
+     * @param ready whether the process can serve
+     * @param tally what has become of requests
+     * @param active how many requests want an answer
+     * @param avoided how many of the listed backends that are not suspended the module now avoids
+     * @param sendAway sends clients elsewhere, or no longer
+     * @param companions hears how many other processes of this proxy live
+     */
+    public record Target(BooleanSupplier ready, Supplier<Tally> tally, IntSupplier active, IntSupplier avoided,
+            Consumer<Boolean> sendAway, Consumer<StateDirectory.Shared> companions) { }
+
+    private final StateDirectory state;
+    private Suspensions suspensions;
+    private Target target;
+    private LoopTimers timers;
+    private int applied;
+    private int rejected;
+
+    /** Makes one on a directory. */
+    public Operations(StateDirectory state) {
+        this.state = state;
+    }
+
+    /** Returns whether another process of this proxy lived when this one began: this is an upgrade. */
+    public boolean besideAnother() {
+        return state.atStart().others() > 0;
+    }
+
+    /** Puts itself between the source of backends and the pool. */
+    public MemberSource.Sink merge(MemberSource.Sink next) {
+        suspensions = new Suspensions(next);
+        return suspensions;
+    }
+
+    /** Begins to apply what is asked. What was asked before this process began holds before the first list is told. */
+    public void begin(Target actsOn, LoopTimers clock, Executor loop) {
+        loop.execute(() -> {
+            target = actsOn;
+            timers = clock;
+            suspensions.set(state.atStart().suspended(), clock.now());
+        });
+        state.watch(loop, this::apply);
+    }
+
+    private void apply(StateDirectory.Shared shared) {
+        suspensions.set(shared.suspended(), timers.now());
+        target.sendAway.accept(shared.drained());
+        target.companions.accept(shared);
+    }
+
+    /** A new configuration has been taken over, or left alone. */
+    public void configured(boolean taken) {
+        applied += taken ? 1 : 0;
+        rejected += taken ? 0 : 1;
+    }
+
+    @Override
+    public boolean ready() {
+        return target.ready.getAsBoolean();
+    }
+
+    @Override
+    public ObjectNode figures() {
+        ObjectNode figures = Json.object();
+        ObjectNode ok = figures.putObject("ok");
+        ObjectNode shed = figures.putObject("shed");
+        ObjectNode errors = figures.putObject("errors");
+        ObjectNode tries = figures.putObject("tries");
+        for (Map.Entry<String, Tally.Row> row : target.tally.get().rows().entrySet()) {
+            ok.put(row.getKey(), row.getValue().served());
+            shed.put(row.getKey(), row.getValue().refused());
+            errors.put(row.getKey(), row.getValue().failed());
+            tries.put(row.getKey(), row.getValue().attempts());
+        }
+        return figures.put("active", target.active.getAsInt()).put("pool_size", suspensions.listed().size())
+                .put("pool_ejected", suspensions.suspendedOfList() + target.avoided.getAsInt())
+                .put("config_applied", applied).put("config_rejected", rejected);
+    }
+
+    @Override
+    public boolean knows(String backend) {
+        return suspensions.lists(backend) || suspensions.holds(backend);
+    }
+
+    @Override
+    public void suspend(String backend, Consumer<Boolean> then) {
+        state.suspend(backend, then);
+    }
+
+    @Override
+    public void resume(String backend, Consumer<Boolean> then) {
+        state.resume(backend, then);
+    }
+
+    @Override
+    public void drain(boolean on, Consumer<Boolean> then) {
+        state.drain(on, then);
+    }
+
+    /** Leaves the directory. */
+    public void close() throws IOException {
+        state.close();
+    }
+}
--- a/daemon/src/main/java/grebehoist/pool/Pool.java
+++ b/daemon/src/main/java/grebehoist/pool/Pool.java
@@ -8,6 +8,7 @@
 import grebehoist.engine.Intake;
 import grebehoist.engine.Log;
 import grebehoist.engine.MemberSource;
+import grebehoist.engine.Tally;
 import grebehoist.engine.Transport;
 import grebehoist.http.HttpFront;
 import grebehoist.http.HttpTransport;
@@ -64,6 +65,7 @@
     private final Host host;
     private final Spec spec;
     private final Transport transport;
+    private final Balancer module;
     private final Engine engine;
     private final Intake intake;
     private final Discovery discovery;
@@ -79,7 +81,8 @@
         this.spec = spec;
         Balancer.Settings settings = spec.settings();
         transport = wiring.transport().apply(spec.protocol() == Protocol.HTTP ? http(host, spec) : thrift(host, spec));
-        engine = new Engine(settings, wiring.module().apply(settings), host.timers(), transport, host.log());
+        module = wiring.module().apply(settings);
+        engine = new Engine(settings, module, host.timers(), transport, host.log());
         intake = wiring.intake().apply(engine);
         discovery = new Discovery(host.network(), host.log(), wiring.sink().apply(engine), spec.discovery(), settings);
         engine.source(discovery);
@@ -125,6 +128,21 @@
         return engine.open();
     }
 
+    /** Returns how many requests want an answer. */
+    public int unanswered() {
+        return engine.unanswered();
+    }
+
+    /** Returns what has become of requests so far. */
+    public Tally tally() {
+        return engine.tally();
+    }
+
+    /** Returns how many backends that are ready the module now avoids, as far as it tells. */
+    public int avoided() {
+        return module instanceof Policy policy ? (int) policy.view().stream().filter(Policy.View::avoided).count() : 0;
+    }
+
     /** Asks discovery at another address from now on. */
     public void moveTo(InetSocketAddress discoveryAt) {
         discovery.moveTo(discoveryAt);
--- a/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
@@ -305,6 +305,11 @@
         });
     }
 
+    @Override
+    public long idleSince() {
+        return idleSince;
+    }
+
     @Override
     public void closeIfIdle() {
         if (open.isEmpty() && firstByteAt < 0) {
--- a/net/src/main/java/grebehoist/net/AcceptBacklog.java
+++ b/net/src/main/java/grebehoist/net/AcceptBacklog.java
@@ -41,6 +41,21 @@
         return drained ? Long.MAX_VALUE : mayHaveComeAt;
     }
 
+    /**
+     * Has an action run as soon as nobody waits to be accepted, as far as two looks a millisecond apart can tell: connections
+     * that wait when a listener is closed are reset.
+     */
+    void whenEmpty(Runnable action) {
+        accepted = false;
+        loop.schedule(() -> {
+            if (accepted) {
+                whenEmpty(action);
+            } else {
+                action.run();
+            }
+        }, CHECK_MS, TimeUnit.MILLISECONDS);
+    }
+
     /** Between two of these the loop has looked at its sockets. */
     private void check() {
         quiet = accepted ? 0 : quiet + 1;
--- a/net/src/main/java/grebehoist/net/ClientFront.java
+++ b/net/src/main/java/grebehoist/net/ClientFront.java
@@ -26,10 +26,17 @@
 
         /** Closes it if nothing is asked on it. */
         void closeIfIdle();
+
+        /** Returns since when nothing is open on it, in microseconds. */
+        long idleSince();
     }
 
     /** An answer is on its way for a moment, and the proxy may be late by a few milliseconds. */
     private static final long ON_ITS_WAY_US = 8_000;
+    /** Clients go on coming for so long after a front was told to send them away. */
+    private static final long AWAY_LAG_US = 500_000;
+    /** A request that is on its way to a connection has come by then. */
+    private static final long GREETING_US = 20_000;
     /** How often connections are looked at that hold no request. */
     private static final long SWEEP_US = 100_000;
 
@@ -40,6 +47,9 @@
     private final Set<C> connections = new LinkedHashSet<>();
     private Channel listener;
     private boolean closing;
+    /** Since when clients are sent away, or {@link Long#MAX_VALUE}. */
+    private long awaySince = Long.MAX_VALUE;
+    private AcceptBacklog backlog;
     private Future<?> sweep;
 
     /** Makes a front that is yet to listen. */
@@ -59,7 +69,7 @@
 
     @Override
     public final ChannelFuture listen(Network network, InetSocketAddress address) {
-        var backlog = new AcceptBacklog(timers, network.loop());
+        backlog = new AcceptBacklog(timers, network.loop());
         sweep = network.loop().scheduleWithFixedDelay(this::sweep, SWEEP_US, SWEEP_US, TimeUnit.MICROSECONDS);
         ChannelFuture bound = network.server().clone()
                 .childHandler(new ChannelInitializer<Channel>() {
@@ -84,6 +94,28 @@
     private void sweep() {
         long now = timers.now();
         List.copyOf(connections).forEach(c -> c.expire(now));
+        if (now - AWAY_LAG_US >= awaySince) {
+            List.copyOf(connections).stream().filter(c -> now - c.idleSince() >= GREETING_US).forEach(Connection::closeIfIdle);
+        }
+    }
+
+    @Override
+    public final void sendAway(boolean away) {
+        awaySince = !away ? Long.MAX_VALUE : Math.min(awaySince, now());
+    }
+
+    @Override
+    public final void handOver(Runnable then) {
+        closing = true;
+        backlog.whenEmpty(() -> {
+            listener.close();
+            then.run();
+        });
+    }
+
+    @Override
+    public final void closeIdle() {
+        List.copyOf(connections).forEach(Connection::closeIfIdle);
     }
 
     @Override
@@ -95,7 +127,7 @@
     public final void stopListening() {
         closing = true;
         listener.close();
-        List.copyOf(connections).forEach(Connection::closeIfIdle);
+        closeIdle();
     }
 
     @Override
@@ -157,13 +189,13 @@
         return sockets;
     }
 
-    /** Returns whether all is to end soon. */
-    protected final boolean closing() {
-        return closing;
+    /** Returns whether clients are to go elsewhere. */
+    protected final boolean turnsAway() {
+        return closing || awaySince != Long.MAX_VALUE;
     }
 
     /** Returns whether a connection on which nothing more is asked is to end with its answer. */
     public final boolean partsSoon() {
-        return closing || sockets.crowded();
+        return turnsAway() || sockets.crowded();
     }
 }
--- a/net/src/main/java/grebehoist/net/Front.java
+++ b/net/src/main/java/grebehoist/net/Front.java
@@ -11,6 +11,23 @@
     /** From now on each answer is its connection's last, so that the clients go elsewhere. */
     void closeAfterAnswers();
 
+    /**
+     * Sends clients elsewhere for a while, or no longer: says that it is not ready, makes each answer its connection's last, and
+     * after half a second closes the connections on which nothing is asked. It goes on to listen.
+     */
+    void sendAway(boolean away);
+
+    /**
+     * Accepts all who wait, and no more, as another process listens at the same address from now on; each answer is its
+     * connection's last.
+     *
+     * @param then called once it listens no more
+     */
+    void handOver(Runnable then);
+
+    /** Closes the connections on which nothing is asked. */
+    void closeIdle();
+
     /** Accepts no more, and closes the connections on which nothing is asked. */
     void stopListening();
 
--- a/net/src/main/java/grebehoist/net/Network.java
+++ b/net/src/main/java/grebehoist/net/Network.java
@@ -11,10 +11,12 @@
 import io.netty.channel.local.LocalIoHandler;
 import io.netty.channel.local.LocalServerChannel;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
 import java.util.UUID;
 import java.util.function.Function;
 
@@ -28,11 +30,23 @@
 
     /** Returns the sockets of this machine, with an event loop of their own. */
     public static Network sockets() {
+        return sockets(false);
+    }
+
+    /**
+     * Returns the sockets of this machine, with an event loop of their own.
+     *
+     * @param shared whether another process may listen at the same addresses (SO_REUSEPORT): by mistake, too, and unnoticed
+     */
+    public static Network sockets(boolean shared) {
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         ServerBootstrap server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 // One at a time: each that is accepted counts before the next is.
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator())
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true);
+        if (shared) {
+            server.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+        }
         return new Network(loop, server, new Bootstrap().group(loop).channel(NioSocketChannel.class), a -> a);
     }
 
--- a/net/src/main/java/grebehoist/net/Sockets.java
+++ b/net/src/main/java/grebehoist/net/Sockets.java
@@ -26,8 +26,8 @@
     private static final long GREETING_NS = TimeUnit.MILLISECONDS.toNanos(20);
 
     private final EventLoop loop;
-    private final int most;
-    private final int mostClients;
+    private int most;
+    private int mostClients;
     private final Map<Channel, Long> idleBackends = new LinkedHashMap<>();
     /** Connections on which no whole request has come yet, and those idle after an answer; the oldest first. */
     private final Map<Channel, Long> silentClients = new LinkedHashMap<>();
@@ -44,9 +44,16 @@
      */
     public Sockets(EventLoop loop, int limit) {
         this.loop = loop;
+        limit(limit);
+    }
+
+    /** Sets the descriptors that the process may hold from now on; what it holds beyond them is given up as it can be. */
+    public void limit(int limit) {
         most = limit - SPARE - LOBBY;
         // A request needs a connection on either side: clients alone can't use up what their requests need.
         mostClients = most * 5 / 8;
+        makeRoomSoon();
+        accept();
     }
 
     private long now() {
