--- a/core/src/main/java/beechfall/Policy.java
+++ b/core/src/main/java/beechfall/Policy.java
@@ -184,7 +184,7 @@
 
     /** Returns what it thinks of each backend now. */
     public List<View> view() {
-        return order.all().stream().map(s -> new View(s.id(), s.weight(), s.out(), !s.whole().holds(now, silenceUs(s)))).toList();
+        return order.all().stream().map(s -> new View(s.id(), s.weight(), s.out(), now < s.whole().tryAt())).toList();
     }
 
     /** How much it keeps of backends and requests; a test looks whether that grows. */
@@ -250,11 +250,7 @@
 
     /** Guards against backends hung, dead, slow or ill for some requests only, whatever the cause. */
     private boolean trusted(Server s, Request r) {
-        return s.trusted(r.flow, now, silenceUs(s));
-    }
-
-    private long silenceUs(Server s) {
-        return (long) Math.max(2 * crowdUs, s.kind().meanUs());
+        return s.trusted(r.flow, now, (long) Math.max(2 * crowdUs, s.kind().meanUs()));
     }
 
     private double warmth(Server s) {
--- a/core/src/main/java/grebehoist/engine/Attempt.java
+++ b/core/src/main/java/grebehoist/engine/Attempt.java
@@ -11,7 +11,7 @@
          *
          * @param outcome how it ended; one that {@linkplain Outcome#neverRan() never ran} is told only where that is
          *         certain
-         * @param answer the backend's answer for {@link Outcome#OK}, owned by whoever hears this, and {@link Payload#NONE}
+         * @param answer the backend's answer, perhaps one that goes on coming ({@link StreamedPayload}), for {@link Outcome#OK}, owned by whoever hears this, and {@link Payload#NONE}
          *         where a request is answered by being written; else null
          */
         void ended(Outcome outcome, Payload answer);
--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -82,12 +82,17 @@
         private final List<Out> attempts = new ArrayList<>(2);
         private int out;
         private boolean over;
+        /** When the answer is due; not before the payload has come whole, where it is still coming. */
+        private long deadlineUs;
+        private boolean whole;
         private Timers.Timer safety;
 
         Open(Request request, Responder responder, Tally.Row row) {
             this.request = request;
             this.responder = responder;
             this.row = row;
+            this.whole = request.comingUs() == 0;
+            this.deadlineUs = request.deadlineUs() + request.comingUs();
         }
     }
 
@@ -96,8 +101,9 @@
         private final Open request;
         private final int number;
         private final String backend;
-        private final long startedAt = timers.now();
-        private final long timeoutUs;
+        /** When the backend's time began: with the attempt, or with the last byte of a payload that came meanwhile. */
+        private long startedAt = timers.now();
+        private long timeoutUs;
         /** Null while it waits for the host to settle. */
         private Attempt attempt;
         private Timers.Timer timeout;
@@ -154,14 +160,26 @@
 
         /** Before its last byte has gone it has not run for certain; after that it may, even if nothing comes. */
         private void expire() {
-            if (!ended) {
-                abort(mayHaveRun() ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
+            if (ended) {
+                return;
             }
+            if (!request.whole && attempt != null) {
+                // The front cuts off a client that is too slow, and then this ends as well.
+                timeout = timers.at(timers.now() + timeoutUs, this::expire);
+                return;
+            }
+            abort(mayHaveRun() ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
         }
 
         @Override
         public void written() {
             request.row.countAttempt();
+            if (request.request.comingUs() > 0 && !ended) {
+                timeout.cancel();
+                startedAt = timers.now();
+                timeoutUs = Math.min(timeoutUs, request.deadlineUs - startedAt);
+                timeout = timers.at(startedAt + timeoutUs, this::expire);
+            }
         }
 
         @Override
@@ -205,15 +223,27 @@
         var r = new Open(request, responder, row);
         open.put(request.id(), r);
         unanswered++;
-        r.safety = timers.at(request.deadlineUs() + SAFETY_US, () -> overdue(r));
+        r.safety = timers.at(r.deadlineUs + SAFETY_US, () -> overdue(r));
         deliver(new Balancer.Arrival(request.id(), request.requestClass(), request.tenant(), request.key(),
                 request.deadlineUs() - now, request.repeat()));
     }
 
+    @Override
+    public void whole(String id, long deadlineUs) {
+        Open r = open.get(id);
+        if (r != null && !r.over && !r.whole) {
+            r.whole = true;
+            r.deadlineUs = deadlineUs;
+            r.safety.cancel();
+            r.safety = timers.at(deadlineUs + SAFETY_US, () -> overdue(r));
+        }
+    }
+
     @Override
     public void clientGone(String id) {
         Open r = open.get(id);
         if (r != null && !r.over) {
+            r.row.countFailed();
             over(r);
             withdraw(r);
             deliver(new Balancer.ClientGone(id));
@@ -242,8 +272,12 @@
         Open r = out.request;
         r.out--;
         if (outcome == Outcome.OK && !r.over) {
-            r.row.countServed();
-            answer(r, responder -> responder.served(answer));
+            if (answer instanceof StreamedPayload stream) {
+                serve(r, stream);
+            } else {
+                r.row.countServed();
+                answer(r, responder -> responder.served(answer));
+            }
         } else if (answer != null) {
             answer.release();
         }
@@ -252,6 +286,20 @@
         forget(r);
     }
 
+    /** For the module this attempt is over, as its backend has answered; the request is, once the rest has come. */
+    private void serve(Open r, StreamedPayload stream) {
+        unanswered++;
+        stream.onEnd(whole -> {
+            unanswered--;
+            if (whole) {
+                r.row.countServed();
+            } else {
+                r.row.countFailed();
+            }
+        });
+        answer(r, responder -> responder.served(stream));
+    }
+
     /** Gives the one answer; where that goes wrong it is a failure, as the request is taken all the same. */
     private void answer(Open r, Consumer<Responder> answer) {
         over(r);
@@ -387,7 +435,7 @@
         if (r == null) {
             return;
         }
-        long left = r.request.deadlineUs() - timers.now();
+        long left = r.deadlineUs - timers.now();
         var out = new Out(r, r.attempts.size(), send.backend(),
                 send.timeoutUs() == 0 ? left : Math.min(send.timeoutUs(), left));
         r.attempts.add(out);
--- a/core/src/main/java/grebehoist/engine/Intake.java
+++ b/core/src/main/java/grebehoist/engine/Intake.java
@@ -14,6 +14,13 @@
      */
     void arrived(Request request, Responder responder);
 
+    /**
+     * The payload of a request that came without its end is there as a whole now.
+     *
+     * @param deadlineUs the last moment at which an answer can leave, as for {@link Request}
+     */
+    void whole(String id, long deadlineUs);
+
     /** The client has left before it had an answer; its responder is not called any more. */
     void clientGone(String id);
 }
--- a/core/src/main/java/grebehoist/engine/Request.java
+++ b/core/src/main/java/grebehoist/engine/Request.java
@@ -12,14 +12,21 @@
  * @param repeat whether the client says that it has asked before
  * @param deadlineUs the last moment, on the engine's clock, at which an answer can leave and still be there before the
  *         client gives up
+ * @param comingUs how much longer the payload may take to come whole, in microseconds; 0 where it is there. Then the deadline is
+ *         as if it were there now, until {@link Intake#whole} tells
  * @param payload what goes to a backend, the same for each attempt. The front stays its owner until the request is
  *         answered or its client gone: by then no attempt that is still unsent will be sent
  */
 public record Request(String id, String requestClass, String tenant, String key, boolean repeat, long deadlineUs,
-        Payload payload) {
+        long comingUs, Payload payload) {
     public Request {
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(requestClass, "requestClass");
         Objects.requireNonNull(payload, "payload");
     }
+
+    /** A request that is there as a whole. */
+    public Request(String id, String requestClass, String tenant, String key, boolean repeat, long deadlineUs, Payload payload) {
+        this(id, requestClass, tenant, key, repeat, deadlineUs, 0, payload);
+    }
 }
--- a/daemon/src/main/java/grebehoist/backend/AttemptConnection.java
+++ b/daemon/src/main/java/grebehoist/backend/AttemptConnection.java
@@ -50,6 +50,8 @@
     private PooledAttempt attempt;
     private M answer;
     private boolean unasked;
+    /** Whether an answer is passed on as it comes: its attempt has ended, and the connection is still its own. */
+    private boolean streaming;
     private long idleSince;
     private Future<?> stall;
 
@@ -89,6 +91,32 @@
         attempt = null;
     }
 
+    /** An answer has begun that is passed on as it comes. Its attempt ends here, unless it has before. */
+    protected final void stream(Payload begun) {
+        PooledAttempt a = attempt;
+        attempt = null;
+        stopAwaiting();
+        streaming = true;
+        a.end(Outcome.OK, begun);
+    }
+
+    /** Returns whether an attempt waits for its answer here. */
+    protected final PooledAttempt attempt() {
+        return attempt;
+    }
+
+    /** That answer is over. */
+    protected final void streamed(boolean whole) {
+        streaming = false;
+        boolean clean = whole && !unasked && !decoder.holdsMore();
+        decoder.countAfresh();
+        if (clean && target.ready() && channel.isActive()) {
+            target.pool().release(channel);
+        } else {
+            channel.close();
+        }
+    }
+
     /** Returns whether bytes that nobody waits for end the connection at once. */
     protected boolean minds() {
         return true;
@@ -117,6 +145,8 @@
     public final void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
         if (answer != null) {
             answered();
+        } else if (streaming) {
+            moved();
         } else if (attempt == null) {
             if (decoder.bytes() > 0 && minds()) {
                 // Nobody has asked: what comes next on this connection can't be trusted.
@@ -130,6 +160,9 @@
         super.channelReadComplete(ctx);
     }
 
+    /** More of an answer that is passed on has come. */
+    protected void moved() { }
+
     private void answered() {
         M message = answer;
         PooledAttempt a = attempt;
@@ -201,7 +234,7 @@
 
     @Override
     public final void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
-        if (event instanceof IdleStateEvent && attempt == null) {
+        if (event instanceof IdleStateEvent && attempt == null && !streaming) {
             ctx.close();
         }
         super.userEventTriggered(ctx, event);
--- a/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
+++ b/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
@@ -26,6 +26,11 @@
     /** Makes what is to be written; the channel takes it over. */
     protected abstract Object message(Channel on);
 
+    /** Writes it; the future is done once its last byte has been handed to the network. */
+    protected ChannelFuture send(Channel on) {
+        return on.writeAndFlush(message(on));
+    }
+
     /** It has been written whole. */
     protected void whole() { }
 
@@ -60,9 +65,8 @@
     }
 
     private void write() {
-        Object message = message(channel);
         channel.attr(PooledConnection.KEY).get().begin(this);
-        channel.writeAndFlush(message).addListener(f -> {
+        send(channel).addListener(f -> {
             written = f.isSuccess();
             if (written) {
                 end.written();
--- a/daemon/src/main/java/grebehoist/http/Answers.java
+++ b/daemon/src/main/java/grebehoist/http/Answers.java
@@ -3,8 +3,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -23,6 +25,22 @@
         return answer;
     }
 
+    /**
+     * Begins to pass a backend's long answer on.
+     *
+     * @param chunks whether it goes on in chunks; else its length is told, or its end is the connection's
+     */
+    static HttpResponse begun(AnswerStream served, boolean chunks, boolean keepAlive) {
+        var answer = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        Headers.copyEndToEnd(served.headers(), answer.headers());
+        if (served.length() >= 0) {
+            HttpUtil.setContentLength(answer, served.length());
+        }
+        HttpUtil.setTransferEncodingChunked(answer, chunks);
+        HttpUtil.setKeepAlive(answer, keepAlive);
+        return answer;
+    }
+
     /** Says that trying again is harmless, and when: RFC 9110, 10.2.3, with a fraction as the protocol page allows; never sooner. */
     static FullHttpResponse refused(long retryAfterUs) {
         FullHttpResponse answer = plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "not now; trying again is harmless");
--- a/daemon/src/main/java/grebehoist/http/BackendConnection.java
+++ b/daemon/src/main/java/grebehoist/http/BackendConnection.java
@@ -6,14 +6,25 @@
 import grebehoist.backend.PooledTransport;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 
 /** The reading side of a connection to an HTTP backend. */
-final class BackendConnection extends AttemptConnection<FullHttpResponse> {
-    /** An answer with its head, its padding and what comes ahead of it is never longer than this, in bytes. */
-    private static final long MOST_BYTES = 2 * HttpTransport.MAX_BODY;
+final class BackendConnection extends AttemptConnection<FullHttpResponse> implements AnswerStream.Source {
+    /** An answer that is put together, with its head, its padding and what comes ahead of it, is never longer, in bytes. */
+    private static final long MOST_BYTES = 4 * HttpTransport.MAX_BODY;
+    /** A long answer of which nothing more comes for so long, though it is read, will not be whole. */
+    private static final long SILENT_MS = 5_000;
+
+    private AnswerStream stream;
+    private boolean keeps;
+    private boolean paused;
+    private boolean movedOn;
+    private Future<?> watch;
 
     BackendConnection(PooledTransport.Target target, Channel channel, Framing.Responses decoder) {
         super(target, channel, decoder, MOST_BYTES);
@@ -28,10 +39,68 @@
 
     @Override
     protected Verdict judge(FullHttpResponse response, PooledAttempt of) {
-        // One that began before the request was written whole can't be its answer.
-        boolean sound = response.decoderResult().isSuccess() && of.mayHaveRun();
-        Outcome outcome = HttpOutcomes.ofAnswer(response, sound);
+        boolean readable = response.decoderResult().isSuccess();
+        // One that began before the request was written whole can't be its answer; that it was turned away can be told then.
+        boolean sound = readable && of.mayHaveRun();
+        Outcome outcome = HttpOutcomes.ofAnswer(response, sound, readable);
         return new Verdict(outcome, sound && HttpUtil.isKeepAlive(response),
                 outcome == Outcome.OK ? new HttpAnswer(response.headers(), response.content()) : null);
     }
+
+    /** A long answer has begun. Returns null where it is nobody's, or can't be the answer of the attempt that waits here. */
+    AnswerStream stream(HttpResponse head, long length) {
+        PooledAttempt waiting = attempt();
+        if (waiting == null || !waiting.mayHaveRun()) {
+            return null;
+        }
+        stream = new AnswerStream(head.headers(), length, this);
+        keeps = HttpUtil.isKeepAlive(head) && (length >= 0 || HttpUtil.isTransferEncodingChunked(head));
+        watch = channel().eventLoop().scheduleWithFixedDelay(this::look, SILENT_MS, SILENT_MS, TimeUnit.MILLISECONDS);
+        AnswerStream begun = stream;
+        stream(begun);
+        return begun;
+    }
+
+    @Override
+    protected void moved() {
+        movedOn = true;
+    }
+
+    private void look() {
+        if (!movedOn && !paused) {
+            channel().close();
+        }
+        movedOn = false;
+    }
+
+    @Override
+    public void wanted(boolean more) {
+        paused = !more;
+        movedOn = true;
+        channel().config().setAutoRead(more);
+    }
+
+    @Override
+    public void cancel() {
+        over();
+        channel().close();
+    }
+
+    @Override
+    public void over(boolean whole) {
+        boolean kept = whole && keeps;
+        over();
+        streamed(kept);
+    }
+
+    private void over() {
+        stream = null;
+        if (watch != null) {
+            watch.cancel(false);
+            watch = null;
+        }
+        if (paused) {
+            wanted(true);
+        }
+    }
 }
--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -3,16 +3,17 @@
 import grebehoist.net.ClientFront;
 import grebehoist.net.Sockets;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.CodecException;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -28,12 +29,19 @@
 final class ClientConnection extends ChannelInboundHandlerAdapter implements ClientFront.Connection {
     /** A connection on which nothing is asked for so long is closed. */
     private static final long IDLE_US = 2_200_000;
-    /** A request must have come whole by then, counted from its first byte, a connection's first from the connect. */
-    private static final long WHOLE_US = 2_200_000;
+    /** A head must have come whole by then, counted from its first byte, a connection's first from the connect. */
+    private static final long HEAD_US = 2_400_000;
+    /** A body must have come by then and so much later for each byte: 32 kB a second, half of what slow clients are known for. */
+    private static final long BODY_US = 2_600_000;
+    private static final long US_A_BYTE = 31;
+    /** A long body of which nothing more comes for so long, though it is read, will not be whole. */
+    private static final long SILENT_US = 2_600_000;
     /** A client that takes nothing of its answer for so long has gone. */
     private static final long UNREAD_US = 10_000_000;
     /** After the last answer what else the client sends is dropped, so much and for so long: see {@code hangUp}. */
     private static final long DROPPED = 256 * 1024;
+    /** The rest of a body whose request was answered before its end. */
+    private static final long DROPPED_OF_UPLOAD = HttpTransport.LONGEST_BODY;
     private static final long LINGER_US = 1_000_000;
     /** Long enough that the loop reads on, and sees that a client has left. */
     private static final long LOOK_MS = 2;
@@ -44,10 +52,12 @@
     private final Sockets sockets;
     private final Queue<Exchange> waiting = new ArrayDeque<>();
     private final Framing.Requests decoder = new Framing.Requests();
+    private final RequestAssembler assembler;
     private Channel channel;
     private Exchange exchange;
     private long cameAt;
     private long firstByteAt = -1;
+    private boolean headCame;
     private long lastReadAt;
     /** Since when nothing is open here: the connect, or the last answer. */
     private long idleSince;
@@ -55,6 +65,13 @@
     private FullHttpResponse parting;
     private long partedAt = -1;
     private long dropped;
+    private long mostDropped = DROPPED;
+    /** How much of a long body had come when that was last looked at, and since when no more has. */
+    private long uploaded;
+    private long uploadedAt;
+    /** What the client had yet to take of a long answer when that was last looked at, and since when it has taken nothing. */
+    private long untaken;
+    private long untakenSince;
 
     /**
      * Takes over an accepted connection.
@@ -65,6 +82,7 @@
         this.front = front;
         this.sockets = sockets;
         this.cameAt = cameAt;
+        this.assembler = new RequestAssembler(this, front.largeBodies());
     }
 
     @Override
@@ -72,7 +90,7 @@
         channel = ctx.channel();
         idleSince = front.now();
         front.opened(this);
-        channel.pipeline().addLast(decoder, new HttpResponseEncoder(), new RequestAggregator(this), new Requests());
+        channel.pipeline().addLast(decoder, new HttpResponseEncoder(), assembler, new Failures());
     }
 
     /** A client's patience began when it sent; the nearest to it that can be known is its first byte. */
@@ -82,13 +100,29 @@
             drop((ByteBuf) message);
             return;
         }
-        if (firstByteAt < 0) {
-            firstByteAt = Math.min(cameAt, front.arrivedAt());
-            cameAt = Long.MAX_VALUE;
+        // A request's time counts from its last byte: one that comes slowly is not older for that.
+        lastReadAt = Math.min(cameAt, front.arrivedAt());
+        cameAt = Long.MAX_VALUE;
+        if (firstByteAt < 0 && assembler.upload() == null) {
+            firstByteAt = lastReadAt;
+            headCame = false;
         }
         super.channelRead(ctx, message);
     }
 
+    /** The request that is being read has its head. */
+    void headCame() {
+        headCame = true;
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) throws Exception {
+        if (exchange != null) {
+            exchange.writable(channel.isWritable());
+        }
+        super.channelWritabilityChanged(ctx);
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) throws Exception {
         front.closed(this);
@@ -105,20 +139,54 @@
         super.channelInactive(ctx);
     }
 
-    void request(FullHttpRequest request) {
-        if (parting != null || !channel.isActive()) {
-            request.release();
-            return;
+    /** A body is too long to be held: its request begins with what is there. Returns null where it isn't wanted. */
+    Upload upload(HttpRequest head) {
+        var exchanges = new Exchange[1];
+        var upload = new Upload(channel, HttpUtil.getContentLength(head, -1L), new Upload.Listener() {
+            @Override
+            public void came() {
+                exchanges[0].bodyCame(lastReadAt);
+            }
+
+            @Override
+            public void cutOff() {
+                ClientConnection.this.cutOff(exchanges[0], Answers.plain(HttpResponseStatus.BAD_REQUEST, "not a body that can be read"));
+            }
+        });
+        uploaded = 0;
+        uploadedAt = front.now();
+        exchanges[0] = request(head, Unpooled.EMPTY_BUFFER, upload, null);
+        return exchanges[0] == null ? null : upload;
+    }
+
+    /** A request's body will never be whole. */
+    private void cutOff(Exchange cut, FullHttpResponse answer) {
+        if (exchange == cut) {
+            cut.cutOff(answer);
+        } else if (waiting.remove(cut)) {
+            cut.drop();
+            part(answer);
+        } else {
+            answer.release();
         }
-        if (request.decoderResult().isFailure()) {
-            request.release();
-            part(Answers.plain(HttpResponseStatus.BAD_REQUEST, "not a request that can be read"));
-            return;
+    }
+
+    /**
+     * A request has come.
+     *
+     * @param body the body, which belongs to the request from here on
+     * @param upload the body where it is still coming, else null
+     * @param large where the body has a place among large ones, which belongs to the request from here on as well; else null
+     * @return null where it isn't wanted
+     */
+    Exchange request(HttpRequest head, ByteBuf body, Upload upload, LargeBodies large) {
+        if (parting != null || !channel.isActive()) {
+            body.release();
+            return null;
         }
         // Where several came in one read, all of them came when that read did.
-        lastReadAt = firstByteAt < 0 ? lastReadAt : firstByteAt;
         firstByteAt = -1;
-        var next = new Exchange(front, this, request, lastReadAt);
+        var next = new Exchange(front, this, head, body, upload, large, lastReadAt);
         if (exchange == null) {
             sockets.clientBusy(channel);
             exchange = next;
@@ -126,9 +194,11 @@
         } else if (waiting.size() < PIPELINED) {
             waiting.add(next);
         } else {
-            request.release();
+            body.release();
             part(Answers.plain(HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests at once; these have not been begun"));
+            return null;
         }
+        return next;
     }
 
     /**
@@ -180,10 +250,24 @@
         return exchange == answering;
     }
 
-    ChannelFuture write(FullHttpResponse answer) {
+    ChannelFuture write(HttpObject answer) {
         return channel.writeAndFlush(answer);
     }
 
+    boolean writable() {
+        return channel.isWritable();
+    }
+
+    /** An answer that has begun can't be finished: the client can tell by the end of its connection. */
+    void cutOff() {
+        channel.close();
+    }
+
+    /** Of a request that is answered before its end the rest is read and dropped, so that the client reads its answer. */
+    void dropUpload() {
+        mostDropped = DROPPED_OF_UPLOAD;
+    }
+
     /** Returns whether nothing more is to be answered after the exchange that is under way. */
     boolean last() {
         return waiting.isEmpty() && parting == null;
@@ -205,6 +289,7 @@
     @Override
     public void expire(long now) {
         if (exchange != null) {
+            lookAtStreams(now);
             return;
         }
         if (partedAt >= 0) {
@@ -213,7 +298,8 @@
             }
         } else if (firstByteAt >= 0) {
             // A byte now and then renews nothing: the time is for the whole request.
-            if (now - (used ? firstByteAt : idleSince) > WHOLE_US) {
+            long since = now - (used ? firstByteAt : idleSince);
+            if (since > (headCame ? BODY_US + assembler.heldBytes() * US_A_BYTE : HEAD_US)) {
                 part(Answers.plain(HttpResponseStatus.REQUEST_TIMEOUT, "the request has not come in time"));
             }
         } else if (now - idleSince > (unsent() ? UNREAD_US : IDLE_US)) {
@@ -221,6 +307,28 @@
         }
     }
 
+    /** A long body and a long answer have no time of their own, but they have to move. */
+    private void lookAtStreams(long now) {
+        Upload upload = assembler.upload();
+        if (upload != null) {
+            if (upload.paused() || upload.bytes() != uploaded || !exchange.takes(upload)) {
+                uploaded = upload.bytes();
+                uploadedAt = now;
+            } else if (now - uploadedAt > SILENT_US) {
+                // Its backend has begun with nothing, so this is the one answer, and a repeat is harmless.
+                cutOff(exchange, Answers.plain(HttpResponseStatus.REQUEST_TIMEOUT, "the request has not come in time"));
+                return;
+            }
+        }
+        long left = channel.bytesBeforeWritable();
+        if (left == 0 || left != untaken) {
+            untaken = left;
+            untakenSince = now;
+        } else if (now - untakenSince > UNREAD_US) {
+            channel.close();
+        }
+    }
+
     private boolean unsent() {
         ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
         return out != null && !out.isEmpty();
@@ -249,7 +357,7 @@
         sockets.clientIdle(channel);
         HttpUtil.setKeepAlive(parting, false);
         channel.writeAndFlush(parting).addListener(f -> {
-            if (f.isSuccess() && dropped < DROPPED && channel instanceof SocketChannel socket) {
+            if (f.isSuccess() && dropped < mostDropped && channel instanceof SocketChannel socket) {
                 socket.shutdownOutput();
             } else {
                 channel.close();
@@ -260,7 +368,7 @@
     private void drop(ByteBuf rest) {
         dropped += rest.readableBytes();
         rest.release();
-        if (dropped >= DROPPED) {
+        if (dropped >= mostDropped) {
             if (partedAt >= 0) {
                 channel.close();
             } else {
@@ -269,12 +377,7 @@
         }
     }
 
-    private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            ClientConnection.this.request(request.retain());
-        }
-
+    private final class Failures extends ChannelInboundHandlerAdapter {
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             // A client that goes away, or stops half-way, is nothing to tell the operators.
--- a/daemon/src/main/java/grebehoist/http/Exchange.java
+++ b/daemon/src/main/java/grebehoist/http/Exchange.java
@@ -3,39 +3,62 @@
 import grebehoist.engine.Payload;
 import grebehoist.engine.Request;
 import grebehoist.engine.Responder;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.QueryStringDecoder;
 
 /** A request and its one answer. */
 final class Exchange implements Responder {
     private final HttpFront front;
     private final ClientConnection connection;
-    private final FullHttpRequest request;
-    private final long firstByteAt;
+    private final HttpRequest request;
+    private final ByteBuf body;
+    private final Upload upload;
+    private final LargeBodies large;
+    private final long cameAt;
     private String id;
+    /** How long the client waits, for a request whose end was yet to come. */
+    private long patienceUs;
+    private AnswerStream stream;
+    private boolean dropped;
 
-    Exchange(HttpFront front, ClientConnection connection, FullHttpRequest request, long firstByteAt) {
+    /**
+     * Makes one that is yet to begin.
+     *
+     * @param upload the body where it is still coming, else null
+     * @param large where the body has a place among large ones, else null
+     * @param cameAt when the last of its bytes so far came
+     */
+    Exchange(HttpFront front, ClientConnection connection, HttpRequest request, ByteBuf body, Upload upload, LargeBodies large, long cameAt) {
         this.front = front;
         this.connection = connection;
         this.request = request;
-        this.firstByteAt = firstByteAt;
+        this.body = body;
+        this.upload = upload;
+        this.large = large;
+        this.cameAt = cameAt;
     }
 
     void begin() {
         Request read;
         try {
-            var uri = new QueryStringDecoder(request.uri());
+            String target = RequestReader.originForm(request.uri());
+            var uri = new QueryStringDecoder(target);
             if (uri.rawPath().equals("/ready")) {
                 answer(front.ready() ? Answers.plain(HttpResponseStatus.OK, "ready")
                         : Answers.plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready"));
                 return;
             }
-            read = front.reader().read(request, uri, firstByteAt);
+            read = front.reader().read(request, target, uri, body, upload, cameAt);
+            patienceUs = read.deadlineUs() - cameAt;
         } catch (RequestReader.Rejected e) {
             reject(Answers.plain(e.status(), e.getMessage()));
             return;
@@ -57,9 +80,42 @@
         connection.rejected(answer);
     }
 
+    /** The rest of a long body has come: from now on its client waits for the answer. */
+    void bodyCame(long at) {
+        if (id != null) {
+            front.intake().whole(id, at + patienceUs);
+        }
+    }
+
+    /** Returns whether a long body is this one's. */
+    boolean takes(Upload other) {
+        return upload == other;
+    }
+
+    /** The client has stopped in the middle of its body: what is told is the answer. */
+    void cutOff(FullHttpResponse answer) {
+        String cut = id;
+        id = null;
+        reject(answer);
+        if (cut != null) {
+            front.intake().clientGone(cut);
+        }
+    }
+
+    /** The client takes more of what is passed on, or has enough for now. */
+    void writable(boolean more) {
+        if (stream != null) {
+            stream.wanted(more);
+        }
+    }
+
     @Override
     public void served(Payload answer) {
-        answer(Answers.served((HttpAnswer) answer));
+        if (answer instanceof AnswerStream begun) {
+            pass(begun);
+        } else {
+            answer(Answers.served((HttpAnswer) answer));
+        }
     }
 
     @Override
@@ -72,30 +128,88 @@
         answer(Answers.failed());
     }
 
+    private boolean keepAlive() {
+        return HttpUtil.isKeepAlive(request) && !(front.partsSoon() && connection.last());
+    }
+
     private void answer(FullHttpResponse answer) {
         if (!connection.isCurrent(this)) {
             answer.release();
             return;
         }
-        boolean keepAlive = HttpUtil.isKeepAlive(request) && !(front.partsSoon() && connection.last());
+        if (upload != null && !upload.over()) {
+            connection.dropUpload();
+            reject(answer);
+            return;
+        }
+        boolean keepAlive = keepAlive();
         HttpUtil.setKeepAlive(answer, keepAlive);
         drop();
-        ChannelFuture written = connection.write(answer);
+        done(connection.write(answer), keepAlive);
+    }
+
+    private void done(ChannelFuture written, boolean keepAlive) {
         if (!keepAlive) {
             written.addListener(ChannelFutureListener.CLOSE);
         }
         connection.answered(keepAlive);
     }
 
+    /** Passes a long answer on as it comes. */
+    private void pass(AnswerStream begun) {
+        if (!connection.isCurrent(this)) {
+            begun.release();
+            return;
+        }
+        // Without a length only the end of the connection tells an old client where the answer ends (RFC 9112, 6.3).
+        boolean chunks = begun.length() < 0 && request.protocolVersion().equals(HttpVersion.HTTP_1_1);
+        boolean keepAlive = keepAlive() && (begun.length() >= 0 || chunks);
+        drop();
+        stream = begun;
+        connection.write(Answers.begun(begun, chunks, keepAlive));
+        begun.take(new Assembler.Sink() {
+            @Override
+            public void part(ByteBuf bytes) {
+                connection.write(new DefaultHttpContent(bytes));
+                if (!connection.writable()) {
+                    begun.wanted(false);
+                }
+            }
+
+            @Override
+            public void last() {
+                stream = null;
+                done(connection.write(LastHttpContent.EMPTY_LAST_CONTENT), keepAlive);
+            }
+
+            @Override
+            public void broken() {
+                stream = null;
+                connection.cutOff();
+            }
+        });
+    }
+
     void clientGone() {
         drop();
-        if (id != null) {
+        if (stream != null) {
+            stream.cancel();
+        } else if (id != null) {
             front.intake().clientGone(id);
         }
     }
 
     /** Gives up the request's bytes. */
     void drop() {
-        request.release();
+        if (!dropped) {
+            dropped = true;
+            body.release();
+            if (large != null) {
+                large.give();
+            }
+            if (upload != null) {
+                upload.drop();
+            }
+        }
     }
 }
--- a/daemon/src/main/java/grebehoist/http/Framing.java
+++ b/daemon/src/main/java/grebehoist/http/Framing.java
@@ -3,6 +3,7 @@
 import grebehoist.backend.AttemptConnection;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -13,10 +14,21 @@
  * here: a guess may hide a request in the body of another, or give a client what no backend meant.
  */
 final class Framing {
+    /** Bodies are handed on in pieces of up to so many bytes. */
+    private static final int PIECE = 64 * 1024;
+
     private Framing() { }
 
+    private static HttpDecoderConfig config() {
+        return new HttpDecoderConfig().setMaxChunkSize(PIECE);
+    }
+
     /** Decodes what clients send. */
     static final class Requests extends HttpRequestDecoder {
+        Requests() {
+            super(config());
+        }
+
         @Override
         protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
             throw twoLengths();
@@ -33,6 +45,10 @@
     static final class Responses extends HttpResponseDecoder implements AttemptConnection.Counted {
         private long bytes;
 
+        Responses() {
+            super(config());
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
             bytes += message instanceof ByteBuf read ? read.readableBytes() : 0;
--- a/daemon/src/main/java/grebehoist/http/HttpAttempt.java
+++ b/daemon/src/main/java/grebehoist/http/HttpAttempt.java
@@ -3,11 +3,18 @@
 import grebehoist.backend.PooledAttempt;
 import grebehoist.backend.PooledTransport;
 import grebehoist.engine.Timers;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 
 /** An attempt over HTTP. */
 final class HttpAttempt extends PooledAttempt {
@@ -26,11 +33,80 @@
     protected Object message(Channel on) {
         var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri(),
                 call.body().retainedDuplicate());
-        Headers.copyEndToEnd(call.headers(), request.headers());
-        request.headers().set(Headers.TIMEOUT, Math.max(1, deadlineUs - timers.now()) + "u");
+        fill(request);
         if (!call.method().equals(HttpMethod.GET) || request.content().isReadable()) {
             HttpUtil.setContentLength(request, request.content().readableBytes());
         }
         return request;
     }
+
+    private void fill(HttpRequest request) {
+        Headers.copyEndToEnd(call.headers(), request.headers());
+        request.headers().set(Headers.TIMEOUT, Math.max(1, deadlineUs - timers.now()) + "u");
+    }
+
+    @Override
+    protected ChannelFuture send(Channel on) {
+        if (call.upload() == null) {
+            return super.send(on);
+        }
+        var head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri());
+        fill(head);
+        if (call.upload().length() >= 0) {
+            HttpUtil.setContentLength(head, call.upload().length());
+        } else {
+            HttpUtil.setTransferEncodingChunked(head, true);
+        }
+        var writer = new Writer(on);
+        on.write(head);
+        if (!call.upload().take(writer)) {
+            // What went to another backend is not there any more.
+            throw new IllegalStateException("the body has gone");
+        }
+        on.flush();
+        return writer.whole;
+    }
+
+    /** Writes a body as it comes, and asks for more as the backend takes it. */
+    private final class Writer implements Assembler.Sink {
+        private final Channel on;
+        private final ChannelPromise whole;
+
+        Writer(Channel on) {
+            this.on = on;
+            this.whole = on.newPromise();
+        }
+
+        /** Each piece asks for the next as it goes, so that not even a connection that drains at once is read ahead of. */
+        @Override
+        public void part(ByteBuf bytes) {
+            on.writeAndFlush(new DefaultHttpContent(bytes)).addListener(f -> {
+                if (!f.isSuccess()) {
+                    whole.tryFailure(f.cause());
+                } else if (call.upload().paused() && on.isWritable()) {
+                    call.upload().wanted(true);
+                }
+            });
+            if (!on.isWritable()) {
+                call.upload().wanted(false);
+            }
+        }
+
+        @Override
+        public void last() {
+            on.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(f -> {
+                if (f.isSuccess()) {
+                    whole.trySuccess();
+                } else {
+                    whole.tryFailure(f.cause());
+                }
+            });
+        }
+
+        /** The client has stopped half-way: the backend, which has begun with nothing yet, is told by the end of its connection. */
+        @Override
+        public void broken() {
+            whole.tryFailure(new IllegalStateException("the client has cut its body off"));
+        }
+    }
 }
--- a/daemon/src/main/java/grebehoist/http/HttpFront.java
+++ b/daemon/src/main/java/grebehoist/http/HttpFront.java
@@ -10,8 +10,12 @@
 
 /** One listener for HTTP clients: takes requests in, turns bad ones away, and gives each good one exactly one answer. */
 public final class HttpFront extends ClientFront<ClientConnection> {
+    /** What large bodies that are held may take together, in bytes: a third of what the platform leaves for buffers. */
+    private static final long LARGE_BODIES = 8L * 1024 * 1024;
+
     private final BooleanSupplier ready;
     private final RequestReader reader;
+    private final LargeBodies largeBodies = new LargeBodies(LARGE_BODIES);
 
     /**
      * Makes a front that is yet to listen.
@@ -35,6 +39,10 @@
         return reader;
     }
 
+    LargeBodies largeBodies() {
+        return largeBodies;
+    }
+
     boolean ready() {
         return ready.getAsBoolean() && !turnsAway();
     }
--- a/daemon/src/main/java/grebehoist/http/HttpOutcomes.java
+++ b/daemon/src/main/java/grebehoist/http/HttpOutcomes.java
@@ -10,8 +10,8 @@
  * <caption>Outcomes</caption>
  * <tr><th>what comes back</th><th>outcome</th><th>has it run, and why</th></tr>
  * <tr><td>200, whole, after the request was written whole</td><td>OK</td><td>yes: the backend says so</td></tr>
- * <tr><td>503 or 504 with {@code X-Not-Processed: 1}</td><td>FULL</td><td>never: the backend turned it away and says
- * so; without that header the status is convention and no proof</td></tr>
+ * <tr><td>503 or 504 with {@code X-Not-Processed: 1}, also before the request has gone whole</td><td>FULL</td><td>never: the
+ * backend turned it away and says so; without that header the status is convention and no proof</td></tr>
  * <tr><td>any other whole answer</td><td>ERROR</td><td>may have: an error can come after the effect</td></tr>
  * <tr><td>an answer that can't be read, or began before the request had gone</td><td>ERROR</td><td>may have: something
  * has come back</td></tr>
@@ -25,14 +25,19 @@
 final class HttpOutcomes {
     private HttpOutcomes() { }
 
-    /** Returns the outcome of an answer; {@code sound} if it could be read and came after the whole request had gone. */
-    static Outcome ofAnswer(FullHttpResponse response, boolean sound) {
+    /**
+     * Returns the outcome of an answer.
+     *
+     * @param sound if it could be read and came after the whole request had gone
+     * @param readable if it could be read
+     */
+    static Outcome ofAnswer(FullHttpResponse response, boolean sound, boolean readable) {
         int status = response.status().code();
         if (sound && status == 200) {
             return Outcome.OK;
         }
         boolean turnedAway = (status == 503 || status == 504)
                 && "1".equals(response.headers().get(Headers.NOT_PROCESSED));
-        return sound && turnedAway ? Outcome.FULL : Outcome.ERROR;
+        return readable && turnedAway ? Outcome.FULL : Outcome.ERROR;
     }
 }
--- a/daemon/src/main/java/grebehoist/http/HttpTransport.java
+++ b/daemon/src/main/java/grebehoist/http/HttpTransport.java
@@ -9,15 +9,16 @@
 import grebehoist.net.Network;
 import grebehoist.net.Sockets;
 import io.netty.channel.Channel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.util.concurrent.TimeUnit;
 
 /** The backends of one pool over HTTP/1.1. */
 public final class HttpTransport extends PooledTransport {
-    /** The longest body of a request or an answer, in bytes. */
+    /** The longest body of a request or an answer that is put together before it goes on, in bytes. */
     public static final int MAX_BODY = 64 * 1024;
+    /** The longest that is passed on at all, in bytes. */
+    static final long LONGEST_BODY = 33L * 1024 * 1024;
 
     /**
      * Makes a transport without backends.
@@ -32,8 +33,10 @@
     @Override
     protected PooledConnection connection(Channel channel, Target target) {
         var decoder = new Framing.Responses();
+        var assembler = new AnswerAssembler();
         var connection = new BackendConnection(target, channel, decoder);
-        channel.pipeline().addLast(new HttpRequestEncoder(), decoder, new HttpObjectAggregator(MAX_BODY),
+        assembler.connection(connection);
+        channel.pipeline().addLast(new HttpRequestEncoder(), decoder, assembler,
                 new IdleStateHandler(0, 0, idleUs(), TimeUnit.MICROSECONDS), connection);
         return connection;
     }
--- /dev/null
+++ b/daemon/src/main/java/grebehoist/http/RequestAssembler.java
@@ -0,0 +1,111 @@
+package grebehoist.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+
+/**
+ * Puts a client's requests together, or hands on the long ones. A head that can't be believed is turned away before its body is
+ * waited for, and so is a body that is too long to be passed on at all.
+ */
+final class RequestAssembler extends Assembler<HttpRequest> {
+    private final ClientConnection connection;
+    private final LargeBodies largeBodies;
+    private Upload upload;
+    private boolean large;
+
+    RequestAssembler(ClientConnection connection, LargeBodies largeBodies) {
+        super(HttpRequest.class);
+        this.connection = connection;
+        this.largeBodies = largeBodies;
+    }
+
+    /** Returns the body that is being handed on as it comes, or null. */
+    Upload upload() {
+        return upload != null && !upload.over() ? upload : null;
+    }
+
+    @Override
+    protected boolean begins(ChannelHandlerContext ctx, HttpRequest head) {
+        FullHttpResponse bad = judged(head);
+        if (bad != null) {
+            connection.part(bad);
+            return false;
+        }
+        // RFC 9110, 10.1.1: the client waits for this before it sends its body.
+        if (HttpUtil.is100ContinueExpected(head)) {
+            ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+        connection.headCame();
+        return true;
+    }
+
+    private static FullHttpResponse judged(HttpRequest head) {
+        if (head.decoderResult().isFailure()) {
+            return Answers.plain(HttpResponseStatus.BAD_REQUEST, "not a request that can be read");
+        }
+        List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean plainChunks = codings.size() == 1 && codings.get(0).trim().equalsIgnoreCase("chunked")
+                && head.protocolVersion().equals(HttpVersion.HTTP_1_1);
+        if (!codings.isEmpty() && !plainChunks) {
+            return Answers.plain(HttpResponseStatus.BAD_REQUEST, "a body that is not sent in plain chunks");
+        }
+        String expected = head.headers().get(HttpHeaderNames.EXPECT);
+        if (expected != null && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expected)) {
+            return Answers.plain(HttpResponseStatus.EXPECTATION_FAILED, "nothing but 100-continue can be expected");
+        }
+        return HttpUtil.getContentLength(head, 0L) > HttpTransport.LONGEST_BODY ? tooLong() : null;
+    }
+
+    private static FullHttpResponse tooLong() {
+        return Answers.plain(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is longer than 32 MiB");
+    }
+
+    @Override
+    protected boolean holds(HttpRequest head, int bytes) {
+        if (bytes <= HttpTransport.MAX_BODY) {
+            return true;
+        }
+        long length = HttpUtil.getContentLength(head, -1L);
+        if (bytes > LargeBodies.LONGEST || length > LargeBodies.LONGEST) {
+            return false;
+        }
+        large = large || largeBodies.take();
+        return large;
+    }
+
+    @Override
+    protected void forgets() {
+        if (large) {
+            large = false;
+            largeBodies.give();
+        }
+    }
+
+    @Override
+    protected void whole(ChannelHandlerContext ctx, HttpRequest head, ByteBuf body, DecoderResult result) {
+        if (result.isFailure()) {
+            body.release();
+            connection.part(Answers.plain(HttpResponseStatus.BAD_REQUEST, "not a request that can be read"));
+        } else {
+            Exchange begun = connection.request(head, body, null, large ? largeBodies : null);
+            // From here on it is the request's to give back; one that is not wanted has given up its body.
+            large &= begun == null;
+        }
+    }
+
+    @Override
+    protected Sink streams(ChannelHandlerContext ctx, HttpRequest head) {
+        upload = connection.upload(head);
+        return upload;
+    }
+}
--- a/daemon/src/main/java/grebehoist/http/RequestReader.java
+++ b/daemon/src/main/java/grebehoist/http/RequestReader.java
@@ -3,9 +3,10 @@
 import beechfall.Balancer;
 import grebehoist.engine.Request;
 import grebehoist.net.ClientFront;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.util.HashMap;
@@ -20,6 +21,10 @@
 final class RequestReader {
     private static final Pattern TIMEOUT = Pattern.compile("(\\d{1,8})([mu])");
 
+    private static final long LEAST_COMING_US = 3_000_000;
+    private static final long US_A_BYTE = 31;
+    private static final long MOST_COMING_US = 120_000_000;
+
     private final Map<String, Balancer.Effect> effects = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
 
@@ -43,13 +48,26 @@
         }
     }
 
+    /** Returns the path and query of a target that may be a whole URI (RFC 9112, 3.2.2): what backends are asked for. */
+    static String originForm(String target) {
+        int scheme = target.startsWith("/") ? -1 : target.indexOf("://");
+        if (scheme < 0) {
+            return target;
+        }
+        int path = target.indexOf('/', scheme + 3);
+        return path < 0 ? "/" : target.substring(path);
+    }
+
     /**
      * Reads a request.
      *
-     * @param uri that of the request
-     * @param firstByteAt when its client's patience began, as far as can be known
+     * @param target what is asked for, and what a backend is asked for
+     * @param uri the same, taken apart
+     * @param body the body, as far as it is there
+     * @param upload the body where it goes on as it comes, else null
+     * @param cameAt when its client's patience began, as far as can be known
      */
-    Request read(FullHttpRequest request, QueryStringDecoder uri, long firstByteAt) throws Rejected {
+    Request read(HttpRequest request, String target, QueryStringDecoder uri, ByteBuf body, Upload upload, long cameAt) throws Rejected {
         if (!uri.rawPath().equals("/api") && !uri.rawPath().startsWith("/api/")) {
             throw new Rejected(HttpResponseStatus.NOT_FOUND, "no such path");
         }
@@ -76,10 +94,15 @@
         String requestId = header(headers, Headers.REQUEST_ID);
         List<String> keys = uri.parameters().get("k");
         long patienceUs = patienceUs(header(headers, Headers.TIMEOUT));
-        long deadline = ClientFront.deadline(firstByteAt, patienceUs);
+        long deadline = ClientFront.deadline(cameAt, patienceUs);
         return new Request(requestId, requestClass, tenant, keys == null ? null : keys.get(0),
-                "1".equals(headers.get(Headers.RETRIED)), deadline,
-                new HttpCall(request.method(), request.uri(), headers, request.content()));
+                "1".equals(headers.get(Headers.RETRIED)), deadline, upload == null ? 0 : comingUs(upload),
+                new HttpCall(request.method(), target, headers, body, upload));
+    }
+
+    /** How long the rest of a body may take: a client that keeps it moving is given all the time that it needs, within reason. */
+    private static long comingUs(Upload upload) {
+        return upload.length() < 0 ? MOST_COMING_US : Math.min(MOST_COMING_US, LEAST_COMING_US + upload.length() * US_A_BYTE);
     }
 
     private static String header(HttpHeaders headers, String name) throws Rejected {
--- a/daemon/src/main/java/grebehoist/operations/Operations.java
+++ b/daemon/src/main/java/grebehoist/operations/Operations.java
@@ -88,14 +88,14 @@
         ObjectNode ok = figures.putObject("ok");
         ObjectNode shed = figures.putObject("shed");
         ObjectNode errors = figures.putObject("errors");
-        ObjectNode tries = figures.putObject("tries");
+        long tries = 0;
         for (Map.Entry<String, Tally.Row> row : target.tally.get().rows().entrySet()) {
             ok.put(row.getKey(), row.getValue().served());
             shed.put(row.getKey(), row.getValue().refused());
             errors.put(row.getKey(), row.getValue().failed());
-            tries.put(row.getKey(), row.getValue().attempts());
+            tries += row.getValue().attempts();
         }
-        return figures.put("active", target.active.getAsInt()).put("pool_size", suspensions.listed().size())
+        return figures.put("tries", tries).put("active", target.active.getAsInt()).put("pool_size", suspensions.listed().size())
                 .put("pool_ejected", suspensions.suspendedOfList() + target.avoided.getAsInt())
                 .put("config_applied", applied).put("config_rejected", rejected);
     }
--- a/daemon/src/main/java/grebehoist/operations/StateDirectory.java
+++ b/daemon/src/main/java/grebehoist/operations/StateDirectory.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.DirectoryStream;
 import java.nio.file.FileAlreadyExistsException;
@@ -246,6 +247,9 @@
             return false;
         } catch (NoSuchFileException e) {
             return false;
+        } catch (OverlappingFileLockException e) {
+            // In this very process: two proxies of a test.
+            return true;
         }
     }
 
--- a/daemon/src/main/java/grebehoist/search/World.java
+++ b/daemon/src/main/java/grebehoist/search/World.java
@@ -441,6 +441,11 @@
             return intake.knows(id);
         }
 
+        @Override
+        public void whole(String id, long deadlineUs) {
+            intake.whole(id, deadlineUs);
+        }
+
         @Override
         public void arrived(Request request, Responder responder) {
             intake.arrived(request, new Responder() {
--- a/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
@@ -39,6 +39,8 @@
     private Channel channel;
     private long cameAt;
     private long firstByteAt = -1;
+    /** When what is being read may have come. */
+    private long readAt;
     private long idleSince;
     private long openBytes;
     private long resumedAt;
@@ -77,11 +79,10 @@
             ((ByteBuf) message).release();
             return;
         }
-        if (firstByteAt < 0) {
-            // Time that a call has waited unread is its client's all the same.
-            firstByteAt = Math.min(Math.min(cameAt, front.arrivedAt()), unreadSince < 0 ? Long.MAX_VALUE : unreadSince);
-            cameAt = Long.MAX_VALUE;
-        }
+        // Time that a call has waited unread is its client's all the same.
+        readAt = Math.min(Math.min(cameAt, front.arrivedAt()), unreadSince < 0 ? Long.MAX_VALUE : unreadSince);
+        cameAt = Long.MAX_VALUE;
+        firstByteAt = firstByteAt < 0 ? readAt : firstByteAt;
         reads++;
         // A socket's read that does not fill its buffer has left nothing; channels inside the process put writes together.
         drained = channel instanceof SocketChannel && ((ByteBuf) message).isWritable();
@@ -139,6 +140,9 @@
             frame.release();
             return;
         }
+        // What is held now of the next frame has come with this read: it is not as old as the frame before.
+        firstByteAt = readAt;
+        front.half(this, 0);
         Message message;
         try {
             message = Message.read(frame);
@@ -158,20 +162,21 @@
         openBytes += exchange.bytes();
         front.bytesOpen(exchange.bytes());
         pace();
-        long cameFirst = firstByteAt;
+        // A call's time counts from its last byte, as a request's over HTTP.
+        long came = readAt;
         if (front.catchingUp()) {
-            channel.eventLoop().schedule(() -> begin(exchange, cameFirst), LOOK_MS, TimeUnit.MILLISECONDS);
+            channel.eventLoop().schedule(() -> begin(exchange, came), LOOK_MS, TimeUnit.MILLISECONDS);
         } else {
-            begin(exchange, cameFirst);
+            begin(exchange, came);
         }
     }
 
-    private void begin(ThriftExchange exchange, long cameFirst) {
+    private void begin(ThriftExchange exchange, long came) {
         if (closed || exchange.done()) {
             return;
         }
         try {
-            CallReader.Read read = front.reader().read(exchange.message(), exchange.frame(), cameFirst < 0 ? front.now() : cameFirst);
+            CallReader.Read read = front.reader().read(exchange.message(), exchange.frame(), came);
             if (front.intake().knows(read.request().id())) {
                 exchange.rejected(new CallReader.Rejected(ThriftOutcomes.PROTOCOL_ERROR, false, "a request with this id is being served"));
                 return;
--- /dev/null
+++ b/daemon/src/test/java/grebehoist/cli/OperationsIT.java
@@ -0,0 +1,138 @@
+package grebehoist.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import grebehoist.testkit.Fleet;
+import grebehoist.testkit.Rig;
+import grebehoist.testkit.Witness;
+import grebehoist.testkit.Witness.Count;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Whole processes that operators call at their door, under load, with the witness of the four rules looking on. */
+@Timeout(120)
+class OperationsIT {
+    private static final long S = 1_000_000;
+
+    private static void assertKept(Rig rig) {
+        Witness witness = rig.finish();
+        String verdict = rig.on(witness::verdict);
+        System.out.println(verdict);
+        assertThat(rig.on(witness::violations)).as(verdict).isEmpty();
+    }
+
+    private static long attempts(ProxyProcess proxy) throws IOException {
+        return proxy.figures().path("tries").asLong();
+    }
+
+    /** Rule 3 holds from the yes on, and rule 4 when it comes back, restarted, before discovery has heard of that. */
+    @Test
+    void aBackendIsTakenOutAndPutBack() throws Exception {
+        try (var rig = ProcessIT.rig(); var proxy = ProxyProcess.on(rig, new ProxyProcess("n0", ProcessIT.settings(0)).withDoor())) {
+            rig.load(3, 60 * S);
+            rig.awaitServed(200);
+            Fleet.Machine out = rig.fleet().staying().get(0);
+            assertThat(proxy.call("POST", "/v1/backends/nobody/suspend")).isEqualTo(404);
+            assertThat(proxy.call("POST", "/v1/backends/" + out.id() + "/suspend")).isEqualTo(200);
+            rig.run(() -> rig.witness().told(0, out.id(), false, rig.now()));
+            assertThat(proxy.call("POST", "/v1/backends/" + out.id() + "/suspend")).isEqualTo(200);
+            rig.awaitServed(300);
+            assertThat(proxy.figures().path("pool_ejected").asInt()).isEqualTo(1);
+            assertThat(proxy.figures().path("pool_size").asInt()).isEqualTo(5);
+            rig.run(() -> rig.witness().told(0, out.id(), true, rig.now()));
+            long before = rig.on(() -> out.backend().runs());
+            assertThat(proxy.call("POST", "/v1/backends/" + out.id() + "/resume")).isEqualTo(200);
+            rig.await("it is used again", () -> out.backend().runs() > before);
+            assertThat(proxy.figures().path("pool_ejected").asInt()).isZero();
+            assertKept(rig);
+        }
+    }
+
+    @Test
+    void theFiguresAreTrue() throws Exception {
+        try (var rig = ProcessIT.rig(); var proxy = ProxyProcess.on(rig, new ProxyProcess("n0", ProcessIT.settings(0)).withDoor())) {
+            rig.load(4, 60 * S);
+            rig.awaitServed(500);
+            rig.finish();
+            JsonNode figures = proxy.figures();
+            assertThat(sum(figures.path("ok"))).isEqualTo(rig.on(() -> rig.witness().count(Count.SERVED)));
+            assertThat(sum(figures.path("shed"))).isEqualTo(rig.on(() -> rig.witness().count(Count.REFUSED)));
+            assertThat(figures.path("active").asInt()).isZero();
+            long attempts = rig.on(() -> rig.witness().count(Count.ATTEMPTS));
+            assertThat(figures.path("tries").asLong()).isBetween(attempts * 98 / 100 - 3, attempts * 102 / 100 + 3);
+        }
+    }
+
+    private static long sum(JsonNode byClass) {
+        long sum = 0;
+        for (JsonNode of : byClass) {
+            sum += of.asLong();
+        }
+        return sum;
+    }
+
+    /** A drained proxy says so, lets go of its clients, and serves again as soon as it is told to. */
+    @Test
+    void clientsAreSentAwayAndComeBack() throws Exception {
+        try (var rig = ProcessIT.rig(); var first = ProxyProcess.on(rig, new ProxyProcess("n0", ProcessIT.settings(0)).withDoor());
+                var second = ProxyProcess.on(rig, "n1", ProcessIT.settings(1))) {
+            rig.load(3, 60 * S);
+            rig.awaitServed(200);
+            assertThat(first.call("POST", "/v1/proxy/drain")).isEqualTo(200);
+            assertThat(ProxyProcess.ready(first.address())).isFalse();
+            rig.later(rig.now() + S / 5, () -> rig.avoid(0, true));
+            try (var idle = Wire.to(first.address())) {
+                assertThat(idle.endedQuietly()).as("nobody stays connected").isTrue();
+            }
+            rig.awaitServed(200);
+            assertThat(first.figures().path("active").asInt()).isZero();
+            assertThat(first.alive()).isTrue();
+            assertThat(first.call("POST", "/v1/proxy/activate")).isEqualTo(200);
+            assertThat(ProxyProcess.ready(first.address())).isTrue();
+            long before = attempts(first);
+            rig.avoid(0, false);
+            rig.awaitServed(200);
+            assertThat(attempts(first)).isGreaterThan(before);
+            assertThat(second.alive()).isTrue();
+            assertKept(rig);
+        }
+    }
+
+    /** Nobody is turned away while a new version takes the old one's place, and what operators have asked for holds. */
+    @Test
+    void aNewVersionTakesOverUnderLoad() throws Exception {
+        try (var rig = ProcessIT.rig(); var old = ProxyProcess.on(rig, new ProxyProcess("n0", ProcessIT.settings(0)).withDoor());
+                var young = old.newVersion()) {
+            rig.load(3, 60 * S);
+            rig.awaitServed(200);
+            Fleet.Machine out = rig.fleet().staying().get(0);
+            assertThat(old.call("POST", "/v1/backends/" + out.id() + "/suspend")).isEqualTo(200);
+            rig.run(() -> rig.witness().told(0, out.id(), false, rig.now()));
+            InetSocketAddress discovery = rig.discoveryOfNextProxy();
+            young.configure(discovery, rig.on(rig.discovery()::known)).start();
+            rig.await("the new version says that it can serve", () -> {
+                try {
+                    return young.call("GET", "/v1/readyz") == 200;
+                } catch (IOException e) {
+                    return false;
+                }
+            });
+            Fleet.Machine another = rig.fleet().staying().get(1);
+            assertThat(young.call("POST", "/v1/backends/" + another.id() + "/suspend")).as("both hear of it").isEqualTo(200);
+            rig.run(() -> rig.witness().told(0, another.id(), false, rig.now()));
+            rig.awaitServed(100);
+            assertThat(old.figures().path("pool_ejected").asInt()).isEqualTo(2);
+            old.signal("TERM");
+            assertThat(old.awaitEnd()).isZero();
+            assertThat(old.log()).contains("handing over");
+            rig.awaitServed(300);
+            assertThat(young.figures().path("pool_ejected").asInt()).isEqualTo(2);
+            assertThat(young.call("POST", "/v1/backends/" + another.id() + "/resume")).isEqualTo(200);
+            assertThat(young.figures().path("pool_ejected").asInt()).isEqualTo(1);
+            assertKept(rig);
+        }
+    }
+}
--- a/daemon/src/test/java/grebehoist/search/BrokenProxyTest.java
+++ b/daemon/src/test/java/grebehoist/search/BrokenProxyTest.java
@@ -223,6 +223,11 @@
             to.arrived(request, responder(responder));
         }
 
+        @Override
+        public void whole(String id, long deadlineUs) {
+            to.whole(id, deadlineUs);
+        }
+
         @Override
         public void clientGone(String id) {
             to.clientGone(id);
--- a/daemon/src/test/java/grebehoist/thrift/ThriftProxyTest.java
+++ b/daemon/src/test/java/grebehoist/thrift/ThriftProxyTest.java
@@ -524,6 +524,29 @@
         }
     }
 
+    /** A good client whose reads always end in mid-frame: each call is as old as its own last byte, and the connection stays. */
+    @Test
+    void aClientThatSplitsItsCallsIsServedOn() throws Exception {
+        try (var proxy = new ThriftFixture((event, actions) -> {
+            if (event instanceof Arrival a) {
+                actions.accept(new Refuse(a.id(), 0));
+            }
+        }, IN_ORDER); var client = FrameWire.to(proxy.address)) {
+            byte[] frame = FrameWire.framed(call("readA", 1));
+            int half = frame.length / 2;
+            client.raw(Arrays.copyOf(frame, half));
+            byte[] across = Arrays.copyOf(Arrays.copyOfRange(frame, half, frame.length), frame.length);
+            System.arraycopy(frame, 0, across, frame.length - half, half);
+            long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(2_600);
+            while (System.nanoTime() - until < 0) {
+                Thread.sleep(50);
+                client.raw(across);
+                assertThat(proxy.next(Arrival.class).leftUs()).isGreaterThan(1_000_000);
+                assertThat(head(client.read()).type()).isEqualTo(Message.EXCEPTION);
+            }
+        }
+    }
+
     /** Whoever began first is cut off, with a reply to what it had asked before; all that they held is let go. */
     @Test
     void halfFramesTakeNoMoreMemoryThanTheyMay() throws Exception {
