Two processes of one proxy share what it may send; long bodies that wait keep their deadline

Need: while an upgrade runs, two decision modules act for one proxy, and each took the whole of its limit and of its cold budget (rule 4). Second read: a long body that was read ahead counted as still coming when its turn came, so its answer could be minutes late (rule 1); a 100 Continue could be written into the middle of another answer; a refused upload was reset after 256 KiB. Change: Balancer.Acting tells the module its part (the leaving process 0.25 from SIGTERM on, the newer one 0.75 until it is alone).

--- a/core/src/main/java/beechfall/Balancer.java
+++ b/core/src/main/java/beechfall/Balancer.java
@@ -118,7 +118,8 @@
     }
 
     /** Something that happened to the proxy. */
-    sealed interface Event permits Members, Arrival, StreamStarted, AttemptEnded, ClientGone, TimerFired, ProbeEnded { }
+    sealed interface Event permits Members, Arrival, StreamStarted, AttemptEnded, ClientGone, TimerFired, ProbeEnded,
+            Acting { }
 
     /** News of the server list. A backend missing from a full list is gone. */
     record Members(ListKind kind, List<Backend> backends) implements Event { }
@@ -151,6 +152,18 @@
     /** The result of a probe. */
     record ProbeEnded(String backend, Outcome outcome, long latencyUs) implements Event { }
 
+    /**
+     * From now on this instance acts for a part of one balancer, and another one for the rest: two processes serve as one proxy
+     * while one of them takes the other's place. Rule 4 and what backends bear count all balancers together.
+     *
+     * @param part above 0, at most 1, which it is at the start
+     */
+    record Acting(double part) implements Event {
+        public Acting {
+            require(part > 0 && part <= 1, "part of a balancer");
+        }
+    }
+
     /** Something the proxy is to do. */
     sealed interface Action permits Send, Refuse, Fail, Cancel, Release, SetTimer, Probe, Watch, Fetch, Log { }
 
--- a/core/src/main/java/beechfall/Policy.java
+++ b/core/src/main/java/beechfall/Policy.java
@@ -68,6 +68,7 @@
     private final List<Request> held = new ArrayList<>();
     private double room;
     private double spare;
+    private double acting = 1;
     private double refused;
     private double errorShare;
     private long spareAt;
@@ -173,6 +174,8 @@
             ask();
         } else if (event instanceof Members e) {
             members(e);
+        } else if (event instanceof Acting e) {
+            acting = e.part();
         } else if (event instanceof ClientGone e && requests.containsKey(e.id())) {
             close(requests.get(e.id()));
         }
@@ -461,7 +464,7 @@
         }
         double requestUs = s.kind().samples() > 0 ? s.kind().meanUs() : settings.classes().get(0).aimUs();
         double perUs = Math.max(1 / (requestUs * settings.balancers()), borne * s.weight() * order.size());
-        double budgetPerUs = COLD_MARGIN * rules.fallMultiple() * warmth * perUs;
+        double budgetPerUs = acting * COLD_MARGIN * rules.fallMultiple() * warmth * perUs;
         return s.fillColdTokens(0.75 * budgetPerUs, Math.max(1, budgetPerUs * rules.fallUs() / 4), now);
     }
 
@@ -469,7 +472,7 @@
     private double crowd() {
         double byRate = answerRate() * Math.max(crowdUs, BUSY * idleUs);
         // With less than a backend to itself, a proxy tells a crowd from bad luck by how much it refuses.
-        double share = order.size() / (double) settings.balancers();
+        double share = acting * order.size() / settings.balancers();
         double cores = Math.min(CROWD_FLOOR, Math.max(1, borne * settings.balancers() * idleUs));
         return Math.max(byRate, share * (CROWD_FLOOR + (share < 1 ? cores * (1 - refused) - refused : 0)));
     }
--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -58,6 +58,11 @@
         source = members;
     }
 
+    /** Tells the module that it acts for a part of one balancer from now on. */
+    public void act(double part) {
+        deliver(new Balancer.Acting(part));
+    }
+
     /** Returns the number of requests that still want an answer or have attempts out. */
     public int open() {
         return open.size();
--- a/core/src/test/java/beechfall/CrowdTest.java
+++ b/core/src/test/java/beechfall/CrowdTest.java
@@ -34,6 +34,23 @@
         assertThat(sent + refused).isLessThan(100);
     }
 
+    /** What backends may have out is for all processes of a proxy together, from the moment that the module hears of the other. */
+    @Test
+    void twoThatActForOneShareTheLimit() {
+        var both = new ArrayList<Long>();
+        for (double part : new double[] {1, 0.75, 0.25}) {
+            var p = new Proxy();
+            p.list(backend("a"), backend("b"), backend("c"), backend("d"));
+            p.feed(new Balancer.Acting(part));
+            for (int i = 0; i < 100; i++) {
+                p.arrive(READ);
+            }
+            both.add(p.actions.stream().filter(a -> a instanceof Send).count());
+        }
+        assertThat(both.get(0)).isEqualTo(12);
+        assertThat(both.get(1) + both.get(2)).isEqualTo(12);
+    }
+
     @Test
     void theDearestHeldRequestGoesFirst() {
         proxy.list(backend("a"));
--- a/core/src/test/java/beechfall/RulesTest.java
+++ b/core/src/test/java/beechfall/RulesTest.java
@@ -380,8 +380,16 @@
             return sent;
         }
 
+        /** Two processes serve as one proxy: what both send a cold backend is what one proxy may. */
         @Test
-        void oneOfManyProxiesMayStillSendItWhatItsLikeBear() {
+        void twoThatActForOneSendItNoMoreThanOne() {
+            int alone = toColdOf(1);
+            int both = toColdOf(0.75) + toColdOf(0.25);
+            assertThat(toColdOf(0.25)).isLessThan(toColdOf(0.75)).isPositive();
+            assertThat(both).isBetween(alone - 4, alone + 4);
+        }
+
+        private static int toColdOf(double part) {
             var p = new Proxy(new Balancer.Settings(9, 3, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, 1));
             var backends = new Balancer.Backend[4];
             for (int i = 0; i < 4; i++) {
@@ -391,12 +399,19 @@
             for (int i = 0; i < 3000; i++) {
                 p.serve(READ, 10 * MS);
             }
+            p.feed(new Balancer.Acting(part));
             backends[3] = Proxy.started("s3", p.now);
             p.list(backends);
             int toCold = 0;
             for (int i = 0; i < 200; i++) {
                 toCold += p.serve(READ, 10 * MS).equals("s3") ? 1 : 0;
             }
+            return toCold;
+        }
+
+        @Test
+        void oneOfManyProxiesMayStillSendItWhatItsLikeBear() {
+            int toCold = toColdOf(1);
             // Its like bear 25 a second for this proxy; in two seconds, at 40% to 55% warmth, 0.4 of 4 times that.
             assertThat(toCold).isBetween(15, 44);
         }
--- a/daemon/src/main/java/grebehoist/cli/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -48,6 +48,8 @@
     /** An upgraded process is used for so long on the connections that it has, each of which ends with its next answer. */
     private static final long HANDED_OVER_MS = 1_000;
     private static final long HEARD_MS = 2_000;
+    /** So much of one proxy the process acts for that is handing over. */
+    private static final double LEAVING = 0.25;
 
     /** A listener and where it is to listen. */
     private record Listener(String name, Pool pool, Front front, InetSocketAddress address) { }
@@ -62,6 +64,9 @@
     /** Null where the platform names no door for operators. */
     private final Operations operations;
     private volatile boolean succeeded;
+    /** Used by the loop's thread alone: how much of one proxy this process acts for, and whether that is settled. */
+    private double acting = 1;
+    private boolean leaving;
     /** Added to by the main thread, and read by the loop's and by signals'. */
     private final List<Pool> pools = new CopyOnWriteArrayList<>();
     private final List<Listener> listeners = new CopyOnWriteArrayList<>();
@@ -267,11 +272,20 @@
         }
     }
 
+    /** What both send together is what one proxy may (rule 4), and the clients are with the newer one soon. */
+    private void act(double part) {
+        if (part != acting && !leaving) {
+            acting = part;
+            pools.get(0).act(part);
+        }
+    }
+
     /** Two processes of one proxy share its descriptors: each has half of them while both live. */
     private void companions(StateDirectory.Shared shared) {
         int limit = config.sockets() - Door.MOST_CALLERS;
         host.sockets().limit(Math.max(LEAST_SOCKETS, limit / (1 + shared.others())));
         succeeded = shared.newer();
+        act(shared.others() > 0 && !shared.newer() ? 1 - LEAVING : 1);
     }
 
     /** Adds a pool beside those that are there, and begins it. */
@@ -343,6 +357,8 @@
             log.line(name + (handsOver ? ": handing over to the process that has come up beside this one" : ": draining"));
             listeners.forEach(l -> l.front().closeAfterAnswers());
             if (handsOver) {
+                act(LEAVING);
+                leaving = true;
                 listeners.forEach(l -> l.front().handOver(() -> log.line(name + ": listens no more")));
             }
         });
--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -43,6 +43,7 @@
     /** The rest of a body whose request was answered before its end. */
     private static final long DROPPED_OF_UPLOAD = HttpTransport.LONGEST_BODY;
     private static final long LINGER_US = 1_000_000;
+    private static final long LINGER_OF_UPLOAD_US = 6_000_000;
     /** Long enough that the loop reads on, and sees that a client has left. */
     private static final long LOOK_MS = 2;
     /** Requests read ahead on one connection; clients send one at a time, so more is not worth memory. */
@@ -66,6 +67,7 @@
     private long partedAt = -1;
     private long dropped;
     private long mostDropped = DROPPED;
+    private long lingerUs = LINGER_US;
     /** How much of a long body had come when that was last looked at, and since when no more has. */
     private long uploaded;
     private long uploadedAt;
@@ -105,14 +107,14 @@
         cameAt = Long.MAX_VALUE;
         if (firstByteAt < 0 && assembler.upload() == null) {
             firstByteAt = lastReadAt;
-            headCame = false;
         }
         super.channelRead(ctx, message);
     }
 
-    /** The request that is being read has its head. */
-    void headCame() {
+    /** The request that is being read has its head. Returns whether nothing else is being answered, nor waits for that. */
+    boolean headCame() {
         headCame = true;
+        return exchange == null;
     }
 
     @Override
@@ -186,6 +188,7 @@
         }
         // Where several came in one read, all of them came when that read did.
         firstByteAt = -1;
+        headCame = false;
         var next = new Exchange(front, this, head, body, upload, large, lastReadAt);
         if (exchange == null) {
             sockets.clientBusy(channel);
@@ -266,6 +269,7 @@
     /** Of a request that is answered before its end the rest is read and dropped, so that the client reads its answer. */
     void dropUpload() {
         mostDropped = DROPPED_OF_UPLOAD;
+        lingerUs = LINGER_OF_UPLOAD_US;
     }
 
     /** Returns whether nothing more is to be answered after the exchange that is under way. */
@@ -293,7 +297,7 @@
             return;
         }
         if (partedAt >= 0) {
-            if (now - partedAt > LINGER_US) {
+            if (now - partedAt > lingerUs) {
                 channel.close();
             }
         } else if (firstByteAt >= 0) {
--- a/daemon/src/main/java/grebehoist/http/Exchange.java
+++ b/daemon/src/main/java/grebehoist/http/Exchange.java
@@ -76,6 +76,9 @@
 
     /** The connection ends with this: on one that is kept, rubbish would come again at the speed of its answers. */
     private void reject(FullHttpResponse answer) {
+        if (upload != null && !upload.over()) {
+            connection.dropUpload();
+        }
         drop();
         connection.rejected(answer);
     }
@@ -138,7 +141,6 @@
             return;
         }
         if (upload != null && !upload.over()) {
-            connection.dropUpload();
             reject(answer);
             return;
         }
--- a/daemon/src/main/java/grebehoist/http/RequestAssembler.java
+++ b/daemon/src/main/java/grebehoist/http/RequestAssembler.java
@@ -41,11 +41,10 @@
             connection.part(bad);
             return false;
         }
-        // RFC 9110, 10.1.1: the client waits for this before it sends its body.
-        if (HttpUtil.is100ContinueExpected(head)) {
+        // RFC 9110, 10.1.1: the client waits for this before it sends its body. In the middle of another answer it would be part of it.
+        if (connection.headCame() && HttpUtil.is100ContinueExpected(head)) {
             ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
-        connection.headCame();
         return true;
     }
 
--- a/daemon/src/main/java/grebehoist/http/RequestReader.java
+++ b/daemon/src/main/java/grebehoist/http/RequestReader.java
@@ -96,7 +96,7 @@
         long patienceUs = patienceUs(header(headers, Headers.TIMEOUT));
         long deadline = ClientFront.deadline(cameAt, patienceUs);
         return new Request(requestId, requestClass, tenant, keys == null ? null : keys.get(0),
-                "1".equals(headers.get(Headers.RETRIED)), deadline, upload == null ? 0 : comingUs(upload),
+                "1".equals(headers.get(Headers.RETRIED)), deadline, upload == null || upload.over() ? 0 : comingUs(upload),
                 new HttpCall(request.method(), target, headers, body, upload));
     }
 
--- a/daemon/src/main/java/grebehoist/pool/Pool.java
+++ b/daemon/src/main/java/grebehoist/pool/Pool.java
@@ -143,6 +143,11 @@
         return module instanceof Policy policy ? (int) policy.view().stream().filter(Policy.View::avoided).count() : 0;
     }
 
+    /** This process acts for a part of one proxy from now on, and another one for the rest. */
+    public void act(double part) {
+        engine.act(part);
+    }
+
     /** Asks discovery at another address from now on. */
     public void moveTo(InetSocketAddress discoveryAt) {
         discovery.moveTo(discoveryAt);
--- a/daemon/src/test/java/grebehoist/http/LongMessagesTest.java
+++ b/daemon/src/test/java/grebehoist/http/LongMessagesTest.java
@@ -153,6 +153,27 @@
         }
     }
 
+    /** Rule 1, and for what was read ahead: its end had come before it began, so its deadline is that of any request. */
+    @Test
+    void aLongBodyThatWaitedItsTurnIsAnsweredInTime() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = attempt(backend);
+            String body = "fff0\r\n" + "x".repeat(65_520) + "\r\n";
+            client.send(Fixture.post("r2", "").replace("Content-Length: 0", "Transfer-Encoding: chunked\r\nExpect: 100-continue")
+                    + body.repeat(5) + "0\r\n\r\n");
+            attempt.send("HTTP/1.1 200 OK\r\nContent-Length: 163840\r\n\r\n" + PIECE.repeat(10));
+            assertThat(client.head().status()).isEqualTo(200);
+            assertThat(client.body(163_840)).as("and nothing in between").isEqualTo(PIECE.repeat(10));
+            Wire second = backend.accept();
+            second.head();
+            assertThat(second.chunks()).hasSize(5 * 65_520);
+            long from = System.nanoTime();
+            assertThat(client.read().status()).isEqualTo(502);
+            assertThat(System.nanoTime() - from).isLessThan(5_000_000_000L);
+        }
+    }
+
     /** A slow client's body is held, and costs no backend a place until it is whole. */
     @Test
     void aSlowBodyIsHeldUntilItIsWhole() throws Exception {
