One bound in bytes for all bodies that are held; past it they are handed on

Need: only bodies over 64 KiB were counted; 600 slow clients with a little less each held 38 MB and more, where buffers have 24 MB.

--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -84,7 +84,7 @@
         this.front = front;
         this.sockets = sockets;
         this.cameAt = cameAt;
-        this.assembler = new RequestAssembler(this, front.largeBodies());
+        this.assembler = new RequestAssembler(this, front.heldBodies());
     }
 
     @Override
@@ -157,7 +157,7 @@
         });
         uploaded = 0;
         uploadedAt = front.now();
-        exchanges[0] = request(head, Unpooled.EMPTY_BUFFER, upload, null);
+        exchanges[0] = request(head, Unpooled.EMPTY_BUFFER, upload);
         return exchanges[0] == null ? null : upload;
     }
 
@@ -178,10 +178,9 @@
      *
      * @param body the body, which belongs to the request from here on
      * @param upload the body where it is still coming, else null
-     * @param large where the body has a place among large ones, which belongs to the request from here on as well; else null
      * @return null where it isn't wanted
      */
-    Exchange request(HttpRequest head, ByteBuf body, Upload upload, LargeBodies large) {
+    Exchange request(HttpRequest head, ByteBuf body, Upload upload) {
         if (parting != null || !channel.isActive()) {
             body.release();
             return null;
@@ -189,7 +188,7 @@
         // Where several came in one read, all of them came when that read did.
         firstByteAt = -1;
         headCame = false;
-        var next = new Exchange(front, this, head, body, upload, large, lastReadAt);
+        var next = new Exchange(front, this, head, body, upload, lastReadAt);
         if (exchange == null) {
             sockets.clientBusy(channel);
             exchange = next;
@@ -197,7 +196,7 @@
         } else if (waiting.size() < PIPELINED) {
             waiting.add(next);
         } else {
-            body.release();
+            next.drop();
             part(Answers.plain(HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests at once; these have not been begun"));
             return null;
         }
--- a/daemon/src/main/java/grebehoist/http/Exchange.java
+++ b/daemon/src/main/java/grebehoist/http/Exchange.java
@@ -22,7 +22,8 @@
     private final HttpRequest request;
     private final ByteBuf body;
     private final Upload upload;
-    private final LargeBodies large;
+    /** The length of the body, as long as it counts as held. */
+    private final int held;
     private final long cameAt;
     private String id;
     /** How long the client waits, for a request whose end was yet to come. */
@@ -34,17 +35,17 @@
      * Makes one that is yet to begin.
      *
      * @param upload the body where it is still coming, else null
-     * @param large where the body has a place among large ones, else null
      * @param cameAt when the last of its bytes so far came
      */
-    Exchange(HttpFront front, ClientConnection connection, HttpRequest request, ByteBuf body, Upload upload, LargeBodies large, long cameAt) {
+    Exchange(HttpFront front, ClientConnection connection, HttpRequest request, ByteBuf body, Upload upload, long cameAt) {
         this.front = front;
         this.connection = connection;
         this.request = request;
         this.body = body;
         this.upload = upload;
-        this.large = large;
+        this.held = body.readableBytes();
         this.cameAt = cameAt;
+        front.heldBodies().add(held);
     }
 
     void begin() {
@@ -206,9 +207,7 @@
         if (!dropped) {
             dropped = true;
             body.release();
-            if (large != null) {
-                large.give();
-            }
+            front.heldBodies().add(-held);
             if (upload != null) {
                 upload.drop();
             }
--- a/daemon/src/main/java/grebehoist/http/HttpFront.java
+++ b/daemon/src/main/java/grebehoist/http/HttpFront.java
@@ -10,12 +10,12 @@
 
 /** One listener for HTTP clients: takes requests in, turns bad ones away, and gives each good one exactly one answer. */
 public final class HttpFront extends ClientFront<ClientConnection> {
-    /** What large bodies that are held may take together, in bytes: a third of what the platform leaves for buffers. */
-    private static final long LARGE_BODIES = 8L * 1024 * 1024;
+    /** What bodies that are held may take together, in bytes: half of what the platform leaves for buffers. */
+    private static final long HELD_BODIES = 12L * 1024 * 1024;
 
     private final BooleanSupplier ready;
     private final RequestReader reader;
-    private final LargeBodies largeBodies = new LargeBodies(LARGE_BODIES);
+    private final HeldBodies heldBodies = new HeldBodies(HELD_BODIES);
 
     /**
      * Makes a front that is yet to listen.
@@ -39,8 +39,8 @@
         return reader;
     }
 
-    LargeBodies largeBodies() {
-        return largeBodies;
+    HeldBodies heldBodies() {
+        return heldBodies;
     }
 
     boolean ready() {
--- a/daemon/src/main/java/grebehoist/http/RequestAssembler.java
+++ b/daemon/src/main/java/grebehoist/http/RequestAssembler.java
@@ -19,14 +19,15 @@
  */
 final class RequestAssembler extends Assembler<HttpRequest> {
     private final ClientConnection connection;
-    private final LargeBodies largeBodies;
+    private final HeldBodies heldBodies;
     private Upload upload;
-    private boolean large;
+    /** How much of the body that is being put together is counted as held. */
+    private int counted;
 
-    RequestAssembler(ClientConnection connection, LargeBodies largeBodies) {
+    RequestAssembler(ClientConnection connection, HeldBodies heldBodies) {
         super(HttpRequest.class);
         this.connection = connection;
-        this.largeBodies = largeBodies;
+        this.heldBodies = heldBodies;
     }
 
     /** Returns the body that is being handed on as it comes, or null. */
@@ -71,23 +72,20 @@
 
     @Override
     protected boolean holds(HttpRequest head, int bytes) {
-        if (bytes <= HttpTransport.MAX_BODY) {
-            return true;
-        }
-        long length = HttpUtil.getContentLength(head, -1L);
-        if (bytes > LargeBodies.LONGEST || length > LargeBodies.LONGEST) {
-            return false;
-        }
-        large = large || largeBodies.take();
-        return large;
+        count(bytes);
+        // One that is known to become too long is not held any further than a short one.
+        boolean tooLong = bytes > HttpTransport.MAX_BODY && HttpUtil.getContentLength(head, -1L) > HeldBodies.LONGEST;
+        return !tooLong && heldBodies.mayHold(bytes);
+    }
+
+    private void count(int bytes) {
+        heldBodies.add(bytes - counted);
+        counted = bytes;
     }
 
     @Override
     protected void forgets() {
-        if (large) {
-            large = false;
-            largeBodies.give();
-        }
+        count(0);
     }
 
     @Override
@@ -96,9 +94,7 @@
             body.release();
             connection.part(Answers.plain(HttpResponseStatus.BAD_REQUEST, "not a request that can be read"));
         } else {
-            Exchange begun = connection.request(head, body, null, large ? largeBodies : null);
-            // From here on it is the request's to give back; one that is not wanted has given up its body.
-            large &= begun == null;
+            connection.request(head, body, null);
         }
     }
 
