--- a/daemon/src/main/java/grebehoist/backend/AttemptConnection.java
+++ b/daemon/src/main/java/grebehoist/backend/AttemptConnection.java
@@ -108,7 +108,12 @@
     /** That answer is over. */
     protected final void streamed(boolean whole) {
         streaming = false;
-        boolean clean = whole && !unasked && !decoder.holdsMore();
+        putBack(whole);
+    }
+
+    /** Into the pool again, if it can be trusted with another attempt and brought nothing but what was asked for. */
+    private void putBack(boolean reusable) {
+        boolean clean = reusable && !unasked && !decoder.holdsMore();
         decoder.countAfresh();
         if (clean && target.ready() && channel.isActive()) {
             target.pool().release(channel);
@@ -170,14 +175,8 @@
         attempt = null;
         stopAwaiting();
         Verdict verdict = judge(message, a);
-        boolean clean = verdict.reusable() && !unasked && !decoder.holdsMore();
-        decoder.countAfresh();
         // Back into the pool before the module hears: what it sends next may find no room for another.
-        if (clean && target.ready()) {
-            target.pool().release(channel);
-        } else {
-            channel.close();
-        }
+        putBack(verdict.reusable());
         if (verdict.answer() == null) {
             ReferenceCountUtil.release(message);
         }
--- a/daemon/src/main/java/grebehoist/http/Assembler.java
+++ b/daemon/src/main/java/grebehoist/http/Assembler.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
@@ -54,11 +53,6 @@
     /** What was held of a message has been handed on, or dropped. */
     protected void forgets() { }
 
-    /** Returns whether a message is being put together. */
-    final boolean holdsPart() {
-        return head != null && sink == null;
-    }
-
     /** Returns how many bytes of a body are held. */
     final int heldBytes() {
         return held == null ? 0 : held.readableBytes();
@@ -115,7 +109,7 @@
         ByteBuf body = held == null ? Unpooled.EMPTY_BUFFER : held;
         held = null;
         head = null;
-        whole(ctx, message, body, bad ? content.decoderResult() : ((HttpObject) message).decoderResult());
+        whole(ctx, message, body, bad ? content.decoderResult() : message.decoderResult());
         forgets();
     }
 
--- a/daemon/src/main/java/grebehoist/http/BackendConnection.java
+++ b/daemon/src/main/java/grebehoist/http/BackendConnection.java
@@ -20,7 +20,6 @@
     /** A long answer of which nothing more comes for so long, though it is read, will not be whole. */
     private static final long SILENT_MS = 5_000;
 
-    private AnswerStream stream;
     private boolean keeps;
     private boolean paused;
     private boolean movedOn;
@@ -53,10 +52,9 @@
         if (waiting == null || !waiting.mayHaveRun()) {
             return null;
         }
-        stream = new AnswerStream(head.headers(), length, this);
+        var begun = new AnswerStream(head.headers(), length, this);
         keeps = HttpUtil.isKeepAlive(head) && (length >= 0 || HttpUtil.isTransferEncodingChunked(head));
         watch = channel().eventLoop().scheduleWithFixedDelay(this::look, SILENT_MS, SILENT_MS, TimeUnit.MILLISECONDS);
-        AnswerStream begun = stream;
         stream(begun);
         return begun;
     }
@@ -94,7 +92,6 @@
     }
 
     private void over() {
-        stream = null;
         if (watch != null) {
             watch.cancel(false);
             watch = null;
--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -33,7 +33,7 @@
     private static final long HEAD_US = 2_400_000;
     /** A body must have come by then and so much later for each byte: 32 kB a second, half of what slow clients are known for. */
     private static final long BODY_US = 2_600_000;
-    private static final long US_A_BYTE = 31;
+    static final long US_A_BYTE = 31;
     /** A long body of which nothing more comes for so long, though it is read, will not be whole. */
     private static final long SILENT_US = 2_600_000;
     /** A client that takes nothing of its answer for so long has gone. */
--- a/daemon/src/main/java/grebehoist/http/RequestReader.java
+++ b/daemon/src/main/java/grebehoist/http/RequestReader.java
@@ -22,7 +22,6 @@
     private static final Pattern TIMEOUT = Pattern.compile("(\\d{1,8})([mu])");
 
     private static final long LEAST_COMING_US = 3_000_000;
-    private static final long US_A_BYTE = 31;
     private static final long MOST_COMING_US = 120_000_000;
 
     private final Map<String, Balancer.Effect> effects = new HashMap<>();
@@ -102,7 +101,7 @@
 
     /** How long the rest of a body may take: a client that keeps it moving is given all the time that it needs, within reason. */
     private static long comingUs(Upload upload) {
-        return upload.length() < 0 ? MOST_COMING_US : Math.min(MOST_COMING_US, LEAST_COMING_US + upload.length() * US_A_BYTE);
+        return upload.length() < 0 ? MOST_COMING_US : Math.min(MOST_COMING_US, LEAST_COMING_US + upload.length() * ClientConnection.US_A_BYTE);
     }
 
     private static String header(HttpHeaders headers, String name) throws Rejected {
--- a/net/src/main/java/grebehoist/net/ClientFront.java
+++ b/net/src/main/java/grebehoist/net/ClientFront.java
@@ -113,8 +113,7 @@
         });
     }
 
-    @Override
-    public final void closeIdle() {
+    private void closeIdle() {
         List.copyOf(connections).forEach(Connection::closeIfIdle);
     }
 
--- a/net/src/main/java/grebehoist/net/Front.java
+++ b/net/src/main/java/grebehoist/net/Front.java
@@ -25,9 +25,6 @@
      */
     void handOver(Runnable then);
 
-    /** Closes the connections on which nothing is asked. */
-    void closeIdle();
-
     /** Accepts no more, and closes the connections on which nothing is asked. */
     void stopListening();
 
