The limit's floor no longer follows refusals: it fed on itself at full size

Cause: where proxies outnumber backends, the floor of attempts out rose to 4 a backend while little was refused (to 6 with a guess of its cores), which chokes backends of one core; choked ones made proxies refuse, and the floor fell to 2 for what healthy backends could have borne.

--- a/core/src/main/java/beechfall/Policy.java
+++ b/core/src/main/java/beechfall/Policy.java
@@ -33,7 +33,7 @@
     private static final double CROWD = 1 / 5.0;
     /** But never less than this part of the least mean response time, or backends idle and it cannot grow. */
     private static final double BUSY = 1.2;
-    /** Attempts out for each backend, by all proxies, that are never too many; under 3 it is a mean. */
+    /** Attempts out for each backend, by all proxies, that are never too many; under 3 for one proxy it is a mean. */
     private static final double CROWD_FLOOR = 3;
     /** What a refresh keeps of what backends were seen to bear. */
     private static final double BORNE_KEPT = 0.8;
@@ -69,7 +69,6 @@
     private double room;
     private double spare;
     private double acting = 1;
-    private double refused;
     private double errorShare;
     private long spareAt;
     private long wakeAt = Long.MIN_VALUE;
@@ -468,13 +467,11 @@
         return s.fillColdTokens(0.75 * budgetPerUs, Math.max(1, budgetPerUs * rules.fallUs() / 4), now);
     }
 
-    /** What may be out: what is answered in crowdUs, what keeps backends busy, or a floor by their cores. */
+    /** What may be out: what is answered in crowdUs, what keeps backends busy, or a floor. */
     private double crowd() {
         double byRate = answerRate() * Math.max(crowdUs, BUSY * idleUs);
-        // With less than a backend to itself, a proxy tells a crowd from bad luck by how much it refuses.
-        double share = acting * order.size() / settings.balancers();
-        double cores = Math.min(CROWD_FLOOR, Math.max(1, borne * settings.balancers() * idleUs));
-        return Math.max(byRate, share * (CROWD_FLOOR + (share < 1 ? cores * (1 - refused) - refused : 0)));
+        // A floor that falls with refusals feeds on itself: it rises where all is well, and chokes backends then.
+        return Math.max(byRate, CROWD_FLOOR * acting * order.size() / settings.balancers());
     }
 
     private double answerRate() {
@@ -535,7 +532,6 @@
             all.learn(e.latencyUs());
             answersPerUs = answerRate() + 1.0 / refreshUs;
             answersAt = now;
-            refused -= refused / 16;
         }
         if (r.over || e.last()) {
             close(r);
@@ -646,7 +642,6 @@
 
     /** Gives the final answer: a refusal where a repeat is harmless, else a failure. */
     private void finish(Request r) {
-        refused += (1 - refused) / 16;
         boolean harmless = r.type.effect() == Effect.SAFE
                 || r.type.effect() == Effect.KEYED && r.type.scope() == Scope.ALL
                 || r.attempts.stream().noneMatch(this::mayHaveRun);
