Errors count against a backend only where they are more than chance

Cause: each error put its flow at a backend off for 1.2 s, however much the proxy sends.

Change: an error is luck where the share of errors among all attempts, to the power of how many came in a row here, is over 1 in 10,000, or where it is the first after 16 answers. One that answers with errors alone is put off after at most eight.

--- a/core/src/main/java/beechfall/Policy.java
+++ b/core/src/main/java/beechfall/Policy.java
@@ -42,8 +42,7 @@
     private static final double RETRY_BURST = 10;
     /** An attempt is cut off after this multiple of the time to its aim: sooner, its work goes on unseen. */
     private static final double LATE = 2;
-    /** Errors are common when they are more than this part of the attempts, in the mean of so many. */
-    private static final double COMMON = 0.015;
+    /** How many attempts the share of errors among all remembers. */
     private static final double ERROR_MEMORY = 256;
 
     private final Settings settings;
@@ -521,7 +520,7 @@
         if (e.outcome() != Outcome.CANCELLED && e.outcome() != Outcome.NOT_SENT && !silent) {
             boolean error = e.outcome() == Outcome.ERROR;
             errorShare += ((error ? 1 : 0) - errorShare) / ERROR_MEMORY;
-            boolean luck = a.server.badLuck(r.flow, error) && errorShare > COMMON;
+            boolean luck = a.server.badLuck(r.flow, error, errorShare);
             a.server.judgeFlow(r.flow, ok || luck, now, refreshUs);
             a.server.learn(ok ? e.latencyUs() : e.outcome() == Outcome.ERROR ? r.type.aimUs() : a.timeoutUs);
         }
--- a/core/src/main/java/beechfall/Server.java
+++ b/core/src/main/java/beechfall/Server.java
@@ -157,8 +157,8 @@
         putOffUntil = Math.max(putOffUntil, flows[flow].tryAt());
     }
 
-    boolean badLuck(int flow, boolean error) {
-        return flows[flow].badLuck(error);
+    boolean badLuck(int flow, boolean error, double share) {
+        return flows[flow].badLuck(error, share);
     }
 
     /** Returns whether every flow trusts it and it has nothing out; all else has to be looked at one by one. */
--- a/core/src/main/java/beechfall/Trust.java
+++ b/core/src/main/java/beechfall/Trust.java
@@ -4,12 +4,18 @@
 final class Trust {
     /** A flow that keeps failing at a backend is put off for at most so many of the least pauses. */
     private static final int PAUSES = 8;
+    /** An error after so many answers in a row is bad luck: a proxy that sends much would else put off all for one in a thousand. */
+    private static final int RUN = 16;
+    /** Errors are common from this part of all attempts on; then so many in a row tell of the backend as are no chance any more. */
+    private static final double COMMON = 0.005;
+    private static final double CHANCE = 1e-4;
 
     private int out;
     private long heardAt;
     private long pauseUs;
     private long tryAt = Long.MIN_VALUE;
-    private boolean struck;
+    private int streak;
+    private int run;
 
     int out() {
         return out;
@@ -20,11 +26,13 @@
         return tryAt;
     }
 
-    /** Where errors are common at all backends, one is bad luck: only the next in a row tells of the backend. */
-    boolean badLuck(boolean error) {
-        boolean first = error && !struck && pauseUs == 0;
-        struck = error;
-        return first;
+    /** Where errors are common at all backends, or seldom here, one is bad luck: only more in a row tell of the backend. */
+    boolean badLuck(boolean error, double share) {
+        streak = error ? streak + 1 : 0;
+        boolean luck = error && pauseUs == 0 && (streak == 1 && run >= RUN
+                || share > COMMON && Math.pow(Math.min(share, 0.1), streak) > CHANCE);
+        run = error ? 0 : run + 1;
+        return luck;
     }
 
     /** Not put off, nor silent for too long; after a pause one attempt at a time until one goes well. */
--- a/core/src/test/java/beechfall/CrowdTest.java
+++ b/core/src/test/java/beechfall/CrowdTest.java
@@ -434,6 +434,46 @@
         assertThat(p.serve(READ, 20 * MS)).as("its own answers are forgotten in time").isEqualTo(slow);
     }
 
+    /** At 1,000 requests a second one error in fifty is twenty a second: each would put a backend off for longer than a second. */
+    @Test
+    void aSmallShareOfErrorsAtAHighRatePutsNobodyOff() {
+        var random = new java.util.Random(7);
+        for (double share : new double[] {0.002, 0.02, 0.1}) {
+            var p = new Proxy();
+            p.list(backend("a"), backend("b"), backend("c"), backend("d"));
+            int refused = 0;
+            for (int i = 0; i < 5_000; i++) {
+                String id = p.arrive(READ);
+                p.now += MS;
+                for (int n = 1; p.sends(id) == n; n++) {
+                    p.end(id, random.nextDouble() < share ? Outcome.ERROR : Outcome.OK, MS);
+                }
+                refused += p.sends(id) == 0 ? 1 : 0;
+            }
+            assertThat(refused).as("share %s", share).isZero();
+            assertThat(p.policy.view()).as("share %s", share).filteredOn(Policy.View::avoided).hasSizeLessThan(2);
+        }
+    }
+
+    @Test
+    void oneThatAnswersWithErrorsAloneIsSoonPutOffHoweverWellItDidBefore() {
+        proxy.list(backend("a"), backend("b"), backend("c"), backend("d"));
+        for (int i = 0; i < 1_000; i++) {
+            proxy.serve(READ, MS);
+        }
+        int errors = 0;
+        for (int i = 0; i < 1_000; i++) {
+            String id = proxy.arrive(READ);
+            proxy.now += MS;
+            for (int n = 1; proxy.sends(id) == n; n++) {
+                boolean ill = proxy.lastSend(id).backend().equals("a");
+                errors += ill ? 1 : 0;
+                proxy.end(id, ill ? Outcome.ERROR : Outcome.OK, MS);
+            }
+        }
+        assertThat(errors).isBetween(2, 8);
+    }
+
     private static long burst(Proxy p, Balancer.Backend... backends) {
         p.list(backends);
         for (int i = 0; i < 100; i++) {
