A run of answers is counted up to what matters, so that it never overflows

Need: Trust.run grew with each answer and would have turned negative after two billion, when a seldom error would put a backend off again. Change: it stops at the run that forgives.

--- a/core/src/main/java/beechfall/Trust.java
+++ b/core/src/main/java/beechfall/Trust.java
@@ -31,7 +31,7 @@
         streak = error ? streak + 1 : 0;
         boolean luck = error && pauseUs == 0 && (streak == 1 && run >= RUN
                 || share > COMMON && Math.pow(Math.min(share, 0.1), streak) > CHANCE);
-        run = error ? 0 : run + 1;
+        run = error ? 0 : Math.min(run + 1, RUN);
         return luck;
     }
 
