--- a/lab/src/main/java/grebehoist/lab/Comparison.java
+++ b/lab/src/main/java/grebehoist/lab/Comparison.java
@@ -1,5 +1,6 @@
 package grebehoist.lab;
 
+import java.util.Arrays;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -21,8 +22,8 @@
                 means[i] += differences[random.nextInt(differences.length)] / differences.length;
             }
         }
-        java.util.Arrays.sort(means);
-        return new Comparison(java.util.Arrays.stream(differences).average().orElseThrow(), means[RESAMPLES / 40],
+        Arrays.sort(means);
+        return new Comparison(Arrays.stream(differences).average().orElseThrow(), means[RESAMPLES / 40],
                 means[RESAMPLES - 1 - RESAMPLES / 40]);
     }
 
--- a/lab/src/main/java/grebehoist/lab/Figures.java
+++ b/lab/src/main/java/grebehoist/lab/Figures.java
@@ -7,11 +7,14 @@
 final class Figures {
     /** Rows over time; a longer experiment has longer rows. */
     static final int ROWS = 600;
+    /** The column after those of {@link End}: how many were asked. */
+    static final int OFFERED = End.values().length;
 
     private final double rowS;
-    private final long[][] rows = new long[ROWS][5];
+    private final long[][] rows = new long[ROWS][OFFERED + 1];
     private final Histogram latency = new Histogram(1, 3_600_000_000L, 3);
-    private final double[] worth = new double[2];
+    private double offeredWorth;
+    private double goodWorth;
     private final TreeMap<String, Long> broken = new TreeMap<>();
     private double workUs;
     private double usefulUs;
@@ -25,8 +28,8 @@
     enum End { GOOD, LATE, REFUSED, FAILED }
 
     void offered(double second, double itsWorth) {
-        row(second)[4]++;
-        worth[0] += itsWorth;
+        row(second)[OFFERED]++;
+        offeredWorth += itsWorth;
     }
 
     void ended(double second, End end, double itsWorth, long tookUs, double itsWorkUs) {
@@ -35,7 +38,7 @@
             latency.recordValue(Math.min(Math.max(1, tookUs), latency.getHighestTrackableValue()));
         }
         if (end == End.GOOD) {
-            worth[1] += itsWorth;
+            goodWorth += itsWorth;
             usefulUs += itsWorkUs;
         }
     }
@@ -68,7 +71,7 @@
     }
 
     long offered() {
-        return sum(4);
+        return sum(OFFERED);
     }
 
     private long sum(int column) {
@@ -85,11 +88,23 @@
 
     /** Returns the part of the worth asked for that was answered within its aim. */
     double goodput() {
-        return worth[0] == 0 ? 0 : worth[1] / worth[0];
+        return offeredWorth == 0 ? 0 : goodWorth / offeredWorth;
     }
 
     double refused() {
-        return offered() == 0 ? 0 : (double) count(End.REFUSED) / offered();
+        return ofOffered(count(End.REFUSED));
+    }
+
+    double failed() {
+        return ofOffered(count(End.FAILED));
+    }
+
+    double attemptsARequest() {
+        return ofOffered(attempts);
+    }
+
+    private double ofOffered(long number) {
+        return offered() == 0 ? 0 : (double) number / offered();
     }
 
     /** Returns the part of all work done whose answer was of no use. */
--- a/lab/src/main/java/grebehoist/lab/Lab.java
+++ b/lab/src/main/java/grebehoist/lab/Lab.java
@@ -11,6 +11,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.function.ToDoubleFunction;
 import java.util.stream.Stream;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -32,7 +33,7 @@
     }
 
     static int execute(PrintWriter out, PrintWriter err, String... args) {
-        return new CommandLine(new Lab()).setOut(out).setErr(err).setCaseInsensitiveEnumValuesAllowed(true)
+        return new CommandLine(new Lab()).setOut(out).setErr(err)
                 .setExecutionExceptionHandler((e, line, parsed) -> {
                     if (e instanceof LabException) {
                         err.println("lab: " + e.getMessage());
@@ -109,9 +110,9 @@
                 bad |= f.size() < mine.size();
                 if (!f.isEmpty()) {
                     out().printf(Locale.ROOT, "%-26s %8.4f %8.4f %8.4f %8.1f %8.1f %8.4f %8.3f %7d%n", policy, mean(f, Figures::goodput),
-                            mean(f, Figures::refused), mean(f, x -> (double) x.count(Figures.End.FAILED) / Math.max(1, x.offered())),
+                            mean(f, Figures::refused), mean(f, Figures::failed),
                             mean(f, x -> x.percentileMs(50)), mean(f, x -> x.percentileMs(99)), mean(f, Figures::wasted),
-                            mean(f, x -> (double) x.attempts() / Math.max(1, x.offered())), f.stream().mapToLong(Figures::brokenRules).sum());
+                            mean(f, Figures::attemptsARequest), f.stream().mapToLong(Figures::brokenRules).sum());
                     for (Figures x : f) {
                         x.broken().forEach((rule, n) -> out().printf("    rule %s: %d%n", rule, n));
                         bad |= x.brokenRules() > 0;
@@ -127,7 +128,7 @@
         }
     }
 
-    private static double mean(List<Figures> all, java.util.function.ToDoubleFunction<Figures> figure) {
+    private static double mean(List<Figures> all, ToDoubleFunction<Figures> figure) {
         return all.stream().mapToDouble(figure).average().orElse(0);
     }
 
@@ -155,7 +156,7 @@
         row.put("broken", f.broken());
         row.put("row_seconds", f.rowSeconds());
         var rows = new ArrayList<long[]>();
-        for (int i = 0; i < Figures.ROWS && f.atRow(i)[4] + rows.size() > 0; i++) {
+        for (int i = 0; i < Figures.ROWS && f.atRow(i)[Figures.OFFERED] + rows.size() > 0; i++) {
             rows.add(f.atRow(i));
         }
         row.put("rows", rows);
--- a/lab/src/main/java/grebehoist/lab/Policies.java
+++ b/lab/src/main/java/grebehoist/lab/Policies.java
@@ -16,6 +16,7 @@
     }
 
     static final String OURS = "beechfall";
+    private static final String BUDGET = "+budget";
     private static final Map<String, Maker> RIVALS = new LinkedHashMap<>();
 
     static {
@@ -41,9 +42,8 @@
      * @throws LabException where there is none
      */
     static void check(String name) {
-        String plain = name.endsWith("+budget") ? name.substring(0, name.length() - 7) : name;
-        if (!names().contains(plain) || name.equals(OURS + "+budget")) {
-            throw new LabException("policies: no policy \"" + name + "\"; there are " + names() + ", the rivals with +budget too");
+        if (!name.equals(OURS) && !RIVALS.containsKey(plain(name))) {
+            throw new LabException("policies: no policy \"" + name + "\"; there are " + names() + ", the rivals with " + BUDGET + " too");
         }
     }
 
@@ -51,8 +51,11 @@
         if (name.equals(OURS)) {
             return new Policy(settings);
         }
-        boolean budget = name.endsWith("+budget");
-        Maker maker = RIVALS.get(budget ? name.substring(0, name.length() - 7) : name);
-        return new Rival(settings, maker.rule(random, truth, settings.classes().stream().mapToLong(Balancer.RequestClass::aimUs).min().orElse(0)), budget);
+        long aim = settings.classes().stream().mapToLong(Balancer.RequestClass::aimUs).min().orElseThrow();
+        return new Rival(settings, RIVALS.get(plain(name)).rule(random, truth, aim), name.endsWith(BUDGET));
+    }
+
+    private static String plain(String name) {
+        return name.endsWith(BUDGET) ? name.substring(0, name.length() - BUDGET.length()) : name;
     }
 }
--- a/lab/src/main/java/grebehoist/lab/Proxy.java
+++ b/lab/src/main/java/grebehoist/lab/Proxy.java
@@ -23,15 +23,15 @@
  */
 final class Proxy implements Transport {
     private static final long DRAIN_GRACE_US = 250_000;
+    private static final long READY = Long.MAX_VALUE;
 
     private final VirtualTime time;
     private final Map<String, Machine> machines;
     private final long oneWayUs;
     private final Figures figures;
     private final Engine engine;
-    /** When this proxy was told that a backend wants nothing new; ready ones are not here. */
+    /** When this proxy was told that a backend wants nothing new, or {@link #READY}. */
     private final Map<String, Long> leavingSince = new HashMap<>();
-    private final Map<String, State> told = new HashMap<>();
     private final Map<Job, Integer> out = new HashMap<>();
     private long newsAt;
 
@@ -79,30 +79,29 @@
         for (Listed line : listed) {
             Backend b = line.backend();
             if (b.state() == State.READY) {
-                leavingSince.remove(b.id());
+                leavingSince.put(b.id(), READY);
             } else {
-                leavingSince.putIfAbsent(b.id(), time.now());
+                leavingSince.merge(b.id(), time.now(), Math::min);
             }
-            told.put(b.id(), b.state());
         }
         return List.of();
     }
 
     @Override
     public boolean anyReady() {
-        return told.containsValue(State.READY);
+        return leavingSince.containsValue(READY);
     }
 
     @Override
     public Attempt attempt(String backend, Payload request, long deadlineUs, Attempt.End end) {
         Long leaving = leavingSince.get(backend);
-        if (leaving != null || !told.containsKey(backend)) {
-            if (leaving != null && time.now() > leaving + DRAIN_GRACE_US) {
-                figures.broken("3: asked to send to a backend that drains or is gone");
-            }
-            return null;
+        if (leaving != null && leaving == READY) {
+            return new OnWire(machines.get(backend), (Job) request, end);
+        }
+        if (leaving != null && time.now() > leaving + DRAIN_GRACE_US) {
+            figures.broken("3: asked to send to a backend that drains or is gone");
         }
-        return new OnWire(machines.get(backend), (Job) request, end);
+        return null;
     }
 
     @Override
--- a/lab/src/main/java/grebehoist/lab/Rival.java
+++ b/lab/src/main/java/grebehoist/lab/Rival.java
@@ -25,6 +25,9 @@
 
     /** A backend as a rival sees it. */
     static final class Node {
+        /** What Finagle's peak EWMA forgets with, in microseconds: its default of 10 s. */
+        private static final double DECAY_US = 10e6;
+
         final String id;
         int out;
         double ewmaUs;
@@ -36,10 +39,19 @@
 
         /** Finagle's peak EWMA: a slower answer counts at once, a faster one by and by. */
         void learn(double us, long now) {
-            double kept = us > ewmaUs ? 0 : Math.exp((seenAt - now) / 10e6);
+            double kept = us > ewmaUs ? 0 : kept(now);
             ewmaUs = ewmaUs * kept + us * (1 - kept);
             seenAt = now;
         }
+
+        /** Returns what it is taken to take now: what was seen fades. */
+        double latencyUs(long now) {
+            return ewmaUs * kept(now);
+        }
+
+        private double kept(long now) {
+            return Math.exp((seenAt - now) / DECAY_US);
+        }
     }
 
     private record Sent(RequestClass type, long deadline, Node to, int attempts) { }
@@ -51,7 +63,6 @@
     private final List<Node> ready = new ArrayList<>();
     private final Map<String, Sent> requests = new HashMap<>();
     private double tokens = BUDGET_MOST;
-    private boolean asked;
 
     Rival(Settings settings, Rule rule, boolean budget) {
         settings.classes().forEach(c -> classes.put(c.name(), c));
@@ -61,19 +72,15 @@
 
     @Override
     public void handle(long now, Event event, Consumer<Action> actions) {
-        if (!asked) {
-            asked = true;
-            actions.accept(new Watch(true));
-        }
         if (event instanceof Members e) {
             members(e);
         } else if (event instanceof Arrival e) {
             tokens = Math.min(BUDGET_MOST, tokens + BUDGET);
-            send(now, e.id(), classes.get(e.requestClass()), now + e.leftUs(), 0, true, actions);
+            send(now, e.id(), classes.get(e.requestClass()), now + e.leftUs(), 0, actions);
         } else if (event instanceof AttemptEnded e) {
             ended(now, e, actions);
         } else if (event instanceof ClientGone e) {
-            requests.computeIfPresent(e.id(), (id, r) -> null);
+            requests.remove(e.id());
         }
     }
 
@@ -92,11 +99,12 @@
         ready.addAll(byId.values());
     }
 
-    private void send(long now, String id, RequestClass type, long deadline, int attempts, boolean harmless, Consumer<Action> actions) {
+    private void send(long now, String id, RequestClass type, long deadline, int attempts, Consumer<Action> actions) {
         Node to = ready.isEmpty() ? null : rule.choose(ready, now);
         if (to == null || now >= deadline) {
+            // It has not run yet, or may run again.
             requests.remove(id);
-            actions.accept(harmless ? new Refuse(id, 0) : new Fail(id));
+            actions.accept(new Refuse(id, 0));
             return;
         }
         to.out++;
@@ -124,14 +132,10 @@
         boolean harmless = e.outcome().neverRan() || r.type.effect() != Effect.UNSAFE;
         if (budget && harmless && r.attempts < 2 && tokens >= 1 && now < r.deadline) {
             tokens -= 1;
-            send(now, e.id(), r.type, r.deadline, r.attempts, harmless, actions);
+            send(now, e.id(), r.type, r.deadline, r.attempts, actions);
         } else {
             requests.remove(e.id());
             actions.accept(harmless ? new Refuse(e.id(), 0) : new Fail(e.id()));
         }
     }
-
-    int remembered() {
-        return requests.size() + byId.size();
-    }
 }
--- a/lab/src/main/java/grebehoist/lab/Rules.java
+++ b/lab/src/main/java/grebehoist/lab/Rules.java
@@ -6,9 +6,6 @@
 
 /** How rivals choose, each from its published rule. */
 final class Rules {
-    /** What Finagle's peak EWMA forgets with, in microseconds: its default of 10 s. */
-    private static final double DECAY_US = 10e6;
-
     private Rules() { }
 
     /** Each backend is as likely as any other. */
@@ -47,9 +44,8 @@
     /** Of two random ones, that with less of peak-sensitive latency times load (Finagle, PeakEwma). */
     static Rival.Rule peakEwma(UniformRandomProvider random) {
         return (ready, now) -> better(ready, random, n -> {
-            double latency = n.ewmaUs * Math.exp((n.seenAt - now) / DECAY_US);
             // One that is loaded and was never heard of is passed over, as in Finagle.
-            return n.ewmaUs == 0 && n.out > 0 ? 1e12 + n.out : latency * (n.out + 1);
+            return n.ewmaUs == 0 && n.out > 0 ? 1e12 + n.out : n.latencyUs(now) * (n.out + 1);
         });
     }
 
--- a/lab/src/main/java/grebehoist/lab/VirtualTime.java
+++ b/lab/src/main/java/grebehoist/lab/VirtualTime.java
@@ -47,7 +47,6 @@
         return now;
     }
 
-    /** {@inheritDoc} */
     @Override
     public Timer at(long atUs, Runnable action) {
         if (queue.size() >= most) {
--- a/lab/src/main/java/grebehoist/lab/World.java
+++ b/lab/src/main/java/grebehoist/lab/World.java
@@ -7,7 +7,6 @@
 import grebehoist.engine.Responder;
 import grebehoist.lab.Experiment.Fault;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -139,7 +138,8 @@
                     int proxy = random.nextInt(proxies.size());
                     time.at((long) at, () -> {
                         if (comes) {
-                            ask(new Job(chosen, e.classes().get(chosen).effect() == Balancer.Effect.UNSAFE, Math.max(1, work.get(chosen).getAsDouble()), time.now()), proxy);
+                            boolean unsafe = e.classes().get(chosen).effect() == Balancer.Effect.UNSAFE;
+                            ask(new Job(chosen, unsafe, Math.max(1, work.get(chosen).getAsDouble()), time.now()), proxy);
                         }
                         run();
                     });
@@ -250,7 +250,7 @@
 
     private void told(Machine m, Runnable change) {
         change.run();
-        var line = Collections.singletonList(m.listed());
+        var line = List.of(m.listed());
         double least = e.discovery().lagMs().get(0) * 1e3;
         double most = e.discovery().lagMs().get(1) * 1e3;
         proxies.forEach(p -> p.tell(time.now() + (long) (least + (most - least) * news.nextDouble()), ListKind.DELTA, line));
