--- a/core/src/main/java/beechfall/Policy.java
+++ b/core/src/main/java/beechfall/Policy.java
@@ -27,8 +27,11 @@
     /** One that is not trusted, or was tried before, comes after all others. */
     private static final double DISTRUST = 1e18;
     private static final double TRIED = 1e6;
-    /** Part of the cold budget that is used: requests differ in size and capacity is a guess. */
-    private static final double COLD_MARGIN = 0.2;
+    /** What others send unseen to a cold backend is to fit into this part of its present capacity, which is a guess. */
+    private static final double COLD_UNSEEN = 0.8;
+    /** The variance of a request's work in units of its mean squared, and how many deviations the cold budget keeps clear. */
+    private static final double WORK_VARIANCE = 4;
+    private static final double COLD_DEVIATIONS = 3;
     /** Attempts out may take this part of the shortest aim, by the rate of answers; held ones that again. */
     private static final double CROWD = 1 / 5.0;
     /** But never less than this part of the least mean response time, or backends idle and it cannot grow. */
@@ -211,9 +214,7 @@
         if (whole) {
             before.forEach(s -> s.ready = false);
         }
-        for (Backend b : news.backends()) {
-            listed(b);
-        }
+        news.backends().forEach(this::listed);
         if (whole) {
             byId.values().removeIf(s -> !s.ready);
         }
@@ -229,10 +230,9 @@
             if (s != null) {
                 s.ready = false;
             }
-            s = new Server(b.id());
-            byId.put(s.id(), s);
             // Of hundreds of proxies each may send it less than one request: so some send theirs.
-            s.coldTokens(random.nextDouble(), now);
+            s = new Server(b.id(), random.nextDouble(), now);
+            byId.put(s.id(), s);
         }
         Kind kind = kinds.computeIfAbsent(String.valueOf(b.kind()), name -> new Kind());
         s.listed(b, order.group(new Group.Key(kind, b.weight(), settings.zone().equals(b.zone()) ? NEAR : 1)));
@@ -330,7 +330,7 @@
             double deadline = s.deadline() * (trust ? 1 : DISTRUST);
             // Few have a cold backend in their part: it would get nothing of what the rest may send it.
             boolean open = !trust || order.position(s) <= border || warmth(s) < 1;
-            if (open && deadline < earliest && hasRoom(s) && (warmth(s) >= 1 || first(s, deadline, border) && coldBudget(s) >= 1)) {
+            if (coldBudget(s) >= 1 && open && deadline < earliest && hasRoom(s)) {
                 best = s;
                 earliest = deadline;
             }
@@ -343,17 +343,9 @@
         return best == null || balance < 0 || trusted(best, r) ? best : null;
     }
 
-    /** Returns whether no calm one ahead of a cold one goes before it: its tokens are filled up only where it comes to that. */
-    private boolean first(Server cold, double deadline, int border) {
-        int upTo = Math.min(border, order.position(cold) - 1);
-        Server ahead = upTo < 0 ? null : order.earliest(upTo);
-        return ahead == null || deadline < ahead.deadline();
-    }
-
     /** Time has made some warm, or they are put off no more. */
     private void settle() {
-        List<Server> calmNow = order.restless().stream().filter(this::calm).toList();
-        calmNow.forEach(s -> order.update(s, true));
+        order.restless().stream().filter(this::calm).forEach(s -> order.update(s, true));
     }
 
     /** How many backends a proxy spreads over; far busier than others, it takes one for each attempt out in the mean. */
@@ -400,7 +392,7 @@
             deadline *= r.attempts.stream().noneMatch(a -> a.server == s) ? 1 : TRIED;
             deadline *= trust ? 1 : DISTRUST;
             boolean open = !trust || left > 0 || warmth(s) < 1;
-            if (open && deadline < earliest && hasRoom(s) && coldBudget(s) >= 1) {
+            if (coldBudget(s) >= 1 && open && deadline < earliest && hasRoom(s)) {
                 best = s;
                 earliest = deadline;
             }
@@ -462,10 +454,22 @@
         }
         double requestUs = s.kind().samples() > 0 ? s.kind().meanUs() : settings.classes().get(0).aimUs();
         double perUs = Math.max(1 / (requestUs * settings.balancers()), borne * s.weight() * order.size());
-        double budgetPerUs = acting * COLD_MARGIN * rules.fallMultiple() * warmth * perUs;
+        double budgetPerUs = acting * warmth * perUs * coldMultiple(warmth * perUs * settings.balancers() * rules.fallUs());
         return s.fillColdTokens(0.75 * budgetPerUs, Math.max(1, budgetPerUs * rules.fallUs() / 4), now);
     }
 
+    /**
+     * How many times its capacity all proxies together may send a cold backend that bears so many requests in a window. So many, m, that
+     * m + z sqrt(m v) stays at what the rule allows, v = variance of the work + variance of how many the others send, (n - 1) / n.
+     * And of those it sees 1 / n alone: the rest comes whether or not the backend keeps up, and is to fit in.
+     */
+    private double coldMultiple(double windowful) {
+        double unseen = 1 - 1.0 / settings.balancers();
+        double clear = COLD_DEVIATIONS * Math.sqrt(WORK_VARIANCE + unseen);
+        double root = (Math.sqrt(clear * clear + 4 * rules.fallMultiple() * windowful) - clear) / 2;
+        return Math.min(root * root / windowful, COLD_UNSEEN / unseen);
+    }
+
     /** What may be out: what is answered in crowdUs, what keeps backends busy, or a floor. */
     private double crowd() {
         double byRate = answerRate() * Math.max(crowdUs, BUSY * idleUs);
@@ -618,8 +622,6 @@
             if (s != null) {
                 held.remove(i);
                 send(r, s);
-            } else if (r.attempts.isEmpty()) {
-                break;
             } else {
                 i++;
             }
--- a/core/src/main/java/beechfall/Server.java
+++ b/core/src/main/java/beechfall/Server.java
@@ -32,8 +32,10 @@
     private long coldTokensAt;
     private long putOffUntil = Long.MIN_VALUE;
 
-    Server(String id) {
+    Server(String id, double coldTokens, long now) {
         this.id = id;
+        this.coldTokens = coldTokens;
+        this.coldTokensAt = now;
     }
 
     String id() {
@@ -177,11 +179,6 @@
         return rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, now - started) / rules.coldUs();
     }
 
-    void coldTokens(double tokens, long now) {
-        coldTokens = tokens;
-        coldTokensAt = now;
-    }
-
     /** Fills its tokens up by a rate for each microsecond, to a most; returns how many there are. */
     double fillColdTokens(double perUs, double most, long now) {
         coldTokens = Math.min(most, coldTokens + perUs * (now - coldTokensAt));
--- a/core/src/test/java/beechfall/RulesTest.java
+++ b/core/src/test/java/beechfall/RulesTest.java
@@ -389,8 +389,22 @@
             assertThat(both).isBetween(alone - 4, alone + 4);
         }
 
+        /**
+         * Its like bear 25 a second: at 40% to 55% warmth that is 24 in two seconds. Who sends all of it knows all that is out there, and only
+         * has to stay clear of the fall; of nine each sees a ninth, and what comes unseen has to fit in.
+         */
+        @Test
+        void oneThatSendsAllMaySendItMoreThanItBearsAndOneOfManyMayNot() {
+            assertThat(toColdOf(1, 1)).isBetween(26, 4 * 24);
+            assertThat(toColdOf(9, 1)).isBetween(12, 23);
+        }
+
         private static int toColdOf(double part) {
-            var p = new Proxy(new Balancer.Settings(9, 3, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, 1));
+            return toColdOf(9, part);
+        }
+
+        private static int toColdOf(int balancers, double part) {
+            var p = new Proxy(new Balancer.Settings(balancers, balancers / 3, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, 1));
             var backends = new Balancer.Backend[4];
             for (int i = 0; i < 4; i++) {
                 backends[i] = backend("s" + i);
--- a/lab/src/main/java/grebehoist/lab/Experiment.java
+++ b/lab/src/main/java/grebehoist/lab/Experiment.java
@@ -18,9 +18,16 @@
  * An experiment as its file tells it (docs/lab.md): a fleet, its load, what goes wrong, and the policies to play. Times are in
  * the unit of their name.
  */
-record Experiment(String name, String about, double seconds, double warmupS, int proxies, long seed, int repetitions,
+record Experiment(String name, String about, double seconds, double warmupS, int proxies, List<Size> sizes, long seed, int repetitions,
         List<String> policies, Network network, Discovery discovery, @JsonProperty("kind") List<Kind> kinds,
         @JsonProperty("class") List<RequestClass> classes, Load load, @JsonProperty("fault") List<Fault> faults) {
+    /** A fleet to play all of it with: so many proxies and machines in all, in place of what the file says else. */
+    record Size(int proxies, int machines) {
+        Size {
+            require(proxies >= 1 && proxies <= 10_000 && machines >= 1, "sizes", "proxies from 1 to 10,000 and machines from 1");
+        }
+    }
+
     /** One way between client and proxy costs nothing; between proxy and machine, in milliseconds. */
     record Network(double oneWayMs) { }
 
@@ -51,6 +58,10 @@
             require(thrash >= 0 && thrashAt >= 0 && thrashMost >= 1 && errorShare >= 0 && errorShare < 1, "kind " + name,
                     "thrash and thrash_at from 0, thrash_most from 1, error_share in [0, 1)");
         }
+
+        Kind numbering(int other) {
+            return new Kind(name, other, cores, speed, speedCv, queue, coldS, coldFrom, thrash, thrashAt, thrashMost, errorShare);
+        }
     }
 
     record RequestClass(String name, double share, double aimMs, double deadlineMs, double worth, Balancer.Effect effect,
@@ -76,12 +87,14 @@
     /**
      * Open loop: Poisson arrivals of {@code perS} over all proxies, or of a {@code utilisation} of all cores at their speed.
      * {@code steps} are pairs of seconds and the factor from then on. A refused client comes back up to {@code retries} times,
-     * after what it was told, or {@code backoffMs}, and up to half of that more.
+     * after what it was told, or {@code backoffMs}, and up to half of that more. Proxies get shares of the load that differ by a
+     * coefficient of variation of {@code uneven}, lognormal: the front deals out connections, not requests.
      */
-    record Load(double perS, double utilisation, List<List<Double>> steps, int retries, double backoffMs) {
+    record Load(double perS, double utilisation, List<List<Double>> steps, int retries, double backoffMs, double uneven) {
         Load {
             require(perS > 0 != utilisation > 0, "load", "either per_s or utilisation, above 0");
             require(retries >= 0 && backoffMs >= 0, "load", "retries and backoff_ms from 0");
+            require(uneven >= 0 && uneven <= 10, "load", "uneven from 0 to 10");
             steps = steps == null ? List.of() : steps;
             steps.forEach(s -> require(s.size() == 2 && s.get(0) >= 0 && s.get(1) >= 0, "load.steps", "pairs of seconds and a factor"));
         }
@@ -122,11 +135,19 @@
         require(classes != null && !classes.isEmpty(), "class", "at least one [[class]]");
         require(load != null, "load", "a [load]");
         faults = faults == null ? List.of() : faults;
+        sizes = sizes == null ? List.of() : sizes;
     }
 
     Experiment withSeed(long other) {
-        return new Experiment(name, about, seconds, warmupS, proxies, other, repetitions, policies, network, discovery, kinds, classes, load,
-                faults);
+        return new Experiment(name, about, seconds, warmupS, proxies, sizes, other, repetitions, policies, network, discovery, kinds, classes,
+                load, faults);
+    }
+
+    /** Returns this experiment at each of its sizes, or as it is where it names none; machines of each kind keep their part. */
+    List<Experiment> atEachSize() {
+        return sizes.isEmpty() ? List.of(this) : sizes.stream().map(s -> new Experiment(name, about, seconds, warmupS, s.proxies, List.of(), seed,
+                repetitions, policies, network, discovery, kinds.stream().map(k -> k.numbering(Math.max(1,
+                (int) Math.round(1.0 * s.machines * k.machines / machines())))).toList(), classes, load, faults)).toList();
     }
 
     int machines() {
--- a/lab/src/main/java/grebehoist/lab/Lab.java
+++ b/lab/src/main/java/grebehoist/lab/Lab.java
@@ -92,11 +92,24 @@
 
         @Override
         public Integer call() throws IOException {
-            Experiment e = read();
+            var plays = new ArrayList<Play>();
+            boolean bad = false;
+            for (Experiment e : read().atEachSize()) {
+                bad |= play(e, plays);
+            }
+            if (json != null) {
+                new ObjectMapper().writerWithDefaultPrettyPrinter().writeValue(json.toFile(), plays.stream().map(Lab::row).toList());
+            }
+            return bad ? 1 : 0;
+        }
+
+        /** Plays one size and prints its figures; returns whether a play broke a rule or could not be ended. */
+        private boolean play(Experiment e, List<Play> all) {
             List<String> which = policies == null ? e.policies() : policies;
             which.forEach(Policies::check);
             long began = System.nanoTime();
             List<Play> plays = play(e, which, times(e));
+            all.addAll(plays);
             double took = (System.nanoTime() - began) / 1e9;
             out().printf(Locale.ROOT, "%s: %d proxies, %d machines, %.0f requests a second, %.0f s, seeds %d to %d%n", e.name(), e.proxies(),
                     e.machines(), e.ratePerS(), e.seconds(), e.seed(), e.seed() + times(e) - 1);
@@ -121,10 +134,7 @@
             }
             long requests = plays.stream().filter(p -> p.figures() != null).mapToLong(p -> p.figures().offered()).sum();
             out().printf(Locale.ROOT, "%d requests in %.1f s: %.0f a second%n", requests, took, requests / took);
-            if (json != null) {
-                new ObjectMapper().writerWithDefaultPrettyPrinter().writeValue(json.toFile(), plays.stream().map(Lab::row).toList());
-            }
-            return bad ? 1 : 0;
+            return bad;
         }
     }
 
--- a/lab/src/main/java/grebehoist/lab/World.java
+++ b/lab/src/main/java/grebehoist/lab/World.java
@@ -11,8 +11,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.DoubleSupplier;
+import java.util.function.IntSupplier;
+import java.util.stream.DoubleStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.sampling.ListSampler;
+import org.apache.commons.rng.sampling.distribution.GuideTableDiscreteSampler;
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -25,7 +28,7 @@
     /** What one play may have waiting: some 100 bytes each. */
     private static final int MOST_EVENTS = 5_000_000;
 
-    private enum Stream { ARRIVALS, WORK, MACHINES, FAULTS, NEWS, CLIENTS, POLICIES }
+    private enum Stream { ARRIVALS, WORK, MACHINES, FAULTS, NEWS, CLIENTS, POLICIES, SHARES }
 
     private final Experiment e;
     private final long seed;
@@ -35,7 +38,9 @@
     private final List<Proxy> proxies = new ArrayList<>();
     private final UniformRandomProvider news;
     private final UniformRandomProvider clients;
+    private final IntSupplier comeBack;
     private final UniformRandomProvider machineRandom;
+    private final double[] shares;
     private final List<DoubleSupplier> work = new ArrayList<>();
     private final long endUs;
     private int asked;
@@ -49,6 +54,9 @@
         this.clients = random(Stream.CLIENTS);
         this.machineRandom = random(Stream.MACHINES);
         this.endUs = START_US + (long) (e.seconds() * 1e6);
+        DoubleSupplier share = e.load().uneven() == 0 ? () -> 1 : WorkSampler.LOGNORMAL.of(1, e.load().uneven(), random(Stream.SHARES));
+        this.shares = DoubleStream.generate(share).limit(e.proxies()).toArray();
+        this.comeBack = front(clients);
         for (Experiment.Kind kind : e.kinds()) {
             for (int i = 0; i < kind.machines(); i++) {
                 add(kind);
@@ -113,13 +121,19 @@
 
     // Clients
 
+    /** Which proxy a client's request comes to: each alike, or each by its share of the load. */
+    private IntSupplier front(UniformRandomProvider random) {
+        return e.load().uneven() == 0 ? () -> random.nextInt(proxies.size()) : GuideTableDiscreteSampler.of(random, shares)::sample;
+    }
+
     /** A Poisson process at the highest rate, thinned to the rate of the moment (Lewis and Shedler, 1979). */
     private void arrivals() {
         UniformRandomProvider random = random(Stream.ARRIVALS);
         double most = Math.max(1, e.load().steps().stream().mapToDouble(s -> s.get(1)).max().orElse(1));
         double perUs = e.ratePerS() * most / 1e6;
         var gap = ZigguratSampler.Exponential.of(random, 1 / perUs);
-        double shares = e.classes().stream().mapToDouble(Experiment.RequestClass::share).sum();
+        double classShares = e.classes().stream().mapToDouble(Experiment.RequestClass::share).sum();
+        IntSupplier front = front(random);
         new Runnable() {
             private double at = START_US;
 
@@ -129,13 +143,13 @@
                 if (at < endUs) {
                     double second = (at - START_US) / 1e6;
                     boolean comes = random.nextDouble() * most < e.load().factor(second);
-                    double pick = random.nextDouble() * shares;
+                    double pick = random.nextDouble() * classShares;
                     int type = 0;
                     while (type < e.classes().size() - 1 && pick >= e.classes().get(type).share()) {
                         pick -= e.classes().get(type++).share();
                     }
                     int chosen = type;
-                    int proxy = random.nextInt(proxies.size());
+                    int proxy = front.getAsInt();
                     time.at((long) at, () -> {
                         if (comes) {
                             boolean unsafe = e.classes().get(chosen).effect() == Balancer.Effect.UNSAFE;
@@ -186,7 +200,7 @@
                 once();
                 double pause = Math.max(retryAfterUs, e.load().backoffMs() * 1e3) * (1 + clients.nextDouble() / 2);
                 if (number <= e.load().retries() && time.now() + pause < deadline) {
-                    time.at(time.now() + (long) pause, () -> ask(job, clients.nextInt(proxies.size())));
+                    time.at(time.now() + (long) pause, () -> ask(job, comeBack.getAsInt()));
                 } else {
                     end(Figures.End.REFUSED);
                 }
--- a/lab/src/test/java/grebehoist/lab/RecordedTest.java
+++ b/lab/src/test/java/grebehoist/lab/RecordedTest.java
@@ -10,28 +10,38 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Five experiments, shortened, against the figures in {@code recorded.txt}: a change of the module, the engine or the model shows
+ * Five experiments, and four at every size of a fleet, against the figures in {@code recorded.txt}: a change of the module, the engine or the model shows
  * here. Who means it takes over the lines that the failure prints.
  */
 class RecordedTest {
     private static final List<String> EXPERIMENTS = List.of("calm", "silent-few", "deploy", "crash", "first-second");
+    private static final List<String> FLEETS = List.of("fleet-deploy", "fleet-crash", "fleet-zone", "fleet-half");
     private static final List<String> POLICIES = List.of("beechfall", "two-choices", "oracle");
 
     @Test
     void figuresAreAsRecorded() throws Exception {
         var lines = new ArrayList<String>();
         for (String name : EXPERIMENTS) {
-            Experiment e = Experiment.read(Path.of("experiments", name + ".toml"));
-            for (Play p : Play.all(e, POLICIES, 1, 3)) {
-                Figures f = p.figures();
-                assertThat(f.broken()).as(name + " " + p.policy()).isEmpty();
-                lines.add(String.format(Locale.ROOT, "%s %s offered %d goodput %.6f refused %.6f p99 %.3f attempts %d events %d", name, p.policy(),
-                        f.offered(), f.goodput(), f.refused(), f.percentileMs(99), f.attempts(), p.events()));
+            record(name, Experiment.read(Path.of("experiments", name + ".toml")), POLICIES, lines);
+        }
+        // A gain at one size of a fleet may cost at another: our module at each.
+        for (String name : FLEETS) {
+            for (Experiment e : Experiment.read(Path.of("experiments", name + ".toml")).atEachSize()) {
+                record(name + " " + e.proxies() + "x" + e.machines(), e, List.of("beechfall"), lines);
             }
         }
         assertThat(String.join("\n", lines)).isEqualToIgnoringNewLines(Files.readString(Path.of("src/test/resources/recorded.txt")).strip());
     }
 
+    private static void record(String name, Experiment e, List<String> policies, List<String> lines) {
+        for (Play p : Play.all(e, policies, 1, 3)) {
+            Figures f = p.figures();
+            assertThat(f.broken()).as(name + " " + p.policy()).isEmpty();
+            lines.add(String.format(Locale.ROOT, "%s %s offered %d goodput %.6f refused %.6f p99 %.3f attempts %d events %d", name, p.policy(),
+                    f.offered(), f.goodput(), f.refused(), f.percentileMs(99), f.attempts(), p.events()));
+        }
+    }
+
     /** Every experiment can be read, so that none rots. */
     @Test
     void allExperimentsAreRight() throws Exception {
