--- a/core/src/test/java/beechfall/CrowdTest.java
+++ b/core/src/test/java/beechfall/CrowdTest.java
@@ -540,7 +540,7 @@
 
     /**
      * One of 94 at 60 backends had four times its part of the load: with a part of the list that followed what was answered, at the time
-     * of a quiet hour, it refused a third for want of a backend and so answered too little for a larger part.
+     * of a quiet hour, it refused most for want of a backend (three in four here) and so answered too little for a larger part.
      */
     @Test
     void oneThatIsFarBusierIsNotHeldToThePartOfAQuietHour() {
--- a/lab/src/main/java/grebehoist/lab/Lab.java
+++ b/lab/src/main/java/grebehoist/lab/Lab.java
@@ -95,7 +95,7 @@
             var plays = new ArrayList<Play>();
             boolean bad = false;
             for (Experiment e : read().atEachSize()) {
-                bad |= play(e, plays);
+                bad |= playAndPrint(e, plays);
             }
             if (json != null) {
                 new ObjectMapper().writerWithDefaultPrettyPrinter().writeValue(json.toFile(), plays.stream().map(Lab::row).toList());
@@ -104,7 +104,7 @@
         }
 
         /** Plays one size and prints its figures; returns whether a play broke a rule or could not be ended. */
-        private boolean play(Experiment e, List<Play> all) {
+        private boolean playAndPrint(Experiment e, List<Play> all) {
             List<String> which = policies == null ? e.policies() : policies;
             which.forEach(Policies::check);
             long began = System.nanoTime();
--- a/lab/src/main/java/grebehoist/lab/World.java
+++ b/lab/src/main/java/grebehoist/lab/World.java
@@ -40,7 +40,6 @@
     private final UniformRandomProvider clients;
     private final IntSupplier comeBack;
     private final UniformRandomProvider machineRandom;
-    private final double[] shares;
     private final List<DoubleSupplier> work = new ArrayList<>();
     private final long endUs;
     private int asked;
@@ -54,8 +53,6 @@
         this.clients = random(Stream.CLIENTS);
         this.machineRandom = random(Stream.MACHINES);
         this.endUs = START_US + (long) (e.seconds() * 1e6);
-        DoubleSupplier share = e.load().uneven() == 0 ? () -> 1 : WorkSampler.LOGNORMAL.of(1, e.load().uneven(), random(Stream.SHARES));
-        this.shares = DoubleStream.generate(share).limit(e.proxies()).toArray();
         this.comeBack = front(clients);
         for (Experiment.Kind kind : e.kinds()) {
             for (int i = 0; i < kind.machines(); i++) {
@@ -123,7 +120,11 @@
 
     /** Which proxy a client's request comes to: each alike, or each by its share of the load. */
     private IntSupplier front(UniformRandomProvider random) {
-        return e.load().uneven() == 0 ? () -> random.nextInt(proxies.size()) : GuideTableDiscreteSampler.of(random, shares)::sample;
+        if (e.load().uneven() == 0) {
+            return () -> random.nextInt(e.proxies());
+        }
+        DoubleSupplier share = WorkSampler.LOGNORMAL.of(1, e.load().uneven(), random(Stream.SHARES));
+        return GuideTableDiscreteSampler.of(random, DoubleStream.generate(share).limit(e.proxies()).toArray())::sample;
     }
 
     /** A Poisson process at the highest rate, thinned to the rate of the moment (Lewis and Shedler, 1979). */
--- a/lab/src/test/java/grebehoist/lab/RecordedTest.java
+++ b/lab/src/test/java/grebehoist/lab/RecordedTest.java
@@ -10,8 +10,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Five experiments, and four at every size of a fleet, against the figures in {@code recorded.txt}: a change of the module, the engine or the model shows
- * here. Who means it takes over the lines that the failure prints.
+ * Five experiments, and four at every size of a fleet, against the figures in {@code recorded.txt}: a change of the module, the engine
+ * or the model shows here. Who means it takes over the lines that the failure prints.
  */
 class RecordedTest {
     private static final List<String> EXPERIMENTS = List.of("calm", "silent-few", "deploy", "crash", "first-second");
