A client that reads slowly is not taken for one that reads nothing

The look every 100 ms compared how much was left to be taken. An answer that goes on is filled up to the same mark each time (65536 + 96 + 1 - 32768 = 32865), so a client that takes a step every second or two looked as if it took nothing. At fault: ClientConnection.lookAtStreams, left != untaken. The limit of 10 s stays.

Change: what counts is what was given less what is left (TakeWatch).

--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -71,9 +72,9 @@
     /** How much of a long body had come when that was last looked at, and since when no more has. */
     private long uploaded;
     private long uploadedAt;
-    /** What the client had yet to take of a long answer when that was last looked at, and since when it has taken nothing. */
-    private long untaken;
-    private long untakenSince;
+    /** How much of long answers has been written to the client. */
+    private long given;
+    private final TakeWatch takes = new TakeWatch(UNREAD_US);
 
     /**
      * Takes over an accepted connection.
@@ -253,6 +254,7 @@
     }
 
     ChannelFuture write(HttpObject answer) {
+        given += answer instanceof HttpContent content ? content.content().readableBytes() : 0;
         return channel.writeAndFlush(answer);
     }
 
@@ -305,7 +307,7 @@
             if (since > (headCame ? BODY_US + assembler.heldBytes() * US_A_BYTE : HEAD_US)) {
                 part(Answers.plain(HttpResponseStatus.REQUEST_TIMEOUT, "the request has not come in time"));
             }
-        } else if (now - idleSince > (unsent() ? UNREAD_US : IDLE_US)) {
+        } else if (now - idleSince > (unsent() > 0 ? UNREAD_US : IDLE_US)) {
             channel.close();
         }
     }
@@ -323,18 +325,15 @@
                 return;
             }
         }
-        long left = channel.bytesBeforeWritable();
-        if (left == 0 || left != untaken) {
-            untaken = left;
-            untakenSince = now;
-        } else if (now - untakenSince > UNREAD_US) {
+        if (takes.stuck(given, unsent(), now)) {
             channel.close();
         }
     }
 
-    private boolean unsent() {
+    /** Returns how many bytes the network has yet to take. */
+    private long unsent() {
         ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
-        return out != null && !out.isEmpty();
+        return out == null ? 0 : out.totalPendingWriteBytes() - out.currentProgress();
     }
 
     /** Answers what can't be read as a request, after those that came before it; nothing is read beyond it. */
