Slow messages in pieces: no stall limit, memory by sum, and a log of why answers broke off

- An answer that pauses for 100 ms was taken for spoilt.
Now its attempt's time-out ends it, and not even that while more comes; one of more than 64 KiB goes on with its head, one without a length after 100 ms or at its time-out (first bytes are what is timed).
- The kernel held up to 4 MB for a client and said nothing before a third of it was free: a reader of 64 kB a second showed nothing for 20 s.
- A connection counted as idle while its answer was still to be taken: a drain destroyed the tail.
Closing with bytes unread reset the connection under an answer on its way: now the sending side is ended first.
- A long body's time counted from when its end was read, which a slow backend delays; one whose backend takes nothing waited for minutes (ReadBacklog, Engine.giveUp, LongMessagesTest).
- After a stop of the process connections were judged before what had come meanwhile was read.

--- a/core/src/main/java/grebehoist/engine/Attempt.java
+++ b/core/src/main/java/grebehoist/engine/Attempt.java
@@ -26,6 +26,22 @@
     /** Returns whether the backend may have begun with it: its last byte has been handed to the network. */
     boolean mayHaveRun();
 
-    /** Ends it from this side with an outcome, before anything else is sent anywhere. Without effect once it has ended. */
+    /**
+     * Returns whether its answer has begun to come and has moved since this was last asked: then it is nearer than any that another
+     * attempt may bring.
+     */
+    default boolean answering() {
+        return false;
+    }
+
+    /** Returns whether more of the request is there and its backend has taken nothing for too long. */
+    default boolean stuck() {
+        return false;
+    }
+
+    /**
+     * Ends it from this side with an outcome, before anything else is sent anywhere. Without effect once it has ended.
+     * A {@linkplain Outcome#TIMEOUT time-out} may end it with the answer instead, where that has begun and goes on coming.
+     */
     void abort(Outcome outcome);
 }
--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -22,6 +22,8 @@
 public final class Engine implements Intake, MemberSource.Sink {
     /** How long after its deadline a request is answered by the engine, if the module has not: the module goes first. */
     private static final long SAFETY_US = 2_000;
+    /** An attempt whose answer has begun to come is not given up at its time-out as long as more comes each time. */
+    private static final long MOVING_US = 100_000;
     /** How long a send waits, again and again, while the host takes in what came when it was held up. */
     private static final long SETTLE_US = 2_000;
 
@@ -168,11 +170,16 @@
             if (ended) {
                 return;
             }
-            if (!request.whole && attempt != null) {
+            if (!request.whole && attempt != null && !attempt.stuck()) {
                 // The front cuts off a client that is too slow, and then this ends as well.
                 timeout = timers.at(timers.now() + timeoutUs, this::expire);
                 return;
             }
+            long left = request.deadlineUs - timers.now();
+            if (!request.over && left > 0 && attempt != null && attempt.answering()) {
+                timeout = timers.at(timers.now() + Math.min(MOVING_US, left), this::expire);
+                return;
+            }
             abort(mayHaveRun() ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
         }
 
@@ -244,6 +251,16 @@
         }
     }
 
+    @Override
+    public void giveUp(String id) {
+        Open r = open.get(id);
+        if (r != null && !r.over && !r.whole) {
+            refuse(r, 0);
+            deliver(new Balancer.ClientGone(id));
+            forget(r);
+        }
+    }
+
     @Override
     public void clientGone(String id) {
         Open r = open.get(id);
@@ -317,6 +334,11 @@
         withdraw(r);
     }
 
+    private void refuse(Open r, long retryAfterUs) {
+        r.row.countRefused();
+        answer(r, responder -> responder.refused(retryAfterUs));
+    }
+
     private void fail(Open r) {
         r.row.countFailed();
         answer(r, Responder::failed);
@@ -395,10 +417,7 @@
         } else if (action instanceof Balancer.SetTimer a) {
             timers.at(a.atUs(), () -> deliver(new Balancer.TimerFired(a.token())));
         } else if (action instanceof Balancer.Refuse a) {
-            finish(a.id(), r -> {
-                r.row.countRefused();
-                answer(r, responder -> responder.refused(a.retryAfterUs()));
-            });
+            finish(a.id(), r -> refuse(r, a.retryAfterUs()));
         } else if (action instanceof Balancer.Fail a) {
             finish(a.id(), this::fail);
         } else if (action instanceof Balancer.Cancel a) {
--- a/core/src/main/java/grebehoist/engine/Intake.java
+++ b/core/src/main/java/grebehoist/engine/Intake.java
@@ -21,6 +21,12 @@
      */
     void whole(String id, long deadlineUs);
 
+    /**
+     * The payload of a request is not there as a whole, and would come too late: it is refused, as no backend can have begun with it.
+     * Without effect where it is answered already.
+     */
+    void giveUp(String id);
+
     /** The client has left before it had an answer; its responder is not called any more. */
     void clientGone(String id);
 }
--- a/daemon/src/main/java/grebehoist/backend/AttemptConnection.java
+++ b/daemon/src/main/java/grebehoist/backend/AttemptConnection.java
@@ -9,8 +9,6 @@
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 
 /**
  * The reading side of a connection to a backend. An answer is judged once all that has come is read: it is the attempt's if
@@ -39,8 +37,6 @@
      */
     public record Verdict(Outcome outcome, boolean reusable, Payload answer) { }
 
-    /** Backends send their answers in one go: one that stops on its way has a length that is wrong, or no end. */
-    private static final long STALL_MS = 100;
     private static final long SETTLE_US = 3_000;
 
     private final PooledTransport.Target target;
@@ -53,7 +49,8 @@
     /** Whether an answer is passed on as it comes: its attempt has ended, and the connection is still its own. */
     private boolean streaming;
     private long idleSince;
-    private Future<?> stall;
+    /** How much had come when that was last asked. */
+    private long seen;
 
     /**
      * Makes the last handler of a connection.
@@ -84,6 +81,19 @@
     public final void begin(PooledAttempt next) {
         attempt = next;
         decoder.countAfresh();
+        seen = 0;
+    }
+
+    @Override
+    public final boolean moved() {
+        long before = seen;
+        seen = decoder.bytes();
+        return seen > before;
+    }
+
+    @Override
+    public boolean passOn() {
+        return false;
     }
 
     /** The attempt has its end from elsewhere; whatever comes is nobody's. */
@@ -95,7 +105,6 @@
     protected final void stream(Payload begun) {
         PooledAttempt a = attempt;
         attempt = null;
-        stopAwaiting();
         streaming = true;
         a.end(Outcome.OK, begun);
     }
@@ -151,7 +160,7 @@
         if (answer != null) {
             answered();
         } else if (streaming) {
-            moved();
+            streamMoved();
         } else if (attempt == null) {
             if (decoder.bytes() > 0 && minds()) {
                 // Nobody has asked: what comes next on this connection can't be trusted.
@@ -159,21 +168,18 @@
             }
         } else if (decoder.bytes() > mostBytes) {
             spoilt();
-        } else if (decoder.bytes() > 0 && stall == null) {
-            awaitMore(decoder.bytes());
         }
         super.channelReadComplete(ctx);
     }
 
     /** More of an answer that is passed on has come. */
-    protected void moved() { }
+    protected void streamMoved() { }
 
     private void answered() {
         M message = answer;
         PooledAttempt a = attempt;
         answer = null;
         attempt = null;
-        stopAwaiting();
         Verdict verdict = judge(message, a);
         // Back into the pool before the module hears: what it sends next may find no room for another.
         putBack(verdict.reusable());
@@ -183,27 +189,6 @@
         a.end(verdict.outcome(), verdict.answer());
     }
 
-    private void awaitMore(long seen) {
-        stall = channel.eventLoop().schedule(() -> {
-            stall = null;
-            if (attempt == null) {
-                return;
-            }
-            if (decoder.bytes() == seen) {
-                spoilt();
-            } else {
-                awaitMore(decoder.bytes());
-            }
-        }, STALL_MS, TimeUnit.MILLISECONDS);
-    }
-
-    private void stopAwaiting() {
-        if (stall != null) {
-            stall.cancel(false);
-            stall = null;
-        }
-    }
-
     /** Something has come back, so that the attempt may have run; but it is no answer, and none will follow. */
     private void spoilt() {
         PooledAttempt a = attempt;
@@ -217,7 +202,6 @@
     @Override
     public final void channelInactive(ChannelHandlerContext ctx) throws Exception {
         target.pool().closed(this);
-        stopAwaiting();
         if (answer != null) {
             ReferenceCountUtil.release(answer);
             answer = null;
@@ -239,8 +223,12 @@
         super.userEventTriggered(ctx, event);
     }
 
+    /** The connection is about to be closed, as something went wrong with it. */
+    protected void failing(Throwable cause) { }
+
     @Override
     public final void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        failing(cause);
         // That the end came too soon for the decoder is told by the end itself.
         if (cause instanceof CodecException && !(cause instanceof PrematureChannelClosureException)) {
             spoilt();
--- a/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
+++ b/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
@@ -47,6 +47,11 @@
         return written;
     }
 
+    @Override
+    public final boolean answering() {
+        return channel != null && written && !ended && channel.attr(PooledConnection.KEY).get().moved();
+    }
+
     private void connected(Future<Channel> f) {
         connecting = null;
         if (!f.isSuccess()) {
@@ -80,7 +85,7 @@
     /** Its connection is closed before anybody hears: no other attempt goes out beside it. */
     @Override
     public final void abort(Outcome outcome) {
-        if (ended) {
+        if (ended || outcome == Outcome.TIMEOUT && channel != null && channel.attr(PooledConnection.KEY).get().passOn()) {
             return;
         }
         // The close fails a write that is under way, and that is not to end it a second time.
--- a/daemon/src/main/java/grebehoist/backend/PooledConnection.java
+++ b/daemon/src/main/java/grebehoist/backend/PooledConnection.java
@@ -14,6 +14,19 @@
     /** The attempt is about to be written. */
     void begin(PooledAttempt attempt);
 
+    /**
+     * Returns whether its attempt's answer has begun to come and has moved since this was last asked.
+     */
+    boolean moved();
+
+    /**
+     * The attempt's time is up. Where an answer has begun whose first bytes are what counts, it is passed on from here, which ends
+     * the attempt.
+     *
+     * @return whether that was so
+     */
+    boolean passOn();
+
     /** It carries nothing from now on. */
     void idleFrom(long nowUs);
 
--- a/daemon/src/main/java/grebehoist/http/AnswerAssembler.java
+++ b/daemon/src/main/java/grebehoist/http/AnswerAssembler.java
@@ -4,11 +4,14 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Puts a backend's answers together, or hands on the long ones as they come. A short answer is judged as a whole before the
@@ -17,9 +20,12 @@
 final class AnswerAssembler extends Assembler<HttpResponse> {
     /** An answer of unknown length that has come to so much, and has more, is passed on as it comes. */
     private static final int LIKELY_LONG = 16 * 1024;
+    /** It is passed on, too, when it has been held for so long: a twentieth of what holding the rest of a long one back may take. */
+    private static final long HELD_MS = 100;
 
     private BackendConnection connection;
     private long length;
+    private Future<?> held;
 
     AnswerAssembler() {
         super(HttpResponse.class);
@@ -41,14 +47,52 @@
         return true;
     }
 
-    /** One that is long, or likely to be, is not kept waiting for more of it: its first bytes are timed. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+        if (held == null && mayBeLong()) {
+            held = ctx.executor().schedule(() -> passOn(ctx), HELD_MS, TimeUnit.MILLISECONDS);
+        }
+        super.channelReadComplete(ctx);
+    }
+
+    /** Returns whether something is held that has no length and may turn out to be long. */
+    private boolean mayBeLong() {
+        HttpResponse head = holding();
+        return head != null && good(head) && length < 0;
+    }
+
+    /**
+     * One that is long, or likely to be, is not kept waiting for more of it: its first bytes are timed. Nor is one that can't be
+     * read, or passed on: it is judged by its head.
+     */
     @Override
     protected boolean holds(HttpResponse head, int bytes) {
-        int most = !good(head) ? HttpTransport.MAX_BODY : length < 0 ? LIKELY_LONG : length <= HttpTransport.MAX_BODY ? HttpTransport.MAX_BODY : 0;
-        return bytes <= most;
+        // That it ended too soon is told by the end itself, which has its own outcome.
+        boolean unreadable = head.decoderResult().isFailure() && !(head.decoderResult().cause() instanceof PrematureChannelClosureException);
+        if (unreadable || length > (good(head) ? HttpTransport.MAX_BODY : HttpTransport.LONGEST_BODY)) {
+            return false;
+        }
+        return bytes <= (good(head) && length < 0 ? LIKELY_LONG : HttpTransport.MAX_BODY);
+    }
+
+    @Override
+    protected void forgets() {
+        if (held != null) {
+            held.cancel(false);
+            held = null;
+        }
+    }
+
+    /** Passes on what may turn out to be long. Returns whether there was such an answer, and somebody to hear it. */
+    boolean passOn(ChannelHandlerContext ctx) {
+        boolean passes = mayBeLong() && connection.awaited();
+        if (passes) {
+            handOn(ctx);
+        }
+        return passes;
     }
 
-    /** Only what can be an answer is passed on before its end: all else is judged by its head, and the rest is not waited for. */
+    /** Only what can be an answer is passed on before its end. */
     private boolean good(HttpResponse head) {
         return head.status().equals(HttpResponseStatus.OK) && head.decoderResult().isSuccess()
                 && length <= HttpTransport.LONGEST_BODY;
--- a/daemon/src/main/java/grebehoist/http/AnswerStream.java
+++ b/daemon/src/main/java/grebehoist/http/AnswerStream.java
@@ -32,6 +32,7 @@
     private boolean over;
     private boolean whole;
     private boolean cancelled;
+    private CutOff why = CutOff.BACKEND_ENDED;
 
     /**
      * Makes one whose first bytes are to come.
@@ -52,6 +53,16 @@
         return length;
     }
 
+    /** It is about to break off, and why. */
+    void because(CutOff cause) {
+        why = cause;
+    }
+
+    /** Returns why it broke off, where it did. */
+    CutOff why() {
+        return why;
+    }
+
     /** The client's connection takes it over. */
     void take(Assembler.Sink by) {
         client = by;
@@ -101,7 +112,10 @@
     }
 
     @Override
-    public void broken() {
+    public void broken(boolean unreadable) {
+        if (unreadable) {
+            why = CutOff.BACKEND_UNREADABLE;
+        }
         over(false);
     }
 
@@ -125,7 +139,7 @@
         if (whole) {
             client.last();
         } else {
-            client.broken();
+            client.broken(false);
         }
         tell(whole);
     }
--- a/daemon/src/main/java/grebehoist/http/Assembler.java
+++ b/daemon/src/main/java/grebehoist/http/Assembler.java
@@ -25,8 +25,12 @@
         /** That was all of it. */
         void last();
 
-        /** The rest can't be read, or will not come. */
-        void broken();
+        /**
+         * The rest will not come.
+         *
+         * @param unreadable whether it is there, but can't be read
+         */
+        void broken(boolean unreadable);
     }
 
     private final Class<H> type;
@@ -76,6 +80,9 @@
         drop();
         if (begins(ctx, message)) {
             head = message;
+            if (!holds(message, 0)) {
+                handOn(ctx);
+            }
         }
     }
 
@@ -87,7 +94,7 @@
         } else if (sink == null && !bad) {
             hold(ctx, content.content());
             if (!last && !holds(head, heldBytes())) {
-                overflow(ctx);
+                handOn(ctx);
             }
         } else if (!bad && content.content().isReadable()) {
             sink.part(content.content().retain());
@@ -99,7 +106,7 @@
             Sink to = sink;
             forget();
             if (bad) {
-                to.broken();
+                to.broken(true);
             } else {
                 to.last();
             }
@@ -123,7 +130,13 @@
         }
     }
 
-    private void overflow(ChannelHandlerContext ctx) {
+    /** Returns the message that is being put together, or null. */
+    final H holding() {
+        return sink == null ? head : null;
+    }
+
+    /** What is being put together is not held any longer. */
+    final void handOn(ChannelHandlerContext ctx) {
         ByteBuf soFar = held == null ? Unpooled.EMPTY_BUFFER : held;
         held = null;
         sink = streams(ctx, head);
@@ -152,7 +165,7 @@
         Sink to = sink;
         forget();
         if (to != null) {
-            to.broken();
+            to.broken(false);
         }
     }
 
--- a/daemon/src/main/java/grebehoist/http/BackendConnection.java
+++ b/daemon/src/main/java/grebehoist/http/BackendConnection.java
@@ -4,29 +4,35 @@
 import grebehoist.backend.AttemptConnection;
 import grebehoist.backend.PooledAttempt;
 import grebehoist.backend.PooledTransport;
+import grebehoist.engine.Timers;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
+import java.io.IOException;
 
 /** The reading side of a connection to an HTTP backend. */
 final class BackendConnection extends AttemptConnection<FullHttpResponse> implements AnswerStream.Source {
     /** An answer that is put together, with its head, its padding and what comes ahead of it, is never longer, in bytes. */
     private static final long MOST_BYTES = 4 * HttpTransport.MAX_BODY;
     /** A long answer of which nothing more comes for so long, though it is read, will not be whole. */
-    private static final long SILENT_MS = 5_000;
+    private static final long SILENT_US = 5_000_000;
 
+    /** The long answer that is on its way, or null. */
+    private AnswerStream stream;
     private boolean keeps;
     private boolean paused;
     private boolean movedOn;
-    private Future<?> watch;
+    private final Timers timers;
+    private Timers.Timer watch;
 
-    BackendConnection(PooledTransport.Target target, Channel channel, Framing.Responses decoder) {
+    BackendConnection(PooledTransport.Target target, Channel channel, Framing.Responses decoder, Timers timers) {
         super(target, channel, decoder, MOST_BYTES);
+        this.timers = timers;
     }
 
     /** RFC 9110, 15.2: any number of 1xx answers may come ahead; 101 is final, as nobody has asked to switch. */
@@ -46,29 +52,43 @@
                 outcome == Outcome.OK ? new HttpAnswer(response.headers(), response.content()) : null);
     }
 
+    /** Returns whether an attempt waits here whose answer may have begun: its last byte has been written. */
+    boolean awaited() {
+        return attempt() != null && attempt().mayHaveRun();
+    }
+
+    @Override
+    public boolean passOn() {
+        ChannelHandlerContext assembler = channel().pipeline().context(AnswerAssembler.class);
+        return assembler != null && ((AnswerAssembler) assembler.handler()).passOn(assembler);
+    }
+
     /** A long answer has begun. Returns null where it is nobody's, or can't be the answer of the attempt that waits here. */
     AnswerStream stream(HttpResponse head, long length) {
-        PooledAttempt waiting = attempt();
-        if (waiting == null || !waiting.mayHaveRun()) {
+        if (!awaited()) {
             return null;
         }
         var begun = new AnswerStream(head.headers(), length, this);
         keeps = HttpUtil.isKeepAlive(head) && (length >= 0 || HttpUtil.isTransferEncodingChunked(head));
-        watch = channel().eventLoop().scheduleWithFixedDelay(this::look, SILENT_MS, SILENT_MS, TimeUnit.MILLISECONDS);
+        watch = timers.at(timers.now() + SILENT_US, this::look);
+        stream = begun;
         stream(begun);
         return begun;
     }
 
     @Override
-    protected void moved() {
+    protected void streamMoved() {
         movedOn = true;
     }
 
     private void look() {
         if (!movedOn && !paused) {
+            stream.because(CutOff.BACKEND_SILENT);
             channel().close();
+        } else {
+            movedOn = false;
+            watch = timers.at(timers.now() + SILENT_US, this::look);
         }
-        movedOn = false;
     }
 
     @Override
@@ -91,9 +111,17 @@
         streamed(kept);
     }
 
+    @Override
+    protected void failing(Throwable cause) {
+        if (stream != null && !(cause instanceof IOException)) {
+            stream.because(cause instanceof CodecException ? CutOff.BACKEND_UNREADABLE : CutOff.BACKEND_FAILED);
+        }
+    }
+
     private void over() {
+        stream = null;
         if (watch != null) {
-            watch.cancel(false);
+            watch.cancel();
             watch = null;
         }
         if (paused) {
--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -1,6 +1,7 @@
 package grebehoist.http;
 
 import grebehoist.net.ClientFront;
+import grebehoist.net.Network;
 import grebehoist.net.Sockets;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -18,6 +19,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Queue;
@@ -37,7 +39,11 @@
     static final long US_A_BYTE = 31;
     /** A long body of which nothing more comes for so long, though it is read, will not be whole. */
     private static final long SILENT_US = 2_600_000;
-    /** A client that takes nothing of its answer for so long has gone. */
+    /**
+     * A client that takes nothing of its answer for so long has gone. What it takes shows in steps: its kernel says nothing before it
+     * has read a part of its buffer, and this side's, which is bounded ({@link Network#UNSENT}), asks for more when a
+     * third of it is free. In this time one that reads 32 kB a second makes both steps.
+     */
     private static final long UNREAD_US = 10_000_000;
     /** After the last answer what else the client sends is dropped, so much and for so long: see {@code hangUp}. */
     private static final long DROPPED = 256 * 1024;
@@ -60,12 +66,16 @@
     private long cameAt;
     private long firstByteAt = -1;
     private boolean headCame;
+    private final ReadBacklog backlog = new ReadBacklog();
     private long lastReadAt;
     /** Since when nothing is open here: the connect, or the last answer. */
     private long idleSince;
     private boolean used;
-    private FullHttpResponse parting;
+    /** Whether nothing more is read as a request, and what is to be said of that, until it is written. */
+    private boolean parting;
+    private FullHttpResponse lastWord;
     private long partedAt = -1;
+    private CutOff why = CutOff.CLIENT_LEFT;
     private long dropped;
     private long mostDropped = DROPPED;
     private long lingerUs = LINGER_US;
@@ -99,13 +109,18 @@
     /** A client's patience began when it sent; the nearest to it that can be known is its first byte. */
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
-        if (parting != null) {
+        if (parting) {
             drop((ByteBuf) message);
             return;
         }
         // A request's time counts from its last byte: one that comes slowly is not older for that.
-        lastReadAt = Math.min(cameAt, front.arrivedAt());
+        var read = (ByteBuf) message;
+        lastReadAt = Math.min(cameAt, backlog.read(read.readableBytes(), front.arrivedAt()));
         cameAt = Long.MAX_VALUE;
+        if (read.isWritable()) {
+            // There was room for more: nothing else was there.
+            backlog.drained();
+        }
         if (firstByteAt < 0 && assembler.upload() == null) {
             firstByteAt = lastReadAt;
         }
@@ -131,13 +146,14 @@
         front.closed(this);
         waiting.forEach(e -> e.drop());
         waiting.clear();
-        if (parting != null && partedAt < 0) {
-            parting.release();
+        if (lastWord != null) {
+            lastWord.release();
+            lastWord = null;
         }
         if (exchange != null) {
             Exchange gone = exchange;
             exchange = null;
-            gone.clientGone();
+            gone.clientGone(why);
         }
         super.channelInactive(ctx);
     }
@@ -151,6 +167,11 @@
                 exchanges[0].bodyCame(lastReadAt);
             }
 
+            @Override
+            public void rests() {
+                backlog.rests(front.now());
+            }
+
             @Override
             public void cutOff() {
                 ClientConnection.this.cutOff(exchanges[0], Answers.plain(HttpResponseStatus.BAD_REQUEST, "not a body that can be read"));
@@ -182,7 +203,7 @@
      * @return null where it isn't wanted
      */
     Exchange request(HttpRequest head, ByteBuf body, Upload upload) {
-        if (parting != null || !channel.isActive()) {
+        if (parting || !channel.isActive()) {
             body.release();
             return null;
         }
@@ -220,28 +241,57 @@
         }, LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** The exchange is over; the next that was read ahead begins. */
-    void answered(boolean keepAlive) {
+    /**
+     * The exchange has its answer. It is over once the network has taken that: until then its connection is not idle, whoever looks
+     * for idle ones, and what is read ahead waits.
+     */
+    void answered(ChannelFuture written, boolean keepAlive) {
+        if (written.isDone()) {
+            over(written, keepAlive);
+        } else {
+            written.addListener(f -> over(written, keepAlive));
+        }
+    }
+
+    private void over(ChannelFuture written, boolean keepAlive) {
+        if (!written.isSuccess()) {
+            if (channel.isOpen()) {
+                // The connection has not ended by itself: the answer could not be written down.
+                close(CutOff.CLIENT_FAILED);
+            }
+            return;
+        }
         used = true;
         idleSince = front.now();
         exchange = keepAlive ? waiting.poll() : null;
         if (exchange != null) {
             beginExchange(exchange);
-        } else if (keepAlive && parting != null) {
+        } else if (!keepAlive) {
+            // What was asked behind the last answer has not been begun, and nothing is said of it.
+            rejected(null);
+        } else if (parting) {
             hangUp();
-        } else if (keepAlive) {
+        } else {
             sockets.clientIdle(channel);
         }
     }
 
-    /** The exchange is no request that can be passed on: the answer says so, and is the last. */
-    void rejected(FullHttpResponse answer) {
-        exchange = null;
+    private void dropWaiting() {
         waiting.forEach(e -> e.drop());
         waiting.clear();
-        if (parting != null) {
-            parting.release();
-            parting = answer;
+    }
+
+    /**
+     * Nothing more is asked on this connection.
+     *
+     * @param answer the last one, where the exchange was no request that can be passed on; else null
+     */
+    void rejected(FullHttpResponse answer) {
+        exchange = null;
+        dropWaiting();
+        if (parting) {
+            ReferenceCountUtil.release(lastWord);
+            lastWord = answer;
             hangUp();
         } else {
             part(answer);
@@ -263,7 +313,12 @@
     }
 
     /** An answer that has begun can't be finished: the client can tell by the end of its connection. */
-    void cutOff() {
+    void cutOff(CutOff cause) {
+        close(cause);
+    }
+
+    private void close(CutOff cause) {
+        why = cause;
         channel.close();
     }
 
@@ -275,12 +330,12 @@
 
     /** Returns whether nothing more is to be answered after the exchange that is under way. */
     boolean last() {
-        return waiting.isEmpty() && parting == null;
+        return waiting.isEmpty() && !parting;
     }
 
     @Override
     public void closeIfIdle() {
-        if (exchange == null && firstByteAt < 0 && parting == null) {
+        if (exchange == null && firstByteAt < 0 && !parting) {
             channel.close();
         }
     }
@@ -298,7 +353,7 @@
             return;
         }
         if (partedAt >= 0) {
-            if (now - partedAt > lingerUs) {
+            if (unsent() > 0 ? takesNothing(now) : now - partedAt > lingerUs) {
                 channel.close();
             }
         } else if (firstByteAt >= 0) {
@@ -307,7 +362,7 @@
             if (since > (headCame ? BODY_US + assembler.heldBytes() * US_A_BYTE : HEAD_US)) {
                 part(Answers.plain(HttpResponseStatus.REQUEST_TIMEOUT, "the request has not come in time"));
             }
-        } else if (now - idleSince > (unsent() > 0 ? UNREAD_US : IDLE_US)) {
+        } else if (now - idleSince > IDLE_US) {
             channel.close();
         }
     }
@@ -316,6 +371,11 @@
     private void lookAtStreams(long now) {
         Upload upload = assembler.upload();
         if (upload != null) {
+            if (exchange.takes(upload) && exchange.tooLate(backlog.endMayHaveComeAt(upload.left()), now)) {
+                // Its client may have waited for so long as it waits at all, and its backend has begun with nothing.
+                exchange.giveUp();
+                return;
+            }
             if (upload.paused() || upload.bytes() != uploaded || !exchange.takes(upload)) {
                 uploaded = upload.bytes();
                 uploadedAt = now;
@@ -325,24 +385,33 @@
                 return;
             }
         }
-        if (takes.stuck(given, unsent(), now)) {
-            channel.close();
+        if (takesNothing(now)) {
+            close(CutOff.CLIENT_TAKES_NOTHING);
         }
     }
 
+    private boolean takesNothing(long now) {
+        return takes.stuck(given, unsent(), now);
+    }
+
     /** Returns how many bytes the network has yet to take. */
     private long unsent() {
         ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
         return out == null ? 0 : out.totalPendingWriteBytes() - out.currentProgress();
     }
 
-    /** Answers what can't be read as a request, after those that came before it; nothing is read beyond it. */
+    /**
+     * Answers what can't be read as a request, after those that came before it; nothing is read beyond it.
+     *
+     * @param answer null where all has been said
+     */
     void part(FullHttpResponse answer) {
-        if (parting != null) {
-            answer.release();
+        if (parting) {
+            ReferenceCountUtil.release(answer);
             return;
         }
-        parting = answer;
+        parting = true;
+        lastWord = answer;
         // What it holds, and what comes, is not decoded any more.
         channel.pipeline().remove(decoder);
         if (exchange == null) {
@@ -357,16 +426,27 @@
     private void hangUp() {
         partedAt = front.now();
         sockets.clientIdle(channel);
-        HttpUtil.setKeepAlive(parting, false);
-        channel.writeAndFlush(parting).addListener(f -> {
-            if (f.isSuccess() && dropped < mostDropped && channel instanceof SocketChannel socket) {
-                socket.shutdownOutput();
-            } else {
-                channel.close();
-            }
+        if (lastWord == null) {
+            endSending(true);
+            return;
+        }
+        HttpUtil.setKeepAlive(lastWord, false);
+        FullHttpResponse said = lastWord;
+        lastWord = null;
+        channel.writeAndFlush(said).addListener(f -> {
+            partedAt = front.now();
+            endSending(f.isSuccess());
         });
     }
 
+    private void endSending(boolean allSent) {
+        if (allSent && dropped < mostDropped && channel instanceof SocketChannel socket) {
+            socket.shutdownOutput();
+        } else {
+            channel.close();
+        }
+    }
+
     private void drop(ByteBuf rest) {
         dropped += rest.readableBytes();
         rest.release();
@@ -385,6 +465,9 @@
             // A client that goes away, or stops half-way, is nothing to tell the operators.
             if (!(cause instanceof IOException) && !(cause instanceof CodecException)) {
                 front.log().failure("a client's connection failed", cause);
+                why = CutOff.CLIENT_FAILED;
+            } else if (cause instanceof IOException) {
+                why = CutOff.CLIENT_RESET;
             }
             ctx.close();
         }
--- /dev/null
+++ b/daemon/src/main/java/grebehoist/http/CutOff.java
@@ -0,0 +1,27 @@
+package grebehoist.http;
+
+/**
+ * Why a request that was taken has no whole answer. The set is closed: whatever ends a connection on which a request is open
+ * names one of these, so that the operators' log can say it (docs/operations.md).
+ */
+enum CutOff {
+    CLIENT_LEFT("the client has closed its connection"),
+    CLIENT_RESET("the client's connection was reset"),
+    CLIENT_TAKES_NOTHING("the client has taken nothing for too long"),
+    CLIENT_FAILED("the client's connection failed in this program"),
+    BACKEND_ENDED("the backend has ended its connection"),
+    BACKEND_SILENT("the backend has given nothing for too long"),
+    BACKEND_UNREADABLE("what the backend gives can't be read"),
+    BACKEND_FAILED("the backend's connection failed in this program");
+
+    private final String text;
+
+    CutOff(String text) {
+        this.text = text;
+    }
+
+    @Override
+    public String toString() {
+        return text;
+    }
+}
--- a/daemon/src/main/java/grebehoist/http/Exchange.java
+++ b/daemon/src/main/java/grebehoist/http/Exchange.java
@@ -4,8 +4,6 @@
 import grebehoist.engine.Request;
 import grebehoist.engine.Responder;
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpRequest;
@@ -29,6 +27,9 @@
     /** How long the client waits, for a request whose end was yet to come. */
     private long patienceUs;
     private AnswerStream stream;
+    private boolean answered;
+    /** How much of a long answer has been passed on. */
+    private long passed;
     private boolean dropped;
 
     /**
@@ -91,6 +92,16 @@
         }
     }
 
+    /** Returns whether a client whose last byte came at a time will have waited for as long as it waits when this is next asked. */
+    boolean tooLate(long endCameAt, long now) {
+        return id != null && endCameAt != Long.MAX_VALUE && now + HttpFront.LOOK_US - endCameAt >= patienceUs;
+    }
+
+    /** The rest of a long body would come too late. */
+    void giveUp() {
+        front.intake().giveUp(id);
+    }
+
     /** Returns whether a long body is this one's. */
     boolean takes(Upload other) {
         return upload == other;
@@ -148,14 +159,8 @@
         boolean keepAlive = keepAlive();
         HttpUtil.setKeepAlive(answer, keepAlive);
         drop();
-        done(connection.write(answer), keepAlive);
-    }
-
-    private void done(ChannelFuture written, boolean keepAlive) {
-        if (!keepAlive) {
-            written.addListener(ChannelFutureListener.CLOSE);
-        }
-        connection.answered(keepAlive);
+        answered = true;
+        connection.answered(connection.write(answer), keepAlive);
     }
 
     /** Passes a long answer on as it comes. */
@@ -168,11 +173,13 @@
         boolean chunks = begun.length() < 0 && request.protocolVersion().equals(HttpVersion.HTTP_1_1);
         boolean keepAlive = keepAlive() && (begun.length() >= 0 || chunks);
         drop();
+        answered = true;
         stream = begun;
         connection.write(Answers.begun(begun, chunks, keepAlive));
         begun.take(new Assembler.Sink() {
             @Override
             public void part(ByteBuf bytes) {
+                passed += bytes.readableBytes();
                 connection.write(new DefaultHttpContent(bytes));
                 if (!connection.writable()) {
                     begun.wanted(false);
@@ -182,26 +189,37 @@
             @Override
             public void last() {
                 stream = null;
-                done(connection.write(LastHttpContent.EMPTY_LAST_CONTENT), keepAlive);
+                connection.answered(connection.write(LastHttpContent.EMPTY_LAST_CONTENT), keepAlive);
             }
 
             @Override
-            public void broken() {
+            public void broken(boolean unreadable) {
                 stream = null;
-                connection.cutOff();
+                connection.cutOff(begun.why());
             }
         });
     }
 
-    void clientGone() {
+    /** Its connection is closed before the answer has gone out whole. */
+    void clientGone(CutOff why) {
         drop();
+        if (id != null) {
+            front.cutOffs().tell(front.now(), why, this);
+        }
         if (stream != null) {
             stream.cancel();
-        } else if (id != null) {
+        } else if (id != null && !answered) {
             front.intake().clientGone(id);
         }
     }
 
+    /** How far it came, for the operators. */
+    @Override
+    public String toString() {
+        return id + " (" + (!answered ? "no answer" : passed == 0 ? "a short answer" : passed + " bytes of an answer") + ", "
+                + (front.now() - cameAt) / 1_000 + " ms after it came)";
+    }
+
     /** Gives up the request's bytes. */
     void drop() {
         if (!dropped) {
--- a/daemon/src/main/java/grebehoist/http/Framing.java
+++ b/daemon/src/main/java/grebehoist/http/Framing.java
@@ -3,11 +3,13 @@
 import grebehoist.backend.AttemptConnection;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
+import java.nio.charset.StandardCharsets;
 
 /**
  * Where a message ends, as both sides of a proxy must agree on it. What Netty's decoders mend or let pass is a failure
@@ -43,6 +45,8 @@
 
     /** Decodes what a backend sends, and counts it. */
     static final class Responses extends HttpResponseDecoder implements AttemptConnection.Counted {
+        private static final byte[] PROTOCOL = "HTTP/".getBytes(StandardCharsets.US_ASCII);
+
         private long bytes;
 
         Responses() {
@@ -51,10 +55,31 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
-            bytes += message instanceof ByteBuf read ? read.readableBytes() : 0;
+            if (message instanceof ByteBuf read) {
+                if (bytes == 0 && !mayBegin(read)) {
+                    read.release();
+                    throw new CorruptedFrameException("no answer begins like this");
+                }
+                bytes += read.readableBytes();
+            }
             super.channelRead(ctx, message);
         }
 
+        /** Noise may hold no end of a line for the decoder to judge, and would be waited on like a slow head. */
+        private static boolean mayBegin(ByteBuf read) {
+            int from = read.readerIndex();
+            while (from < read.writerIndex() && (read.getByte(from) == '\r' || read.getByte(from) == '\n')) {
+                from++;
+            }
+            int length = Math.min(PROTOCOL.length, read.writerIndex() - from);
+            for (int i = 0; i < length; i++) {
+                if (read.getByte(from + i) != PROTOCOL[i]) {
+                    return false;
+                }
+            }
+            return true;
+        }
+
         @Override
         public long bytes() {
             return bytes;
--- a/daemon/src/main/java/grebehoist/http/HttpAttempt.java
+++ b/daemon/src/main/java/grebehoist/http/HttpAttempt.java
@@ -18,9 +18,14 @@
 
 /** An attempt over HTTP. */
 final class HttpAttempt extends PooledAttempt {
+    /** A backend that takes nothing of a long body for so long takes none of it: as for a client that sends nothing. */
+    private static final long STUCK_US = 2_600_000;
+
     private final Timers timers;
     private final HttpCall call;
     private final long deadlineUs;
+    /** When the backend last took something of a long body. */
+    private long takenAt;
 
     HttpAttempt(Timers timers, PooledTransport.Target target, HttpCall call, long deadlineUs, End end) {
         super(target, end);
@@ -57,6 +62,7 @@
         } else {
             HttpUtil.setTransferEncodingChunked(head, true);
         }
+        takenAt = timers.now();
         var writer = new Writer(on);
         on.write(head);
         if (!call.upload().take(writer)) {
@@ -67,6 +73,11 @@
         return writer.whole;
     }
 
+    @Override
+    public boolean stuck() {
+        return call.upload() != null && call.upload().paused() && timers.now() - takenAt > STUCK_US;
+    }
+
     /** Writes a body as it comes, and asks for more as the backend takes it. */
     private final class Writer implements Assembler.Sink {
         private final Channel on;
@@ -81,6 +92,7 @@
         @Override
         public void part(ByteBuf bytes) {
             on.writeAndFlush(new DefaultHttpContent(bytes)).addListener(f -> {
+                takenAt = timers.now();
                 if (!f.isSuccess()) {
                     whole.tryFailure(f.cause());
                 } else if (call.upload().paused() && on.isWritable()) {
@@ -105,7 +117,7 @@
 
         /** The client has stopped half-way: the backend, which has begun with nothing yet, is told by the end of its connection. */
         @Override
-        public void broken() {
+        public void broken(boolean unreadable) {
             whole.tryFailure(new IllegalStateException("the client has cut its body off"));
         }
     }
--- a/daemon/src/main/java/grebehoist/http/HttpFront.java
+++ b/daemon/src/main/java/grebehoist/http/HttpFront.java
@@ -13,9 +13,13 @@
     /** What bodies that are held may take together, in bytes: half of what the platform leaves for buffers. */
     private static final long HELD_BODIES = 12L * 1024 * 1024;
 
+    /** How often its connections are looked at. */
+    static final long LOOK_US = SWEEP_US;
+
     private final BooleanSupplier ready;
     private final RequestReader reader;
     private final HeldBodies heldBodies = new HeldBodies(HELD_BODIES);
+    private final CutOffs cutOffs;
 
     /**
      * Makes a front that is yet to listen.
@@ -28,6 +32,7 @@
         super(timers, log, intake, sockets);
         this.ready = ready;
         this.reader = new RequestReader(settings);
+        this.cutOffs = new CutOffs(log);
     }
 
     @Override
@@ -43,6 +48,10 @@
         return heldBodies;
     }
 
+    CutOffs cutOffs() {
+        return cutOffs;
+    }
+
     boolean ready() {
         return ready.getAsBoolean() && !turnsAway();
     }
--- a/daemon/src/main/java/grebehoist/http/HttpTransport.java
+++ b/daemon/src/main/java/grebehoist/http/HttpTransport.java
@@ -34,7 +34,7 @@
     protected PooledConnection connection(Channel channel, Target target) {
         var decoder = new Framing.Responses();
         var assembler = new AnswerAssembler();
-        var connection = new BackendConnection(target, channel, decoder);
+        var connection = new BackendConnection(target, channel, decoder, timers());
         assembler.connection(connection);
         channel.pipeline().addLast(new HttpRequestEncoder(), decoder, assembler,
                 new IdleStateHandler(0, 0, idleUs(), TimeUnit.MICROSECONDS), connection);
--- a/daemon/src/main/java/grebehoist/http/Upload.java
+++ b/daemon/src/main/java/grebehoist/http/Upload.java
@@ -15,6 +15,9 @@
         /** The last byte has come from the client. */
         void came();
 
+        /** No more of it is read for now. */
+        void rests();
+
         /** It will never be whole. */
         void cutOff();
     }
@@ -45,6 +48,11 @@
         return length;
     }
 
+    /** Returns how many bytes are yet to be read, or -1 where that is not known. */
+    long left() {
+        return length < 0 ? -1 : length - bytes;
+    }
+
     /** Returns how many bytes have come. */
     long bytes() {
         return bytes;
@@ -73,7 +81,7 @@
         if (came) {
             by.last();
         } else if (over) {
-            by.broken();
+            by.broken(false);
         } else {
             wanted(true);
         }
@@ -82,6 +90,9 @@
 
     /** The backend takes more, or has enough for now. */
     void wanted(boolean more) {
+        if (!more && !over && !paused) {
+            listener.rests();
+        }
         paused = !more && !over;
         client.config().setAutoRead(!paused);
     }
@@ -120,13 +131,13 @@
     }
 
     @Override
-    public void broken() {
+    public void broken(boolean unreadable) {
         over = true;
         wanted(true);
         // The request ends first: an attempt that has ended would be made again.
         listener.cutOff();
         if (backend != null) {
-            backend.broken();
+            backend.broken(unreadable);
         }
     }
 }
--- a/daemon/src/main/java/grebehoist/search/World.java
+++ b/daemon/src/main/java/grebehoist/search/World.java
@@ -446,6 +446,11 @@
             intake.whole(id, deadlineUs);
         }
 
+        @Override
+        public void giveUp(String id) {
+            intake.giveUp(id);
+        }
+
         @Override
         public void arrived(Request request, Responder responder) {
             intake.arrived(request, new Responder() {
--- a/daemon/src/test/java/grebehoist/cli/Wire.java
+++ b/daemon/src/test/java/grebehoist/cli/Wire.java
@@ -29,6 +29,14 @@
         return new Wire(new Socket(InetAddress.getLoopbackAddress(), address.getPort()));
     }
 
+    /** Connects as a client whose kernel holds little of what it has not read. */
+    public static Wire narrow(InetSocketAddress address) throws IOException {
+        var socket = new Socket();
+        socket.setReceiveBufferSize(32 * 1024);
+        socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), address.getPort()));
+        return new Wire(socket);
+    }
+
     public Wire send(String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         return this;
--- a/daemon/src/test/java/grebehoist/http/LongMessagesTest.java
+++ b/daemon/src/test/java/grebehoist/http/LongMessagesTest.java
@@ -228,6 +228,40 @@
         }
     }
 
+    /**
+     * Rule 1. A backend that takes nothing of a long body has begun with nothing: the client is refused when its own time may be up, as the
+     * end of the body may be in the kernel, or when nothing has moved for too long.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aLongBodyThatNoBackendTakesIsRefused(boolean chunks) throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
+            if (event instanceof Arrival a) {
+                actions.accept(new Send(a.id(), "s0", 500_000));
+            } else if (event instanceof AttemptEnded e && !e.last()) {
+                actions.accept(new Refuse(e.id(), 0));
+            }
+        }, backend); var client = proxy.client()) {
+            String piece = chunks ? "4000\r\n" + PIECE + "\r\n" : PIECE;
+            client.send(Fixture.post("r1", "").replace("Content-Length: 0", chunks ? "Transfer-Encoding: chunked" : "Content-Length: 32768000"));
+            var writing = CompletableFuture.runAsync(() -> {
+                try {
+                    for (int i = 0; i < 2_000; i++) {
+                        client.send(piece);
+                    }
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            Wire attempt = attempt(backend);
+            assertThat(client.read().status()).isEqualTo(503);
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isIn(Outcome.CANCELLED, Outcome.CONNECT_FAILED);
+            assertThatThrownBy(() -> attempt.body(32_768_000)).isInstanceOf(IOException.class);
+            client.socket.close();
+            assertThatThrownBy(writing::get).isNotNull();
+        }
+    }
+
     @Test
     void aLongBodyThatCannotBeReadFailsAndNeverRuns() throws Exception {
         try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
--- a/daemon/src/test/java/grebehoist/search/BrokenProxyTest.java
+++ b/daemon/src/test/java/grebehoist/search/BrokenProxyTest.java
@@ -228,6 +228,11 @@
             to.whole(id, deadlineUs);
         }
 
+        @Override
+        public void giveUp(String id) {
+            to.giveUp(id);
+        }
+
         @Override
         public void clientGone(String id) {
             to.clientGone(id);
--- a/net/src/main/java/grebehoist/net/ClientFront.java
+++ b/net/src/main/java/grebehoist/net/ClientFront.java
@@ -38,7 +38,7 @@
     /** A request that is on its way to a connection has come by then. */
     private static final long GREETING_US = 20_000;
     /** How often connections are looked at that hold no request. */
-    private static final long SWEEP_US = 100_000;
+    protected static final long SWEEP_US = 100_000;
 
     private final LoopTimers timers;
     private final Log log;
@@ -47,6 +47,8 @@
     private final Set<C> connections = new LinkedHashSet<>();
     private Channel listener;
     private boolean closing;
+    /** Whether nobody comes any more: each connection ends when nothing is asked on it. */
+    private boolean stopped;
     /** Since when clients are sent away, or {@link Long#MAX_VALUE}. */
     private long awaySince = Long.MAX_VALUE;
     private AcceptBacklog backlog;
@@ -93,8 +95,13 @@
     /** One timer for all: one for each connection would have to be set anew with each request. */
     private void sweep() {
         long now = timers.now();
-        List.copyOf(connections).forEach(c -> c.expire(now));
-        if (now - AWAY_LAG_US >= awaySince) {
+        if (!timers.catchingUp()) {
+            // After a long stop of the process what clients have done meanwhile is yet to be read.
+            List.copyOf(connections).forEach(c -> c.expire(now));
+        }
+        if (stopped) {
+            closeIdle();
+        } else if (now - AWAY_LAG_US >= awaySince) {
             List.copyOf(connections).stream().filter(c -> now - c.idleSince() >= GREETING_US).forEach(Connection::closeIfIdle);
         }
     }
@@ -125,6 +132,7 @@
     @Override
     public final void stopListening() {
         closing = true;
+        stopped = true;
         listener.close();
         closeIdle();
     }
--- a/net/src/main/java/grebehoist/net/Network.java
+++ b/net/src/main/java/grebehoist/net/Network.java
@@ -2,10 +2,13 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.local.LocalAddress;
 import io.netty.channel.local.LocalChannel;
 import io.netty.channel.local.LocalIoHandler;
@@ -27,6 +30,19 @@
 public record Network(EventLoop loop, ServerBootstrap server, Bootstrap client,
         Function<InetSocketAddress, SocketAddress> addresses) {
     private static final int BACKLOG = 1_024;
+    /**
+     * How much the kernel holds of what a client has yet to take, in bytes; Linux counts twice as much for its own needs. Left to
+     * itself it holds up to 4 MB, and says that there is room again when a third of that is free: a client that reads 64 kB a second
+     * would seem to take nothing for 20 s.
+     */
+    public static final int UNSENT = 256 * 1024;
+    /**
+     * How much the kernel holds of what clients have sent and nobody has read. A request's time counts from its last byte, which may
+     * wait there while a backend takes no more of a long body; and the less fits in, the less of the body is still to go when it comes.
+     */
+    public static final int UNREAD = 64 * 1024;
+    /** The most that one read takes, and the most that waits in the program for one connection before its source rests, in bytes. */
+    private static final int PIECE = 32 * 1024;
 
     /** Returns the sockets of this machine, with an event loop of their own. */
     public static Network sockets() {
@@ -43,11 +59,23 @@
         ServerBootstrap server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 // One at a time: each that is accepted counts before the next is.
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator())
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true);
+                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.SO_SNDBUF, UNSENT).childOption(ChannelOption.SO_RCVBUF, UNREAD)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, pieces()).childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, marks());
         if (shared) {
             server.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
         }
-        return new Network(loop, server, new Bootstrap().group(loop).channel(NioSocketChannel.class), a -> a);
+        return new Network(loop, server, new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.SO_SNDBUF, UNSENT).option(ChannelOption.RECVBUF_ALLOCATOR, pieces())
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, marks()), a -> a);
+    }
+
+    private static RecvByteBufAllocator pieces() {
+        return new AdaptiveRecvByteBufAllocator(64, 2_048, PIECE);
+    }
+
+    private static WriteBufferWaterMark marks() {
+        return new WriteBufferWaterMark(PIECE / 2, PIECE);
     }
 
     /** Returns channels inside the process, with an event loop of their own. */
