--- a/daemon/src/main/java/grebehoist/http/BackendConnection.java
+++ b/daemon/src/main/java/grebehoist/http/BackendConnection.java
@@ -5,6 +5,7 @@
 import grebehoist.backend.PooledAttempt;
 import grebehoist.backend.PooledTransport;
 import grebehoist.engine.Timers;
+import grebehoist.net.ReadSwitch;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.CodecException;
@@ -25,7 +26,7 @@
     /** The long answer that is on its way, or null. */
     private AnswerStream stream;
     private boolean keeps;
-    private boolean paused;
+    private final ReadSwitch reading;
     private boolean movedOn;
     private final Timers timers;
     private Timers.Timer watch;
@@ -33,6 +34,7 @@
     BackendConnection(PooledTransport.Target target, Channel channel, Framing.Responses decoder, Timers timers) {
         super(target, channel, decoder, MOST_BYTES);
         this.timers = timers;
+        this.reading = new ReadSwitch(channel);
     }
 
     /** RFC 9110, 15.2: any number of 1xx answers may come ahead; 101 is final, as nobody has asked to switch. */
@@ -82,7 +84,7 @@
     }
 
     private void look() {
-        if (!movedOn && !paused) {
+        if (!movedOn && !reading.rests()) {
             stream.because(CutOff.BACKEND_SILENT);
             channel().close();
         } else {
@@ -93,9 +95,12 @@
 
     @Override
     public void wanted(boolean more) {
-        paused = !more;
         movedOn = true;
-        channel().config().setAutoRead(more);
+        if (more) {
+            reading.resume();
+        } else {
+            reading.rest();
+        }
     }
 
     @Override
@@ -124,8 +129,6 @@
             watch.cancel();
             watch = null;
         }
-        if (paused) {
-            wanted(true);
-        }
+        reading.resume();
     }
 }
--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -3,13 +3,13 @@
 import grebehoist.net.ClientFront;
 import grebehoist.net.Network;
 import grebehoist.net.Sockets;
+import grebehoist.net.TakeWatch;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -66,7 +66,8 @@
     private long cameAt;
     private long firstByteAt = -1;
     private boolean headCame;
-    private final ReadBacklog backlog = new ReadBacklog();
+    private ReadBacklog backlog;
+    private long reads;
     private long lastReadAt;
     /** Since when nothing is open here: the connect, or the last answer. */
     private long idleSince;
@@ -101,6 +102,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         channel = ctx.channel();
+        backlog = new ReadBacklog(channel instanceof SocketChannel ? ReadBacklog.MOST_HELD : ReadBacklog.UNBOUNDED);
         idleSince = front.now();
         front.opened(this);
         channel.pipeline().addLast(decoder, new HttpResponseEncoder(), assembler, new Failures());
@@ -117,7 +119,8 @@
         var read = (ByteBuf) message;
         lastReadAt = Math.min(cameAt, backlog.read(read.readableBytes(), front.arrivedAt()));
         cameAt = Long.MAX_VALUE;
-        if (read.isWritable()) {
+        reads++;
+        if (channel instanceof SocketChannel && read.isWritable()) {
             // There was room for more: nothing else was there.
             backlog.drained();
         }
@@ -133,6 +136,20 @@
         return exchange == null;
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+        if (!(channel instanceof SocketChannel) && backlog.size() > 0) {
+            // Of channels inside the process the room in their buffers tells nothing; what they have comes at once.
+            long seen = reads;
+            channel.eventLoop().schedule(() -> {
+                if (seen == reads && channel.config().isAutoRead()) {
+                    backlog.drained();
+                }
+            }, LOOK_MS, TimeUnit.MILLISECONDS);
+        }
+        super.channelReadComplete(ctx);
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) throws Exception {
         if (exchange != null) {
@@ -272,6 +289,7 @@
         } else if (parting) {
             hangUp();
         } else {
+            assembler.itsTurn(channel);
             sockets.clientIdle(channel);
         }
     }
@@ -396,8 +414,7 @@
 
     /** Returns how many bytes the network has yet to take. */
     private long unsent() {
-        ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
-        return out == null ? 0 : out.totalPendingWriteBytes() - out.currentProgress();
+        return TakeWatch.unsent(channel);
     }
 
     /**
--- a/daemon/src/main/java/grebehoist/http/Framing.java
+++ b/daemon/src/main/java/grebehoist/http/Framing.java
@@ -9,7 +9,9 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 
 /**
  * Where a message ends, as both sides of a proxy must agree on it. What Netty's decoders mend or let pass is a failure
@@ -48,6 +50,7 @@
         private static final byte[] PROTOCOL = "HTTP/".getBytes(StandardCharsets.US_ASCII);
 
         private long bytes;
+        private boolean reset;
 
         Responses() {
             super(config());
@@ -65,6 +68,20 @@
             super.channelRead(ctx, message);
         }
 
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) throws Exception {
+            reset |= cause instanceof IOException;
+            super.exceptionCaught(ctx, cause);
+        }
+
+        /** An answer without a length ends with its connection (RFC 9112, 6.3), but a reset is no end: the rest of it is lost. */
+        @Override
+        protected void decodeLast(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+            if (!reset) {
+                super.decodeLast(ctx, in, out);
+            }
+        }
+
         /** Noise may hold no end of a line for the decoder to judge, and would be waited on like a slow head. */
         private static boolean mayBegin(ByteBuf read) {
             int from = read.readerIndex();
--- a/daemon/src/main/java/grebehoist/http/ReadBacklog.java
+++ b/daemon/src/main/java/grebehoist/http/ReadBacklog.java
@@ -9,19 +9,31 @@
  * holds a bounded number of them, and a client's patience does not begin when they are read. What is told here is never too late.
  *
  * <p>The kernel holds so many bytes at most ({@link #MOST_HELD}), so the byte with number n came no sooner than byte n - MOST_HELD was
- * read, and no sooner than reading began to rest. As little as that is kept: the times at which every {@link #STEP} bytes had been read.
+ * read, and no sooner than reading began to rest. As little as that is kept: the times at which every sixteenth of that had been read.
  */
 final class ReadBacklog {
     /** Twice what is asked for (tcp(7), SO_RCVBUF): Linux counts its own needs in that, so it is less. */
     static final int MOST_HELD = 2 * Network.UNREAD;
-    private static final int STEP = MOST_HELD / 16;
+    /** Where nothing is known of how much is held. */
+    static final int UNBOUNDED = Integer.MAX_VALUE;
+    private static final int STEPS = 16;
 
     private record Mark(long bytes, long atUs) { }
 
     /** Empty while all that has come is read. */
     private final Deque<Mark> marks = new ArrayDeque<>(18);
+    private final int mostHeld;
     private long bytes;
 
+    /**
+     * Makes one for a connection on which nothing has been read.
+     *
+     * @param mostHeld how many bytes may wait to be read
+     */
+    ReadBacklog(int mostHeld) {
+        this.mostHeld = mostHeld;
+    }
+
     /** Reading rests from now on. */
     void rests(long nowUs) {
         if (marks.isEmpty()) {
@@ -40,11 +52,11 @@
             return nowUs;
         }
         // One mark that is old enough is kept, as what came may lie between two of them.
-        while (marks.size() > 1 && second().bytes <= bytes - MOST_HELD) {
+        while (marks.size() > 1 && second().bytes <= bytes - mostHeld) {
             marks.removeFirst();
         }
         long came = marks.getFirst().atUs;
-        if (bytes - marks.getLast().bytes >= STEP) {
+        if (bytes - marks.getLast().bytes >= mostHeld / STEPS) {
             marks.add(new Mark(bytes, nowUs));
         }
         return came;
@@ -68,13 +80,13 @@
      * @param left how many bytes of it are yet to be read, or -1 where that is not known
      */
     long endMayHaveComeAt(long left) {
-        if (marks.isEmpty() || left > MOST_HELD) {
+        if (marks.isEmpty() || left > mostHeld) {
             return Long.MAX_VALUE;
         }
         long end = bytes + Math.max(left, 0);
         Mark came = marks.getFirst();
         for (Mark mark : marks) {
-            if (mark.bytes > end - MOST_HELD) {
+            if (mark.bytes > end - mostHeld) {
                 break;
             }
             came = mark;
--- a/daemon/src/main/java/grebehoist/http/RequestAssembler.java
+++ b/daemon/src/main/java/grebehoist/http/RequestAssembler.java
@@ -1,6 +1,7 @@
 package grebehoist.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -23,6 +24,8 @@
     private Upload upload;
     /** How much of the body that is being put together is counted as held. */
     private int counted;
+    /** Whether the client of the request that is being read waits to hear that it may send its body. */
+    private boolean owesContinue;
 
     RequestAssembler(ClientConnection connection, HeldBodies heldBodies) {
         super(HttpRequest.class);
@@ -43,12 +46,21 @@
             return false;
         }
         // RFC 9110, 10.1.1: the client waits for this before it sends its body. In the middle of another answer it would be part of it.
-        if (connection.headCame() && HttpUtil.is100ContinueExpected(head)) {
-            ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        owesContinue = HttpUtil.is100ContinueExpected(head);
+        if (connection.headCame()) {
+            itsTurn(ctx.channel());
         }
         return true;
     }
 
+    /** The request that is being read is the next to be answered. One that sends its body already need not hear that it may. */
+    void itsTurn(Channel channel) {
+        if (owesContinue && heldBytes() == 0) {
+            owesContinue = false;
+            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+    }
+
     private static FullHttpResponse judged(HttpRequest head) {
         if (head.decoderResult().isFailure()) {
             return Answers.plain(HttpResponseStatus.BAD_REQUEST, "not a request that can be read");
@@ -85,6 +97,7 @@
 
     @Override
     protected void forgets() {
+        owesContinue = false;
         count(0);
     }
 
--- a/daemon/src/main/java/grebehoist/http/Upload.java
+++ b/daemon/src/main/java/grebehoist/http/Upload.java
@@ -1,5 +1,6 @@
 package grebehoist.http;
 
+import grebehoist.net.ReadSwitch;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import java.util.ArrayDeque;
@@ -22,7 +23,7 @@
         void cutOff();
     }
 
-    private final Channel client;
+    private final ReadSwitch client;
     private final long length;
     private final Listener listener;
     private final Queue<ByteBuf> waiting = new ArrayDeque<>();
@@ -30,7 +31,6 @@
     private boolean taken;
     private boolean came;
     private boolean over;
-    private boolean paused;
     private long bytes;
 
     /**
@@ -39,7 +39,7 @@
      * @param length in bytes, or -1 where it is not known
      */
     Upload(Channel client, long length, Listener listener) {
-        this.client = client;
+        this.client = new ReadSwitch(client);
         this.length = length;
         this.listener = listener;
     }
@@ -65,7 +65,7 @@
 
     /** Returns whether the client is kept waiting, as the backend takes no more now. */
     boolean paused() {
-        return paused;
+        return client.rests();
     }
 
     /** A backend's connection takes it over. Returns false where another one has: then there is nothing left to send. */
@@ -90,11 +90,12 @@
 
     /** The backend takes more, or has enough for now. */
     void wanted(boolean more) {
-        if (!more && !over && !paused) {
+        if (more || over) {
+            client.resume();
+        } else if (!client.rests()) {
             listener.rests();
+            client.rest();
         }
-        paused = !more && !over;
-        client.config().setAutoRead(!paused);
     }
 
     /** Nobody wants it any more; what is still to come is dropped. */
--- a/daemon/src/main/java/grebehoist/search/Protocol.java
+++ b/daemon/src/main/java/grebehoist/search/Protocol.java
@@ -13,6 +13,8 @@
 /** What clients and backends of a script speak; what its variants are, its seed says. */
 enum Protocol {
     HTTP(Pool.Protocol.HTTP),
+    /** Some bodies and answers are long, or come slowly and in pieces. */
+    HTTP_LONG(Pool.Protocol.HTTP),
     /** One call at a time on a connection and none that is oneway: what HTTP can do, and nothing else. */
     THRIFT_AS_HTTP(Pool.Protocol.THRIFT),
     /** Several calls open on a connection, in order or not, and oneway calls among them. */
@@ -51,6 +53,7 @@
         ThriftWire.Kind kind = ThriftWire.Kind.values()[(int) Math.floorMod(seed / 2, 3L)];
         return switch (this) {
             case HTTP -> new HttpWire();
+            case HTTP_LONG -> new HttpWire(true);
             case THRIFT_AS_HTTP -> new ThriftWire(kind, 1, maxOpen(seed), inOrder(seed));
             case THRIFT -> new ThriftWire(kind, MOST_OPEN, maxOpen(seed), inOrder(seed));
         };
@@ -58,7 +61,7 @@
 
     /** Returns what a Thrift listener is told, or null for one that speaks HTTP. */
     ThriftOptions options(long seed, List<RequestClass> classes, int maxFrame) {
-        if (this == HTTP) {
+        if (pool == Pool.Protocol.HTTP) {
             return null;
         }
         List<ThriftMethod> methods = classes.stream().map(c -> new ThriftMethod(c.name() + "*", c.name(), new At("2.1"),
--- a/daemon/src/main/java/grebehoist/search/SearchCommand.java
+++ b/daemon/src/main/java/grebehoist/search/SearchCommand.java
@@ -12,7 +12,7 @@
 public final class SearchCommand {
     private static final int SHRINK_PLAYS = 300;
     private static final int SHOWN = 5;
-    private static final String USAGE = "usage: search [--protocol http | thrift] [--seed N] [--scripts N | --seconds N] [--threads N]"
+    private static final String USAGE = "usage: search [--protocol http | long | thrift] [--seed N] [--scripts N | --seconds N] [--threads N]"
             + " | search --replay FILE";
 
     private SearchCommand() { }
@@ -56,8 +56,9 @@
     private static Protocol protocol(String value) {
         return switch (value) {
             case "http" -> Protocol.HTTP;
+            case "long" -> Protocol.HTTP_LONG;
             case "thrift" -> Protocol.THRIFT;
-            default -> throw new IllegalArgumentException("'" + value + "' is none of http, thrift");
+            default -> throw new IllegalArgumentException("'" + value + "' is none of http, long, thrift");
         };
     }
 
--- a/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
@@ -2,13 +2,14 @@
 
 import grebehoist.net.ClientFront;
 import grebehoist.net.Sockets;
+import grebehoist.net.TakeWatch;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.CodecException;
 import java.io.IOException;
@@ -42,6 +43,9 @@
     /** When what is being read may have come. */
     private long readAt;
     private long idleSince;
+    /** How much of replies has been written. */
+    private long given;
+    private final TakeWatch takes = new TakeWatch(UNREAD_US);
     private long openBytes;
     private long resumedAt;
     /** Since when what is read now may have waited in the socket, as reading had stopped; negative where it has not. */
@@ -226,7 +230,7 @@
             exchange.drop();
             return;
         }
-        boolean wrote = false;
+        ChannelFuture written = null;
         for (Iterator<ThriftExchange> i = open.iterator(); i.hasNext();) {
             ThriftExchange next = i.next();
             if (next.done() && mayGo(next)) {
@@ -235,18 +239,27 @@
                 front.bytesOpen(-next.bytes());
                 ByteBuf reply = next.takeReply();
                 if (reply != null) {
-                    channel.write(reply);
-                    wrote = true;
+                    given += reply.readableBytes();
+                    written = channel.write(reply);
                 }
             } else if (!front.options().outOfOrder() && !next.oneway()) {
                 break;
             }
         }
-        if (wrote) {
+        if (written != null) {
             channel.flush();
         }
         pace();
-        if (open.isEmpty()) {
+        // Until the network has taken the last reply its connection is not idle, whoever looks for idle ones.
+        if (written == null || written.isDone()) {
+            rest();
+        } else {
+            written.addListener(f -> rest());
+        }
+    }
+
+    private void rest() {
+        if (open.isEmpty() && !closed) {
             idleSince = front.now();
             if (parting || front.partsSoon()) {
                 parting = true;
@@ -301,6 +314,7 @@
         partedAt = front.now();
         sockets.clientIdle(channel);
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
+            partedAt = front.now();
             if (f.isSuccess() && channel instanceof SocketChannel socket) {
                 channel.config().setAutoRead(true);
                 socket.shutdownOutput();
@@ -317,7 +331,7 @@
 
     @Override
     public void closeIfIdle() {
-        if (open.isEmpty() && firstByteAt < 0) {
+        if (open.isEmpty() && firstByteAt < 0 && TakeWatch.unsent(channel) == 0) {
             parting = true;
             hangUp();
         }
@@ -326,8 +340,11 @@
     /** Whatever a client does or leaves undone, its connection is not kept for longer than it is of use. */
     @Override
     public void expire(long now) {
-        if (partedAt >= 0) {
-            if (now - partedAt > LINGER_US) {
+        long unsent = TakeWatch.unsent(channel);
+        if (takes.stuck(given, unsent, now)) {
+            channel.close();
+        } else if (partedAt >= 0) {
+            if (unsent == 0 && now - partedAt > LINGER_US) {
                 channel.close();
             }
         } else if (firstByteAt >= 0 && frames.holdsMore()) {
@@ -335,16 +352,11 @@
             if (now - Math.max(firstByteAt, resumedAt) > WHOLE_US && channel.config().isAutoRead()) {
                 cutOff();
             }
-        } else if (open.isEmpty() && now - idleSince > (unsent() ? UNREAD_US : front.options().idleUs())) {
+        } else if (open.isEmpty() && unsent == 0 && now - idleSince > front.options().idleUs()) {
             channel.close();
         }
     }
 
-    private boolean unsent() {
-        ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
-        return out != null && !out.isEmpty();
-    }
-
     private final class Calls extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object frame) {
--- a/daemon/src/test/java/grebehoist/cli/Peer.java
+++ b/daemon/src/test/java/grebehoist/cli/Peer.java
@@ -21,6 +21,10 @@
         server.setSoTimeout(10_000);
     }
 
+    public InetSocketAddress socketAddress() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
+    }
+
     public String address() {
         return "127.0.0.1:" + server.getLocalPort();
     }
--- a/daemon/src/test/java/grebehoist/cli/ProxyProcess.java
+++ b/daemon/src/test/java/grebehoist/cli/ProxyProcess.java
@@ -153,6 +153,12 @@
         return config;
     }
 
+    /** Returns the most memory that it has had, in kB (proc(5), VmHWM). */
+    long peakKb() throws IOException {
+        return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status")).stream().filter(l -> l.startsWith("VmHWM:"))
+                .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).findFirst().orElseThrow();
+    }
+
     boolean alive() {
         return process.isAlive();
     }
--- a/daemon/src/test/java/grebehoist/http/PiecesTest.java
+++ b/daemon/src/test/java/grebehoist/http/PiecesTest.java
@@ -1,6 +1,7 @@
 package grebehoist.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import beechfall.Balancer.AttemptEnded;
 import beechfall.Balancer.Outcome;
@@ -92,6 +93,118 @@
         }
     }
 
+    /** Only the end of the connection tells where such an answer ends: for a client of HTTP/1.0, and from a backend without a length. */
+    @ParameterizedTest
+    @CsvSource({"100, HTTP/1.0", "100000, HTTP/1.0", "100, HTTP/1.1", "100000, HTTP/1.1"})
+    void anAnswerThatEndsWithItsConnectionComesWhole(int length, String version) throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1").replace("HTTP/1.1", version));
+            Wire attempt = attempt(backend);
+            attempt.send("HTTP/1.1 200 OK\r\n\r\n" + "e".repeat(length));
+            attempt.close();
+            Wire.Message head = client.head();
+            String body = head.header("Content-Length") != null || version.endsWith("0") ? client.body(length) : client.chunks();
+            assertThat(body).isEqualTo("e".repeat(length));
+            if (version.endsWith("0")) {
+                assertThat(client.ended()).isTrue();
+            }
+        }
+    }
+
+    /** A reset is no end: what has come so far is not passed for the whole of it. */
+    @ParameterizedTest
+    @ValueSource(ints = {100, 100_000})
+    void anAnswerWithoutALengthThatIsResetIsNotWhole(int length) throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = attempt(backend);
+            attempt.send("HTTP/1.1 200 OK\r\n\r\n" + "e".repeat(length));
+            if (length > 16_384) {
+                assertThat(client.head().status()).isEqualTo(200);
+            } else {
+                // It is there, and yet held.
+                Thread.sleep(30);
+            }
+            attempt.socket.setSoLinger(true, 0);
+            attempt.close();
+            if (length > 16_384) {
+                assertThatThrownBy(client::chunks).hasMessageStartingWith("cut short");
+            } else {
+                assertThat(client.read().status()).isEqualTo(502);
+            }
+        }
+    }
+
+    /** The longest that is passed on, and one byte more. */
+    @ParameterizedTest
+    @CsvSource({"34603008, 200", "34603009, 502"})
+    void theLongestAnswerIsPassedOnAndNoLongerOne(int length, int status) throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = attempt(backend);
+            attempt.send("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n");
+            Peer.background(() -> attempt.send("l".repeat(length)));
+            assertThat(client.head().status()).isEqualTo(status);
+            if (status == 200) {
+                assertThat(client.body(length)).hasSize(length);
+            }
+        }
+    }
+
+    /** A backend that answers before it has the whole body has not run it, and the client can read what it is told. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nx"})
+    void anAnswerBeforeTheBodysEndIsNoneOfThisRequests(String answer) throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.post("r1", "").replace("Content-Length: 0", "Content-Length: 1000000") + "b".repeat(500_000));
+            Wire attempt = attempt(backend);
+            attempt.send(answer);
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isNotEqualTo(Outcome.OK);
+            assertThat(client.read().status()).isEqualTo(502);
+            assertThat(client.ended()).isTrue();
+        }
+    }
+
+    /** Requests that are read ahead, and what can't be read behind them, do not come between the bytes of a long answer. */
+    @Test
+    void whatIsReadAheadWaitsForALongAnswer() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = attempt(backend);
+            attempt.send("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " + LONG + "\r\n\r\n" + "p".repeat(LONG / 2));
+            client.head();
+            client.send(Fixture.get("r2") + "nonsense\r\n\r\n");
+            attempt.send("p".repeat(LONG / 2));
+            assertThat(client.body(LONG)).isEqualTo("p".repeat(LONG));
+            Wire second = backend.accept();
+            assertThat(second.head().header("X-Request-ID")).isEqualTo("r2");
+            second.send(Peer.ok("second"));
+            assertThat(client.read().body()).isEqualTo("second");
+            assertThat(client.read().status()).isEqualTo(400);
+            assertThat(client.ended()).isTrue();
+        }
+    }
+
+    /** RFC 9110, 10.1.1: a client that asks whether it may go on hears so when its turn has come, and not in the middle of another answer. */
+    @Test
+    void whoAsksAheadWhetherToGoOnHearsItInTurn() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = attempt(backend);
+            client.send(Fixture.post("r2", "").replace("Content-Length: 0", "Expect: 100-continue\r\nContent-Length: 4"));
+            attempt.send("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " + LONG + "\r\n\r\n" + "c".repeat(LONG));
+            assertThat(client.head().status()).isEqualTo(200);
+            assertThat(client.body(LONG)).isEqualTo("c".repeat(LONG));
+            assertThat(client.head().status()).isEqualTo(100);
+            client.send("body");
+            Wire second = backend.accept();
+            assertThat(second.read().body()).isEqualTo("body");
+            second.send(Peer.ok("done"));
+            assertThat(client.read().body()).isEqualTo("done");
+        }
+    }
+
     /** Around the lengths at which an answer is passed on as it comes. */
     @ParameterizedTest
     @CsvSource({"16383, true", "16384, true", "16385, true", "65535, true", "65536, true", "65537, true", "65535, false", "65536, false", "65537, false",
--- a/daemon/src/test/java/grebehoist/http/ReadBacklogTest.java
+++ b/daemon/src/test/java/grebehoist/http/ReadBacklogTest.java
@@ -5,7 +5,7 @@
 import org.junit.jupiter.api.Test;
 
 class ReadBacklogTest {
-    private final ReadBacklog backlog = new ReadBacklog();
+    private final ReadBacklog backlog = new ReadBacklog(ReadBacklog.MOST_HELD);
 
     @Test
     void whatIsReadAsItComesComesNow() {
--- a/daemon/src/test/java/grebehoist/search/BrokenProxyTest.java
+++ b/daemon/src/test/java/grebehoist/search/BrokenProxyTest.java
@@ -13,6 +13,7 @@
 import grebehoist.engine.Payload;
 import grebehoist.engine.Request;
 import grebehoist.engine.Responder;
+import grebehoist.engine.StreamedPayload;
 import grebehoist.engine.Transport;
 import grebehoist.pool.Pool;
 import grebehoist.testkit.Witness.Rule;
@@ -47,9 +48,13 @@
 
     /** Plays scripts until the rule is seen broken, and returns how that was told. */
     private static Violation caught(Rule rule, Supplier<Pool.Wiring> wiring) throws InterruptedException {
+        return caught(Protocol.HTTP, rule, wiring);
+    }
+
+    private static Violation caught(Protocol protocol, Rule rule, Supplier<Pool.Wiring> wiring) throws InterruptedException {
         var left = new AtomicLong(SCRIPTS);
         var found = new ArrayList<Violation>();
-        Search.run(Protocol.HTTP, 1, () -> left.getAndDecrement() > 0, 4, wiring, report -> {
+        Search.run(protocol, 1, () -> left.getAndDecrement() > 0, 4, wiring, report -> {
             synchronized (found) {
                 report.violations().stream().filter(v -> v.rule() == rule).forEach(found::add);
             }
@@ -99,6 +104,26 @@
         assertThat(v.what()).contains("served with what no backend made for it");
     }
 
+    /** It lets go of what a backend still gives; its client has the beginning and waits. */
+    @Test
+    void anEngineThatDropsLongAnswersOnTheirWay() throws Exception {
+        Violation v = caught(Protocol.HTTP_LONG, Rule.ANSWER, () -> intake(i -> new Passing(i) {
+            @Override
+            Responder responder(Responder to) {
+                return new Through(to) {
+                    @Override
+                    public void served(Payload answer) {
+                        super.served(answer);
+                        if (answer instanceof StreamedPayload) {
+                            answer.release();
+                        }
+                    }
+                };
+            }
+        }));
+        assertThat(v.what()).containsAnyOf("no answer", "cut off");
+    }
+
     @Test
     void anEngineThatAnswersAndGoesOnTrying() throws Exception {
         Violation v = caught(Rule.ANSWER, () -> intake(i -> new Passing(i) {
--- a/daemon/src/test/java/grebehoist/search/SearchTest.java
+++ b/daemon/src/test/java/grebehoist/search/SearchTest.java
@@ -13,7 +13,13 @@
 class SearchTest {
     @Test
     void keepsTheRulesThroughTheSeeds() throws Exception {
-        assertKept(Protocol.HTTP, 2_000, EnumSet.complementOf(EnumSet.of(Count.ONEWAY)));
+        assertKept(Protocol.HTTP, 2_000, EnumSet.complementOf(EnumSet.of(Count.ONEWAY, Count.STREAMED, Count.BROKEN_OFF)));
+    }
+
+    /** The same with bodies and answers around every length that counts, slow and in pieces, each byte checked. */
+    @Test
+    void keepsTheRulesWithLongAndSlowMessages() throws Exception {
+        assertKept(Protocol.HTTP_LONG, 500, EnumSet.complementOf(EnumSet.of(Count.ONEWAY)));
     }
 
     /** Plays the scripts of so many seeds from 1 on over a protocol. */
--- a/daemon/src/test/java/grebehoist/search/ThriftSearchTest.java
+++ b/daemon/src/test/java/grebehoist/search/ThriftSearchTest.java
@@ -15,7 +15,7 @@
 
     @Test
     void keepsTheRulesThroughTheSeeds() throws Exception {
-        SearchTest.assertKept(Protocol.THRIFT, 1_500, EnumSet.allOf(Count.class));
+        SearchTest.assertKept(Protocol.THRIFT, 1_500, EnumSet.complementOf(EnumSet.of(Count.STREAMED, Count.BROKEN_OFF)));
     }
 
     /**
--- a/daemon/src/main/java/grebehoist/http/TakeWatch.java
+++ b/net/src/main/java/grebehoist/net/TakeWatch.java
@@ -1,26 +1,41 @@
-package grebehoist.http;
+package grebehoist.net;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOutboundBuffer;
 
 /**
  * Since when a client has taken nothing of what it is given. What is yet to be taken tells nothing by itself: as long as an answer goes
  * on that is filled up again to the same mark, so that a client that takes it looks like one that does not whenever it is looked at.
  * So what counts is what was given less that.
  */
-final class TakeWatch {
+public final class TakeWatch {
     private final long patienceUs;
-    private long taken;
+    private long taken = Long.MIN_VALUE;
     private long takenSince;
 
-    TakeWatch(long patienceUs) {
+    /**
+     * Makes one for a connection on which nothing has been written.
+     *
+     * @param patienceUs how long its client may take nothing, in microseconds
+     */
+    public TakeWatch(long patienceUs) {
         this.patienceUs = patienceUs;
     }
 
+    /** Returns how many bytes the network has yet to take of what has been written on a channel. */
+    public static long unsent(Channel channel) {
+        ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
+        return out == null ? 0 : out.totalPendingWriteBytes() - out.currentProgress();
+    }
+
     /**
      * Returns whether the client has taken nothing for too long.
      *
      * @param given bytes written so far
      * @param untaken bytes of these that the network has yet to take
+     * @param nowUs the time, in microseconds
      */
-    boolean stuck(long given, long untaken, long nowUs) {
+    public boolean stuck(long given, long untaken, long nowUs) {
         if (untaken == 0 || given - untaken != taken) {
             taken = given - untaken;
             takenSince = nowUs;
--- a/daemon/src/test/java/grebehoist/http/TakeWatchTest.java
+++ b/net/src/test/java/grebehoist/net/TakeWatchTest.java
@@ -1,4 +1,4 @@
-package grebehoist.http;
+package grebehoist.net;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -17,6 +17,7 @@
 
     @Test
     void whoTakesNothingIsStuckAfterItsTimeAndNotBefore() {
+        assertThat(new TakeWatch(1_000).stuck(50_000, 50_000, 9_000_000)).as("the first look is no standstill").isFalse();
         assertThat(watch.stuck(50_000, 40_000, 100)).isFalse();
         assertThat(watch.stuck(50_000, 40_000, 1_100)).isFalse();
         assertThat(watch.stuck(50_000, 40_000, 1_101)).isTrue();
--- a/testkit/src/main/java/grebehoist/testkit/StandInBackend.java
+++ b/testkit/src/main/java/grebehoist/testkit/StandInBackend.java
@@ -65,8 +65,7 @@
      */
     public record Machine(String id, String kind, String zone, int cell, int cores, double speed, int queue, long idleUs) { }
 
-    private static final long DRIP_US = 30_000;
-    private static final int DRIP_PIECES = 4;
+    private static final StandInWire.Pace DRIP = new StandInWire.Pace(4, 30_000);
     private static final long SWEEP_US = 50_000;
     /** What it costs to see that a key is known. */
     private static final long REPEAT_US = 500;
@@ -174,7 +173,7 @@
         if (listener != null) {
             listener.close();
         }
-        List.copyOf(connections).forEach(c -> c.channel.close());
+        List.copyOf(connections).forEach(Connection::breakOff);
         queue.clear();
         running = 0;
         witness.coldNoMore(machine.id());
@@ -292,6 +291,13 @@
             }
         }
 
+        @Override
+        public void garbled() {
+            if (call != null) {
+                witness.garbled(call.id(), timers.now());
+            }
+        }
+
         @Override
         public void whole() {
             if (call == null) {
@@ -347,7 +353,7 @@
             }
             byte[] ok = end.reply(StandInWire.Reply.OK, body);
             switch (done.how) {
-                case SERVE -> write(ok);
+                case SERVE -> drip(ok, 0, end.pace(body));
                 case TWICE -> {
                     byte[] both = new byte[2 * ok.length];
                     System.arraycopy(ok, 0, both, 0, ok.length);
@@ -360,10 +366,13 @@
                 }
                 case HALF -> {
                     send(ok, ok.length - body.length() / 2 - 1);
-                    channel.close();
+                    breakOff();
                 }
-                case HALF_SILENT -> send(ok, ok.length - body.length() / 2 - 1);
-                case DRIP -> drip(ok, 0);
+                case HALF_SILENT -> {
+                    send(ok, ok.length - body.length() / 2 - 1);
+                    witness.brokeOff(done.id);
+                }
+                case DRIP -> drip(ok, 0, DRIP);
                 case ERROR -> write(end.reply(StandInWire.Reply.ERROR, ""));
                 case UNAVAILABLE -> write(end.reply(StandInWire.Reply.UNAVAILABLE, ""));
                 case NOISE -> write(end.reply(StandInWire.Reply.NOISE, ""));
@@ -372,17 +381,25 @@
             }
         }
 
-        private void drip(byte[] bytes, int from) {
+        /** Ends the connection from this side, whatever is on its way. */
+        private void breakOff() {
+            if (job != null) {
+                witness.brokeOff(job.id);
+            }
+            channel.close();
+        }
+
+        private void drip(byte[] bytes, int from, StandInWire.Pace pace) {
             if (!channel.isActive()) {
                 return;
             }
-            int to = Math.min(bytes.length, from + bytes.length / DRIP_PIECES + 1);
+            int to = pace.end(from, bytes.length);
             if (to == bytes.length) {
                 over();
             }
             channel.writeAndFlush(Unpooled.copiedBuffer(bytes, from, to - from));
             if (to < bytes.length) {
-                timers.at(timers.now() + DRIP_US, () -> drip(bytes, to));
+                timers.at(timers.now() + pace.pauseUs(), () -> drip(bytes, to, pace));
             }
         }
 
--- a/testkit/src/main/java/grebehoist/testkit/StandInClients.java
+++ b/testkit/src/main/java/grebehoist/testkit/StandInClients.java
@@ -52,6 +52,7 @@
     public record Order(String operation, Balancer.RequestClass type, String tenant, long workUs, long patienceUs,
             Manner manner, long hangUpUs, int retries, boolean oneway) { }
 
+    private static final StandInWire.Pace DAWDLE = new StandInWire.Pace(3, 20_000);
     private static final long PIECE_US = 20_000;
     private static final long BACKOFF_US = 50_000;
     private static final int IDLE_MOST = 32;
@@ -133,6 +134,8 @@
         private boolean sent;
         private boolean over;
         private long deadlineUs;
+        /** When its answer began to come, where that may be what counts. */
+        private long begunUs = Long.MAX_VALUE;
 
         Try(int proxy, Order order, int number, long firstUs) {
             this.firstUs = firstUs;
@@ -173,23 +176,11 @@
         void send(Connection on, int tag) {
             connection = on;
             switch (order.manner()) {
-                case PLAIN, HANGS_UP -> {
-                    on.write(request(on, tag));
-                    whole();
-                }
-                case DAWDLES -> {
-                    byte[] all = request(on, tag);
-                    int third = all.length / 3;
-                    on.write(Arrays.copyOfRange(all, 0, third));
-                    timers.at(timers.now() + PIECE_US, () -> on.write(Arrays.copyOfRange(all, third, 2 * third)));
-                    timers.at(timers.now() + 2 * PIECE_US, () -> {
-                        if (on.write(Arrays.copyOfRange(all, 2 * third, all.length))) {
-                            whole();
-                        }
-                    });
-                }
+                case PLAIN, HANGS_UP -> pieces(on.end.request(call(), tag), 0, on.end.pace(call()));
+                case DAWDLES -> pieces(on.end.request(call(), tag), 0, DAWDLE);
                 case HALF_WAY -> {
-                    byte[] all = request(on, tag);
+                    byte[] all = on.end.request(call(), tag);
+                    witness.asking(ask(Long.MAX_VALUE / 2));
                     on.write(Arrays.copyOfRange(all, 0, all.length - 5));
                     timers.at(timers.now() + PIECE_US, () -> {
                         end();
@@ -210,11 +201,29 @@
             }
         }
 
-        private byte[] request(Connection on, int tag) {
+        private Witness.Ask ask(long untilUs) {
+            return new Witness.Ask(id, order.operation(), order.type(), proxy, timers.now(), untilUs, order.oneway());
+        }
+
+        private StandInWire.Call call() {
             Balancer.Effect effect = order.type().effect();
-            return on.end.request(new StandInWire.Call(id, order.operation(), order.type().name(), effect == Balancer.Effect.SAFE,
+            return new StandInWire.Call(id, order.operation(), order.type().name(), effect == Balancer.Effect.SAFE,
                     order.tenant(), effect == Balancer.Effect.KEYED ? "key-" + order.operation() : null, order.workUs(),
-                    order.patienceUs(), number > 0, order.oneway()), tag);
+                    order.patienceUs(), number > 0, order.oneway());
+        }
+
+        private void pieces(byte[] all, int from, StandInWire.Pace pace) {
+            int to = pace.end(from, all.length);
+            if (from == 0 && to < all.length) {
+                witness.asking(ask(Long.MAX_VALUE / 2));
+            }
+            // It may have been answered, or cut off, before its end.
+            boolean written = !over && connection.write(Arrays.copyOfRange(all, from, to));
+            if (written && to < all.length) {
+                timers.at(timers.now() + pace.pauseUs(), () -> pieces(all, to, pace));
+            } else if (written || pace.pieces() == 1) {
+                whole();
+            }
         }
 
         /** The last byte is written: from now on the proxy owes an answer. */
@@ -223,12 +232,12 @@
             long now = timers.now();
             deadlineUs = now + order.patienceUs();
             deadlineUs = Math.max(deadlineUs, connection.latestAhead(this));
-            witness.asked(new Witness.Ask(id, order.operation(), order.type(), proxy, now, deadlineUs, order.oneway()));
+            witness.asked(ask(deadlineUs));
             if (order.oneway()) {
                 end();
                 return;
             }
-            timers.at(deadlineUs, this::timeUp);
+            timers.at(deadlineUs + witness.slackUs(), this::timeUp);
             if (order.manner() == Manner.HANGS_UP) {
                 timers.at(now + order.hangUpUs(), this::hangUp);
             }
@@ -236,7 +245,7 @@
 
         private void timeUp() {
             // Sent once more on another connection, it has its time from then on.
-            if (!over && timers.now() >= deadlineUs) {
+            if (!over && timers.now() >= deadlineUs && !begunInTime()) {
                 if (excused.test(proxy, timers.now())) {
                     witness.excused(id);
                 } else {
@@ -247,6 +256,10 @@
             }
         }
 
+        private boolean begunInTime() {
+            return begunUs <= deadlineUs;
+        }
+
         private void hangUp() {
             if (!over) {
                 dropped();
@@ -266,6 +279,9 @@
             if (!over) {
                 over = true;
                 waiting--;
+                if (!sent) {
+                    witness.neverAsked(id, timers.now());
+                }
             }
         }
 
@@ -277,7 +293,7 @@
                 return;
             }
             switch (answer.heard()) {
-                case SERVED -> witness.served(id, answer.body(), now);
+                case SERVED -> witness.served(id, answer.body(), begunInTime() ? begunUs : now, now);
                 case REFUSED -> witness.refused(id, now);
                 default -> witness.failed(id, now);
             }
@@ -305,6 +321,9 @@
             } else if (excused.test(proxy, now)) {
                 witness.excused(id);
                 end();
+            } else if (begunUs != Long.MAX_VALUE) {
+                witness.cutShort(id, begunUs, now);
+                end();
             } else if (witness.cutOff(id, reused, now)) {
                 connect();
             } else {
@@ -386,6 +405,13 @@
             return false;
         }
 
+        @Override
+        public void begun() {
+            if (!open.isEmpty()) {
+                open.get(0).begunUs = Math.min(open.get(0).begunUs, timers.now());
+            }
+        }
+
         @Override
         public void answered(StandInWire.Answer answer) {
             int which = answer.tag() < 0 ? open.size() - 1 : tags.indexOf(answer.tag());
--- a/testkit/src/main/java/grebehoist/testkit/StandInWire.java
+++ b/testkit/src/main/java/grebehoist/testkit/StandInWire.java
@@ -21,6 +21,21 @@
     record Call(String id, String operation, String requestClass, boolean safe, String tenant, String key, long workUs,
             long patienceUs, boolean retried, boolean oneway) { }
 
+    /**
+     * How slowly a message is written.
+     *
+     * @param pieces in how many, about
+     * @param pauseUs how long after one the next comes
+     */
+    record Pace(int pieces, long pauseUs) {
+        static final Pace AT_ONCE = new Pace(1, 0);
+
+        /** Returns where the piece ends that begins at an index of so many bytes. */
+        int end(int from, int length) {
+            return pieces == 1 ? length : Math.min(length, from + length / pieces + 1);
+        }
+    }
+
     /** What a backend says. */
     enum Reply {
         /** It has run: the body is the answer. */
@@ -55,22 +70,38 @@
 
         /** Its last byte has come. */
         void whole();
+
+        /** What has come is not what a client sent. */
+        default void garbled() { }
     }
 
     /** Writes a backend's replies on a connection. */
     interface BackendEnd {
         /** Returns the reply to the call that was begun last; a body stands at its end. */
         byte[] reply(Reply reply, String body);
+
+        /** Returns how slowly an answer is written. */
+        default Pace pace(String body) {
+            return Pace.AT_ONCE;
+        }
     }
 
     /** Hears what comes to a client on a connection. */
     interface ClientSide {
         void answered(Answer answer);
+
+        /** An answer has begun to come whose first bytes may be what counts. */
+        default void begun() { }
     }
 
     /** Writes a client's calls on a connection. */
     interface ClientEnd {
         byte[] request(Call call, int tag);
+
+        /** Returns how slowly a call is written. */
+        default Pace pace(Call call) {
+            return Pace.AT_ONCE;
+        }
     }
 
     /** Returns how many calls a client may have open on a connection. */
--- a/testkit/src/main/java/grebehoist/testkit/Witness.java
+++ b/testkit/src/main/java/grebehoist/testkit/Witness.java
@@ -80,22 +80,34 @@
     }
 
     /** What became of the requests, counted. */
-    public enum Count { ASKED, ONEWAY, SERVED, REFUSED, FAILED, LEFT, EXCUSED, ATTEMPTS, RUNS, REPEATS_DROPPED, TURNED_AWAY, TOLD }
+    public enum Count { ASKED, ONEWAY, SERVED, REFUSED, FAILED, LEFT, EXCUSED, ATTEMPTS, RUNS, REPEATS_DROPPED, TURNED_AWAY, TOLD,
+        /** Served with an answer that began a while before its end. */
+        STREAMED,
+        /** Failed, as the backend broke off the answer that it was giving. */
+        BROKEN_OFF }
+
+    /** Whoever holds back what a backend has given for so long loses it, by the operators' page. */
+    private static final long HELD_BACK_US = 2_000_000;
 
     private static final class Known {
-        private final Ask ask;
+        private Ask ask;
+        /** Whether its last byte has been sent; until then nothing is owed. */
+        private boolean whole;
+        /** From when on it is of no interest but for what comes late. */
+        private long doneUs;
         private final List<Sent> attempts = new ArrayList<>(2);
         private String answer;
         private long answeredUs = Long.MAX_VALUE;
         private long leftUs = Long.MAX_VALUE;
         private boolean excused;
+        private boolean brokenOff;
 
         Known(Ask ask) {
             this.ask = ask;
         }
 
         boolean over() {
-            return ask.oneway() || answer != null || leftUs != Long.MAX_VALUE || excused;
+            return !whole || ask.oneway() || answer != null || leftUs != Long.MAX_VALUE || excused;
         }
     }
 
@@ -187,6 +199,11 @@
         this.terms = terms;
     }
 
+    /** Returns what the network and the machine may add to any moment. */
+    long slackUs() {
+        return terms.slackUs();
+    }
+
     /** From now on each attempt and each answer is told as a line, with the time in microseconds. */
     public void trace(Consumer<String> to) {
         trace = to;
@@ -194,11 +211,27 @@
 
     // What clients see
 
+    /** A client has begun to send a request that takes a while: it may go on to a backend meanwhile. */
+    public void asking(Ask ask) {
+        requests.putIfAbsent(ask.id(), new Known(ask));
+    }
+
+    /** A client has given up a request before it had sent its last byte. */
+    public void neverAsked(String id, long atUs) {
+        Known r = requests.get(id);
+        if (r != null && !r.whole && r.doneUs == 0) {
+            r.doneUs = atUs;
+            byDeadline.add(r);
+        }
+    }
+
     /** A client has sent the last byte of a request on a connection that the proxy accepted. */
     public void asked(Ask ask) {
-        if (!requests.containsKey(ask.id())) {
-            var known = new Known(ask);
-            requests.put(ask.id(), known);
+        Known known = requests.computeIfAbsent(ask.id(), id -> new Known(ask));
+        if (!known.whole) {
+            known.whole = true;
+            known.ask = ask;
+            known.doneUs = ask.deadlineUs();
             byDeadline.add(known);
             counts.merge(Count.ASKED, 1L, Long::sum);
             if (ask.oneway()) {
@@ -210,10 +243,45 @@
 
     /** A client has read a whole answer with a backend's body. */
     public void served(String id, String body, long atUs) {
+        served(id, body, atUs, atUs);
+    }
+
+    /**
+     * A client has read a whole answer with a backend's body.
+     *
+     * @param atUs the moment that counts: for one that may be long, that of its first byte
+     * @param wholeUs when its last byte came
+     */
+    public void served(String id, String body, long atUs, long wholeUs) {
         Known r = answered(id, "served", Count.SERVED, atUs);
-        if (r != null && !id.equals(tokens.get(body))) {
+        if (r == null) {
+            return;
+        }
+        if (!id.equals(tokens.get(body))) {
             broken(Rule.ANSWER, id, atUs, "served with what no backend made for it: '" + body + "'");
         }
+        if (wholeUs > atUs + terms.slackUs()) {
+            counts.merge(Count.STREAMED, 1L, Long::sum);
+        }
+        long given = r.attempts.stream().mapToLong(a -> a.overUs).filter(us -> us <= wholeUs).max().orElse(wholeUs);
+        if (wholeUs - given > HELD_BACK_US + terms.slackUs()) {
+            broken(Rule.ANSWER, id, wholeUs, "held back for " + (wholeUs - given) / 1_000 + " ms after its backend had given all of it" + history(r));
+        }
+    }
+
+    /** The connection has ended in the middle of an answer: the proxy's doing, unless its backend broke it off. */
+    public void cutShort(String id, long begunUs, long atUs) {
+        Known r = requests.get(id);
+        if (r == null || r.over()) {
+            return;
+        }
+        if (r.brokenOff) {
+            counts.merge(Count.BROKEN_OFF, 1L, Long::sum);
+            answered(id, "failed", Count.FAILED, begunUs);
+        } else {
+            broken(Rule.ANSWER, id, atUs, "an answer was cut off that its backend still gave" + history(r));
+            r.excused = true;
+        }
     }
 
     /** A client was told that asking again is harmless. */
@@ -372,6 +440,19 @@
         }
     }
 
+    /** A backend has broken off the answer that it was giving to a request, or has stopped in the middle of it for good. */
+    public void brokeOff(String id) {
+        Known r = requests.get(id);
+        if (r != null) {
+            r.brokenOff = true;
+        }
+    }
+
+    /** What has come to a backend is not what a client sent. */
+    public void garbled(String id, long atUs) {
+        broken(Rule.ANSWER, id, atUs, "its body came to a backend with wrong bytes");
+    }
+
     /** A backend has made this body as the answer to a request. */
     public void made(String body, String id) {
         tokens.put(body, id);
@@ -449,7 +530,7 @@
 
     private void forget(long nowUs) {
         Known oldest = byDeadline.peek();
-        while (oldest != null && oldest.ask.deadlineUs() + terms.forgetUs() < nowUs) {
+        while (oldest != null && oldest.doneUs + terms.forgetUs() < nowUs) {
             byDeadline.remove();
             judgeOverlap(oldest, nowUs);
             requests.remove(oldest.ask.id());
--- a/testkit/src/test/java/grebehoist/testkit/WitnessTest.java
+++ b/testkit/src/test/java/grebehoist/testkit/WitnessTest.java
@@ -46,6 +46,62 @@
         assertThat(witness.verdict()).contains("rule " + (rule.ordinal() + 1) + " (" + rule + ")").contains(subject);
     }
 
+    /** Of a long answer the first byte counts; the rest takes its time, but is not held back. */
+    @Test
+    void aLongAnswerIsInTimeWithItsFirstByte() {
+        ask("r1", READ);
+        var sent = whole("r1", "a", "zone x", 10 * MS);
+        witness.made("body", "r1");
+        sent.over(5_000 * MS);
+        witness.served("r1", "body", 900 * MS, 6_000 * MS);
+        assertThat(witness.violations()).isEmpty();
+        assertThat(witness.count(Witness.Count.STREAMED)).isOne();
+        ask("r2", READ);
+        sent = whole("r2", "a", "zone x", 10 * MS);
+        witness.made("body2", "r2");
+        sent.over(1_000 * MS);
+        witness.served("r2", "body2", 900 * MS, 3_001 * MS);
+        assertBroken(Rule.ANSWER, "r2", 3_001 * MS, "held back for 2001 ms");
+    }
+
+    @Test
+    void anAnswerThatIsCutOffWhileItsBackendGivesIt() {
+        ask("r1", READ);
+        whole("r1", "a", "zone x", 10 * MS);
+        witness.cutShort("r1", 50 * MS, 400 * MS);
+        assertBroken(Rule.ANSWER, "r1", 400 * MS, "cut off that its backend still gave");
+    }
+
+    @Test
+    void anAnswerThatItsBackendBreaksOffHasFailed() {
+        ask("r1", READ);
+        whole("r1", "a", "zone x", 10 * MS);
+        witness.brokeOff("r1");
+        witness.cutShort("r1", 50 * MS, 4_000 * MS);
+        witness.finish(9_000 * MS);
+        assertThat(witness.violations()).isEmpty();
+        assertThat(witness.count(Witness.Count.BROKEN_OFF)).isOne();
+    }
+
+    /** A long body goes on to a backend before its end has come; one that never comes whole is owed nothing. */
+    @Test
+    void aRequestThatIsStillComingMayBeSentOn() {
+        witness.asking(new Ask("r1", "op-r1", VOTE, 0, 0, Long.MAX_VALUE / 2));
+        witness.began("a", "zone x", "r1", 10 * MS);
+        witness.neverAsked("r1", 3_000 * MS);
+        witness.asking(new Ask("r2", "op-r2", VOTE, 0, 0, Long.MAX_VALUE / 2));
+        var sent = witness.began("a", "zone x", "r2", 10 * MS);
+        ask("r2", VOTE);
+        sent.whole(20 * MS);
+        witness.garbled("r2", 20 * MS);
+        assertBroken(Rule.ANSWER, "r2", 20 * MS, "wrong bytes");
+        witness.finish(9_000 * MS);
+        assertThat(witness.violations()).hasSize(2).last().extracting(Witness.Violation::what).asString().startsWith("no answer at all");
+        // All that is kept goes away once its time is over.
+        witness.asked(new Ask("r3", "op-r3", READ, 0, 60_000 * MS, 61_000 * MS));
+        assertThat(witness.remembered()).isOne();
+    }
+
     @Test
     void aRequestThatIsTriedAgainAndServedKeepsTheRules() {
         ask("r1", PAY);
