--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -161,8 +161,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) throws Exception {
         front.closed(this);
-        waiting.forEach(e -> e.drop());
-        waiting.clear();
+        dropWaiting();
         if (lastWord != null) {
             lastWord.release();
             lastWord = null;
