A silent watch is asked beside, a failed call again within 1.2 s

Now a call that is 0.5 s overdue gets a second one beside it, and whichever is answered first is the watch (a call that does not wait gets none: discovery works through calls in turn). The pause is 1.2 s at most and a call 3.2 s: with its way 6 s in all. An agent, which answers at no cost, is asked every 0.1 s while it is silent, and holds calls for 1.5 s at most.

--- a/core/src/main/java/beechfall/Policy.java
+++ b/core/src/main/java/beechfall/Policy.java
@@ -45,6 +45,8 @@
     private static final double RETRY_BURST = 10;
     /** An attempt is cut off after this multiple of the time to its aim: sooner, its work goes on unseen. */
     private static final double LATE = 3;
+    /** A change counts as told 6 s after it can be heard: 1.2 s may go by between two calls, and a call takes 3.2 s at most. */
+    private static final double LONGEST_PAUSE_US = 800_000;
     /** How many attempts the share of errors among all remembers. */
     private static final double ERROR_MEMORY = 256;
 
@@ -203,9 +205,10 @@
 
     private void members(Members news) {
         if (news.kind() == ListKind.FAILED) {
-            // A call that failed is made again, later each time and not in step with the other proxies.
+            // A call that failed is made again, later each time up to a bound, and not in step with the other proxies.
             failedAsks = Math.min(failedAsks + 1, 4);
-            askIn((long) (rules.askWithinUs() / 64.0 * (1 << failedAsks) * (0.5 + random.nextDouble())));
+            double pauseUs = Math.min(rules.askWithinUs() / 64.0 * (1 << failedAsks), LONGEST_PAUSE_US);
+            askIn((long) (pauseUs * (0.5 + random.nextDouble())));
             return;
         }
         if (news.kind() != ListKind.CACHED) {
@@ -257,12 +260,8 @@
         return s.trusted(r.flow, now, (long) Math.max(2 * crowdUs, s.kind().meanUs()));
     }
 
-    private double warmth(Server s) {
-        return s.warmth(now, rules);
-    }
-
     private boolean calm(Server s) {
-        return s.calm(now) && warmth(s) >= 1;
+        return s.calm(now) && s.warmth(now, rules) >= 1;
     }
 
     // Weights
@@ -319,7 +318,8 @@
     }
 
     private Server find(Request r) {
-        settle();
+        // Time has made some warm, or they are put off no more.
+        order.restless().stream().filter(this::calm).forEach(s -> order.update(s, true));
         List<Server> restless = order.restless();
         int border = border(r, restless);
         int balance = 3 * order.calm();
@@ -330,7 +330,7 @@
             balance += trust ? 3 : -1;
             double deadline = s.deadline() * (trust ? 1 : DISTRUST);
             // Few have a cold backend in their part: it would get nothing of what the rest may send it.
-            boolean open = !trust || order.position(s) <= border || warmth(s) < 1;
+            boolean open = !trust || order.position(s) <= border || s.warmth(now, rules) < 1;
             if (coldBudget(s) >= 1 && open && deadline < earliest && hasRoom(s)) {
                 best = s;
                 earliest = deadline;
@@ -344,18 +344,13 @@
         return best == null || balance < 0 || trusted(best, r) ? best : null;
     }
 
-    /** Time has made some warm, or they are put off no more. */
-    private void settle() {
-        order.restless().stream().filter(this::calm).forEach(s -> order.update(s, true));
-    }
-
     /** How many backends a proxy spreads over; far busier than others, it takes one for each attempt that may be out by its rate. */
     private double part() {
         return Math.max(PART * order.size() / settings.balancers(), byRate());
     }
 
     private boolean inPart(Server s, boolean trust) {
-        return trust && s.sound() && warmth(s) >= 1;
+        return trust && s.sound() && s.warmth(now, rules) >= 1;
     }
 
     /** Returns the last place of this proxy's part of the order: where the backends that can be relied on are enough. */
@@ -392,7 +387,7 @@
             double deadline = s.deadline() / (s == r.home ? WARM : 1);
             deadline *= r.attempts.stream().noneMatch(a -> a.server == s) ? 1 : TRIED;
             deadline *= trust ? 1 : DISTRUST;
-            boolean open = !trust || left > 0 || warmth(s) < 1;
+            boolean open = !trust || left > 0 || s.warmth(now, rules) < 1;
             if (coldBudget(s) >= 1 && open && deadline < earliest && hasRoom(s)) {
                 best = s;
                 earliest = deadline;
@@ -436,11 +431,8 @@
     }
 
     private static boolean sameGroup(Scope scope, Backend a, Backend b) {
-        return switch (scope) {
-            case ALL -> true;
-            case ZONE -> String.valueOf(a.zone()).equals(b.zone());
-            case CELL -> a.cell() == b.cell();
-        };
+        boolean sameZone = String.valueOf(a.zone()).equals(b.zone());
+        return scope == Scope.ALL || (scope == Scope.ZONE ? sameZone : a.cell() == b.cell());
     }
 
     /**
@@ -449,7 +441,7 @@
      * The capacity is a guess: what backends of its weight bear by our answers, or one request at a time.
      */
     private double coldBudget(Server s) {
-        double warmth = warmth(s);
+        double warmth = s.warmth(now, rules);
         if (warmth >= 1) {
             return Double.POSITIVE_INFINITY;
         }
--- a/core/src/test/java/beechfall/RulesTest.java
+++ b/core/src/test/java/beechfall/RulesTest.java
@@ -329,6 +329,20 @@
             assertThat(p.timer(timer.token())).contains(new Watch(true));
         }
 
+        /** A change counts as told 6 s after discovery can be reached, whatever has failed before and however rarely a proxy has to ask. */
+        @Test
+        void theNextCallComesSoonHoweverManyHaveFailed() {
+            var rarely = new Balancer.Rules(0.4, 8 * S, 4, S, 60 * S, false);
+            var p = new Proxy(Proxy.settings(new Limits(true, false, false, true, 4, 0), rarely));
+            p.feed(new Members(ListKind.CACHED, List.of(backend("a"))));
+            for (int i = 0; i < 20; i++) {
+                SetTimer timer = (SetTimer) p.feed(new Members(ListKind.FAILED, List.of())).get(0);
+                assertThat(timer.atUs()).as("after " + i).isBetween(p.now + 1, p.now + 1_200 * MS);
+                p.now = timer.atUs();
+                assertThat(p.timer(timer.token())).contains(new Watch(true));
+            }
+        }
+
         @Test
         void proxiesDoNotAskAgainInStep() {
             var p = new Proxy(Proxy.settings(new Limits(true, false, false, true, 4, 0), RULES));
--- a/daemon/src/main/java/grebehoist/discovery/Discovery.java
+++ b/daemon/src/main/java/grebehoist/discovery/Discovery.java
@@ -38,20 +38,34 @@
 
 /**
  * Asks discovery for the list of backends. A watch is a row of calls, each sent as soon as the last is answered; when
- * one fails the watch is over, the module is told, and it is the module that asks again, later each time.
+ * one fails the watch is over, the module is told, and it is the module that asks again, later each time. A call whose answer is
+ * overdue may have lost its other end, or wait for a discovery that is slow: one more is made beside it, and the first of the two that
+ * is answered is the watch from then on.
  */
 public final class Discovery implements MemberSource {
     private static final String PATH = "/v1/endpoints";
     private static final int MAX_ANSWER = 8 * 1024 * 1024;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
-    /** An answer that is later than this, beyond the time it may wait, is not coming: the other end is silent. */
-    private static final long SILENCE_MS = 3_500;
+    /**
+     * An answer that is later than this, beyond the time it may wait, is not coming: the other end is silent. A change counts as told 6 s
+     * after discovery had it and could be reached: of these, the pause that the module makes takes 1.2 s and a call's own way the rest.
+     */
+    private static final long SILENCE_MS = 3_200;
+    /**
+     * So long after the end of its wait an answer is overdue. What a silent watch has missed counts as told 2 s after that end: this
+     * leaves a second call 1.5 s, and a discovery that is merely late is not asked twice for it.
+     */
+    private static final long OVERDUE_MS = 500;
     private static final long MOST_HOLD_MS = 60_000;
     private static final long LEAST_HOLD_MS = 1_500;
     /** Each empty answer is work for a service that all proxies share: so long for each of them. */
     private static final long HOLD_FOR_EACH_MS = 500;
     private static final long NO_NEWS_MS = 50;
-    private static final long AGENT_RETRY_MS = 200;
+    /**
+     * An agent on the same machine answers at once, and at no cost: one that has not in this time is silent, and is asked again. What it
+     * gets at discovery's return counts as told at once, and nothing new may go to a drained backend 250 ms later.
+     */
+    private static final long AGENT_RETRY_MS = 100;
     private static final Map<String, Balancer.State> STATES = Map.of(
             "ready", Balancer.State.READY,
             "draining", Balancer.State.DRAINING,
@@ -65,7 +79,10 @@
     private final boolean pushed;
     private final long holdMs;
     private final SplittableRandom random;
+    /** The call that the watch rests on, or null. */
     private Call watch;
+    /** What is asked beside it, as its answer is overdue, or null; never without a watch. */
+    private Call beside;
     private boolean wanted;
     private long version = -1;
     private boolean heard;
@@ -85,7 +102,7 @@
         this.pushed = !settings.limits().listMustBeAsked();
         // A call whose other end has vanished looks like one that waits: until its answer is overdue no news comes.
         // Never more than twice the time within which a proxy has to ask.
-        long share = Math.max(LEAST_HOLD_MS, HOLD_FOR_EACH_MS * settings.balancers());
+        long share = pushed ? LEAST_HOLD_MS : Math.max(LEAST_HOLD_MS, HOLD_FOR_EACH_MS * settings.balancers());
         this.holdMs = Math.min(Math.min(MOST_HOLD_MS, share), 2 * settings.rules().askWithinUs() / 1_000);
     }
 
@@ -108,12 +125,33 @@
     @Override
     public void watch(boolean on) {
         wanted = on;
-        if (!on && watch != null) {
+        if (!on) {
+            endWatch();
+        } else if (watch == null) {
+            // The first call does not wait: what was missed comes at once, or the news that there is none.
+            watch = new Call(true, 0, false);
+        }
+    }
+
+    private void endWatch() {
+        if (watch != null) {
             watch.end();
             watch = null;
-        } else if (on && watch == null) {
-            // The first call does not wait: what was missed comes at once, or the news that there is none.
-            watch = new Call(true, 0);
+        }
+        endBeside();
+    }
+
+    private void endBeside() {
+        if (beside != null) {
+            beside.end();
+            beside = null;
+        }
+    }
+
+    /** The watch's answer is overdue, or the call beside it has failed. */
+    private void askBeside() {
+        if (watch != null && watch.overdue && beside == null) {
+            beside = new Call(true, 0, true);
         }
     }
 
@@ -127,10 +165,7 @@
         }
         address = to;
         version = -1;
-        if (watch != null) {
-            watch.end();
-            watch = null;
-        }
+        endWatch();
         if (wanted) {
             watch(true);
         }
@@ -138,7 +173,7 @@
 
     @Override
     public void fetch() {
-        new Call(false, 0);
+        new Call(false, 0, false);
     }
 
     private void answered(Call call, JsonNode list) {
@@ -149,10 +184,16 @@
         }
         heard = true;
         if (list == null) {
-            watch = call == watch ? null : watch;
-            failed();
+            failed(call);
             return;
         }
+        if (call == beside) {
+            watch.end();
+            watch = beside;
+            beside = null;
+        } else if (call == watch) {
+            endBeside();
+        }
         if (list.path("version").asLong() < call.from) {
             regressed(call, list);
             return;
@@ -181,7 +222,7 @@
         // Not at once: two copies that take turns would be asked as fast as the CPU allows.
         loop.schedule(() -> {
             if (watch == call) {
-                watch = new Call(true, 0);
+                watch = new Call(true, 0, false);
             }
         }, NO_NEWS_MS, TimeUnit.MILLISECONDS);
         List<Listed> bad = lines(list);
@@ -194,7 +235,23 @@
     private void goOn(Call answered) {
         if (watch == answered) {
             // Not in step with the other proxies, which all start together.
-            watch = new Call(true, holdMs - random.nextLong(holdMs / 4 + 1));
+            watch = new Call(true, holdMs - random.nextLong(holdMs / 4 + 1), false);
+        }
+    }
+
+    /** Of two calls the other may still be answered. */
+    private void failed(Call call) {
+        if (call == beside) {
+            beside = null;
+            if (pushed) {
+                loop.schedule(this::askBeside, AGENT_RETRY_MS, TimeUnit.MILLISECONDS);
+            }
+        } else if (call == watch && beside != null) {
+            watch = beside;
+            beside = null;
+        } else {
+            watch = call == watch ? null : watch;
+            failed();
         }
     }
 
@@ -245,15 +302,21 @@
         /** The version that it asks for news from, or -1 where it asks for the whole list. */
         private final long from;
         private final Future<?> timer;
+        private final Future<?> overdueTimer;
         private final Channel channel;
+        private boolean overdue;
         private boolean ended;
 
-        Call(boolean watching, long waitMs) {
+        Call(boolean watching, long waitMs, boolean second) {
             this.waitMs = waitMs;
             from = watching ? version : -1;
             uri = from >= 0 ? PATH + "?from=" + from + "&hold_ms=" + waitMs : PATH;
             // Guards against a discovery that is cut off and says nothing: TCP alone would never tell.
-            timer = loop.schedule(() -> finish(null, "no answer in time"), waitMs + SILENCE_MS, TimeUnit.MILLISECONDS);
+            timer = loop.schedule(() -> finish(null, "no answer in time"),
+                    waitMs + (pushed && second ? AGENT_RETRY_MS : SILENCE_MS), TimeUnit.MILLISECONDS);
+            // A call that does not wait may be one of many that discovery works through in turn: asked twice, it takes twice as long.
+            overdueTimer = !watching || second || waitMs == 0 && !pushed ? null
+                    : loop.schedule(this::overdue, waitMs + (pushed ? AGENT_RETRY_MS : OVERDUE_MS), TimeUnit.MILLISECONDS);
             ChannelFuture connect = network.client().clone()
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                     .handler(new ChannelInitializer<Channel>() {
@@ -271,6 +334,13 @@
             });
         }
 
+        private void overdue() {
+            if (this == watch) {
+                overdue = true;
+                askBeside();
+            }
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
@@ -318,6 +388,9 @@
         void end() {
             ended = true;
             timer.cancel(false);
+            if (overdueTimer != null) {
+                overdueTimer.cancel(false);
+            }
             channel.close();
         }
     }
--- a/daemon/src/test/java/grebehoist/discovery/DiscoveryTest.java
+++ b/daemon/src/test/java/grebehoist/discovery/DiscoveryTest.java
@@ -144,6 +144,76 @@
         }
     }
 
+    /**
+     * A watch has fallen silent: what it misses counts as told 2 s after the end of its wait. Well before that a second call is beside it,
+     * while the first may still be answered; the first answer of the two is taken.
+     */
+    @Test
+    void asksBesideAWatchThatHasFallenSilent() throws Exception {
+        try (var proxy = new Fixture(watcher())) {
+            proxy.next(Members.class);
+            Wire call = proxy.discovery.accept();
+            call.read();
+            call.send(Peer.ok(Fixture.list(42, true, Fixture.entry("s1", "127.0.0.1:1", "ready"))));
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.FULL);
+            Wire silent = proxy.discovery.accept();
+            long wait = Long.parseLong(silent.read().first().replaceAll(".*hold_ms=(\\d+).*", "$1"));
+            long opened = System.nanoTime();
+            Wire beside = proxy.discovery.accept();
+            assertThat(beside.read().first()).contains("from=42&hold_ms=0");
+            assertThat((System.nanoTime() - opened) / 1_000_000).isBetween(wait, wait + 1_500);
+            beside.send(Peer.ok(Fixture.list(43, false, Fixture.entry("s1", "127.0.0.1:1", "draining"))));
+            Members news = proxy.next(Members.class);
+            assertThat(news.kind()).isEqualTo(ListKind.DELTA);
+            assertThat(news.backends()).extracting(Backend::state).containsExactly(State.DRAINING);
+            assertThat(silent.ended()).isTrue();
+            assertThat(proxy.discovery.accept().read().first()).contains("from=43&");
+        }
+    }
+
+    /** One that is merely late is heard too, and the call beside it is not needed any more; nor has anything failed. */
+    @Test
+    void takesALateAnswerWhileAnotherCallIsBeside() throws Exception {
+        try (var proxy = new Fixture(watcher())) {
+            proxy.next(Members.class);
+            Wire call = proxy.discovery.accept();
+            call.read();
+            call.send(Peer.ok(Fixture.list(42, false)));
+            proxy.next(Members.class);
+            Wire late = proxy.discovery.accept();
+            late.read();
+            Wire beside = proxy.discovery.accept();
+            beside.read();
+            late.send(Peer.ok(Fixture.list(43, false)));
+            assertThat(proxy.next(Members.class)).isEqualTo(new Members(ListKind.DELTA, List.of()));
+            assertThat(beside.ended()).isTrue();
+            Wire next = proxy.discovery.accept();
+            assertThat(next.read().first()).contains("from=43&").doesNotContain("hold_ms=0");
+            next.close();
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.FAILED);
+        }
+    }
+
+    /** One of the two breaks: the other may still be answered, so nothing has failed yet. */
+    @Test
+    void waitsForTheSecondCallWhereTheFirstBreaks() throws Exception {
+        try (var proxy = new Fixture(watcher())) {
+            proxy.next(Members.class);
+            Wire call = proxy.discovery.accept();
+            call.read();
+            call.send(Peer.ok(Fixture.list(42, false)));
+            proxy.next(Members.class);
+            Wire broken = proxy.discovery.accept();
+            broken.read();
+            Wire beside = proxy.discovery.accept();
+            beside.read();
+            broken.close();
+            beside.send(Peer.ok(Fixture.list(44, false)));
+            assertThat(proxy.next(Members.class)).isEqualTo(new Members(ListKind.DELTA, List.of()));
+            assertThat(proxy.discovery.accept().read().first()).contains("from=44&");
+        }
+    }
+
     /** One entry that makes no sense must not cost the others. */
     @Test
     void leavesMalformedEntriesOut() throws Exception {
