A keyed repeat is written inside its window or not at all

Cause, found in review: the module decides on a repeat as long as the window is open (Policy.effectAllows), but a connection may take conn_timeout to come up then, and the repeat's last byte went out past the window (Engine.Out, PooledAttempt.write). Where a repeat had waited for the host to settle it was not sent at all, whatever its class, which cost it one of its attempts.

The engine holds to the window now: until the key of an earlier attempt that may have run is forgotten. Past that an attempt that is not written whole ends as not sent, which says nothing against its backend, and the module decides anew. The test whatIsSentAgainDoesNotWait said "never waits" where the rule is "never waits past its window": replaced by one that shows both sides.

--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -15,7 +15,8 @@
 /**
  * The ledger of one pool's requests and attempts: hands the decision module its events, one at a time, and carries out
  * its actions. It decides nothing, but holds to the rules whatever the module asks for: a request has one answer, in
- * time; no attempt goes out beside another, past the settings' number, or after the answer.
+ * time; no attempt goes out beside another, past the settings' number, or after the answer; and a repeat of a keyed request whose last
+ * byte would go out past the window in which its key is known does not go at all.
  *
  * <p>Single-threaded: everything is called on the one thread that {@link Timers} runs its actions on.
  */
@@ -29,10 +30,12 @@
 
     private final Timers timers;
     private final Log log;
+    private final Balancer.Settings settings;
     private final Balancer.Limits limits;
     private final Balancer module;
     private final Transport transport;
     private final Tally tally;
+    private final Map<String, Balancer.RequestClass> types = new HashMap<>();
     private final Map<String, Open> open = new HashMap<>();
     /** Of those that are open, how many still want their answer. */
     private int unanswered;
@@ -47,7 +50,9 @@
      * @param settings those that the module was made with
      */
     public Engine(Balancer.Settings settings, Balancer module, Timers timers, Transport transport, Log log) {
+        this.settings = settings;
         this.limits = settings.limits();
+        settings.classes().forEach(c -> types.put(c.name(), c));
         this.tally = new Tally(settings);
         this.module = module;
         this.timers = timers;
@@ -86,7 +91,7 @@
     }
 
     /** A request and its attempts, kept until it is answered and no attempt is out. */
-    private static final class Open {
+    private final class Open {
         private final Request request;
         private final Responder responder;
         private final Tally.Row row;
@@ -106,6 +111,16 @@
             this.whole = request.comingUs() == 0;
             this.deadlineUs = request.deadlineUs() + request.comingUs();
         }
+
+        /** Returns until when a repeat's last byte may go out: until the key of an attempt that may have run is forgotten. */
+        private long keyKnownUntil() {
+            Balancer.RequestClass type = types.get(request.requestClass());
+            if (type == null || type.effect() != Balancer.Effect.KEYED) {
+                return Long.MAX_VALUE;
+            }
+            return attempts.stream().filter(a -> a.ended && a.ranForAllThatIsKnown()).mapToLong(a -> a.sentAt + type.windowUs())
+                    .min().orElse(Long.MAX_VALUE);
+        }
     }
 
     /** An attempt and its time-out. */
@@ -113,13 +128,17 @@
         private final Open request;
         private final int number;
         private final String backend;
+        private final long sentAt = timers.now();
         /** When the backend's time began: with the attempt, or with the last byte of a payload that came meanwhile. */
-        private long startedAt = timers.now();
+        private long startedAt = sentAt;
         private long timeoutUs;
         /** Null while it waits for the host to settle. */
         private Attempt attempt;
         private Timers.Timer timeout;
+        /** Null where it may go out at any time. */
+        private Timers.Timer windowEnd;
         private boolean ended;
+        private Outcome outcome;
 
         Out(Open request, int number, String backend, long timeoutUs) {
             this.request = request;
@@ -131,22 +150,30 @@
         void start() {
             request.out++;
             timeout = timers.at(startedAt + timeoutUs, this::expire);
-            startSettled(false);
+            long window = request.keyKnownUntil();
+            if (window != Long.MAX_VALUE) {
+                windowEnd = timers.at(window, this::passWindow);
+            }
+            startSettled();
+        }
+
+        /** Unless it has been written whole by now it never is: nothing is said against its backend, and the module decides anew. */
+        private void passWindow() {
+            if (!ended && !mayHaveRun()) {
+                abort(Outcome.NOT_SENT);
+            }
         }
 
-        /**
-         * Once the host has settled the transport has heard of drains, and makes no attempt at such a backend. What is sent
-         * again may have waited past the window in which its key is known: the module is to decide on it anew.
-         */
-        private void startSettled(boolean waited) {
+        /** Once the host has settled the transport has heard of drains, and the front of clients that have left. */
+        private void startSettled() {
             if (ended) {
                 return;
             }
             if (timers.settling()) {
-                timers.at(timers.now() + SETTLE_US, () -> startSettled(true));
+                timers.at(timers.now() + SETTLE_US, this::startSettled);
                 return;
             }
-            if (waited && number > 0) {
+            if (timers.now() >= request.keyKnownUntil()) {
                 ended(Outcome.NOT_SENT, null);
                 return;
             }
@@ -162,6 +189,11 @@
             return attempt != null && attempt.mayHaveRun();
         }
 
+        /** Returns whether its end is no proof that it never ran. */
+        private boolean ranForAllThatIsKnown() {
+            return outcome != null && (!outcome.neverRan() || outcome == Outcome.FULL && settings.rules().fullUnproven());
+        }
+
         void abort(Outcome outcome) {
             if (attempt != null) {
                 attempt.abort(outcome);
@@ -209,7 +241,11 @@
                 return;
             }
             ended = true;
+            this.outcome = outcome;
             timeout.cancel();
+            if (windowEnd != null) {
+                windowEnd.cancel();
+            }
             attemptEnded(this, outcome, answer);
         }
     }
@@ -472,6 +508,7 @@
             out.start();
         } else {
             out.ended = true;
+            out.outcome = Outcome.NOT_SENT;
             deliver(new Balancer.AttemptEnded(send.id(), out.number, send.backend(), Outcome.NOT_SENT, 0, r.over));
         }
     }
--- a/core/src/test/java/grebehoist/engine/EngineTest.java
+++ b/core/src/test/java/grebehoist/engine/EngineTest.java
@@ -216,25 +216,63 @@
         assertThat(host.engine.open()).isZero();
     }
 
-    /** Sent again after a wait it might be past its key's window: the module hears that it was not sent, and decides anew. */
-    @Test
-    void whatIsSentAgainDoesNotWait() {
-        var host = new FakeHost((event, actions) -> {
+    private static FakeHost repeating() {
+        return new FakeHost((event, actions) -> {
             if (event instanceof Arrival a) {
                 actions.accept(new Send(a.id(), "s0", 0));
-            } else if (event instanceof AttemptEnded e && e.attempt() < 2) {
+            } else if (event instanceof AttemptEnded e && e.attempt() < 2 && !e.last()) {
                 actions.accept(new Send(e.id(), "s1", 0));
             }
         });
-        host.ask("r1");
+    }
+
+    /** What is sent again waits as well while the host settles, but never past its key's window: then the module decides anew. */
+    @Test
+    void whatIsSentAgainWaitsInsideItsWindowAlone() {
+        var host = repeating();
+        host.ask("r1", FakeHost.KEYED, 1_900 * MS);
         host.settling = true;
         host.sent.get(0).answer(Outcome.RESET, null);
         host.run(5 * MS);
         assertThat(host.sent).hasSize(1);
         host.settling = false;
         host.run(5 * MS);
-        assertThat(host.events(AttemptEnded.class)).extracting(AttemptEnded::outcome).containsExactly(Outcome.RESET, Outcome.NOT_SENT);
         assertThat(host.sent).hasSize(2);
+
+        host.ask("r2", FakeHost.KEYED, 1_900 * MS);
+        host.settling = true;
+        host.sent.get(2).answer(Outcome.RESET, null);
+        host.run(FakeHost.WINDOW);
+        host.settling = false;
+        host.run(5 * MS);
+        assertThat(host.events(AttemptEnded.class)).filteredOn(e -> e.id().equals("r2")).extracting(AttemptEnded::outcome)
+                .startsWith(Outcome.RESET, Outcome.NOT_SENT);
+        assertThat(host.sent).hasSize(3);
+    }
+
+    /** Rule 2: the last byte of a repeat reaches its backend inside the window, or the repeat is not sent: its connection came up too late. */
+    @Test
+    void aRepeatThatIsNotWrittenInsideItsWindowIsNotSent() {
+        var host = repeating();
+        host.ask("r1", FakeHost.KEYED, 1_900 * MS);
+        host.run(FakeHost.WINDOW - 100 * MS);
+        host.onStart = s -> s.written = false;
+        host.sent.get(0).answer(Outcome.RESET, null);
+        host.run(99 * MS);
+        assertThat(host.sent).hasSize(2);
+        assertThat(host.events(AttemptEnded.class)).hasSize(1);
+        host.run(2 * MS);
+        assertThat(host.events(AttemptEnded.class)).extracting(AttemptEnded::outcome).startsWith(Outcome.RESET, Outcome.NOT_SENT);
+        assertThat(host.sent.get(1).ended).isEqualTo(Outcome.NOT_SENT);
+
+        // Where the first attempt never ran there is no window yet.
+        host.ask("r2", FakeHost.KEYED, 1_900 * MS);
+        var first = host.sent.get(host.sent.size() - 1);
+        host.run(FakeHost.WINDOW - 100 * MS);
+        first.answer(Outcome.FULL, null);
+        int sent = host.sent.size();
+        host.run(200 * MS);
+        assertThat(host.sent.get(sent - 1).ended).isNull();
     }
 
     @Test
--- a/core/src/test/java/grebehoist/engine/FakeHost.java
+++ b/core/src/test/java/grebehoist/engine/FakeHost.java
@@ -14,6 +14,10 @@
     static final Balancer.RequestClass READ =
             new Balancer.RequestClass("read", 600 * MS, 2_000 * MS, 1, 0, Balancer.Effect.SAFE, Balancer.Scope.ALL, 0);
 
+    static final long WINDOW = 500 * MS;
+    static final Balancer.RequestClass KEYED =
+            new Balancer.RequestClass("keyed", 600 * MS, 2_000 * MS, 1, 0, Balancer.Effect.KEYED, Balancer.Scope.ALL, WINDOW);
+
     /** Counts its owners. */
     static final class Counted implements Payload {
         int owners = 1;
@@ -134,7 +138,7 @@
     }
 
     FakeHost(Balancer.Limits limits, BiConsumer<Balancer.Event, Consumer<Balancer.Action>> module) {
-        var settings = new Balancer.Settings(1, 0, "a", 4 * MS, List.of(READ), List.of(), 1, false, limits,
+        var settings = new Balancer.Settings(1, 0, "a", 4 * MS, List.of(READ, KEYED), List.of(), 1, false, limits,
                 new Balancer.Rules(0.4, 8_000 * MS, 4, 1_000 * MS, 10_000 * MS, false), 7);
         engine = new Engine(settings, (nowUs, event, actions) -> {
             events.add(event);
@@ -203,6 +207,12 @@
         return ask(id, new Client());
     }
 
+    Client ask(String id, Balancer.RequestClass type, long patienceUs) {
+        var client = new Client();
+        engine.arrived(new Request(id, type.name(), null, null, false, now + patienceUs, Payload.NONE), client);
+        return client;
+    }
+
     Client ask(String id, Client client) {
         engine.arrived(new Request(id, "read", null, null, false, now + 1_000 * MS, Payload.NONE), client);
         return client;
