Every end of a client's connection is one orderly close, and who has left is seen

A first life's warm-up ends 5 s after the program began, not 6 s after it listens: nine in ten restarts are to be ready within 10 s.

--- a/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
+++ b/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
@@ -10,6 +10,9 @@
 
 /** One attempt, from the wish for a connection to its end. */
 public abstract class PooledAttempt implements Attempt {
+    /** How long a write waits, again and again, while the loop takes in what came when it was held up. */
+    private static final long SETTLE_US = 2_000;
+
     private final PooledTransport.Target target;
     private final End end;
     private ChannelFuture connecting;
@@ -58,6 +61,9 @@
             end(Outcome.CONNECT_FAILED, null);
         } else if (ended) {
             f.getNow().close();
+        } else if (target.timers().settling()) {
+            // It came up while the loop was held up: that its client has left, or its backend drains, may be yet to be read.
+            target.timers().at(target.timers().now() + SETTLE_US, () -> connected(f));
         } else {
             channel = f.getNow();
             try {
--- a/daemon/src/main/java/grebehoist/backend/PooledTransport.java
+++ b/daemon/src/main/java/grebehoist/backend/PooledTransport.java
@@ -140,6 +140,10 @@
             }, timers, sockets);
         }
 
+        Timers timers() {
+            return timers;
+        }
+
         /** Returns the thread that all of it runs on. */
         EventLoop loop() {
             return network.loop();
--- a/daemon/src/main/java/grebehoist/cli/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -41,8 +41,11 @@
     /** The process is killed so long after the longest deadline, counted from the signal; a little earlier it ends. */
     private static final long KILL_MS = 600;
 
-    /** What the warm-up of a first life may take. */
-    private static final long WARM_MS = 6_000;
+    /**
+     * A first life's warm-up ends so long after the program began. One that was killed before the list changed looks like a first life, and
+     * is to be ready within 10 s of its start: the runtime comes before this, the answer of a discovery that many call may come after it.
+     */
+    private static final long WARM_MS = 5_000;
     private static final long TRAIN_MS = 60_000;
     /** An old process is told to end when the new one says that it can serve, within 6 s at the latest: this leaves time for the rest. */
     private static final long UPGRADE_WARM_MS = 3_000;
@@ -116,6 +119,7 @@
      *         {@code --installation} and a file with more
      */
     public static void main(String[] args) {
+        long began = System.nanoTime();
         boolean installed = args.length == 2 && args[0].equals("--installation");
         if (args.length != 0 && !installed) {
             System.err.println("usage: serve [--installation FILE]");
@@ -149,7 +153,7 @@
                 Runtime.getRuntime().halt(0);
             }, "drain"));
             if (serve.warming) {
-                serve.warmUp();
+                serve.warmUp(WARM_MS - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began));
             }
         } catch (Config.BadConfig e) {
             exit(e);
@@ -304,8 +308,8 @@
      * something. A new proxy gets no clients before it is ready. One that was killed before the list had ever changed can't be told
      * from it, and there those that still come wait for nothing but an answer.
      */
-    private void warmUp() {
-        boolean wanted = Warmup.run(config, WARM_MS, this::asked).wanted();
+    private void warmUp(long mostMs) {
+        boolean wanted = Warmup.run(config, mostMs, this::asked).wanted();
         warming = false;
         if (wanted) {
             tell("clients are here already, no more warming up");
--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -45,8 +45,10 @@
      * third of it is free. In this time one that reads 32 kB a second makes both steps.
      */
     private static final long UNREAD_US = 10_000_000;
-    /** After the last answer what else the client sends is dropped, so much and for so long: see {@code hangUp}. */
+    /** After the last answer what else the client sends is dropped, so much at any speed, and for so long: see {@code hangUp}. */
     private static final long DROPPED = 256 * 1024;
+    /** Past that, what one read takes in each so many milliseconds: what the kernel holds for it is read in 60 ms. */
+    private static final long SLOW_READ_MS = 20;
     /** The rest of a body whose request was answered before its end. */
     private static final long DROPPED_OF_UPLOAD = HttpTransport.LONGEST_BODY;
     private static final long LINGER_US = 1_000_000;
@@ -64,6 +66,8 @@
     private Channel channel;
     private Exchange exchange;
     private long cameAt;
+    /** Whether its client may have waited to be accepted, and may have left by now. */
+    private boolean mayHaveWaited;
     private long firstByteAt = -1;
     private boolean headCame;
     private ReadBacklog backlog;
@@ -96,6 +100,7 @@
         this.front = front;
         this.sockets = sockets;
         this.cameAt = cameAt;
+        this.mayHaveWaited = cameAt != Long.MAX_VALUE;
         this.assembler = new RequestAssembler(this, front.heldBodies());
     }
 
@@ -243,10 +248,12 @@
 
     /**
      * After a long stop a client's request is read, and then that it has left: it is not to be sent for a client that gave
-     * up long ago, so its end is looked for first.
+     * up long ago, so its end is looked for first. So it is where the client has waited to be accepted.
      */
     private void beginExchange(Exchange next) {
-        if (!front.catchingUp()) {
+        boolean look = front.catchingUp() || mayHaveWaited;
+        mayHaveWaited = false;
+        if (!look) {
             next.begin();
             return;
         }
@@ -351,10 +358,19 @@
     }
 
     @Override
-    public void closeIfIdle() {
-        if (exchange == null && firstByteAt < 0 && !parting) {
-            channel.close();
+    public void partIfIdle() {
+        if (exchange == null && firstByteAt < 0) {
+            part(null);
+        }
+    }
+
+    /** Its place is wanted: what was begun on it and not finished is not worth more than somebody's request. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+        if (event == Sockets.PART && exchange == null) {
+            part(null);
         }
+        super.userEventTriggered(ctx, event);
     }
 
     @Override
@@ -384,7 +400,7 @@
                 part(Answers.plain(HttpResponseStatus.REQUEST_TIMEOUT, "the request has not come in time"));
             }
         } else if (now - idleSince > IDLE_US) {
-            channel.close();
+            part(null);
         }
     }
 
@@ -452,7 +468,7 @@
      */
     private void hangUp() {
         partedAt = front.now();
-        sockets.clientIdle(channel);
+        sockets.clientParting(channel);
         if (lastWord == null) {
             endSending(true);
             return;
@@ -467,22 +483,23 @@
     }
 
     private void endSending(boolean allSent) {
-        if (allSent && dropped < mostDropped && channel instanceof SocketChannel socket) {
+        if (allSent && channel instanceof SocketChannel socket) {
             socket.shutdownOutput();
         } else {
             channel.close();
         }
     }
 
+    /**
+     * Past a bound it is read slowly, and not left alone: that its client has gone shows behind what it has sent, and a close over
+     * bytes that are unread would take the last answer with it.
+     */
     private void drop(ByteBuf rest) {
         dropped += rest.readableBytes();
         rest.release();
         if (dropped >= mostDropped) {
-            if (partedAt >= 0) {
-                channel.close();
-            } else {
-                channel.config().setAutoRead(false);
-            }
+            channel.config().setAutoRead(false);
+            channel.eventLoop().schedule(() -> channel.config().setAutoRead(true), SLOW_READ_MS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
@@ -39,6 +39,8 @@
     private final List<ThriftExchange> open = new ArrayList<>();
     private Channel channel;
     private long cameAt;
+    /** Whether its client may have waited to be accepted, and may have left by now. */
+    private boolean mayHaveWaited;
     private long firstByteAt = -1;
     /** When what is being read may have come. */
     private long readAt;
@@ -62,6 +64,7 @@
         this.front = front;
         this.sockets = sockets;
         this.cameAt = cameAt;
+        this.mayHaveWaited = cameAt != Long.MAX_VALUE;
         this.frames = new Frames(front.options().maxFrame());
     }
 
@@ -168,7 +171,9 @@
         pace();
         // A call's time counts from its last byte, as a request's over HTTP.
         long came = readAt;
-        if (front.catchingUp()) {
+        boolean look = front.catchingUp() || mayHaveWaited;
+        mayHaveWaited = false;
+        if (look) {
             channel.eventLoop().schedule(() -> begin(exchange, came), LOOK_MS, TimeUnit.MILLISECONDS);
         } else {
             begin(exchange, came);
@@ -312,7 +317,7 @@
             return;
         }
         partedAt = front.now();
-        sockets.clientIdle(channel);
+        sockets.clientParting(channel);
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
             partedAt = front.now();
             if (f.isSuccess() && channel instanceof SocketChannel socket) {
@@ -330,11 +335,19 @@
     }
 
     @Override
-    public void closeIfIdle() {
+    public void partIfIdle() {
         if (open.isEmpty() && firstByteAt < 0 && TakeWatch.unsent(channel) == 0) {
-            parting = true;
-            hangUp();
+            part();
+        }
+    }
+
+    /** Its place is wanted. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+        if (event == Sockets.PART && open.isEmpty()) {
+            part();
         }
+        super.userEventTriggered(ctx, event);
     }
 
     /** Whatever a client does or leaves undone, its connection is not kept for longer than it is of use. */
@@ -353,7 +366,7 @@
                 cutOff();
             }
         } else if (open.isEmpty() && unsent == 0 && now - idleSince > front.options().idleUs()) {
-            channel.close();
+            part();
         }
     }
 
--- /dev/null
+++ b/daemon/src/test/java/grebehoist/cli/EndingsTest.java
@@ -0,0 +1,284 @@
+package grebehoist.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beechfall.Balancer.Arrival;
+import beechfall.Balancer.AttemptEnded;
+import beechfall.Balancer.ClientGone;
+import beechfall.Balancer.ListKind;
+import beechfall.Balancer.Members;
+import beechfall.Balancer.Outcome;
+import beechfall.Balancer.Watch;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The instants in which a connection, a process or a watch ends while something is still owed. The bad order is made, not waited for: the
+ * proxy's loop stands still until what has to come in between is in the kernel.
+ */
+class EndingsTest {
+    private static final String READY = "GET /ready HTTP/1.1\r\n\r\n";
+    /** A proxy of so many descriptors has places for 40 clients, and 32 that wait. */
+    private static final int SOCKETS = 128;
+    private static final int PLACES = 72;
+
+    /** Holds the proxy's loop up, from inside the module, as the requests of some ids arrive. */
+    private static final class Gate {
+        private final CountDownLatch reached = new CountDownLatch(1);
+        private final CountDownLatch open = new CountDownLatch(1);
+
+        void hold() {
+            reached.countDown();
+            try {
+                if (!open.await(10, TimeUnit.SECONDS)) {
+                    throw new IllegalStateException("the test has not gone on");
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
+        void awaitReached() throws InterruptedException {
+            assertThat(reached.await(10, TimeUnit.SECONDS)).isTrue();
+        }
+
+        void open() {
+            open.countDown();
+        }
+    }
+
+    private static Fixture.Module holding(String id, Gate gate, Fixture.Module then) {
+        return (event, actions) -> {
+            if (event instanceof Arrival a && a.id().equals(id)) {
+                gate.hold();
+            }
+            then.handle(event, actions);
+        };
+    }
+
+    /** Sends all but those whose ids say that they are to be held. */
+    private static Fixture.Module exceptHeld() {
+        return (event, actions) -> {
+            if (!(event instanceof Arrival a && a.id().startsWith("held"))) {
+                Fixture.sendTo("s0").handle(event, actions);
+            }
+        };
+    }
+
+    private static void close(List<Wire> wires) throws IOException {
+        for (Wire wire : wires) {
+            wire.close();
+        }
+    }
+
+    /**
+     * Returns whether a connection ends in order: nothing more comes, and what still goes to the proxy is read there and dropped. A close
+     * would answer the first of it with a reset, and the system drops with that what the other side has not taken yet.
+     */
+    private static boolean endsInOrder(Wire wire) throws IOException {
+        if (wire.socket.getInputStream().read() >= 0) {
+            return false;
+        }
+        try {
+            for (int i = 0; i < 3; i++) {
+                wire.send(Fixture.get("late" + i));
+            }
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** What is asked on a connection whose end this side has begun is not taken: nothing of it may go to a backend. */
+    @Test
+    void aRequestThatCrossesTheEndOfItsConnectionIsNotSentOn() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            var seen = backend.always(Peer.ok("x"));
+            client.send(Fixture.get("r1")).read();
+            assertThat(endsInOrder(client)).isTrue();
+            try (var other = proxy.client()) {
+                assertThat(other.send(Fixture.get("r2")).read().status()).isEqualTo(200);
+            }
+            assertThat(seen).extracting(m -> m.header("X-Request-ID")).containsExactly("r1", "r2");
+            assertThat(proxy.events).filteredOn(Arrival.class::isInstance).hasSize(2);
+        }
+    }
+
+    /** All places were taken, so a client waited to be accepted, and left: its request is there to be read all the same. */
+    @Test
+    void aClientThatLeftWhileItWaitedToBeAcceptedIsNotServed() throws Exception {
+        var crowd = new ArrayList<Wire>();
+        try (var backend = new Peer(); var proxy = new Fixture(exceptHeld(), SOCKETS, 15_000_000, backend)) {
+            var seen = backend.always(Peer.ok("x"));
+            for (int i = 0; i < PLACES; i++) {
+                crowd.add(proxy.client().send(Fixture.get("held" + i)));
+            }
+            for (int i = 0; i < PLACES; i++) {
+                proxy.next(Arrival.class);
+            }
+            proxy.client().send(Fixture.get("left")).close();
+            Wire stays = proxy.client().send(Fixture.get("stays"));
+            close(crowd);
+            assertThat(stays.read().status()).isEqualTo(200);
+            assertThat(seen).extracting(m -> m.header("X-Request-ID")).containsExactly("stays");
+            stays.close();
+        } finally {
+            close(crowd);
+        }
+    }
+
+    /** It sends more than is dropped at any speed behind a request that waits, and goes: that is seen behind all of it. */
+    @Test
+    void aClientThatSendsMuchAndGoesIsNoticed() throws Exception {
+        try (var proxy = new Fixture((event, actions) -> { })) {
+            try (var client = proxy.client()) {
+                client.send(Fixture.get("r1"));
+                proxy.next(Arrival.class);
+                for (int i = 0; i < 16; i++) {
+                    client.send("x".repeat(32 * 1024));
+                }
+            }
+            long left = System.nanoTime();
+            assertThat(proxy.next(ClientGone.class).id()).isEqualTo("r1");
+            // And not when its time is over.
+            assertThat(System.nanoTime() - left).isLessThan(1_000_000_000);
+        }
+    }
+
+    /** The same, but it stays: it has its answer whole, and the connection ends in order though it goes on sending. */
+    @Test
+    void aFloodBehindARequestDoesNotCostItsAnswer() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            for (int i = 0; i < 16; i++) {
+                client.send("x".repeat(32 * 1024));
+            }
+            attempt.send(Peer.ok("x"));
+            client.send("x".repeat(64 * 1024));
+            assertThat(client.read().body()).isEqualTo("x");
+            assertThat(client.read().status()).isEqualTo(400);
+            assertThat(endsInOrder(client)).isTrue();
+        }
+    }
+
+    /**
+     * Connections to a backend come up, and their clients leave, while the loop stands still: whichever of the two it finds first, nothing is
+     * written for who has gone.
+     */
+    @Test
+    void nothingIsWrittenForClientsThatLeftWhileTheLoopStoodStill() throws Exception {
+        var before = new Gate();
+        var gate = new Gate();
+        var clients = new ArrayList<Wire>();
+        try (var accepts = new ServerSocket(0, 50, InetAddress.getLoopbackAddress()); var backend = new Peer();
+                var proxy = new Fixture((event, actions) -> {
+                    if (event instanceof Members m && m.kind() == ListKind.CACHED) {
+                        actions.accept(new Watch(true));
+                    }
+                    holding("before", before, holding("r19", gate, Fixture.sendTo("s1"))).handle(event, actions);
+                }, backend)) {
+            Wire watch = proxy.discovery.accept();
+            watch.read();
+            watch.send(Peer.ok(Fixture.list(42, false, Fixture.entry("s1", "127.0.0.1:" + accepts.getLocalPort(), "ready"))));
+            proxy.discovery.accept().read();
+            // In one read and one after the other, so that all connects but the last have begun when the loop stops, and none is up.
+            for (int i = 0; i < 20; i++) {
+                clients.add(proxy.client());
+                clients.get(i).send(READY).read();
+            }
+            Wire holds = proxy.client().send(Fixture.get("before"));
+            clients.add(holds);
+            before.awaitReached();
+            for (int i = 0; i < 20; i++) {
+                clients.get(i).send(Fixture.get("r" + i));
+            }
+            before.open();
+            gate.awaitReached();
+            close(clients);
+            long left = System.nanoTime();
+            while (System.nanoTime() - left < 100_000_000) {
+                Thread.onSpinWait();
+            }
+            gate.open();
+            for (int i = 0; i < 21; i++) {
+                assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.CANCELLED);
+            }
+            Wire stays = proxy.client().send(Fixture.get("stays"));
+            clients.add(stays);
+            Wire.Message written = null;
+            while (written == null) {
+                try (var wire = new Wire(accepts.accept())) {
+                    written = wire.read();
+                }
+            }
+            assertThat(written.header("X-Request-ID")).as("the first that was written").isEqualTo("stays");
+        } finally {
+            close(clients);
+        }
+    }
+
+    /** A process that ends stops listening while somebody waits to be accepted, as its loop was held up: all of them are served. */
+    @Test
+    void whoWaitsToBeAcceptedIsServedBeforeTheListenerCloses() throws Exception {
+        var gate = new Gate();
+        var waiting = new ArrayList<Wire>();
+        try (var backend = new Peer(); var proxy = new Fixture(holding("stop", gate, Fixture.sendTo("s0")), backend)) {
+            backend.always(Peer.ok("x"));
+            waiting.add(proxy.client().send(Fixture.get("stop")));
+            gate.awaitReached();
+            long signal = System.nanoTime();
+            CompletableFuture<Void> drained = CompletableFuture.runAsync(proxy::drain);
+            for (int i = 0; i < 5; i++) {
+                waiting.add(proxy.client().send(Fixture.get("w" + i)));
+            }
+            // Longer than new clients come after the signal.
+            while (System.nanoTime() - signal < 700_000_000) {
+                Thread.onSpinWait();
+            }
+            gate.open();
+            for (Wire wire : waiting) {
+                assertThat(wire.read().status()).isEqualTo(200);
+                assertThat(endsInOrder(wire)).isTrue();
+            }
+            close(waiting);
+            drained.get(10, TimeUnit.SECONDS);
+        } finally {
+            close(waiting);
+        }
+    }
+
+    /** Clients that ask nothing fill what descriptors there are while discovery is down: its next call has one all the same. */
+    @Test
+    void idleClientsLeaveDiscoveryItsDescriptor() throws Exception {
+        var crowd = new ArrayList<Wire>();
+        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
+            if (event instanceof Members m && (m.kind() == ListKind.CACHED || m.kind() == ListKind.FAILED)) {
+                actions.accept(new Watch(true));
+            }
+            Fixture.sendTo("s0").handle(event, actions);
+        }, SOCKETS, 15_000_000, backend)) {
+            backend.always(Peer.ok("x"));
+            Wire down = proxy.discovery.accept();
+            down.read();
+            for (int i = 0; i < 300; i++) {
+                crowd.add(proxy.client());
+            }
+            down.close();
+            Wire back = proxy.discovery.accept();
+            back.read();
+            back.send(Peer.ok(Fixture.list(42, false, Fixture.entry("s0", backend.address(), "draining"))));
+            assertThat(proxy.discovery.accept().read().first()).contains("from=42&");
+        } finally {
+            close(crowd);
+        }
+    }
+}
--- a/net/src/main/java/grebehoist/net/AcceptBacklog.java
+++ b/net/src/main/java/grebehoist/net/AcceptBacklog.java
@@ -4,9 +4,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Tells connections that may have waited to be accepted from fresh ones. While the loop is held up they queue in the
- * kernel, first come first served, and then are accepted one in each pass of the loop: until a pass finds none, each may
- * have come, with its request, when the stop began. Nothing tells how long it waited.
+ * Tells connections that may have waited to be accepted from fresh ones. While the loop is held up, or accepts nobody for want of
+ * descriptors, they queue in the kernel, first come first served, and then are accepted one in each pass of the loop: until a pass finds
+ * none, each may have come, with its request, when the stop began. Nothing tells how long it waited.
  */
 public final class AcceptBacklog {
     private static final long CHECK_MS = 1;
@@ -16,7 +16,11 @@
     private final EventLoop loop;
     private long mayHaveComeAt = Long.MAX_VALUE;
     private boolean drained = true;
-    private boolean accepted;
+    /** How many were accepted so far, and by the last check. */
+    private long accepts;
+    private long seen;
+    private boolean accepting = true;
+    private boolean checking;
     private int quiet;
 
     /** Makes one for a listener. */
@@ -25,30 +29,42 @@
         this.loop = loop;
     }
 
+    /** From now on somebody is accepted again, or nobody is. */
+    void accepting(boolean on) {
+        accepting = on;
+        if (!on) {
+            waitsSince(timers.now());
+        } else if (!drained) {
+            check();
+        }
+    }
+
     /** A connection is accepted. Returns when it may have come, or {@link Long#MAX_VALUE} for now. */
     public long accepted() {
-        accepted = true;
+        accepts++;
         long since = timers.heldUpSince();
         if (since < mayHaveComeAt) {
             // A stop that was not known of begins to be caught up with.
-            mayHaveComeAt = since;
-            if (drained) {
-                drained = false;
-                quiet = 0;
-                check();
-            }
+            waitsSince(since);
+            check();
         }
         return drained ? Long.MAX_VALUE : mayHaveComeAt;
     }
 
+    private void waitsSince(long since) {
+        mayHaveComeAt = Math.min(mayHaveComeAt, since);
+        drained = false;
+        quiet = 0;
+    }
+
     /**
      * Has an action run as soon as nobody waits to be accepted, as far as two looks a millisecond apart can tell: connections
-     * that wait when a listener is closed are reset.
+     * that wait when a listener is closed are reset. While nobody is accepted, somebody may wait.
      */
     void whenEmpty(Runnable action) {
-        accepted = false;
+        long before = accepts;
         loop.schedule(() -> {
-            if (accepted) {
+            if (accepts > before || !accepting) {
                 whenEmpty(action);
             } else {
                 action.run();
@@ -56,15 +72,25 @@
         }, CHECK_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** Between two of these the loop has looked at its sockets. */
+    /** Between two of these the loop has looked at its sockets. While nobody is accepted there is nothing to be seen. */
     private void check() {
-        quiet = accepted ? 0 : quiet + 1;
-        accepted = false;
-        if (quiet >= QUIET_CHECKS) {
+        if (!checking) {
+            checking = true;
+            loop.schedule(this::checked, CHECK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void checked() {
+        checking = false;
+        quiet = accepts > seen ? 0 : quiet + 1;
+        seen = accepts;
+        if (!accepting) {
+            quiet = 0;
+        } else if (quiet > QUIET_CHECKS) {
             drained = true;
             mayHaveComeAt = Long.MAX_VALUE;
         } else {
-            loop.schedule(this::check, CHECK_MS, TimeUnit.MILLISECONDS);
+            check();
         }
     }
 }
--- a/net/src/main/java/grebehoist/net/ClientFront.java
+++ b/net/src/main/java/grebehoist/net/ClientFront.java
@@ -24,8 +24,8 @@
         /** Looks whether it is of use any more; what is not is closed. */
         void expire(long nowUs);
 
-        /** Closes it if nothing is asked on it. */
-        void closeIfIdle();
+        /** Ends it in order if nothing is asked on it. */
+        void partIfIdle();
 
         /** Returns since when nothing is open on it, in microseconds. */
         long idleSince();
@@ -84,7 +84,7 @@
         listener = bound.channel();
         bound.addListener(f -> {
             if (f.isSuccess()) {
-                sockets.listener(listener);
+                sockets.listener(listener, backlog::accepting);
             } else {
                 sweep.cancel(false);
             }
@@ -100,9 +100,9 @@
             List.copyOf(connections).forEach(c -> c.expire(now));
         }
         if (stopped) {
-            closeIdle();
+            partIdle();
         } else if (now - AWAY_LAG_US >= awaySince) {
-            List.copyOf(connections).stream().filter(c -> now - c.idleSince() >= GREETING_US).forEach(Connection::closeIfIdle);
+            partIdle();
         }
     }
 
@@ -120,8 +120,10 @@
         });
     }
 
-    private void closeIdle() {
-        List.copyOf(connections).forEach(Connection::closeIfIdle);
+    /** Those that have rested for long enough that no request is on its way: the others have their turn with the next look. */
+    private void partIdle() {
+        long restSince = timers.now() - GREETING_US;
+        List.copyOf(connections).stream().filter(c -> c.idleSince() <= restSince).forEach(Connection::partIfIdle);
     }
 
     @Override
@@ -132,14 +134,16 @@
     @Override
     public final void stopListening() {
         closing = true;
-        stopped = true;
-        listener.close();
-        closeIdle();
+        backlog.whenEmpty(() -> {
+            stopped = true;
+            listener.close();
+            partIdle();
+        });
     }
 
     @Override
     public final boolean busy() {
-        return !connections.isEmpty();
+        return !connections.isEmpty() || listener.isOpen();
     }
 
     /** Returns the open connections, the oldest first. */
--- a/net/src/main/java/grebehoist/net/Front.java
+++ b/net/src/main/java/grebehoist/net/Front.java
@@ -25,9 +25,9 @@
      */
     void handOver(Runnable then);
 
-    /** Accepts no more, and closes the connections on which nothing is asked. */
+    /** Accepts all who wait, and no more, and ends the connections on which nothing is asked. */
     void stopListening();
 
-    /** Returns whether any client is still connected: it waits for an answer, or the answer is still being written. */
+    /** Returns whether it listens, or any client is still connected: it waits for an answer, or has not taken it, or not read the end. */
     boolean busy();
 }
--- a/net/src/main/java/grebehoist/net/LoopTimers.java
+++ b/net/src/main/java/grebehoist/net/LoopTimers.java
@@ -18,8 +18,11 @@
     private static final long BEAT_US = 10_000;
     /** A timer or a beat that is later than this finds a loop that was held up. */
     private static final long HELD_UP_US = 2 * BEAT_US;
-    /** Held up for longer than this, a loop may have missed a good part of the 250 ms that a drain allows. */
-    private static final long LONG_HELD_UP_US = 150_000;
+    /**
+     * Held up for longer than this, a loop may have missed a good part of the time that it has to take notice of a client's leaving,
+     * 0.1 s, and of a drain, 250 ms.
+     */
+    private static final long LONG_HELD_UP_US = 50_000;
     /** So long at most a loop counts as catching up with what came while it was held up. */
     private static final long MOST_CATCHING_UP_US = 3_000_000;
     /** Long enough that the loop looks at its sockets in between. */
@@ -51,8 +54,9 @@
         long now = now();
         heldUpFrom = now - beatAt > HELD_UP_US ? beatAt : Long.MAX_VALUE;
         if (now - beatAt > LONG_HELD_UP_US) {
-            catchingUpUntil = now + Math.min(now - beatAt, MOST_CATCHING_UP_US);
-            lastHeldUpFrom = beatAt;
+            // Taking in what came during one stop may be the next: what has not been read yet is as old as the first.
+            lastHeldUpFrom = now < catchingUpUntil ? lastHeldUpFrom : beatAt;
+            catchingUpUntil = Math.max(catchingUpUntil, now + Math.min(now - lastHeldUpFrom, MOST_CATCHING_UP_US));
         }
         beatAt = now;
     }
--- a/net/src/main/java/grebehoist/net/Sockets.java
+++ b/net/src/main/java/grebehoist/net/Sockets.java
@@ -2,17 +2,19 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
-import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Counts the open connections, so that the process stays under its limit of descriptors: one too many fails at a place
  * where nothing can be done about it. As places run short, clients' connections end with their answers and those that
  * hold no request are given up; where all hold one, no further client is accepted for a while.
+ *
+ * <p>A client's connection that is given up is asked to end in order ({@link #PART}), and is closed a moment later if it has not: closed at
+ * once, it would be reset if anything has come on it, and the answer that its client has not read yet would be lost.
  */
 public final class Sockets {
     /** Descriptors for the runtime (ten), discovery, and connections whose close the selector is yet to see. */
@@ -24,6 +26,10 @@
     private static final int LOBBY = 32;
     /** A request that is on its way to a new connection has come by then. */
     private static final long GREETING_NS = TimeUnit.MILLISECONDS.toNanos(20);
+    /** So many may take their time to end, beyond those that are counted as places that are taken. */
+    private static final int MOST_PARTING = 8;
+    /** Tells a client's connection, as an event in its pipeline, to end in order: its place is wanted. */
+    public static final Object PART = new Object();
 
     private final EventLoop loop;
     private int most;
@@ -32,10 +38,12 @@
     /** Connections on which no whole request has come yet, and those idle after an answer; the oldest first. */
     private final Map<Channel, Long> silentClients = new LinkedHashMap<>();
     private final Map<Channel, Long> idleClients = new LinkedHashMap<>();
+    /** Connections that are about to end, and since when; the oldest first. */
+    private final Map<Channel, Long> partingClients = new LinkedHashMap<>();
     private int clients;
     private int backends;
     private boolean makingRoom;
-    private final List<Channel> listeners = new ArrayList<>();
+    private final Map<Channel, Consumer<Boolean>> listeners = new LinkedHashMap<>();
 
     /**
      * Makes the count of one process.
@@ -60,9 +68,13 @@
         return loop.ticker().nanoTime();
     }
 
-    /** Names a socket that is not to accept while there is no room. */
-    public void listener(Channel channel) {
-        listeners.add(channel);
+    /**
+     * Names a socket that is not to accept while there is no room.
+     *
+     * @param hears is told whenever it begins to accept again, or accepts nobody any more
+     */
+    public void listener(Channel channel, Consumer<Boolean> hears) {
+        listeners.put(channel, hears);
         channel.closeFuture().addListener(f -> listeners.remove(channel));
     }
 
@@ -89,24 +101,26 @@
 
     private void makeRoom() {
         makingRoom = false;
-        while (clients > mostClients) {
-            if (!giveUp(silentClients, GREETING_NS) && !giveUp(idleClients, 0)) {
-                makingRoom = !silentClients.isEmpty();
-                if (makingRoom) {
-                    loop.schedule(this::makeRoom, GREETING_NS, TimeUnit.NANOSECONDS);
-                }
-                return;
-            }
+        while (clients > mostClients && close(partingClients, GREETING_NS)) {
+            // They had their time.
+        }
+        while (clients - partingClients.size() > mostClients && (part(silentClients, GREETING_NS) || part(idleClients, 0))) {
+            // One more will have left soon.
+        }
+        if (clients > mostClients && !(silentClients.isEmpty() && partingClients.isEmpty())) {
+            makingRoom = true;
+            loop.schedule(this::makeRoom, GREETING_NS, TimeUnit.NANOSECONDS);
         }
     }
 
     private void accept() {
         boolean on = clients < mostClients + LOBBY;
-        for (Channel listener : listeners) {
+        listeners.forEach((listener, hears) -> {
             if (listener.config().isAutoRead() != on) {
                 listener.config().setAutoRead(on);
+                hears.accept(on);
             }
-        }
+        });
     }
 
     /** Returns whether a client's connection is to end with its answer: no request of its client's meets that close. */
@@ -118,6 +132,16 @@
     public void clientBusy(Channel channel) {
         silentClients.remove(channel);
         idleClients.remove(channel);
+        partingClients.remove(channel);
+    }
+
+    /** A client's connection has begun to end; all has been said on it, and it holds no request any more. */
+    public void clientParting(Channel channel) {
+        clientBusy(channel);
+        if (channel.isOpen()) {
+            partingClients.put(channel, now());
+            makeRoomSoon();
+        }
     }
 
     /** A client's connection holds no request. Whoever waits to be accepted may have its place. */
@@ -131,8 +155,8 @@
 
     /** Returns whether one more connection to a backend may be opened. */
     public boolean roomForBackend() {
-        return Math.min(clients, mostClients) + backends < most || giveUp(idleBackends, 0) || giveUp(silentClients, GREETING_NS)
-                || giveUp(idleClients, 0);
+        return Math.min(clients, mostClients) + backends < most || close(idleBackends, 0) || close(partingClients, GREETING_NS)
+                || partingClients.size() < MOST_PARTING && (part(silentClients, GREETING_NS) || part(idleClients, 0));
     }
 
     /** A connection to a backend is being opened. */
@@ -152,17 +176,30 @@
         }
     }
 
-    private boolean giveUp(Map<Channel, Long> since, long leastNs) {
-        Iterator<Map.Entry<Channel, Long>> i = since.entrySet().iterator();
-        if (!i.hasNext()) {
-            return false;
+    private boolean close(Map<Channel, Long> since, long leastNs) {
+        Channel oldest = takeOldest(since, leastNs);
+        if (oldest != null) {
+            oldest.close();
         }
-        Map.Entry<Channel, Long> oldest = i.next();
-        if (now() - oldest.getValue() < leastNs) {
-            return false;
+        return oldest != null;
+    }
+
+    private boolean part(Map<Channel, Long> since, long leastNs) {
+        Channel oldest = takeOldest(since, leastNs);
+        if (oldest != null) {
+            partingClients.put(oldest, now());
+            oldest.pipeline().fireUserEventTriggered(PART);
+        }
+        return oldest != null;
+    }
+
+    private Channel takeOldest(Map<Channel, Long> since, long leastNs) {
+        Iterator<Map.Entry<Channel, Long>> i = since.entrySet().iterator();
+        Map.Entry<Channel, Long> oldest = i.hasNext() ? i.next() : null;
+        if (oldest == null || now() - oldest.getValue() < leastNs) {
+            return null;
         }
         i.remove();
-        oldest.getKey().close();
-        return true;
+        return oldest.getKey();
     }
 }
