Cold backends: many proxies take turns, saved-up first requests no longer come at once

Cause: Policy.coldBudget lets every proxy save one whole request (Math.max(1, ...)), also where its part of a window's budget is a twentieth of one. Of 100 proxies that have been quiet while a backend came up cold each then has one, and all may go in one instant.

Where three quarters of a window's budget are less than one request for each proxy, they take turns by rank, as many at a time as that budget holds, moving on evenly from the backend's start. Any window meets at most twice as many turns, so the sum stays under one and a half budgets and two, at every size. No constant changes. Each begins with its one request instead of a drawn part of it.

--- a/core/src/main/java/beechfall/Policy.java
+++ b/core/src/main/java/beechfall/Policy.java
@@ -236,8 +236,7 @@
             if (s != null) {
                 s.ready = false;
             }
-            // Of hundreds of proxies each may send it less than one request: so some send theirs.
-            s = new Server(b.id(), random.nextDouble(), now);
+            s = new Server(b.id(), now);
             byId.put(s.id(), s);
         }
         Kind kind = kinds.computeIfAbsent(String.valueOf(b.kind()), name -> new Kind());
@@ -436,8 +435,8 @@
     }
 
     /**
-     * Rule 4: what a cold backend may still be sent, in requests. A quarter of this proxy's part of the
-     * budget may come at once and the rest in the course of each window: no window holds more than the whole.
+     * Rule 4: what a cold backend may still be sent, in requests. A quarter of this proxy's part of the budget, or one, may come at
+     * once and the rest in the course of each window: of all proxies no window holds more than one and a half budgets and two.
      * The capacity is a guess: what backends of its weight bear by our answers, or one request at a time.
      */
     private double coldBudget(Server s) {
@@ -448,7 +447,15 @@
         double requestUs = s.kind().samples() > 0 ? s.kind().meanUs() : settings.classes().get(0).aimUs();
         double perUs = Math.max(1 / (requestUs * settings.balancers()), borne * s.weight() * order.size());
         double budgetPerUs = acting * warmth * perUs * coldMultiple(warmth * perUs * settings.balancers() * rules.fallUs());
-        return s.fillColdTokens(0.75 * budgetPerUs, Math.max(1, budgetPerUs * rules.fallUs() / 4), now);
+        double tokens = s.fillColdTokens(0.75 * budgetPerUs, Math.max(1, budgetPerUs * rules.fallUs() / 4), now);
+        return hasTurn(s, 0.75 * budgetPerUs * rules.fallUs()) ? tokens : 0;
+    }
+
+    /** Where each may send less than one request in a window they take turns: what all have saved up would come at once. */
+    private boolean hasTurn(Server s, double inWindow) {
+        double together = inWindow * settings.balancers();
+        long passed = (long) (together * (now - s.listed().startedAtUs()) / rules.fallUs());
+        return Math.floorMod(settings.rank() - mix(s.id().hashCode()) - passed, (long) settings.balancers()) < Math.ceil(together);
     }
 
     /**
--- a/core/src/main/java/beechfall/Server.java
+++ b/core/src/main/java/beechfall/Server.java
@@ -28,13 +28,12 @@
     private double ownUs;
     private double ownSamples;
     private boolean sound = true;
-    private double coldTokens;
+    private double coldTokens = 1;
     private long coldTokensAt;
     private long putOffUntil = Long.MIN_VALUE;
 
-    Server(String id, double coldTokens, long now) {
+    Server(String id, long now) {
         this.id = id;
-        this.coldTokens = coldTokens;
         this.coldTokensAt = now;
     }
 
--- a/core/src/test/java/beechfall/OrderTest.java
+++ b/core/src/test/java/beechfall/OrderTest.java
@@ -130,7 +130,7 @@
             kinds.get(0).learn(20_000);
             kinds.get(1).learn(35_000);
             for (int i = 0; i < n; i++) {
-                var s = new Server("s" + i, 0, 0);
+                var s = new Server("s" + i, 0);
                 s.listed(Proxy.backend("s" + i), order.group(new Group.Key(kinds.get(random.nextInt(2)), 1, random.nextInt(2) * 3 + 1)));
                 s.ready = true;
                 servers.add(s);
@@ -181,7 +181,7 @@
         var kind = new Kind();
         var servers = new ArrayList<Server>();
         for (int i = 0; i < 500; i++) {
-            var s = new Server("s" + i, 0, 0);
+            var s = new Server("s" + i, 0);
             s.listed(Proxy.backend("s" + i), order.group(new Group.Key(kind, 1, 1)));
             s.ready = true;
             servers.add(s);
