The installation file has [distribution]: role, machines set aside, scopes, keys

A file with it needs no pool: a machine that is set aside serves nobody. All errors are named with table and key. An array of texts now refuses what is no text (peers, scopes), which had been taken for a text.

--- a/daemon/src/main/java/grebehoist/installation/Installation.java
+++ b/daemon/src/main/java/grebehoist/installation/Installation.java
@@ -31,9 +31,10 @@
  * @param sockets the descriptors that the process may hold
  * @param membership null where this process is to speak to no other proxies
  * @param lease null where the fleet has no tasks
+ * @param distribution null where no configuration is distributed
  */
 public record Installation(String name, int sockets, List<PoolEntry> pools, List<ListenerEntry> listeners, MembershipEntry membership,
-        LeaseEntry lease) {
+        LeaseEntry lease, DistributionEntry distribution) {
     /** A pool: backends that share a list and settings. */
     public record PoolEntry(String name, String protocol, InetSocketAddress discovery, Balancer.Settings settings,
             long connIdleUs, long connectTimeoutUs, int maxFrame) { }
@@ -48,6 +49,20 @@
     /** The tasks of the fleet and who grants them: docs/leases.md. */
     public record LeaseEntry(int set, List<Integer> voters, long leaseUs, List<TaskSpec> tasks) { }
 
+    /**
+     * Configuration that changes while the fleet runs: docs/distribution.md.
+     *
+     * @param control whether this process is one of the machines set aside for it, not a proxy
+     * @param number a machine's among the machines, or a proxy's among the proxies
+     * @param scopes what a proxy is to hold; empty for a machine
+     * @param door where operators call, or null
+     */
+    public record DistributionEntry(boolean control, InetSocketAddress listen, int number, List<String> scopes, InetSocketAddress door,
+            List<ControlEntry> machines, List<KeyEntry> keys) { }
+
+    /** A machine that is set aside for distribution: where it gets datagrams, where the writer calls it, and where it is. */
+    public record ControlEntry(InetSocketAddress address, InetSocketAddress door, String zone) { }
+
     /** A key, in hexadecimal. */
     public record KeyEntry(int id, String secret) { }
 
@@ -121,11 +136,13 @@
             process.done();
             var pools = new ArrayList<PoolEntry>();
             TomlTable members = top.optionalTable("membership");
-            // A process of the platform's may have a file for what it does with other proxies alone.
-            top.tables("pool", "[[pool]]", members == null).forEach(t -> pools.add(pool(t)));
+            TomlTable distributed = top.optionalTable("distribution");
+            // A process of the platform's may have a file for what it does with others alone; a machine that is set aside has no pool.
+            boolean alone = members == null && distributed == null;
+            top.tables("pool", "[[pool]]", alone).forEach(t -> pools.add(pool(t)));
             ThriftReader thrift = ThriftReader.read(top.table("thrift"), pools);
             var listeners = new ArrayList<ListenerEntry>();
-            var listenerTables = top.tables("listener", "[[listener]]", members == null);
+            var listenerTables = top.tables("listener", "[[listener]]", alone);
             listenerTables.forEach(t -> listeners.add(listener(t, pools, thrift)));
             MembershipEntry membership = members == null ? null : membership(members);
             TomlTable leases = top.optionalTable("lease");
@@ -134,6 +151,7 @@
             if (leases == null && !taskTables.isEmpty()) {
                 problems.add(file + ": [[task]]: there is no [lease], so nobody can hold one");
             }
+            DistributionEntry distribution = distributed == null ? null : DistributionReader.read(distributed);
             top.done();
             unique("[[pool]]", pools.stream().map(PoolEntry::name).toList());
             unique("[[listener]]", listeners.stream().map(ListenerEntry::name).toList());
@@ -145,7 +163,7 @@
                     problems.add(file + ": [[pool]] \"" + pool.name() + "\": no [[listener]] has pool = \"" + pool.name() + "\"");
                 }
             }
-            return new Installation(name, sockets, pools, listeners, membership, lease);
+            return new Installation(name, sockets, pools, listeners, membership, lease, distribution);
         }
 
         private static MembershipEntry membership(TomlTable t) {
@@ -168,22 +186,7 @@
             }
             String zone = t.text("zone", "");
             long pauseUs = us(t.whole("pause_ms", 5_000L, 200, 600_000));
-            var keys = new ArrayList<KeyEntry>();
-            for (TomlTable k : t.tables("key", t.where() + " / [[membership.key]]", true)) {
-                int id = (int) k.whole("id", null, 0, 255);
-                String secret = k.text("secret");
-                if (!secret.isEmpty() && !secret.matches("([0-9a-fA-F]{2}){16,64}")) {
-                    k.problem("secret", "16 to 64 bytes in hexadecimal are wanted");
-                }
-                if (keys.stream().anyMatch(other -> other.id() == id)) {
-                    k.problem("id", "two keys have it");
-                }
-                k.done();
-                keys.add(new KeyEntry(id, secret));
-            }
-            if (keys.size() > 2) {
-                t.problem("key", "one or two are wanted, not " + keys.size());
-            }
+            List<KeyEntry> keys = KeyReader.read(t, "[[membership.key]]");
             t.done();
             return new MembershipEntry(listen, (int) number, peers, zone, pauseUs, keys);
         }
--- a/daemon/src/main/java/grebehoist/installation/TomlTable.java
+++ b/daemon/src/main/java/grebehoist/installation/TomlTable.java
@@ -156,7 +156,12 @@
     List<String> texts(String key, int least, int most) {
         JsonNode value = value(key);
         var texts = new ArrayList<String>();
-        value.forEach(v -> texts.add(v.asText("")));
+        for (JsonNode v : value) {
+            texts.add(v.asText(""));
+            if (value.isArray() && !v.isTextual()) {
+                problem(key, "a text is wanted, not " + v);
+            }
+        }
         if (!value.isArray() || texts.size() < least || texts.size() > most) {
             problem(key, value.isMissingNode() ? "missing" : "an array of " + least + " to " + most + " texts is wanted");
         }
--- a/daemon/src/test/java/grebehoist/installation/InstallationTest.java
+++ b/daemon/src/test/java/grebehoist/installation/InstallationTest.java
@@ -5,6 +5,7 @@
 
 import beechfall.Balancer;
 import grebehoist.tasks.TaskSpec;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -243,4 +244,89 @@
     void tasksWantMembers() throws Exception {
         assertThat(problems(GOOD + LEASE)).contains("[lease]: key 'voters': there is no [membership] whose numbers they could be");
     }
+
+    private static final String DISTRIBUTION = """
+            [distribution]
+            role = "proxy"
+            listen = "127.0.0.1:7950"
+            number = 4
+            scopes = ["fleet", "c1/billing"]
+            [[distribution.control]]
+            address = "127.0.0.1:7960"
+            door = "127.0.0.1:8960"
+            zone = "ulven"
+            [[distribution.control]]
+            address = "127.0.0.1:7961"
+            door = "127.0.0.1:8961"
+            zone = "alnes"
+            [[distribution.key]]
+            id = 1
+            secret = "00112233445566778899aabbccddeeff"
+            """;
+    private static final String CONTROL = DISTRIBUTION.replace("\"proxy\"", "\"control\"").replace("127.0.0.1:7950", "127.0.0.1:7961")
+            .replaceAll("number.*\n|scopes.*\n", "");
+
+    @Test
+    void readsWhatIsDistributed() throws Exception {
+        assertThat(Installation.read(file(GOOD)).distribution()).isNull();
+        Installation.DistributionEntry proxy = Installation.read(file(GOOD + DISTRIBUTION)).distribution();
+        assertThat(proxy.control()).isFalse();
+        assertThat(proxy.number()).isEqualTo(4);
+        assertThat(proxy.scopes()).containsExactly("fleet", "c1/billing");
+        assertThat(proxy.door()).isNull();
+        assertThat(proxy.machines()).extracting(Installation.ControlEntry::zone).containsExactly("ulven", "alnes");
+        assertThat(Installation.read(file(GOOD + DISTRIBUTION.replace("number = 4", "number = 4\ndoor = \"127.0.0.1:9\""))).distribution().door())
+                .isEqualTo(new InetSocketAddress("127.0.0.1", 9));
+        assertThat(Installation.read(Path.of("../deploy/distribution.toml")).distribution().machines()).hasSize(3);
+    }
+
+    /** It serves nobody: neither a pool nor a listener is wanted. */
+    @Test
+    void aMachineThatIsSetAsideNeedsNoPool() throws Exception {
+        Installation.DistributionEntry machine = Installation.read(file(CONTROL)).distribution();
+        assertThat(machine.control()).isTrue();
+        assertThat(machine.number()).isEqualTo(1);
+        assertThat(machine.door()).isEqualTo(machine.machines().get(1).door());
+        assertThat(machine.scopes()).isEmpty();
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "\"proxy\"|\"holder\"|[distribution]: key 'role': 'holder' is none of control, proxy",
+        "\"proxy\"|\"control\"|[distribution]: key 'number': a machine's is its place among [[distribution.control]]",
+        "\"proxy\"|\"control\"|[distribution]: key 'scopes': only role = \"proxy\" has it: what a machine holds follows from the names",
+        "\"proxy\"|\"control\"|[distribution]: key 'listen': it is no [[distribution.control]]'s 'address'",
+        "listen = |listens = |[distribution]: key 'listen': missing",
+        "listen = |listens = |[distribution]: key 'listens': unknown",
+        "127.0.0.1:7950|n1:7950|[distribution]: key 'listen': 'n1:7950' is no numeric address and port",
+        "number = 4||[distribution]: key 'number': missing",
+        "number = 4|number = 65533|[distribution]: key 'number': a whole number from 0 to 65532 is wanted, not 65533",
+        "\"fleet\", \"c1/billing\"||[distribution]: key 'scopes': an array of 1 to 2000 texts is wanted",
+        "\"fleet\"|\"c1/billing\"|[distribution]: key 'scopes': 'c1/billing' stands there twice",
+        "\"fleet\"|\"aaaaaaaaaaaaaaaaaaaaaaaaa\"|[distribution]: key 'scopes': 'aaaaaaaaaaaaaaaaaaaaaaaaa': 1 to 24 bytes are wanted, not 25",
+        "\"fleet\"|7|[distribution]: key 'scopes': a text is wanted, not 7",
+        "number = 4|door = \"x\"|[distribution]: key 'door': 'x' is no numeric address and port",
+        "127.0.0.1:7961|127.0.0.1:7960|[distribution] / [[distribution.control]] number 2: key 'address': another [[distribution.control]] has it already",
+        "127.0.0.1:8961|127.0.0.1:8960|[distribution] / [[distribution.control]] number 2: key 'door': another [[distribution.control]] has it already",
+        "zone = \"ulven\"||[distribution] / [[distribution.control]] number 1: key 'zone': missing",
+        "door = \"127.0.0.1:8960\"|door = 8960|[distribution] / [[distribution.control]] number 1: key 'door': a text is wanted, not 8960",
+        "[[distribution.control]]|[[distribution.machine]]|[distribution]: key 'control': at least one [[distribution.control]] is wanted",
+        "[[distribution.key]]|[[distribution.keys]]|[distribution]: key 'key': at least one [[distribution.key]] is wanted",
+        "00112233|0011223|[distribution] / [[distribution.key]] number 1: key 'secret': 16 to 64 bytes in hexadecimal are wanted"})
+    void saysWhatIsWrongWithDistribution(String part, String other, String message) throws Exception {
+        assertThat(DISTRIBUTION).contains(part);
+        assertThat(problems(GOOD + DISTRIBUTION.replace(part, other == null ? "" : other))).contains(message);
+    }
+
+    @Test
+    void machinesAndKeysHaveABound() throws Exception {
+        var many = new StringBuilder(CONTROL);
+        for (int i = 0; i < 63; i++) {
+            many.append("[[distribution.control]]\naddress = \"127.0.1.").append(i).append(":1\"\ndoor = \"127.0.1.").append(i).append(":2\"\nzone = \"z\"\n");
+        }
+        many.append("[[distribution.key]]\nid = 2\nsecret = \"11112233445566778899aabbccddeeff\"\n");
+        many.append("[[distribution.key]]\nid = 3\nsecret = \"22112233445566778899aabbccddeeff\"\n");
+        assertThat(problems(many.toString())).containsExactly("[distribution]: key 'control': 64 at most, not 65",
+                "[distribution]: key 'key': one or two are wanted, not 3");
+    }
 }
