--- /dev/null
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Call.java
@@ -0,0 +1,27 @@
+package grebehoist.fleet.distribution;
+
+/** What a writer asks of one of a scope's holders; whoever carries it gives the answer, or that there is none, back to the writer. */
+public sealed interface Call {
+    /** Returns the machine that is asked. */
+    int machine();
+
+    /** Returns the scope that it is about. */
+    String scope();
+
+    /** The scope is to exist; its first change has the version {@code base + 1}. */
+    record Create(int machine, String scope, long base) implements Call { }
+
+    /** Nothing older than this epoch may change the scope from now on; and what has it now? */
+    record Open(int machine, String scope, long epoch) implements Call { }
+
+    /** Is this the next change? */
+    record Offer(int machine, long epoch, Item item) implements Call {
+        @Override
+        public String scope() {
+            return item.scope();
+        }
+    }
+
+    /** This change was taken by two. */
+    record Taken(int machine, String scope, long epoch, long version) implements Call { }
+}
--- a/fleet/src/main/java/grebehoist/fleet/wire/Post.java
+++ b/fleet/src/main/java/grebehoist/fleet/wire/Post.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
@@ -14,7 +15,7 @@
  * So what was recorded is worth nothing to a process that was started later, without a disk or a clock in common. Two members that
  * have not yet heard of each other exchange words first ({@code HELLO}); the last thing said meanwhile is said again then.
  *
- * <p>Used by one thread. Kept for each member: a session and at most one body.
+ * <p>Used by one thread. Kept for each member that was heard or spoken to: a session and at most one body.
  */
 public final class Post {
     /** The longest datagram, in bytes (PROTOCOL, between proxies). */
@@ -43,22 +44,33 @@
     /** It changes nothing. */
     public record Dropped(Refused why) implements Opened { }
 
-    /** Words were exchanged; {@code again} is what is to be sent to the member now, perhaps nothing. */
-    public record Words(int from, List<byte[]> again) implements Opened { }
+    /**
+     * Words were exchanged.
+     *
+     * @param again what is to be sent to the member now, perhaps nothing
+     * @param proven whether it is sure that the member has said this, and now
+     */
+    public record Words(int from, List<byte[]> again, boolean proven) implements Opened { }
 
     private record Unsaid(int topic, byte[] body, long atUs) { }
 
     private record Allowance(double left, long atUs) { }
 
+    /** What is kept of a member that has sealed something rightly, or that something was sealed for. */
+    private static final class Peer {
+        private final Session session = new Session();
+        private Unsaid unsaid;
+        private long greetedAt = Long.MIN_VALUE / 2;
+    }
+
     private final int self;
     private final int members;
     private final KeyRing ring;
     private final long life;
     private final long secret;
-    private final Session[] sessions;
-    private final Unsaid[] unsaid;
-    private final long[] greetedAt;
-    private final Allowance[] allowances;
+    /** Of most members of a large fleet nothing is ever heard: only the others take room. */
+    private final Map<Integer, Peer> peers = new HashMap<>();
+    private final Map<Integer, Allowance> allowances = new HashMap<>();
     private final Map<Refused, Long> refused = new EnumMap<>(Refused.class);
 
     /**
@@ -77,12 +89,32 @@
         this.ring = ring;
         this.life = 1 + random.nextLong(0xFFFF_FFFFL);
         this.secret = random.nextLong();
-        this.sessions = new Session[members];
-        Arrays.setAll(sessions, i -> new Session());
-        this.unsaid = new Unsaid[members];
-        this.greetedAt = new long[members];
-        Arrays.fill(greetedAt, Long.MIN_VALUE / 2);
-        this.allowances = new Allowance[members];
+    }
+
+    /**
+     * Returns the number that a datagram's sender gives as its own, not yet proven; -1 where it can't be read. For those that know others by
+     * their number and not by their address.
+     */
+    public static int sender(byte[] datagram) {
+        int sealed = datagram.length - KeyRing.SEAL;
+        if (sealed <= 0 || datagram.length > MOST_BYTES) {
+            return -1;
+        }
+        try {
+            Header.Read read = Header.read(datagram, sealed);
+            return read.length() > 0 ? read.header().sender() : -1;
+        } catch (Header.Unreadable e) {
+            return -1;
+        }
+    }
+
+    private Peer peer(int member) {
+        return peers.computeIfAbsent(member, m -> new Peer());
+    }
+
+    /** Returns of how many members something is kept. */
+    int kept() {
+        return peers.size();
     }
 
     /** Returns how many datagrams changed nothing, by cause. */
@@ -92,7 +124,8 @@
 
     /** Returns how often two processes with the same number were heard in turns. */
     public int twins(int member) {
-        return sessions[member].twins();
+        Peer peer = peers.get(member);
+        return peer == null ? 0 : peer.session.twins();
     }
 
     /**
@@ -107,12 +140,13 @@
             throw new IllegalArgumentException("a body of " + body.length + " bytes, topic " + topic);
         }
         // Where the other does not know this life, it is lost: whoever answers with words hears it again.
-        unsaid[to] = new Unsaid(topic, body, nowUs);
-        return datagram(to, topic, body, sessions[to].echo());
+        Peer peer = peer(to);
+        peer.unsaid = new Unsaid(topic, body, nowUs);
+        return datagram(to, topic, body, peer.session.echo());
     }
 
     private byte[] datagram(int to, int topic, byte[] body, long echo) {
-        Session session = sessions[to];
+        Session session = peer(to).session;
         var out = new ByteArrayOutputStream(MOST_BYTES);
         new Header(Header.VERSION, ring.sealing(), self, life, session.nextCount() & 0xFFFF_FFFFL, echo, word(to, session.epoch()),
                 topic).write(out);
@@ -176,28 +210,29 @@
     }
 
     private boolean allowed(long nowUs, int from) {
-        Allowance before = allowances[from];
+        Allowance before = allowances.get(from);
         double left = before == null ? 2 * FLOOD_PER_S
                 : Math.min(2 * FLOOD_PER_S, before.left() + (nowUs - before.atUs()) * (FLOOD_PER_S / 1e6));
-        allowances[from] = new Allowance(Math.max(0, left - 1), nowUs);
+        allowances.put(from, new Allowance(Math.max(0, left - 1), nowUs));
         return left >= 1;
     }
 
     private Opened admit(long nowUs, int from, Header header, byte[] body) {
-        Session session = sessions[from];
+        Peer peer = peer(from);
+        Session session = peer.session;
         boolean proven = header.echo() == word(from, session.epoch())
                 || session.speaks(header.life()) && session.epoch() > 0 && header.echo() == word(from, session.epoch() - 1);
         if (!proven) {
             refused.merge(Refused.UNPROVEN, 1L, Long::sum);
-            if (nowUs - greetedAt[from] < HELLO_EVERY_US) {
+            if (nowUs - peer.greetedAt < HELLO_EVERY_US) {
                 return new Dropped(Refused.UNPROVEN);
             }
-            greetedAt[from] = nowUs;
+            peer.greetedAt = nowUs;
             // Its word is good for an answer only: whether it is new, the answer will show.
             if (!session.known()) {
                 session.echo(header.word());
             }
-            return new Words(from, List.of(datagram(from, HELLO, NOTHING, header.word())));
+            return new Words(from, List.of(datagram(from, HELLO, NOTHING, header.word())), false);
         }
         if (!session.speaks(header.life())) {
             session.begin(header.life());
@@ -209,12 +244,13 @@
         if (header.topic() >= FIRST_TOPIC) {
             return new Body(from, header.topic(), body);
         }
-        Unsaid again = unsaid[from];
-        unsaid[from] = null;
+        Unsaid again = peer.unsaid;
+        peer.unsaid = null;
         if (header.topic() != HELLO) {
-            return new Words(from, List.of());
+            return new Words(from, List.of(), true);
         }
         boolean say = again != null && nowUs - again.atUs() < RESAID_US;
-        return new Words(from, List.of(datagram(from, say ? again.topic() : WELCOME, say ? again.body() : NOTHING, session.echo())));
+        return new Words(from, List.of(datagram(from, say ? again.topic() : WELCOME, say ? again.body() : NOTHING, session.echo())),
+                true);
     }
 }
