Distribution wired: endpoint, door calls, the commands change and status

DistributionEndpoint puts the state machines on a datagram port; its door takes a writer's calls as JSON and tells figures; the commands carry the writer's calls over java.net.http. A suspension in any scope that a process holds is merged into each of its pools beside the door's. Compiled against the API's stubs; not yet run.

--- a/core/src/main/java/grebehoist/members/Suspensions.java
+++ b/core/src/main/java/grebehoist/members/Suspensions.java
@@ -14,7 +14,8 @@
 
 /**
  * Merges what the operators say of backends into what a source lists: a suspended backend is draining, whatever the source
- * says, until it is resumed. Stands between a source and the engine. Does no I/O; used by the engine's thread alone.
+ * says, until it is resumed by all who have suspended it. Stands between a source and the engine. Does no I/O; used by the
+ * engine's thread alone.
  *
  * <p>Operators restart a backend while it is suspended, and the source may tell of that only seconds after it is back.
  * So a resumed backend counts as started at that moment (rule 4), until the source lists another start.
@@ -26,7 +27,10 @@
     private final MemberSource.Sink next;
     /** What the source has listed, by id; what is gone from the list is gone here. */
     private final Map<String, Listed> list = new LinkedHashMap<>();
-    /** When each was suspended; it may have left the list since. */
+    /** What is suspended here, and what is for the whole fleet. */
+    private Set<String> here = Set.of();
+    private Set<String> everywhere = Set.of();
+    /** When each was suspended, by whomever first; it may have left the list since. */
     private final Map<String, Long> suspended = new HashMap<>();
     /** Only of listed backends, so there are no more than these. */
     private final Map<String, Resumed> resumed = new HashMap<>();
@@ -82,12 +86,26 @@
     }
 
     /**
-     * Sets what is suspended from now on. What changes is told at once.
+     * Sets what operators have suspended here from now on. What changes is told at once: a backend is back when neither they
+     * nor the whole fleet suspend it.
      *
-     * @param ids all that are suspended
+     * @param ids all that are suspended here
      * @param nowUs the time, Unix time in microseconds
      */
     public void set(Set<String> ids, long nowUs) {
+        here = ids;
+        apply(nowUs);
+    }
+
+    /** As {@link #set}, for what is suspended for the whole fleet. */
+    public void setEverywhere(Set<String> ids, long nowUs) {
+        everywhere = ids;
+        apply(nowUs);
+    }
+
+    private void apply(long nowUs) {
+        var ids = new HashSet<>(here);
+        ids.addAll(everywhere);
         var back = new HashSet<>(suspended.keySet());
         back.removeAll(ids);
         boolean changed = !back.isEmpty();
--- a/core/src/test/java/grebehoist/members/SuspensionsTest.java
+++ b/core/src/test/java/grebehoist/members/SuspensionsTest.java
@@ -84,4 +84,39 @@
         assertThat(suspensions).hasFieldOrPropertyWithValue("list", java.util.Map.of())
                 .hasFieldOrPropertyWithValue("suspended", java.util.Map.of()).hasFieldOrPropertyWithValue("resumed", java.util.Map.of());
     }
+
+    /** The operators of one proxy and whoever tells the fleet don't know of each other: both must put it back. */
+    @Test
+    void whoIsSuspendedByTwoIsBackWithTheSecond() {
+        suspensions.members(ListKind.FULL, List.of(line("a", State.READY, 7)));
+        suspensions.set(Set.of("a"), 100);
+        int before = told.size();
+        suspensions.setEverywhere(Set.of("a"), 200);
+        suspensions.set(Set.of(), 300);
+        assertThat(told).as("nothing changes for the module").hasSize(before);
+        assertThat(suspensions.holds("a")).isTrue();
+        suspensions.setEverywhere(Set.of(), 400);
+        assertThat(last()).as("it may have been restarted until then").isEqualTo("CACHED a:READY@400");
+        assertThat(suspensions.holds("a")).isFalse();
+    }
+
+    @Test
+    void whatHoldsInAllPoolsHoldsInThoseThatComeLater() {
+        var common = new CommonSuspensions();
+        var early = new ArrayList<String>();
+        var late = new ArrayList<String>();
+        Suspensions one = common.merge((kind, listed) -> listed.forEach(l -> early.add(l.backend().id() + ":" + l.backend().state())));
+        common.join(one, 0);
+        one.members(ListKind.FULL, List.of(line("a", State.READY, 0), line("b", State.READY, 0)));
+        common.set(Set.of("a", "elsewhere"), 100);
+        assertThat(early).endsWith("a:DRAINING", "b:READY");
+        Suspensions other = common.merge((kind, listed) -> listed.forEach(l -> late.add(l.backend().id() + ":" + l.backend().state())));
+        common.join(other, 200);
+        other.members(ListKind.FULL, List.of(line("a", State.READY, 0), line("c", State.READY, 0)));
+        assertThat(late).containsExactly("a:DRAINING", "c:READY");
+        common.set(Set.of(), 300);
+        assertThat(early).endsWith("a:READY", "b:READY");
+        assertThat(late).endsWith("a:READY", "c:READY");
+        assertThat(common.ids()).isEmpty();
+    }
 }
--- a/daemon/src/main/java/grebehoist/cli/InstalledPools.java
+++ b/daemon/src/main/java/grebehoist/cli/InstalledPools.java
@@ -54,6 +54,16 @@
                 installation.lease());
     }
 
+    /** Returns what it says of the distribution of configuration, or null. */
+    Installation.DistributionEntry distribution() {
+        return installation.distribution();
+    }
+
+    /** Returns whether this process has something else to do than to serve: it is a machine that is set aside. */
+    boolean servesNobody() {
+        return installation.distribution() != null && installation.distribution().control();
+    }
+
     /** Returns the tasks of the fleet. */
     List<TaskSpec> tasks() {
         return installation.lease() == null ? List.of() : installation.lease().tasks();
--- a/daemon/src/main/java/grebehoist/cli/Main.java
+++ b/daemon/src/main/java/grebehoist/cli/Main.java
@@ -7,12 +7,14 @@
 import java.util.Arrays;
 
 /**
- * The command line: {@code serve} runs one real proxy, {@code check} reads an installation file and says what is wrong with
- * it, {@code drill} hosts the module on the simulator's wire, {@code train} runs the warm-up alone, for the archive of
- * loaded classes that makes starts fast, {@code demo} shows the main job, and {@code search} is the fault search.
+ * The command line: {@code serve} runs one real proxy, or one of the machines that are set aside; {@code check} reads an installation file
+ * and says what is wrong with it; {@code change} and {@code status} change what is distributed to proxies and tell how far that has got;
+ * {@code drill} hosts the module on the simulator's wire; {@code train} runs the warm-up alone, for the archive of loaded classes that makes
+ * starts fast; {@code demo} shows the main job, and {@code search} is the fault search.
  */
 public final class Main {
-    private static final String USAGE = "usage: java -jar grebehoist.jar serve [--installation FILE] | check FILE | demo ... | search ... | train | drill";
+    private static final String USAGE = "usage: java -jar grebehoist.jar serve [--installation FILE] | check FILE | change ... | status ... | demo ... | search ..."
+            + " | train | drill";
 
     private Main() { }
 
@@ -31,6 +33,8 @@
             case "train" -> Serve.train();
             case "drill" -> grebehoist.sim.Main.main(args);
             case "check" -> System.exit(rest.length == 1 ? InstalledPools.check(Path.of(rest[0])) : usage());
+            case "change" -> System.exit(ChangeCommand.change(rest));
+            case "status" -> System.exit(ChangeCommand.status(rest));
             case "demo" -> System.exit(Demo.run(rest));
             case "search" -> System.exit(SearchCommand.run(rest));
             default -> System.exit(usage());
--- a/daemon/src/main/java/grebehoist/cli/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -4,6 +4,8 @@
 import beechfall.Policy;
 import grebehoist.config.Config;
 import grebehoist.engine.Log;
+import grebehoist.engine.MemberSource;
+import grebehoist.members.CommonSuspensions;
 import grebehoist.net.Front;
 import grebehoist.net.LoopTimers;
 import grebehoist.net.Network;
@@ -79,37 +81,64 @@
     private final CountDownLatch drained = new CountDownLatch(1);
     /** Null where this process speaks to no others. */
     private volatile Members members;
+    /** Null where no configuration is distributed to this process. */
+    private volatile Distribution distribution;
+    /** What is suspended in all pools; null where no configuration is distributed to this process. */
+    private final CommonSuspensions suspensions;
 
-    Serve(Config config, Operations operations) {
-        this(config, new Policy(config.settings()), Network.sockets(operations != null), operations);
+    Serve(Config config, Operations operations, InstalledPools more) {
+        this(config, new Policy(config.settings()), Network.sockets(operations != null), operations, more);
     }
 
     Serve(Config config, Balancer module) {
-        this(config, module, Network.sockets(), null);
+        this(config, module, Network.sockets(), null, null);
     }
 
     Serve(Config config, Balancer module, Network network, Operations operations) {
-        this(config.name(), config, config.sockets() - (operations == null ? 0 : Door.MOST_CALLERS), network, operations);
+        this(config, module, network, operations, null);
+    }
+
+    private Serve(Config config, Balancer module, Network network, Operations operations, InstalledPools more) {
+        this(config.name(), config, config.sockets() - (operations == null ? 0 : Door.MOST_CALLERS) - doors(more), network, operations, more);
         var spec = Pool.Spec.http(config.name(), config.settings(), config.discovery(), config.connIdleUs(),
                 config.connectTimeoutUs());
         Pool pool = new Pool(host, spec, new Pool.Wiring(settings -> module, t -> t, i -> i,
-                m -> operations == null ? m : operations.merge(m)));
+                m -> operations == null ? common(m) : operations.merge(m)));
+        if (suspensions != null && operations != null) {
+            loop.execute(() -> suspensions.join(operations.suspensions(), host.timers().now()));
+        }
         pools.add(pool);
         listeners.add(new Listener(config.name(), pool, pool.httpFront(this::ready), config.listen()));
     }
 
     /** A process without a pool of the platform's. */
-    Serve(String name, int sockets) {
-        this(name, null, sockets, Network.sockets(), null);
+    Serve(InstalledPools more) {
+        this(more.name(), null, more.sockets() - doors(more), Network.sockets(), null, more);
     }
 
-    private Serve(String name, Config config, int sockets, Network network, Operations operations) {
+    private Serve(String name, Config config, int sockets, Network network, Operations operations, InstalledPools more) {
         this.operations = operations;
         this.name = name;
         this.config = config;
         this.network = network;
         loop = network.loop();
         host = new Pool.Host(network, new LoopTimers(loop), new Sockets(loop, sockets), log);
+        suspensions = more == null || more.distribution() == null ? null : new CommonSuspensions();
+    }
+
+    /** What the distribution's own door may hold of the descriptors. */
+    private static int doors(InstalledPools more) {
+        return more == null || more.distribution() == null || more.distribution().door() == null ? 0 : Door.MOST_CALLERS;
+    }
+
+    /** What stands between a pool and its source. */
+    private MemberSource.Sink common(MemberSource.Sink pool) {
+        if (suspensions == null) {
+            return pool;
+        }
+        var merged = suspensions.merge(pool);
+        loop.execute(() -> suspensions.join(merged, host.timers().now()));
+        return merged;
     }
 
     /**
@@ -135,15 +164,17 @@
             if (upgrade) {
                 Warmup.run(config, UPGRADE_WARM_MS, () -> false);
             }
-            var serve = config != null ? new Serve(config, operations) : new Serve(more.name(), more.sockets());
+            var serve = config != null ? new Serve(config, operations, more) : new Serve(more);
             // Before it listens: without a handler the signal ends the process.
             onHangUp(() -> serve.reload(file));
             serve.warming = config != null && !upgrade && config.isFirstLife();
+            // Before it serves: what is suspended everywhere is soon known.
+            serve.distribute(more);
             if (config != null) {
                 serve.start(upgrade);
             }
             serve.meet(more);
-            if (more != null && more.start(serve) == 0 && config == null) {
+            if (more != null && more.start(serve) == 0 && config == null && !more.servesNobody()) {
                 System.err.println("nothing could be started");
                 System.exit(1);
             }
@@ -169,7 +200,7 @@
             // On a port that is free: what it listens with and connects with is loaded too.
             Config anywhere = config.listeningAt(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
             Operations operations = anywhere.operator() == null ? null : operations(anywhere);
-            var serve = new Serve(anywhere, operations);
+            var serve = new Serve(anywhere, operations, null);
             serve.start(false);
             serve.stop();
         } catch (Config.BadConfig e) {
@@ -262,9 +293,13 @@
             throw new Config.BadConfig("'listen': " + bound.cause().getMessage());
         }
         if (operations != null) {
-            ChannelFuture door = new Door(operations, log).listen(network, config.operator()).awaitUninterruptibly();
-            if (!door.isSuccess()) {
-                throw new Config.BadConfig("'operator': " + door.cause().getMessage());
+            var door = new Door(operations, log);
+            if (distribution != null) {
+                distribution.at(door);
+            }
+            ChannelFuture opened = door.listen(network, config.operator()).awaitUninterruptibly();
+            if (!opened.isSuccess()) {
+                throw new Config.BadConfig("'operator': " + opened.cause().getMessage());
             }
         }
         var address = (InetSocketAddress) bound.channel().localAddress();
@@ -288,6 +323,15 @@
         }
     }
 
+    /** Takes part in the distribution of configuration, where the installation file says so. */
+    private void distribute(InstalledPools more) throws Config.BadConfig {
+        if (suspensions == null) {
+            return;
+        }
+        distribution = Distribution.begin(more.name(), more.distribution(), host, suspensions);
+        distribution.open();
+    }
+
     private void share(int balancers, int rank) {
         pools.forEach(p -> p.share(balancers, rank));
     }
@@ -297,6 +341,9 @@
         if (members != null) {
             members.leave();
         }
+        if (distribution != null) {
+            distribution.leave();
+        }
     }
 
     private boolean ready() {
@@ -359,7 +406,8 @@
 
     /** Adds a pool beside those that are there, and begins it. */
     Pool add(Pool.Spec spec) {
-        var pool = new Pool(host, spec);
+        var pool = suspensions == null ? new Pool(host, spec)
+                : new Pool(host, spec, new Pool.Wiring(Policy::new, t -> t, i -> i, this::common));
         pools.add(pool);
         loop.execute(() -> pool.begin(null));
         return pool;
--- a/daemon/src/main/java/grebehoist/operations/Door.java
+++ b/daemon/src/main/java/grebehoist/operations/Door.java
@@ -66,16 +66,28 @@
     private static final int MOST_BODY = 4 * 1024;
     private static final String BACKENDS = "/v1/backends/";
 
+    /** Null at a process that has no pool of the platform's. */
     private final Calls calls;
     private final Log log;
     private final Set<Channel> callers = new LinkedHashSet<>();
-
-    /** Makes a door that is yet to be opened. */
+    /** Null where nothing is distributed; set once. */
+    private volatile DistributionCalls distribution;
+
+    /**
+     * Makes a door that is yet to be opened.
+     *
+     * @param calls what is asked of the platform's pool; null where there is none
+     */
     public Door(Calls calls, Log log) {
         this.calls = calls;
         this.log = log;
     }
 
+    /** Tells who answers what is asked of the distribution of configuration. */
+    public void distribution(DistributionCalls answers) {
+        distribution = answers;
+    }
+
     /** Listens; the future tells whether the address could be had. */
     public ChannelFuture listen(Network network, InetSocketAddress address) {
         return network.server().clone().childHandler(new ChannelInitializer<Channel>() {
@@ -112,7 +124,7 @@
                 if (request.decoderResult().isFailure()) {
                     answer(ctx.channel(), HttpResponseStatus.BAD_REQUEST, "not a call that can be read");
                 } else {
-                    call(ctx.channel(), request.method(), new QueryStringDecoder(request.uri()));
+                    call(ctx.channel(), request, new QueryStringDecoder(request.uri()));
                 }
             } catch (IllegalArgumentException e) {
                 answer(ctx.channel(), HttpResponseStatus.BAD_REQUEST, "not a path that can be read");
@@ -128,16 +140,36 @@
         }
     }
 
-    private void call(Channel to, HttpMethod method, QueryStringDecoder uri) {
+    private void call(Channel to, FullHttpRequest request, QueryStringDecoder uri) {
         // Decoded part by part, as an id may hold a slash.
         String path = uri.rawPath();
+        HttpMethod method = request.method();
         switch (path) {
             case "/v1/readyz" -> {
                 if (expect(to, method, HttpMethod.GET)) {
-                    answer(to, calls.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
-                            calls.ready() ? "can serve" : "can't serve yet");
+                    boolean ready = calls == null ? distribution.ready() : calls.ready();
+                    answer(to, ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, ready ? "can serve" : "can't serve yet");
+                }
+            }
+            case "/v1/distribution", "/v1/distribution/call" -> {
+                if (distribution == null) {
+                    answer(to, HttpResponseStatus.NOT_FOUND, "nothing is distributed to this process");
+                } else if (expect(to, method, path.endsWith("call") ? HttpMethod.POST : HttpMethod.GET)) {
+                    distribution.call(request, uri, (status, body) -> answer(to, status, body));
+                }
+            }
+            default -> {
+                if (calls == null) {
+                    answer(to, HttpResponseStatus.NOT_FOUND, "no such call");
+                } else {
+                    pool(to, method, path);
                 }
             }
+        }
+    }
+
+    private void pool(Channel to, HttpMethod method, String path) {
+        switch (path) {
             case "/v1/metrics" -> {
                 if (expect(to, method, HttpMethod.GET)) {
                     answer(to, HttpResponseStatus.OK, calls.figures());
--- a/daemon/src/main/java/grebehoist/operations/Operations.java
+++ b/daemon/src/main/java/grebehoist/operations/Operations.java
@@ -57,6 +57,11 @@
         return suspensions;
     }
 
+    /** Returns what stands there, for others who suspend. */
+    public Suspensions suspensions() {
+        return suspensions;
+    }
+
     /** Begins to apply what is asked. What was asked before this process began holds before the first list is told. */
     public void begin(Target actsOn, LoopTimers clock, Executor loop) {
         loop.execute(() -> {
--- a/daemon/src/main/java/grebehoist/peers/ChangeLog.java
+++ b/daemon/src/main/java/grebehoist/peers/ChangeLog.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import grebehoist.config.Json;
+import grebehoist.config.JsonLines;
 import grebehoist.fleet.lease.LeaseChange;
 import grebehoist.fleet.membership.Change;
 import grebehoist.fleet.membership.Membership;
@@ -10,19 +10,12 @@
 import java.util.Locale;
 
 /**
- * A line of JSON for each change, for operators and for whoever checks a trial: docs/trial.md has the fields. The time is the machine's
- * monotonic clock, which all processes of a machine share. Used by the loop's thread.
+ * A line of JSON for each change. Used by the loop's thread.
  */
 final class ChangeLog {
-    /** As many as a fleet of hundreds brings about in a second when it starts. */
-    private static final int LINES_A_SECOND = 2_000;
-
-    private final PrintStream to;
+    private final JsonLines lines;
     private final String name;
     private final Names names;
-    private long second;
-    private int lines;
-    private int leftOut;
 
     /** Says what a member is called. */
     interface Names {
@@ -30,7 +23,7 @@
     }
 
     ChangeLog(PrintStream to, String name, Names names) {
-        this.to = to;
+        this.lines = new JsonLines(to, name);
         this.name = name;
         this.names = names;
     }
@@ -83,23 +76,10 @@
     }
 
     private ObjectNode line(String what) {
-        return Json.object().put("t_us", System.nanoTime() / 1_000).put("by", name).put("what", what).put("who", name);
+        return lines.line(what);
     }
 
     private void write(ObjectNode line) {
-        long now = System.nanoTime() / 1_000_000_000;
-        if (now != second) {
-            if (leftOut > 0) {
-                to.println(line("left_out").put("lines", leftOut));
-            }
-            second = now;
-            lines = 0;
-            leftOut = 0;
-        }
-        if (++lines > LINES_A_SECOND) {
-            leftOut++;
-        } else {
-            to.println(line);
-        }
+        lines.write(line);
     }
 }
--- a/daemon/src/test/java/grebehoist/cli/ProcessIT.java
+++ b/daemon/src/test/java/grebehoist/cli/ProcessIT.java
@@ -176,7 +176,9 @@
             }
             List<String> loaded = Files.readAllLines(classes);
             assertThat(loaded).anyMatch(l -> l.contains("grebehoist.http.HttpFront"));
-            assertThat(loaded).noneMatch(l -> l.matches(".*(grebehoist\\.(testkit|search|demo|installation|thrift|fleet|peers|tasks)|cli\\.Members|dataformat\\.cbor|dataformat\\.toml|cli\\.InstalledPools).*"));
+            assertThat(loaded).noneMatch(l -> l.matches(".*(grebehoist\\.(testkit|search|demo|installation|thrift|fleet|peers|tasks|distribution|writer|members)|cli\\.Members|"
+                    + "cli\\.Distribution|operations\\.Distribution|net\\.DatagramPort|config\\.JsonLines|java\\.net\\.http|"
+                    + "dataformat\\.cbor|dataformat\\.toml|cli\\.InstalledPools).*"));
         } finally {
             Files.delete(classes);
         }
