--- a/fleet/src/main/java/grebehoist/fleet/distribution/Answer.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Answer.java
@@ -11,14 +11,19 @@
      */
     record Opened(Lives lives, long head, Item pending, long pendingEpoch) implements Answer { }
 
-    /** It is held: the scope created, the change kept, or known to be taken. */
-    record Held(Lives lives, long version) implements Answer { }
+    /**
+     * It is held: the scope created, or the change kept.
+     *
+     * @param version of the change, or of the scope that is there
+     * @param taken whether it is known here to be taken
+     */
+    record Held(Lives lives, long version, boolean taken) implements Answer { }
 
     /**
      * It is not held, and this call will never make it so.
      *
      * @param head the version of the scope's last change known here; -1 where it is not known
-     * @param never whether no other change than the one with this version can ever be it: another one has its place
+     * @param never whether the change can never be taken: another one was, in its place
      */
     record Refusal(String why, long head, boolean never) implements Answer { }
 }
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Call.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Call.java
@@ -14,7 +14,7 @@
     /** Nothing older than this epoch may change the scope from now on; and what has it now? */
     record Open(int machine, String scope, long epoch) implements Call { }
 
-    /** Is this the next change? */
+    /** Is this the next change? In epoch 0 it is only asked whether it was, and nothing is kept. */
     record Offer(int machine, long epoch, Item item) implements Call {
         @Override
         public String scope() {
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Progress.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Progress.java
@@ -15,6 +15,9 @@
     /** A proxy that has not acknowledged yet, and for how long. */
     public record Behind(int proxy, long version, long forUs) { }
 
+    /** So many are named at most. */
+    public static final int MOST_NAMED = 20;
+
     public Progress {
         behind = List.copyOf(behind);
     }
