--- a/fleet/src/main/java/grebehoist/fleet/distribution/Call.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Call.java
@@ -9,7 +9,13 @@
     String scope();
 
     /** The scope is to exist; its first change has the version {@code base + 1}. */
-    record Create(int machine, String scope, long base) implements Call { }
+    record Create(int machine, String scope, long base) implements Call {
+        /** Returns why there can't be such a scope; null for nothing. */
+        static String flaw(String scope, long base) {
+            String flaw = Item.flaw(scope);
+            return flaw != null || base >= 0 && base < Item.MOST_VERSION ? flaw : "version " + base + " for " + scope + " to begin with is out of bounds";
+        }
+    }
 
     /** Nothing older than this epoch may change the scope from now on; and what has it now? */
     record Open(int machine, String scope, long epoch) implements Call { }
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Holder.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Holder.java
@@ -73,12 +73,8 @@
     }
 
     private Answer create(Call.Create c, Ledger ledger, List<Integer> holders) {
-        String flaw = Item.flaw(c.scope());
-        if (flaw != null) {
-            return refusal(null, flaw);
-        }
-        if (c.base() < 0 || c.base() >= Item.MOST_VERSION) {
-            return refusal(null, "version " + c.base() + " for " + c.scope() + " to begin with is out of bounds");
+        if (Call.Create.flaw(c.scope(), c.base()) != null) {
+            return refusal(null, Call.Create.flaw(c.scope(), c.base()));
         }
         if (!fellows.heard(holders) || ledger != null && !ledger.counted()) {
             return refusal(ledger, "machine " + self + " has started and fills itself: not all of " + holders + " have told what they hold");
@@ -122,7 +118,7 @@
             Boolean is = ledger.is(item);
             return is == null ? refusal(ledger, "version " + item.version() + " of " + item.scope() + " is too long ago to be compared")
                     : is ? new Answer.Held(fellows.lives(ledger.holders()), item.version(), true)
-                    : new Answer.Refusal("version " + item.version() + " of " + item.scope() + " is another change", ledger.head(), true);
+                    : new Answer.Refusal("version " + item.version() + " of " + item.scope() + " is another change: another writer has begun", ledger.head(), true);
         }
         if (o.epoch() == 0) {
             return refusal(ledger, "version " + item.version() + " of " + item.scope() + " is not known to be taken here: head is " + ledger.head());
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Writer.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Writer.java
@@ -85,7 +85,8 @@
     public List<Call> create(long from) {
         begin();
         base = from;
-        return creating();
+        String flaw = Call.Create.flaw(scope, from);
+        return flaw != null ? end(new Refused(flaw)) : creating();
     }
 
     /**
@@ -97,7 +98,9 @@
         begin();
         String flaw = Item.flaw(ofKind, scope, ofKey, to, 1);
         if (flaw != null) {
-            result = new Refused(flaw);
+            boolean was = open;
+            end(new Refused(flaw));
+            open = was;
             return List.of();
         }
         kind = ofKind;
