--- a/fleet/src/main/java/grebehoist/fleet/distribution/Book.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Book.java
@@ -55,6 +55,17 @@
         return Link.of(before == null ? 0 : before, next.getValue());
     }
 
+    /** Returns whether so many changes at least survive after one version and up to another one. */
+    boolean between(long from, long to, int least) {
+        int n = 0;
+        for (long ignored : chain.subMap(from, false, Math.max(from, to), true).keySet()) {
+            if (++n >= least) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns the surviving change of a version; null where none is. */
     Item at(long version) {
         return chain.get(version);
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Copy.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Copy.java
@@ -52,14 +52,14 @@
 
     Message.Have have() {
         Replica r = staging != null ? staging : replica;
-        return new Message.Have(id, r.have(), r.hash(), r.gapTo(), filling());
+        return new Message.Have(id, r.have(), r.hash(), filling(), r.gaps());
     }
 
     /** Takes changes; returns whether this is news. */
     boolean take(Iterable<Link> links) {
         Replica to = staging != null ? staging : replica;
         long before = to.have();
-        long gap = to.gapTo();
+        int waited = to.waiting();
         for (Link link : links) {
             to.take(link, to == replica ? this::applied : (item, old) -> { });
         }
@@ -67,7 +67,7 @@
             news.changed(new DistributionChange.InForce(scope, to.have()));
         }
         missing = false;
-        return to.have() > before || to.gapTo() != gap;
+        return to.have() > before || to.waiting() != waited;
     }
 
     private void applied(Item item, Item before) {
--- a/fleet/src/main/java/grebehoist/fleet/distribution/DistributionCodec.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/DistributionCodec.java
@@ -69,7 +69,14 @@
     }
 
     static byte[] encode(Message.Have h) {
-        return new CborWriter().array(5).number(h.scope()).number(h.have()).number(h.hash() & 0xFFFF_FFFFL).number(h.gapTo()).number(h.fill() ? 1 : 0).done();
+        var to = new CborWriter().array(5).number(h.scope()).number(h.have()).number(h.hash() & 0xFFFF_FFFFL).number(h.fill() ? 1 : 0).array(h.gaps().size());
+        long at = h.have();
+        for (Message.Gap g : h.gaps()) {
+            // Distances are short.
+            to.array(2).number(g.from() - at).number(g.to() - g.from());
+            at = g.to();
+        }
+        return to.done();
     }
 
     static byte[] encode(Link l) {
@@ -131,8 +138,7 @@
         var scopes = new ArrayList<Message.Have>();
         from.array();
         while (from.another()) {
-            scopes.add(new Message.Have(scope(from), from.number(MOST), hash(from), from.number(MOST), from.number(1) == 1));
-            from.end();
+            scopes.add(have(from));
         }
         if (scopes.size() >= Long.SIZE) {
             throw new IOException(scopes.size() + " scopes");
@@ -140,6 +146,25 @@
         return new Message.Digest(seq, scopes);
     }
 
+    /** Its array has begun. */
+    private static Message.Have have(CborReader from) throws IOException {
+        long scope = scope(from);
+        long have = from.number(MOST);
+        int hash = hash(from);
+        boolean fill = from.number(1) == 1;
+        var gaps = new ArrayList<Message.Gap>();
+        long at = have;
+        from.array();
+        while (from.another()) {
+            long begin = at + from.number(MOST - at);
+            at = begin + from.number(MOST - begin);
+            gaps.add(new Message.Gap(begin, at));
+            from.end();
+        }
+        from.end();
+        return new Message.Have(scope, have, hash, fill, gaps);
+    }
+
     private static Message changes(CborReader from) throws IOException {
         long scope = scope(from);
         var links = new ArrayList<Link>();
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Giving.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Giving.java
@@ -151,12 +151,12 @@
         boolean fill = p.fill() || isMachine(reader.number());
         boolean some = false;
         while (tokens > 0 && reader.allowance(fill, rules) > 0) {
-            long from = p.next(nowUs, ledger.head(), terms, rules);
-            if (from < 0) {
+            Message.Gap next = p.next(nowUs, ledger.book(), terms, rules);
+            if (next == null) {
                 break;
             }
             some = true;
-            int bytes = give(nowUs, reader.number(), ledger, p, from);
+            int bytes = give(nowUs, reader.number(), ledger, p, next);
             reader.spend(fill, bytes);
             tokens -= bytes;
         }
@@ -164,12 +164,11 @@
     }
 
     /** Sends one message's worth. */
-    private int give(long nowUs, int number, Ledger ledger, Reader.Position p, long from) {
-        long until = p.gapTo(from);
+    private int give(long nowUs, int number, Ledger ledger, Reader.Position p, Message.Gap of) {
         var links = new ArrayList<Link>();
         int room = Post.ROOM - DistributionCodec.CHANGES_FRAME;
-        long at = from;
-        for (Link next = ledger.book().after(at); next != null && (until == 0 || links.isEmpty() || next.version() <= until);
+        long at = of.from();
+        for (Link next = ledger.book().after(at); next != null && (links.isEmpty() || next.version() <= of.to());
                 next = ledger.book().after(at)) {
             room -= DistributionCodec.encode(next).length;
             if (room < 0) {
@@ -179,13 +178,13 @@
             at = next.version();
         }
         int bytes = 0;
-        if (from == 0 || links.isEmpty()) {
+        if (of.from() == 0 || links.isEmpty()) {
             bytes += out.say(number, head(ledger));
         }
         if (!links.isEmpty()) {
             bytes += out.say(number, new Message.Changes(ledger.id(), links));
         }
-        p.sent(nowUs, from, links.isEmpty() ? ledger.head() : at);
+        p.sent(nowUs, of, links.isEmpty() ? ledger.head() : at);
         return bytes;
     }
 
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Ledger.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Ledger.java
@@ -167,7 +167,7 @@
     /** Returns what this holder has to tell a fellow. */
     Message.Have have() {
         Replica r = (staging != null ? staging : book).replica();
-        return new Message.Have(id, r.have(), r.hash(), r.gapTo(), staging != null || !counted);
+        return new Message.Have(id, r.have(), r.hash(), staging != null || !counted, r.gaps());
     }
 
     /** Returns whether a version is this change: null where it is not known any more. */
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Message.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Message.java
@@ -16,10 +16,13 @@
      *
      * @param have up to this version all is there
      * @param hash of the items in force at it
-     * @param gapTo something was received beyond, after this version; 0 for nothing
+     * @param gaps what is missing before what was received beyond that
      * @param fill it is being got from the beginning, and is not yet whole
      */
-    record Have(long scope, long have, int hash, long gapTo, boolean fill) { }
+    record Have(long scope, long have, int hash, boolean fill, List<Gap> gaps) { }
+
+    /** What is after one version, up to another one. */
+    record Gap(long from, long to) { }
 
     /** A digest has come; bits for the scopes of it, in order, that are not the same here. */
     record Seen(long seq, long differ) implements Message { }
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Reader.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Reader.java
@@ -1,23 +1,30 @@
 package grebehoist.fleet.distribution;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.TreeMap;
 
 /** One that a machine gives changes to, a proxy or a fellow, and how much it may be sent. */
 final class Reader {
+    /** So many changes are on their way at most: what comes early has to wait at the reader. */
+    private static final int WINDOW = Replica.MOST_EARLY * 3 / 4;
+
     /** Where a reader is in one scope. */
     static final class Position {
         /** What it has told. */
         private long have = -1;
         private int hash;
-        private long gapTo;
         private boolean fill;
         private long heardUs;
         /** Up to where it was sent, and when something was last. */
         private long sentTo;
         private long sentUs;
         private long retryUs;
-        private long gapSentUs;
+        /** What is missing in the middle and to be sent again, and when that was done, by where it begins. */
+        private final Deque<Message.Gap> gaps = new ArrayDeque<>(1);
+        private final TreeMap<Long, Long> resent = new TreeMap<>();
         /** Since when it lacks something; -1 where it does not. */
         private long behindUs = -1;
         private long sinceUs;
@@ -63,50 +70,57 @@
             if (have < 0 || told.have() < have) {
                 // A new one, one that began anew, or one that gets all of it anew.
                 sentTo = told.have();
+                resent.clear();
             }
-            if (told.have() != have || told.gapTo() != gapTo) {
+            if (told.have() != have) {
                 retryUs = firstRetryUs;
-                sentUs = told.have() > have ? nowUs : sentUs;
+                sentUs = nowUs;
             }
-            gapSentUs = told.gapTo() != gapTo || told.have() != have ? Long.MIN_VALUE / 2 : gapSentUs;
             have = told.have();
             hash = told.hash();
-            gapTo = told.gapTo();
             fill = told.fill();
             sentTo = Math.max(sentTo, have);
+            resent.headMap(have).clear();
+            gaps.clear();
+            for (Message.Gap gap : told.gaps()) {
+                Long before = resent.get(gap.from());
+                if (gap.to() <= sentTo && (before == null || nowUs - before >= firstRetryUs)) {
+                    gaps.add(gap);
+                    resent.put(gap.from(), nowUs);
+                }
+            }
         }
 
-        /** Returns from where on something is to be sent now; -1 for nothing. */
-        long next(long nowUs, long head, DistributionTerms terms, Rules rules) {
+        /** Returns what is to be sent now, after one version and up to another one; null for nothing. */
+        Message.Gap next(long nowUs, Book book, DistributionTerms terms, Rules rules) {
             if (!rules.repairs()) {
-                return sentTo < head ? sentTo : -1;
+                return sentTo < book.head() ? new Message.Gap(sentTo, book.head()) : null;
             }
-            if (gapTo > have && nowUs - gapSentUs >= terms.retryUs()) {
-                return have;
+            if (!gaps.isEmpty()) {
+                return gaps.peekFirst();
             }
-            if (sentTo < head) {
-                return sentTo;
+            if (sentTo < book.head() && !book.between(have, sentTo, WINDOW)) {
+                return new Message.Gap(sentTo, book.head());
             }
             if (nowUs - sentUs < retryUs) {
-                return -1;
+                return null;
             }
             retryUs = Math.min(2 * retryUs, terms.mostRetryUs());
             sentTo = have;
-            return sentTo;
+            return new Message.Gap(sentTo, book.head());
         }
 
-        /** Something was sent. */
-        void sent(long nowUs, long from, long to) {
-            if (from == have && from < sentTo) {
-                gapSentUs = nowUs;
+        /** Something of it was sent. */
+        void sent(long nowUs, Message.Gap of, long to) {
+            if (of == gaps.peekFirst()) {
+                gaps.removeFirst();
+                if (to < of.to()) {
+                    gaps.addFirst(new Message.Gap(to, of.to()));
+                }
+            } else {
+                sentTo = Math.max(sentTo, to);
+                sentUs = nowUs;
             }
-            sentTo = Math.max(sentTo, to);
-            sentUs = nowUs;
-        }
-
-        /** Returns where what is missing in the middle ends; 0 where nothing is, or not from here. */
-        long gapTo(long from) {
-            return gapTo > have && from == have && from < sentTo ? gapTo : 0;
         }
     }
 
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Replica.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Replica.java
@@ -20,6 +20,7 @@
 
     /** So much may wait for what is missing before it; the rest is asked for again. */
     static final int MOST_EARLY = 256;
+    private static final int MOST_GAPS = 8;
 
     private final String scope;
     private final Rules rules;
@@ -44,9 +45,25 @@
         return hash;
     }
 
-    /** Returns after which version something waits; 0 where nothing does. */
-    long gapTo() {
-        return early == null ? 0 : early.firstKey();
+    /** Returns what is missing before what waits: the first few. */
+    List<Message.Gap> gaps() {
+        if (early == null) {
+            return List.of();
+        }
+        var gaps = new ArrayList<Message.Gap>();
+        long at = have;
+        for (Link link : early.values()) {
+            if (link.prev() > at && gaps.size() < MOST_GAPS) {
+                gaps.add(new Message.Gap(at, link.prev()));
+            }
+            at = Math.max(at, link.version());
+        }
+        return gaps;
+    }
+
+    /** Returns how much waits. */
+    int waiting() {
+        return early == null ? 0 : early.size();
     }
 
     Item item(String key) {
--- a/fleet/src/test/java/grebehoist/fleet/distribution/ReplicaTest.java
+++ b/fleet/src/test/java/grebehoist/fleet/distribution/ReplicaTest.java
@@ -47,7 +47,7 @@
             assertThat(replica.have()).isEqualTo(40);
             assertThat(replica.sorted()).isEqualTo(book.replica().sorted());
             assertThat(replica.hash()).isEqualTo(book.replica().hash());
-            assertThat(replica.gapTo()).isZero();
+            assertThat(replica.waiting()).isZero();
             assertThat(versions).as("versions only grow").isSorted().doesNotHaveDuplicates();
         }
     }
@@ -57,7 +57,7 @@
         var replica = new Replica("s", rules);
         replica.take(set(0, 1, "k"), NOBODY);
         replica.take(set(2, 3, "k"), NOBODY);
-        assertThat(replica.gapTo()).isEqualTo(2);
+        assertThat(replica.gaps()).containsExactly(new Message.Gap(1, 2));
         assertThat(replica.have()).isEqualTo(1);
         replica.take(remove(1, 2, "k"), NOBODY);
         assertThat(replica.item("k").version()).isEqualTo(3);
@@ -73,7 +73,8 @@
             replica.take(set(v - 1, v, "k" + v), NOBODY);
         }
         assertThat(replica.have()).isZero();
-        assertThat(replica.gapTo()).isEqualTo(1);
+        assertThat(replica.gaps()).containsExactly(new Message.Gap(0, 1));
+        assertThat(replica.waiting()).isEqualTo(Replica.MOST_EARLY);
         replica.take(set(0, 1, "k"), NOBODY);
         assertThat(replica.have()).as("the first of those that waited").isEqualTo(1 + Replica.MOST_EARLY);
     }
--- a/fleet/src/test/java/grebehoist/fleet/distribution/TestFleet.java
+++ b/fleet/src/test/java/grebehoist/fleet/distribution/TestFleet.java
@@ -82,7 +82,7 @@
         run(number, DistributionNode.machine(setup(number), output(number), rules), terms.machineTickUs());
     }
 
-    void proxy(int number, String... scopes) {
+    void startProxy(int number, String... scopes) {
         int who = machines() + number;
         run(who, DistributionNode.proxy(setup(who), List.of(scopes), output(who), rules), terms.proxyTickUs());
     }
