--- a/fleet/src/main/java/grebehoist/fleet/distribution/DistributionChange.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/DistributionChange.java
@@ -21,7 +21,17 @@
     record NoSuchScope(String scope, int from) implements DistributionChange { }
 
     /** A control machine: a change was taken; it is given to proxies from now on. */
-    record Committed(String scope, long version) implements DistributionChange { }
+    record Committed(Item item) implements DistributionChange {
+        /** Returns the scope. */
+        public String scope() {
+            return item.scope();
+        }
+
+        /** Returns the version. */
+        public long version() {
+            return item.version();
+        }
+    }
 
     /** A control machine: it has heard all that its fellow holders have to say, and counts as a holder of all of its scopes. */
     record Filled(int scopes) implements DistributionChange { }
--- a/fleet/src/main/java/grebehoist/fleet/distribution/DistributionCodec.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/DistributionCodec.java
@@ -23,7 +23,7 @@
     private static final int ASK = 10;
     private static final int NAMED = 11;
     /** Before the entries of a digest, with every number at its greatest; a listing's is longer. */
-    static final int DIGEST_FRAME = 1 + 1 + 9 + 2;
+    static final int DIGEST_FRAME = 1 + 1 + 9 + 2 + 2;
     static final int CHANGES_FRAME = 1 + 1 + 9 + 2;
     static final int LISTING_FRAME = 1 + 1 + 9 + 2 + Item.SCOPE_BYTES + 1 + 2;
 
@@ -32,7 +32,7 @@
     static byte[] encode(Message message) {
         var to = new CborWriter();
         if (message instanceof Message.Digest d) {
-            to.array(3).number(DIGEST).number(d.seq()).array(d.scopes().size());
+            to.array(4).number(DIGEST).number(d.seq()).number(d.sharers()).array(d.scopes().size());
             d.scopes().forEach(h -> to.raw(encode(h)));
         } else if (message instanceof Message.Seen s) {
             to.array(3).number(SEEN).number(s.seq()).number(s.differ());
@@ -135,6 +135,7 @@
 
     private static Message digest(CborReader from) throws IOException {
         long seq = from.number(MOST);
+        int sharers = (int) from.number(Layout.MOST);
         var scopes = new ArrayList<Message.Have>();
         from.array();
         while (from.another()) {
@@ -143,7 +144,7 @@
         if (scopes.size() >= Long.SIZE) {
             throw new IOException(scopes.size() + " scopes");
         }
-        return new Message.Digest(seq, scopes);
+        return new Message.Digest(seq, sharers, scopes);
     }
 
     /** Its array has begun. */
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Fellows.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Fellows.java
@@ -125,7 +125,7 @@
         if (nowUs >= ackUs) {
             fellows.forEach((number, f) -> {
                 while (!f.toAck.isEmpty()) {
-                    out.say(number, new Message.Digest(0, page(f.toAck)));
+                    out.say(number, new Message.Digest(0, 1, page(f.toAck)));
                 }
             });
         }
@@ -154,7 +154,7 @@
             of.addAll(next);
             int all = of.size();
             List<Message.Have> haves = page(of);
-            out.say(number, new Message.Digest(0, haves));
+            out.say(number, new Message.Digest(0, 1, haves));
             // What had no room stays in its turn.
             for (Ledger left : of) {
                 if (!next.contains(left)) {
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Giving.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Giving.java
@@ -55,8 +55,9 @@
     }
 
     /** One has told what it has of a scope; returns whether that is all, and the same. */
-    boolean told(long nowUs, int number, Ledger ledger, Message.Have have) {
+    boolean told(long nowUs, int number, int sharers, Ledger ledger, Message.Have have) {
         Reader reader = readers.computeIfAbsent(number, n -> new Reader(n, nowUs, terms));
+        reader.sharers(sharers);
         Reader.Position p = positions.computeIfAbsent(ledger, l -> new HashMap<>()).computeIfAbsent(number, n -> new Reader.Position());
         long before = p.have();
         p.told(nowUs, have, terms.retryUs());
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Holder.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Holder.java
@@ -157,7 +157,7 @@
     }
 
     private void committed(long nowUs, Ledger ledger, Item item) {
-        news.changed(new DistributionChange.Committed(ledger.scope(), item.version()));
+        news.changed(new DistributionChange.Committed(item));
         fellows.hot(ledger);
         giving.grown(nowUs, ledger);
     }
@@ -222,7 +222,7 @@
             if (fellow && have.have() > ledger.head()) {
                 fellows.hot(ledger, from);
             }
-            differ |= giving.told(nowUs, from, ledger, have) ? 0 : 1L << i;
+            differ |= giving.told(nowUs, from, d.sharers(), ledger, have) ? 0 : 1L << i;
         }
         if (d.seq() > 0) {
             out.say(from, new Message.Seen(d.seq(), differ));
@@ -314,6 +314,12 @@
         return ledger == null ? -1 : ledger.head();
     }
 
+    /** Returns whether this holds a change: it was taken, as known here, or was accepted here. */
+    public boolean holds(Item change) {
+        Ledger ledger = ledgers.get(change.scope());
+        return ledger != null && (ledger.accepted() && ledger.pending().equals(change) || Boolean.TRUE.equals(ledger.is(change)));
+    }
+
     /** Returns whether this counts as a holder of a scope: it knows what its fellow holders knew when it started. */
     public boolean counts(String scope) {
         Ledger ledger = ledgers.get(scope);
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Message.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Message.java
@@ -8,8 +8,9 @@
      * What the sender has of some scopes.
      *
      * @param seq to be answered with a {@link Seen} of it; 0 for no answer
+     * @param sharers so many machines give changes to the sender now: each has that part of its pace
      */
-    record Digest(long seq, List<Have> scopes) implements Message { }
+    record Digest(long seq, int sharers, List<Have> scopes) implements Message { }
 
     /**
      * What one has of a scope.
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Reader.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Reader.java
@@ -129,10 +129,12 @@
     private double tokens;
     private double fillTokens;
     private long filledUs;
+    private int sharers = 1;
 
     Reader(int number, long nowUs, DistributionTerms terms) {
         this.number = number;
-        this.tokens = terms.burst();
+        // It may have come from another machine that has just sent it much.
+        this.tokens = terms.burst() / 4.0;
         this.fillTokens = terms.burst();
         this.filledUs = nowUs;
     }
@@ -146,10 +148,15 @@
         return behind;
     }
 
+    /** So many machines give changes to it now. */
+    void sharers(int number) {
+        sharers = Math.max(1, number);
+    }
+
     /** Time brings leave to send more. */
     void refill(long nowUs, DistributionTerms terms) {
         double seconds = (nowUs - filledUs) / 1e6;
-        tokens = Math.min(terms.burst(), tokens + seconds * terms.pacePerS());
+        tokens = Math.min(terms.burst(), tokens + seconds * terms.pacePerS() / sharers);
         fillTokens = Math.min(terms.burst(), fillTokens + seconds * terms.fillPerS());
         filledUs = nowUs;
     }
--- a/fleet/src/main/java/grebehoist/fleet/distribution/SourceGroup.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/SourceGroup.java
@@ -8,13 +8,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
 /** The scopes of a proxy that are held by the same machines, and the one of these that they are got from. */
 final class SourceGroup {
     /** A question without an answer is asked again sooner than the next would be. */
     private static final double AGAIN = 1.5;
+    private static final int SELDOM = 5;
+    private static final long GIVING_US = 5_000_000;
     private static final long MOST_JITTER_US = 1_000_000;
 
     private final List<Integer> sources;
@@ -32,17 +33,32 @@
     private long moveUs;
     private int unanswered;
     private boolean answered = true;
-    private final LongSupplier numbers;
+    private long gaveUs = Long.MIN_VALUE / 2;
+    private long ackedUs = Long.MIN_VALUE / 2;
+    private final Proxy proxy;
 
-    /** Makes one; {@code numbers} gives each question of a proxy another number. */
-    SourceGroup(List<Integer> sources, DistributionTerms terms, RandomGenerator random, Outbox out, LongSupplier numbers) {
-        this.numbers = numbers;
+    /** What the groups of a proxy have in common. */
+    interface Proxy {
+        /** Returns a number that no question had before. */
+        long nextQuestion();
+
+        /** Returns how many groups get changes now. */
+        int sharers(long nowUs);
+    }
+
+    SourceGroup(List<Integer> sources, DistributionTerms terms, RandomGenerator random, Outbox out, Proxy proxy) {
+        this.proxy = proxy;
         this.sources = sources;
         this.terms = terms;
         this.random = random;
         this.out = out;
     }
 
+    /** Returns whether changes have come of late. */
+    boolean gets(long nowUs) {
+        return nowUs - gaveUs < GIVING_US;
+    }
+
     int source() {
         return sources.get(at);
     }
@@ -80,9 +96,10 @@
         } else if (!toAck.isEmpty() && nowUs >= ackUs) {
             boolean toBeAnswered = toAck.stream().anyMatch(Copy::filling);
             for (List<Message.Have> page : pages(toAck)) {
-                say(page, toBeAnswered);
+                say(nowUs, page, toBeAnswered);
             }
             toAck.clear();
+            ackedUs = nowUs;
         }
     }
 
@@ -95,18 +112,18 @@
         asked.clear();
         toAck.clear();
         for (List<Message.Have> page : pages(copies.values())) {
-            say(page, true);
+            say(nowUs, page, true);
         }
         double wait = unanswered > 0 ? AGAIN * terms.retryUs() : terms.digestUs() * random.nextDouble(0.8, 1.2);
         digestUs = nowUs + (long) wait;
     }
 
-    private void say(List<Message.Have> page, boolean toBeAnswered) {
-        long number = toBeAnswered ? numbers.getAsLong() : 0;
+    private void say(long nowUs, List<Message.Have> page, boolean toBeAnswered) {
+        long number = toBeAnswered ? proxy.nextQuestion() : 0;
         if (toBeAnswered) {
             asked.put(number, page);
         }
-        out.say(source(), new Message.Digest(number, page));
+        out.say(source(), new Message.Digest(number, proxy.sharers(nowUs), page));
     }
 
     private static List<List<Message.Have>> pages(Iterable<Copy> of) {
@@ -158,9 +175,11 @@
             copy.notThere(source());
         } else if (message instanceof Message.Changes c && copy.take(c.links()) || message instanceof Message.Head h && copy.headOf(source(), h)) {
             if (toAck.isEmpty()) {
-                ackUs = nowUs + terms.ackUs();
+                // Where much comes, and not all of a scope, it isn't told of each time.
+                ackUs = Math.max(nowUs + terms.ackUs(), copy.filling() ? 0 : ackedUs + SELDOM * terms.ackUs());
             }
             toAck.add(copy);
+            gaveUs = nowUs;
         }
     }
 
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Subscriber.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Subscriber.java
@@ -21,7 +21,19 @@
     private final Map<String, Copy> copies = new TreeMap<>();
     /** By what scopes are placed by. */
     private final Map<String, SourceGroup> groups = new LinkedHashMap<>();
-    private long questions;
+    private final SourceGroup.Proxy proxy = new SourceGroup.Proxy() {
+        private long questions;
+
+        @Override
+        public long nextQuestion() {
+            return ++questions;
+        }
+
+        @Override
+        public int sharers(long nowUs) {
+            return Math.min(Layout.MOST, (int) Math.max(1, groups.values().stream().filter(g -> g.gets(nowUs)).count()));
+        }
+    };
 
     Subscriber(DistributionNode.Setup setup, List<String> scopes, Rules rules, Outbox out, Copy.News news) {
         this.self = setup.number();
@@ -55,8 +67,7 @@
             }
         }
         copies.put(scope, copy);
-        groups.computeIfAbsent(Layout.placement(scope), p -> new SourceGroup(layout.sources(scope, self), terms, random, out, () -> ++questions))
-                .add(copy);
+        groups.computeIfAbsent(Layout.placement(scope), p -> new SourceGroup(layout.sources(scope, self), terms, random, out, proxy)).add(copy);
         return null;
     }
 
--- a/fleet/src/test/java/grebehoist/fleet/distribution/DistributionCodecTest.java
+++ b/fleet/src/test/java/grebehoist/fleet/distribution/DistributionCodecTest.java
@@ -13,7 +13,7 @@
     private static final long MOST = Item.MOST_VERSION;
     private static final Message.Have HAVE = new Message.Have(Long.MAX_VALUE, MOST, -1, true, List.of());
     private static final Message.Listed LISTED = new Message.Listed("s".repeat(24), MOST, MOST, MOST, MOST);
-    private static final List<Message> PLAIN = List.of(new Message.Digest(0, List.of()), new Message.Digest(7, List.of(HAVE, new Message.Have(3, 1, 5, false, List.of(new Message.Gap(1, 4), new Message.Gap(9, MOST))))),
+    private static final List<Message> PLAIN = List.of(new Message.Digest(0, 1, List.of()), new Message.Digest(7, 64, List.of(HAVE, new Message.Have(3, 1, 5, false, List.of(new Message.Gap(1, 4), new Message.Gap(9, MOST))))),
             new Message.Seen(9, 5), new Message.Head(4, 5, -6, 3, 2), new Message.Unheld(8, true), new Message.Unheld(8, false), new Message.Left(12),
             new Message.Holds(1, MOST, MOST, MOST), new Message.ListAfter(5, ""), new Message.ListAfter(5, "c1/s"),
             new Message.Listing(5, "", true, List.of()), new Message.Listing(5, "s".repeat(24), false, List.of(LISTED)), new Message.Ask(6),
