--- a/daemon/src/main/java/grebehoist/distribution/CallJson.java
+++ b/daemon/src/main/java/grebehoist/distribution/CallJson.java
@@ -115,7 +115,7 @@
             return o.pending() == null ? json : json.set("pending", json(o.pending()));
         }
         if (answer instanceof Answer.Held h) {
-            return json("held", h.lives()).put("version", h.version());
+            return json("held", h.lives()).put("version", h.version()).put("taken", h.taken());
         }
         var refusal = (Answer.Refusal) answer;
         return Json.object().put("answer", "refusal").put("why", refusal.why()).put("head", refusal.head()).put("never", refusal.never());
@@ -138,10 +138,10 @@
                         pending.isMissingNode() ? null : item(object(pending, "key 'pending'")), whole(json, "pending_epoch", 0, MOST));
             }
             case "held" -> {
-                return new Answer.Held(lives(json), whole(json, "version", 0, Item.MOST_VERSION));
+                return new Answer.Held(lives(json), whole(json, "version", 0, Item.MOST_VERSION), flag(json, "taken"));
             }
             case "refusal" -> {
-                return new Answer.Refusal(text(json, "why"), whole(json, "head", -1, Item.MOST_VERSION), json.path("never").asBoolean());
+                return new Answer.Refusal(text(json, "why"), whole(json, "head", -1, Item.MOST_VERSION), flag(json, "never"));
             }
             default -> throw new BadJson("key 'answer': '" + what + "' is none of opened, held, refusal");
         }
@@ -174,6 +174,14 @@
         return value.asText();
     }
 
+    private static boolean flag(JsonNode json, String key) throws BadJson {
+        JsonNode value = json.path(key);
+        if (!value.isBoolean()) {
+            throw new BadJson("key '" + key + "': " + (value.isMissingNode() ? "missing" : "true or false is wanted, not " + value));
+        }
+        return value.asBoolean();
+    }
+
     private static long whole(JsonNode json, String key, long least, long most) throws BadJson {
         JsonNode value = json.path(key);
         if (!value.isIntegralNumber() || !value.canConvertToLong() || value.asLong() < least || value.asLong() > most) {
--- a/daemon/src/test/java/grebehoist/distribution/CallJsonTest.java
+++ b/daemon/src/test/java/grebehoist/distribution/CallJsonTest.java
@@ -33,7 +33,7 @@
     void answersComeBackAsTheyWere() throws Exception {
         var lives = new Lives(Map.of(0, -5L, 12, Long.MAX_VALUE));
         for (Answer answer : List.of(new Answer.Opened(lives, 7, null, 0), new Answer.Opened(lives, 7, SET, 99), new Answer.Opened(lives, 7, GONE, 99),
-                new Answer.Held(lives, 12), new Answer.Refusal("no such scope", -1, false), new Answer.Refusal("gap", 5, true))) {
+                new Answer.Held(lives, 12, false), new Answer.Held(lives, 13, true), new Answer.Refusal("no such scope", -1, false), new Answer.Refusal("gap", 5, true))) {
             assertThat(CallJson.answer(Fixture.json(CallJson.json(answer).toString()))).isEqualTo(answer);
         }
     }
@@ -79,8 +79,8 @@
 
     @Test
     void anAnswerThatIsNoneIsNoAnswer() {
-        for (String text : List.of("{}", "3", "{\"answer\":\"maybe\"}", "{\"answer\":\"held\",\"version\":1}", "{\"answer\":\"held\",\"lives\":{\"x\":1},\"version\":1}",
-                "{\"answer\":\"opened\",\"lives\":{},\"head\":1,\"pending_epoch\":1,\"pending\":[]}", "{\"answer\":\"refusal\",\"head\":1}")) {
+        for (String text : List.of("{}", "3", "{\"answer\":\"maybe\"}", "{\"answer\":\"held\",\"version\":1,\"taken\":true}", "{\"answer\":\"held\",\"lives\":{},\"version\":1}", "{\"answer\":\"held\",\"lives\":{\"x\":1},\"version\":1,\"taken\":true}",
+                "{\"answer\":\"opened\",\"lives\":{},\"head\":1,\"pending_epoch\":1,\"pending\":[]}", "{\"answer\":\"refusal\",\"head\":1,\"never\":true}", "{\"answer\":\"refusal\",\"why\":\"x\",\"head\":1}")) {
             assertThat(catchThrowableOfType(CallJson.BadJson.class, () -> CallJson.answer(Fixture.json(text)))).as(text).isNotNull();
         }
     }
