--- a/daemon/src/test/java/grebehoist/cli/ProxyProcess.java
+++ b/daemon/src/test/java/grebehoist/cli/ProxyProcess.java
@@ -88,6 +88,13 @@
         }
     }
 
+    /** Returns what it has of what is distributed. */
+    JsonNode distribution() throws IOException {
+        try (var wire = Wire.to(door)) {
+            return Fixture.json(wire.send("GET /v1/distribution HTTP/1.1\r\nHost: x\r\n\r\n").read().body());
+        }
+    }
+
     InetSocketAddress address() {
         return listen;
     }
