--- a/daemon/src/main/java/grebehoist/peers/PeerNode.java
+++ b/daemon/src/main/java/grebehoist/peers/PeerNode.java
@@ -9,19 +9,9 @@
 import grebehoist.fleet.membership.Change;
 import grebehoist.fleet.membership.Membership;
 import grebehoist.fleet.wire.KeyRing;
+import grebehoist.net.DatagramPort;
 import grebehoist.net.LoopTimers;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.FixedRecvByteBufAllocator;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
@@ -33,18 +23,13 @@
 import java.util.function.Consumer;
 
 /**
- * One member on a socket. All of it runs on the loop's thread, but for the constructor and {@link #begin}. Where the address is taken,
- * as by the process that this one is to follow, it is tried again until it is free.
+ * One member on a socket. All of it runs on the loop's thread, but for the constructor and {@link #begin}.
  */
 public final class PeerNode implements FleetNode.Output {
-    private static final long AGAIN_MS = 250;
-    /** A longer datagram than any that counts, to be seen as such. */
-    private static final int RECEIVED = 512;
-
     private final PeerSettings settings;
     private final EventLoop loop;
     private final LoopTimers timers;
-    private final Log log;
+    private final DatagramPort port;
     private final Consumer<Change.Count> counts;
     private final FleetNode node;
     private final ChangeLog changes;
@@ -52,10 +37,8 @@
     private final Leases leases;
     private Consumer<LeaseChange> holdings = c -> { };
     private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
-    private Channel channel;
     private Future<?> ticks;
     private boolean ended;
-    private boolean complained;
 
     /**
      * Makes one that is yet to begin.
@@ -66,7 +49,7 @@
         this.settings = settings;
         this.loop = loop;
         this.timers = timers;
-        this.log = log;
+        this.port = new DatagramPort(loop, settings.identity().name() + ", where other proxies are to reach it", settings.listen(), new Listener(), log);
         this.counts = counts;
         // Which life this is has to differ from any before; what the platform gives as a seed is another thing.
         var random = new SplittableRandom(System.nanoTime() ^ ProcessHandle.current().pid() << 32 ^ System.currentTimeMillis());
@@ -102,54 +85,30 @@
 
     /** Begins to listen, and to ask. */
     public void begin() {
-        loop.execute(this::listen);
+        port.begin();
     }
 
-    private void listen() {
-        if (ended) {
-            return;
-        }
-        ChannelFuture bound = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(RECEIVED)).handler(new Receiver())
-                .bind(settings.listen());
-        bound.addListener(f -> {
-            if (!bound.isSuccess()) {
-                if (!complained) {
-                    complained = true;
-                    log.line(settings.identity().name() + ": " + settings.listen() + ", where other proxies are to reach this one, can't be had"
-                            + " (another process as the same member?); it is tried again: " + bound.cause().getMessage());
-                }
-                loop.schedule(this::listen, AGAIN_MS, TimeUnit.MILLISECONDS);
-            } else if (ended) {
-                bound.channel().close();
-            } else {
-                channel = bound.channel();
+    private final class Listener implements DatagramPort.Listener {
+        @Override
+        public void bound(InetSocketAddress at) {
+            if (!ended) {
                 node.start(timers.now());
                 long tickUs = settings.terms().tickUs();
                 ticks = loop.scheduleWithFixedDelay(() -> node.tick(timers.now()), tickUs, tickUs, TimeUnit.MICROSECONDS);
             }
-        });
-    }
+        }
 
-    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+        public void received(InetSocketAddress from, byte[] datagram) {
             if (ticks != null && !ended) {
-                node.received(timers.now(), numbers.getOrDefault(packet.sender(), -1), ByteBufUtil.getBytes(packet.content()));
+                node.received(timers.now(), numbers.getOrDefault(from, -1), datagram);
             }
         }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            log.failure("a datagram between proxies failed", cause);
-        }
     }
 
     @Override
     public void send(int to, byte[] datagram) {
-        if (channel != null) {
-            channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), settings.addresses().get(to)));
-        }
+        port.send(settings.addresses().get(to), datagram);
     }
 
     @Override
@@ -173,8 +132,8 @@
             if (ticks != null) {
                 ticks.cancel(false);
                 node.leave(timers.now());
-                channel.close();
             }
+            port.close();
         }
     }
 
--- a/net/src/main/java/grebehoist/net/DatagramPort.java
+++ b/net/src/main/java/grebehoist/net/DatagramPort.java
@@ -87,7 +87,7 @@
     private void complain(Throwable cause) {
         if (!complained) {
             complained = true;
-            log.line(name + ": " + wanted + " can't be had (another process with the same address?); it is tried again: " + cause.getMessage());
+            log.line(name + ": " + wanted + " can't be had (another process as the same member?); it is tried again: " + cause.getMessage());
         }
     }
 
