--- a/fleet/src/main/java/grebehoist/fleet/distribution/Copy.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Copy.java
@@ -16,8 +16,9 @@
     private final News news;
     private Replica replica;
     private Replica staging;
-    /** Its source has confirmed once that this is all there is. */
+    /** All has been here once that its source had when it began to give it. */
     private boolean whole;
+    private long wholeAt = -1;
     private long confirmedUs = -1;
     private boolean missing;
 
@@ -67,9 +68,14 @@
             news.changed(new DistributionChange.InForce(scope, to.have()));
         }
         missing = false;
+        grown();
         return to.have() > before || to.waiting() != waited;
     }
 
+    private void grown() {
+        whole |= wholeAt >= 0 && replica.have() >= wholeAt;
+    }
+
     private void applied(Item item, Item before) {
         if (!item.removed()) {
             news.changed(new DistributionChange.Applied(item));
@@ -81,6 +87,8 @@
     /** What its source has; returns whether there is something to tell the source. */
     boolean headOf(int source, Message.Head h) {
         boolean some = h.last() < h.head() && take(List.of(Link.nothing(h.last(), h.head())));
+        wholeAt = wholeAt < 0 ? h.head() : wholeAt;
+        grown();
         Replica to = staging != null ? staging : replica;
         boolean removalsMissing = staging == null && whole && to.have() < h.floor();
         boolean differs = to.have() == h.head() && to.hash() != h.hash();
@@ -144,6 +152,7 @@
     /** It is got from another machine from now on. */
     void moved(int from, int to) {
         staging = null;
+        wholeAt = -1;
         news.changed(new DistributionChange.SourceMoved(scope, from, to));
     }
 }
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Outbox.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Outbox.java
@@ -14,7 +14,7 @@
     }
 
     /** What a datagram takes beside its body, about: the header and the seal, and UDP's and IP's own headers. */
-    static final int FRAME = Post.MOST_BYTES - Post.ROOM;
+    static final int FRAME = Post.MOST_BYTES - Post.ROOM + 28;
 
     private final Sender sender;
     private final Map<Integer, ByteArrayOutputStream> waiting = new LinkedHashMap<>();
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Subscriber.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Subscriber.java
@@ -129,6 +129,12 @@
         return copy == null ? 0 : copy.replica().have();
     }
 
+    /** Returns whether a scope is being got from its beginning: sent faster than changes are. */
+    public boolean filling(String scope) {
+        Copy copy = copies.get(scope);
+        return copy != null && copy.filling();
+    }
+
     /** Returns how long ago the scope's source last confirmed that this is all there is, in microseconds; -1 for never. */
     public long ageUs(String scope, long nowUs) {
         Copy copy = copies.get(scope);
