--- a/fleet/src/main/java/grebehoist/fleet/distribution/Fellows.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Fellows.java
@@ -283,6 +283,8 @@
                 ledger = new Ledger(s.scope(), holders, self, rules, terms);
                 ledgers.put(s.scope(), ledger);
                 unfilled.add(ledger);
+                // It is asked for at once.
+                repairUs = Long.MIN_VALUE;
             }
             ledger.listed(from, s, s.pending() > 0 ? f.pending.get(ledger.id()) : null);
             f.after = s.scope();
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Holder.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Holder.java
@@ -232,7 +232,7 @@
     private void notHere(int from, boolean fellow, Message.Have have, Ledger ledger) {
         if (!fellow) {
             out.say(from, new Message.Unheld(have.scope(), ledger != null || fellows.unheard() > 0));
-        } else if (ledger == null && fellows.unheard() == 0) {
+        } else if (ledger == null) {
             out.say(from, new Message.Ask(have.scope()));
         }
     }
--- a/fleet/src/test/java/grebehoist/fleet/distribution/DistributionNodeTest.java
+++ b/fleet/src/test/java/grebehoist/fleet/distribution/DistributionNodeTest.java
@@ -282,6 +282,42 @@
         assertThat(fleet.holder(0).progress(fleet.now, "no/such")).isNull();
     }
 
+    /** What is told is what counts: the version, and the hash of the state with it. */
+    @Test
+    void whoAcknowledgesAnotherStateIsNotCounted() {
+        TestFleet fleet = TestFleet.started(1, 3, 16);
+        fleet.create("c1/a");
+        fleet.set(fleet.writer("c1/a"), "k", "1");
+        Holder holder = fleet.holder(0);
+        int hash = Ids.state("k", 1);
+        holder.received(fleet.now, 1, new Message.Digest(1, 1, List.of(new Message.Have(Ids.of("c1/a"), 1, hash, false, List.of()))));
+        holder.received(fleet.now, 2, new Message.Digest(1, 1, List.of(new Message.Have(Ids.of("c1/a"), 1, hash + 1, false, List.of()))));
+        holder.received(fleet.now, 3, new Message.Digest(1, 1, List.of(new Message.Have(Ids.of("c1/a"), 0, 0, true, List.of()))));
+        holder.received(fleet.now, 3, new Message.Digest(2, 1, List.of(new Message.Have(Ids.of("c9/none"), 0, 0, true, List.of()))));
+        Progress p = holder.progress(fleet.now, "c1/a");
+        assertThat(p.known()).isEqualTo(3);
+        assertThat(p.inForce()).isEqualTo(1);
+        assertThat(p.behind()).extracting(Progress.Behind::proxy).containsExactly(2, 3);
+        assertThat(p.behind()).extracting(Progress.Behind::version).containsExactly(1L, 0L);
+    }
+
+    /** One of three is not reached as a scope is created, and another machine of the fleet is dead: it learns of the scope by its name. */
+    @Test
+    void aScopeThatWasCreatedElsewhereIsLearnt() {
+        TestFleet fleet = TestFleet.started(5, 1, 17);
+        List<Integer> holders = fleet.layout.holders("c1/a");
+        int late = holders.get(2);
+        fleet.kill(IntStream.range(0, 5).filter(m -> !holders.contains(m)).findFirst().orElseThrow());
+        Writer w = fleet.writer("c1/a");
+        for (Call call : w.create(40)) {
+            List<Call> more = call.machine() == late ? w.gaveUp(call) : w.answered(call, fleet.holder(call.machine()).answer(fleet.now, call));
+            assertThat(more).isEmpty();
+        }
+        assertThat(w.result()).isEqualTo(new Writer.Taken(40));
+        fleet.until("learnt", () -> fleet.holder(late).version("c1/a") == 40 && fleet.holder(late).counts("c1/a"));
+        assertThat(fleet.set(w, "k", "v")).isEqualTo(new Writer.Taken(41));
+    }
+
     @Test
     void aProxySubscribesAndUnsubscribesAsItRuns() {
         TestFleet fleet = TestFleet.started(3, 1, 14);
