--- a/daemon/src/main/java/grebehoist/cli/Distribution.java
+++ b/daemon/src/main/java/grebehoist/cli/Distribution.java
@@ -67,6 +67,11 @@
         }
     }
 
+    /** Returns whether clients may come; on the loop's thread. */
+    boolean settled() {
+        return endpoint.settled();
+    }
+
     /** Silent from now on; on the loop's thread. */
     void leave() {
         endpoint.leave();
--- a/daemon/src/main/java/grebehoist/cli/InstalledPools.java
+++ b/daemon/src/main/java/grebehoist/cli/InstalledPools.java
@@ -84,7 +84,7 @@
         for (Installation.ListenerEntry l : installation.listeners()) {
             Pool pool = pools.get(l.pool());
             if (pool != null) {
-                Front front = l.thrift() == null ? pool.httpFront() : pool.thriftFront(l.thrift(), l.name() + "-");
+                Front front = l.thrift() == null ? pool.httpFront(() -> pool.ready() && serve.settled()) : pool.thriftFront(l.thrift(), l.name() + "-");
                 started += serve.add(l.name(), pool, front, l.address()) == null ? 0 : 1;
             }
         }
--- a/daemon/src/main/java/grebehoist/cli/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -347,7 +347,12 @@
     }
 
     private boolean ready() {
-        return !warming && pools.get(0).ready();
+        return !warming && pools.get(0).ready() && settled();
+    }
+
+    /** What is suspended everywhere is to be known before clients come, if that can be. */
+    boolean settled() {
+        return distribution == null || distribution.settled();
     }
 
     /**
--- a/daemon/src/main/java/grebehoist/distribution/DistributionEndpoint.java
+++ b/daemon/src/main/java/grebehoist/distribution/DistributionEndpoint.java
@@ -35,6 +35,8 @@
 public final class DistributionEndpoint {
     /** So many scopes are told in one answer to operators. */
     private static final int MOST_TOLD = 200;
+    /** A proxy that reaches no machine serves with what it has, which is nothing. */
+    private static final long MOST_WAIT_US = 2_000_000;
 
     private final DistributionSettings settings;
     private final EventLoop loop;
@@ -52,6 +54,8 @@
     private InetSocketAddress from;
     private boolean suspensionsChanged;
     private Future<?> ticks;
+    private final long begunUs;
+    private boolean settled;
     private boolean ended;
 
     /**
@@ -63,6 +67,7 @@
         this.settings = settings;
         this.loop = loop;
         this.timers = timers;
+        this.begunUs = timers.now();
         this.suspends = suspends;
         this.lines = new JsonLines(System.err, settings.name());
         // Which life this is has to differ from any before.
@@ -181,6 +186,15 @@
                 : subscriber.scopes().stream().allMatch(s -> subscriber.ageUs(s, timers.now()) >= 0);
     }
 
+    /**
+     * Returns whether a proxy need not wait any longer with its first clients: it has heard of all of its scopes, or that takes too long, or it
+     * can't, as the process before it still has its address.
+     */
+    public boolean settled() {
+        settled = settled || filled() || port.waits() || timers.now() - begunUs > MOST_WAIT_US;
+        return settled;
+    }
+
     /** Returns whether this is a machine, which holds scopes and answers writers. */
     public boolean control() {
         return settings.control();
--- a/net/src/main/java/grebehoist/net/DatagramPort.java
+++ b/net/src/main/java/grebehoist/net/DatagramPort.java
@@ -118,6 +118,11 @@
         });
     }
 
+    /** Returns whether it waits for its address, which somebody else has. */
+    public boolean waits() {
+        return complained && channel == null;
+    }
+
     /** Returns how many datagrams could not be given to the kernel. */
     public long unsent() {
         return unsent;
--- a/net/src/test/java/grebehoist/net/DatagramPortTest.java
+++ b/net/src/test/java/grebehoist/net/DatagramPortTest.java
@@ -119,10 +119,12 @@
             assertThat(next(lines)).contains("test").contains(Integer.toString(at.getPort())).contains("tried again");
             send(port, at, new byte[1]);
             assertThat(loop.submit(port::unsent).get()).isEqualTo(1);
+            assertThat(loop.submit(port::waits).get()).isTrue();
             // Two more tries at least, of which nothing is said.
             loop.schedule(() -> { }, 600, TimeUnit.MILLISECONDS).sync();
         }
         assertThat(next(heard.bound)).isEqualTo(at);
+        assertThat(loop.submit(port::waits).get()).isFalse();
         assertThat(lines).isEmpty();
         send(port, at, new byte[] {9});
         assertThat(next(heard.came)).containsExactly(9);
