--- a/fleet/src/main/java/grebehoist/fleet/distribution/Holder.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Holder.java
@@ -320,6 +320,12 @@
         return ledger != null && (ledger.accepted() && ledger.pending().equals(change) || Boolean.TRUE.equals(ledger.is(change)));
     }
 
+    /** Returns whether this would tell a writer of a change: it holds it, or has heard of it as it started. */
+    public boolean knows(Item change) {
+        Ledger ledger = ledgers.get(change.scope());
+        return ledger != null && (change.equals(ledger.pending()) || Boolean.TRUE.equals(ledger.is(change)));
+    }
+
     /** Returns whether this counts as a holder of a scope: it knows what its fellow holders knew when it started. */
     public boolean counts(String scope) {
         Ledger ledger = ledgers.get(scope);
--- a/trial/src/main/java/grebehoist/trial/distribution/VirtualDistribution.java
+++ b/trial/src/main/java/grebehoist/trial/distribution/VirtualDistribution.java
@@ -182,6 +182,7 @@
     private long now;
     private long order;
     private long epochs;
+    private int removals;
 
     VirtualDistribution(DistributionScript script, Rules rules) {
         this.script = script;
@@ -303,6 +304,11 @@
         return referee;
     }
 
+    /** Returns a kind that no removal of late has had. */
+    int nextRemoval() {
+        return ++removals % (Item.MOST_KIND + 1);
+    }
+
     long nextEpoch() {
         return 1_000 + ++epochs;
     }
@@ -440,6 +446,18 @@
         }
     }
 
+    /** A writer was told that a change was taken. Two know it, or one and another one has lost its memory since. */
+    void taken(Item change) {
+        referee.taken(now, change);
+        int know = 0;
+        for (int m : layout.holders(change.scope())) {
+            know += !remembers(m, change.scope()) || hosts[m].node.holder().knows(change) ? 1 : 0;
+        }
+        if (know < 2 && !referee.excused(change.scope())) {
+            referee.found("taken and not held", now, change + " is held by " + holding(change));
+        }
+    }
+
     private Set<Integer> holding(Item change) {
         Set<Integer> all = new HashSet<>();
         for (int m : layout.holders(change.scope())) {
--- a/trial/src/main/java/grebehoist/trial/distribution/VirtualWriter.java
+++ b/trial/src/main/java/grebehoist/trial/distribution/VirtualWriter.java
@@ -85,10 +85,10 @@
         scope = scopes.get(burst > 0 ? 0 : fleet.random().nextInt(scopes.size()));
         made++;
         boolean remove = burst == 0 && fleet.random().nextInt(3) == 0;
-        // A removal has no value: its kind and key have to tell it from others.
+        // A removal has no value: its kind has to tell it from others.
         byte[] value = (host + "-" + made + "-" + fleet.now()).getBytes(StandardCharsets.UTF_8);
         String key = burst > 0 ? "burst" + made : "k" + fleet.random().nextInt(KEYS);
-        change = new Item(remove ? (made + host * 100) % 256 : 2, scope, key, remove ? null : burst > 0 ? Arrays.copyOf(value, BURST_BYTES) : value, 1);
+        change = new Item(remove ? fleet.nextRemoval() : 2, scope, key, remove ? null : burst > 0 ? Arrays.copyOf(value, BURST_BYTES) : value, 1);
         carry(writer(), writer().change(change.kind(), key, change.value()));
     }
 
@@ -134,7 +134,7 @@
     private void tell(Writer writer) {
         if (result instanceof Writer.Taken t) {
             taken++;
-            fleet.referee().taken(fleet.now(), new Item(change.kind(), scope, change.key(), change.value(), t.version()));
+            fleet.taken(new Item(change.kind(), scope, change.key(), change.value(), t.version()));
         } else if (result instanceof Writer.Refused) {
             fleet.referee().refused(fleet.now(), change);
             // Another writer has come: it begins anew, in a later epoch, sooner or later.
