--- a/fleet/src/main/java/grebehoist/fleet/distribution/DistributionTerms.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/DistributionTerms.java
@@ -34,7 +34,7 @@
 
     /** Those that hold unless others are set. */
     public static DistributionTerms standard() {
-        return new DistributionTerms(20 * MS, 50 * MS, 2 * S, 50 * MS, 400 * MS, 2 * S, 3, 8 * S, S, 7_200 * S, 4_096, 1_200, 4_000, 24_000, 2_000_000,
+        return new DistributionTerms(20 * MS, 50 * MS, 2 * S, 50 * MS, 400 * MS, 2 * S, 4, 8 * S, S, 7_200 * S, 4_096, 1_200, 4_000, 24_000, 2_000_000,
                 20_000, 20_000);
     }
 }
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Holder.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Holder.java
@@ -320,10 +320,11 @@
         return ledger != null && (ledger.accepted() && ledger.pending().equals(change) || Boolean.TRUE.equals(ledger.is(change)));
     }
 
-    /** Returns whether this would tell a writer of a change: it holds it, or has heard of it as it started. */
+    /** Returns whether this would tell a writer of a change: it holds it, or has heard of it as it started, or it was taken too long ago to be compared. */
     public boolean knows(Item change) {
         Ledger ledger = ledgers.get(change.scope());
-        return ledger != null && (change.equals(ledger.pending()) || Boolean.TRUE.equals(ledger.is(change)));
+        return ledger != null && (change.equals(ledger.pending())
+                || change.version() <= ledger.head() && !Boolean.FALSE.equals(ledger.is(change)));
     }
 
     /** Returns whether this counts as a holder of a scope: it knows what its fellow holders knew when it started. */
--- a/fleet/src/main/java/grebehoist/fleet/distribution/SourceGroup.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/SourceGroup.java
@@ -28,6 +28,8 @@
     private final Set<Copy> toAck = new LinkedHashSet<>(4);
     private int at;
     private long digestUs;
+    /** When the next one is due where this one is answered. */
+    private long periodUs;
     private long ackUs;
     /** When the source is to be left; 0 where it is not. */
     private long moveUs;
@@ -114,8 +116,8 @@
         for (List<Message.Have> page : pages(copies.values())) {
             say(nowUs, page, true);
         }
-        double wait = unanswered > 0 ? AGAIN * terms.retryUs() : terms.digestUs() * random.nextDouble(0.8, 1.2);
-        digestUs = nowUs + (long) wait;
+        digestUs = nowUs + (long) (AGAIN * terms.retryUs());
+        periodUs = nowUs + (long) (terms.digestUs() * random.nextDouble(0.8, 1.2));
     }
 
     private void say(long nowUs, List<Message.Have> page, boolean toBeAnswered) {
@@ -183,8 +185,13 @@
         }
     }
 
-    private void heard() {
+    private void answered() {
         answered = true;
+        digestUs = Math.max(digestUs, periodUs);
+    }
+
+    private void heard() {
+        answered();
         unanswered = 0;
         moveUs = 0;
     }
@@ -195,7 +202,7 @@
         if (page == null) {
             return;
         }
-        answered = true;
+        answered();
         for (int i = 0; i < page.size(); i++) {
             Copy copy = copies.get(page.get(i).scope());
             if (copy != null && (seen.differ() >>> i & 1) == 0) {
