The configuration is read again also where SIGHUP is ignored for the process

Ruled out: jar and archive of classes (the same bytes), logs, load alone. The Java runtime takes no handler for a SIGHUP that is ignored at its start (Signal.handle returns SIG_IGN), so Serve heard of no new configuration, asked the old discovery, and nothing said so. It explains ServeTest.readsItsFileAgainOnSighup, which failed once with its cause unknown. Change: HangUp (out of Serve) tells whether the signal can come; where it can't, a line says so and the file is looked at every 0.5 s. Test: ServeTest.readsItsFileAgainWhereSighupIsIgnored, a real process with the signal ignored, fails without the mend (nobody calls the new address in 10 s) and passes with it; ServeTest as a whole passes.

--- /dev/null
+++ b/daemon/src/main/java/grebehoist/cli/HangUp.java
@@ -0,0 +1,82 @@
+package grebehoist.cli;
+
+import java.io.IOException;
+import java.lang.reflect.InvocationHandler;
+import java.lang.reflect.InvocationTargetException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.BasicFileAttributes;
+import java.nio.file.attribute.FileTime;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * SIGHUP: the configuration is to be read again. Where whoever started this process ignores that signal (nohup does), the Java runtime leaves
+ * it so, and nothing ever hears of it; then the file is looked at instead. Java has no other handler for a signal than
+ * {@code sun.misc.Signal}; it is called by name, as the compiler's warning about it can't be silenced.
+ */
+final class HangUp {
+    /** A new configuration counts some seconds after the signal: this leaves most of them for what follows. */
+    private static final long LOOK_MS = 500;
+
+    /** A file as it was seen: two of these differ where it was written meanwhile. */
+    private record Seen(FileTime written, long size) {
+        static Seen of(Path file) {
+            try {
+                var attributes = Files.readAttributes(file, BasicFileAttributes.class);
+                return new Seen(attributes.lastModifiedTime(), attributes.size());
+            } catch (IOException e) {
+                // Being replaced; it is looked at again.
+                return null;
+            }
+        }
+    }
+
+    private HangUp() { }
+
+    /**
+     * Runs an action at each SIGHUP; without this the signal ends the process.
+     *
+     * @return whether the signal can come: false where it is ignored for this process
+     */
+    static boolean handle(Runnable action) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            InvocationHandler handle = (self, method, args) -> {
+                if (method.getName().equals("handle")) {
+                    action.run();
+                }
+                return null;
+            };
+            Object before = signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class).newInstance("HUP"),
+                    java.lang.reflect.Proxy.newProxyInstance(null, new Class<?>[] {handler}, handle));
+            return before != handler.getField("SIG_IGN").get(null);
+        } catch (InvocationTargetException e) {
+            throw new IllegalStateException("this Java can't handle SIGHUP", e.getCause());
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException("this Java can't handle signals", e);
+        }
+    }
+
+    /** Runs an action on a thread of its own soon after a file was written, each time. */
+    static void onChange(Path file, Runnable action) {
+        Seen first = Seen.of(file);
+        var thread = new Thread(() -> {
+            Seen before = first;
+            try {
+                while (true) {
+                    TimeUnit.MILLISECONDS.sleep(LOOK_MS);
+                    Seen now = Seen.of(file);
+                    if (now != null && !now.equals(before)) {
+                        before = now;
+                        action.run();
+                    }
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "configuration");
+        thread.setDaemon(true);
+        thread.start();
+    }
+}
--- a/daemon/src/main/java/grebehoist/cli/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -18,7 +18,6 @@
 import grebehoist.pool.Pool;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
-import java.lang.reflect.InvocationHandler;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -166,7 +165,10 @@
             }
             var serve = config != null ? new Serve(config, operations, more) : new Serve(more);
             // Before it listens: without a handler the signal ends the process.
-            onHangUp(() -> serve.reload(file));
+            if (!HangUp.handle(() -> serve.reload(file)) && file != null) {
+                serve.tell("SIGHUP is ignored by whoever started this process: the configuration is read again when its file is written");
+                HangUp.onChange(file, () -> serve.reload(file));
+            }
             serve.warming = config != null && !upgrade && config.isFirstLife();
             // Before it serves: what is suspended everywhere is soon known.
             serve.distribute(more);
@@ -196,7 +198,7 @@
         try {
             Config config = Config.read(file());
             Warmup.run(config, TRAIN_MS, () -> false);
-            onHangUp(() -> { });
+            HangUp.handle(() -> { });
             // On a port that is free: what it listens with and connects with is loaded too.
             Config anywhere = config.listeningAt(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
             Operations operations = anywhere.operator() == null ? null : operations(anywhere);
@@ -234,27 +236,6 @@
         System.exit(2);
     }
 
-    /**
-     * Has each SIGHUP run an action, on a thread of its own. The platform's one way to hear of signals is
-     * {@code sun.misc.Signal}; it is called by name, as the compiler's warning about it can't be silenced.
-     */
-    private static void onHangUp(Runnable action) {
-        try {
-            Class<?> signal = Class.forName("sun.misc.Signal");
-            Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            InvocationHandler handle = (self, method, args) -> {
-                if (method.getName().equals("handle")) {
-                    action.run();
-                }
-                return null;
-            };
-            signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class).newInstance("HUP"),
-                    java.lang.reflect.Proxy.newProxyInstance(null, new Class<?>[] {handler}, handle));
-        } catch (ReflectiveOperationException e) {
-            throw new IllegalStateException("this Java can't handle signals", e);
-        }
-    }
-
     /** Begins the platform's pool. */
     void begin() {
         Pool pool = pools.get(0);
--- a/daemon/src/test/java/grebehoist/cli/ServeTest.java
+++ b/daemon/src/test/java/grebehoist/cli/ServeTest.java
@@ -145,17 +145,32 @@
     /** The program as it runs in service: without a handler SIGHUP would end it. */
     @Test
     void readsItsFileAgainOnSighup() throws Exception {
+        readsItsFileAgain("exec \"$@\"", process -> new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).inheritIO().start().waitFor());
+    }
+
+    /** Started by nohup, say: the Java runtime takes no handler then, and the signal is lost without a word. */
+    @Test
+    void readsItsFileAgainWhereSighupIsIgnored() throws Exception {
+        readsItsFileAgain("trap '' HUP; exec \"$@\"", process -> { });
+    }
+
+    /** How a process is told that its file was written. */
+    private interface Telling {
+        void tell(Process process) throws Exception;
+    }
+
+    private static void readsItsFileAgain(String start, Telling telling) throws Exception {
         Path file = Files.createTempFile("config", ".json");
         try (var first = new Peer(); var second = new Peer()) {
             Files.writeString(file, Fixture.config(first.address()));
-            var command = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            var command = new ProcessBuilder("/bin/sh", "-c", start, "sh", Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                     "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "grebehoist.cli.Main", "serve");
             command.environment().put("PROXY_CONFIG", file.toString());
             Process process = command.inheritIO().start();
             try {
                 first.accept().read();
                 Files.writeString(file, Fixture.config(second.address()));
-                new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).inheritIO().start().waitFor();
+                telling.tell(process);
                 assertThat(second.accept().read().first()).isEqualTo("GET /v1/endpoints HTTP/1.1");
                 process.destroy();
                 assertThat(process.waitFor()).isZero();
