--- a/daemon/src/main/java/grebehoist/cli/InstalledPools.java
+++ b/daemon/src/main/java/grebehoist/cli/InstalledPools.java
@@ -54,6 +54,16 @@
                 installation.lease());
     }
 
+    /** Returns what it says of the distribution of configuration, or null. */
+    Installation.DistributionEntry distribution() {
+        return installation.distribution();
+    }
+
+    /** Returns whether this process has something else to do than to serve: it is a machine that is set aside. */
+    boolean servesNobody() {
+        return installation.distribution() != null && installation.distribution().control();
+    }
+
     /** Returns the tasks of the fleet. */
     List<TaskSpec> tasks() {
         return installation.lease() == null ? List.of() : installation.lease().tasks();
@@ -74,7 +84,7 @@
         for (Installation.ListenerEntry l : installation.listeners()) {
             Pool pool = pools.get(l.pool());
             if (pool != null) {
-                Front front = l.thrift() == null ? pool.httpFront() : pool.thriftFront(l.thrift(), l.name() + "-");
+                Front front = l.thrift() == null ? pool.httpFront(() -> pool.ready() && serve.settled()) : pool.thriftFront(l.thrift(), l.name() + "-");
                 started += serve.add(l.name(), pool, front, l.address()) == null ? 0 : 1;
             }
         }
