--- a/trial/src/main/java/grebehoist/trial/Trial.java
+++ b/trial/src/main/java/grebehoist/trial/Trial.java
@@ -3,6 +3,8 @@
 import grebehoist.fleet.lease.Protocol;
 import grebehoist.fleet.membership.Membership;
 import grebehoist.fleet.membership.Terms;
+import grebehoist.trial.scale.HollowCommand;
+import grebehoist.trial.scale.ScaleCommand;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Files;
@@ -29,7 +31,8 @@
 /** The trial's command line; docs/trial.md is its page. Exits with 0 where all held, 1 where something broke, 2 on wrong arguments. */
 @Command(name = "trial", version = "grebehoist trial 0.2.0", mixinStandardHelpOptions = true,
         description = "Several processes of the program, and faults between them.", synopsisSubcommandLabel = "COMMAND",
-        subcommands = {Trial.Run.class, Trial.Search.class, Trial.Explore.class, Trial.Leases.class, Trial.Check.class, FiguresCommand.class})
+        subcommands = {Trial.Run.class, Trial.Search.class, Trial.Explore.class, Trial.Leases.class, Trial.Check.class, FiguresCommand.class, ScaleCommand.class,
+                HollowCommand.class})
 public final class Trial implements Runnable {
     private static final long S = 1_000_000;
 
