--- a/trial/src/main/java/grebehoist/trial/scale/Hollows.java
+++ b/trial/src/main/java/grebehoist/trial/scale/Hollows.java
@@ -15,7 +15,6 @@
 final class Hollows implements AutoCloseable {
     private static final List<String> FLAGS = List.of("-Djava.net.preferIPv4Stack=true", "-XX:+UseSerialGC", "-XX:-UsePerfData", "-Xss512k");
 
-    private final Plan plan;
     private final int each;
     private final List<Subprocess> processes = new ArrayList<>();
     private final CountDownLatch ends;
@@ -28,7 +27,6 @@
      * @param lines hears what they tell, on a thread for each process
      */
     Hollows(Plan plan, int each, Path jar, int heapMb, ControlMachines machines, Consumer<JsonNode> lines) throws IOException {
-        this.plan = plan;
         this.each = each;
         int number = (plan.proxies() + each - 1) / each;
         ends = new CountDownLatch(number);
@@ -117,10 +115,6 @@
         return processes.size();
     }
 
-    int proxies() {
-        return plan.proxies();
-    }
-
     @Override
     public void close() {
         processes.forEach(Subprocess::close);
--- a/trial/src/main/java/grebehoist/trial/scale/Subprocess.java
+++ b/trial/src/main/java/grebehoist/trial/scale/Subprocess.java
@@ -12,7 +12,6 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /** One process that is told lines and tells lines. {@link #close} ends it whatever it does. Its output is read on a thread of its own. */
@@ -22,7 +21,6 @@
     private final String name;
     private final Process process;
     private final PrintWriter to;
-    private final Thread reader;
     private final Deque<String> log = new ArrayDeque<>();
     /** Processor time in clock ticks when it was looked at last; of an ended process there is no other. */
     private volatile long ticks;
@@ -42,7 +40,7 @@
         command.addAll(arguments);
         process = new ProcessBuilder(command).redirectErrorStream(true).start();
         to = new PrintWriter(new BufferedWriter(new OutputStreamWriter(process.getOutputStream(), StandardCharsets.UTF_8)));
-        reader = new Thread(() -> read(json), "lines of " + name);
+        var reader = new Thread(() -> read(json), "lines of " + name);
         reader.setDaemon(true);
         reader.start();
     }
@@ -86,11 +84,6 @@
         to.flush();
     }
 
-    /** It is told nothing more. */
-    void endOfInput() {
-        to.close();
-    }
-
     /** Sends a signal, by the process's id. */
     void signal(String signal) throws IOException, InterruptedException {
         if (alive()) {
@@ -105,11 +98,11 @@
             // The name stands in brackets and may hold anything; after it come the state and so on: fields 14 and 15 are user and system.
             String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
             ticks = Long.parseLong(fields[11]) + Long.parseLong(fields[12]);
+            return 10 * ticks;
         } catch (IOException e) {
             // It has ended.
             return 10 * ticks;
         }
-        return 10 * ticks;
     }
 
     /** Returns the greatest memory that it had (VmHWM), in KiB, or 0 where it has ended. */
@@ -122,15 +115,6 @@
         }
     }
 
-    /** Waits for its end and its last line; false where it took too long. */
-    boolean awaitEnd(long mostMs) throws InterruptedException {
-        boolean ended = process.waitFor(mostMs, TimeUnit.MILLISECONDS);
-        if (ended) {
-            reader.join(5_000);
-        }
-        return ended;
-    }
-
     /** Ends it at once. */
     void kill() throws InterruptedException {
         cpuMs();
