--- a/trial/src/main/java/grebehoist/trial/scale/ControlMachines.java
+++ b/trial/src/main/java/grebehoist/trial/scale/ControlMachines.java
@@ -15,8 +15,8 @@
 
 /** The control machines: processes of the real program, each with its installation file, a relay between them. */
 final class ControlMachines implements AutoCloseable {
-    /** What all datagrams of a play are sealed with. */
-    static final String KEY = "only for trials, on loopback";
+    /** What all datagrams of a play are sealed with, in hexadecimal: only for trials, on loopback. */
+    static final String KEY = "6f6e6c7920666f7220747269616c732c206f6e206c6f6f706261636b";
     private static final List<String> FLAGS = List.of("-Djava.net.preferIPv4Stack=true", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
             "-Xshare:auto", "-XX:-UsePerfData", "-Dio.netty.jfr.enabled=false", "-Xss512k", "-Xmx64m", "-XX:MaxDirectMemorySize=40m",
             "-XX:ReservedCodeCacheSize=24m");
@@ -79,12 +79,8 @@
     }
 
     private String text(int machine, int proxies) throws IOException {
-        var text = new StringBuilder("[distribution]\nrole = \"control\"\n");
-        if (machine >= 0) {
-            text.append("listen = \"").append(text(listen[machine])).append("\"\n");
-        } else {
-            text.append("listen = \"").append(text(listen[0])).append("\"\n");
-        }
+        var text = new StringBuilder("[process]\nname = \"").append(machine < 0 ? "writer" : "m" + machine)
+                .append("\"\n[distribution]\nrole = \"control\"\nlisten = \"").append(text(listen[Math.max(0, machine)])).append("\"\n");
         for (int i = 0; i < listen.length; i++) {
             text.append("[[distribution.control]]\naddress = \"").append(text(machine < 0 ? listen[i] : relay.address(machine, i)))
                     .append("\"\ndoor = \"").append(text(doors[i])).append("\"\nzone = \"").append(Plan.zoneName(Plan.zone(i))).append("\"\n");
--- a/trial/src/main/java/grebehoist/trial/scale/HollowLoop.java
+++ b/trial/src/main/java/grebehoist/trial/scale/HollowLoop.java
@@ -12,9 +12,9 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.Selector;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
@@ -63,7 +63,7 @@
             machines.add(address);
         }
         layout = new Layout(zones);
-        ring = new KeyRing(List.of(new KeyRing.Key(1, setup.path("key").asText().getBytes(StandardCharsets.UTF_8))));
+        ring = new KeyRing(List.of(new KeyRing.Key(1, HexFormat.of().parseHex(setup.path("key").asText()))));
         for (int i = 0; i < Math.max(1, terms.proxyTickUs() / SLOT_US); i++) {
             slots.add(new ArrayList<>());
         }
--- a/trial/src/main/java/grebehoist/trial/scale/ScaleCommand.java
+++ b/trial/src/main/java/grebehoist/trial/scale/ScaleCommand.java
@@ -75,6 +75,9 @@
         ScalePlay.Outcome outcome;
         try (var play = new ScalePlay(plan, setting)) {
             outcome = memory ? play.memory() : play.run();
+        } catch (IOException e) {
+            spec.commandLine().getOut().println("BROKEN " + e.getMessage());
+            return 1;
         }
         ObjectNode line = Wire.JSON.createObjectNode();
         line.put("command", command());
