--- a/fleet/src/main/java/grebehoist/fleet/distribution/DistributionCodec.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/DistributionCodec.java
@@ -23,7 +23,7 @@
     private static final int ASK = 10;
     private static final int NAMED = 11;
     /** Before the entries of a digest, with every number at its greatest; a listing's is longer. */
-    static final int DIGEST_FRAME = 1 + 1 + 9 + 2;
+    static final int DIGEST_FRAME = 1 + 1 + 9 + 2 + 2;
     static final int CHANGES_FRAME = 1 + 1 + 9 + 2;
     static final int LISTING_FRAME = 1 + 1 + 9 + 2 + Item.SCOPE_BYTES + 1 + 2;
 
@@ -32,7 +32,7 @@
     static byte[] encode(Message message) {
         var to = new CborWriter();
         if (message instanceof Message.Digest d) {
-            to.array(3).number(DIGEST).number(d.seq()).array(d.scopes().size());
+            to.array(4).number(DIGEST).number(d.seq()).number(d.sharers()).array(d.scopes().size());
             d.scopes().forEach(h -> to.raw(encode(h)));
         } else if (message instanceof Message.Seen s) {
             to.array(3).number(SEEN).number(s.seq()).number(s.differ());
@@ -69,7 +69,14 @@
     }
 
     static byte[] encode(Message.Have h) {
-        return new CborWriter().array(5).number(h.scope()).number(h.have()).number(h.hash() & 0xFFFF_FFFFL).number(h.gapTo()).number(h.fill() ? 1 : 0).done();
+        var to = new CborWriter().array(5).number(h.scope()).number(h.have()).number(h.hash() & 0xFFFF_FFFFL).number(h.fill() ? 1 : 0).array(h.gaps().size());
+        long at = h.have();
+        for (Message.Gap g : h.gaps()) {
+            // Distances are short.
+            to.array(2).number(g.from() - at).number(g.to() - g.from());
+            at = g.to();
+        }
+        return to.done();
     }
 
     static byte[] encode(Link l) {
@@ -128,16 +135,35 @@
 
     private static Message digest(CborReader from) throws IOException {
         long seq = from.number(MOST);
+        int sharers = (int) from.number(Layout.MOST);
         var scopes = new ArrayList<Message.Have>();
         from.array();
         while (from.another()) {
-            scopes.add(new Message.Have(scope(from), from.number(MOST), hash(from), from.number(MOST), from.number(1) == 1));
-            from.end();
+            scopes.add(have(from));
         }
         if (scopes.size() >= Long.SIZE) {
             throw new IOException(scopes.size() + " scopes");
         }
-        return new Message.Digest(seq, scopes);
+        return new Message.Digest(seq, sharers, scopes);
+    }
+
+    /** Its array has begun. */
+    private static Message.Have have(CborReader from) throws IOException {
+        long scope = scope(from);
+        long have = from.number(MOST);
+        int hash = hash(from);
+        boolean fill = from.number(1) == 1;
+        var gaps = new ArrayList<Message.Gap>();
+        long at = have;
+        from.array();
+        while (from.another()) {
+            long begin = at + from.number(MOST - at);
+            at = begin + from.number(MOST - begin);
+            gaps.add(new Message.Gap(begin, at));
+            from.end();
+        }
+        from.end();
+        return new Message.Have(scope, have, hash, fill, gaps);
     }
 
     private static Message changes(CborReader from) throws IOException {
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Holder.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Holder.java
@@ -73,12 +73,8 @@
     }
 
     private Answer create(Call.Create c, Ledger ledger, List<Integer> holders) {
-        String flaw = Item.flaw(c.scope());
-        if (flaw != null) {
-            return refusal(null, flaw);
-        }
-        if (c.base() < 0 || c.base() >= Item.MOST_VERSION) {
-            return refusal(null, "version " + c.base() + " for " + c.scope() + " to begin with is out of bounds");
+        if (Call.Create.flaw(c.scope(), c.base()) != null) {
+            return refusal(null, Call.Create.flaw(c.scope(), c.base()));
         }
         if (!fellows.heard(holders) || ledger != null && !ledger.counted()) {
             return refusal(ledger, "machine " + self + " has started and fills itself: not all of " + holders + " have told what they hold");
@@ -122,7 +118,7 @@
             Boolean is = ledger.is(item);
             return is == null ? refusal(ledger, "version " + item.version() + " of " + item.scope() + " is too long ago to be compared")
                     : is ? new Answer.Held(fellows.lives(ledger.holders()), item.version(), true)
-                    : new Answer.Refusal("version " + item.version() + " of " + item.scope() + " is another change", ledger.head(), true);
+                    : new Answer.Refusal("version " + item.version() + " of " + item.scope() + " is another change: another writer has begun", ledger.head(), true);
         }
         if (o.epoch() == 0) {
             return refusal(ledger, "version " + item.version() + " of " + item.scope() + " is not known to be taken here: head is " + ledger.head());
@@ -161,7 +157,7 @@
     }
 
     private void committed(long nowUs, Ledger ledger, Item item) {
-        news.changed(new DistributionChange.Committed(ledger.scope(), item.version()));
+        news.changed(new DistributionChange.Committed(item));
         fellows.hot(ledger);
         giving.grown(nowUs, ledger);
     }
@@ -226,7 +222,7 @@
             if (fellow && have.have() > ledger.head()) {
                 fellows.hot(ledger, from);
             }
-            differ |= giving.told(nowUs, from, ledger, have) ? 0 : 1L << i;
+            differ |= giving.told(nowUs, from, d.sharers(), ledger, have) ? 0 : 1L << i;
         }
         if (d.seq() > 0) {
             out.say(from, new Message.Seen(d.seq(), differ));
@@ -318,6 +314,12 @@
         return ledger == null ? -1 : ledger.head();
     }
 
+    /** Returns whether this holds a change: it was taken, as known here, or was accepted here. */
+    public boolean holds(Item change) {
+        Ledger ledger = ledgers.get(change.scope());
+        return ledger != null && (ledger.accepted() && ledger.pending().equals(change) || Boolean.TRUE.equals(ledger.is(change)));
+    }
+
     /** Returns whether this counts as a holder of a scope: it knows what its fellow holders knew when it started. */
     public boolean counts(String scope) {
         Ledger ledger = ledgers.get(scope);
