--- a/trial/src/main/java/grebehoist/trial/scale/ControlMachines.java
+++ b/trial/src/main/java/grebehoist/trial/scale/ControlMachines.java
@@ -12,8 +12,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
-/** The control machines: processes of the real program, each with its installation file, a relay between them. */
+/** The control machines: processes of the real program, each with its installation file, a relay between them and to the real proxies. */
 final class ControlMachines implements AutoCloseable {
     /** What all datagrams of a play are sealed with, in hexadecimal: only for trials, on loopback. */
     static final String KEY = "6f6e6c7920666f7220747269616c732c206f6e206c6f6f706261636b";
@@ -23,6 +24,7 @@
 
     private final Path jar;
     private final Path directory;
+    /** Of machines, then of real proxies. */
     private final InetSocketAddress[] listen;
     private final InetSocketAddress[] doors;
     private final MachineRelay relay;
@@ -30,19 +32,21 @@
     /** Processor time of earlier lives. */
     private final long[] spentMs;
 
-    ControlMachines(int number, int proxies, Path jar, Path directory, long seed) throws IOException {
+    ControlMachines(Plan plan, Path jar, Path directory) throws IOException {
         this.jar = jar;
         this.directory = directory;
-        listen = new InetSocketAddress[number];
-        doors = new InetSocketAddress[number];
+        int number = plan.machines();
+        listen = new InetSocketAddress[number + plan.real()];
+        doors = new InetSocketAddress[number + plan.real()];
         processes = new Subprocess[number];
         spentMs = new long[number];
         ports();
-        relay = new MachineRelay(listen, seed);
+        int[] zones = IntStream.range(0, listen.length).map(i -> Plan.zone(i < number ? i : plan.proxies() + i - number)).toArray();
+        relay = new MachineRelay(listen, zones, number, plan.seed());
         for (int i = 0; i < number; i++) {
-            Files.writeString(installation(i), text(i, proxies));
+            Files.writeString(installation(i), text("m" + i, "control", i, i));
         }
-        Files.writeString(writer(), text(-1, proxies));
+        Files.writeString(writer(), text("writer", "control", 0, -1));
     }
 
     /** Ports that nobody has: a machine is to have the same ones in each of its lives. All are held until all are found. */
@@ -78,22 +82,32 @@
         return directory.resolve("writer.toml");
     }
 
-    private String text(int machine, int proxies) throws IOException {
-        var text = new StringBuilder("[process]\nname = \"").append(machine < 0 ? "writer" : "m" + machine)
-                .append("\"\n[distribution]\nrole = \"control\"\nlisten = \"").append(text(listen[Math.max(0, machine)])).append("\"\n");
-        for (int i = 0; i < listen.length; i++) {
-            text.append("[[distribution.control]]\naddress = \"").append(text(machine < 0 ? listen[i] : relay.address(machine, i)))
+    private String text(String name, String role, int at, int sees) throws IOException {
+        var text = new StringBuilder("[process]\nname = \"").append(name).append("\"\n[distribution]\nrole = \"").append(role)
+                .append("\"\nlisten = \"").append(text(listen[at])).append("\"\n");
+        for (int i = 0; i < processes.length; i++) {
+            text.append("[[distribution.control]]\naddress = \"").append(text(sees < 0 ? listen[i] : relay.address(sees, i)))
                     .append("\"\ndoor = \"").append(text(doors[i])).append("\"\nzone = \"").append(Plan.zoneName(Plan.zone(i))).append("\"\n");
         }
         return text.append("[[distribution.key]]\nid = 1\nsecret = \"").append(KEY).append("\"\n").toString();
     }
 
+    /** Returns the tables of a real proxy, but for its number and scopes: these go where {@code %s} is. */
+    String proxy(String name, int real) throws IOException {
+        return text(name, "proxy", processes.length + real, processes.length + real).replaceFirst("\n\\[\\[distribution.control", "\n%s\n[[distribution.control");
+    }
+
+    /** Returns where a real proxy may listen to its clients. */
+    InetSocketAddress clients(int real) {
+        return doors[processes.length + real];
+    }
+
     private static String text(InetSocketAddress address) {
         return "127.0.0.1:" + address.getPort();
     }
 
     int number() {
-        return listen.length;
+        return processes.length;
     }
 
     /** Returns the port of a machine's datagrams. */
--- a/trial/src/main/java/grebehoist/trial/scale/FaultDriver.java
+++ b/trial/src/main/java/grebehoist/trial/scale/FaultDriver.java
@@ -135,7 +135,7 @@
 
     private void unreached(int region, long fromUs, long untilUs) {
         List<Integer> fleet = layout.holders(Plan.FLEET);
-        for (int p = 0; p < plan.proxies(); p++) {
+        for (int p = 0; p < plan.everyone(); p++) {
             boolean lacksFleet = !Weather.reaches(p, fleet, region);
             boolean lacksCell = !Weather.reaches(p, layout.holders("c" + plan.cell(p) + "/t"), region);
             if (lacksFleet) {
--- a/trial/src/main/java/grebehoist/trial/scale/Judge.java
+++ b/trial/src/main/java/grebehoist/trial/scale/Judge.java
@@ -67,7 +67,7 @@
     Judge(Plan plan) {
         this.plan = plan;
         this.names = plan.scopes();
-        for (int p = 0; p < plan.proxies(); p++) {
+        for (int p = 0; p < plan.everyone(); p++) {
             seen.add(new HashMap<>());
             starts.add(new ArrayList<>());
             cuts.add(List.of(new ArrayList<>(), new ArrayList<>()));
@@ -150,7 +150,7 @@
             changes += of.size();
             of.forEach(t -> writer.recordValue(Math.max(0, t.takenUs() - t.askedUs())));
         }
-        for (int p = 0; p < plan.proxies(); p++) {
+        for (int p = 0; p < plan.everyone(); p++) {
             for (int scope : plan.scopesOf(p)) {
                 List<Taken> of = taken.get(scope);
                 if (of != null) {
@@ -206,10 +206,15 @@
 
     /** Returns whether all proxies say that they have at least these versions of all their scopes in force. */
     synchronized boolean all(long[] versions) {
-        for (int p = 0; p < plan.proxies(); p++) {
+        return all(versions, 0);
+    }
+
+    /** The same of those from a number on. */
+    synchronized boolean all(long[] versions, int from) {
+        for (int p = from; p < plan.everyone(); p++) {
             for (int scope : plan.scopesOf(p)) {
                 List<Seen> of = seen.get(p).getOrDefault(scope, List.of());
-                long have = of.isEmpty() ? base[scope] : of.get(of.size() - 1).version();
+                long have = of.isEmpty() ? base == null ? 0 : base[scope] : of.get(of.size() - 1).version();
                 if (have < versions[scope]) {
                     return false;
                 }
--- a/trial/src/main/java/grebehoist/trial/scale/MachineRelay.java
+++ b/trial/src/main/java/grebehoist/trial/scale/MachineRelay.java
@@ -12,8 +12,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * The network between control machines: for each directed pair a socket of its own, by which datagrams are lost or cut. What hollow
- * proxies lose they lose themselves. A thread of its own runs it.
+ * The network between the program's processes, control machines and proxies: for each directed pair with a machine in it a socket of its own,
+ * by which datagrams are lost or cut. What hollow proxies lose they lose themselves. A thread of its own runs it.
  */
 final class MachineRelay implements AutoCloseable {
     private static final int LONGEST = 2_048;
@@ -21,6 +21,7 @@
     private record Link(int from, int to) { }
 
     private final InetSocketAddress[] real;
+    private final int[] zones;
     private final DatagramChannel[][] sockets;
     private final Selector selector = Selector.open();
     private final SplittableRandom random;
@@ -30,14 +31,22 @@
     private volatile int cutRegion = -1;
     private volatile boolean closed;
 
-    MachineRelay(InetSocketAddress[] real, long seed) throws IOException {
+    /**
+     * Opens all sockets.
+     *
+     * @param real where each process gets its datagrams, the machines first
+     * @param zones where each is
+     * @param machines how many of them are machines
+     */
+    MachineRelay(InetSocketAddress[] real, int[] zones, int machines, long seed) throws IOException {
         this.real = real.clone();
+        this.zones = zones.clone();
         this.random = new SplittableRandom(seed);
         int n = real.length;
         sockets = new DatagramChannel[n][n];
         for (int a = 0; a < n; a++) {
             for (int b = 0; b < n; b++) {
-                if (a != b) {
+                if (a != b && (a < machines || b < machines)) {
                     DatagramChannel socket = DatagramChannel.open();
                     socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).configureBlocking(false);
                     socket.register(selector, SelectionKey.OP_READ, new Link(a, b));
@@ -50,7 +59,7 @@
         thread.start();
     }
 
-    /** Returns where a machine sees another; its own address where it is itself. */
+    /** Returns where one sees another; its own address where it is itself. */
     InetSocketAddress address(int sees, int other) throws IOException {
         return sees == other ? real[sees] : (InetSocketAddress) sockets[sees][other].getLocalAddress();
     }
@@ -102,7 +111,7 @@
             return false;
         }
         int region = cutRegion;
-        return region < 0 || Plan.region(Plan.zone(link.from())) == region == (Plan.region(Plan.zone(link.to())) == region);
+        return region < 0 || Plan.region(zones[link.from()]) == region == (Plan.region(zones[link.to()]) == region);
     }
 
     @Override
--- a/trial/src/main/java/grebehoist/trial/scale/Plan.java
+++ b/trial/src/main/java/grebehoist/trial/scale/Plan.java
@@ -12,9 +12,10 @@
  * @param services scopes of services, dealt over the cells
  * @param tenants items in the cells' tenant scopes, all together
  * @param items a service, in the mean
+ * @param real proxies of the program beside the hollow ones; their numbers come after those
  * @param seed draws the sizes of the services
  */
-record Plan(int proxies, int machines, int services, int tenants, int items, long seed) {
+record Plan(int proxies, int machines, int services, int tenants, int items, int real, long seed) {
     static final int ZONES = 13;
     static final int REGIONS = 4;
     /** The scope that all proxies have. */
@@ -23,6 +24,11 @@
     static final int FLEET_ITEMS = 8;
     private static final int PROXIES_A_CELL = 60;
 
+    /** Returns how many proxies there are, hollow and real. */
+    int everyone() {
+        return proxies + real;
+    }
+
     int cells() {
         return Math.max(1, proxies / PROXIES_A_CELL);
     }
--- a/trial/src/main/java/grebehoist/trial/scale/ScaleCommand.java
+++ b/trial/src/main/java/grebehoist/trial/scale/ScaleCommand.java
@@ -48,6 +48,8 @@
     private long seed;
     @Option(names = "--each", defaultValue = "490", description = "Hollow proxies a process (${DEFAULT-VALUE}).")
     private int each;
+    @Option(names = "--real", defaultValue = "0", description = "Proxies of the program among them, under load (${DEFAULT-VALUE}).")
+    private int real;
     @Option(names = "--memory", description = "Tells what a hollow proxy takes of the heap, and plays nothing.")
     private boolean memory;
     @Option(names = "--history", description = "Where what happened is written, a JSON object a line.")
@@ -61,15 +63,15 @@
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        if (proxies < 1 || proxies > 20_000 || control < 1 || control > 64 || services < 1 || items < 1 || tenants < 0 || seconds < 1 || each < 1
+        if (proxies < 1 || proxies > 20_000 || control < 1 || control > 64 || services < 1 || items < 1 || tenants < 0 || seconds < 1 || each < 1 || real < 0 || real > 50
                 || !(changes * times > 0) || !(loss >= 0 && loss < 1)) {
-            throw new ParameterException(spec.commandLine(), "1 to 20000 proxies, 1 to 64 control machines, at least one service, item, second, "
-                    + "change and proxy a process, and a loss of 0 to 1 are wanted");
+            throw new ParameterException(spec.commandLine(), "1 to 20000 proxies, 1 to 64 control machines, 0 to 50 real proxies, at least one service, "
+                    + "item, second, change and proxy a process, and a loss of 0 to 1 are wanted");
         }
         if (!Files.isReadable(daemon)) {
             throw new ParameterException(spec.commandLine(), "--daemon: there is no " + daemon);
         }
-        var plan = new Plan(proxies, control, services, tenants, items, seed);
+        var plan = new Plan(proxies, control, services, tenants, items, real, seed);
         var setting = new ScalePlay.Setting(daemon, trial != null ? trial : jar(), faults, loss, changes * times, seconds,
                 memory ? proxies : each, history);
         ScalePlay.Outcome outcome;
@@ -98,6 +100,9 @@
         var text = new StringBuilder(String.format(Locale.ROOT,
                 "scale --proxies %d --control %d --services %d --items %d --tenants %d --changes-a-day %.0f --times %.0f --seconds %d --seed %d --each %d",
                 proxies, control, services, items, tenants, changes, times, seconds, seed, each));
+        if (real > 0) {
+            text.append(" --real ").append(real);
+        }
         if (!faults.isEmpty()) {
             text.append(" --faults ").append(String.join(",", faults.stream().map(f -> f.name().toLowerCase(Locale.ROOT)).toList()));
         }
--- a/trial/src/main/java/grebehoist/trial/scale/ScalePlay.java
+++ b/trial/src/main/java/grebehoist/trial/scale/ScalePlay.java
@@ -57,6 +57,8 @@
     private List<Integer> restarted = List.of();
     private Hollows hollows;
     private ChangeFeed feed;
+    /** Null where there are none. */
+    private RealProxies real;
     /** The versions that a proxy's present life began with: with these it counts as filled. */
     private final long[][] startedWith;
     private final List<JsonNode> heaps = new CopyOnWriteArrayList<>();
@@ -70,7 +72,7 @@
         tally = new Tally(plan);
         startedWith = new long[plan.proxies()][];
         layout = new Layout(IntStream.range(0, plan.machines()).mapToObj(m -> new Layout.Machine(Plan.zoneName(Plan.zone(m)))).toList());
-        machines = new ControlMachines(plan.machines(), plan.proxies(), setting.daemon(), directory, plan.seed());
+        machines = new ControlMachines(plan, setting.daemon(), directory);
         open.add(machines);
     }
 
@@ -80,6 +82,7 @@
         load();
         startProxies(0, plan.proxies());
         summary.set("first_fill", tally.fills());
+        startReal();
         hollows.tell(Hollows.what("measure"));
         judge.begin(books.versions());
         books.forgetResults();
@@ -142,6 +145,19 @@
         awaitFilled(to - from, "started");
     }
 
+    private void startReal() throws IOException, InterruptedException {
+        if (plan.real() > 0) {
+            real = new RealProxies(plan, setting.daemon(), directory, machines, judge, this::heard);
+            open.add(0, real);
+            real.start();
+            long[] versions = books.versions();
+            if (!await(FILL_MS, () -> judge.all(versions, plan.proxies()))) {
+                judge.found("real proxies are not filled after " + FILL_MS / 1_000 + " s");
+            }
+            real.load();
+        }
+    }
+
     private void awaitFilled(int proxies, String what) throws IOException, InterruptedException {
         await(FILL_MS, () -> tally.filled() >= proxies || !hollows.dead().isEmpty());
         if (!hollows.dead().isEmpty()) {
@@ -236,6 +252,9 @@
     }
 
     private Outcome judged() throws InterruptedException {
+        if (real != null) {
+            summary.put("requests_of_real_proxies", real.finish());
+        }
         Judge.Judgement before = judge.judge(Wire.now());
         hollows.tell(Hollows.what("end"));
         if (!hollows.awaitEnd(ANSWER_MS)) {
--- a/trial/src/test/java/grebehoist/trial/scale/BooksTest.java
+++ b/trial/src/test/java/grebehoist/trial/scale/BooksTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Test;
 
 class BooksTest {
-    private final Plan plan = new Plan(1, 3, 1, 1, 1, 1);
+    private final Plan plan = new Plan(1, 3, 1, 1, 1, 0, 1);
     private final Judge judge = new Judge(plan);
     private final Books books = new Books(plan, judge);
 
--- a/trial/src/test/java/grebehoist/trial/scale/JudgeTest.java
+++ b/trial/src/test/java/grebehoist/trial/scale/JudgeTest.java
@@ -6,7 +6,7 @@
 
 class JudgeTest {
     private static final long S = 1_000_000;
-    private final Plan plan = new Plan(2, 5, 1, 2, 2, 1);
+    private final Plan plan = new Plan(2, 5, 1, 2, 2, 0, 1);
     private final Judge judge = new Judge(plan);
 
     private void begun() {
--- a/trial/src/test/java/grebehoist/trial/scale/PlanTest.java
+++ b/trial/src/test/java/grebehoist/trial/scale/PlanTest.java
@@ -15,7 +15,7 @@
     /** The fleet that is aimed at: 81 cells, 13 zones of 377 at most, each proxy some 30 services. */
     @Test
     void thePlanOfTheWholeFleet() {
-        var plan = new Plan(4_900, 35, 2_400, 970_000, 10, 7);
+        var plan = new Plan(4_900, 35, 2_400, 970_000, 10, 0, 7);
         assertThat(plan.cells()).isEqualTo(81);
         assertThat(plan.scopes()).hasSize(1 + 2_400 + 81).doesNotHaveDuplicates().allMatch(s -> s.length() <= 24);
         var served = new HashSet<Integer>();
@@ -31,7 +31,7 @@
 
     @Test
     void scopesBelongToTheirCell() {
-        var plan = new Plan(300, 5, 30, 50, 3, 1);
+        var plan = new Plan(300, 5, 30, 50, 3, 0, 1);
         List<String> scopes = plan.scopes();
         for (int p = 0; p < 300; p++) {
             String cell = "c" + plan.cell(p) + "/";
@@ -41,7 +41,7 @@
 
     @Test
     void equalSeedsGiveEqualChanges() {
-        var plan = new Plan(300, 5, 30, 50, 3, 1);
+        var plan = new Plan(300, 5, 30, 50, 3, 0, 1);
         var held = new Contents();
         var one = new ChangeDraw(plan, 4);
         var other = new ChangeDraw(plan, 4);
@@ -58,7 +58,7 @@
 
     @Test
     void oneFaultOfEachKindWithinThePlayAndOfHoldersOfTheFleetsScope() {
-        var plan = new Plan(300, 35, 30, 50, 3, 5);
+        var plan = new Plan(300, 35, 30, 50, 3, 0, 5);
         var layout = new Layout(IntStream.range(0, 35).mapToObj(m -> new Layout.Machine(Plan.zoneName(Plan.zone(m)))).toList());
         List<Weather.Fault> faults = Weather.draw(EnumSet.allOf(Weather.Kind.class), plan, layout, 100 * S);
         assertThat(faults).hasSize(Weather.Kind.values().length).allMatch(f -> f.fromUs() < f.untilUs() && f.untilUs() <= 100 * S)
--- a/trial/src/test/java/grebehoist/trial/scale/ScaleIT.java
+++ b/trial/src/test/java/grebehoist/trial/scale/ScaleIT.java
@@ -34,7 +34,7 @@
         Path history = files.resolve("history");
         var setting = new ScalePlay.Setting(DAEMON, TRIAL, EnumSet.of(Weather.Kind.KILL, Weather.Kind.LOSS), 0.1, 25_000 * 50, 15, 150, history);
         ScalePlay.Outcome outcome;
-        try (var play = new ScalePlay(new Plan(300, 5, 30, 100, 3, 1), setting)) {
+        try (var play = new ScalePlay(new Plan(300, 5, 30, 100, 3, 0, 1), setting)) {
             outcome = play.run();
         }
         System.out.println(outcome.summary());
