--- a/trial/src/main/java/grebehoist/trial/scale/ScalePlay.java
+++ b/trial/src/main/java/grebehoist/trial/scale/ScalePlay.java
@@ -90,8 +90,11 @@
         long[] cpuControl = machines.cpuMs();
         feed = feed("writer", books::answered);
         long beganUs = Wire.now();
-        play(beganUs);
-        finish();
+        try (var stalls = new Stalls()) {
+            play(beganUs);
+            finish();
+            summary.putObject("machine_stalls").put("worst_s", Tally.seconds(stalls.worstUs())).put("over_100_ms_s", Tally.seconds(stalls.sumUs()));
+        }
         double seconds = (Wire.now() - beganUs) / 1e6;
         long[] controlNow = machines.cpuMs();
         summary.putObject("processor_ms_a_second")
