--- a/net/src/main/java/grebehoist/net/DatagramPort.java
+++ b/net/src/main/java/grebehoist/net/DatagramPort.java
@@ -87,7 +87,7 @@
     private void complain(Throwable cause) {
         if (!complained) {
             complained = true;
-            log.line(name + ": " + wanted + " can't be had (another process with the same address?); it is tried again: " + cause.getMessage());
+            log.line(name + ": " + wanted + " can't be had (another process as the same member?); it is tried again: " + cause.getMessage());
         }
     }
 
@@ -118,6 +118,11 @@
         });
     }
 
+    /** Returns whether it waits for its address, which somebody else has. */
+    public boolean waits() {
+        return complained && channel == null;
+    }
+
     /** Returns how many datagrams could not be given to the kernel. */
     public long unsent() {
         return unsent;
