--- a/trial/src/main/java/grebehoist/trial/scale/Subprocess.java
+++ b/trial/src/main/java/grebehoist/trial/scale/Subprocess.java
@@ -12,11 +12,19 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 
 /** One process that is told lines and tells lines. {@link #close} ends it whatever it does. Its output is read on a thread of its own. */
 final class Subprocess implements AutoCloseable {
     private static final int KEPT_LINES = 60;
+    /** Those that have not been closed: they end with this process, also where it is ended from outside. */
+    private static final Set<Process> OPEN = ConcurrentHashMap.newKeySet();
+
+    static {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> OPEN.forEach(Process::destroyForcibly), "ends processes"));
+    }
 
     private final String name;
     private final Process process;
@@ -39,6 +47,7 @@
         command.add(jar.toString());
         command.addAll(arguments);
         process = new ProcessBuilder(command).redirectErrorStream(true).start();
+        OPEN.add(process);
         to = new PrintWriter(new BufferedWriter(new OutputStreamWriter(process.getOutputStream(), StandardCharsets.UTF_8)));
         var reader = new Thread(() -> read(json), "lines of " + name);
         reader.setDaemon(true);
@@ -119,10 +128,12 @@
     void kill() throws InterruptedException {
         cpuMs();
         process.destroyForcibly().waitFor();
+        OPEN.remove(process);
     }
 
     @Override
     public void close() {
         process.destroyForcibly();
+        OPEN.remove(process);
     }
 }
