Benchmarks: slopes, one command that measures how figures grow with size

Need: what the fleet ahead takes is to be worked out from figures at several sizes that anybody can repeat.

--- a/benchmarks/src/main/java/grebehoist/benchmarks/Main.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/Main.java
@@ -1,8 +1,12 @@
 package grebehoist.benchmarks;
 
+import grebehoist.benchmarks.slopes.Slopes;
 import java.util.Arrays;
 
-/** {@code jmh ...} runs the JMH benchmarks, {@code loopback ...} the comparison of hops, {@code halfframes} what idle halves cost. */
+/**
+ * {@code jmh ...} runs the JMH benchmarks, {@code loopback ...} the comparison of hops, {@code halfframes} what idle halves cost,
+ * {@code slopes ...} how figures grow with size.
+ */
 public final class Main {
     private Main() { }
 
@@ -13,9 +17,10 @@
             case "jmh" -> org.openjdk.jmh.Main.main(rest);
             case "loopback" -> Loopback.main(rest);
             case "halfframes" -> HalfFrames.main(rest);
+            case "slopes" -> System.exit(Slopes.run(rest));
             default -> {
                 System.err.println("usage: java -jar benchmarks.jar jmh [JMH's words] | loopback [--seconds N] [--runs N]"
-                        + " | halfframes [--connections N]");
+                        + " | halfframes [--connections N] | slopes [NAME ...]");
                 System.exit(2);
             }
         }
