--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Slopes.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Slopes.java
@@ -1,11 +1,14 @@
 package grebehoist.benchmarks.slopes;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import grebehoist.config.Json;
+import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.Writer;
 import java.lang.management.ManagementFactory;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
@@ -16,6 +19,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -40,6 +44,8 @@
     private Path json;
     @Option(names = "--plot", description = "A directory for NAME.svg.")
     private Path plot;
+    @Option(names = "--read", description = "Takes the points from such a file, the last of each size, and measures nothing.")
+    private Path read;
     @Option(names = "--program", defaultValue = "daemon/target/grebehoist.jar", description = "The program (${DEFAULT-VALUE}).")
     private Path program;
 
@@ -61,6 +67,10 @@
                         true, DecisionSlopes::lists),
                 new Slope("tenants", "tenants", "decision module, one list of 37: bytes a tenant, told, and once each has asked",
                         List.of(1_000, 10_000, 100_000, 300_000, 970_000), 970_000, true, DecisionSlopes::tenants),
+                new Slope("quota", "a second", "decision module of one of 60 proxies beside a flood: what is refused to a tenant at half of its part",
+                        List.of(1, 3, 10, 30, 100, 300, 1_000), 1, false, QuotaSlope::quota),
+                new Slope("placement", "services", "services on 82 cells by rendezvous hashing with bounded loads, a trial: loads and moves",
+                        List.of(75, 150, 300, 600, 1_200, 2_400), 2_400, false, PlacementSlopes::placement),
                 new Slope("membership", "members", "virtual time, no loss: bytes a second of a member, time and memory of its machine",
                         List.of(30, 100, 300, 1_000), 4_900, true, MembershipSlopes::membership),
                 new Slope("member", "members", "one member that hears nobody: bytes kept and time of a tick",
@@ -100,6 +110,11 @@
     private boolean measure(Slope slope) throws IOException {
         boolean whole = true;
         var figures = new LinkedHashMap<String, List<Fit.Point>>();
+        if (read != null) {
+            read(slope, figures);
+            finish(slope, figures);
+            return true;
+        }
         if (slope.rehearsed()) {
             rehearse(slope);
         }
@@ -118,12 +133,28 @@
             }
             tell(line.put("load", ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage()));
         }
+        finish(slope, figures);
+        return whole;
+    }
+
+    private void read(Slope slope, Map<String, List<Fit.Point>> figures) throws IOException {
+        var bySize = new TreeMap<Integer, JsonNode>();
+        for (String text : Files.readAllLines(read)) {
+            JsonNode line = Json.read(new ByteArrayInputStream(text.getBytes(StandardCharsets.UTF_8)));
+            if (line.path("slope").asText().equals(slope.name()) && line.has("figures")) {
+                bySize.put(line.path("size").asInt(), line.path("figures"));
+            }
+        }
+        bySize.forEach((size, values) -> values.properties().forEach(f ->
+                figures.computeIfAbsent(f.getKey(), n -> new ArrayList<>()).add(new Fit.Point(size, f.getValue().asDouble()))));
+    }
+
+    private void finish(Slope slope, Map<String, List<Fit.Point>> figures) throws IOException {
         figures.forEach((figure, points) -> fit(slope, figure, points));
         if (plot != null && !figures.isEmpty()) {
             Files.createDirectories(plot);
             Files.writeString(plot.resolve(slope.name() + ".svg"), Plot.of(slope, figures));
         }
-        return whole;
     }
 
     private void rehearse(Slope slope) {
