--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/ListService.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/ListService.java
@@ -116,6 +116,12 @@
             ctx.writeAndFlush(answer);
         }
 
+        /** Whoever asked was killed: its figures are had. */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             if (answer != null) {
--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/ProgramSlopes.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/ProgramSlopes.java
@@ -132,6 +132,11 @@
                         HttpUtil.setContentLength(answer, body.length);
                         ctx.writeAndFlush(answer);
                     }
+
+                    @Override
+                    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                        ctx.close();
+                    }
                 });
             }
         }).bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync().channel().localAddress();
--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Slopes.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Slopes.java
@@ -170,12 +170,14 @@
         if (fit == null) {
             return;
         }
+        Line line = Line.of(points);
         double least = points.stream().mapToDouble(Fit.Point::x).min().orElseThrow();
         double most = points.stream().mapToDouble(Fit.Point::x).max().orElseThrow();
         double beyond = slope.target() / most;
         tell(line(slope, "fit").put("figure", figure).put("points", fit.points()).put("factor", rounded(most / least)).put("a", rounded(fit.a()))
                 .put("exponent", rounded(fit.exponent())).put("farthest_off", rounded(fit.deviation())).put("target", slope.target())
-                .put("at_target", rounded(fit.at(slope.target()))).put("beyond_the_largest", rounded(Math.max(1, beyond)))
+                .put("at_target", rounded(fit.at(slope.target()))).put("fixed", rounded(line.fixed())).put("each", rounded(line.each()))
+                .put("line_farthest_off", rounded(line.deviation())).put("line_at_target", rounded(line.at(slope.target()))).put("beyond_the_largest", rounded(Math.max(1, beyond)))
                 .put("extrapolation", beyond > FAR));
     }
 
--- a/benchmarks/src/test/java/grebehoist/benchmarks/slopes/SlopesTest.java
+++ b/benchmarks/src/test/java/grebehoist/benchmarks/slopes/SlopesTest.java
@@ -37,6 +37,15 @@
         assertThat(fit.deviation()).isCloseTo(1, within(1e-9));
     }
 
+    @Test
+    void findsAFixedPart() {
+        Line line = Line.of(IntStream.of(1, 10, 100, 1_000).mapToObj(x -> new Fit.Point(x, 40 + 3.0 * x)).toList());
+        assertThat(line.fixed()).isCloseTo(40, within(1e-6));
+        assertThat(line.each()).isCloseTo(3, within(1e-9));
+        assertThat(line.deviation()).isCloseTo(0, within(1e-9));
+        assertThat(line.at(2_000)).isCloseTo(6_040, within(1e-3));
+    }
+
     @Test
     void leavesOutWhatALogarithmCantTake() {
         assertThat(Fit.of(List.of(new Fit.Point(1, 0), new Fit.Point(10, 5)))).isNull();
