--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Program.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Program.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -30,6 +31,7 @@
 
     private final Process process;
     private final Path file;
+    private final Consumer<String> log;
     private final CompletableFuture<InetSocketAddress> listens = new CompletableFuture<>();
 
     /**
@@ -39,8 +41,18 @@
      * @param balancers how many proxies share each pool's backends, as the file says
      */
     Program(Path jar, int mostMb, int pools, InetSocketAddress discovery, int balancers) throws IOException {
+        this(jar, mostMb, installation(pools, discovery, balancers), line -> { });
+    }
+
+    /**
+     * Starts it with an installation file of the caller's.
+     *
+     * @param log hears each line that it writes, on a thread of its own
+     */
+    Program(Path jar, int mostMb, String installation, Consumer<String> log) throws IOException {
         file = Files.createTempFile("slope", ".toml");
-        Files.writeString(file, installation(pools, discovery, balancers));
+        Files.writeString(file, installation);
+        this.log = log;
         var command = new ArrayList<String>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(FLAGS);
@@ -59,6 +71,7 @@
         var last = new StringBuilder();
         try (var lines = new BufferedReader(new InputStreamReader(process.getErrorStream(), StandardCharsets.UTF_8))) {
             for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                log.accept(line);
                 Matcher port = PORT.matcher(line);
                 if (port.find()) {
                     listens.complete(new InetSocketAddress(InetAddress.getLoopbackAddress(), Integer.parseInt(port.group(1))));
@@ -71,7 +84,8 @@
         listens.completeExceptionally(new IOException("the program ended: " + last));
     }
 
-    private static String installation(int pools, InetSocketAddress discovery, int balancers) {
+    /** Returns a file of so many pools, each with a listener at any port. */
+    static String installation(int pools, InetSocketAddress discovery, int balancers) {
         var toml = new StringBuilder("[process]\nname = \"slope\"\nsockets = 65536\n");
         for (int i = 0; i < pools; i++) {
             toml.append(String.format(Locale.ROOT, """
--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Slopes.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Slopes.java
@@ -83,6 +83,8 @@
                         List.of(1, 29, 75, 300, 1_000, 2_400), 2_400, false, running::start),
                 new Slope("rest", "pools", "the program with so many pools of 37 and no clients: processor time, calls, memory",
                         List.of(1, 29, 75, 300, 1_000, 2_400), 2_400, false, running::rest),
+                new Slope("log", "members", "the program among members that come, one of whom dies: bytes that it logs", List.of(3, 10, 30, 100), 60, false,
+                        members -> LogSlope.log(program, members)),
                 new Slope("request", "a second", "the program with a pool of 37: latency beside that of the way without it",
                         List.of(100, 286, 1_000, 3_000, 6_000), 286, false, running::request));
     }
--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/VirtualMembers.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/VirtualMembers.java
@@ -19,7 +19,9 @@
     private static final int ZONES = 13;
     private static final long LEAST_WAY_US = 300;
     private static final long WAY_US = 700;
-    private static final List<KeyRing.Key> KEYS = List.of(new KeyRing.Key(1, "a key for slopes, of 32 bytes...".getBytes(StandardCharsets.UTF_8)));
+    /** What all of them seal with. */
+    static final byte[] SECRET = "a key for slopes, of 32 bytes...".getBytes(StandardCharsets.UTF_8);
+    private static final List<KeyRing.Key> KEYS = List.of(new KeyRing.Key(1, SECRET));
 
     /** A datagram, or a tick where it is null. */
     private record Event(long atUs, long order, int to, int from, byte[] datagram) implements Comparable<Event> {
