--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Plot.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Plot.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.stream.IntStream;
 
 /** Draws the points of a slope as SVG: a panel for each figure, both axes logarithmic, the fit as a line, the target as a dashed one. */
 final class Plot {
@@ -88,7 +89,7 @@
         /** Returns powers of ten, or one, two and five times them where there are few. */
         List<Double> ticks() {
             List<Double> steps = Math.log10(most / least) < 2 ? List.of(1.0, 2.0, 5.0) : List.of(1.0);
-            return java.util.stream.IntStream.rangeClosed((int) Math.floor(Math.log10(least)), (int) Math.ceil(Math.log10(most))).boxed()
+            return IntStream.rangeClosed((int) Math.floor(Math.log10(least)), (int) Math.ceil(Math.log10(most))).boxed()
                     .flatMap(e -> steps.stream().map(s -> s * Math.pow(10, e))).filter(t -> t >= least * 0.999 && t <= most * 1.001).toList();
         }
     }
--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/ProgramSlopes.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/ProgramSlopes.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -121,7 +122,7 @@
 
     /** Answers at once. */
     private static InetSocketAddress backend(Network network) throws InterruptedException {
-        byte[] body = "x".repeat(BODY).getBytes(java.nio.charset.StandardCharsets.US_ASCII);
+        byte[] body = "x".repeat(BODY).getBytes(StandardCharsets.US_ASCII);
         return (InetSocketAddress) network.server().clone().childHandler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Slopes.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Slopes.java
@@ -6,6 +6,7 @@
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.io.UncheckedIOException;
 import java.io.Writer;
 import java.lang.management.ManagementFactory;
 import java.nio.charset.StandardCharsets;
@@ -205,7 +206,7 @@
                     file.write(line + "\n");
                 }
             } catch (IOException e) {
-                throw new java.io.UncheckedIOException(e);
+                throw new UncheckedIOException(e);
             }
         }
     }
