--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Plot.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Plot.java
@@ -3,9 +3,11 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.DoubleUnaryOperator;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
-/** Draws the points of a slope as SVG: a panel for each figure, both axes logarithmic, the fit as a line, the target as a dashed one. */
+/** Draws the points of a slope as SVG: a panel for each figure, both axes logarithmic, the better of both fits as a line, the target as a dashed one. */
 final class Plot {
     private static final int WIDTH = 340;
     private static final int HEIGHT = 260;
@@ -14,6 +16,7 @@
     private static final int RIGHT = 14;
     private static final int BOTTOM = 40;
     private static final int IN_A_ROW = 3;
+    private static final int PIECES = 40;
 
     private final StringBuilder svg = new StringBuilder();
 
@@ -43,16 +46,23 @@
         double most = Math.max(slope.target(), points.stream().mapToDouble(Fit.Point::x).max().orElse(1));
         double low = points.stream().mapToDouble(Fit.Point::y).filter(y -> y > 0).min().orElse(1);
         double high = points.stream().mapToDouble(Fit.Point::y).max().orElse(1);
-        if (fit != null) {
-            low = Math.min(low, Math.min(fit.at(least), fit.at(most)));
-            high = Math.max(high, Math.max(fit.at(least), fit.at(most)));
+        Line fixed = Line.of(points);
+        boolean straight = fixed != null && fixed.fixed() > 0 && fixed.each() > 0 && fixed.deviation() < fit.deviation();
+        DoubleUnaryOperator curve = fit == null ? null : straight ? fixed::at : fit::at;
+        if (curve != null) {
+            low = Math.min(low, Math.min(curve.applyAsDouble(least), curve.applyAsDouble(most)));
+            high = Math.max(high, Math.max(curve.applyAsDouble(least), curve.applyAsDouble(most)));
         }
         var x = new Axis(least, most, LEFT, WIDTH - RIGHT);
         var y = new Axis(low, high, HEIGHT - BOTTOM, TOP);
         add("<text x=\"%d\" y=\"16\" font-weight=\"bold\">%s: %s</text>%n", LEFT, text(slope.name()), text(figure));
-        if (fit != null) {
-            add("<text x=\"%d\" y=\"28\" fill=\"#555\">%.3g n^%.2f, farthest off %.0f%%</text>%n", LEFT, fit.a(), fit.exponent(), 100 * fit.deviation());
-            line(x.at(least), y.at(fit.at(least)), x.at(most), y.at(fit.at(most)), "stroke=\"#2a6\"");
+        if (curve != null) {
+            add("<text x=\"%d\" y=\"28\" fill=\"#555\">%s, farthest off %.0f%%</text>%n", LEFT, straight ? String.format(Locale.ROOT, "%.3g + %.3g n",
+                    fixed.fixed(), fixed.each()) : String.format(Locale.ROOT, "%.3g n^%.2f", fit.a(), fit.exponent()),
+                    100 * (straight ? fixed.deviation() : fit.deviation()));
+            String way = IntStream.rangeClosed(0, PIECES).mapToDouble(i -> least * Math.pow(most / least, i / (double) PIECES))
+                    .mapToObj(n -> String.format(Locale.ROOT, "%.1f,%.1f", x.at(n), y.at(curve.applyAsDouble(n)))).collect(Collectors.joining(" "));
+            add("<polyline points=\"%s\" fill=\"none\" stroke=\"#2a6\"/>%n", way);
         }
         line(LEFT, HEIGHT - BOTTOM, WIDTH - RIGHT, HEIGHT - BOTTOM, "stroke=\"black\"");
         line(LEFT, TOP, LEFT, HEIGHT - BOTTOM, "stroke=\"black\"");
