--- a/trial/src/main/java/grebehoist/trial/scale/Loader.java
+++ b/trial/src/main/java/grebehoist/trial/scale/Loader.java
@@ -30,11 +30,15 @@
         long created = Wire.now();
         var draw = new ChangeDraw(plan, plan.seed());
         int[] sizes = plan.sizes();
-        for (int s = 0; s < sizes.length; s++) {
-            for (int place = 0; place < sizes[s]; place++) {
-                ChangeFeed to = feeds.get(s % feeds.size());
-                to.submit(draw.item(s, place));
-                to.await(AHEAD, ANSWER_MS);
+        int most = IntStream.of(sizes).max().orElse(0);
+        // Scope after scope for each place: changes of one scope wait for each other, those of several do not.
+        for (int place = 0; place < most; place++) {
+            for (int s = 0; s < sizes.length; s++) {
+                if (place < sizes[s]) {
+                    ChangeFeed to = feeds.get(s % feeds.size());
+                    to.submit(draw.item(s, place));
+                    to.await(AHEAD, ANSWER_MS);
+                }
             }
         }
         awaitAnswers(feeds);
