Distribution: a reader that tells nothing is sent little

The window begins small, grows with what is told and shrinks where nothing is; a proxy answers changes from a machine it has left.

--- a/fleet/src/main/java/grebehoist/fleet/distribution/Reader.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Reader.java
@@ -8,8 +8,10 @@
 
 /** One that a machine gives changes to, a proxy or a fellow, and how much it may be sent. */
 final class Reader {
-    /** So many changes are on their way at most: what comes early has to wait at the reader. */
-    private static final int WINDOW = Replica.MOST_EARLY * 3 / 4;
+    /** So many changes are on their way at most: what comes early has to wait at the reader. It begins with fewer, and with few where nothing is told. */
+    private static final int MOST_WINDOW = Replica.MOST_EARLY * 3 / 4;
+    private static final int FIRST_WINDOW = 24;
+    private static final int LEAST_WINDOW = 4;
 
     /** Where a reader is in one scope. */
     static final class Position {
@@ -22,6 +24,7 @@
         private long sentTo;
         private long sentUs;
         private long retryUs;
+        private int window = FIRST_WINDOW;
         /** What is missing in the middle and to be sent again, and when that was done, by where it begins. */
         private final Deque<Message.Gap> gaps = new ArrayDeque<>(1);
         private final TreeMap<Long, Long> resent = new TreeMap<>();
@@ -73,6 +76,7 @@
                 resent.clear();
             }
             if (told.have() != have) {
+                window = Math.min(MOST_WINDOW, 2 * window);
                 retryUs = firstRetryUs;
                 sentUs = nowUs;
             }
@@ -99,13 +103,15 @@
             if (!gaps.isEmpty()) {
                 return gaps.peekFirst();
             }
-            if (sentTo < book.head() && !book.between(have, sentTo, WINDOW)) {
+            if (sentTo < book.head() && !book.between(have, sentTo, window)) {
                 return new Message.Gap(sentTo, book.head());
             }
             if (nowUs - sentUs < retryUs) {
                 return null;
             }
             retryUs = Math.min(2 * retryUs, terms.mostRetryUs());
+            // Nobody may be there any more to get it.
+            window = LEAST_WINDOW;
             sentTo = have;
             return new Message.Gap(sentTo, book.head());
         }
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Subscriber.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Subscriber.java
@@ -102,6 +102,9 @@
             Copy copy = g.copy(id);
             if (copy != null && g.source() == from) {
                 g.received(nowUs, copy, message);
+            } else if (copy != null && message instanceof Message.Changes) {
+                // That it was left has not come there.
+                out.say(from, new Message.Left(id));
             }
         }
     }
--- a/trial/src/main/java/grebehoist/trial/distribution/DistributionScript.java
+++ b/trial/src/main/java/grebehoist/trial/distribution/DistributionScript.java
@@ -17,6 +17,8 @@
     private static final long S = 1_000_000;
     private static final double MOST_LOSS = 0.3;
     private static final int BURST = 300;
+    private static final int TURNS = 12;
+    private static final long TURN_US = 1_500_000;
 
     DistributionScript {
         faults = List.copyOf(faults);
@@ -44,6 +46,13 @@
         while (faults.size() < number) {
             faults.add(plain.one(random));
         }
+        if (random.nextInt(6) == 0) {
+            // One machine after the other loses its memory, while much comes late.
+            faults.add(new Fault(Fault.Kind.DELAY, 0, TURNS * TURN_US, List.of(), 0.3));
+            for (int i = 0; i < TURNS; i++) {
+                faults.add(new Fault(Fault.Kind.CRASH, i * TURN_US + random.nextLong(TURN_US / 2), 50_000, List.of(i % plain.machines), 0));
+            }
+        }
         return plain.with(faults);
     }
 
