--- a/daemon/src/main/java/grebehoist/installation/Installation.java
+++ b/daemon/src/main/java/grebehoist/installation/Installation.java
@@ -376,6 +376,9 @@
 
     /** Returns one line for a person. */
     public String summary() {
-        return String.format(Locale.ROOT, "%d pools, %d listeners", pools.size(), listeners.size());
+        String served = String.format(Locale.ROOT, "%d pools, %d listeners", pools.size(), listeners.size());
+        return distribution == null ? served : served + (distribution.control()
+                ? String.format(Locale.ROOT, ", control machine %d of %d", distribution.number(), distribution.machines().size())
+                : String.format(Locale.ROOT, ", %d scopes of %d control machines", distribution.scopes().size(), distribution.machines().size()));
     }
 }
--- a/daemon/src/test/java/grebehoist/installation/InstallationTest.java
+++ b/daemon/src/test/java/grebehoist/installation/InstallationTest.java
@@ -277,13 +277,17 @@
         assertThat(proxy.machines()).extracting(Installation.ControlEntry::zone).containsExactly("ulven", "alnes");
         assertThat(Installation.read(file(GOOD + DISTRIBUTION.replace("number = 4", "number = 4\ndoor = \"127.0.0.1:9\""))).distribution().door())
                 .isEqualTo(new InetSocketAddress("127.0.0.1", 9));
-        assertThat(Installation.read(Path.of("../deploy/distribution.toml")).distribution().machines()).hasSize(3);
+        Installation example = Installation.read(Path.of("../deploy/distribution.toml"));
+        assertThat(example.distribution().machines()).hasSize(3);
+        assertThat(example.summary()).isEqualTo("1 pools, 1 listeners, 2 scopes of 3 control machines");
     }
 
     /** It serves nobody: neither a pool nor a listener is wanted. */
     @Test
     void aMachineThatIsSetAsideNeedsNoPool() throws Exception {
-        Installation.DistributionEntry machine = Installation.read(file(CONTROL)).distribution();
+        Installation read = Installation.read(file(CONTROL));
+        assertThat(read.summary()).isEqualTo("0 pools, 0 listeners, control machine 1 of 2");
+        Installation.DistributionEntry machine = read.distribution();
         assertThat(machine.control()).isTrue();
         assertThat(machine.number()).isEqualTo(1);
         assertThat(machine.door()).isEqualTo(machine.machines().get(1).door());
