--- a/daemon/src/main/java/grebehoist/distribution/DistributionEndpoint.java
+++ b/daemon/src/main/java/grebehoist/distribution/DistributionEndpoint.java
@@ -41,6 +41,7 @@
     private final DistributionSettings settings;
     private final EventLoop loop;
     private final LoopTimers timers;
+    private final Log log;
     private final JsonLines lines;
     private final DistributionNode node;
     private final DatagramPort port;
@@ -67,6 +68,7 @@
         this.settings = settings;
         this.loop = loop;
         this.timers = timers;
+        this.log = log;
         this.begunUs = timers.now();
         this.suspends = suspends;
         this.lines = new JsonLines(System.err, settings.name());
@@ -94,7 +96,16 @@
             }
             node.start(timers.now());
             long tickUs = settings.control() ? settings.terms().machineTickUs() : settings.terms().proxyTickUs();
-            ticks = loop.scheduleWithFixedDelay(() -> node.tick(timers.now()), tickUs, tickUs, TimeUnit.MICROSECONDS);
+            ticks = loop.scheduleWithFixedDelay(this::tick, tickUs, tickUs, TimeUnit.MICROSECONDS);
+        }
+
+        /** One that fails must not be the last. */
+        private void tick() {
+            try {
+                node.tick(timers.now());
+            } catch (RuntimeException e) {
+                log.failure(settings.name() + ", distribution", e);
+            }
         }
 
         @Override
@@ -104,12 +115,15 @@
             }
             claimed = number(sender, datagram);
             from = sender;
-            boolean proven = node.received(timers.now(), claimed, datagram);
-            if (proven && claimed >= settings.machines().size()) {
-                proxies.put(claimed, sender);
+            try {
+                boolean proven = node.received(timers.now(), claimed, datagram);
+                if (proven && claimed >= settings.machines().size()) {
+                    proxies.put(claimed, sender);
+                }
+            } finally {
+                claimed = -1;
+                from = null;
             }
-            claimed = -1;
-            from = null;
         }
 
         /** A machine is where the file has it. A proxy is where it says, once it is sure that it was the one who said so. */
