--- a/trial/src/main/java/grebehoist/trial/distribution/DistributionReferee.java
+++ b/trial/src/main/java/grebehoist/trial/distribution/DistributionReferee.java
@@ -37,7 +37,6 @@
     private final Map<String, Integer> counts = new TreeMap<>();
     private final Set<String> excused = new HashSet<>();
     private final Map<String, TreeMap<Long, Item>> committed = new HashMap<>();
-    private final Map<String, TreeMap<Long, Item>> taken = new HashMap<>();
     private final Map<String, Set<Content>> refused = new HashMap<>();
     private final Map<Item, Set<Integer>> holding = new HashMap<>();
     /** Of each life of a proxy: up to where each scope was said to be in force. */
@@ -85,7 +84,6 @@
 
     void taken(long atUs, Item change) {
         count("taken");
-        taken.computeIfAbsent(change.scope(), s -> new TreeMap<>()).put(change.version(), change);
         if (refused.getOrDefault(change.scope(), Set.of()).contains(Content.of(change))) {
             found("taken after refused", atUs, change.toString());
         }
@@ -133,7 +131,7 @@
     }
 
     /** A proxy says that all of a scope up to a version is in force; these are its items. */
-    void inForce(long atUs, int proxy, String scope, long version, Map<String, Item> items) {
+    void inForce(long atUs, int proxy, String scope, long version, List<Item> items) {
         Map<String, Long> of = inForce.computeIfAbsent(proxy, p -> new HashMap<>());
         long before = of.getOrDefault(scope, 0L);
         if (excused(scope)) {
@@ -143,14 +141,19 @@
             found("a version that does not grow", atUs, scope + " at proxy " + proxy + ": " + version + " after " + before);
         }
         of.put(scope, version);
-        whole(atUs, "proxy " + proxy, scope, version, items);
+        whole(atUs, "proxy " + proxy, scope, version, byKey(items));
+    }
+
+    private static Map<String, Item> byKey(Iterable<Item> items) {
+        Map<String, Item> last = new HashMap<>();
+        items.forEach(i -> last.put(i.key(), i));
+        return last;
     }
 
     /** All that is up to a version must be there, unless something later has its place. */
     private void whole(long atUs, String by, String scope, long version, Map<String, Item> items) {
         TreeMap<Long, Item> all = committed.getOrDefault(scope, new TreeMap<>());
-        Map<String, Item> last = new HashMap<>();
-        all.values().forEach(i -> last.put(i.key(), i));
+        Map<String, Item> last = byKey(all.values());
         last.forEach((key, item) -> {
             Item has = items.get(key);
             if (item.version() <= version && (item.removed() ? has != null : !item.equals(has))) {
@@ -172,11 +175,8 @@
             found("not settled", atUs, scope + " at " + by + " is at " + version + ", not " + head);
             return;
         }
-        var has = new HashMap<String, Item>();
-        items.forEach(i -> has.put(i.key(), i));
-        whole(atUs, by, scope, version, has);
-        var last = new HashMap<String, Item>();
-        all.values().forEach(i -> last.put(i.key(), i));
+        whole(atUs, by, scope, version, byKey(items));
+        Map<String, Item> last = byKey(all.values());
         for (Item item : items) {
             if (!item.equals(last.get(item.key()))) {
                 found("more than was taken", atUs, item + " at " + by + ", taken is " + last.get(item.key()));
@@ -184,7 +184,7 @@
         }
     }
 
-    /** Returns how many changes that were taken are in no holder's past. */
+    /** Each version up to the last is known. */
     void nothingLost(long atUs, String scope) {
         if (excused(scope)) {
             return;
--- a/trial/src/main/java/grebehoist/trial/distribution/VirtualDistribution.java
+++ b/trial/src/main/java/grebehoist/trial/distribution/VirtualDistribution.java
@@ -16,12 +16,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
@@ -44,15 +39,6 @@
     private static final long CALL_US = 500_000;
     private static final List<KeyRing.Key> KEYS = List.of(new KeyRing.Key(1, "a key for trials, of 32 bytes...".getBytes(StandardCharsets.UTF_8)));
 
-    private record Event(long atUs, long order, Runnable what) implements Comparable<Event> {
-        @Override
-        public int compareTo(Event o) {
-            return atUs != o.atUs ? Long.compare(atUs, o.atUs) : Long.compare(order, o.order);
-        }
-    }
-
-    private record Sent(long atUs, int bytes) { }
-
     /** A process: a machine or a proxy, or where a writer runs. */
     private final class Host {
         private final int number;
@@ -61,10 +47,8 @@
         private int life;
         private int pauses;
         private int downs;
-        private long exemptUntilUs;
         private final Deque<Runnable> socket = new ArrayDeque<>();
-        private final Deque<Sent> traffic = new ArrayDeque<>();
-        private long bytes;
+        private final ByteBudget budget = new ByteBudget(BYTES_PER_S, IN_FORCE_US);
 
         Host(int number) {
             this.number = number;
@@ -79,7 +63,7 @@
         }
 
         long local() {
-            return clockUs + now;
+            return clockUs + now();
         }
 
         void start() {
@@ -106,7 +90,7 @@
             referee.started(number);
             node = isMachine() ? DistributionNode.machine(setup, out, rules) : DistributionNode.proxy(setup, scopes, out, rules);
             node.start(local());
-            at(now + random.nextLong(tickUs()), () -> tick(lives));
+            at(now() + random.nextLong(tickUs()), () -> tick(lives));
         }
 
         private long tickUs() {
@@ -127,7 +111,7 @@
                 read();
                 node.tick(local());
             }
-            at(now + tickUs() + random.nextLong(2_000), () -> tick(of));
+            at(now() + tickUs() + random.nextLong(2_000), () -> tick(of));
         }
 
         private void read() {
@@ -151,18 +135,10 @@
         }
 
         void passed(int size) {
-            traffic.addLast(new Sent(now, size));
-            bytes += size;
-            while (traffic.peekFirst().atUs() < now - IN_FORCE_US) {
-                bytes -= traffic.removeFirst().bytes();
-            }
             // One that gets all of a scope is not held to the budget meanwhile.
-            if (scopes.stream().anyMatch(node.subscriber()::filling)) {
-                exemptUntilUs = now + IN_FORCE_US;
-            }
-            if (bytes > IN_FORCE_US / S * BYTES_PER_S && now > exemptUntilUs) {
-                referee.found("byte budget", now, "proxy " + number + " has had " + bytes + " bytes in 11 s");
-                exemptUntilUs = now + IN_FORCE_US;
+            long over = budget.passed(now(), size, scopes.stream().anyMatch(node.subscriber()::filling));
+            if (over > 0) {
+                referee.found("byte budget", now(), "proxy " + number + " has had " + over + " bytes in 11 s");
             }
         }
     }
@@ -174,12 +150,12 @@
     private final Rules rules;
     private final DistributionReferee referee = new DistributionReferee(2);
     private final SplittableRandom random;
-    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final HolderMemory memory;
+    private long livesBefore = -1;
+    private final VirtualTime time = new VirtualTime(this::lookForLosses);
     private final Host[] hosts;
     private final List<Fault> active = new ArrayList<>();
     private final List<VirtualWriter> writers = new ArrayList<>();
-    private long now;
-    private long order;
     private long epochs;
     private int removals;
 
@@ -190,6 +166,7 @@
         this.layout = new Layout(IntStream.range(0, script.machines()).mapToObj(m -> new Layout.Machine("z" + DistributionScript.zone(m))).toList());
         this.scopes = IntStream.range(0, script.scopes()).mapToObj(i -> "c" + i / 2 + "/s" + i).toList();
         this.hosts = new Host[script.hosts()];
+        this.memory = new HolderMemory(layout, m -> hosts[m].node == null ? null : hosts[m].node.holder());
         for (int i = 0; i < hosts.length; i++) {
             hosts[i] = new Host(i);
         }
@@ -215,7 +192,7 @@
         for (int w = 0; w < script.writers(); w++) {
             var writer = new VirtualWriter(this, firstWriter() + w, scopes);
             writers.add(writer);
-            at(now + random.nextLong(S), writer::work);
+            at(now() + random.nextLong(S), writer::work);
         }
         if (script.burst() > 0) {
             at(FAULTS_FROM_US + random.nextLong(S, DistributionScript.LENGTH_US), () -> writers.get(0).burst(script.burst()));
@@ -227,7 +204,7 @@
         long over = FAULTS_FROM_US + script.faults().stream().mapToLong(Fault::endUs).max().orElse(0);
         run(Math.max(over, FAULTS_FROM_US + DistributionScript.LENGTH_US));
         writers.forEach(VirtualWriter::stop);
-        run(now + SETTLE_US + (script.burst() > 0 ? BURST_US : 0));
+        run(now() + SETTLE_US + (script.burst() > 0 ? BURST_US : 0));
         // One more change for each scope has to be taken, and to come into force as any.
         var last = new ArrayList<VirtualWriter>();
         for (String scope : scopes) {
@@ -235,7 +212,7 @@
             last.add(writer);
             writer.one();
         }
-        run(now + IN_FORCE_US);
+        run(now() + IN_FORCE_US);
         settled(last);
     }
 
@@ -250,18 +227,18 @@
                 continue;
             }
             if (last.get(i).taken() == 0) {
-                referee.found("not taken after all", now, scope + ": " + last.get(i).result());
+                referee.found("not taken after all", now(), scope + ": " + last.get(i).result());
             }
-            referee.nothingLost(now, scope);
+            referee.nothingLost(now(), scope);
             for (int m : layout.holders(scope)) {
                 Holder holder = hosts[m].node.holder();
-                referee.settled(now, "machine " + m, scope, holder.version(scope), holder.items(scope));
+                referee.settled(now(), "machine " + m, scope, holder.version(scope), holder.items(scope));
             }
             for (int p = script.machines(); p < firstWriter(); p++) {
                 Subscriber subscriber = hosts[p].node.subscriber();
-                referee.settled(now, "proxy " + p, scope, subscriber.version(scope), subscriber.items(scope));
+                referee.settled(now(), "proxy " + p, scope, subscriber.version(scope), subscriber.items(scope));
                 if (subscriber.filling(scope)) {
-                    referee.found("not settled", now, scope + " at proxy " + p + " is still being filled");
+                    referee.found("not settled", now(), scope + " at proxy " + p + " is still being filled");
                 }
             }
         }
@@ -270,21 +247,15 @@
     // Time
 
     void at(long atUs, Runnable what) {
-        events.add(new Event(atUs, order++, what));
+        time.at(atUs, what);
     }
 
     private void run(long untilUs) {
-        while (!events.isEmpty() && events.peek().atUs() <= untilUs) {
-            Event next = events.poll();
-            now = next.atUs();
-            next.what().run();
-            lookForLosses();
-        }
-        now = untilUs;
+        time.run(untilUs);
     }
 
     long now() {
-        return now;
+        return time.now();
     }
 
     SplittableRandom random() {
@@ -312,10 +283,6 @@
         return 1_000 + ++epochs;
     }
 
-    boolean pausedAt(int host) {
-        return hosts[host].pauses > 0;
-    }
-
     // Faults
 
     private void begin(Fault f) {
@@ -344,43 +311,22 @@
         }
     }
 
-    /** A holder that has no memory of a scope, as it is down or has not filled itself yet; two of them, and the scope is excused. */
     private void lookForLosses() {
-        if (now < FAULTS_FROM_US || losses == lossesSeen()) {
-            return;
-        }
-        losses = lossesSeen();
-        for (String scope : scopes) {
-            int lost = 0;
-            for (int m : layout.holders(scope)) {
-                lost += remembers(m, scope) ? 0 : 1;
-            }
-            if (lost >= 2) {
-                referee.excuse(scope);
-            }
-        }
-    }
-
-    private long losses = -1;
-
-    private long lossesSeen() {
-        long seen = 0;
+        long lives = 0;
         for (int m = 0; m < script.machines(); m++) {
-            seen = 31 * seen + hosts[m].life;
+            lives = 31 * lives + hosts[m].life;
+        }
+        if (now() >= FAULTS_FROM_US && lives != livesBefore) {
+            livesBefore = lives;
+            scopes.stream().filter(memory::lost).forEach(referee::excuse);
         }
-        return seen;
-    }
-
-    private boolean remembers(int machine, String scope) {
-        DistributionNode node = hosts[machine].node;
-        return node != null && node.holder().counts(scope);
     }
 
     // Datagrams and calls
 
     private void carry(int from, int to, byte[] datagram) {
         if (datagram.length > Post.MOST_BYTES) {
-            referee.found("too long", now, datagram.length + " bytes from " + from);
+            referee.found("too long", now(), datagram.length + " bytes from " + from);
         }
         // What the network repeats is not theirs.
         for (int end : List.of(from, to)) {
@@ -390,7 +336,7 @@
         }
         long onItsWayUs = random.nextLong(100, 1_000);
         for (long lateUs : Fault.delaysUs(active, from, to, random)) {
-            at(now + onItsWayUs + lateUs, () -> hosts[to].arrive(() -> {
+            at(now() + onItsWayUs + lateUs, () -> hosts[to].arrive(() -> {
                 hosts[to].node.received(hosts[to].local(), hosts[to].isProxy() ? from : Post.sender(datagram), datagram);
             }));
         }
@@ -405,16 +351,16 @@
                 answered.accept(answer);
             }
         };
-        at(now + CALL_US, () -> hosts[from].arrive(() -> once.accept(null)));
+        at(now() + CALL_US, () -> hosts[from].arrive(() -> once.accept(null)));
         for (long lateUs : first(Fault.delaysUs(active, from, call.machine(), random))) {
-            at(now + random.nextLong(200, 2_000) + lateUs, () -> hosts[call.machine()].arrive(() -> {
+            at(now() + random.nextLong(200, 2_000) + lateUs, () -> hosts[call.machine()].arrive(() -> {
                 Host h = hosts[call.machine()];
                 Answer answer = h.node.holder().answer(h.local(), call);
                 if (call instanceof Call.Offer o && answer instanceof Answer.Held) {
                     referee.held(call.machine(), o.item());
                 }
                 for (long backUs : first(Fault.delaysUs(active, call.machine(), from, random))) {
-                    at(now + random.nextLong(200, 2_000) + backUs, () -> hosts[from].arrive(() -> once.accept(answer)));
+                    at(now() + random.nextLong(200, 2_000) + backUs, () -> hosts[from].arrive(() -> once.accept(answer)));
                 }
             }));
         }
@@ -429,13 +375,11 @@
 
     private void told(Host by, DistributionChange change) {
         if (change instanceof DistributionChange.Committed c) {
-            referee.inForce(now, "machine " + by.number, c.item(), holding(c.item()));
+            referee.inForce(now(), "machine " + by.number, c.item(), memory.holding(c.item()));
         } else if (change instanceof DistributionChange.Applied a) {
-            referee.inForce(now, "proxy " + by.number, a.item(), holding(a.item()));
+            referee.inForce(now(), "proxy " + by.number, a.item(), memory.holding(a.item()));
         } else if (change instanceof DistributionChange.InForce f) {
-            Map<String, Item> items = new HashMap<>();
-            by.node.subscriber().items(f.scope()).forEach(i -> items.put(i.key(), i));
-            referee.inForce(now, by.number, f.scope(), f.version(), items);
+            referee.inForce(now(), by.number, f.scope(), f.version(), by.node.subscriber().items(f.scope()));
         } else if (change instanceof DistributionChange.Refilling) {
             referee.count("refills");
         } else if (change instanceof DistributionChange.SourceMoved) {
@@ -443,25 +387,11 @@
         }
     }
 
-    /** A writer was told that a change was taken. Two know it, or one and another one has lost its memory since. */
+    /** A writer was told that a change was taken. */
     void taken(Item change) {
-        referee.taken(now, change);
-        int know = 0;
-        for (int m : layout.holders(change.scope())) {
-            know += !remembers(m, change.scope()) || hosts[m].node.holder().knows(change) ? 1 : 0;
-        }
-        if (know < 2 && !referee.excused(change.scope())) {
-            referee.found("taken and not held", now, change + " is held by " + holding(change));
-        }
-    }
-
-    private Set<Integer> holding(Item change) {
-        Set<Integer> all = new HashSet<>();
-        for (int m : layout.holders(change.scope())) {
-            if (hosts[m].node != null && hosts[m].node.holder().holds(change)) {
-                all.add(m);
-            }
+        referee.taken(now(), change);
+        if (!memory.known(change) && !referee.excused(change.scope())) {
+            referee.found("taken and not held", now(), change + " is held by " + memory.holding(change));
         }
-        return all;
     }
 }
