--- a/fleet/src/test/java/grebehoist/fleet/wire/PostTest.java
+++ b/fleet/src/test/java/grebehoist/fleet/wire/PostTest.java
@@ -194,4 +194,25 @@
         assertThatThrownBy(() -> key(1, "short")).hasMessageContaining("at least 16 bytes");
         assertThatThrownBy(() -> new KeyRing(List.of(OLD, OLD))).hasMessageContaining("two keys");
     }
+
+    @Test
+    void theSenderThatADatagramNamesIsReadWithoutProof() {
+        Post a = post(0, OLD);
+        assertThat(Post.sender(a.seal(now, 1, Post.FIRST_TOPIC, HEY))).isZero();
+        assertThat(Post.sender(post(2, OLD).seal(now, 1, Post.FIRST_TOPIC, HEY))).isEqualTo(2);
+        assertThat(Post.sender(new byte[0])).isEqualTo(-1);
+        assertThat(Post.sender(new byte[100])).isEqualTo(-1);
+        assertThat(Post.sender(new byte[257])).isEqualTo(-1);
+    }
+
+    @Test
+    void nothingIsKeptOfAMemberBeforeASealWasRight() {
+        Post b = post(1, OLD);
+        Post stranger = post(0, key(1, "another secret of this id"));
+        b.open(now, 0, stranger.seal(now, 1, Post.FIRST_TOPIC, HEY));
+        assertThat(b.kept()).isZero();
+        say(post(0, OLD), 0, b, 1);
+        assertThat(b.kept()).isEqualTo(1);
+        assertThat(b.twins(2)).isZero();
+    }
 }
