--- a/daemon/src/main/java/grebehoist/writer/Doors.java
+++ b/daemon/src/main/java/grebehoist/writer/Doors.java
@@ -7,6 +7,7 @@
 import grebehoist.fleet.distribution.Call;
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -22,11 +23,11 @@
 import java.util.function.Consumer;
 
 /**
- * The doors of the control machines, called over HTTP. A machine that has not answered a call in time gets none for a moment: what hangs
- * must not hold up what can be done without it. Used by one executor's thread, on which answers come too.
+ * The doors of the control machines, called over HTTP. A machine that has not answered a call in time, twice, or refuses to be connected to
+ * gets none for a moment: what hangs must not hold up what can be done without it. Used by one executor's thread, on which answers come too.
  */
 final class Doors {
-    private static final Duration CONNECT = Duration.ofSeconds(1);
+    private static final Duration CONNECT = Duration.ofSeconds(2);
     private static final Duration ANSWER = Duration.ofSeconds(2);
     private static final long REST_NS = Duration.ofSeconds(2).toNanos();
     /** A door bears so many callers and more; whoever else calls it needs a place too. */
@@ -34,13 +35,16 @@
     /** More than {@link ChangeStream} has under way at once, with what is left of changes before. */
     private static final int MOST_WAITING = 4_096;
 
-    private record Waiting(Call call, Consumer<Answer> then) { }
+    /** A call; {@code again} where it was made before and not answered in time, which may be this side's fault. */
+    private record Waiting(Call call, Consumer<Answer> then, boolean again) { }
 
     /** A door, the calls that wait for one that is out to end, and until when it rests. */
     private static final class Door {
         private final URI uri;
         private final Deque<Waiting> waiting = new ArrayDeque<>();
         private int out;
+        /** One, until it has answered: this side's code is cold then, or the machine hangs. */
+        private int most = 1;
         private boolean rests;
         private long restsUntilNs;
 
@@ -75,13 +79,13 @@
         if (door.waiting.size() >= MOST_WAITING) {
             on.execute(() -> then.accept(null));
         } else {
-            door.waiting.add(new Waiting(call, then));
+            door.waiting.add(new Waiting(call, then, false));
             next(door);
         }
     }
 
     private void next(Door door) {
-        while (!door.waiting.isEmpty() && (door.out < MOST_OUT || door.resting())) {
+        while (!door.waiting.isEmpty() && (door.out < door.most || door.resting())) {
             Waiting next = door.waiting.poll();
             if (door.resting()) {
                 on.execute(() -> next.then.accept(null));
@@ -97,11 +101,18 @@
                 .POST(HttpRequest.BodyPublishers.ofString(CallJson.json(next.call).toString())).build();
         client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray()).whenCompleteAsync((response, failure) -> {
             door.out--;
-            if (failure != null) {
+            if (failure == null) {
+                door.most = MOST_OUT;
+                next.then.accept(answer(response));
+            } else if (next.again || failure instanceof ConnectException || failure.getCause() instanceof ConnectException) {
+                door.most = 1;
                 door.rests = true;
                 door.restsUntilNs = System.nanoTime() + REST_NS;
+                next.then.accept(null);
+            } else {
+                // Asking twice is asking once, whatever it is.
+                door.waiting.addFirst(new Waiting(next.call, next.then, true));
             }
-            next.then.accept(failure != null ? null : answer(response));
             next(door);
         }, on);
     }
