--- a/trial/src/main/java/grebehoist/trial/scale/Tally.java
+++ b/trial/src/main/java/grebehoist/trial/scale/Tally.java
@@ -28,7 +28,7 @@
         fillBytes.add(line.path("bytes").asLong());
     }
 
-    /** Returns how many have filled since this was asked last, and forgets them. */
+    /** Returns how many have filled since {@link #fills}. */
     synchronized int filled() {
         return fillsUs.size();
     }
