--- a/trial/src/main/java/grebehoist/trial/scale/ControlMachines.java
+++ b/trial/src/main/java/grebehoist/trial/scale/ControlMachines.java
@@ -40,37 +40,38 @@
         doors = new InetSocketAddress[number + plan.real()];
         processes = new Subprocess[number];
         spentMs = new long[number];
-        ports();
+        List<AutoCloseable> held = ports();
         int[] zones = IntStream.range(0, listen.length).map(i -> Plan.zone(i < number ? i : plan.proxies() + i - number)).toArray();
         relay = new MachineRelay(listen, zones, number, plan.seed());
+        for (AutoCloseable h : held) {
+            try {
+                h.close();
+            } catch (Exception e) {
+                throw new IOException(e);
+            }
+        }
         for (int i = 0; i < number; i++) {
             Files.writeString(installation(i), text("m" + i, "control", i, i));
         }
         Files.writeString(writer(), text("writer", "control", 0, -1));
     }
 
-    /** Ports that nobody has: a machine is to have the same ones in each of its lives. All are held until all are found. */
-    private void ports() throws IOException {
+    /**
+     * Ports that nobody has: a machine is to have the same ones in each of its lives. What holds them is to be closed once no more ports
+     * are drawn: the relay's sockets would get them otherwise.
+     */
+    private List<AutoCloseable> ports() throws IOException {
         var held = new ArrayList<AutoCloseable>();
         InetAddress here = InetAddress.getLoopbackAddress();
-        try {
-            for (int i = 0; i < listen.length; i++) {
-                var datagram = new DatagramSocket(0, here);
-                held.add(datagram);
-                listen[i] = new InetSocketAddress(here, datagram.getLocalPort());
-                var door = new ServerSocket(0, 1, here);
-                held.add(door);
-                doors[i] = new InetSocketAddress(here, door.getLocalPort());
-            }
-        } finally {
-            for (AutoCloseable h : held) {
-                try {
-                    h.close();
-                } catch (Exception e) {
-                    throw new IOException(e);
-                }
-            }
+        for (int i = 0; i < listen.length; i++) {
+            var datagram = new DatagramSocket(0, here);
+            held.add(datagram);
+            listen[i] = new InetSocketAddress(here, datagram.getLocalPort());
+            var door = new ServerSocket(0, 1, here);
+            held.add(door);
+            doors[i] = new InetSocketAddress(here, door.getLocalPort());
         }
+        return held;
     }
 
     private Path installation(int machine) {
