Installation: one reader of addresses for all tables

It stood in Installation and again in DistributionReader. Behaviour as before; InstallationTest, ThriftInstallationTest and LayersTest pass.

--- a/daemon/src/main/java/grebehoist/installation/DistributionReader.java
+++ b/daemon/src/main/java/grebehoist/installation/DistributionReader.java
@@ -1,6 +1,5 @@
 package grebehoist.installation;
 
-import grebehoist.net.Addresses;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -22,7 +21,7 @@
 
     static Installation.DistributionEntry read(TomlTable t) {
         String role = t.word("role", ROLES);
-        InetSocketAddress listen = address(t, "listen");
+        InetSocketAddress listen = t.address("listen");
         List<Installation.ControlEntry> machines = machines(t);
         int number = 0;
         List<String> scopes = List.of();
@@ -36,7 +35,7 @@
         } else if (!role.isEmpty()) {
             number = (int) t.whole("number", null, 0, MOST_MEMBERS - 1L - machines.size());
             scopes = scopes(t);
-            door = t.text("door", "").isEmpty() ? null : address(t, "door");
+            door = t.text("door", "").isEmpty() ? null : t.address("door");
         }
         List<Installation.KeyEntry> keys = KeyReader.read(t, "[[distribution.key]]");
         t.done();
@@ -61,8 +60,8 @@
         var doors = new HashSet<InetSocketAddress>();
         List<TomlTable> tables = t.tables(CONTROL, t.where() + " / [[distribution.control]]", true);
         for (TomlTable m : tables) {
-            InetSocketAddress address = address(m, "address");
-            InetSocketAddress door = address(m, "door");
+            InetSocketAddress address = m.address("address");
+            InetSocketAddress door = m.address("door");
             String zone = m.text("zone");
             if (address != null && !taken.add(address)) {
                 m.problem("address", "another [[distribution.control]] has it already");
@@ -92,13 +91,4 @@
         }
         return scopes;
     }
-
-    private static InetSocketAddress address(TomlTable t, String key) {
-        String text = t.text(key);
-        InetSocketAddress address = text.isEmpty() ? null : Addresses.parse(text);
-        if (address == null && !text.isEmpty()) {
-            t.problem(key, "'" + text + "' is no numeric address and port");
-        }
-        return address;
-    }
 }
--- a/daemon/src/main/java/grebehoist/installation/Installation.java
+++ b/daemon/src/main/java/grebehoist/installation/Installation.java
@@ -167,7 +167,7 @@
         }
 
         private static MembershipEntry membership(TomlTable t) {
-            InetSocketAddress listen = address(t, "listen");
+            InetSocketAddress listen = t.address("listen");
             var peers = new ArrayList<InetSocketAddress>();
             for (String text : t.texts("peers", 2, MOST_MEMBERS)) {
                 InetSocketAddress peer = Addresses.parse(text);
@@ -223,7 +223,7 @@
         private static TaskSpec task(TomlTable t, long leaseUs) {
             String name = t.text("name");
             Boolean fenced = t.word("class", Map.of("fenced", true, "timed", false), null);
-            InetSocketAddress to = address(t, "call");
+            InetSocketAddress to = t.address("call");
             String path = t.text("path", "/");
             if (!path.startsWith("/")) {
                 t.problem("path", "'" + path + "' does not begin with '/'");
@@ -261,7 +261,7 @@
         private static ListenerEntry listener(TomlTable t, List<PoolEntry> pools, ThriftReader thrift) {
             String name = t.text("name");
             String protocol = t.word("protocol", PROTOCOLS);
-            InetSocketAddress address = address(t, "address");
+            InetSocketAddress address = t.address("address");
             String pool = t.text("pool");
             PoolEntry entry = pools.stream().filter(p -> p.name().equals(pool)).findFirst().orElse(null);
             ThriftOptions options = protocol.equals("thrift") ? thrift.options(t, entry) : null;
@@ -269,19 +269,10 @@
             return new ListenerEntry(name, protocol, address, pool, options);
         }
 
-        private static InetSocketAddress address(TomlTable t, String key) {
-            String text = t.text(key);
-            InetSocketAddress address = text.isEmpty() ? null : Addresses.parse(text);
-            if (address == null && !text.isEmpty()) {
-                t.problem(key, "'" + text + "' is no numeric address and port");
-            }
-            return address;
-        }
-
         private PoolEntry pool(TomlTable t) {
             String name = t.text("name");
             String protocol = t.word("protocol", PROTOCOLS);
-            InetSocketAddress discovery = address(t, "discovery");
+            InetSocketAddress discovery = t.address("discovery");
             boolean asked = Boolean.TRUE.equals(t.word("discovery_mode", MODES, true));
             int balancers = (int) t.whole("balancers", 1L, 1, 1 << 20);
             int rank = (int) t.whole("rank", 0L, 0, 1 << 20);
--- a/daemon/src/main/java/grebehoist/installation/TomlTable.java
+++ b/daemon/src/main/java/grebehoist/installation/TomlTable.java
@@ -1,7 +1,9 @@
 package grebehoist.installation;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import grebehoist.net.Addresses;
 import grebehoist.thrift.ThriftMethod;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -58,6 +60,16 @@
         return value.asText();
     }
 
+    /** Returns a numeric address and port; null where it is none, which is told. */
+    InetSocketAddress address(String key) {
+        String text = text(key);
+        InetSocketAddress address = text.isEmpty() ? null : Addresses.parse(text);
+        if (address == null && !text.isEmpty()) {
+            problem(key, "'" + text + "' is no numeric address and port");
+        }
+        return address;
+    }
+
     /** Returns one of several words; empty where it is none. */
     String word(String key, Set<String> words) {
         String text = text(key);
