--- a/testkit/src/main/java/grebehoist/testkit/StandInDiscovery.java
+++ b/testkit/src/main/java/grebehoist/testkit/StandInDiscovery.java
@@ -78,6 +78,7 @@
     private long version = 1;
     private Mode mode = Mode.UP;
     private long calls;
+    private final Map<Integer, Long> callsByProxy = new LinkedHashMap<>();
 
     /** Makes a service without backends. */
     public StandInDiscovery(Network network, Timers timers, Witness witness) {
@@ -116,6 +117,11 @@
         return calls;
     }
 
+    /** Returns how many calls have come at the address of one proxy. */
+    public long callsAt(int proxy) {
+        return callsByProxy.getOrDefault(proxy, 0L);
+    }
+
     /** A backend is new, or has changed: from now on it is told so. */
     public void put(Entry entry) {
         past.add(new Snapshot(version, Map.copyOf(entries)));
@@ -181,6 +187,7 @@
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             ctx = context;
             calls++;
+            callsByProxy.merge(proxy, 1L, Long::sum);
             var uri = new QueryStringDecoder(request.uri());
             from = Long.parseLong(uri.parameters().getOrDefault("from", List.of("-1")).get(0));
             long holdUs = 1_000 * Long.parseLong(uri.parameters().getOrDefault("hold_ms", List.of("0")).get(0));
--- a/trial/src/main/java/grebehoist/trial/Member.java
+++ b/trial/src/main/java/grebehoist/trial/Member.java
@@ -14,8 +14,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -34,6 +36,7 @@
     private final InetSocketAddress listen;
     private final Consumer<String> lines;
     private final Deque<String> log = new ArrayDeque<>();
+    private final Map<String, String> environment = new HashMap<>();
     private Process process;
     private Thread reader;
 
@@ -93,6 +96,11 @@
         return listen;
     }
 
+    /** Sets a variable of the environment for its next start. */
+    void environment(String variable, String value) {
+        environment.put(variable, value);
+    }
+
     boolean alive() {
         return process != null && process.isAlive();
     }
@@ -111,6 +119,7 @@
         }
         var builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().put("PROXY_CONFIG", config.toString());
+        builder.environment().putAll(environment);
         process = builder.start();
         Process started = process;
         reader = new Thread(() -> read(started), "log of " + name);
--- /dev/null
+++ b/trial/src/test/java/grebehoist/trial/SystemCallFaultsIT.java
@@ -0,0 +1,183 @@
+package grebehoist.trial;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beechfall.Balancer;
+import beechfall.Balancer.Effect;
+import beechfall.Balancer.RequestClass;
+import beechfall.Balancer.Scope;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import grebehoist.testkit.Fleet;
+import grebehoist.testkit.HttpWire;
+import grebehoist.testkit.Rig;
+import grebehoist.testkit.Witness;
+import grebehoist.testkit.Witness.Count;
+import grebehoist.trial.FaultLibrary.Injection;
+import grebehoist.trial.FaultLibrary.SystemCall;
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A process of the built jar under load, of which system calls fail for a moment; the witness of the four rules looks on. */
+@Timeout(120)
+class SystemCallFaultsIT {
+    private static final Path JAR = Path.of("../daemon/target/grebehoist.jar").toAbsolutePath().normalize();
+    private static final long MS = 1_000;
+    private static final long S = 1_000_000;
+    /** From the operators' call on a backend counts as draining after so long, whatever they were answered. */
+    private static final long CALL_US = S;
+
+    @TempDir
+    Path files;
+    private FaultLibrary library;
+    private Rig rig;
+    private InetSocketAddress door;
+    private ObjectNode config;
+    private Member proxy;
+    private Injection faults;
+
+    @BeforeEach
+    void begin() throws Exception {
+        library = FaultLibrary.build(files);
+        rig = new Rig(new HttpWire(), settings(), new double[] {0.7, 0.3}, 15 * S, 52, Witness.Terms.of(settings(), Rig.SLACK_US));
+        rig.machines(5);
+        InetSocketAddress listen = freeAddress();
+        door = freeAddress();
+        config = Member.config("n0", listen, rig.discoveryOfNextProxy(), settings(), rig.on(rig.discovery()::known), listen, List.of(listen));
+        config.put("operator", "127.0.0.1:" + door.getPort());
+        ((ObjectNode) config.path("settings").path("bounds")).put("peer_messages", false);
+        proxy = new Member("n0", JAR, files, listen, config, null, line -> { });
+        proxy.environment("TMPDIR", files.toString());
+        rig.proxyAt(listen);
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        proxy.close();
+        rig.close();
+    }
+
+    private static Balancer.Settings settings() {
+        return new Balancer.Settings(1, 0, "u", 4 * MS,
+                List.of(new RequestClass("read", 600 * MS, 2 * S, 1, 0, Effect.SAFE, Scope.ALL, 0),
+                        new RequestClass("vote", 600 * MS, 2 * S, 3, 0, Effect.UNSAFE, Scope.ALL, 0)),
+                List.of(), 1, false, new Balancer.Limits(true, false, false, true, 4, 2 * S), new Balancer.Rules(0.4, 8 * S, 4, S, 10 * S, false), 1);
+    }
+
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (var socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+        }
+    }
+
+    /** Starts it under load; no call fails before {@link Injection#resume}. */
+    private void start(String schedule) throws Exception {
+        faults = library.inject(proxy, schedule, 52, files.resolve("counts")).pause();
+        proxy.start();
+        assertThat(proxy.awaitReady(20_000)).as("ready: %s", proxy.log()).isTrue();
+        rig.load(2, 60 * S);
+        rig.awaitServed(100);
+    }
+
+    /** Calls at the operators' door; returns the status. */
+    private int call(String method, String path) throws IOException {
+        var connection = (HttpURLConnection) URI.create("http://127.0.0.1:" + door.getPort() + path).toURL().openConnection();
+        connection.setRequestMethod(method);
+        connection.setConnectTimeout(2_000);
+        connection.setReadTimeout(5_000);
+        return connection.getResponseCode();
+    }
+
+    private void passTime(long us) {
+        long until = rig.now() + us;
+        rig.await("time passes", () -> rig.now() >= until);
+    }
+
+    private void assertRulesKept() {
+        Witness witness = rig.finish();
+        String verdict = rig.on(witness::verdict);
+        System.out.println(verdict + ", faults injected: " + faults.counts());
+        assertThat(rig.on(witness::violations)).as(verdict).isEmpty();
+    }
+
+    private boolean isKept(String prefix) throws IOException {
+        try (Stream<Path> directories = Files.list(files)) {
+            for (Path directory : directories.filter(d -> d.getFileName().toString().startsWith("grebehoist-")).toList()) {
+                try (Stream<Path> names = Files.list(directory)) {
+                    if (names.anyMatch(n -> n.getFileName().toString().startsWith(prefix))) {
+                        return true;
+                    }
+                }
+            }
+        }
+        return false;
+    }
+
+    /** Incident 52: the operators take a backend out while no file can be made. */
+    @Test
+    void aSuspensionHoldsWhileNoFileCanBeMade() throws Exception {
+        start("call=create,errno=ENOSPC,path=grebehoist-");
+        Fleet.Machine out = rig.fleet().staying().get(0);
+        faults.resume();
+        long calledAt = rig.now();
+        call("POST", "/v1/backends/" + out.id() + "/suspend");
+        rig.run(() -> rig.witness().told(0, out.id(), false, calledAt + CALL_US));
+        passTime(calledAt + CALL_US + S - rig.now());
+        assertThat(faults.count(SystemCall.CREATE)).isPositive();
+        faults.pause();
+        rig.await("it is kept once files can be made", () -> {
+            try {
+                return isKept("suspended-");
+            } catch (IOException e) {
+                return false;
+            }
+        });
+        assertRulesKept();
+    }
+
+    /** Incident 52: one socket for a call to discovery can't be had, and then a backend drains. */
+    @Test
+    void aDrainIsHeardOfAfterASocketThatCouldNotBeHad() throws Exception {
+        start("call=socket,errno=ENOBUFS");
+        long before = rig.on(rig.discovery()::calls);
+        faults.resume();
+        // Each watch ends within 2 s; while sockets fail it can't be opened anew.
+        passTime(4 * S);
+        assertThat(faults.count(SystemCall.SOCKET)).isPositive();
+        faults.pause();
+        Fleet.Machine out = rig.fleet().staying().get(0);
+        rig.run(() -> out.drainUntil(Long.MAX_VALUE / 2));
+        rig.await("discovery is asked again", () -> rig.discovery().calls() > before + 2);
+        rig.await("the drain is told", () -> rig.witness().count(Count.TOLD) > 0);
+        passTime(S);
+        assertRulesKept();
+    }
+
+    /** A new configuration that can't be read at the moment of the signal. */
+    @Test
+    void aNewConfigurationIsTakenOnceItCanBeRead() throws Exception {
+        start("call=open,errno=EMFILE,path=n0.json");
+        InetSocketAddress other = rig.discoveryOfNextProxy();
+        config.put("discovery", "127.0.0.1:" + other.getPort());
+        faults.resume();
+        Files.writeString(files.resolve("n0.json"), config.toString());
+        proxy.signal("HUP");
+        passTime(S);
+        assertThat(faults.count(SystemCall.OPEN)).isPositive();
+        faults.pause();
+        rig.await("the new address is asked", () -> rig.discovery().callsAt(1) > 0);
+        assertThat(proxy.log()).anyMatch(l -> l.contains("discovery is at"));
+    }
+}
