--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -43,6 +43,8 @@
     private final List<Action> actions = new ArrayList<>();
     private MemberSource source;
     private boolean handling;
+    /** When the process has answered all, as it ends soon after, or {@link Long#MAX_VALUE}. */
+    private long answerBy = Long.MAX_VALUE;
 
     /**
      * Puts an engine together; {@link #source} is to follow.
@@ -75,6 +77,32 @@
         deliver(new Balancer.Fleet(balancers, rank));
     }
 
+    /**
+     * The process ends soon: whatever its deadline is, every request has its answer by a time, and one that comes later is refused.
+     *
+     * @param atUs when
+     */
+    public void answerAllBy(long atUs) {
+        answerBy = Math.min(answerBy, atUs);
+        timers.at(atUs, () -> List.copyOf(open.values()).forEach(this::answerLast));
+    }
+
+    /** Refuses what may harmlessly be asked again, and fails the rest. */
+    private void answerLast(Open r) {
+        if (r.over) {
+            return;
+        }
+        Balancer.RequestClass type = types.get(r.request.requestClass());
+        boolean safe = type != null && type.effect() == Balancer.Effect.SAFE;
+        if (safe || r.attempts.stream().noneMatch(a -> a.ended ? a.ranForAllThatIsKnown() : a.mayHaveRun())) {
+            refuse(r, 0);
+        } else {
+            fail(r);
+        }
+        deliver(new Balancer.ClientGone(r.request.id()));
+        forget(r);
+    }
+
     /** Returns the number of requests that still want an answer or have attempts out. */
     public int open() {
         return open.size();
@@ -109,7 +137,7 @@
             this.responder = responder;
             this.row = row;
             this.whole = request.comingUs() == 0;
-            this.deadlineUs = request.deadlineUs() + request.comingUs();
+            this.deadlineUs = Math.min(answerBy, request.deadlineUs() + request.comingUs());
         }
 
         /** Returns until when a repeat's last byte may go out: until the key of an attempt that may have run is forgotten. */
@@ -267,7 +295,8 @@
             responder.failed();
             return;
         }
-        if (now >= request.deadlineUs()) {
+        long deadline = Math.min(answerBy, request.deadlineUs());
+        if (now >= deadline) {
             // Nobody has begun with it: whoever still waits for it may ask again.
             row.countRefused();
             responder.refused(0);
@@ -278,7 +307,7 @@
         unanswered++;
         r.safety = timers.at(r.deadlineUs + SAFETY_US, () -> overdue(r));
         deliver(new Balancer.Arrival(request.id(), request.requestClass(), request.tenant(), request.key(),
-                request.deadlineUs() - now, request.repeat()));
+                deadline - now, request.repeat()));
     }
 
     @Override
@@ -286,9 +315,9 @@
         Open r = open.get(id);
         if (r != null && !r.over && !r.whole) {
             r.whole = true;
-            r.deadlineUs = deadlineUs;
+            r.deadlineUs = Math.min(answerBy, deadlineUs);
             r.safety.cancel();
-            r.safety = timers.at(deadlineUs + SAFETY_US, () -> overdue(r));
+            r.safety = timers.at(r.deadlineUs + SAFETY_US, () -> overdue(r));
         }
     }
 
--- a/core/src/main/java/grebehoist/engine/Log.java
+++ b/core/src/main/java/grebehoist/engine/Log.java
@@ -7,4 +7,7 @@
 
     /** Writes a line on something that went wrong inside the program. */
     void failure(String what, Throwable cause);
+
+    /** Counts something that the metrics show. May be called from any thread. */
+    default void count(Counter counter) { }
 }
--- a/core/src/test/java/grebehoist/engine/EngineTest.java
+++ b/core/src/test/java/grebehoist/engine/EngineTest.java
@@ -275,6 +275,26 @@
         assertThat(host.sent.get(sent - 1).ended).isNull();
     }
 
+    /** The process is killed at a time that it knows: nobody's request is left without its answer, however long its client would wait. */
+    @Test
+    void allIsAnsweredBeforeTheProcessEnds() {
+        var host = new FakeHost(FakeHost.sendTo("s0", 0));
+        var safe = host.ask("r1", FakeHost.READ, 1_900 * MS);
+        var sent = host.ask("r2", FakeHost.KEYED, 1_900 * MS);
+        host.onStart = s -> s.written = false;
+        var unsent = host.ask("r3", FakeHost.KEYED, 1_900 * MS);
+        host.engine.answerAllBy(host.now + 300 * MS);
+        host.run(299 * MS);
+        var late = host.ask("r4", FakeHost.KEYED, 1_900 * MS);
+        assertThat(safe.answers).isEmpty();
+        host.run(2 * MS);
+        assertThat(safe.answers).containsExactly("refused 0");
+        assertThat(sent.answers).containsExactly("failed");
+        assertThat(unsent.answers).containsExactly("refused 0");
+        assertThat(late.answers).as("what came later had until then").hasSize(1);
+        assertThat(host.ask("r5", FakeHost.KEYED, 1_900 * MS).answers).containsExactly("refused 0");
+    }
+
     @Test
     void aClientThatHasGoneHearsNothing() {
         var host = new FakeHost(FakeHost.sendTo("s0", 0));
--- a/daemon/src/main/java/grebehoist/backend/ConnectionPool.java
+++ b/daemon/src/main/java/grebehoist/backend/ConnectionPool.java
@@ -1,6 +1,7 @@
 package grebehoist.backend;
 
 import grebehoist.engine.Timers;
+import grebehoist.net.LoopChannels;
 import grebehoist.net.Sockets;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -36,7 +37,7 @@
 
     @Override
     protected ChannelFuture connectChannel(Bootstrap to) {
-        connecting = super.connectChannel(to);
+        connecting = LoopChannels.connect(to);
         return connecting;
     }
 
--- a/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
+++ b/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
@@ -3,6 +3,7 @@
 import beechfall.Balancer.Outcome;
 import grebehoist.engine.Attempt;
 import grebehoist.engine.Payload;
+import grebehoist.net.LoopChannels;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.util.concurrent.Future;
@@ -99,7 +100,7 @@
         if (channel != null) {
             channel.close();
         } else if (connecting != null) {
-            connecting.channel().close();
+            LoopChannels.close(connecting);
         }
         report(outcome, null);
     }
--- a/daemon/src/main/java/grebehoist/cli/HangUp.java
+++ b/daemon/src/main/java/grebehoist/cli/HangUp.java
@@ -1,12 +1,8 @@
 package grebehoist.cli;
 
-import java.io.IOException;
 import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.InvocationTargetException;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.attribute.BasicFileAttributes;
-import java.nio.file.attribute.FileTime;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -18,19 +14,6 @@
     /** A new configuration counts some seconds after the signal: this leaves most of them for what follows. */
     private static final long LOOK_MS = 500;
 
-    /** A file as it was seen: two of these differ where it was written meanwhile. */
-    private record Seen(FileTime written, long size) {
-        static Seen of(Path file) {
-            try {
-                var attributes = Files.readAttributes(file, BasicFileAttributes.class);
-                return new Seen(attributes.lastModifiedTime(), attributes.size());
-            } catch (IOException e) {
-                // Being replaced; it is looked at again.
-                return null;
-            }
-        }
-    }
-
     private HangUp() { }
 
     /**
@@ -58,15 +41,18 @@
         }
     }
 
-    /** Runs an action on a thread of its own soon after a file was written, each time. */
-    static void onChange(Path file, Runnable action) {
-        Seen first = Seen.of(file);
+    /**
+     * Runs an action on a thread of its own soon after a file was written, each time.
+     *
+     * @param first the file as it was before it was last read
+     */
+    static void onChange(Path file, FileStamp first, Runnable action) {
         var thread = new Thread(() -> {
-            Seen before = first;
+            FileStamp before = first;
             try {
                 while (true) {
                     TimeUnit.MILLISECONDS.sleep(LOOK_MS);
-                    Seen now = Seen.of(file);
+                    FileStamp now = FileStamp.of(file);
                     if (now != null && !now.equals(before)) {
                         before = now;
                         action.run();
--- a/daemon/src/main/java/grebehoist/cli/Members.java
+++ b/daemon/src/main/java/grebehoist/cli/Members.java
@@ -57,7 +57,7 @@
             BiConsumer<Integer, Integer> share) {
         var node = new PeerNode(settings, loop, timers, log, count -> share.accept(count.sharedBy(), count.rank()));
         if (!tasks.isEmpty()) {
-            var calls = new TaskCalls(settings.identity().name(), tasks, node.leases(), loop, timers, node::tell);
+            var calls = new TaskCalls(settings.identity().name(), tasks, node.leases(), loop, timers, log, node::tell);
             node.holdings(calls::changed);
             calls.begin();
         }
--- a/daemon/src/main/java/grebehoist/cli/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -6,7 +6,9 @@
 import grebehoist.engine.Log;
 import grebehoist.engine.MemberSource;
 import grebehoist.members.CommonSuspensions;
+import grebehoist.net.Backoff;
 import grebehoist.net.Front;
+import grebehoist.net.LoopTasks;
 import grebehoist.net.LoopTimers;
 import grebehoist.net.Network;
 import grebehoist.net.Sockets;
@@ -22,13 +24,12 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
-import java.time.Instant;
-import java.time.temporal.ChronoUnit;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Runs one process: puts its pools and listeners together, reads a new configuration, and ends when it is told to. The
@@ -41,6 +42,10 @@
     private static final int LEAST_SOCKETS = 96;
     /** The process is killed so long after the longest deadline, counted from the signal; a little earlier it ends. */
     private static final long KILL_MS = 600;
+    /** The longest deadline counts for no more than this in the time that a process has to end. */
+    private static final long LONGEST_COUNTED_MS = 3_000;
+    /** So long before it ends the last answers are given, so that they get out. */
+    private static final long LAST_ANSWERS_MS = 100;
 
     /**
      * A first life's warm-up ends so long after the program began. One that was killed before the list changed looks like a first life, and
@@ -48,6 +53,9 @@
      */
     private static final long WARM_MS = 5_000;
     private static final long TRAIN_MS = 60_000;
+    /** What a start needs and can't have for a moment is tried again for so long: a process is to be ready within 10 s. */
+    private static final long START_PATIENCE_MS = 4_000;
+    private static final long START_RETRY_MS = 20;
     /** An old process is told to end when the new one says that it can serve, within 6 s at the latest: this leaves time for the rest. */
     private static final long UPGRADE_WARM_MS = 3_000;
     /** An upgraded process is used for so long on the connections that it has, each of which ends with its next answer. */
@@ -155,9 +163,10 @@
         }
         try {
             Path file = installed && System.getenv("PROXY_CONFIG") == null ? null : file();
-            Config config = file == null ? null : Config.read(file);
+            FileStamp stamp = file == null ? null : FileStamp.of(file);
+            Config config = file == null ? null : readAtStart(file);
             InstalledPools more = installed ? InstalledPools.read(Path.of(args[1])) : null;
-            Operations operations = config == null || config.operator() == null ? null : operations(config);
+            Operations operations = config == null || config.operator() == null ? null : operations(config, new StderrLog());
             boolean upgrade = operations != null && operations.besideAnother();
             // Clients come to the new process of an upgrade as soon as it listens, and nobody misses it before.
             if (upgrade) {
@@ -165,9 +174,10 @@
             }
             var serve = config != null ? new Serve(config, operations, more) : new Serve(more);
             // Before it listens: without a handler the signal ends the process.
-            if (!HangUp.handle(() -> serve.reload(file)) && file != null) {
+            Runnable reload = serve.reloading(file);
+            if (!HangUp.handle(reload) && file != null) {
                 serve.tell("SIGHUP is ignored by whoever started this process: the configuration is read again when its file is written");
-                HangUp.onChange(file, () -> serve.reload(file));
+                HangUp.onChange(file, stamp, reload);
             }
             serve.warming = config != null && !upgrade && config.isFirstLife();
             // Before it serves: what is suspended everywhere is soon known.
@@ -201,7 +211,7 @@
             HangUp.handle(() -> { });
             // On a port that is free: what it listens with and connects with is loaded too.
             Config anywhere = config.listeningAt(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-            Operations operations = anywhere.operator() == null ? null : operations(anywhere);
+            Operations operations = anywhere.operator() == null ? null : operations(anywhere, new StderrLog());
             var serve = new Serve(anywhere, operations, null);
             serve.start(false);
             serve.stop();
@@ -219,15 +229,18 @@
     }
 
     /** What operators have asked of this proxy is kept by its name and port: others may use the same place for files. */
-    private static Operations operations(Config config) throws Config.BadConfig {
+    private static Operations operations(Config config, Log log) throws Config.BadConfig {
         Path files = Path.of(System.getProperty("java.io.tmpdir"));
         String own = System.getenv("TMPDIR");
         Path directory = (own == null || own.isEmpty() ? files : Path.of(own))
                 .resolve("grebehoist-" + config.name().replaceAll("[^A-Za-z0-9._-]", "_") + "-" + config.listen().getPort());
         try {
-            return new Operations(new StateDirectory(directory, ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now())));
+            return new Operations(StateDirectory.open(directory, log, START_PATIENCE_MS));
         } catch (IOException e) {
             throw new Config.BadConfig("'operator': nothing can be kept in " + directory + ": " + e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new Config.BadConfig("'operator': interrupted before " + directory + " could be read");
         }
     }
 
@@ -422,27 +435,53 @@
         loop.execute(() -> log.line(name + ": " + line));
     }
 
-    /**
-     * Takes over the address of discovery from a new file; all else holds until the next start. Each signal comes on a
-     * thread of its own, so that reading the file holds nobody up; one after the other, so that the last file counts.
-     */
-    synchronized void reload(Path file) {
+    /** Returns what takes over the address of discovery from a new file; all else holds until the next start. */
+    Runnable reloading(Path file) {
         if (file == null) {
-            tell("there is no configuration of the platform's to read again");
-            return;
+            return () -> tell("there is no configuration of the platform's to read again");
         }
+        return new ConfigurationReloader(file, log, loop::execute, new ConfigurationReloader.Listener() {
+            @Override
+            public void read(Config next) {
+                loop.execute(() -> {
+                    configured(true);
+                    log.line(name + ": new configuration, discovery is at " + next.discovery());
+                    pools.get(0).moveTo(next.discovery());
+                });
+            }
+
+            @Override
+            public void rejected(String why) {
+                loop.execute(() -> {
+                    configured(false);
+                    log.line("the new configuration is left alone: " + why);
+                });
+            }
+        })::request;
+    }
+
+    /** Reads the configuration; what can't be read for a moment is tried again, what is not there is an error at once. */
+    private static Config readAtStart(Path file) throws Config.BadConfig {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_PATIENCE_MS);
+        var backoff = new Backoff(START_RETRY_MS, 10 * START_RETRY_MS);
+        while (true) {
+            try {
+                return Config.read(file);
+            } catch (Config.Unreadable e) {
+                if (e.missing() || System.nanoTime() - until > 0) {
+                    throw e;
+                }
+                pause(backoff.next());
+            }
+        }
+    }
+
+    private static void pause(long ms) throws Config.BadConfig {
         try {
-            InetSocketAddress address = Config.read(file).discovery();
-            loop.execute(() -> {
-                configured(true);
-                log.line(name + ": new configuration, discovery is at " + address);
-                pools.get(0).moveTo(address);
-            });
-        } catch (Config.BadConfig e) {
-            loop.execute(() -> {
-                configured(false);
-                log.line("the new configuration is left alone: " + e.getMessage());
-            });
+            TimeUnit.MILLISECONDS.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new Config.BadConfig("interrupted at the start");
         }
     }
 
@@ -456,27 +495,29 @@
     void drain() {
         long longestMs = pools.stream().mapToLong(Pool::longestDeadlineUs).max().orElse(0) / 1_000;
         boolean handsOver = succeeded;
+        long mostMs = Math.min(longestMs, LONGEST_COUNTED_MS) + KILL_MS;
         loop.execute(() -> {
             log.line(name + (handsOver ? ": handing over to the process that has come up beside this one" : ": draining"));
-            listeners.forEach(l -> l.front().closeAfterAnswers());
+            each(l -> l.front().closeAfterAnswers());
+            pools.forEach(p -> p.answerAllBy(host.timers().now() + TimeUnit.MILLISECONDS.toMicros(mostMs - LAST_ANSWERS_MS)));
             if (handsOver) {
                 act(LEAVING);
                 leaving = true;
                 // The one that follows has this one's place among the members too.
                 leave();
-                listeners.forEach(l -> l.front().handOver(() -> log.line(name + ": listens no more")));
+                each(l -> l.front().handOver(() -> log.line(name + ": listens no more")));
             }
         });
-        loop.schedule(() -> {
-            listeners.forEach(l -> l.front().stopListening());
-            loop.scheduleWithFixedDelay(() -> {
+        LoopTasks.after(loop, log, handsOver ? HANDED_OVER_MS : FRONT_LAG_MS, TimeUnit.MILLISECONDS, () -> {
+            each(l -> l.front().stopListening());
+            LoopTasks.every(loop, log, LOOK_MS, TimeUnit.MILLISECONDS, () -> {
                 if (listeners.stream().noneMatch(l -> l.front().busy())) {
                     drained.countDown();
                 }
-            }, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
-        }, handsOver ? HANDED_OVER_MS : FRONT_LAG_MS, TimeUnit.MILLISECONDS);
+            });
+        });
         try {
-            boolean all = drained.await(longestMs + KILL_MS, TimeUnit.MILLISECONDS);
+            boolean all = drained.await(mostMs, TimeUnit.MILLISECONDS);
             loop.submit(() -> {
                 leave();
                 log.line(name + (all ? ": drained" : ": ends with clients still connected"));
@@ -486,6 +527,11 @@
         }
     }
 
+    /** Does a step of the shutdown for each listener: one that fails holds up no other. */
+    private void each(Consumer<Listener> step) {
+        listeners.forEach(l -> LoopTasks.contained(log, () -> step.accept(l)).run());
+    }
+
     /** Ends at once, whatever is still open. */
     void stop() {
         loop.submit(() -> pools.forEach(Pool::end)).awaitUninterruptibly();
--- a/daemon/src/main/java/grebehoist/cli/Warmup.java
+++ b/daemon/src/main/java/grebehoist/cli/Warmup.java
@@ -7,6 +7,7 @@
 import grebehoist.config.Config;
 import grebehoist.config.Json;
 import grebehoist.http.HttpTransport;
+import grebehoist.net.LoopChannels;
 import grebehoist.net.Network;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -87,8 +88,8 @@
         var serve = new Serve(config, new Policy(config.settings()), network, null);
         try {
             for (int i = 1; i <= BACKENDS + 1; i++) {
-                network.server().clone().childHandler(pipeline(new Peer()))
-                        .bind(network.address(address(i))).syncUninterruptibly();
+                LoopChannels.bind(network.server().clone().childHandler(pipeline(new Peer())), network.address(address(i)))
+                        .syncUninterruptibly();
             }
             serve.begin();
             serve.listen().syncUninterruptibly();
@@ -107,7 +108,7 @@
     }
 
     private void connect() {
-        network.client().clone().handler(pipeline(new Client())).connect(network.address(address(0)));
+        LoopChannels.connect(network.client().clone().handler(pipeline(new Client())), network.address(address(0)));
     }
 
     private static ChannelInitializer<Channel> pipeline(ChannelHandler end) {
--- a/daemon/src/main/java/grebehoist/config/Config.java
+++ b/daemon/src/main/java/grebehoist/config/Config.java
@@ -8,6 +8,7 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -39,7 +40,7 @@
 
 
     /** A configuration that no proxy can run with; the message is for the operators and names the field. */
-    public static final class BadConfig extends Exception {
+    public static class BadConfig extends Exception {
         private static final long serialVersionUID = 1L;
 
         /** Tells what is wrong. */
@@ -48,6 +49,22 @@
         }
     }
 
+    /** A file that could not be read: nothing is known of what it holds, and it may be there a moment later. */
+    public static final class Unreadable extends BadConfig {
+        private static final long serialVersionUID = 1L;
+        private final boolean missing;
+
+        private Unreadable(IOException cause) {
+            super("cannot be read: " + cause);
+            this.missing = cause instanceof NoSuchFileException;
+        }
+
+        /** Returns whether there is no such file. */
+        public boolean missing() {
+            return missing;
+        }
+    }
+
     /**
      * Returns whether this proxy may be new: it has no list that discovery has ever changed. One that was killed before
      * the first change looks the same.
@@ -68,7 +85,7 @@
         } catch (JsonProcessingException e) {
             throw new BadConfig("not JSON: " + e.getOriginalMessage());
         } catch (IOException e) {
-            throw new BadConfig("cannot be read: " + e);
+            throw new Unreadable(e);
         }
     }
 
--- a/daemon/src/main/java/grebehoist/distribution/DistributionEndpoint.java
+++ b/daemon/src/main/java/grebehoist/distribution/DistributionEndpoint.java
@@ -15,6 +15,7 @@
 import grebehoist.fleet.wire.KeyRing;
 import grebehoist.fleet.wire.Post;
 import grebehoist.net.DatagramPort;
+import grebehoist.net.LoopTasks;
 import grebehoist.net.LoopTimers;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
@@ -96,16 +97,7 @@
             }
             node.start(timers.now());
             long tickUs = settings.control() ? settings.terms().machineTickUs() : settings.terms().proxyTickUs();
-            ticks = loop.scheduleWithFixedDelay(this::tick, tickUs, tickUs, TimeUnit.MICROSECONDS);
-        }
-
-        /** One that fails must not be the last. */
-        private void tick() {
-            try {
-                node.tick(timers.now());
-            } catch (RuntimeException e) {
-                log.failure(settings.name() + ", distribution", e);
-            }
+            ticks = LoopTasks.every(loop, log, tickUs, TimeUnit.MICROSECONDS, () -> node.tick(timers.now()));
         }
 
         @Override
--- a/daemon/src/main/java/grebehoist/http/AnswerAssembler.java
+++ b/daemon/src/main/java/grebehoist/http/AnswerAssembler.java
@@ -1,5 +1,6 @@
 package grebehoist.http;
 
+import grebehoist.net.LoopTasks;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -50,7 +51,7 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
         if (held == null && mayBeLong()) {
-            held = ctx.executor().schedule(() -> passOn(ctx), HELD_MS, TimeUnit.MILLISECONDS);
+            held = LoopTasks.after(ctx.executor(), HELD_MS, TimeUnit.MILLISECONDS, () -> passOn(ctx));
         }
         super.channelReadComplete(ctx);
     }
--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -1,6 +1,8 @@
 package grebehoist.http;
 
+import grebehoist.engine.Counter;
 import grebehoist.net.ClientFront;
+import grebehoist.net.LoopTasks;
 import grebehoist.net.Network;
 import grebehoist.net.Sockets;
 import grebehoist.net.TakeWatch;
@@ -146,11 +148,11 @@
         if (!(channel instanceof SocketChannel) && backlog.size() > 0) {
             // Of channels inside the process the room in their buffers tells nothing; what they have comes at once.
             long seen = reads;
-            channel.eventLoop().schedule(() -> {
+            LoopTasks.after(channel.eventLoop(), front.log(), LOOK_MS, TimeUnit.MILLISECONDS, () -> {
                 if (seen == reads && channel.config().isAutoRead()) {
                     backlog.drained();
                 }
-            }, LOOK_MS, TimeUnit.MILLISECONDS);
+            });
         }
         super.channelReadComplete(ctx);
     }
@@ -254,14 +256,14 @@
         boolean look = front.catchingUp() || mayHaveWaited;
         mayHaveWaited = false;
         if (!look) {
-            next.begin();
+            begin(next);
             return;
         }
-        channel.eventLoop().schedule(() -> {
+        LoopTasks.after(channel.eventLoop(), front.log(), LOOK_MS, TimeUnit.MILLISECONDS, () -> {
             if (exchange == next) {
-                next.begin();
+                begin(next);
             }
-        }, LOOK_MS, TimeUnit.MILLISECONDS);
+        });
     }
 
     /**
@@ -300,6 +302,19 @@
         }
     }
 
+    /** Whatever goes wrong with a request that has been read, its client is answered. */
+    private void begin(Exchange next) {
+        try {
+            next.begin();
+        } catch (RuntimeException e) {
+            front.log().count(Counter.TASK_FAILED);
+            front.log().failure("a request could not be begun", e);
+            if (exchange == next) {
+                next.failed();
+            }
+        }
+    }
+
     private void dropWaiting() {
         waiting.forEach(e -> e.drop());
         waiting.clear();
@@ -499,7 +514,7 @@
         rest.release();
         if (dropped >= mostDropped) {
             channel.config().setAutoRead(false);
-            channel.eventLoop().schedule(() -> channel.config().setAutoRead(true), SLOW_READ_MS, TimeUnit.MILLISECONDS);
+            LoopTasks.after(channel.eventLoop(), front.log(), SLOW_READ_MS, TimeUnit.MILLISECONDS, () -> channel.config().setAutoRead(true));
         }
     }
 
--- a/daemon/src/main/java/grebehoist/operations/Door.java
+++ b/daemon/src/main/java/grebehoist/operations/Door.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import grebehoist.config.Json;
 import grebehoist.engine.Log;
+import grebehoist.net.LoopChannels;
+import grebehoist.net.LoopTasks;
 import grebehoist.net.Network;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -90,13 +92,13 @@
 
     /** Listens; the future tells whether the address could be had. */
     public ChannelFuture listen(Network network, InetSocketAddress address) {
-        return network.server().clone().childHandler(new ChannelInitializer<Channel>() {
+        return LoopChannels.bind(network.server().clone().childHandler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
                 admit(channel);
                 channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY), new Caller());
             }
-        }).bind(network.address(address));
+        }), network.address(address));
     }
 
     private void admit(Channel channel) {
@@ -104,7 +106,7 @@
             callers.iterator().next().close();
         }
         callers.add(channel);
-        var late = channel.eventLoop().schedule(() -> channel.close(), MOST_MS, TimeUnit.MILLISECONDS);
+        var late = LoopTasks.closeAfter(channel, MOST_MS, TimeUnit.MILLISECONDS);
         channel.closeFuture().addListener(f -> {
             callers.remove(channel);
             late.cancel(false);
@@ -228,7 +230,7 @@
     }
 
     private void answer(Channel to, boolean done, String state) {
-        answer(to, done ? HttpResponseStatus.OK : HttpResponseStatus.INSUFFICIENT_STORAGE, done ? state : "this could not be kept");
+        answer(to, done ? HttpResponseStatus.OK : HttpResponseStatus.INSUFFICIENT_STORAGE, done ? state : "not on disk yet; it holds in this process, and is written as soon as that can be");
     }
 
     private void answer(Channel to, HttpResponseStatus status, String state) {
--- a/daemon/src/main/java/grebehoist/operations/Operations.java
+++ b/daemon/src/main/java/grebehoist/operations/Operations.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
@@ -32,6 +33,9 @@
     public record Target(BooleanSupplier ready, Supplier<Tally> tally, IntSupplier active, IntSupplier avoided,
             Consumer<Boolean> sendAway, Consumer<StateDirectory.Shared> companions) { }
 
+    /** A caller waits for 1 s. */
+    private static final long ANSWER_US = 800_000;
+
     private final StateDirectory state;
     private Suspensions suspensions;
     private Target target;
@@ -124,17 +128,29 @@
 
     @Override
     public void suspend(String backend, Consumer<Boolean> then) {
-        state.suspend(backend, then);
+        state.suspend(backend, inTime(then));
     }
 
     @Override
     public void resume(String backend, Consumer<Boolean> then) {
-        state.resume(backend, then);
+        state.resume(backend, inTime(then));
     }
 
     @Override
     public void drain(boolean on, Consumer<Boolean> then) {
-        state.drain(on, then);
+        state.drain(on, inTime(then));
+    }
+
+    /** What does not last in time is answered with no; it stays in force, and is written as soon as it can be. */
+    private Consumer<Boolean> inTime(Consumer<Boolean> then) {
+        var answered = new AtomicBoolean();
+        Consumer<Boolean> once = done -> {
+            if (answered.compareAndSet(false, true)) {
+                then.accept(done);
+            }
+        };
+        timers.at(timers.now() + ANSWER_US, () -> once.accept(false));
+        return once;
     }
 
     /** Leaves the directory. */
--- /dev/null
+++ b/daemon/src/main/java/grebehoist/operations/ProcessCensus.java
@@ -0,0 +1,108 @@
+package grebehoist.operations;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Comparator;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Which processes of one proxy live, and which of them are newer than this one. Each holds a lock on a file of its own for as long as it
+ * lives, which the kernel gives up however it ends. A process's number is one more than the greatest that it found when it joined:
+ * so the order of processes does not depend on the machine's wall clock, which may be stepped between two starts. Used by one thread.
+ */
+final class ProcessCensus {
+    /**
+     * What was found.
+     *
+     * @param others how many other processes live
+     * @param newer whether one of them joined after this one
+     */
+    record Count(int others, boolean newer) { }
+
+    private static final Pattern NAME = Pattern.compile(StateFiles.PROCESS + "(\\d{1,18})-(\\d{1,18})");
+    private static final Comparator<Path> ORDER = Comparator.comparingLong(ProcessCensus::number).thenComparing(Path::getFileName);
+
+    private final StateFiles files;
+    private Path own;
+    private FileChannel locked;
+
+    ProcessCensus(StateFiles files) {
+        this.files = files;
+    }
+
+    private static long number(Path file) {
+        Matcher name = NAME.matcher(file.getFileName().toString());
+        return name.matches() ? Long.parseLong(name.group(1)) : 0;
+    }
+
+    /** Returns whether this process has joined: before that the others can't see it. */
+    boolean joined() {
+        return locked != null;
+    }
+
+    /** Joins, as the newest of all that are there. */
+    void join(List<Path> processes) throws IOException {
+        if (own == null) {
+            long greatest = processes.stream().mapToLong(ProcessCensus::number).max().orElse(0);
+            own = files.resolve(String.format("%s%016d-%d", StateFiles.PROCESS, greatest + 1, ProcessHandle.current().pid()));
+        }
+        // A process that looks between the making and the locking takes the file for a dead one's, and deletes it.
+        while (locked == null) {
+            FileChannel file = FileChannel.open(own, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+            try {
+                FileLock lock = file.tryLock();
+                if (lock != null && Files.exists(own)) {
+                    locked = file;
+                }
+            } finally {
+                if (locked == null) {
+                    file.close();
+                }
+            }
+        }
+    }
+
+    Count count(List<Path> processes) {
+        int others = 0;
+        boolean newer = false;
+        for (Path process : processes) {
+            if (!process.equals(own) && lives(process)) {
+                others++;
+                newer |= own != null && ORDER.compare(process, own) > 0;
+            }
+        }
+        return new Count(others, newer);
+    }
+
+    /** Whose lock can be had is dead, and its file is taken away. One whose file can't be opened may live, and counts. */
+    private static boolean lives(Path process) {
+        try (FileChannel file = FileChannel.open(process, StandardOpenOption.WRITE)) {
+            if (file.tryLock() == null) {
+                return true;
+            }
+            Files.deleteIfExists(process);
+            return false;
+        } catch (NoSuchFileException e) {
+            return false;
+        } catch (OverlappingFileLockException | IOException e) {
+            // The first: in this very process, two proxies of a test.
+            return true;
+        }
+    }
+
+    /** Leaves: the others see that at their next look. */
+    void leave() throws IOException {
+        if (locked != null) {
+            locked.close();
+            Files.deleteIfExists(own);
+        }
+    }
+}
--- a/daemon/src/main/java/grebehoist/operations/StateDirectory.java
+++ b/daemon/src/main/java/grebehoist/operations/StateDirectory.java
@@ -1,21 +1,15 @@
 package grebehoist.operations;
 
+import grebehoist.engine.Counter;
+import grebehoist.engine.Log;
+import grebehoist.net.Backoff;
 import java.io.Closeable;
 import java.io.IOException;
-import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
-import java.nio.channels.OverlappingFileLockException;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.DirectoryStream;
-import java.nio.file.FileAlreadyExistsException;
-import java.nio.file.Files;
-import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
-import java.util.ArrayList;
-import java.util.Base64;
+import java.nio.file.attribute.FileTime;
 import java.util.HashSet;
-import java.util.List;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
@@ -25,12 +19,13 @@
 
 /**
  * What operators have asked of a proxy, kept in a directory that all processes of this proxy share: so it holds over an
- * upgrade, and each process hears within {@value #LOOK_MS} ms what another was told. Each suspension is a file, and so is the drain: making
- * and deleting a file is atomic, so no process ever waits for another. Each process holds a lock on a file of its own
- * for as long as it lives, which the kernel gives up however it ends.
+ * upgrade, and each process hears within {@value #LOOK_MS} ms what another was told.
  *
- * <p>All work with files is done on one thread of its own; what is found comes back as immutable values on the executor of
- * {@link #watch}.
+ * <p>A request is in force in this process at once, before it is on disk; it is written again and again until it lasts, and only then answered
+ * with yes. What can't be read leaves what was known in force. So a disk that fails for a while costs nothing but the yes.
+ *
+ * <p>All work with files is done on one thread of its own ("state"). What is wanted and what is in force belong to the executor of
+ * {@link #watch}, on which the requests are made and the news comes as immutable values.
  */
 public final class StateDirectory implements Closeable {
     /** How often it is looked at: rule 3 leaves 250 ms from the moment that another process was told. */
@@ -38,15 +33,16 @@
     /** So many suspensions at most. */
     static final int MOST_SUSPENDED = 1_024;
 
+    /** So many requests at most that have yet to last. */
+    private static final int MOST_PENDING = 2 * MOST_SUSPENDED;
     /** A look at the processes costs an open file each, so only each so many looks at the rest. */
     private static final int LOOKS_FOR_EACH_CENSUS = 4;
-    private static final String SUSPENDED = "suspended-";
-    private static final String DRAINED = "drained";
-    private static final String PROCESS = "process-";
-    private static final int LONGEST_NAME = 200;
+    /** A disk that fails for a moment must not delay what another process is to hear within {@link #LOOK_MS}. */
+    private static final long FIRST_RETRY_MS = 20;
+    private static final long LAST_RETRY_MS = 250;
 
     /**
-     * What is there, at one moment.
+     * What is in force, at one moment.
      *
      * @param suspended the ids of all backends that are suspended
      * @param drained whether clients are to be sent elsewhere
@@ -55,209 +51,268 @@
      */
     public record Shared(Set<String> suspended, boolean drained, int others, boolean newer) { }
 
-    private final Path directory;
-    private final Path own;
-    private final FileChannel lockedFile;
+    /** Something that operators have asked, in force here until it lasts on disk. */
+    private static final class Pending {
+        private final String file;
+        /** The backend, or null for the drain. */
+        private final String backend;
+        private final boolean present;
+        private final Consumer<Boolean> then;
+        private final Backoff backoff = new Backoff(FIRST_RETRY_MS, LAST_RETRY_MS);
+        /** Where a later request has taken its place. */
+        private volatile boolean superseded;
+        /** For the state thread: when the file that is to go was made or touched, as first seen. */
+        private FileTime touched;
+        private boolean seen;
+        private boolean complained;
+
+        Pending(String file, String backend, boolean present, Consumer<Boolean> then) {
+            this.file = file;
+            this.backend = backend;
+            this.present = present;
+            this.then = then;
+        }
+    }
+
+    private final Log log;
+    private final StateFiles files;
+    private final ProcessCensus census;
     private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(task -> {
         var t = new Thread(task, "state");
         t.setDaemon(true);
         return t;
     });
-    private Shared shared;
+    /** What the state thread has read last. */
+    private Shared read;
     private int looks;
+    private boolean readable = true;
+
+    /** From here on for the executor of {@link #watch}: what the files say, what is asked beyond that, and what was told last. */
+    private final Map<String, Pending> pending = new LinkedHashMap<>();
+    private Shared onDisk;
+    private Shared told;
     private Consumer<Shared> listener = s -> { };
-    private Executor where = Runnable::run;
+    private volatile Executor owner = Runnable::run;
 
     /**
      * Opens the directory, which is made where there is none, and joins the processes that use it.
      *
-     * @param startedUs when this process began, Unix time in microseconds: the later one is the newer one
+     * @throws IOException where it can't be made or read, or this process can't join it
      */
-    public StateDirectory(Path directory, long startedUs) throws IOException {
-        this.directory = Files.createDirectories(directory);
-        own = directory.resolve(PROCESS + String.format("%016d-%d", startedUs, ProcessHandle.current().pid()));
-        lockedFile = lockOwn();
-        shared = read(null);
+    public StateDirectory(Path directory, Log log) throws IOException {
+        this.log = log;
+        this.files = new StateFiles(directory);
+        this.census = new ProcessCensus(files);
+        this.read = read(null);
+        this.onDisk = read;
+        this.told = read;
     }
 
-    /** Another process that looks between the making and the locking takes the file for a dead one's, and deletes it. */
-    private FileChannel lockOwn() throws IOException {
+    /**
+     * Opens the directory, and tries again where a system call fails for a moment.
+     *
+     * @param patienceMs after so long it gives up
+     */
+    public static StateDirectory open(Path directory, Log log, long patienceMs) throws IOException, InterruptedException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(patienceMs);
+        var backoff = new Backoff(FIRST_RETRY_MS, LAST_RETRY_MS);
         while (true) {
-            FileChannel file = FileChannel.open(own, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-            FileLock lock = file.tryLock();
-            if (lock != null && Files.exists(own)) {
-                return file;
+            try {
+                return new StateDirectory(directory, log);
+            } catch (IOException e) {
+                log.count(Counter.STATE_READ_FAILED);
+                if (System.nanoTime() - until > 0) {
+                    throw e;
+                }
+                TimeUnit.MILLISECONDS.sleep(backoff.next());
             }
-            file.close();
         }
     }
 
     /** Returns what was there when it was opened. */
     public Shared atStart() {
-        return shared;
+        return told;
     }
 
     /**
-     * Tells what is there from now on: at once, and whenever it has changed.
+     * Tells what is in force from now on: at once, and whenever it has changed. Comes before any request.
      *
      * @param on where the listener is called
      */
     public void watch(Executor on, Consumer<Shared> news) {
-        thread.execute(() -> {
-            where = on;
+        owner = on;
+        on.execute(() -> {
             listener = news;
-            Shared now = shared;
-            on.execute(() -> news.accept(now));
+            news.accept(told);
         });
         thread.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** A look that goes wrong (a directory that was taken away) changes nothing: what holds goes on to hold. */
-    private void look() {
-        try {
-            tell(read(shared));
-        } catch (IOException | RuntimeException e) {
-            looks = 0;
-        }
-    }
-
-    private void tell(Shared now) {
-        if (!now.equals(shared)) {
-            shared = now;
-            where.execute(() -> listener.accept(now));
-        }
-    }
-
-    /** Returns the name of a suspension's file, or null where an id is too long for one. */
-    private static String fileOf(String id) {
-        String name = SUSPENDED + Base64.getUrlEncoder().withoutPadding().encodeToString(id.getBytes(StandardCharsets.UTF_8));
-        return name.length() > LONGEST_NAME ? null : name;
-    }
-
     /**
-     * Suspends a backend.
+     * Suspends a backend, at once in this process.
      *
-     * @param then hears, after the listener of {@link #watch} and in the same place, whether that is so
+     * @param then hears, after the listener of {@link #watch} and in the same place, that it lasts; or that it can't, or that a later
+     *         request has taken its place. It hears nothing as long as that is open
      */
-    public void suspend(String id, Consumer<Boolean> then) {
-        String file = fileOf(id);
-        change(() -> {
-            boolean fits = file != null && (shared.suspended.contains(id) || shared.suspended.size() < MOST_SUSPENDED);
-            if (fits) {
-                make(file);
+    public void suspend(String backend, Consumer<Boolean> then) {
+        String file = StateFiles.suspensionOf(backend);
+        owner.execute(() -> {
+            boolean fits = told.suspended.contains(backend) || told.suspended.size() < MOST_SUSPENDED;
+            if (file == null || !fits) {
+                then.accept(false);
+            } else {
+                want(new Pending(file, backend, true, then));
             }
-            return fits;
-        }, then);
+        });
     }
 
     /** Ends a backend's suspension, if there is one; {@code then} as for {@link #suspend}. */
-    public void resume(String id, Consumer<Boolean> then) {
-        String file = fileOf(id);
-        change(() -> file == null || delete(file), then);
+    public void resume(String backend, Consumer<Boolean> then) {
+        String file = StateFiles.suspensionOf(backend);
+        owner.execute(() -> {
+            if (file == null) {
+                then.accept(true);
+            } else {
+                want(new Pending(file, backend, false, then));
+            }
+        });
     }
 
     /** Has clients sent elsewhere, or no longer; {@code then} as for {@link #suspend}. */
     public void drain(boolean on, Consumer<Boolean> then) {
-        change(() -> {
-            if (on) {
-                make(DRAINED);
-            } else {
-                delete(DRAINED);
-            }
-            return true;
-        }, then);
+        owner.execute(() -> want(new Pending(StateFiles.DRAINED, null, on, then)));
     }
 
-    private interface Change {
-        boolean done() throws IOException;
+    private void want(Pending request) {
+        Pending before = pending.remove(request.file);
+        if (before != null) {
+            before.superseded = true;
+            before.then.accept(false);
+        }
+        if (pending.size() >= MOST_PENDING) {
+            request.then.accept(false);
+            return;
+        }
+        pending.put(request.file, request);
+        tell();
+        thread.execute(() -> write(request));
     }
 
-    private void change(Change change, Consumer<Boolean> then) {
-        thread.execute(() -> {
-            boolean done;
-            try {
-                done = change.done();
-                tell(read(shared));
-            } catch (IOException | RuntimeException e) {
-                done = false;
+    /** What is in force: what lasts, and over that what is asked and has yet to last. */
+    private Shared inForce() {
+        if (pending.isEmpty()) {
+            return onDisk;
+        }
+        var suspended = new HashSet<>(onDisk.suspended);
+        boolean drained = onDisk.drained;
+        for (Pending p : pending.values()) {
+            if (p.backend == null) {
+                drained = p.present;
+            } else if (p.present) {
+                suspended.add(p.backend);
+            } else {
+                suspended.remove(p.backend);
             }
-            boolean answer = done;
-            where.execute(() -> then.accept(answer));
-        });
+        }
+        return new Shared(Set.copyOf(suspended), drained, onDisk.others, onDisk.newer);
     }
 
-    private void make(String name) throws IOException {
-        try {
-            Files.createFile(directory.resolve(name));
-        } catch (FileAlreadyExistsException e) {
-            // Another process, or an earlier call, has asked for the same.
+    private void tell() {
+        Shared now = inForce();
+        if (!now.equals(told)) {
+            told = now;
+            listener.accept(now);
         }
     }
 
-    private boolean delete(String name) throws IOException {
-        Files.deleteIfExists(directory.resolve(name));
-        return true;
+    private void lasts(Pending request) {
+        if (pending.remove(request.file, request)) {
+            tell();
+            request.then.accept(true);
+        }
     }
 
-    private Shared read(Shared before) throws IOException {
-        var suspended = new HashSet<String>();
-        boolean drained = false;
-        var processes = new ArrayList<Path>();
-        try (DirectoryStream<Path> files = Files.newDirectoryStream(directory)) {
-            for (Path file : files) {
-                String name = file.getFileName().toString();
-                if (name.equals(DRAINED)) {
-                    drained = true;
-                } else if (name.startsWith(SUSPENDED)) {
-                    suspended.add(idOf(name));
-                } else if (name.startsWith(PROCESS) && !file.equals(own)) {
-                    processes.add(file);
-                }
-            }
+    // On the state thread
+
+    /** One try; where it fails another follows, until it lasts or a later request takes its place. */
+    private void write(Pending request) {
+        if (request.superseded) {
+            return;
         }
-        suspended.remove(null);
-        boolean census = before == null || looks++ % LOOKS_FOR_EACH_CENSUS == 0;
-        int others = census ? 0 : before.others;
-        boolean newer = !census && before.newer;
-        for (Path process : census ? processes : List.<Path>of()) {
-            if (lives(process)) {
-                others++;
-                newer |= process.getFileName().compareTo(own.getFileName()) > 0;
+        try {
+            apply(request);
+            // What lasts has been read back before it is no longer asked.
+            report(read(read));
+            owner.execute(() -> lasts(request));
+        } catch (IOException | RuntimeException e) {
+            log.count(Counter.STATE_WRITE_FAILED);
+            if (!request.complained) {
+                request.complained = true;
+                owner.execute(() -> log.line("operators: '" + request.file + "' is in force and could not be written, it is tried again: " + e));
             }
+            thread.schedule(() -> write(request), request.backoff.next(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void apply(Pending request) throws IOException {
+        if (request.present) {
+            files.make(request.file);
+            return;
+        }
+        FileTime touched = files.touched(request.file);
+        if (!request.seen) {
+            request.seen = true;
+            request.touched = touched;
+        }
+        // Another process has been asked for it since: that is the later request.
+        if (touched != null && touched.equals(request.touched)) {
+            files.delete(request.file);
         }
-        return new Shared(Set.copyOf(suspended), drained, others, newer);
     }
 
-    /** Returns the backend that a file suspends, or null where somebody else has left it. */
-    private static String idOf(String name) {
+    /** A look that goes wrong changes nothing: what holds goes on to hold. */
+    private void look() {
         try {
-            return new String(Base64.getUrlDecoder().decode(name.substring(SUSPENDED.length())), StandardCharsets.UTF_8);
-        } catch (IllegalArgumentException e) {
-            return null;
+            report(read(read));
+            readable(true, null);
+        } catch (IOException | RuntimeException e) {
+            log.count(Counter.STATE_READ_FAILED);
+            looks = 0;
+            readable(false, e);
         }
     }
 
-    /** Whose lock can be had is dead, and its file is taken away. */
-    private static boolean lives(Path process) throws IOException {
-        try (FileChannel file = FileChannel.open(process, StandardOpenOption.WRITE)) {
-            if (file.tryLock() == null) {
-                return true;
-            }
-            Files.deleteIfExists(process);
-            return false;
-        } catch (NoSuchFileException e) {
-            return false;
-        } catch (OverlappingFileLockException e) {
-            // In this very process: two proxies of a test.
-            return true;
+    private void readable(boolean now, Exception why) {
+        if (now != readable) {
+            readable = now;
+            owner.execute(() -> log.line("operators: the state directory can " + (now ? "be read again" : "not be read, what was known holds: " + why)));
+        }
+    }
+
+    private void report(Shared now) {
+        if (!now.equals(read)) {
+            read = now;
+            owner.execute(() -> {
+                onDisk = now;
+                tell();
+            });
+        }
+    }
+
+    private Shared read(Shared before) throws IOException {
+        StateFiles.Listing listing = files.list();
+        if (!census.joined()) {
+            census.join(listing.processes());
         }
+        boolean count = before == null || looks++ % LOOKS_FOR_EACH_CENSUS == 0;
+        ProcessCensus.Count processes = count ? census.count(listing.processes()) : new ProcessCensus.Count(before.others, before.newer);
+        return new Shared(listing.suspended(), listing.drained(), processes.others(), processes.newer());
     }
 
     /** Leaves: the others see that at their next look. */
     @Override
     public void close() throws IOException {
-        thread.shutdown();
-        lockedFile.close();
-        Files.deleteIfExists(own);
+        thread.shutdownNow();
+        census.leave();
     }
 }
--- a/daemon/src/main/java/grebehoist/peers/PeerNode.java
+++ b/daemon/src/main/java/grebehoist/peers/PeerNode.java
@@ -10,6 +10,7 @@
 import grebehoist.fleet.membership.Membership;
 import grebehoist.fleet.wire.KeyRing;
 import grebehoist.net.DatagramPort;
+import grebehoist.net.LoopTasks;
 import grebehoist.net.LoopTimers;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
@@ -39,6 +40,7 @@
     private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
     private Future<?> ticks;
     private boolean ended;
+    private final Log log;
 
     /**
      * Makes one that is yet to begin.
@@ -51,6 +53,7 @@
         this.timers = timers;
         this.port = new DatagramPort(loop, settings.identity().name() + ", where other proxies are to reach it", settings.listen(), new Listener(), log);
         this.counts = counts;
+        this.log = log;
         // Which life this is has to differ from any before; what the platform gives as a seed is another thing.
         var random = new SplittableRandom(System.nanoTime() ^ ProcessHandle.current().pid() << 32 ^ System.currentTimeMillis());
         this.node = new FleetNode(settings.identity(), settings.terms(), new KeyRing(settings.keys()), random, this);
@@ -94,7 +97,7 @@
             if (!ended) {
                 node.start(timers.now());
                 long tickUs = settings.terms().tickUs();
-                ticks = loop.scheduleWithFixedDelay(() -> node.tick(timers.now()), tickUs, tickUs, TimeUnit.MICROSECONDS);
+                ticks = LoopTasks.every(loop, log, tickUs, TimeUnit.MICROSECONDS, () -> node.tick(timers.now()));
             }
         }
 
--- a/daemon/src/main/java/grebehoist/pool/Pool.java
+++ b/daemon/src/main/java/grebehoist/pool/Pool.java
@@ -169,9 +169,14 @@
         discovery.moveTo(discoveryAt);
     }
 
+    /** The process ends soon: every request has its answer by a time, one that comes later at once. */
+    public void answerAllBy(long atUs) {
+        engine.answerAllBy(atUs);
+    }
+
     /** Ends the watch on discovery. */
     public void end() {
-        discovery.watch(false);
+        discovery.end();
     }
 
     /** Returns the longest that a client of any class waits, in microseconds. */
--- a/daemon/src/main/java/grebehoist/tasks/TaskCalls.java
+++ b/daemon/src/main/java/grebehoist/tasks/TaskCalls.java
@@ -2,8 +2,11 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import grebehoist.config.Json;
+import grebehoist.engine.Log;
 import grebehoist.fleet.lease.LeaseChange;
 import grebehoist.fleet.lease.Leases;
+import grebehoist.net.LoopChannels;
+import grebehoist.net.LoopTasks;
 import grebehoist.net.LoopTimers;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -46,6 +49,7 @@
     private final Leases leases;
     private final EventLoop loop;
     private final LoopTimers timers;
+    private final Log log;
     private final Consumer<ObjectNode> lines;
     private final Bootstrap bootstrap;
 
@@ -55,7 +59,7 @@
      * @param name this process's, for receivers
      * @param lines hears what operators are to know, as JSON to be completed with time and name
      */
-    public TaskCalls(String name, List<TaskSpec> specs, Leases leases, EventLoop loop, LoopTimers timers, Consumer<ObjectNode> lines) {
+    public TaskCalls(String name, List<TaskSpec> specs, Leases leases, EventLoop loop, LoopTimers timers, Log log, Consumer<ObjectNode> lines) {
         this.name = name;
         this.specs = List.copyOf(specs);
         this.runs = specs.stream().map(s -> new Runs(s.everyUs())).toArray(Runs[]::new);
@@ -64,13 +68,14 @@
         this.leases = leases;
         this.loop = loop;
         this.timers = timers;
+        this.log = log;
         this.lines = lines;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
     }
 
     /** Begins to look what is due. */
     public void begin() {
-        loop.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        LoopTasks.every(loop, log, LOOK_MS, TimeUnit.MILLISECONDS, this::look);
     }
 
     /** A holding has begun or ended. */
@@ -97,18 +102,19 @@
         TaskSpec spec = specs.get(task);
         out[task] = true;
         var call = new Call(task);
-        ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+        ChannelFuture connected = LoopChannels.connect(bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
                 channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_BODY), call);
             }
-        }).connect(spec.to());
-        call.late = loop.schedule(() -> call.over(Runs.Heard.FAILED, 0, "no answer in time"), spec.actUs(), TimeUnit.MICROSECONDS);
+        }), spec.to());
+        call.late = LoopTasks.after(loop, log, spec.actUs(), TimeUnit.MICROSECONDS,
+                () -> call.over(Runs.Heard.FAILED, 0, "no answer in time"));
         connected.addListener(f -> {
-            call.channel = connected.channel();
             if (!connected.isSuccess()) {
                 call.over(Runs.Heard.FAILED, 0, "no connection to " + spec.to());
             } else {
+                call.channel = connected.channel();
                 call.send();
             }
         });
--- a/daemon/src/main/java/grebehoist/thrift/ThriftBackendConnection.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftBackendConnection.java
@@ -4,6 +4,7 @@
 import grebehoist.backend.AttemptConnection;
 import grebehoist.backend.PooledAttempt;
 import grebehoist.backend.PooledTransport;
+import grebehoist.net.LoopTasks;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.socket.SocketChannel;
@@ -42,7 +43,7 @@
         if (channel() instanceof SocketChannel socket) {
             socket.shutdownOutput();
         }
-        channel().eventLoop().schedule(() -> channel().close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        LoopTasks.closeAfter(channel(), LINGER_MS, TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
@@ -1,6 +1,7 @@
 package grebehoist.thrift;
 
 import grebehoist.net.ClientFront;
+import grebehoist.net.LoopTasks;
 import grebehoist.net.Sockets;
 import grebehoist.net.TakeWatch;
 import io.netty.buffer.ByteBuf;
@@ -134,11 +135,11 @@
     private void lookForMore() {
         if (unreadSince >= 0 && channel.config().isAutoRead()) {
             long seen = reads;
-            channel.eventLoop().schedule(() -> {
+            LoopTasks.after(channel.eventLoop(), front.log(), LOOK_MS, TimeUnit.MILLISECONDS, () -> {
                 if (seen == reads && channel.config().isAutoRead()) {
                     unreadSince = -1;
                 }
-            }, LOOK_MS, TimeUnit.MILLISECONDS);
+            });
         }
     }
 
@@ -174,7 +175,7 @@
         boolean look = front.catchingUp() || mayHaveWaited;
         mayHaveWaited = false;
         if (look) {
-            channel.eventLoop().schedule(() -> begin(exchange, came), LOOK_MS, TimeUnit.MILLISECONDS);
+            LoopTasks.after(channel.eventLoop(), front.log(), LOOK_MS, TimeUnit.MILLISECONDS, () -> begin(exchange, came));
         } else {
             begin(exchange, came);
         }
--- a/daemon/src/test/java/grebehoist/cli/Fixture.java
+++ b/daemon/src/test/java/grebehoist/cli/Fixture.java
@@ -6,6 +6,7 @@
 import beechfall.Policy;
 import grebehoist.config.Config;
 import grebehoist.config.Json;
+import grebehoist.net.Network;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.Closeable;
 import java.io.ByteArrayInputStream;
@@ -64,8 +65,18 @@
         return new Fixture(Policy::new, 1_024, 15_000_000, backends);
     }
 
+    /** A proxy whose sockets are made by the test's network. */
+    public Fixture(Module module, Network network) throws Exception {
+        this(settings -> (now, event, actions) -> module.handle(event, actions), network, 1_024, 15_000_000);
+    }
+
     private Fixture(Function<Balancer.Settings, Balancer> factory, int sockets, long idleUs, Peer... backends)
             throws Exception {
+        this(factory, Network.sockets(), sockets, idleUs, backends);
+    }
+
+    private Fixture(Function<Balancer.Settings, Balancer> factory, Network network, int sockets, long idleUs, Peer... backends)
+            throws Exception {
         var servers = new StringBuilder();
         for (int i = 0; i < backends.length; i++) {
             servers.append(i == 0 ? "" : ",").append(entry("s" + i, backends[i].address(), "ready"));
@@ -75,7 +86,7 @@
         serve = new Serve(config, (now, event, actions) -> {
             events.add(event);
             module.handle(now, event, actions);
-        });
+        }, network, null);
         address = serve.start();
     }
 
@@ -91,12 +102,17 @@
         return CONFIG.formatted(discovery, 1_024, "", 15_000_000);
     }
 
+    /** What SIGHUP does, for a file that may not be there yet. */
+    public void reload(Path file) {
+        serve.reloading(file).run();
+    }
+
     /** What SIGHUP does. */
     public void reload(String json) throws IOException {
         Path file = Files.createTempFile("config", ".json");
         try {
             Files.writeString(file, json);
-            serve.reload(file);
+            serve.reloading(file).run();
         } finally {
             Files.delete(file);
         }
--- a/daemon/src/test/java/grebehoist/cli/LayersTest.java
+++ b/daemon/src/test/java/grebehoist/cli/LayersTest.java
@@ -1,11 +1,21 @@
 package grebehoist.cli;
 
+import static com.tngtech.archunit.core.domain.JavaCall.Predicates.target;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.assignableTo;
+import static com.tngtech.archunit.core.domain.properties.HasName.Predicates.name;
+import static com.tngtech.archunit.core.domain.properties.HasName.Predicates.nameMatching;
+import static com.tngtech.archunit.core.domain.properties.HasOwner.Predicates.With.owner;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
 import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import grebehoist.net.LoopChannels;
+import grebehoist.net.LoopTasks;
+import io.netty.bootstrap.AbstractBootstrap;
+import io.netty.util.concurrent.EventExecutorGroup;
 import org.junit.jupiter.api.Test;
 
 /** Arrows point down only: docs/architecture.md has the picture. */
@@ -58,7 +68,23 @@
                 .whereLayer("discovery").mayOnlyBeAccessedByLayers("cli", "pool")
                 .whereLayer("config").mayOnlyBeAccessedByLayers("installation", "cli", "discovery", "sim", "search", "demo", "operations", "peers", "tasks", "distribution", "writer")
                 .whereLayer("net").mayOnlyBeAccessedByLayers("backend", "thrift", "installation", "cli", "http", "discovery", "config", "pool", "testkit", "search", "demo", "operations", "peers", "tasks", "distribution")
-                .whereLayer("engine").mayOnlyBeAccessedByLayers("backend", "thrift", "cli", "http", "discovery", "net", "pool", "testkit", "search", "demo", "operations", "members", "peers", "distribution")
+                .whereLayer("engine").mayOnlyBeAccessedByLayers("backend", "thrift", "cli", "http", "discovery", "net", "pool", "testkit", "search", "demo", "operations", "members", "peers", "tasks", "distribution")
+                .check(ALL);
+    }
+
+    /**
+     * Netty tells of a connect or bind that had no socket on a thread of its own, and its executor ends a periodic task that fails once.
+     * So what serves goes through {@link LoopChannels} and {@link LoopTasks}.
+     */
+    @Test
+    void outcomesAndTimersStayOnTheirLoop() {
+        noClasses().that().resideInAnyPackage("grebehoist.backend", "grebehoist.http", "grebehoist.thrift", "grebehoist.discovery",
+                        "grebehoist.operations", "grebehoist.peers", "grebehoist.tasks", "grebehoist.distribution", "grebehoist.pool", "grebehoist.cli",
+                        "grebehoist.net")
+                .and().doNotBelongToAnyOf(LoopChannels.class, LoopTasks.class)
+                .should().callMethodWhere(target(owner(assignableTo(AbstractBootstrap.class))).and(target(name("connect").or(name("bind")))))
+                .orShould().callMethodWhere(target(owner(assignableTo(EventExecutorGroup.class)))
+                        .and(target(nameMatching("scheduleWithFixedDelay|scheduleAtFixedRate|schedule"))))
                 .check(ALL);
     }
 
--- a/daemon/src/test/java/grebehoist/cli/ServeTest.java
+++ b/daemon/src/test/java/grebehoist/cli/ServeTest.java
@@ -142,6 +142,39 @@
         }
     }
 
+    /** Incident 52: a file that can't be read is no file that is wrong. It is read as soon as that can be, without another signal. */
+    @Test
+    void aNewConfigurationThatCannotBeReadIsTakenLater() throws Exception {
+        Path file = Files.createTempDirectory("config").resolve("config.json");
+        try (var next = new Peer(); var proxy = Fixture.inService()) {
+            proxy.discovery.accept().read();
+            Files.createDirectory(file);
+            proxy.reload(file);
+            Files.delete(file);
+            Files.writeString(file, Fixture.config(next.address()));
+            assertThat(next.accept().read().first()).isEqualTo("GET /v1/endpoints HTTP/1.1");
+        } finally {
+            Files.deleteIfExists(file);
+            Files.delete(file.getParent());
+        }
+    }
+
+    /** A file that is read in the middle of its writing. */
+    @Test
+    void aNewConfigurationThatIsHalfWrittenIsTakenOnceItIsWhole() throws Exception {
+        Path file = Files.createTempFile("config", ".json");
+        try (var next = new Peer(); var proxy = Fixture.inService()) {
+            proxy.discovery.accept().read();
+            String whole = Fixture.config(next.address());
+            Files.writeString(file, whole.substring(0, whole.length() / 2));
+            proxy.reload(file);
+            Files.writeString(file, whole);
+            assertThat(next.accept().read().first()).isEqualTo("GET /v1/endpoints HTTP/1.1");
+        } finally {
+            Files.delete(file);
+        }
+    }
+
     /** The program as it runs in service: without a handler SIGHUP would end it. */
     @Test
     void readsItsFileAgainOnSighup() throws Exception {
--- a/daemon/src/test/java/grebehoist/discovery/DiscoveryTest.java
+++ b/daemon/src/test/java/grebehoist/discovery/DiscoveryTest.java
@@ -12,7 +12,12 @@
 import grebehoist.cli.Fixture;
 import grebehoist.cli.Peer;
 import grebehoist.cli.Wire;
+import grebehoist.net.Network;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelException;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -28,6 +33,18 @@
         };
     }
 
+    /** A network whose client sockets can't be had for a while: the first of these numbers passes, so many fail. */
+    private static Network withoutSockets(AtomicInteger failures) {
+        Network sockets = Network.sockets();
+        Bootstrap client = new Bootstrap().group(sockets.loop()).channelFactory(() -> {
+            if (failures.getAndDecrement() > 0) {
+                throw new ChannelException("no socket: too many open files");
+            }
+            return new NioSocketChannel();
+        });
+        return new Network(sockets.loop(), sockets.server(), client, sockets.addresses());
+    }
+
     private static Wire.Message ready(Fixture proxy) throws Exception {
         try (var client = proxy.client()) {
             return client.send("GET /ready HTTP/1.1\r\n\r\n").read();
@@ -132,6 +149,44 @@
         }
     }
 
+    /** Incident 52: the outcome of a connect that had no socket was told on a thread that is not the loop's, and the watch ended there. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 5})
+    void goesOnAfterSocketsThatCouldNotBeHad(int failures) throws Exception {
+        var left = new AtomicInteger();
+        try (var proxy = new Fixture(watcher(), withoutSockets(left))) {
+            proxy.next(Members.class);
+            Wire call = proxy.discovery.accept();
+            call.read();
+            left.set(failures);
+            call.send(Peer.ok(Fixture.list(42, true, Fixture.entry("s1", "127.0.0.1:1", "ready"))));
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.FULL);
+            for (int i = 0; i < failures; i++) {
+                assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.FAILED);
+            }
+            Wire next = proxy.discovery.accept();
+            assertThat(next.read().first()).contains("from=42&hold_ms=0");
+            next.send(Peer.ok(Fixture.list(43, false, Fixture.entry("s1", "127.0.0.1:1", "draining"))));
+            assertThat(proxy.next(Members.class).backends()).extracting(Backend::state).containsExactly(State.DRAINING);
+        }
+    }
+
+    /** Whoever was to ask again does not: the supervisor notices that a watch is wanted and nothing is under way for it. */
+    @Test
+    void aLostWatchIsOpenedAgain() throws Exception {
+        Fixture.Module forgetsToAskAgain = (event, actions) -> {
+            if (event instanceof Members m && m.kind() == ListKind.CACHED) {
+                actions.accept(new Watch(true));
+            }
+        };
+        try (var proxy = new Fixture(forgetsToAskAgain)) {
+            try (Wire call = proxy.discovery.accept()) {
+                call.read();
+            }
+            assertThat(proxy.discovery.accept().read().first()).contains("from=41&hold_ms=0");
+        }
+    }
+
     /** A discovery that is cut off says nothing, and TCP tells nobody: only the time does. */
     @Test
     void noticesASilentDiscovery() throws Exception {
--- a/daemon/src/test/java/grebehoist/operations/StateDirectoryTest.java
+++ b/daemon/src/test/java/grebehoist/operations/StateDirectoryTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import grebehoist.net.StderrLog;
 import grebehoist.operations.StateDirectory.Shared;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -10,10 +11,13 @@
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -22,9 +26,21 @@
     @TempDir
     private Path directory;
 
-    private static BlockingQueue<Shared> watch(StateDirectory state) {
+    /** Both processes' owners: requests and news run there, as on an event loop. */
+    private final ExecutorService owner = Executors.newSingleThreadExecutor();
+
+    @AfterEach
+    void end() {
+        owner.shutdownNow();
+    }
+
+    private StateDirectory open() throws IOException {
+        return new StateDirectory(directory, new StderrLog());
+    }
+
+    private BlockingQueue<Shared> watch(StateDirectory state) {
         var seen = new LinkedBlockingQueue<Shared>();
-        state.watch(Runnable::run, seen::add);
+        state.watch(owner, seen::add);
         return seen;
     }
 
@@ -50,7 +66,7 @@
 
     @Test
     void whatOneIsToldTheOtherHearsAndTheNextFinds() throws Exception {
-        try (var old = new StateDirectory(directory, 1); var young = new StateDirectory(directory, 2)) {
+        try (var old = open(); var young = open()) {
             BlockingQueue<Shared> seenByOld = watch(old);
             BlockingQueue<Shared> seenByYoung = watch(young);
             assertThat(done(then -> old.suspend("a/b ?", then))).isTrue();
@@ -62,7 +78,7 @@
             assertThat(done(then -> young.drain(true, then))).isTrue();
             await(seenByOld, Shared::drained);
             assertThat(done(then -> old.suspend("c", then))).isTrue();
-            try (var third = new StateDirectory(directory, 3)) {
+            try (var third = open()) {
                 assertThat(third.atStart()).isEqualTo(new Shared(Set.of("c"), true, 2, false));
             }
             assertThat(done(then -> old.drain(false, then))).isTrue();
@@ -72,10 +88,10 @@
 
     @Test
     void theOlderOneKnowsOfTheNewerAndOfItsEnd() throws Exception {
-        try (var old = new StateDirectory(directory, 1)) {
+        try (var old = open()) {
             assertThat(old.atStart()).isEqualTo(new Shared(Set.of(), false, 0, false));
             BlockingQueue<Shared> seen = watch(old);
-            try (var young = new StateDirectory(directory, 2)) {
+            try (var young = open()) {
                 assertThat(young.atStart().others()).isEqualTo(1);
                 assertThat(young.atStart().newer()).isFalse();
                 assertThat(await(seen, s -> s.others() == 1).newer()).isTrue();
@@ -88,7 +104,7 @@
     @Test
     void aDeadProcessIsForgotten() throws Exception {
         Path dead = Files.createFile(directory.resolve("process-0000000000000009-1"));
-        try (var state = new StateDirectory(directory, 1)) {
+        try (var state = open()) {
             assertThat(state.atStart().others()).isZero();
             assertThat(dead).doesNotExist();
         }
@@ -99,7 +115,7 @@
 
     @Test
     void thereIsABoundAndWhatIsOverItIsToldSo() throws Exception {
-        try (var state = new StateDirectory(directory, 1)) {
+        try (var state = open()) {
             for (int i = 0; i < StateDirectory.MOST_SUSPENDED; i++) {
                 Files.createFile(directory.resolve("suspended-" + Base64.getUrlEncoder().withoutPadding().encodeToString(("b" + i).getBytes())));
             }
@@ -111,19 +127,73 @@
         }
     }
 
+    /** A resume that can't be written is in force as well; one that a later request has replaced is answered with no. */
+    @Test
+    void theLastRequestCounts() throws Exception {
+        Path moved = directory.resolveSibling(directory.getFileName() + "-moved");
+        try (var state = open()) {
+            BlockingQueue<Shared> seen = watch(state);
+            assertThat(done(then -> state.suspend("a", then))).isTrue();
+            Files.move(directory, moved);
+            var resumed = new CompletableFuture<Boolean>();
+            state.resume("a", resumed::complete);
+            await(seen, s -> s.suspended().contains("a"));
+            await(seen, s -> s.suspended().isEmpty());
+            var suspended = new CompletableFuture<Boolean>();
+            state.suspend("a", suspended::complete);
+            await(seen, s -> s.suspended().contains("a"));
+            assertThat(resumed.get(10, TimeUnit.SECONDS)).isFalse();
+            Files.move(moved, directory);
+            assertThat(suspended.get(10, TimeUnit.SECONDS)).isTrue();
+        }
+        try (var next = open()) {
+            assertThat(next.atStart().suspended()).containsExactly("a");
+        }
+    }
+
+    /** A process's file that can't be opened: that process may live, and what operators have asked is read all the same. */
+    @Test
+    void aProcessFileThatCannotBeOpenedHidesNothing() throws Exception {
+        Files.createDirectory(directory.resolve("process-0000000000000001-1"));
+        try (var state = open(); var other = open()) {
+            BlockingQueue<Shared> seen = watch(state);
+            watch(other);
+            assertThat(seen.take().others()).isPositive();
+            assertThat(done(then -> other.suspend("a", then))).isTrue();
+            assertThat(await(seen, s -> !s.suspended().isEmpty()).suspended()).containsExactly("a");
+        }
+    }
+
+    /** The order of processes does not go by the wall clock: one that begins after a step back is the newer one all the same. */
+    @Test
+    void theNewerOneIsNewerWhateverTheClockSays() throws Exception {
+        Files.createFile(directory.resolve("process-9000000000000000-1"));
+        try (var old = open(); var young = open()) {
+            BlockingQueue<Shared> seen = watch(old);
+            assertThat(await(seen, s -> s.others() == 1).newer()).isTrue();
+            assertThat(young.atStart().newer()).isFalse();
+        }
+    }
+
     /** What holds goes on to hold where the files can't be read for a while. */
     @Test
     void aDirectoryThatIsTakenAwayChangesNothing() throws Exception {
         Path moved = directory.resolveSibling(directory.getFileName() + "-moved");
-        try (var state = new StateDirectory(directory, 1)) {
+        try (var state = open()) {
             BlockingQueue<Shared> seen = watch(state);
             assertThat(done(then -> state.suspend("a", then))).isTrue();
             await(seen, s -> s.suspended().contains("a"));
             Files.move(directory, moved);
-            assertThat(done(then -> state.suspend("b", then))).isFalse();
+            var lasts = new CompletableFuture<Boolean>();
+            state.suspend("b", lasts::complete);
+            assertThat(await(seen, s -> s.suspended().size() > 1).suspended()).as("in force before it lasts").containsExactlyInAnyOrder("a", "b");
+            assertThat(lasts).isNotDone();
             Files.move(moved, directory);
-            assertThat(done(then -> state.suspend("b", then))).isTrue();
-            assertThat(seen.take().suspended()).containsExactlyInAnyOrder("a", "b");
+            assertThat(lasts.get(10, TimeUnit.SECONDS)).as("written once the directory is back, without another call").isTrue();
+            try (var next = open()) {
+                assertThat(next.atStart().suspended()).containsExactlyInAnyOrder("a", "b");
+            }
+            assertThat(seen).as("nothing but the other process").allMatch(s -> s.suspended().equals(Set.of("a", "b")));
         } catch (IOException e) {
             throw new AssertionError("the directory could not be put back", e);
         }
--- a/net/src/main/java/grebehoist/net/AcceptBacklog.java
+++ b/net/src/main/java/grebehoist/net/AcceptBacklog.java
@@ -63,20 +63,20 @@
      */
     void whenEmpty(Runnable action) {
         long before = accepts;
-        loop.schedule(() -> {
+        LoopTasks.after(loop, CHECK_MS, TimeUnit.MILLISECONDS, () -> {
             if (accepts > before || !accepting) {
                 whenEmpty(action);
             } else {
                 action.run();
             }
-        }, CHECK_MS, TimeUnit.MILLISECONDS);
+        });
     }
 
     /** Between two of these the loop has looked at its sockets. While nobody is accepted there is nothing to be seen. */
     private void check() {
         if (!checking) {
             checking = true;
-            loop.schedule(this::checked, CHECK_MS, TimeUnit.MILLISECONDS);
+            LoopTasks.after(loop, CHECK_MS, TimeUnit.MILLISECONDS, this::checked);
         }
     }
 
--- a/net/src/main/java/grebehoist/net/ClientFront.java
+++ b/net/src/main/java/grebehoist/net/ClientFront.java
@@ -72,15 +72,15 @@
     @Override
     public final ChannelFuture listen(Network network, InetSocketAddress address) {
         backlog = new AcceptBacklog(timers, network.loop());
-        sweep = network.loop().scheduleWithFixedDelay(this::sweep, SWEEP_US, SWEEP_US, TimeUnit.MICROSECONDS);
-        ChannelFuture bound = network.server().clone()
+        sweep = LoopTasks.every(network.loop(), log, SWEEP_US, TimeUnit.MICROSECONDS, this::sweep);
+        ChannelFuture bound = LoopChannels.bind(network.server().clone()
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         sockets.clientOpened(channel);
                         channel.pipeline().addLast(connection(backlog.accepted()));
                     }
-                }).bind(network.address(address));
+                }), network.address(address));
         listener = bound.channel();
         bound.addListener(f -> {
             if (f.isSuccess()) {
--- a/net/src/main/java/grebehoist/net/DatagramPort.java
+++ b/net/src/main/java/grebehoist/net/DatagramPort.java
@@ -69,12 +69,12 @@
         if (closed) {
             return;
         }
-        ChannelFuture bound = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MOST_BYTES)).handler(new Receiver()).bind(wanted);
+        ChannelFuture bound = LoopChannels.bind(new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MOST_BYTES)).handler(new Receiver()), wanted);
         bound.addListener(f -> {
             if (!bound.isSuccess()) {
                 complain(bound.cause());
-                loop.schedule(this::bind, AGAIN_MS, TimeUnit.MILLISECONDS);
+                LoopTasks.after(loop, log, AGAIN_MS, TimeUnit.MILLISECONDS, this::bind);
             } else if (closed) {
                 bound.channel().close();
             } else {
--- /dev/null
+++ b/net/src/main/java/grebehoist/net/LoopChannels.java
@@ -0,0 +1,66 @@
+package grebehoist.net;
+
+import io.netty.bootstrap.AbstractBootstrap;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.DefaultChannelPromise;
+import io.netty.channel.EventLoop;
+import java.net.SocketAddress;
+
+/**
+ * Connects and binds so that the outcome is always told on the owner's event loop. Where no socket can be had (EMFILE, ENFILE, ENOBUFS,
+ * ENOMEM), Netty's bootstrap returns a future of a channel that was never registered: its listeners run on Netty's global executor,
+ * and closing its channel throws. All connects and binds of the program go through here, which {@code LayersTest} holds.
+ */
+public final class LoopChannels {
+    private LoopChannels() { }
+
+    /** Connects to an address. */
+    public static ChannelFuture connect(Bootstrap bootstrap, SocketAddress remote) {
+        return toldOnLoop(bootstrap.connect(remote), loopOf(bootstrap));
+    }
+
+    /** Connects to the address that the bootstrap holds. */
+    public static ChannelFuture connect(Bootstrap bootstrap) {
+        return toldOnLoop(bootstrap.connect(), loopOf(bootstrap));
+    }
+
+    /** Binds to an address. */
+    public static ChannelFuture bind(AbstractBootstrap<?, ?> bootstrap, SocketAddress local) {
+        return toldOnLoop(bootstrap.bind(local), loopOf(bootstrap));
+    }
+
+    /** Closes the channel of a connect or bind, whatever has become of it. */
+    public static void close(ChannelFuture connecting) {
+        Channel channel = connecting.channel();
+        if (channel.isRegistered()) {
+            channel.close();
+        }
+    }
+
+    private static EventLoop loopOf(AbstractBootstrap<?, ?> bootstrap) {
+        // Each bootstrap of the program is given one loop as its group.
+        return (EventLoop) bootstrap.config().group();
+    }
+
+    private static ChannelFuture toldOnLoop(ChannelFuture outcome, EventLoop loop) {
+        var told = new DefaultChannelPromise(outcome.channel(), loop);
+        outcome.addListener(f -> {
+            if (loop.inEventLoop()) {
+                pass(outcome, told);
+            } else {
+                loop.execute(() -> pass(outcome, told));
+            }
+        });
+        return told;
+    }
+
+    private static void pass(ChannelFuture outcome, DefaultChannelPromise told) {
+        if (outcome.isSuccess()) {
+            told.trySuccess();
+        } else {
+            told.tryFailure(outcome.cause());
+        }
+    }
+}
--- a/net/src/main/java/grebehoist/net/LoopTimers.java
+++ b/net/src/main/java/grebehoist/net/LoopTimers.java
@@ -1,5 +1,6 @@
 package grebehoist.net;
 
+import grebehoist.engine.Log;
 import grebehoist.engine.Timers;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
@@ -15,9 +16,9 @@
  */
 public final class LoopTimers implements Timers {
     /** How often the loop shows that it runs. */
-    private static final long BEAT_US = 10_000;
-    /** A timer or a beat that is later than this finds a loop that was held up. */
-    private static final long HELD_UP_US = 2 * BEAT_US;
+    private static final long HEARTBEAT_US = 10_000;
+    /** A timer or a heartbeat that is later than this finds a loop that was held up. */
+    private static final long HELD_UP_US = 2 * HEARTBEAT_US;
     /**
      * Held up for longer than this, a loop may have missed a good part of the time that it has to take notice of a client's leaving,
      * 0.1 s, and of a drain, 250 ms.
@@ -31,45 +32,60 @@
     private final EventLoop loop;
     private final Ticker ticker;
     private final long originUs;
-    private long beatAt;
+    private long lastHeartbeatAt;
     private long heldUpFrom = Long.MAX_VALUE;
     private long catchingUpUntil;
     private long lastHeldUpFrom = Long.MAX_VALUE;
+    private final Log log;
 
     /** Makes a clock that starts at the system's time. */
     public LoopTimers(EventLoop loop) {
-        this(loop, ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()));
+        this(loop, new StderrLog());
+    }
+
+    /**
+     * Makes a clock that starts at the system's time.
+     *
+     * @param log hears of actions that fail
+     */
+    public LoopTimers(EventLoop loop, Log log) {
+        this(loop, log, ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()));
     }
 
     /** Makes a clock that shows {@code nowUs} now. */
     public LoopTimers(EventLoop loop, long nowUs) {
+        this(loop, new StderrLog(), nowUs);
+    }
+
+    private LoopTimers(EventLoop loop, Log log, long nowUs) {
         this.loop = loop;
+        this.log = log;
         this.ticker = loop.ticker();
         this.originUs = nowUs - ticker.nanoTime() / 1_000;
-        this.beatAt = nowUs;
-        loop.scheduleWithFixedDelay(this::beat, BEAT_US, BEAT_US, TimeUnit.MICROSECONDS);
+        this.lastHeartbeatAt = nowUs;
+        LoopTasks.every(loop, log, HEARTBEAT_US, TimeUnit.MICROSECONDS, this::heartbeat);
     }
 
-    private void beat() {
+    private void heartbeat() {
         long now = now();
-        heldUpFrom = now - beatAt > HELD_UP_US ? beatAt : Long.MAX_VALUE;
-        if (now - beatAt > LONG_HELD_UP_US) {
+        heldUpFrom = now - lastHeartbeatAt > HELD_UP_US ? lastHeartbeatAt : Long.MAX_VALUE;
+        if (now - lastHeartbeatAt > LONG_HELD_UP_US) {
             // Taking in what came during one stop may be the next: what has not been read yet is as old as the first.
-            lastHeldUpFrom = now < catchingUpUntil ? lastHeldUpFrom : beatAt;
+            lastHeldUpFrom = now < catchingUpUntil ? lastHeldUpFrom : lastHeartbeatAt;
             catchingUpUntil = Math.max(catchingUpUntil, now + Math.min(now - lastHeldUpFrom, MOST_CATCHING_UP_US));
         }
-        beatAt = now;
+        lastHeartbeatAt = now;
     }
 
     /**
      * Returns when a byte that is read now may have come. Where the loop was held up, by a pause of the process or a long
      * batch, the byte may have waited all the while, and a deadline counted from now would be too late. That shows in an
-     * overdue beat; the stop may have begun right after the beat before it. As beats and reads take turns, it holds until
-     * the beat after it.
+     * overdue heartbeat; the stop may have begun right after the one before it. As heartbeats and reads take turns, it
+     * holds until the one after it.
      */
     public long arrivedAt() {
         long now = now();
-        return Math.min(heldUpFrom, now - beatAt > HELD_UP_US ? beatAt : now);
+        return Math.min(heldUpFrom, now - lastHeartbeatAt > HELD_UP_US ? lastHeartbeatAt : now);
     }
 
     /**
@@ -83,7 +99,7 @@
     /** Returns when the loop was last seen before the long stop that it is catching up with, or {@link Long#MAX_VALUE}. */
     public long heldUpSince() {
         long now = now();
-        return now - beatAt > LONG_HELD_UP_US ? beatAt : now < catchingUpUntil ? lastHeldUpFrom : Long.MAX_VALUE;
+        return now - lastHeartbeatAt > LONG_HELD_UP_US ? lastHeartbeatAt : now < catchingUpUntil ? lastHeldUpFrom : Long.MAX_VALUE;
     }
 
     @Override
@@ -111,14 +127,14 @@
             long now = now();
             this.atUs = Math.max(atUs, now);
             this.action = action;
-            this.future = loop.schedule(this, this.atUs - now, TimeUnit.MICROSECONDS);
+            this.future = LoopTasks.after(loop, log, this.atUs - now, TimeUnit.MICROSECONDS, this);
         }
 
         @Override
         public void run() {
             if (!looked && now() - atUs > HELD_UP_US) {
                 looked = true;
-                future = loop.schedule(this, LOOK_US, TimeUnit.MICROSECONDS);
+                future = LoopTasks.after(loop, log, LOOK_US, TimeUnit.MICROSECONDS, this);
             } else {
                 action.run();
             }
--- a/net/src/main/java/grebehoist/net/Sockets.java
+++ b/net/src/main/java/grebehoist/net/Sockets.java
@@ -109,7 +109,7 @@
         }
         if (clients > mostClients && !(silentClients.isEmpty() && partingClients.isEmpty())) {
             makingRoom = true;
-            loop.schedule(this::makeRoom, GREETING_NS, TimeUnit.NANOSECONDS);
+            LoopTasks.after(loop, GREETING_NS, TimeUnit.NANOSECONDS, this::makeRoom);
         }
     }
 
