--- a/core/src/main/java/beechfall/Balancer.java
+++ b/core/src/main/java/beechfall/Balancer.java
@@ -11,6 +11,16 @@
  * proxy carries the actions out in the order given. All durations are in microseconds.
  */
 public interface Balancer {
+    /** Below so many requests in a window the law of large numbers helps less, and a backend in slow start is allowed more. */
+    double FEW = 30;
+
+    /**
+     * Returns how many requests all proxies together may send a backend in a window of slow start, as far as this one can estimate what the
+     * backend bears; infinite for one that is warm. By the operators' page: N + 2 sqrt(N) + 2, and N + 3 sqrt(N) + 3 for N under 30.
+     */
+    default double slowStartAllowance(String backend, long nowUs) {
+        return Double.POSITIVE_INFINITY;
+    }
 
     /** What a request may have done when it is sent twice. */
     enum Effect { SAFE, KEYED, UNSAFE }
--- a/core/src/main/java/beechfall/Policy.java
+++ b/core/src/main/java/beechfall/Policy.java
@@ -444,13 +444,29 @@
         if (warmth >= 1) {
             return Double.POSITIVE_INFINITY;
         }
-        double requestUs = s.kind().samples() > 0 ? s.kind().meanUs() : settings.classes().get(0).aimUs();
-        double perUs = Math.max(1 / (requestUs * settings.balancers()), borne * s.weight() * order.size());
+        double perUs = borneBy(s);
         double budgetPerUs = acting * warmth * perUs * coldMultiple(warmth * perUs * settings.balancers() * rules.fallUs());
         double tokens = s.fillColdTokens(0.75 * budgetPerUs, Math.max(1, budgetPerUs * rules.fallUs() / 4), now);
         return hasTurn(s, 0.75 * budgetPerUs * rules.fallUs()) ? tokens : 0;
     }
 
+    @Override
+    public double slowStartAllowance(String backend, long nowUs) {
+        Server s = byId.get(backend);
+        double warmth = s == null ? 1 : s.warmth(nowUs, rules);
+        if (warmth >= 1) {
+            return Double.POSITIVE_INFINITY;
+        }
+        double n = rules.fallMultiple() * warmth * borneBy(s) * settings.balancers() * rules.fallUs();
+        return n < FEW ? n + 3 * Math.sqrt(n) + 3 : n + 2 * Math.sqrt(n) + 2;
+    }
+
+    /** What a warm backend bears from each proxy, in requests a microsecond: what answers show, or one request at a time. */
+    private double borneBy(Server s) {
+        double requestUs = s.kind().samples() > 0 ? s.kind().meanUs() : settings.classes().get(0).aimUs();
+        return Math.max(1 / (requestUs * settings.balancers()), borne * s.weight() * order.size());
+    }
+
     /** Where each may send less than one request in a window they take turns: what all have saved up would come at once. */
     private boolean hasTurn(Server s, double inWindow) {
         double together = inWindow * settings.balancers();
--- a/core/src/main/java/grebehoist/engine/Attempt.java
+++ b/core/src/main/java/grebehoist/engine/Attempt.java
@@ -16,6 +16,16 @@
          */
         void ended(Outcome outcome, Payload answer);
 
+        /**
+         * Asked right before the first byte is written: a connection may have come up late.
+         *
+         * @param deadlineUs the deadline that the backend is to be told
+         * @return whether it may be; if not, the attempt is to end as {@link Outcome#NOT_SENT}
+         */
+        default boolean mayBegin(long deadlineUs) {
+            return true;
+        }
+
         /** The request's last byte has been handed to the network. Told once, before the end. */
         default void written() { }
     }
--- a/core/src/main/java/grebehoist/engine/Counter.java
+++ b/core/src/main/java/grebehoist/engine/Counter.java
@@ -4,6 +4,8 @@
 
 /** What is counted for the operators beside requests and attempts; the names are those of the metrics. */
 public enum Counter {
+    /** An attempt was not begun, as its request's time, or its key's window, had run out since it was decided on. */
+    ATTEMPT_OUT_OF_TIME,
     /** A listener could not accept a connection, and tried again. */
     ACCEPT_FAILED,
     /** An address could not be bound, and was tried again. */
@@ -14,6 +16,8 @@
     DISCOVERY_CALL_FAILED,
     /** A watch on discovery was wanted, and neither a call nor a timer was there for it. */
     DISCOVERY_UNATTENDED,
+    /** The process ended with requests unanswered. */
+    ENDED_UNANSWERED,
     /** A log line was dropped, as there were too many. */
     LOG_LINE_DROPPED,
     /** What the operators asked could not be written, and was tried again. */
--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -15,7 +15,7 @@
 /**
  * The ledger of one pool's requests and attempts: hands the decision module its events, one at a time, and carries out
  * its actions. It decides nothing, but holds to the rules whatever the module asks for: a request has one answer, in
- * time; no attempt goes out beside another, past the settings' number, or after the answer; and a repeat of a keyed request whose last
+ * time; every attempt passes {@link RuleGuard}; and a repeat of a keyed request whose last
  * byte would go out past the window in which its key is known does not go at all.
  *
  * <p>Single-threaded: everything is called on the one thread that {@link Timers} runs its actions on.
@@ -35,6 +35,7 @@
     private final Balancer module;
     private final Transport transport;
     private final Tally tally;
+    private final RuleGuard guard;
     private final Map<String, Balancer.RequestClass> types = new HashMap<>();
     private final Map<String, Open> open = new HashMap<>();
     /** Of those that are open, how many still want their answer. */
@@ -60,6 +61,7 @@
         this.timers = timers;
         this.transport = transport;
         this.log = log;
+        this.guard = new RuleGuard(log, settings.rules().fallUs());
     }
 
     /** Names where the list of backends comes from, before anything else is asked of the engine. */
@@ -213,6 +215,28 @@
             }
         }
 
+        @Override
+        public boolean mayBegin(long deadlineUs) {
+            return !ended && guard.begins(facts(deadlineUs), timers.now());
+        }
+
+        private RuleGuard.Send facts(long toldDeadlineUs) {
+            long now = timers.now();
+            int othersOut = 0;
+            var mayHaveRun = new ArrayList<RuleGuard.Earlier>(2);
+            for (Out other : request.attempts) {
+                if (other != this) {
+                    othersOut += other.ended ? 0 : 1;
+                    if (other.ended ? other.ranForAllThatIsKnown() : other.mayHaveRun()) {
+                        mayHaveRun.add(new RuleGuard.Earlier(other.backend, other.sentAt));
+                    }
+                }
+            }
+            return new RuleGuard.Send(request.request.id(), number, backend, types.get(request.request.requestClass()), !request.over,
+                    request.deadlineUs - now, toldDeadlineUs - now, othersOut, limits.maxAttempts(), limits.secondCopies(), mayHaveRun,
+                    module.slowStartAllowance(backend, now));
+        }
+
         boolean mayHaveRun() {
             return attempt != null && attempt.mayHaveRun();
         }
@@ -331,6 +355,11 @@
         }
     }
 
+    @Override
+    public void closedUnanswered(String id, String why) {
+        guard.closedUnanswered(id, why, timers.now());
+    }
+
     @Override
     public void clientGone(String id) {
         Open r = open.get(id);
@@ -354,6 +383,7 @@
 
     @Override
     public void members(Balancer.ListKind kind, List<Listed> listed) {
+        guard.notified(kind, listed, timers.now());
         List<? extends Attempt> unsent = kind == Balancer.ListKind.FAILED ? List.of() : transport.members(kind, listed);
         deliver(new Balancer.Members(kind, listed.stream().map(Listed::backend).toList()));
         // The module has heard why by now, and sends them elsewhere.
@@ -533,7 +563,7 @@
         var out = new Out(r, r.attempts.size(), send.backend(),
                 send.timeoutUs() == 0 ? left : Math.min(send.timeoutUs(), left));
         r.attempts.add(out);
-        if (!r.over && out.number < limits.maxAttempts() && out.timeoutUs > 0 && (r.out == 0 || limits.secondCopies())) {
+        if (out.timeoutUs > 0 && guard.maySend(out.facts(out.startedAt + out.timeoutUs), timers.now())) {
             out.start();
         } else {
             out.ended = true;
--- a/core/src/main/java/grebehoist/engine/Log.java
+++ b/core/src/main/java/grebehoist/engine/Log.java
@@ -1,6 +1,9 @@
 package grebehoist.engine;
 
-/** Lines for the people who run the proxy. Used by the engine's thread alone. */
+/**
+ * What the people who run the proxy are told, and what is counted for them. Lines and events are written by the engine's thread alone, or by
+ * the main thread before that; whatever is counted may be counted on any thread.
+ */
 public interface Log {
     /** Writes a line. */
     void line(String text);
@@ -8,6 +11,14 @@
     /** Writes a line on something that went wrong inside the program. */
     void failure(String what, Throwable cause);
 
-    /** Counts something that the metrics show. May be called from any thread. */
+    /** Writes a state transition. */
+    default void event(LogEvent event) { }
+
+    /** Counts something that the metrics show. */
     default void count(Counter counter) { }
+
+    /** Counts and writes a rule that was about to be broken. */
+    default void violation(RuleGuard.Violation violation) {
+        line("invariant violated: " + violation);
+    }
 }
--- a/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
+++ b/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
@@ -16,14 +16,20 @@
 
     private final PooledTransport.Target target;
     private final End end;
+    private final long deadlineUs;
     private ChannelFuture connecting;
     private Channel channel;
     private boolean written;
     private boolean ended;
 
-    /** Makes an attempt that is yet to be started. */
-    protected PooledAttempt(PooledTransport.Target target, End end) {
+    /**
+     * Makes an attempt that is yet to be started.
+     *
+     * @param deadlineUs when its backend has to have answered
+     */
+    protected PooledAttempt(PooledTransport.Target target, long deadlineUs, End end) {
         this.target = target;
+        this.deadlineUs = deadlineUs;
         this.end = end;
     }
 
@@ -76,7 +82,23 @@
         }
     }
 
+    private void giveBack() {
+        Channel unused = channel;
+        channel = null;
+        if (target.ready()) {
+            target.pool().release(unused);
+        } else {
+            unused.close();
+        }
+    }
+
     private void write() {
+        if (!end.mayBegin(deadlineUs)) {
+            // Nothing has been written on it: the connection is as good as new.
+            giveBack();
+            end(Outcome.NOT_SENT, null);
+            return;
+        }
         channel.attr(PooledConnection.KEY).get().begin(this);
         send(channel).addListener(f -> {
             written = f.isSuccess();
--- a/daemon/src/main/java/grebehoist/cli/HangUp.java
+++ b/daemon/src/main/java/grebehoist/cli/HangUp.java
@@ -14,6 +14,36 @@
     /** A new configuration counts some seconds after the signal: this leaves most of them for what follows. */
     private static final long LOOK_MS = 500;
 
+    /** An action that signals ask for before it is there: asked then, it runs as soon as it is. */
+    static final class Deferred {
+        private Runnable action;
+        private boolean asked;
+
+        /** Runs the action, now or once it is there. */
+        void ask() {
+            Runnable now;
+            synchronized (this) {
+                now = action;
+                asked = now == null;
+            }
+            if (now != null) {
+                now.run();
+            }
+        }
+
+        /** The action is there. */
+        void begin(Runnable wanted) {
+            boolean due;
+            synchronized (this) {
+                action = wanted;
+                due = asked;
+            }
+            if (due) {
+                wanted.run();
+            }
+        }
+    }
+
     private HangUp() { }
 
     /**
--- a/daemon/src/main/java/grebehoist/cli/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -4,11 +4,11 @@
 import beechfall.Policy;
 import grebehoist.config.Config;
 import grebehoist.engine.Log;
+import grebehoist.engine.LogEvent;
 import grebehoist.engine.MemberSource;
 import grebehoist.members.CommonSuspensions;
 import grebehoist.net.Backoff;
 import grebehoist.net.Front;
-import grebehoist.net.LoopTasks;
 import grebehoist.net.LoopTimers;
 import grebehoist.net.Network;
 import grebehoist.net.Sockets;
@@ -18,6 +18,7 @@
 import grebehoist.operations.StateDirectory;
 import grebehoist.peers.PeerSettings;
 import grebehoist.pool.Pool;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
@@ -26,26 +27,19 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /**
  * Runs one process: puts its pools and listeners together, reads a new configuration, and ends when it is told to. The
  * platform's configuration gives one pool and one listener; an installation file may give more, or stand alone.
  */
 public final class Serve {
-    /** New connections go on coming for so long after the signal. */
-    private static final long FRONT_LAG_MS = 500;
     private static final long LOOK_MS = 10;
     private static final int LEAST_SOCKETS = 96;
-    /** The process is killed so long after the longest deadline, counted from the signal; a little earlier it ends. */
-    private static final long KILL_MS = 600;
-    /** The longest deadline counts for no more than this in the time that a process has to end. */
-    private static final long LONGEST_COUNTED_MS = 3_000;
-    /** So long before it ends the last answers are given, so that they get out. */
-    private static final long LAST_ANSWERS_MS = 100;
+    /** What has been logged may take so long to be written, where whoever reads it is slow. */
+    private static final long FLUSH_MS = 50;
 
     /**
      * A first life's warm-up ends so long after the program began. One that was killed before the list changed looks like a first life, and
@@ -58,20 +52,18 @@
     private static final long START_RETRY_MS = 20;
     /** An old process is told to end when the new one says that it can serve, within 6 s at the latest: this leaves time for the rest. */
     private static final long UPGRADE_WARM_MS = 3_000;
-    /** An upgraded process is used for so long on the connections that it has, each of which ends with its next answer. */
-    private static final long HANDED_OVER_MS = 1_000;
     private static final long HEARD_MS = 2_000;
     /** So much of one proxy the process acts for that is handing over. */
     private static final double LEAVING = 0.25;
 
-    /** A listener and where it is to listen. */
-    private record Listener(String name, Pool pool, Front front, InetSocketAddress address) { }
+    /** Whether the process ends because it could not be started: there is nothing to end in order. */
+    private static volatile boolean neverStarted;
 
     private final String name;
     /** What the platform tells, or null. */
     private final Config config;
     private final Network network;
-    private final Log log = new StderrLog();
+    private final StderrLog log = new StderrLog();
     private final EventLoop loop;
     private final Pool.Host host;
     /** Null where the platform names no door for operators. */
@@ -82,10 +74,11 @@
     /** Used by the loop's thread alone: how much of one proxy this process acts for, and whether that is settled. */
     private double acting = 1;
     private boolean leaving;
+    /** Used by the main thread alone: whether what operators have asked before is in force. */
+    private boolean begun;
     /** Added to by the main thread, and read by the loop's and by signals'. */
     private final List<Pool> pools = new CopyOnWriteArrayList<>();
-    private final List<Listener> listeners = new CopyOnWriteArrayList<>();
-    private final CountDownLatch drained = new CountDownLatch(1);
+    private final Listeners listeners;
     /** Null where this process speaks to no others. */
     private volatile Members members;
     /** Null where no configuration is distributed to this process. */
@@ -115,7 +108,7 @@
             loop.execute(() -> suspensions.join(operations.suspensions(), host.timers().now()));
         }
         pools.add(pool);
-        listeners.add(new Listener(config.name(), pool, pool.httpFront(this::ready), config.listen()));
+        listeners.add(new Listeners.Listener(config.name(), pool, pool.httpFront(this::ready), config.listen()));
     }
 
     /** A process without a pool of the platform's. */
@@ -129,7 +122,8 @@
         this.config = config;
         this.network = network;
         loop = network.loop();
-        host = new Pool.Host(network, new LoopTimers(loop), new Sockets(loop, sockets), log);
+        host = new Pool.Host(network, new LoopTimers(loop, log), new Sockets(loop, sockets), log);
+        listeners = new Listeners(name, network, log);
         suspensions = more == null || more.distribution() == null ? null : new CommonSuspensions();
     }
 
@@ -161,6 +155,9 @@
             System.err.println("usage: serve [--installation FILE]");
             System.exit(2);
         }
+        // First of all: without a handler the signal ends the process.
+        var reload = new HangUp.Deferred();
+        boolean signalled = HangUp.handle(reload::ask);
         try {
             Path file = installed && System.getenv("PROXY_CONFIG") == null ? null : file();
             FileStamp stamp = file == null ? null : FileStamp.of(file);
@@ -173,12 +170,21 @@
                 Warmup.run(config, UPGRADE_WARM_MS, () -> false);
             }
             var serve = config != null ? new Serve(config, operations, more) : new Serve(more);
-            // Before it listens: without a handler the signal ends the process.
-            Runnable reload = serve.reloading(file);
-            if (!HangUp.handle(reload) && file != null) {
+            reload.begin(serve.reloading(file));
+            if (!signalled && file != null) {
                 serve.tell("SIGHUP is ignored by whoever started this process: the configuration is read again when its file is written");
-                HangUp.onChange(file, stamp, reload);
+                HangUp.onChange(file, stamp, reload::ask);
             }
+            // Before it listens: what it accepts is to be answered, however soon it is told to end.
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                if (neverStarted) {
+                    return;
+                }
+                serve.drain();
+                StderrLog.flush(FLUSH_MS);
+                // All is answered and nothing is left to be tidied up.
+                Runtime.getRuntime().halt(0);
+            }, "drain"));
             serve.warming = config != null && !upgrade && config.isFirstLife();
             // Before it serves: what is suspended everywhere is soon known.
             serve.distribute(more);
@@ -188,13 +194,9 @@
             serve.meet(more);
             if (more != null && more.start(serve) == 0 && config == null && !more.servesNobody()) {
                 System.err.println("nothing could be started");
+                neverStarted = true;
                 System.exit(1);
             }
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                serve.drain();
-                // All is answered and nothing is left to be tidied up.
-                Runtime.getRuntime().halt(0);
-            }, "drain"));
             if (serve.warming) {
                 serve.warmUp(WARM_MS - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began));
             }
@@ -245,6 +247,7 @@
     }
 
     private static void exit(Config.BadConfig e) {
+        neverStarted = true;
         System.err.println("bad configuration: " + e.getMessage());
         System.exit(2);
     }
@@ -253,17 +256,17 @@
     void begin() {
         Pool pool = pools.get(0);
         if (operations != null) {
-            Front front = listeners.get(0).front();
+            Front front = listeners.first().front();
             operations.begin(new Operations.Target(this::ready, pool::tally, pool::unanswered, pool::avoided, front::sendAway,
-                    this::companions), host.timers(), loop);
+                    this::otherProcesses, log), host.timers(), loop);
         }
         loop.execute(() -> pool.begin(config.known()));
+        begun = true;
     }
 
     /** Listens for the platform's pool. */
     ChannelFuture listen() {
-        Listener first = listeners.get(0);
-        return first.front().listen(network, first.address());
+        return listeners.listen();
     }
 
     /** Begins to serve what the platform tells of; returns the address. */
@@ -282,26 +285,35 @@
         if (upgrade) {
             awaitReady();
         }
-        ChannelFuture bound = listen().awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new Config.BadConfig("'listen': " + bound.cause().getMessage());
-        }
+        Channel bound = bind("listen", this::listen);
         if (operations != null) {
             var door = new Door(operations, log);
             if (distribution != null) {
                 distribution.at(door);
             }
-            ChannelFuture opened = door.listen(network, config.operator()).awaitUninterruptibly();
-            if (!opened.isSuccess()) {
-                throw new Config.BadConfig("'operator': " + opened.cause().getMessage());
-            }
+            bind("operator", () -> door.listen(network, config.operator()));
         }
-        var address = (InetSocketAddress) bound.channel().localAddress();
+        if (bound == null) {
+            return null;
+        }
+        var address = (InetSocketAddress) bound.localAddress();
         loop.execute(() -> log.line(name + ": listening on " + address.getPort()
                 + (config.isFirstLife() ? "" : ", back with a list that it had")));
         return address;
     }
 
+    /** Binds the address that a key of the configuration gives; returns null where the process has been told to end meanwhile. */
+    private Channel bind(String key, Supplier<ChannelFuture> attempt) throws Config.BadConfig {
+        try {
+            return listeners.bind(attempt, begun, START_PATIENCE_MS);
+        } catch (Listeners.CannotListen e) {
+            throw new Config.BadConfig("'" + key + "': " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new Config.BadConfig("interrupted at the start");
+        }
+    }
+
     /** Speaks to the other proxies, where the installation file says so, or the platform allows it. */
     private void meet(InstalledPools more) {
         PeerSettings others = more == null ? null : more.peers();
@@ -396,7 +408,7 @@
     }
 
     /** Two processes of one proxy share its descriptors: each has half of them while both live. */
-    private void companions(StateDirectory.Shared shared) {
+    private void otherProcesses(StateDirectory.Shared shared) {
         int limit = config.sockets() - Door.MOST_CALLERS;
         host.sockets().limit(Math.max(LEAST_SOCKETS, limit / (1 + shared.others())));
         succeeded = shared.newer();
@@ -418,16 +430,7 @@
      * @return where it listens, or null where it can't: that is told, and the others go on
      */
     InetSocketAddress add(String listener, Pool pool, Front front, InetSocketAddress at) {
-        ChannelFuture bound = front.listen(network, at).awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            loop.execute(() -> log.line(name + ": listener " + listener + " of pool " + pool.name() + " does not start: "
-                    + bound.cause().getMessage()));
-            return null;
-        }
-        listeners.add(new Listener(listener, pool, front, at));
-        var address = (InetSocketAddress) bound.channel().localAddress();
-        loop.execute(() -> log.line(name + ": listener " + listener + " of pool " + pool.name() + " is at port " + address.getPort()));
-        return address;
+        return listeners.begin(new Listeners.Listener(listener, pool, front, at));
     }
 
     /** Writes a line for the operators. */
@@ -445,6 +448,7 @@
             public void read(Config next) {
                 loop.execute(() -> {
                     configured(true);
+                    log.event(new LogEvent("configuration", name, "CURRENT", "REPLACED", "SIGHUP"));
                     log.line(name + ": new configuration, discovery is at " + next.discovery());
                     pools.get(0).moveTo(next.discovery());
                 });
@@ -454,6 +458,7 @@
             public void rejected(String why) {
                 loop.execute(() -> {
                     configured(false);
+                    log.event(new LogEvent("configuration", name, "CURRENT", "REJECTED", why));
                     log.line("the new configuration is left alone: " + why);
                 });
             }
@@ -493,43 +498,14 @@
 
     /** Answers all that is taken, sends the clients elsewhere, and ends the process in time. */
     void drain() {
-        long longestMs = pools.stream().mapToLong(Pool::longestDeadlineUs).max().orElse(0) / 1_000;
         boolean handsOver = succeeded;
-        long mostMs = Math.min(longestMs, LONGEST_COUNTED_MS) + KILL_MS;
-        loop.execute(() -> {
-            log.line(name + (handsOver ? ": handing over to the process that has come up beside this one" : ": draining"));
-            each(l -> l.front().closeAfterAnswers());
-            pools.forEach(p -> p.answerAllBy(host.timers().now() + TimeUnit.MILLISECONDS.toMicros(mostMs - LAST_ANSWERS_MS)));
+        new Shutdown(name, loop, host.timers(), log, listeners, pools).run(handsOver, () -> {
             if (handsOver) {
                 act(LEAVING);
                 leaving = true;
-                // The one that follows has this one's place among the members too.
-                leave();
-                each(l -> l.front().handOver(() -> log.line(name + ": listens no more")));
             }
+            leave();
         });
-        LoopTasks.after(loop, log, handsOver ? HANDED_OVER_MS : FRONT_LAG_MS, TimeUnit.MILLISECONDS, () -> {
-            each(l -> l.front().stopListening());
-            LoopTasks.every(loop, log, LOOK_MS, TimeUnit.MILLISECONDS, () -> {
-                if (listeners.stream().noneMatch(l -> l.front().busy())) {
-                    drained.countDown();
-                }
-            });
-        });
-        try {
-            boolean all = drained.await(mostMs, TimeUnit.MILLISECONDS);
-            loop.submit(() -> {
-                leave();
-                log.line(name + (all ? ": drained" : ": ends with clients still connected"));
-            }).awaitUninterruptibly(LOOK_MS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    /** Does a step of the shutdown for each listener: one that fails holds up no other. */
-    private void each(Consumer<Listener> step) {
-        listeners.forEach(l -> LoopTasks.contained(log, () -> step.accept(l)).run());
     }
 
     /** Ends at once, whatever is still open. */
--- a/daemon/src/main/java/grebehoist/discovery/Discovery.java
+++ b/daemon/src/main/java/grebehoist/discovery/Discovery.java
@@ -7,7 +7,9 @@
 import grebehoist.engine.Counter;
 import grebehoist.engine.Listed;
 import grebehoist.engine.Log;
+import grebehoist.engine.LogEvent;
 import grebehoist.engine.MemberSource;
+import grebehoist.engine.Timers;
 import grebehoist.net.LoopTasks;
 import grebehoist.net.Network;
 import io.netty.channel.EventLoop;
@@ -60,6 +62,8 @@
     private final boolean pushed;
     private final long holdMs;
     private final SplittableRandom random;
+    private final Timers clock;
+    private final StartTimes starts = new StartTimes();
     /** The call that the watch rests on, or null. */
     private DiscoveryCall watch;
     /** A second call, made as the answer to the watch is overdue, or null; never without a watch. */
@@ -67,6 +71,8 @@
     private boolean wanted;
     private long version = -1;
     private boolean heard;
+    /** Whether the last call was answered. */
+    private boolean answers = true;
     /** Since when a watch is wanted and no call is out, by the loop's clock in nanoseconds; 0 while that is not so. */
     private long unattendedSince;
     private final Future<?> supervision;
@@ -74,9 +80,11 @@
     /**
      * Makes a source that is yet to be begun with {@link #known}.
      *
+     * @param clock the time that the decision module goes by
      * @param address where discovery is
      */
-    public Discovery(Network network, Log log, Sink sink, InetSocketAddress address, Balancer.Settings settings) {
+    public Discovery(Network network, Timers clock, Log log, Sink sink, InetSocketAddress address, Balancer.Settings settings) {
+        this.clock = clock;
         this.loop = network.loop();
         this.network = network;
         this.log = log;
@@ -213,6 +221,7 @@
             return;
         }
         heard = true;
+        answering(list != null);
         if (list == null) {
             failed(call);
             return;
@@ -241,6 +250,13 @@
         take(list.kind(), list);
     }
 
+    private void answering(boolean now) {
+        if (now != answers) {
+            answers = now;
+            log.event(new LogEvent("watch", address.toString(), now ? "FAILING" : "ANSWERED", now ? "ANSWERED" : "FAILING", "a call has ended"));
+        }
+    }
+
     private void later(long delayMs, Runnable step) {
         LoopTasks.after(loop, log, delayMs, TimeUnit.MILLISECONDS, step);
     }
@@ -259,8 +275,8 @@
                 watch = watchCall(0);
             }
         });
-        List<Listed> bad = list.entries(log);
-        bad.removeIf(l -> l.backend().state() == Balancer.State.READY);
+        List<Listed> bad = starts.translate(ListKind.DELTA, list.entries(log), clock.now()).stream()
+                .filter(l -> l.backend().state() != Balancer.State.READY).toList();
         if (!bad.isEmpty()) {
             sink.members(ListKind.DELTA, bad);
         }
@@ -299,6 +315,6 @@
     }
 
     private void take(ListKind kind, EndpointList list) {
-        sink.members(kind, list.entries(log));
+        sink.members(kind, starts.translate(kind, list.entries(log), clock.now()));
     }
 }
--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -358,6 +358,9 @@
 
     private void close(CutOff cause) {
         why = cause;
+        if (exchange != null) {
+            exchange.closing(cause);
+        }
         channel.close();
     }
 
@@ -524,8 +527,10 @@
             // A client that goes away, or stops half-way, is nothing to tell the operators.
             if (!(cause instanceof IOException) && !(cause instanceof CodecException)) {
                 front.log().failure("a client's connection failed", cause);
-                why = CutOff.CLIENT_FAILED;
-            } else if (cause instanceof IOException) {
+                close(CutOff.CLIENT_FAILED);
+                return;
+            }
+            if (cause instanceof IOException) {
                 why = CutOff.CLIENT_RESET;
             }
             ctx.close();
--- a/daemon/src/main/java/grebehoist/http/Exchange.java
+++ b/daemon/src/main/java/grebehoist/http/Exchange.java
@@ -200,6 +200,13 @@
         });
     }
 
+    /** Its connection is about to be closed from this side. */
+    void closing(CutOff why) {
+        if (id != null && !answered) {
+            front.intake().closedUnanswered(id, why.toString());
+        }
+    }
+
     /** Its connection is closed before the answer has gone out whole. */
     void clientGone(CutOff why) {
         drop();
--- a/daemon/src/main/java/grebehoist/http/HttpAttempt.java
+++ b/daemon/src/main/java/grebehoist/http/HttpAttempt.java
@@ -28,7 +28,7 @@
     private long takenAt;
 
     HttpAttempt(Timers timers, PooledTransport.Target target, HttpCall call, long deadlineUs, End end) {
-        super(target, end);
+        super(target, deadlineUs, end);
         this.timers = timers;
         this.call = call;
         this.deadlineUs = deadlineUs;
--- a/daemon/src/main/java/grebehoist/operations/Door.java
+++ b/daemon/src/main/java/grebehoist/operations/Door.java
@@ -92,7 +92,7 @@
 
     /** Listens; the future tells whether the address could be had. */
     public ChannelFuture listen(Network network, InetSocketAddress address) {
-        return LoopChannels.bind(network.server().clone().childHandler(new ChannelInitializer<Channel>() {
+        return LoopChannels.bind(network.server().clone().handler(LoopChannels.keepAccepting(log)).childHandler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
                 admit(channel);
--- a/daemon/src/main/java/grebehoist/operations/Operations.java
+++ b/daemon/src/main/java/grebehoist/operations/Operations.java
@@ -2,11 +2,16 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import grebehoist.config.Json;
+import grebehoist.engine.Counter;
+import grebehoist.engine.LogEvent;
 import grebehoist.engine.MemberSource;
+import grebehoist.engine.RuleGuard.Rule;
 import grebehoist.engine.Tally;
 import grebehoist.members.Suspensions;
 import grebehoist.net.LoopTimers;
+import grebehoist.net.StderrLog;
 import java.io.IOException;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -28,10 +33,11 @@
      * @param active how many requests want an answer
      * @param avoided how many of the listed backends that are not suspended the module now avoids
      * @param sendAway sends clients elsewhere, or no longer
-     * @param companions hears how many other processes of this proxy live
+     * @param otherProcesses hears how many other processes of this proxy live
+     * @param log counts what the metrics show
      */
     public record Target(BooleanSupplier ready, Supplier<Tally> tally, IntSupplier active, IntSupplier avoided,
-            Consumer<Boolean> sendAway, Consumer<StateDirectory.Shared> companions) { }
+            Consumer<Boolean> sendAway, Consumer<StateDirectory.Shared> otherProcesses, StderrLog log) { }
 
     /** A caller waits for 1 s. */
     private static final long ANSWER_US = 800_000;
@@ -42,6 +48,8 @@
     private LoopTimers timers;
     /** Set once, before a call can come. */
     private volatile Supplier<ObjectNode> members;
+    /** What the operators have asked, as it was applied last; null before that. */
+    private StateDirectory.Shared inForce;
     private int applied;
     private int rejected;
 
@@ -77,9 +85,13 @@
     }
 
     private void apply(StateDirectory.Shared shared) {
+        if (!shared.equals(inForce)) {
+            target.log.event(new LogEvent("operator", "state", String.valueOf(inForce), shared.toString(), "in force"));
+            inForce = shared;
+        }
         suspensions.set(shared.suspended(), timers.now());
         target.sendAway.accept(shared.drained());
-        target.companions.accept(shared);
+        target.otherProcesses.accept(shared);
     }
 
     /** A new configuration has been taken over, or left alone. */
@@ -106,6 +118,14 @@
             errors.put(row.getKey(), row.getValue().failed());
             tries += row.getValue().attempts();
         }
+        ObjectNode violations = figures.putObject("invariant_violations");
+        for (Rule rule : Rule.values()) {
+            violations.put(rule.name().toLowerCase(Locale.ROOT), target.log.violations(rule));
+        }
+        ObjectNode events = figures.putObject("events");
+        for (Counter counter : Counter.values()) {
+            events.put(counter.metric(), target.log.counted(counter));
+        }
         return figures.put("tries", tries).put("active", target.active.getAsInt()).put("pool_size", suspensions.listed().size())
                 .put("pool_ejected", suspensions.suspendedOfList() + target.avoided.getAsInt())
                 .put("config_applied", applied).put("config_rejected", rejected);
--- a/daemon/src/main/java/grebehoist/pool/Pool.java
+++ b/daemon/src/main/java/grebehoist/pool/Pool.java
@@ -85,7 +85,7 @@
         module = wiring.module().apply(settings);
         engine = new Engine(settings, module, host.timers(), transport, host.log());
         intake = wiring.intake().apply(engine);
-        discovery = new Discovery(host.network(), host.log(), wiring.sink().apply(engine), spec.discovery(), settings);
+        discovery = new Discovery(host.network(), host.timers(), host.log(), wiring.sink().apply(engine), spec.discovery(), settings);
         engine.source(discovery);
     }
 
--- a/daemon/src/main/java/grebehoist/thrift/ThriftAttempt.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftAttempt.java
@@ -12,8 +12,8 @@
     private final ThriftCall call;
     private ThriftBackendConnection connection;
 
-    ThriftAttempt(PooledTransport.Target target, ThriftCall call, End end) {
-        super(target, end);
+    ThriftAttempt(PooledTransport.Target target, ThriftCall call, long deadlineUs, End end) {
+        super(target, deadlineUs, end);
         this.call = call;
     }
 
--- a/daemon/src/main/java/grebehoist/thrift/ThriftTransport.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftTransport.java
@@ -38,6 +38,6 @@
 
     @Override
     protected PooledAttempt attempt(Target target, Payload request, long deadlineUs, Attempt.End end) {
-        return new ThriftAttempt(target, (ThriftCall) request, end);
+        return new ThriftAttempt(target, (ThriftCall) request, deadlineUs, end);
     }
 }
--- a/daemon/src/test/java/grebehoist/cli/DistributionIT.java
+++ b/daemon/src/test/java/grebehoist/cli/DistributionIT.java
@@ -162,7 +162,12 @@
             control.start();
             assertThat(control.change("create", SCOPE, "").path("result").asText()).isEqualTo("taken");
             assertThat(control.change("suspend", SCOPE, "s-1").path("result").asText()).isEqualTo("taken");
+            // Taken means by two machines of three: this one may hear of it a moment later.
             String before = control.get(0, "/v1/distribution?scope=" + SCOPE).body();
+            while (!before.contains("\"version\":1,")) {
+                TimeUnit.MILLISECONDS.sleep(10);
+                before = control.get(0, "/v1/distribution?scope=" + SCOPE).body();
+            }
             for (String call : List.of("", "{", "[]", "{\"call\":\"open\"}", "{\"call\":\"create\",\"machine\":0,\"scope\":\"\",\"base\":0}",
                     "{\"call\":\"open\",\"machine\":1,\"scope\":\"" + SCOPE + "\",\"epoch\":9000000000000}")) {
                 Wire.Message answer = control.post(0, "/v1/distribution/call", call);
--- a/net/src/main/java/grebehoist/net/ClientFront.java
+++ b/net/src/main/java/grebehoist/net/ClientFront.java
@@ -45,13 +45,14 @@
     private final Intake intake;
     private final Sockets sockets;
     private final Set<C> connections = new LinkedHashSet<>();
-    private Channel listener;
+    /** Null before it listens. */
+    private volatile Channel listener;
     private boolean closing;
     /** Whether nobody comes any more: each connection ends when nothing is asked on it. */
     private boolean stopped;
     /** Since when clients are sent away, or {@link Long#MAX_VALUE}. */
     private long awaySince = Long.MAX_VALUE;
-    private AcceptBacklog backlog;
+    private volatile AcceptBacklog backlog;
     private Future<?> sweep;
 
     /** Makes a front that is yet to listen. */
@@ -73,7 +74,7 @@
     public final ChannelFuture listen(Network network, InetSocketAddress address) {
         backlog = new AcceptBacklog(timers, network.loop());
         sweep = LoopTasks.every(network.loop(), log, SWEEP_US, TimeUnit.MICROSECONDS, this::sweep);
-        ChannelFuture bound = LoopChannels.bind(network.server().clone()
+        ChannelFuture bound = LoopChannels.bind(network.server().clone().handler(new AcceptRetry(log, sockets::accept))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -83,7 +84,10 @@
                 }), network.address(address));
         listener = bound.channel();
         bound.addListener(f -> {
-            if (f.isSuccess()) {
+            if (f.isSuccess() && stopped) {
+                // The process was told to end while it began to listen.
+                listener.close();
+            } else if (f.isSuccess()) {
                 sockets.listener(listener, backlog::accepting);
             } else {
                 sweep.cancel(false);
@@ -114,8 +118,8 @@
     @Override
     public final void handOver(Runnable then) {
         closing = true;
-        backlog.whenEmpty(() -> {
-            listener.close();
+        whenNobodyWaits(() -> {
+            stopAccepting();
             then.run();
         });
     }
@@ -134,16 +138,30 @@
     @Override
     public final void stopListening() {
         closing = true;
-        backlog.whenEmpty(() -> {
+        whenNobodyWaits(() -> {
             stopped = true;
-            listener.close();
+            stopAccepting();
             partIdle();
         });
     }
 
+    private void whenNobodyWaits(Runnable action) {
+        if (backlog == null) {
+            action.run();
+        } else {
+            backlog.whenEmpty(action);
+        }
+    }
+
+    private void stopAccepting() {
+        if (listener != null) {
+            listener.close();
+        }
+    }
+
     @Override
     public final boolean busy() {
-        return !connections.isEmpty() || listener.isOpen();
+        return !connections.isEmpty() || listener != null && listener.isOpen();
     }
 
     /** Returns the open connections, the oldest first. */
--- a/net/src/main/java/grebehoist/net/LoopChannels.java
+++ b/net/src/main/java/grebehoist/net/LoopChannels.java
@@ -1,9 +1,12 @@
 package grebehoist.net;
 
+import grebehoist.engine.Log;
 import io.netty.bootstrap.AbstractBootstrap;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.DefaultChannelPromise;
 import io.netty.channel.EventLoop;
 import java.net.SocketAddress;
@@ -31,6 +34,16 @@
         return toldOnLoop(bootstrap.bind(local), loopOf(bootstrap));
     }
 
+    /** Returns the handler of a listener that goes on accepting where accept(2) fails for a moment, and that nobody else pauses. */
+    public static ChannelHandler keepAccepting(Log log) {
+        return new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel listener) {
+                listener.pipeline().addLast(new AcceptRetry(log, () -> listener.config().setAutoRead(true)));
+            }
+        };
+    }
+
     /** Closes the channel of a connect or bind, whatever has become of it. */
     public static void close(ChannelFuture connecting) {
         Channel channel = connecting.channel();
--- a/net/src/main/java/grebehoist/net/Sockets.java
+++ b/net/src/main/java/grebehoist/net/Sockets.java
@@ -113,7 +113,8 @@
         }
     }
 
-    private void accept() {
+    /** Begins to accept again, where a listener has paused, as far as there is room. */
+    void accept() {
         boolean on = clients < mostClients + LOBBY;
         listeners.forEach((listener, hears) -> {
             if (listener.config().isAutoRead() != on) {
--- a/trial/src/main/java/grebehoist/trial/Member.java
+++ b/trial/src/main/java/grebehoist/trial/Member.java
@@ -101,6 +101,16 @@
         environment.put(variable, value);
     }
 
+    /** Returns the id of its process. */
+    long pid() {
+        return process.pid();
+    }
+
+    /** Writes another configuration, for its next start or for SIGHUP. */
+    void configure(String json) throws IOException {
+        Files.writeString(config, json);
+    }
+
     boolean alive() {
         return process != null && process.isAlive();
     }
--- /dev/null
+++ b/trial/src/main/java/grebehoist/trial/SoakPlay.java
@@ -0,0 +1,458 @@
+package grebehoist.trial;
+
+import beechfall.Balancer;
+import beechfall.Balancer.Effect;
+import beechfall.Balancer.RequestClass;
+import beechfall.Balancer.Scope;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import grebehoist.testkit.Fleet;
+import grebehoist.testkit.HttpWire;
+import grebehoist.testkit.Rig;
+import grebehoist.testkit.StandInBackend.Act;
+import grebehoist.testkit.StandInClients.Manner;
+import grebehoist.testkit.StandInDiscovery;
+import grebehoist.testkit.Witness;
+import grebehoist.testkit.Witness.Count;
+import grebehoist.trial.FaultLibrary.SystemCall;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Plays a schedule of the soak: real processes under load, faults that overlap, and the oracle: the witness of the four rules outside, the
+ * counted invariants inside, processes that serve nobody or end by themselves, the time until they are ready, memory and descriptors.
+ */
+final class SoakPlay implements AutoCloseable {
+    /** How it ended. */
+    record Verdict(List<String> findings, Map<SoakFault.Kind, Integer> played, Map<SystemCall, Long> injected, long requests, String summary) {
+        boolean held() {
+            return findings.isEmpty();
+        }
+    }
+
+    private static final long MS = 1_000;
+    private static final long S = 1_000_000;
+    private static final long READY_MS = 10_000;
+    /** So long after it goes on a process may still accept whoever came while it was stopped. */
+    private static final long CATCHING_UP_US = 1_000 * MS;
+    /** Answers are lost half a second after their time, as on days at full size: many processes share the cores. */
+    private static final long LATE_US = 500 * MS;
+    private static final long OPERATORS_US = S;
+    private static final long QUIET_MS = 4_000;
+    private static final long LONGEST_PAUSE_MS = 150;
+    private static final int BACKENDS = 10;
+    private static final int CROWD = 60;
+    private static final long MOST_KB = 192 * 1_024;
+    private static final int MOST_DESCRIPTORS = 1_024;
+    private static final double CORES_FOR_EACH = 0.25;
+
+    private final SoakSchedule schedule;
+    private final Rig rig;
+    private final Path directory = Files.createTempDirectory("soak");
+    private final List<SoakProxy> proxies = new ArrayList<>();
+    private final List<String> findings = Collections.synchronizedList(new ArrayList<>());
+    private final Map<SoakFault.Kind, Integer> played = new ConcurrentHashMap<>();
+    private final ScheduledExecutorService steps = Executors.newScheduledThreadPool(16);
+    private final List<Socket> crowd = Collections.synchronizedList(new ArrayList<>());
+    private long beganNs;
+
+    SoakPlay(SoakSchedule schedule, Path jar) throws IOException, InterruptedException {
+        this.schedule = schedule;
+        rig = new Rig(new HttpWire(), settings(0), new double[] {0.5, 0.3, 0.2}, 15 * S, schedule.seed(),
+                Witness.Terms.of(settings(0), Rig.SLACK_US).lateBy(LATE_US));
+        rig.machines(BACKENDS);
+        FaultLibrary library = FaultLibrary.build(directory);
+        List<InetSocketAddress> addresses = addresses(3 * schedule.processes());
+        for (int i = 0; i < schedule.processes(); i++) {
+            InetSocketAddress listen = addresses.get(3 * i);
+            ObjectNode config = Member.config("n" + i, listen, rig.discoveryOfNextProxy(), settings(i), rig.on(rig.discovery()::known), listen,
+                    List.of());
+            ((ObjectNode) config.path("settings").path("bounds")).put("peer_messages", false);
+            proxies.add(new SoakProxy(i, jar, directory, listen, addresses.subList(3 * i + 1, 3 * i + 3), config, library,
+                    schedule.systemCalls(i, listen.getPort()), schedule.seed()));
+            rig.proxyAt(listen);
+            rig.avoid(i, true);
+            rig.excuse(i, Long.MAX_VALUE);
+        }
+    }
+
+    private Balancer.Settings settings(int rank) {
+        return new Balancer.Settings(schedule.processes(), rank, "usl".substring(rank % 3, rank % 3 + 1), 4 * MS,
+                List.of(new RequestClass("read", 600 * MS, 2 * S, 1, 0, Effect.SAFE, Scope.ALL, 0),
+                        new RequestClass("invoice", 600 * MS, 2_500 * MS, 2, 0, Effect.KEYED, Scope.ZONE, 12 * S),
+                        new RequestClass("vote", 600 * MS, 2 * S, 3, 0, Effect.UNSAFE, Scope.ALL, 0)),
+                List.of(), 1, false, new Balancer.Limits(true, false, false, true, 4, 2 * S), new Balancer.Rules(0.4, 8 * S, 4, S, 10 * S, false), 1);
+    }
+
+    private static List<InetSocketAddress> addresses(int number) throws IOException {
+        var held = new ArrayList<ServerSocket>();
+        var addresses = new ArrayList<InetSocketAddress>();
+        for (int i = 0; i < number; i++) {
+            var socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+            held.add(socket);
+            addresses.add(new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort()));
+        }
+        for (ServerSocket socket : held) {
+            socket.close();
+        }
+        return addresses;
+    }
+
+    Verdict run() throws IOException, InterruptedException {
+        for (SoakProxy proxy : proxies) {
+            proxy.follow(proxy.start(known()));
+        }
+        for (SoakProxy proxy : proxies) {
+            awaitServing(proxy, 2 * READY_MS);
+        }
+        rig.load(Math.min(CORES_FOR_EACH * schedule.processes(), 0.4 * rig.on(() -> rig.fleet().capacity())), 3_600 * S);
+        beganNs = System.nanoTime();
+        for (SoakFault fault : schedule.faults()) {
+            if (fault.kind().target() == SoakFault.Target.SYSTEM_CALL) {
+                played.merge(fault.kind(), 1, Integer::sum);
+            } else {
+                steps.schedule(() -> begin(fault), fault.atMs(), TimeUnit.MILLISECONDS);
+            }
+        }
+        TimeUnit.SECONDS.sleep(schedule.seconds());
+        endFaults();
+        judge();
+        return new Verdict(List.copyOf(findings), Map.copyOf(played), injected(), rig.on(() -> rig.witness().count(Count.ASKED)),
+                rig.on(rig.witness()::verdict));
+    }
+
+    private String known() {
+        return rig.on(rig.discovery()::known);
+    }
+
+    private void found(String text) {
+        findings.add(String.format(Locale.ROOT, "%.2f s: %s", (System.nanoTime() - beganNs) / 1e9, text));
+    }
+
+    private void awaitServing(SoakProxy proxy, long mostMs) throws InterruptedException {
+        if (proxy.current().awaitReady(mostMs)) {
+            rig.excuse(proxy.number(), Long.MIN_VALUE);
+            rig.avoid(proxy.number(), false);
+        } else {
+            found("n" + proxy.number() + " is not ready within " + mostMs + " ms: " + proxy.current().log());
+        }
+    }
+
+    // Faults
+
+    private void begin(SoakFault fault) {
+        try {
+            boolean done = switch (fault.kind().target()) {
+                case PROCESS -> onProcess(fault, proxies.get(fault.target() % proxies.size()));
+                case OPERATOR -> onOperator(fault, proxies.get(fault.target() % proxies.size()));
+                case BACKEND -> onBackend(fault);
+                case DISCOVERY -> onDiscovery(fault);
+                case CLIENTS -> onClients(fault);
+                case SYSTEM_CALL -> false;
+            };
+            if (done) {
+                played.merge(fault.kind(), 1, Integer::sum);
+            }
+        } catch (IOException | RuntimeException e) {
+            found("the fault could not be played: " + fault + ": " + e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private boolean onProcess(SoakFault fault, SoakProxy proxy) throws IOException, InterruptedException {
+        if (!proxy.take()) {
+            return false;
+        }
+        try {
+            switch (fault.kind()) {
+                case RESTART -> restart(proxy);
+                case KILL -> kill(proxy, fault.forMs());
+                case PAUSE -> pause(proxy, Math.min(LONGEST_PAUSE_MS, fault.forMs()));
+                case UPGRADE -> upgrade(proxy);
+                default -> reload(proxy);
+            }
+        } finally {
+            proxy.giveBack();
+        }
+        return true;
+    }
+
+    /** Clients are sent elsewhere some 0.3 s after SIGTERM, and go on using the connections that stay open. */
+    private void restart(SoakProxy proxy) throws IOException, InterruptedException {
+        Member old = proxy.current();
+        old.signal("TERM");
+        TimeUnit.MILLISECONDS.sleep(300);
+        rig.avoid(proxy.number(), true);
+        old.awaitEnd(SoakProxy.KILL_MS - 300);
+        rig.run(() -> rig.witness().forgetProxy(proxy.number()));
+        startAnew(proxy);
+    }
+
+    private void kill(SoakProxy proxy, long downMs) throws IOException, InterruptedException {
+        rig.excuse(proxy.number(), Long.MAX_VALUE);
+        rig.avoid(proxy.number(), true);
+        proxy.current().signal("KILL");
+        proxy.current().awaitEnd(0);
+        rig.run(() -> rig.witness().forgetProxy(proxy.number()));
+        TimeUnit.MILLISECONDS.sleep(downMs);
+        startAnew(proxy);
+    }
+
+    private void startAnew(SoakProxy proxy) throws IOException, InterruptedException {
+        rig.excuse(proxy.number(), Long.MAX_VALUE);
+        proxy.follow(proxy.start(known()));
+        awaitServing(proxy, READY_MS);
+    }
+
+    private void pause(SoakProxy proxy, long forMs) throws IOException, InterruptedException {
+        rig.excuse(proxy.number(), Long.MAX_VALUE);
+        proxy.current().signal("STOP");
+        TimeUnit.MILLISECONDS.sleep(forMs);
+        proxy.current().signal("CONT");
+        rig.excuse(proxy.number(), rig.now() + CATCHING_UP_US);
+    }
+
+    private void upgrade(SoakProxy proxy) throws IOException, InterruptedException {
+        Member old = proxy.current();
+        Member next = proxy.start(known());
+        if (!proxy.successorReady(READY_MS)) {
+            found("the successor of n" + proxy.number() + " is not ready: " + next.log());
+            next.close();
+            return;
+        }
+        old.signal("TERM");
+        old.awaitEnd(SoakProxy.KILL_MS);
+        proxy.follow(next);
+    }
+
+    private void reload(SoakProxy proxy) throws IOException, InterruptedException {
+        for (int i = 0; i < 4; i++) {
+            proxy.writeConfiguration(i % 2 == 1);
+            proxy.current().signal("HUP");
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
+    private boolean onOperator(SoakFault fault, SoakProxy proxy) throws InterruptedException {
+        if (!proxy.take()) {
+            return false;
+        }
+        try {
+            if (fault.kind() == SoakFault.Kind.SUSPEND) {
+                suspend(proxy, fault);
+            } else {
+                sendAway(proxy, fault.forMs());
+            }
+        } finally {
+            proxy.giveBack();
+        }
+        return true;
+    }
+
+    private void suspend(SoakProxy proxy, SoakFault fault) throws InterruptedException {
+        List<Fleet.Machine> staying = rig.on(rig.fleet()::staying);
+        String backend = staying.get(fault.target() % staying.size()).id();
+        long calledAt = rig.now();
+        int status = proxy.call("POST", "/v1/backends/" + backend + "/suspend");
+        if (status != SoakProxy.NO_ANSWER && status != 404) {
+            // From the yes, and 1 s after the call at the latest, whatever was answered.
+            long countsFrom = status == 200 ? Math.min(rig.now(), calledAt + OPERATORS_US) : calledAt + OPERATORS_US;
+            rig.run(() -> rig.witness().told(proxy.number(), backend, false, countsFrom));
+        }
+        TimeUnit.MILLISECONDS.sleep(fault.forMs());
+        rig.run(() -> rig.witness().told(proxy.number(), backend, true, rig.now()));
+        while (proxy.call("POST", "/v1/backends/" + backend + "/resume") != 200 && secondsLeft() > 0) {
+            TimeUnit.MILLISECONDS.sleep(100);
+        }
+    }
+
+    private void sendAway(SoakProxy proxy, long forMs) throws InterruptedException {
+        int status = proxy.call("POST", "/v1/proxy/drain");
+        rig.avoid(proxy.number(), true);
+        TimeUnit.MILLISECONDS.sleep(forMs);
+        if (status == 200 && proxy.current().ready()) {
+            found("n" + proxy.number() + " is drained and says that it is ready");
+        }
+        while (proxy.call("POST", "/v1/proxy/activate") != 200 && secondsLeft() > 0) {
+            TimeUnit.MILLISECONDS.sleep(100);
+        }
+        rig.avoid(proxy.number(), false);
+    }
+
+    private double secondsLeft() {
+        return schedule.seconds() + QUIET_MS / 1e3 - (System.nanoTime() - beganNs) / 1e9;
+    }
+
+    private boolean onBackend(SoakFault fault) {
+        return rig.on(() -> {
+            List<Fleet.Machine> staying = rig.fleet().staying();
+            Fleet.Machine machine = staying.get(fault.target() % staying.size());
+            long end = rig.now() + fault.forMs() * MS;
+            switch (fault.kind()) {
+                case DRAIN -> machine.drainUntil(end);
+                case CRASH -> machine.crash(end);
+                case REPLACE -> machine.leave(end, true);
+                case SLOW -> {
+                    machine.backend().slower(4);
+                    rig.later(end, () -> machine.backend().slower(1));
+                }
+                default -> {
+                    machine.backend().act(fault.kind() == SoakFault.Kind.HANG ? Act.SILENT : Act.RESET_LATE);
+                    rig.later(end, () -> machine.backend().act(Act.SERVE));
+                }
+            }
+            return true;
+        });
+    }
+
+    private boolean onDiscovery(SoakFault fault) {
+        StandInDiscovery.Mode mode = switch (fault.kind()) {
+            case DISCOVERY_DOWN -> StandInDiscovery.Mode.DOWN;
+            case DISCOVERY_SILENT -> StandInDiscovery.Mode.SILENT;
+            default -> StandInDiscovery.Mode.BUSY;
+        };
+        rig.run(() -> rig.discovery().mode(mode));
+        rig.later(rig.now() + fault.forMs() * MS, () -> rig.discovery().mode(StandInDiscovery.Mode.UP));
+        return true;
+    }
+
+    private boolean onClients(SoakFault fault) throws IOException, InterruptedException {
+        if (fault.kind() == SoakFault.Kind.IDLE_CROWD) {
+            SoakProxy proxy = proxies.get(fault.target() % proxies.size());
+            for (int i = 0; i < CROWD; i++) {
+                try {
+                    crowd.add(new Socket(InetAddress.getLoopbackAddress(), proxy.current().address().getPort()));
+                } catch (IOException e) {
+                    // It is down just now.
+                    return false;
+                }
+            }
+            return true;
+        }
+        Manner manner = switch (fault.kind()) {
+            case HANG_UPS -> Manner.HANGS_UP;
+            case HALF_REQUESTS -> Manner.HALF_WAY;
+            default -> Manner.DAWDLES;
+        };
+        rig.run(() -> rig.traffic().manner(manner, 0.2));
+        rig.later(rig.now() + fault.forMs() * MS, () -> rig.traffic().manner(manner, 0));
+        return true;
+    }
+
+    // The end, and the oracle
+
+    private void endFaults() throws InterruptedException {
+        steps.shutdown();
+        if (!steps.awaitTermination(READY_MS + 20_000, TimeUnit.MILLISECONDS)) {
+            found("a fault did not come to its end");
+        }
+        for (SoakProxy proxy : proxies) {
+            if (proxy.injection() != null) {
+                proxy.injection().pause();
+            }
+        }
+        synchronized (crowd) {
+            for (Socket socket : crowd) {
+                closeQuietly(socket);
+            }
+        }
+        rig.run(() -> rig.discovery().mode(StandInDiscovery.Mode.UP));
+    }
+
+    private static void closeQuietly(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // It has ended before.
+        }
+    }
+
+    private void judge() throws InterruptedException {
+        TimeUnit.MILLISECONDS.sleep(QUIET_MS / 2);
+        Map<SoakProxy, Long> before = new ConcurrentHashMap<>();
+        proxies.forEach(p -> before.put(p, served(p.figures())));
+        TimeUnit.MILLISECONDS.sleep(QUIET_MS / 2);
+        for (SoakProxy proxy : proxies) {
+            judge(proxy, before.get(proxy));
+        }
+        Witness witness = rig.finish();
+        rig.on(witness::violations).forEach(v -> found("rule: " + v));
+    }
+
+    private static long served(JsonNode figures) {
+        long served = 0;
+        for (JsonNode of : figures == null ? History.JSON.createObjectNode() : figures.path("ok")) {
+            served += of.asLong();
+        }
+        return served;
+    }
+
+    private void judge(SoakProxy proxy, long servedBefore) {
+        String name = "n" + proxy.number();
+        if (!proxy.current().alive()) {
+            found(name + " has ended by itself: " + proxy.current().log());
+            return;
+        }
+        JsonNode figures = proxy.figures();
+        if (figures == null) {
+            found(name + " does not answer at its door");
+            return;
+        }
+        if (served(figures) <= servedBefore) {
+            found(name + " serves nobody, " + QUIET_MS + " ms after the last fault: " + proxy.current().log());
+        }
+        figures.path("invariant_violations").properties().forEach(v -> {
+            if (v.getValue().asLong() > 0) {
+                found(name + ": invariant " + v.getKey() + " violated " + v.getValue() + " times: "
+                        + proxy.current().log().stream().filter(l -> l.contains("invariant_violation")).toList());
+            }
+        });
+        if (figures.path("events").path("task_failed").asLong() > 0) {
+            found(name + ": a task of its loop failed: " + proxy.current().log());
+        }
+        if (proxy.peakKb() > MOST_KB) {
+            found(name + " took " + proxy.peakKb() + " kB");
+        }
+        if (proxy.descriptors() > MOST_DESCRIPTORS) {
+            found(name + " holds " + proxy.descriptors() + " descriptors");
+        }
+    }
+
+    private Map<SystemCall, Long> injected() {
+        var all = new EnumMap<SystemCall, Long>(SystemCall.class);
+        for (SoakProxy proxy : proxies) {
+            if (proxy.injection() != null) {
+                proxy.injection().counts().forEach((call, n) -> all.merge(call, n, Long::sum));
+            }
+        }
+        return all;
+    }
+
+    @Override
+    public void close() throws IOException {
+        steps.shutdownNow();
+        for (SoakProxy proxy : proxies) {
+            proxy.close();
+        }
+        rig.close();
+        Files.deleteIfExists(directory.resolve("faults.c"));
+        Files.deleteIfExists(directory.resolve("libfaults.so"));
+        Files.deleteIfExists(directory);
+    }
+}
--- a/trial/src/main/java/grebehoist/trial/Trial.java
+++ b/trial/src/main/java/grebehoist/trial/Trial.java
@@ -33,7 +33,7 @@
 @Command(name = "trial", version = "grebehoist trial 0.2.0", mixinStandardHelpOptions = true,
         description = "Several processes of the program, and faults between them.", synopsisSubcommandLabel = "COMMAND",
         subcommands = {Trial.Run.class, Trial.Search.class, Trial.Explore.class, Trial.Leases.class, Trial.Check.class, FiguresCommand.class, ScaleCommand.class,
-                HollowCommand.class, DistributionSearch.class})
+                HollowCommand.class, DistributionSearch.class, SoakCommand.class})
 public final class Trial implements Runnable {
     private static final long S = 1_000_000;
 
--- a/trial/src/test/java/grebehoist/trial/SystemCallFaultsIT.java
+++ b/trial/src/test/java/grebehoist/trial/SystemCallFaultsIT.java
@@ -6,10 +6,12 @@
 import beechfall.Balancer.Effect;
 import beechfall.Balancer.RequestClass;
 import beechfall.Balancer.Scope;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import grebehoist.testkit.Fleet;
 import grebehoist.testkit.HttpWire;
 import grebehoist.testkit.Rig;
+import grebehoist.testkit.StandInBackend.Act;
 import grebehoist.testkit.Witness;
 import grebehoist.testkit.Witness.Count;
 import grebehoist.trial.FaultLibrary.Injection;
@@ -19,9 +21,11 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
@@ -29,6 +33,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A process of the built jar under load, of which system calls fail for a moment; the witness of the four rules looks on. */
 @Timeout(120)
@@ -165,6 +171,94 @@
         assertRulesKept();
     }
 
+    /** Each call fails for a second under load, as often as not; afterwards the process serves as before. */
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "call=accept,errno=ECONNABORTED,percent=50", "call=accept,errno=ENFILE", "call=socket,errno=EMFILE",
+        "call=connect,errno=EADDRNOTAVAIL,percent=50", "call=connect,errno=ENETUNREACH,percent=50",
+        "call=epoll_wait,errno=EINTR,percent=50", "call=send,action=short;call=receive,action=short",
+        "call=opendir,errno=EMFILE,path=grebehoist-", "call=clock,shift=3600000", "call=clock,shift=-3600000"})
+    void theRulesHoldWhileCallsFail(String schedule) throws Exception {
+        start(schedule);
+        faults.resume();
+        Fleet.Machine out = rig.fleet().staying().get(0);
+        rig.run(() -> out.drainUntil(rig.now() + 2 * S));
+        var idle = new ArrayList<Socket>();
+        for (int i = 0; i < 5; i++) {
+            idle.add(new Socket(InetAddress.getLoopbackAddress(), proxy.address().getPort()));
+        }
+        passTime(S);
+        rig.await("faults were injected", () -> !faults.counts().isEmpty());
+        faults.pause();
+        for (Socket socket : idle) {
+            socket.close();
+        }
+        passTime(S);
+        rig.awaitServed(100);
+        assertRulesKept();
+        assertThat(invariantViolations()).as("%s", proxy.log()).isZero();
+    }
+
+    /** What a start needs fails in its first second and a half: the process is ready in time, and serves. */
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "call=bind,errno=EADDRINUSE,for=1500", "call=create,errno=ENOSPC,path=grebehoist-,for=1500",
+        "call=opendir,errno=EIO,path=grebehoist-,for=1500", "call=mkdir,errno=ENOSPC,path=grebehoist-,for=1500",
+        "call=open,errno=EMFILE,path=n0.json,for=1500", "call=socket,errno=ENFILE,for=1500"})
+    void aStartOutlivesWhatFailsForAMoment(String schedule) throws Exception {
+        faults = library.inject(proxy, schedule, 52, files.resolve("counts"));
+        proxy.start();
+        assertThat(proxy.awaitReady(10_000)).as("ready: %s", proxy.log()).isTrue();
+        assertThat(faults.counts()).as("faults were injected").isNotEmpty();
+        rig.load(2, 60 * S);
+        rig.awaitServed(100);
+        assertRulesKept();
+    }
+
+    /** The wall clock is wrong by an hour as the process starts: a backend that comes back cold is cold all the same, a warm one warm. */
+    @ParameterizedTest
+    @ValueSource(longs = {3_600_000, -3_600_000, 5_000})
+    void aWallClockThatIsWrongAtTheStartMakesNobodyWarm(long shiftMs) throws Exception {
+        faults = library.inject(proxy, "call=clock,shift=" + shiftMs, 52, files.resolve("counts"));
+        proxy.start();
+        assertThat(proxy.awaitReady(20_000)).as("ready: %s", proxy.log()).isTrue();
+        rig.load(3, 60 * S);
+        rig.awaitServed(100);
+        for (int i = 0; i < 2; i++) {
+            Fleet.Machine machine = rig.fleet().staying().get(i);
+            rig.run(() -> machine.crash(rig.now() + S));
+            passTime(4 * S);
+        }
+        rig.awaitServed(200);
+        assertRulesKept();
+    }
+
+    /** Told to end while a backend hangs: every request has its answer before the earliest kill. */
+    @Test
+    void allIsAnsweredBeforeTheEarliestKill() throws Exception {
+        start("call=accept,errno=ECONNABORTED");
+        rig.run(() -> rig.fleet().staying().forEach(m -> m.backend().act(Act.SILENT)));
+        passTime(S / 2);
+        System.out.println("told to end at " + rig.now());
+        proxy.signal("TERM");
+        passTime(S / 4);
+        rig.avoid(0, true);
+        rig.run(rig.traffic()::stop);
+        proxy.awaitEnd(2_000 + 700);
+        assertRulesKept();
+    }
+
+    private long invariantViolations() throws IOException {
+        var connection = (HttpURLConnection) URI.create("http://127.0.0.1:" + door.getPort() + "/v1/metrics").toURL().openConnection();
+        JsonNode violations = History.JSON.readTree(connection.getInputStream()).path("invariant_violations");
+        assertThat(violations.isObject()).isTrue();
+        long sum = 0;
+        for (JsonNode of : violations) {
+            sum += of.asLong();
+        }
+        return sum;
+    }
+
     /** A new configuration that can't be read at the moment of the signal. */
     @Test
     void aNewConfigurationIsTakenOnceItCanBeRead() throws Exception {
