--- a/daemon/src/main/java/grebehoist/operations/Operations.java
+++ b/daemon/src/main/java/grebehoist/operations/Operations.java
@@ -86,7 +86,7 @@
 
     private void apply(StateDirectory.Shared shared) {
         if (!shared.equals(inForce)) {
-            target.log.event(new LogEvent("operator", "state", String.valueOf(inForce), shared.toString(), "in force"));
+            target.log.event(new LogEvent("operator", "state", inForce == null ? "UNKNOWN" : inForce.toString(), shared.toString(), "in force"));
             inForce = shared;
         }
         suspensions.set(shared.suspended(), timers.now());
--- a/testkit/src/main/java/grebehoist/testkit/Rig.java
+++ b/testkit/src/main/java/grebehoist/testkit/Rig.java
@@ -60,6 +60,7 @@
         discovery = new StandInDiscovery(network, timers, witness);
         clients = new StandInClients(wire, network, timers, witness, proxies::get, (proxy, at) ->
                 at < excusedUntilUs.getOrDefault(proxy, Long.MIN_VALUE));
+        clients.dealtOut(proxy -> !avoided.contains(proxy));
         fleet = new Fleet(wire, network, timers, witness, discovery, settings, connIdleUs, random, Rig::anyPort, false, f -> { });
         traffic = new Traffic(timers, clients, random, settings, shares, () -> cores, this::aProxy);
     }
--- a/testkit/src/main/java/grebehoist/testkit/StandInClients.java
+++ b/testkit/src/main/java/grebehoist/testkit/StandInClients.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.function.BiPredicate;
 import java.util.function.IntFunction;
+import java.util.function.IntPredicate;
 
 /**
  * Clients that ask proxies, each with a deadline. They keep connections, open more when all are busy, send on each as many
@@ -68,6 +69,7 @@
     private final IntFunction<InetSocketAddress> proxies;
     private final BiPredicate<Integer, Long> excused;
     private final List<Deque<Connection>> roomy = new ArrayList<>();
+    private IntPredicate dealtOut = proxy -> true;
     private int waiting;
     private long rudeUnanswered;
 
@@ -88,6 +90,14 @@
         this.excused = excused;
     }
 
+    /**
+     * Tells which proxies new connections are dealt out to from now on, as the front knows it. One that is told to end gets none some 0.3 s
+     * later; connections that are there are used on.
+     */
+    public void dealtOut(IntPredicate to) {
+        dealtOut = to;
+    }
+
     /** Returns how many requests still wait for an answer. */
     public int waiting() {
         return waiting;
@@ -150,8 +160,11 @@
             Connection free = order.manner() == Manner.RUDE ? null : takeRoomy(proxy, order.manner() != Manner.PLAIN);
             if (free != null) {
                 free.carry(this);
-            } else {
+            } else if (dealtOut.test(proxy)) {
                 connect();
+            } else {
+                // Its client finds nobody.
+                end();
             }
         }
 
--- a/trial/src/main/java/grebehoist/trial/Member.java
+++ b/trial/src/main/java/grebehoist/trial/Member.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.BufferedReader;
+import java.io.File;
 import java.io.IOException;
 import java.net.HttpURLConnection;
 import java.net.InetSocketAddress;
@@ -37,6 +38,8 @@
     private final Consumer<String> lines;
     private final Deque<String> log = new ArrayDeque<>();
     private final Map<String, String> environment = new HashMap<>();
+    /** Null where the jar is the whole program. */
+    private Path overrides;
     private Process process;
     private Thread reader;
 
@@ -96,6 +99,11 @@
         return listen;
     }
 
+    /** Has its next processes take classes from a directory before those of the jar: a program with a defect. */
+    void override(Path classes) {
+        overrides = classes;
+    }
+
     /** Sets a variable of the environment for its next start. */
     void environment(String variable, String value) {
         environment.put(variable, value);
@@ -120,10 +128,14 @@
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(FLAGS);
         Path archive = jar.resolveSibling(jar.getFileName().toString().replace(".jar", ".jsa"));
-        if (Files.exists(archive)) {
+        if (Files.exists(archive) && overrides == null) {
             command.add("-XX:SharedArchiveFile=" + archive);
         }
-        command.addAll(List.of("-jar", jar.toString(), "serve"));
+        if (overrides == null) {
+            command.addAll(List.of("-jar", jar.toString(), "serve"));
+        } else {
+            command.addAll(List.of("-cp", overrides + File.pathSeparator + jar, "grebehoist.cli.Main", "serve"));
+        }
         if (installation != null) {
             command.addAll(List.of("--installation", installation.toString()));
         }
--- a/trial/src/main/java/grebehoist/trial/SoakCommand.java
+++ b/trial/src/main/java/grebehoist/trial/SoakCommand.java
@@ -109,7 +109,7 @@
     }
 
     private SoakPlay.Verdict play(SoakSchedule schedule) throws IOException, InterruptedException {
-        try (var play = new SoakPlay(schedule, daemon.toAbsolutePath())) {
+        try (var play = new SoakPlay(schedule, new SoakProgram(daemon.toAbsolutePath()), SoakPlay.CORES_FOR_EACH)) {
             return play.run();
         }
     }
--- a/trial/src/main/java/grebehoist/trial/SoakProxy.java
+++ b/trial/src/main/java/grebehoist/trial/SoakProxy.java
@@ -25,7 +25,7 @@
     private static final int CALL_TIMEOUT_MS = 3_000;
 
     private final int number;
-    private final Path jar;
+    private final SoakProgram program;
     private final Path directory;
     private final InetSocketAddress listen;
     private final List<InetSocketAddress> doors;
@@ -46,10 +46,10 @@
      * @param config its configuration without the operators' address
      * @param doors two addresses for operators: processes take them in turns
      */
-    SoakProxy(int number, Path jar, Path directory, InetSocketAddress listen, List<InetSocketAddress> doors, ObjectNode config, FaultLibrary library,
+    SoakProxy(int number, SoakProgram program, Path directory, InetSocketAddress listen, List<InetSocketAddress> doors, ObjectNode config, FaultLibrary library,
             String systemCalls, long seed) throws IOException {
         this.number = number;
-        this.jar = jar;
+        this.program = program;
         this.directory = Files.createDirectory(directory.resolve("n" + number));
         this.listen = listen;
         this.doors = doors;
@@ -88,7 +88,8 @@
         InetSocketAddress own = doors.get(life % 2);
         ObjectNode json = config.deepCopy().put("operator", "127.0.0.1:" + own.getPort());
         json.set("known", History.JSON.readTree(known));
-        var member = new Member("n" + number + "-" + life % 2, jar, directory, listen, json, null, line -> { });
+        var member = new Member("n" + number + "-" + life % 2, program.jar(), directory, listen, json, null, line -> { });
+        member.override(program.overrides());
         member.environment("TMPDIR", directory.toString());
         if (!systemCalls.isEmpty()) {
             injection = library.inject(member, systemCalls, seed * 1_000 + number, directory.resolve("counts"));
