An interrupted read is no end of the stream, a missing socket no fault of the backend

The runtime tells an interrupted read (EINTR) as -3, which Netty takes for the end: a connection with a request on it was closed. An attempt for which this process had no socket ends as not sent, and nothing is said against its backend.

--- a/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
+++ b/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
@@ -5,6 +5,7 @@
 import grebehoist.engine.Payload;
 import grebehoist.net.LoopChannels;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
@@ -65,7 +66,8 @@
     private void connected(Future<Channel> f) {
         connecting = null;
         if (!f.isSuccess()) {
-            end(Outcome.CONNECT_FAILED, null);
+            // That this process had no socket says nothing against the backend.
+            end(f.cause() instanceof ChannelException ? Outcome.NOT_SENT : Outcome.CONNECT_FAILED, null);
         } else if (ended) {
             f.getNow().close();
         } else if (target.timers().settling()) {
--- a/net/src/main/java/grebehoist/net/Network.java
+++ b/net/src/main/java/grebehoist/net/Network.java
@@ -15,8 +15,6 @@
 import io.netty.channel.local.LocalServerChannel;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
@@ -56,7 +54,7 @@
      */
     public static Network sockets(boolean shared) {
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        ServerBootstrap server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        ServerBootstrap server = new ServerBootstrap().group(loop).channelFactory(InterruptibleSockets.Listener::new)
                 // One at a time: each that is accepted counts before the next is.
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator())
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
@@ -65,7 +63,7 @@
         if (shared) {
             server.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
         }
-        return new Network(loop, server, new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        return new Network(loop, server, new Bootstrap().group(loop).channelFactory(InterruptibleSockets.Connection::new)
                 .option(ChannelOption.SO_SNDBUF, UNSENT).option(ChannelOption.RECVBUF_ALLOCATOR, pieces())
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, marks()), a -> a);
     }
--- a/trial/src/main/java/grebehoist/trial/SoakSchedule.java
+++ b/trial/src/main/java/grebehoist/trial/SoakSchedule.java
@@ -82,7 +82,7 @@
                     + ";call=open,path=process-" + error(READ_ERRORS, f) + window;
             case STATE_DELETE -> "call=unlink,path=grebehoist-,errno=EIO" + window;
             case CONFIGURATION_READ -> "call=open,path=.json" + error(READ_ERRORS, f) + window;
-            case WAIT -> "call=epoll_wait,errno=EINTR,percent=50" + window;
+            case WAIT -> "call=epoll_wait,errno=EINTR,percent=50" + window + ";call=receive,errno=EINTR,percent=20" + window;
             case SHORT -> "call=send,action=short" + window + ";call=receive,action=short" + window;
             case BROKEN_READ -> "call=receive,percent=5,except=" + listenPort + error(BROKEN_ERRORS, f) + window;
             case BROKEN_WRITE -> "call=send,percent=5,except=" + listenPort + error(BROKEN_ERRORS, f) + window;
--- a/trial/src/test/java/grebehoist/trial/SystemCallFaultsIT.java
+++ b/trial/src/test/java/grebehoist/trial/SystemCallFaultsIT.java
@@ -176,7 +176,8 @@
     @ValueSource(strings = {
         "call=accept,errno=ECONNABORTED,percent=50", "call=accept,errno=ENFILE", "call=socket,errno=EMFILE",
         "call=connect,errno=EADDRNOTAVAIL,percent=50", "call=connect,errno=ENETUNREACH,percent=50",
-        "call=epoll_wait,errno=EINTR,percent=50", "call=send,action=short;call=receive,action=short",
+        "call=epoll_wait,errno=EINTR,percent=50", "call=receive,errno=EINTR,percent=30", "call=send,errno=EINTR,percent=30",
+        "call=send,action=short;call=receive,action=short",
         "call=opendir,errno=EMFILE,path=grebehoist-", "call=clock,shift=3600000", "call=clock,shift=-3600000"})
     void theRulesHoldWhileCallsFail(String schedule) throws Exception {
         start(schedule);
