A start loads less: no lambda before the archive's, no record printed

The guard, the log's thread and the census had made a start dearer: comparators and method references that the class archive does not hold set up the runtime's lambda machinery early. Deferred is a Runnable itself, the census compares by hand, train covers the reload.

--- a/daemon/src/main/java/grebehoist/cli/HangUp.java
+++ b/daemon/src/main/java/grebehoist/cli/HangUp.java
@@ -15,12 +15,13 @@
     private static final long LOOK_MS = 500;
 
     /** An action that signals ask for before it is there: asked then, it runs as soon as it is. */
-    static final class Deferred {
+    static final class Deferred implements Runnable {
         private Runnable action;
         private boolean asked;
 
         /** Runs the action, now or once it is there. */
-        void ask() {
+        @Override
+        public void run() {
             Runnable now;
             synchronized (this) {
                 now = action;
--- a/daemon/src/main/java/grebehoist/cli/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -157,7 +157,7 @@
         }
         // First of all: without a handler the signal ends the process.
         var reload = new HangUp.Deferred();
-        boolean signalled = HangUp.handle(reload::ask);
+        boolean signalled = HangUp.handle(reload);
         try {
             Path file = installed && System.getenv("PROXY_CONFIG") == null ? null : file();
             FileStamp stamp = file == null ? null : FileStamp.of(file);
@@ -173,7 +173,7 @@
             reload.begin(serve.reloading(file));
             if (!signalled && file != null) {
                 serve.tell("SIGHUP is ignored by whoever started this process: the configuration is read again when its file is written");
-                HangUp.onChange(file, stamp, reload::ask);
+                HangUp.onChange(file, stamp, reload);
             }
             // Before it listens: what it accepts is to be answered, however soon it is told to end.
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -210,11 +210,13 @@
         try {
             Config config = Config.read(file());
             Warmup.run(config, TRAIN_MS, () -> false);
-            HangUp.handle(() -> { });
+            HangUp.handle(new HangUp.Deferred());
             // On a port that is free: what it listens with and connects with is loaded too.
             Config anywhere = config.listeningAt(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
             Operations operations = anywhere.operator() == null ? null : operations(anywhere, new StderrLog());
             var serve = new Serve(anywhere, operations, null);
+            FileStamp.of(file());
+            new HangUp.Deferred().begin(serve.reloading(file()));
             serve.start(false);
             serve.stop();
         } catch (Config.BadConfig e) {
--- a/daemon/src/main/java/grebehoist/operations/Operations.java
+++ b/daemon/src/main/java/grebehoist/operations/Operations.java
@@ -85,15 +85,19 @@
     }
 
     private void apply(StateDirectory.Shared shared) {
-        if (!shared.equals(inForce)) {
-            target.log.event(new LogEvent("operator", "state", inForce == null ? "UNKNOWN" : inForce.toString(), shared.toString(), "in force"));
-            inForce = shared;
+        if (inForce != null && !shared.equals(inForce)) {
+            target.log.event(new LogEvent("operator", "state", describe(inForce), describe(shared), "in force"));
         }
+        inForce = shared;
         suspensions.set(shared.suspended(), timers.now());
         target.sendAway.accept(shared.drained());
         target.otherProcesses.accept(shared);
     }
 
+    private static String describe(StateDirectory.Shared shared) {
+        return (shared.drained() ? "DRAINED" : "ACTIVE") + ", suspended " + shared.suspended() + ", " + shared.others() + " other processes";
+    }
+
     /** A new configuration has been taken over, or left alone. */
     public void configured(boolean taken) {
         applied += taken ? 1 : 0;
--- a/daemon/src/main/java/grebehoist/operations/ProcessCensus.java
+++ b/daemon/src/main/java/grebehoist/operations/ProcessCensus.java
@@ -8,7 +8,6 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
-import java.util.Comparator;
 import java.util.List;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -28,7 +27,6 @@
     record Count(int others, boolean newer) { }
 
     private static final Pattern NAME = Pattern.compile(StateFiles.PROCESS + "(\\d{1,18})-(\\d{1,18})");
-    private static final Comparator<Path> ORDER = Comparator.comparingLong(ProcessCensus::number).thenComparing(Path::getFileName);
 
     private final StateFiles files;
     private Path own;
@@ -43,6 +41,12 @@
         return name.matches() ? Long.parseLong(name.group(1)) : 0;
     }
 
+    /** Two that joined in the same instant have one number: then it goes by their names, which is the same for both. */
+    private static boolean joinedLater(Path one, Path other) {
+        int byNumber = Long.compare(number(one), number(other));
+        return byNumber != 0 ? byNumber > 0 : one.getFileName().compareTo(other.getFileName()) > 0;
+    }
+
     /** Returns whether this process has joined: before that the others can't see it. */
     boolean joined() {
         return locked != null;
@@ -51,7 +55,10 @@
     /** Joins, as the newest of all that are there. */
     void join(List<Path> processes) throws IOException {
         if (own == null) {
-            long greatest = processes.stream().mapToLong(ProcessCensus::number).max().orElse(0);
+            long greatest = 0;
+            for (Path process : processes) {
+                greatest = Math.max(greatest, number(process));
+            }
             own = files.resolve(String.format("%s%016d-%d", StateFiles.PROCESS, greatest + 1, ProcessHandle.current().pid()));
         }
         // A process that looks between the making and the locking takes the file for a dead one's, and deletes it.
@@ -76,7 +83,7 @@
         for (Path process : processes) {
             if (!process.equals(own) && lives(process)) {
                 others++;
-                newer |= own != null && ORDER.compare(process, own) > 0;
+                newer |= own != null && joinedLater(process, own);
             }
         }
         return new Count(others, newer);
