--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -44,6 +44,8 @@
     private final List<Action> actions = new ArrayList<>();
     private MemberSource source;
     private boolean handling;
+    /** The time that the module was given with the event that is being handled. */
+    private long decidedAt;
     /** When the process has answered all, as it ends soon after, or {@link Long#MAX_VALUE}. */
     private long answerBy = Long.MAX_VALUE;
 
@@ -217,11 +219,11 @@
 
         @Override
         public boolean mayBegin(long deadlineUs) {
-            return !ended && guard.begins(facts(deadlineUs), timers.now());
+            long now = timers.now();
+            return !ended && guard.begins(facts(deadlineUs, now), now);
         }
 
-        private RuleGuard.Send facts(long toldDeadlineUs) {
-            long now = timers.now();
+        private RuleGuard.Send facts(long toldDeadlineUs, long now) {
             int othersOut = 0;
             var mayHaveRun = new ArrayList<RuleGuard.Earlier>(2);
             for (Out other : request.attempts) {
@@ -486,7 +488,8 @@
 
     private void handle(Event event) {
         try {
-            module.handle(timers.now(), event, actions::add);
+            decidedAt = timers.now();
+            module.handle(decidedAt, event, actions::add);
         } catch (RuntimeException e) {
             log.failure("the module failed on " + event, e);
             failRequestOf(event);
@@ -563,7 +566,8 @@
         var out = new Out(r, r.attempts.size(), send.backend(),
                 send.timeoutUs() == 0 ? left : Math.min(send.timeoutUs(), left));
         r.attempts.add(out);
-        if (out.timeoutUs > 0 && guard.maySend(out.facts(out.startedAt + out.timeoutUs), timers.now())) {
+        // By the time of the decision: what has run out since then is seen before the first byte, and is no fault.
+        if (out.timeoutUs > 0 && guard.maySend(out.facts(decidedAt + out.timeoutUs, decidedAt), decidedAt)) {
             out.start();
         } else {
             out.ended = true;
