--- a/trial/src/main/java/grebehoist/trial/Member.java
+++ b/trial/src/main/java/grebehoist/trial/Member.java
@@ -215,11 +215,16 @@
         }
     }
 
-    @Override
-    public void close() throws IOException {
+    /** Ends its process at once. */
+    void kill() {
         if (process != null) {
             process.destroyForcibly();
         }
+    }
+
+    @Override
+    public void close() throws IOException {
+        kill();
         Files.deleteIfExists(config);
         if (installation != null) {
             Files.deleteIfExists(installation);
--- a/trial/src/main/java/grebehoist/trial/SoakPlay.java
+++ b/trial/src/main/java/grebehoist/trial/SoakPlay.java
@@ -73,6 +73,8 @@
     private final Map<SoakFault.Kind, Integer> played = new ConcurrentHashMap<>();
     private final ScheduledExecutorService steps = Executors.newScheduledThreadPool(16);
     private final List<Socket> crowd = Collections.synchronizedList(new ArrayList<>());
+    /** Where the play is broken off, its processes are not left behind. */
+    private final Thread interrupted = new Thread(() -> proxies.forEach(SoakProxy::kill));
     private long beganNs;
 
     /**
@@ -83,6 +85,7 @@
     SoakPlay(SoakSchedule schedule, SoakProgram program, double coresForEach) throws IOException, InterruptedException {
         this.schedule = schedule;
         this.coresForEach = coresForEach;
+        Runtime.getRuntime().addShutdownHook(interrupted);
         rig = new Rig(new HttpWire(), settings(0), new double[] {0.4, 0.2, 0.2, 0.2}, 15 * S, schedule.seed(),
                 Witness.Terms.of(settings(0), Rig.SLACK_US).lateBy(LATE_US));
         rig.machines(BACKENDS);
@@ -413,8 +416,9 @@
         Map<SoakProxy, Long> calls = new ConcurrentHashMap<>();
         proxies.forEach(p -> served.put(p, served(p.figures())));
         proxies.forEach(p -> calls.put(p, rig.on(() -> rig.discovery().callsAt(p.number()))));
-        // A watch is held for 1.5 s, or 0.5 s for each proxy, and its next call follows at once.
-        TimeUnit.MILLISECONDS.sleep(Math.max(QUIET_MS / 2, 500L * schedule.processes() + QUIET_MS / 2));
+        // A change ends every watch that is held, and the next call follows at once.
+        rig.run(() -> rig.fleet().staying().get(0).drainUntil(rig.now() + S / 2));
+        TimeUnit.MILLISECONDS.sleep(QUIET_MS / 2);
         for (SoakProxy proxy : proxies) {
             judge(proxy, served.get(proxy));
             if (rig.on(() -> rig.discovery().callsAt(proxy.number())) <= calls.get(proxy)) {
@@ -476,6 +480,7 @@
 
     @Override
     public void close() throws IOException {
+        Runtime.getRuntime().removeShutdownHook(interrupted);
         steps.shutdownNow();
         for (SoakProxy proxy : proxies) {
             proxy.close();
--- a/trial/src/main/java/grebehoist/trial/SoakProxy.java
+++ b/trial/src/main/java/grebehoist/trial/SoakProxy.java
@@ -35,6 +35,8 @@
     private final long seed;
     private int lives;
     private volatile Member current;
+    /** The one that was started last. */
+    private volatile Member started;
     private volatile InetSocketAddress door;
     private volatile Injection injection;
     /** Whether it is being restarted, upgraded, stopped or reloaded. */
@@ -94,6 +96,7 @@
         if (!systemCalls.isEmpty()) {
             injection = library.inject(member, systemCalls, seed * 1_000 + number, directory.resolve("counts"));
         }
+        started = member;
         member.start();
         return member;
     }
@@ -173,11 +176,18 @@
         }
     }
 
+    /** Ends its processes at once. */
+    void kill() {
+        for (Member member : new Member[] {current, started}) {
+            if (member != null) {
+                member.kill();
+            }
+        }
+    }
+
     @Override
     public void close() throws IOException {
-        if (current != null) {
-            current.close();
-        }
+        kill();
         try (Stream<Path> files = Files.walk(directory)) {
             for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
                 Files.deleteIfExists(file);
