A start waits for its first socket: SO_REUSEPORT is found out once, and was lost for a life

Where that socket(2) failed, the new process of an upgrade could never listen beside the old one ('Unknown channel option', then 'Address already in use'). SocketProbe waits for a socket at the start and has the runtime probe then; SystemCallFaultsIT looks for the runtime's complaint.

--- a/daemon/src/main/java/grebehoist/cli/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -11,6 +11,7 @@
 import grebehoist.net.Front;
 import grebehoist.net.LoopTimers;
 import grebehoist.net.Network;
+import grebehoist.net.SocketProbe;
 import grebehoist.net.Sockets;
 import grebehoist.net.StderrLog;
 import grebehoist.operations.Door;
@@ -159,6 +160,9 @@
         var reload = new HangUp.Deferred();
         boolean signalled = HangUp.handle(reload);
         try {
+            if (!SocketProbe.await(START_PATIENCE_MS)) {
+                System.err.println("no socket, or no shared address (SO_REUSEPORT), can be had: a new version can't take over from this process");
+            }
             Path file = installed && System.getenv("PROXY_CONFIG") == null ? null : file();
             FileStamp stamp = file == null ? null : FileStamp.of(file);
             Config config = file == null ? null : readAtStart(file);
@@ -202,12 +206,16 @@
             }
         } catch (Config.BadConfig e) {
             exit(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            exit(new Config.BadConfig("interrupted at the start"));
         }
     }
 
     /** Loads what {@code serve} needs, and ends: the Java runtime keeps it in an archive for the starts to come. */
     public static void train() {
         try {
+            SocketProbe.await(START_PATIENCE_MS);
             Config config = Config.read(file());
             Warmup.run(config, TRAIN_MS, () -> false);
             HangUp.handle(new HangUp.Deferred());
@@ -221,6 +229,8 @@
             serve.stop();
         } catch (Config.BadConfig e) {
             exit(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
--- a/trial/src/test/java/grebehoist/trial/SystemCallFaultsIT.java
+++ b/trial/src/test/java/grebehoist/trial/SystemCallFaultsIT.java
@@ -211,6 +211,7 @@
         proxy.start();
         assertThat(proxy.awaitReady(10_000)).as("ready: %s", proxy.log()).isTrue();
         assertThat(faults.counts()).as("faults were injected").isNotEmpty();
+        assertThat(proxy.log()).as("the runtime knows all its sockets' options").noneMatch(l -> l.contains("Unknown channel option"));
         rig.load(2, 60 * S);
         rig.awaitServed(100);
         assertRulesKept();
