--- a/daemon/src/main/java/grebehoist/cli/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -160,9 +160,8 @@
         var reload = new HangUp.Deferred();
         boolean signalled = HangUp.handle(reload);
         try {
-            if (!SocketProbe.await(START_PATIENCE_MS)) {
-                System.err.println("no socket, or no shared address (SO_REUSEPORT), can be had: a new version can't take over from this process");
-            }
+            // Before the first socket: where that fails, the runtime takes it for all time that addresses can't be shared.
+            SocketProbe.addressesCanBeShared();
             Path file = installed && System.getenv("PROXY_CONFIG") == null ? null : file();
             FileStamp stamp = file == null ? null : FileStamp.of(file);
             Config config = file == null ? null : readAtStart(file);
@@ -206,16 +205,13 @@
             }
         } catch (Config.BadConfig e) {
             exit(e);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            exit(new Config.BadConfig("interrupted at the start"));
         }
     }
 
     /** Loads what {@code serve} needs, and ends: the Java runtime keeps it in an archive for the starts to come. */
     public static void train() {
         try {
-            SocketProbe.await(START_PATIENCE_MS);
+            SocketProbe.addressesCanBeShared();
             Config config = Config.read(file());
             Warmup.run(config, TRAIN_MS, () -> false);
             HangUp.handle(new HangUp.Deferred());
@@ -229,8 +225,6 @@
             serve.stop();
         } catch (Config.BadConfig e) {
             exit(e);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
         }
     }
 
--- a/net/src/main/java/grebehoist/net/SocketProbe.java
+++ b/net/src/main/java/grebehoist/net/SocketProbe.java
@@ -1,38 +1,45 @@
 package grebehoist.net;
 
-import java.io.IOException;
-import java.net.StandardSocketOptions;
-import java.nio.channels.ServerSocketChannel;
-import java.util.concurrent.TimeUnit;
+import java.lang.reflect.Field;
+import java.lang.reflect.Method;
 
 /**
- * Waits at a process's start until sockets can be had. The Java runtime finds out once, with a socket of its own, whether an address can be
- * shared (SO_REUSEPORT), and never asks again: a process whose first socket(2) fails could not listen beside the one that it is to follow,
- * for all its life.
+ * Makes sure at a process's start that the runtime knows that addresses can be shared (SO_REUSEPORT). It finds that out once, with a
+ * socket of its own, as its network library is loaded, and never asks again: a process whose first socket(2) fails could not
+ * listen beside the one that it is to follow, for all its life. Linux has shared addresses since version 3.9, so the runtime is told.
+ *
+ * <p>Java has no way to say so; two fields of {@code sun.nio.ch.Net} are set by name, which the jar's manifest opens ({@code Add-Opens}).
  */
 public final class SocketProbe {
-    private static final long FIRST_RETRY_MS = 10;
-    private static final long LAST_RETRY_MS = 100;
-
     private SocketProbe() { }
 
     /**
-     * Waits, for a bounded time, and has the runtime find out then.
-     *
-     * @return whether addresses can be shared
+     * Returns whether addresses can be shared, after telling the runtime so where it thinks otherwise. Comes before anything that
+     * asks for a socket's options.
      */
-    public static boolean await(long patienceMs) throws InterruptedException {
-        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(patienceMs);
-        var backoff = new Backoff(FIRST_RETRY_MS, LAST_RETRY_MS);
-        while (true) {
-            try (ServerSocketChannel socket = ServerSocketChannel.open()) {
-                return socket.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT);
-            } catch (IOException e) {
-                if (System.nanoTime() - until > 0) {
-                    return false;
-                }
-                TimeUnit.MILLISECONDS.sleep(backoff.next());
+    public static boolean addressesCanBeShared() {
+        try {
+            Class<?> net = Class.forName("sun.nio.ch.Net");
+            Method available = net.getDeclaredMethod("isReusePortAvailable");
+            available.setAccessible(true);
+            if ((boolean) available.invoke(null)) {
+                return true;
+            }
+            if (!System.getProperty("os.name").equals("Linux")) {
+                return false;
             }
+            set(net, "isReusePortAvailable");
+            set(net, "checkedReusePort");
+            return true;
+        } catch (ReflectiveOperationException | RuntimeException e) {
+            // Another runtime, or not started from the jar: what it has found out holds.
+            return false;
         }
     }
+
+    private static void set(Class<?> net, String name) throws ReflectiveOperationException {
+        Field field = net.getDeclaredField(name);
+        field.setAccessible(true);
+        field.setBoolean(null, true);
+    }
 }
--- a/trial/src/main/java/grebehoist/trial/RigLag.java
+++ b/trial/src/main/java/grebehoist/trial/RigLag.java
@@ -22,6 +22,11 @@
         });
     }
 
+    /** Begins to measure anew. */
+    void reset() {
+        worstUs = 0;
+    }
+
     /** Returns the worst so far, in microseconds. */
     long worstUs() {
         return worstUs;
