Whoever waited while accept failed is not taken for fresh

While accept(2) fails clients wait in the kernel, with their requests and perhaps their end. AcceptRetry now tells the backlog of each pause, as Sockets does where there is no room: their requests count from then, and their leaving is looked for before they are begun. As found, Netty's own pause of a second had the same effect.

Measured: EndingsTest.aClientThatLeftWhileAcceptFailedIsNotServed fails without the change and passes with it; EndingsTest and LayersTest pass.

--- a/daemon/src/test/java/grebehoist/cli/EndingsTest.java
+++ b/daemon/src/test/java/grebehoist/cli/EndingsTest.java
@@ -9,6 +9,11 @@
 import beechfall.Balancer.Members;
 import beechfall.Balancer.Outcome;
 import beechfall.Balancer.Watch;
+import grebehoist.net.Network;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -17,6 +22,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -134,6 +140,45 @@
         }
     }
 
+    /** The soak's seed 5310: accept(2) failed for a while, and whoever waited meanwhile was taken for fresh when it worked again. */
+    @Test
+    void aClientThatLeftWhileAcceptFailedIsNotServed() throws Exception {
+        var failing = new AtomicBoolean();
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), acceptFailsWhile(failing), backend)) {
+            var seen = backend.always(Peer.ok("x"));
+            // A connection to the backend that is there is written to at once.
+            try (Wire first = proxy.client().send(Fixture.get("first"))) {
+                assertThat(first.read().status()).isEqualTo(200);
+            }
+            failing.set(true);
+            proxy.client().send(Fixture.get("left")).close();
+            try (Wire stays = proxy.client().send(Fixture.get("stays"))) {
+                // Netty's own answer to a failed accept is a pause of a second.
+                long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(200);
+                while (System.nanoTime() < until) {
+                    Thread.onSpinWait();
+                }
+                failing.set(false);
+                assertThat(stays.read().status()).isEqualTo(200);
+            }
+            assertThat(seen).extracting(m -> m.header("X-Request-ID")).containsExactly("first", "stays");
+        }
+    }
+
+    private static Network acceptFailsWhile(AtomicBoolean failing) {
+        Network sockets = Network.sockets();
+        ServerBootstrap server = new ServerBootstrap().group(sockets.loop()).channelFactory(() -> new NioServerSocketChannel() {
+            @Override
+            protected int doReadMessages(List<Object> accepted) throws Exception {
+                if (failing.get()) {
+                    throw new IOException("accept: too many open files in system");
+                }
+                return super.doReadMessages(accepted);
+            }
+        }).option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator());
+        return new Network(sockets.loop(), server, sockets.client(), sockets.addresses());
+    }
+
     /** It sends more than is dropped at any speed behind a request that waits, and goes: that is seen behind all of it. */
     @Test
     void aClientThatSendsMuchAndGoesIsNoticed() throws Exception {
--- a/daemon/src/test/java/grebehoist/cli/Fixture.java
+++ b/daemon/src/test/java/grebehoist/cli/Fixture.java
@@ -66,8 +66,8 @@
     }
 
     /** A proxy whose sockets are made by the test's network. */
-    public Fixture(Module module, Network network) throws Exception {
-        this(settings -> (now, event, actions) -> module.handle(event, actions), network, 1_024, 15_000_000);
+    public Fixture(Module module, Network network, Peer... backends) throws Exception {
+        this(settings -> (now, event, actions) -> module.handle(event, actions), network, 1_024, 15_000_000, backends);
     }
 
     private Fixture(Function<Balancer.Settings, Balancer> factory, int sockets, long idleUs, Peer... backends)
--- a/net/src/main/java/grebehoist/net/AcceptRetry.java
+++ b/net/src/main/java/grebehoist/net/AcceptRetry.java
@@ -15,15 +15,18 @@
     private static final long PAUSE_MS = 5;
 
     private final Log log;
+    private final Runnable paused;
     private final Runnable resume;
 
     /**
      * Makes one for a listener.
      *
+     * @param paused hears that nobody is accepted for a while: whoever is accepted next may have waited
      * @param resume begins to accept again, unless there is another reason not to
      */
-    AcceptRetry(Log log, Runnable resume) {
+    AcceptRetry(Log log, Runnable paused, Runnable resume) {
         this.log = log;
+        this.paused = paused;
         this.resume = resume;
     }
 
@@ -32,6 +35,7 @@
         log.count(Counter.ACCEPT_FAILED);
         if (ctx.channel().config().isAutoRead()) {
             ctx.channel().config().setAutoRead(false);
+            paused.run();
             LoopTasks.after(ctx.channel().eventLoop(), log, PAUSE_MS, TimeUnit.MILLISECONDS, resume);
         }
     }
--- a/net/src/main/java/grebehoist/net/ClientFront.java
+++ b/net/src/main/java/grebehoist/net/ClientFront.java
@@ -74,7 +74,7 @@
     public final ChannelFuture listen(Network network, InetSocketAddress address) {
         backlog = new AcceptBacklog(timers, network.loop());
         sweep = LoopTasks.every(network.loop(), log, SWEEP_US, TimeUnit.MICROSECONDS, this::sweep);
-        ChannelFuture bound = LoopChannels.bind(network.server().clone().handler(new AcceptRetry(log, sockets::accept))
+        ChannelFuture bound = LoopChannels.bind(network.server().clone().handler(new AcceptRetry(log, () -> backlog.accepting(false), sockets::accept))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/net/src/main/java/grebehoist/net/LoopChannels.java
+++ b/net/src/main/java/grebehoist/net/LoopChannels.java
@@ -39,7 +39,7 @@
         return new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel listener) {
-                listener.pipeline().addLast(new AcceptRetry(log, () -> listener.config().setAutoRead(true)));
+                listener.pipeline().addLast(new AcceptRetry(log, () -> { }, () -> listener.config().setAutoRead(true)));
             }
         };
     }
