A request that waits behind a hold-up is not taken for rest

Where clients are sent away, connections end that have rested for 20 ms. A process that was held up for as long between accepting a client and reading its request took that connection for one at rest: the request was read and dropped, and its connection closed. Now no connection ends for resting in a pass that was held up; the next look comes a tenth of a second later.

--- a/daemon/src/main/java/grebehoist/cli/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -262,7 +262,7 @@
     void begin() {
         Pool pool = pools.get(0);
         if (operations != null) {
-            Front front = listeners.first().front();
+            Front front = front();
             operations.begin(new Operations.Target(this::ready, pool::tally, pool::unanswered, pool::avoided, front::sendAway,
                     this::otherProcesses, log), host.timers(), loop);
         }
@@ -270,6 +270,11 @@
         begun = true;
     }
 
+    /** Returns the platform's listener. */
+    Front front() {
+        return listeners.first().front();
+    }
+
     /** Listens for the platform's pool. */
     ChannelFuture listen() {
         return listeners.listen();
--- a/daemon/src/test/java/grebehoist/cli/EndingsTest.java
+++ b/daemon/src/test/java/grebehoist/cli/EndingsTest.java
@@ -14,9 +14,11 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -165,6 +167,49 @@
         }
     }
 
+    /** The soak's seed 5319: the loop is held up between accepting a client and reading its request, and idle connections are due to end. */
+    @Test
+    void aRequestThatWaitsBehindAHoldUpIsNotTakenForRest() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), heldUpAfterAccept(), backend)) {
+            backend.always(Peer.ok("x"));
+            proxy.sendAway();
+            // Idle connections end from half a second on, every tenth of a second: some of these fall between accepting and reading a client.
+            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(3);
+            for (int i = 0; System.nanoTime() < until; i++) {
+                try (Wire client = proxy.client().send(Fixture.get("r" + i))) {
+                    assertThat(client.read()).as("request %d is answered", i).isNotNull();
+                }
+            }
+        }
+    }
+
+    private static Network heldUpAfterAccept() {
+        Network sockets = Network.sockets();
+        ServerBootstrap server = new ServerBootstrap().group(sockets.loop()).channelFactory(() -> new NioServerSocketChannel() {
+            @Override
+            protected int doReadMessages(List<Object> accepted) throws Exception {
+                SocketChannel socket = javaChannel().accept();
+                if (socket == null) {
+                    return 0;
+                }
+                accepted.add(new NioSocketChannel(this, socket) {
+                    private boolean held;
+
+                    @Override
+                    protected void doBeginRead() throws Exception {
+                        if (!held) {
+                            held = true;
+                            TimeUnit.MILLISECONDS.sleep(40);
+                        }
+                        super.doBeginRead();
+                    }
+                });
+                return 1;
+            }
+        }).option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator());
+        return new Network(sockets.loop(), server, sockets.client(), sockets.addresses());
+    }
+
     private static Network acceptFailsWhile(AtomicBoolean failing) {
         Network sockets = Network.sockets();
         ServerBootstrap server = new ServerBootstrap().group(sockets.loop()).channelFactory(() -> new NioServerSocketChannel() {
--- a/daemon/src/test/java/grebehoist/cli/Fixture.java
+++ b/daemon/src/test/java/grebehoist/cli/Fixture.java
@@ -8,6 +8,7 @@
 import grebehoist.config.Json;
 import grebehoist.net.Network;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoop;
 import java.io.Closeable;
 import java.io.ByteArrayInputStream;
 import java.nio.charset.StandardCharsets;
@@ -45,6 +46,7 @@
     public final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
     public final Peer discovery = new Peer();
     private final Serve serve;
+    private final EventLoop loop;
     public final InetSocketAddress address;
 
     /** Does as the module would: gets the events, and says what is to be done. */
@@ -82,6 +84,7 @@
             servers.append(i == 0 ? "" : ",").append(entry("s" + i, backends[i].address(), "ready"));
         }
         Config config = Config.parse(json(CONFIG.formatted(discovery.address(), sockets, servers, idleUs)));
+        loop = network.loop();
         Balancer module = factory.apply(config.settings());
         serve = new Serve(config, (now, event, actions) -> {
             events.add(event);
@@ -102,6 +105,11 @@
         return CONFIG.formatted(discovery, 1_024, "", 15_000_000);
     }
 
+    /** What the operators' drain does to the listener. */
+    public void sendAway() {
+        loop.submit(() -> serve.front().sendAway(true)).syncUninterruptibly();
+    }
+
     /** What SIGHUP does, for a file that may not be there yet. */
     public void reload(Path file) {
         serve.reloading(file).run();
--- a/net/src/main/java/grebehoist/net/ClientFront.java
+++ b/net/src/main/java/grebehoist/net/ClientFront.java
@@ -126,7 +126,12 @@
 
     /** Those that have rested for long enough that no request is on its way: the others have their turn with the next look. */
     private void partIdle() {
-        long restSince = timers.now() - GREETING_US;
+        long now = timers.now();
+        if (timers.arrivedAt() < now) {
+            // Held up for as long as that rest: what has come to a connection that was just accepted is yet to be read.
+            return;
+        }
+        long restSince = now - GREETING_US;
         List.copyOf(connections).stream().filter(c -> c.idleSince() <= restSince).forEach(Connection::partIfIdle);
     }
 
