The guard counts a decision and refuses the byte: the laboratory shows what rivals break

At a decision it now refuses what the engine refused before (request over, time up, attempts out) and counts the rest; before the first byte it refuses all, as before.

Measured: RuleGuardTest, EngineTest, LayersTest, ProxyTest and WorldTest pass.

--- a/core/src/main/java/grebehoist/engine/RuleGuard.java
+++ b/core/src/main/java/grebehoist/engine/RuleGuard.java
@@ -124,9 +124,15 @@
         }
     }
 
-    /** Returns whether an attempt that has just been decided on may be made. */
+    /**
+     * Counts what is wrong with an attempt that has just been decided on. Returns whether it may be made as far as its request goes; what
+     * its endpoint and its earlier attempts forbid is refused before the first byte, which a host that sends no bytes (the laboratory,
+     * in which such attempts are to be seen) does not ask.
+     */
     public boolean maySend(Send send, long nowUs) {
-        return endpointTakes(send, nowUs) && requestAllows(send, nowUs) && repeatAllowed(send, nowUs);
+        endpointTakes(send, nowUs);
+        repeatAllowed(send, nowUs);
+        return requestAllows(send, nowUs);
     }
 
     /**
@@ -138,7 +144,7 @@
             log.count(Counter.ATTEMPT_OUT_OF_TIME);
             return false;
         }
-        return maySend(send, nowUs) && slowStartAllows(send, nowUs);
+        return endpointTakes(send, nowUs) && requestAllows(send, nowUs) && repeatAllowed(send, nowUs) && slowStartAllows(send, nowUs);
     }
 
     private static boolean outOfWindow(Send send, long nowUs) {
