Test that shows a failing accept(2) holding the event loop, known to fail

Cause, as far as known: the runtime's native accept repeats the call while it fails with ECONNABORTED, so one window of failing calls holds up the event loop, and with it every connection that is there.

--- a/trial/src/test/java/grebehoist/trial/SystemCallFaultsIT.java
+++ b/trial/src/test/java/grebehoist/trial/SystemCallFaultsIT.java
@@ -202,6 +202,22 @@
         assertThat(invariantViolations()).as("%s", proxy.log()).isZero();
     }
 
+    /** Every accept(2) fails with the error of one connection, again and again: whoever is connected is served all the same. */
+    @Test
+    void connectionsAreServedWhileNobodyCanBeAccepted() throws Exception {
+        start("call=accept,errno=ECONNABORTED");
+        faults.resume();
+        try (var waiting = new Socket(InetAddress.getLoopbackAddress(), proxy.address().getPort())) {
+            rig.await("accept fails", () -> faults.count(SystemCall.ACCEPT) > 0);
+            rig.awaitServed(30);
+            faults.pause();
+            assertThat(waiting.isConnected()).isTrue();
+        }
+        rig.awaitServed(100);
+        assertRulesKept();
+        assertThat(invariantViolations()).as("%s", proxy.log()).isZero();
+    }
+
     /** What a start needs fails in its first second and a half: the process is ready in time, and serves. */
     @ParameterizedTest
     @ValueSource(strings = {
