Listeners accept on a thread of their own: a failing accept(2) holds nobody up

Cause: the runtime's native accept repeats the call while it fails with ECONNABORTED; a thread dump of the failing test shows the event loop in sun.nio.ch.Net.accept, 26 of 32 s of CPU. Every connection of the process stood still for as long as calls failed.

Change: ListeningSocket hands each call, one at a time, to AcceptWorker, and handles what it returns on the loop. A call that takes over 20 ms is counted (accept_delayed), and whoever is accepted by it or after it counts as having waited since it began. AcceptBacklog takes a call that is under way for somebody who waits, so that no listener is closed over it; a close during a call comes after it.

--- a/core/src/main/java/grebehoist/engine/Counter.java
+++ b/core/src/main/java/grebehoist/engine/Counter.java
@@ -6,6 +6,8 @@
 public enum Counter {
     /** An attempt was not begun, as its request's time, or its key's window, had run out since it was decided on. */
     ATTEMPT_OUT_OF_TIME,
+    /** A call that accepts a connection took long, as the system made it fail again and again. */
+    ACCEPT_DELAYED,
     /** A listener could not accept a connection, and tried again. */
     ACCEPT_FAILED,
     /** An address could not be bound, and was tried again. */
--- a/net/src/main/java/grebehoist/net/AcceptBacklog.java
+++ b/net/src/main/java/grebehoist/net/AcceptBacklog.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * Tells connections that may have waited to be accepted from fresh ones. While the loop is held up, or accepts nobody for want of
@@ -14,6 +15,7 @@
 
     private final LoopTimers timers;
     private final EventLoop loop;
+    private final BooleanSupplier callUnderWay;
     private long mayHaveComeAt = Long.MAX_VALUE;
     private boolean drained = true;
     /** How many were accepted so far, and by the last check. */
@@ -23,10 +25,15 @@
     private boolean checking;
     private int quiet;
 
-    /** Makes one for a listener. */
-    public AcceptBacklog(LoopTimers timers, EventLoop loop) {
+    /**
+     * Makes one for a listener.
+     *
+     * @param callUnderWay whether somebody is being accepted, which has no outcome yet
+     */
+    public AcceptBacklog(LoopTimers timers, EventLoop loop, BooleanSupplier callUnderWay) {
         this.timers = timers;
         this.loop = loop;
+        this.callUnderWay = callUnderWay;
     }
 
     /** From now on somebody is accepted again, or nobody is. */
@@ -39,6 +46,12 @@
         }
     }
 
+    /** A call that accepts took so long: whoever is accepted by it, and after it, may have waited. */
+    void delayed(long us) {
+        waitsSince(timers.now() - us);
+        check();
+    }
+
     /** A connection is accepted. Returns when it may have come, or {@link Long#MAX_VALUE} for now. */
     public long accepted() {
         accepts++;
@@ -64,7 +77,7 @@
     void whenEmpty(Runnable action) {
         long before = accepts;
         LoopTasks.after(loop, CHECK_MS, TimeUnit.MILLISECONDS, () -> {
-            if (accepts > before || !accepting) {
+            if (accepts > before || !accepting || callUnderWay.getAsBoolean()) {
                 whenEmpty(action);
             } else {
                 action.run();
@@ -86,6 +99,9 @@
         seen = accepts;
         if (!accepting) {
             quiet = 0;
+        } else if (callUnderWay.getAsBoolean()) {
+            quiet = 0;
+            check();
         } else if (quiet > QUIET_CHECKS) {
             drained = true;
             mayHaveComeAt = Long.MAX_VALUE;
--- a/net/src/main/java/grebehoist/net/AcceptRetry.java
+++ b/net/src/main/java/grebehoist/net/AcceptRetry.java
@@ -14,20 +14,34 @@
     /** Long enough not to spin while the system has none left, short beside any client's patience. */
     private static final long PAUSE_MS = 5;
 
+    /** What becomes of a listener that accepts badly. */
+    interface Owner {
+        /** Nobody is accepted for a while: whoever is accepted next may have waited. */
+        void paused();
+
+        /** Begins to accept again, unless there is another reason not to. */
+        void resume();
+
+        /** A call has taken so long, though others of the loop went on: whoever is accepted next may have waited. */
+        void delayed(long us);
+    }
+
     private final Log log;
-    private final Runnable paused;
-    private final Runnable resume;
-
-    /**
-     * Makes one for a listener.
-     *
-     * @param paused hears that nobody is accepted for a while: whoever is accepted next may have waited
-     * @param resume begins to accept again, unless there is another reason not to
-     */
-    AcceptRetry(Log log, Runnable paused, Runnable resume) {
+    private final Owner owner;
+
+    /** Makes one for a listener. */
+    AcceptRetry(Log log, Owner owner) {
         this.log = log;
-        this.paused = paused;
-        this.resume = resume;
+        this.owner = owner;
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+        if (event instanceof ListeningSocket.Delayed delayed) {
+            log.count(Counter.ACCEPT_DELAYED);
+            owner.delayed(delayed.us());
+        }
+        super.userEventTriggered(ctx, event);
     }
 
     @Override
@@ -35,8 +49,8 @@
         log.count(Counter.ACCEPT_FAILED);
         if (ctx.channel().config().isAutoRead()) {
             ctx.channel().config().setAutoRead(false);
-            paused.run();
-            LoopTasks.after(ctx.channel().eventLoop(), log, PAUSE_MS, TimeUnit.MILLISECONDS, resume);
+            owner.paused();
+            LoopTasks.after(ctx.channel().eventLoop(), log, PAUSE_MS, TimeUnit.MILLISECONDS, owner::resume);
         }
     }
 }
--- a/net/src/main/java/grebehoist/net/ClientFront.java
+++ b/net/src/main/java/grebehoist/net/ClientFront.java
@@ -72,9 +72,9 @@
 
     @Override
     public final ChannelFuture listen(Network network, InetSocketAddress address) {
-        backlog = new AcceptBacklog(timers, network.loop());
+        backlog = new AcceptBacklog(timers, network.loop(), () -> listener instanceof ListeningSocket socket && socket.accepting());
         sweep = LoopTasks.every(network.loop(), log, SWEEP_US, TimeUnit.MICROSECONDS, this::sweep);
-        ChannelFuture bound = LoopChannels.bind(network.server().clone().handler(new AcceptRetry(log, () -> backlog.accepting(false), sockets::accept))
+        ChannelFuture bound = LoopChannels.bind(network.server().clone().handler(new AcceptRetry(log, new Accepting()))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -96,6 +96,23 @@
         return bound;
     }
 
+    private final class Accepting implements AcceptRetry.Owner {
+        @Override
+        public void paused() {
+            backlog.accepting(false);
+        }
+
+        @Override
+        public void resume() {
+            sockets.accept();
+        }
+
+        @Override
+        public void delayed(long us) {
+            backlog.delayed(us);
+        }
+    }
+
     /** One timer for all: one for each connection would have to be set anew with each request. */
     private void sweep() {
         long now = timers.now();
--- /dev/null
+++ b/net/src/main/java/grebehoist/net/ListeningSocket.java
@@ -0,0 +1,156 @@
+package grebehoist.net;
+
+import io.netty.channel.nio.NioIoOps;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A listening socket whose calls of accept(2) are made elsewhere ({@link AcceptWorker}), one at a time; what they return is handled on the
+ * event loop, as with any channel. While a call is under way the loop does not look whether somebody waits.
+ *
+ * <p>A call usually takes microseconds. Where it took long ({@link Delayed}), whoever is accepted next may have waited as long.
+ */
+final class ListeningSocket extends NioServerSocketChannel {
+    /** Tells the pipeline, ahead of the connection that a call has accepted, that the call took long. */
+    record Delayed(long us) { }
+
+    private record Outcome(SocketChannel socket, Throwable failure) { }
+
+    /** Longer than a busy machine makes a thread wait; clients' time counts from their request, as far as it can be known. */
+    private static final long DELAYED_US = 20_000;
+
+    private final Executor worker;
+    // Used on the loop's thread alone.
+    private boolean calling;
+    private boolean closeWanted;
+    private Outcome outcome;
+
+    /** Makes one that is not bound yet. */
+    ListeningSocket(Executor worker) {
+        this.worker = worker;
+    }
+
+    /** Returns whether somebody is being accepted. Used on the loop's thread. */
+    boolean accepting() {
+        return calling;
+    }
+
+    @Override
+    protected void doBeginRead() throws Exception {
+        if (!calling) {
+            super.doBeginRead();
+        }
+    }
+
+    /** Called when somebody waits, and once more when the call that this begins has an outcome. */
+    @Override
+    protected int doReadMessages(List<Object> accepted) throws Exception {
+        if (outcome == null) {
+            beginCall();
+            return 0;
+        }
+        Outcome done = outcome;
+        outcome = null;
+        if (done.failure != null) {
+            throw asException(done.failure);
+        }
+        if (done.socket == null) {
+            return 0;
+        }
+        accepted.add(connection(done.socket));
+        return 1;
+    }
+
+    private static Exception asException(Throwable failure) {
+        return failure instanceof Exception known ? known : new IOException("accept failed", failure);
+    }
+
+    private InterruptibleSockets.Connection connection(SocketChannel socket) {
+        try {
+            return new InterruptibleSockets.Connection(this, socket);
+        } catch (RuntimeException e) {
+            closeQuietly(socket);
+            throw e;
+        }
+    }
+
+    private void beginCall() throws IOException {
+        long begunAt = eventLoop().ticker().nanoTime();
+        try {
+            worker.execute(() -> call(begunAt));
+        } catch (RejectedExecutionException | OutOfMemoryError e) {
+            throw new IOException("no thread to accept on", e);
+        }
+        calling = true;
+        removeAndSubmit(NioIoOps.ACCEPT);
+    }
+
+    /** On a thread of the worker's. */
+    private void call(long begunAt) {
+        Outcome done = accept();
+        try {
+            eventLoop().execute(() -> ended(done, begunAt));
+        } catch (RejectedExecutionException e) {
+            // The loop has ended, and the process with it.
+            closeQuietly(done.socket);
+        }
+    }
+
+    private Outcome accept() {
+        try {
+            return new Outcome(javaChannel().accept(), null);
+        } catch (IOException | RuntimeException e) {
+            return new Outcome(null, e);
+        }
+    }
+
+    private void ended(Outcome done, long begunAt) {
+        calling = false;
+        if (closeWanted) {
+            closeQuietly(done.socket);
+            closeNow();
+            return;
+        }
+        outcome = done;
+        long us = TimeUnit.NANOSECONDS.toMicros(eventLoop().ticker().nanoTime() - begunAt);
+        if (us > DELAYED_US) {
+            pipeline().fireUserEventTriggered(new Delayed(us));
+        }
+        unsafe().read();
+    }
+
+    /** The runtime's close waits for a call that is under way, so it comes after it. */
+    @Override
+    protected void doClose() throws Exception {
+        if (calling) {
+            closeWanted = true;
+        } else {
+            super.doClose();
+        }
+    }
+
+    private void closeNow() {
+        try {
+            super.doClose();
+        } catch (Exception e) {
+            // The descriptor is gone all the same (close(2)), and nobody waits to hear of it.
+            pipeline().fireExceptionCaught(e);
+        }
+    }
+
+    private static void closeQuietly(SocketChannel socket) {
+        if (socket == null) {
+            return;
+        }
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // What could not be set up is given up, whether or not its end can be told.
+        }
+    }
+}
--- a/net/src/main/java/grebehoist/net/LoopChannels.java
+++ b/net/src/main/java/grebehoist/net/LoopChannels.java
@@ -39,11 +39,25 @@
         return new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel listener) {
-                listener.pipeline().addLast(new AcceptRetry(log, () -> { }, () -> listener.config().setAutoRead(true)));
+                listener.pipeline().addLast(new AcceptRetry(log, new AlwaysAccepting(listener)));
             }
         };
     }
 
+    /** Of a listener whose clients' time is not counted. */
+    private record AlwaysAccepting(Channel listener) implements AcceptRetry.Owner {
+        @Override
+        public void paused() { }
+
+        @Override
+        public void resume() {
+            listener.config().setAutoRead(true);
+        }
+
+        @Override
+        public void delayed(long us) { }
+    }
+
     /** Closes the channel of a connect or bind, whatever has become of it. */
     public static void close(ChannelFuture connecting) {
         Channel channel = connecting.channel();
--- a/net/src/main/java/grebehoist/net/Network.java
+++ b/net/src/main/java/grebehoist/net/Network.java
@@ -54,7 +54,8 @@
      */
     public static Network sockets(boolean shared) {
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        ServerBootstrap server = new ServerBootstrap().group(loop).channelFactory(InterruptibleSockets.Listener::new)
+        var acceptWorker = new AcceptWorker(loop);
+        ServerBootstrap server = new ServerBootstrap().group(loop).channelFactory(() -> new ListeningSocket(acceptWorker))
                 // One at a time: each that is accepted counts before the next is.
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator())
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
