--- a/benchmarks/src/main/java/grebehoist/benchmarks/EngineCost.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/EngineCost.java
@@ -56,7 +56,7 @@
 
     private record Sent(Attempt.End end) implements Attempt {
         @Override
-        public void start() { }
+        public void start() {}
 
         @Override
         public boolean mayHaveRun() {
@@ -74,58 +74,67 @@
     public void prepare() {
         Balancer.Settings settings = Workload.settings(backends);
         now = 1_000_000_000L;
-        engine = new Engine(settings, new Policy(settings), new Timers() {
-            @Override
-            public long now() {
-                return now;
-            }
+        engine = new Engine(
+                settings,
+                new Policy(settings),
+                new Timers() {
+                    @Override
+                    public long now() {
+                        return now;
+                    }
 
-            @Override
-            public Timer at(long atUs, Runnable action) {
-                return () -> { };
-            }
+                    @Override
+                    public Timer at(long atUs, Runnable action) {
+                        return () -> {};
+                    }
 
-            @Override
-            public boolean settling() {
-                return false;
-            }
-        }, new Transport() {
-            @Override
-            public List<? extends Attempt> members(ListKind kind, List<Listed> listed) {
-                return List.of();
-            }
+                    @Override
+                    public boolean settling() {
+                        return false;
+                    }
+                },
+                new Transport() {
+                    @Override
+                    public List<? extends Attempt> members(ListKind kind, List<Listed> listed) {
+                        return List.of();
+                    }
 
-            @Override
-            public boolean anyReady() {
-                return true;
-            }
+                    @Override
+                    public boolean anyReady() {
+                        return true;
+                    }
 
-            @Override
-            public Attempt attempt(String backend, Payload request, long deadlineUs, Attempt.End end) {
-                var attempt = new Sent(end);
-                sent.add(attempt);
-                return attempt;
-            }
+                    @Override
+                    public Attempt attempt(String backend, Payload request, long deadlineUs, Attempt.End end) {
+                        var attempt = new Sent(end);
+                        sent.add(attempt);
+                        return attempt;
+                    }
 
-            @Override
-            public void release(String backend) { }
-        }, new Log() {
-            @Override
-            public void line(String text) { }
+                    @Override
+                    public void release(String backend) {}
+                },
+                new Log() {
+                    @Override
+                    public void line(String text) {}
 
-            @Override
-            public void failure(String what, Throwable cause) {
-                throw new IllegalStateException(what, cause);
-            }
-        });
+                    @Override
+                    public void failure(String what, Throwable cause) {
+                        throw new IllegalStateException(what, cause);
+                    }
+                });
         engine.source(new MemberSource() {
             @Override
-            public void watch(boolean on) { }
+            public void watch(boolean on) {}
 
             @Override
-            public void fetch() { }
+            public void fetch() {}
         });
-        engine.members(ListKind.FULL, Workload.backends(backends).stream().map(b -> new Listed(b, "127.0.0.1:1")).toList());
+        engine.members(
+                ListKind.FULL,
+                Workload.backends(backends).stream()
+                        .map(b -> new Listed(b, "127.0.0.1:1"))
+                        .toList());
         for (int i = 0; i < 20_000; i++) {
             request();
         }
@@ -134,18 +143,26 @@
     /** An answer with nothing in it, but one that came back. */
     private static final Payload ANSWER = new Payload() {
         @Override
-        public void retain() { }
+        public void retain() {}
 
         @Override
-        public void release() { }
+        public void release() {}
     };
 
     /** One request comes and is answered. */
     @Benchmark
     public int request() {
         now += INTERVAL_US - LATENCY_US;
-        engine.arrived(new Request(Integer.toHexString(++next), Workload.CLASSES.get(next % 3).name(),
-                next % 4 == 0 ? "small" : "large", null, false, now + 2_000_000, Payload.NONE), new Responder() {
+        engine.arrived(
+                new Request(
+                        Integer.toHexString(++next),
+                        Workload.CLASSES.get(next % 3).name(),
+                        next % 4 == 0 ? "small" : "large",
+                        null,
+                        false,
+                        now + 2_000_000,
+                        Payload.NONE),
+                new Responder() {
                     @Override
                     public void served(Payload answer) {
                         answers++;
--- a/benchmarks/src/main/java/grebehoist/benchmarks/HalfFrames.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/HalfFrames.java
@@ -28,7 +28,7 @@
     private static final int MAX_FRAME = 64 * 1024;
     private static final long BOUND = 16 << 20;
 
-    private HalfFrames() { }
+    private HalfFrames() {}
 
     static void main(String[] args) throws Exception {
         int number = args.length > 1 && args[0].equals("--connections") ? Integer.parseInt(args[1]) : 5_000;
@@ -42,22 +42,48 @@
 
     private static void measure(int number, int bytes, boolean told) throws Exception {
         Network network = Network.sockets();
-        var host = new Pool.Host(network, new LoopTimers(network.loop()), new Sockets(network.loop(), new StderrLog(), 4 * number), new Log() {
-            @Override
-            public void line(String text) { }
+        var host = new Pool.Host(
+                network,
+                new LoopTimers(network.loop()),
+                new Sockets(network.loop(), new StderrLog(), 4 * number),
+                new Log() {
+                    @Override
+                    public void line(String text) {}
 
-            @Override
-            public void failure(String what, Throwable cause) {
-                cause.printStackTrace();
-            }
-        });
-        var pool = new Pool(host, new Pool.Spec("half", Pool.Protocol.THRIFT, Workload.settings(1),
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), 1), 15_000_000, 200_000, MAX_FRAME));
-        var options = new ThriftOptions(List.of(new ThriftMethod("read", "read", new ThriftMethod.Fixed("large"), null, null, null, null, null, null)),
-                false, MAX_FRAME, false, 64, 1 << 20, BOUND, BOUND, 60_000_000);
-        Front front = network.loop().submit(() -> pool.thriftFront(options, "h")).get();
-        var address = (InetSocketAddress) network.loop().submit(() -> front.listen(network,
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))).get().sync().channel().localAddress();
+                    @Override
+                    public void failure(String what, Throwable cause) {
+                        cause.printStackTrace();
+                    }
+                });
+        var pool = new Pool(
+                host,
+                new Pool.Spec(
+                        "half",
+                        Pool.Protocol.THRIFT,
+                        Workload.settings(1),
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
+                        15_000_000,
+                        200_000,
+                        MAX_FRAME));
+        var options = new ThriftOptions(
+                List.of(new ThriftMethod(
+                        "read", "read", new ThriftMethod.Fixed("large"), null, null, null, null, null, null)),
+                false,
+                MAX_FRAME,
+                false,
+                64,
+                1 << 20,
+                BOUND,
+                BOUND,
+                60_000_000);
+        Front front =
+                network.loop().submit(() -> pool.thriftFront(options, "h")).get();
+        var address = (InetSocketAddress) network.loop()
+                .submit(() -> front.listen(network, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)))
+                .get()
+                .sync()
+                .channel()
+                .localAddress();
         long heapBefore = heap();
         long buffersBefore = PooledByteBufAllocator.DEFAULT.metric().usedDirectMemory() + direct();
         var half = ByteBuffer.allocate(bytes).putInt(0, MAX_FRAME - 1).putInt(4, 0x80010001);
@@ -70,9 +96,11 @@
             client.write(half.duplicate());
             client.configureBlocking(false);
             clients.add(client);
-            most = i % 100 == 0 ? Math.max(most, PooledByteBufAllocator.DEFAULT.metric().usedDirectMemory() + direct()) : most;
+            most = i % 100 == 0
+                    ? Math.max(most, PooledByteBufAllocator.DEFAULT.metric().usedDirectMemory() + direct())
+                    : most;
         }
-        network.loop().submit(() -> { }).sync();
+        network.loop().submit(() -> {}).sync();
         most = Math.max(most, PooledByteBufAllocator.DEFAULT.metric().usedDirectMemory() + direct());
         long heapAfter = heap();
         long first = Long.MAX_VALUE;
@@ -83,7 +111,7 @@
         }
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
         while (!left.isEmpty() && System.nanoTime() < until) {
-            for (var it = left.iterator(); it.hasNext();) {
+            for (var it = left.iterator(); it.hasNext(); ) {
                 int i = it.next();
                 if (ended(clients.get(i))) {
                     long after = (System.nanoTime() - sentAt.get(i)) / 1_000_000;
@@ -98,7 +126,14 @@
             client.close();
         }
         if (told) {
-            System.out.printf("%11d %11d %8.1f %11.1f %19d %18d%s%n", number, bytes, (heapAfter - heapBefore) / 1e6, (most - buffersBefore) / 1e6, first, last,
+            System.out.printf(
+                    "%11d %11d %8.1f %11.1f %19d %18d%s%n",
+                    number,
+                    bytes,
+                    (heapAfter - heapBefore) / 1e6,
+                    (most - buffersBefore) / 1e6,
+                    first,
+                    last,
                     left.isEmpty() ? "" : "  " + left.size() + " never ended");
         }
         network.loop().parent().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).sync();
@@ -122,6 +157,8 @@
 
     private static long direct() {
         return ManagementFactory.getPlatformMXBeans(java.lang.management.BufferPoolMXBean.class).stream()
-                .filter(b -> b.getName().equals("direct")).mapToLong(java.lang.management.BufferPoolMXBean::getMemoryUsed).sum();
+                .filter(b -> b.getName().equals("direct"))
+                .mapToLong(java.lang.management.BufferPoolMXBean::getMemoryUsed)
+                .sum();
     }
 }
--- a/benchmarks/src/main/java/grebehoist/benchmarks/ListCost.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/ListCost.java
@@ -43,7 +43,7 @@
         list = Workload.backends(backends);
         long before = heap();
         policy = new Policy(Workload.settings(backends));
-        policy.handle(now, new Members(ListKind.FULL, list), a -> { });
+        policy.handle(now, new Members(ListKind.FULL, list), a -> {});
         System.out.println("bytes kept for each of " + backends + " backends: " + (heap() - before) / backends);
     }
 
@@ -59,13 +59,18 @@
     public void one() {
         now += 1_000;
         here = !here;
-        policy.handle(now, new Members(ListKind.DELTA, List.of(new Backend("new", here ? State.READY : State.GONE, "std", "a", 1, 0, 1))), a -> { });
+        policy.handle(
+                now,
+                new Members(
+                        ListKind.DELTA,
+                        List.of(new Backend("new", here ? State.READY : State.GONE, "std", "a", 1, 0, 1))),
+                a -> {});
     }
 
     /** All of it is told again. */
     @Benchmark
     public void whole() {
         now += 1_000;
-        policy.handle(now, new Members(ListKind.FULL, list), a -> { });
+        policy.handle(now, new Members(ListKind.FULL, list), a -> {});
     }
 }
--- a/benchmarks/src/main/java/grebehoist/benchmarks/Loopback.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/Loopback.java
@@ -60,7 +60,9 @@
 
     /** A way from clients to the backend. */
     private enum Way {
-        DAEMON(false), CODECS(false), BYTES(false),
+        DAEMON(false),
+        CODECS(false),
+        BYTES(false),
         /** The daemon's parts for Thrift. */
         THRIFT(true),
         /** A relay that cuts frames and passes them on, without a look at what is in them. */
@@ -80,18 +82,34 @@
 
     private static final AttributeKey<Sender> CLIENT = AttributeKey.valueOf(Loopback.class, "client");
 
-    private record Result(double cpuUs, long p50, long p99, long p999, long answered, long wrong) { }
+    private record Result(double cpuUs, long p50, long p99, long p999, long answered, long wrong) {}
 
     private static final StandInWire WIRE = new ThriftWire(ThriftWire.Kind.BINARY, 1, 64, true);
-    private static final ThriftOptions OPTIONS = new ThriftOptions(List.of(new ThriftMethod("read", "read", new ThriftMethod.At("2.1"), null,
-            new ThriftMethod.At("2.2"), new ThriftMethod.At("4"), new ThriftMethod.At("1"), new ThriftMethod.At("5"), null)), false, MAX, false, 64,
-            1 << 20, 16 << 20, 16 << 20, 60_000_000);
+    private static final ThriftOptions OPTIONS = new ThriftOptions(
+            List.of(new ThriftMethod(
+                    "read",
+                    "read",
+                    new ThriftMethod.At("2.1"),
+                    null,
+                    new ThriftMethod.At("2.2"),
+                    new ThriftMethod.At("4"),
+                    new ThriftMethod.At("1"),
+                    new ThriftMethod.At("5"),
+                    null)),
+            false,
+            MAX,
+            false,
+            64,
+            1 << 20,
+            16 << 20,
+            16 << 20,
+            60_000_000);
 
     private final Network outside = Network.sockets();
     /** What discovery says. */
     private volatile InetSocketAddress listed;
 
-    private Loopback() { }
+    private Loopback() {}
 
     static void main(String[] args) throws Exception {
         int seconds = 4;
@@ -100,8 +118,10 @@
             seconds = args[i].equals("--seconds") ? Integer.parseInt(args[i + 1]) : seconds;
             runs = args[i].equals("--runs") ? Integer.parseInt(args[i + 1]) : runs;
         }
-        System.out.printf("medians of %d runs of %d s, after as long a warm-up; latencies in microseconds%n", runs, seconds);
-        System.out.println("way     body  rate  CPU us/request  to bytes  to codecs  to frames    p50    p99  p99.9  answered  wrong");
+        System.out.printf(
+                "medians of %d runs of %d s, after as long a warm-up; latencies in microseconds%n", runs, seconds);
+        System.out.println(
+                "way     body  rate  CPU us/request  to bytes  to codecs  to frames    p50    p99  p99.9  answered  wrong");
         for (int body : BODIES) {
             for (int rate : RATES) {
                 var all = new ArrayList<List<Result>>();
@@ -118,8 +138,21 @@
                 double frames = median(all.get(Way.FRAMES.ordinal())).cpuUs();
                 for (Way way : Way.values()) {
                     Result r = median(all.get(way.ordinal()));
-                    System.out.printf(Locale.ROOT, "%-6s %5d %5d %15.1f %9.2f %10.2f %10.2f %6d %6d %6d %9d %6d%n", way.name().toLowerCase(Locale.ROOT),
-                            body, rate, r.cpuUs(), r.cpuUs() / bytes, r.cpuUs() / codecs, r.cpuUs() / frames, r.p50(), r.p99(), r.p999(), r.answered(), r.wrong());
+                    System.out.printf(
+                            Locale.ROOT,
+                            "%-6s %5d %5d %15.1f %9.2f %10.2f %10.2f %6d %6d %6d %9d %6d%n",
+                            way.name().toLowerCase(Locale.ROOT),
+                            body,
+                            rate,
+                            r.cpuUs(),
+                            r.cpuUs() / bytes,
+                            r.cpuUs() / codecs,
+                            r.cpuUs() / frames,
+                            r.p50(),
+                            r.p99(),
+                            r.p999(),
+                            r.answered(),
+                            r.wrong());
                 }
             }
         }
@@ -127,22 +160,36 @@
     }
 
     private static Result median(List<Result> results) {
-        return results.stream().sorted((a, b) -> Double.compare(a.cpuUs(), b.cpuUs())).toList().get(results.size() / 2);
+        return results.stream()
+                .sorted((a, b) -> Double.compare(a.cpuUs(), b.cpuUs()))
+                .toList()
+                .get(results.size() / 2);
     }
 
     private Result measure(Way way, int body, int rate, int seconds) throws Exception {
         InetSocketAddress backend = backend(body);
         InetSocketAddress framed = framedBackend(body);
         Network network = Network.sockets();
-        long thread = network.loop().submit(() -> Thread.currentThread().getId()).get();
+        long thread =
+                network.loop().submit(() -> Thread.currentThread().getId()).get();
         InetSocketAddress hop = switch (way) {
             case DAEMON -> daemon(network, backend, backend, false);
             case THRIFT -> daemon(network, backend, framed, true);
-            case CODECS -> listen(network, () -> new ChannelHandler[] {new HttpServerCodec(), new HttpObjectAggregator(MAX),
-                new Relay(network, backend, () -> new ChannelHandler[] {new HttpClientCodec(), new HttpObjectAggregator(MAX)})});
-            case BYTES -> listen(network, () -> new ChannelHandler[] {new Relay(network, backend, () -> new ChannelHandler[0])});
-            case FRAMES -> listen(network, () -> new ChannelHandler[] {frames(), new LengthFieldPrepender(4),
-                new Relay(network, framed, () -> new ChannelHandler[] {frames(), new LengthFieldPrepender(4)})});
+            case CODECS ->
+                listen(network, () -> new ChannelHandler[] {
+                    new HttpServerCodec(),
+                    new HttpObjectAggregator(MAX),
+                    new Relay(network, backend, () ->
+                            new ChannelHandler[] {new HttpClientCodec(), new HttpObjectAggregator(MAX)})
+                });
+            case BYTES ->
+                listen(network, () -> new ChannelHandler[] {new Relay(network, backend, () -> new ChannelHandler[0])});
+            case FRAMES ->
+                listen(network, () -> new ChannelHandler[] {
+                    frames(),
+                    new LengthFieldPrepender(4),
+                    new Relay(network, framed, () -> new ChannelHandler[] {frames(), new LengthFieldPrepender(4)})
+                });
         };
         var clients = new Clients(hop, rate, way.framed);
         clients.run(seconds);
@@ -152,8 +199,13 @@
         clients.run(seconds);
         long cpu = threads.getThreadCpuTime(thread) - before;
         Histogram h = clients.latencies;
-        var result = new Result(cpu / 1e3 / Math.max(1, h.getTotalCount()), h.getValueAtPercentile(50), h.getValueAtPercentile(99),
-                h.getValueAtPercentile(99.9), h.getTotalCount(), clients.wrong);
+        var result = new Result(
+                cpu / 1e3 / Math.max(1, h.getTotalCount()),
+                h.getValueAtPercentile(50),
+                h.getValueAtPercentile(99),
+                h.getValueAtPercentile(99.9),
+                h.getTotalCount(),
+                clients.wrong);
         network.loop().parent().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).sync();
         outside.loop().parent().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).sync();
         return result;
@@ -168,12 +220,18 @@
     }
 
     private static InetSocketAddress listen(Network network, Handlers handlers) throws InterruptedException {
-        return (InetSocketAddress) network.server().clone().childHandler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(handlers.make());
-            }
-        }).bind(anyPort()).sync().channel().localAddress();
+        return (InetSocketAddress) network.server()
+                .clone()
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(handlers.make());
+                    }
+                })
+                .bind(anyPort())
+                .sync()
+                .channel()
+                .localAddress();
     }
 
     private static LengthFieldBasedFrameDecoder frames() {
@@ -185,14 +243,16 @@
         byte[] bytes = "x".repeat(body).getBytes(StandardCharsets.US_ASCII);
         return listen(outside, () -> {
             var side = new CallSide();
-            return new ChannelHandler[] {new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    side.channel = channel;
-                    side.text = new String(bytes, StandardCharsets.US_ASCII);
-                    side.end = WIRE.backend(channel, side);
+            return new ChannelHandler[] {
+                new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        side.channel = channel;
+                        side.text = new String(bytes, StandardCharsets.US_ASCII);
+                        side.end = WIRE.backend(channel, side);
+                    }
                 }
-            }};
+            };
         });
     }
 
@@ -202,7 +262,7 @@
         private String text;
 
         @Override
-        public void began(StandInWire.Call call) { }
+        public void began(StandInWire.Call call) {}
 
         @Override
         public void whole() {
@@ -214,42 +274,67 @@
     private InetSocketAddress backend(int body) throws InterruptedException {
         byte[] bytes = "x".repeat(body).getBytes(StandardCharsets.US_ASCII);
         var self = new InetSocketAddress[1];
-        self[0] = listen(outside, () -> new ChannelHandler[] {new HttpServerCodec(), new HttpObjectAggregator(MAX),
+        self[0] = listen(outside, () -> new ChannelHandler[] {
+            new HttpServerCodec(),
+            new HttpObjectAggregator(MAX),
             new SimpleChannelInboundHandler<FullHttpRequest>() {
                 @Override
                 protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
                     if (request.uri().contains("hold_ms") && !request.uri().contains("hold_ms=0")) {
                         return;
                     }
-                    ByteBuf content = request.uri().startsWith("/v1/") ? Unpooled.copiedBuffer("{\"version\":1,\"full\":true,"
-                            + "\"servers\":[{\"id\":\"s\",\"addr\":\"127.0.0.1:" + listed.getPort() + "\",\"state\":\"ready\","
-                            + "\"zone\":\"a\",\"kind\":\"k\"}]}", StandardCharsets.US_ASCII) : Unpooled.wrappedBuffer(bytes);
+                    ByteBuf content = request.uri().startsWith("/v1/")
+                            ? Unpooled.copiedBuffer(
+                                    "{\"version\":1,\"full\":true,"
+                                            + "\"servers\":[{\"id\":\"s\",\"addr\":\"127.0.0.1:" + listed.getPort()
+                                            + "\",\"state\":\"ready\","
+                                            + "\"zone\":\"a\",\"kind\":\"k\"}]}",
+                                    StandardCharsets.US_ASCII)
+                            : Unpooled.wrappedBuffer(bytes);
                     var answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, content);
                     HttpUtil.setContentLength(answer, content.readableBytes());
                     ctx.writeAndFlush(answer);
                 }
-            }});
+            }
+        });
         return self[0];
     }
 
-    private InetSocketAddress daemon(Network network, InetSocketAddress discovery, InetSocketAddress backend, boolean framed)
-            throws Exception {
+    private InetSocketAddress daemon(
+            Network network, InetSocketAddress discovery, InetSocketAddress backend, boolean framed) throws Exception {
         listed = backend;
         Balancer.Settings settings = Workload.settings(1);
-        var host = new Pool.Host(network, new LoopTimers(network.loop()), new Sockets(network.loop(), new StderrLog(), 1_024), new Log() {
-            @Override
-            public void line(String text) { }
-
-            @Override
-            public void failure(String what, Throwable cause) {
-                throw new IllegalStateException(what, cause);
-            }
-        });
-        var pool = new Pool(host, new Pool.Spec("bench", framed ? Pool.Protocol.THRIFT : Pool.Protocol.HTTP, settings, discovery, 15_000_000,
-                200_000, MAX));
+        var host = new Pool.Host(
+                network,
+                new LoopTimers(network.loop()),
+                new Sockets(network.loop(), new StderrLog(), 1_024),
+                new Log() {
+                    @Override
+                    public void line(String text) {}
+
+                    @Override
+                    public void failure(String what, Throwable cause) {
+                        throw new IllegalStateException(what, cause);
+                    }
+                });
+        var pool = new Pool(
+                host,
+                new Pool.Spec(
+                        "bench",
+                        framed ? Pool.Protocol.THRIFT : Pool.Protocol.HTTP,
+                        settings,
+                        discovery,
+                        15_000_000,
+                        200_000,
+                        MAX));
         network.loop().submit(() -> pool.begin(null)).sync();
-        var address = (InetSocketAddress) network.loop().submit(() -> (framed ? pool.thriftFront(OPTIONS, "t") : pool.httpFront()).listen(network, anyPort())).sync().getNow().sync()
-                .channel().localAddress();
+        var address = (InetSocketAddress) network.loop()
+                .submit(() -> (framed ? pool.thriftFront(OPTIONS, "t") : pool.httpFront()).listen(network, anyPort()))
+                .sync()
+                .getNow()
+                .sync()
+                .channel()
+                .localAddress();
         while (!network.loop().submit(pool::ready).sync().getNow()) {
             TimeUnit.MILLISECONDS.sleep(1);
         }
@@ -280,20 +365,24 @@
                 to.writeAndFlush(message);
                 return;
             }
-            network.client().clone().handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(codecs.make()).addLast(new ChannelInboundHandlerAdapter() {
+            network.client()
+                    .clone()
+                    .handler(new ChannelInitializer<Channel>() {
                         @Override
-                        public void channelRead(ChannelHandlerContext back, Object answer) {
-                            ctx.writeAndFlush(answer);
+                        protected void initChannel(Channel channel) {
+                            channel.pipeline().addLast(codecs.make()).addLast(new ChannelInboundHandlerAdapter() {
+                                @Override
+                                public void channelRead(ChannelHandlerContext back, Object answer) {
+                                    ctx.writeAndFlush(answer);
+                                }
+                            });
                         }
+                    })
+                    .connect(backend)
+                    .addListener((io.netty.channel.ChannelFuture f) -> {
+                        to = f.channel();
+                        to.writeAndFlush(message);
                     });
-                }
-            }).connect(backend).addListener((io.netty.channel.ChannelFuture f) -> {
-                to = f.channel();
-                to.writeAndFlush(message);
-            });
         }
     }
 
@@ -321,20 +410,25 @@
         }
 
         private void connect() throws InterruptedException {
-            Channel channel = outside.client().clone().handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    if (framed) {
-                        var client = new FramedClient(ch);
-                        client.end = WIRE.client(ch, client);
-                        ch.attr(CLIENT).set(client);
-                    } else {
-                        var client = new Client();
-                        ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX), client);
-                        ch.attr(CLIENT).set(client);
-                    }
-                }
-            }).connect(hop).sync().channel();
+            Channel channel = outside.client()
+                    .clone()
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel ch) {
+                            if (framed) {
+                                var client = new FramedClient(ch);
+                                client.end = WIRE.client(ch, client);
+                                ch.attr(CLIENT).set(client);
+                            } else {
+                                var client = new Client();
+                                ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX), client);
+                                ch.attr(CLIENT).set(client);
+                            }
+                        }
+                    })
+                    .connect(hop)
+                    .sync()
+                    .channel();
             outside.loop().submit(() -> free.add(channel)).sync();
         }
 
@@ -359,8 +453,8 @@
             public void send(Channel on, long at) {
                 dueAt = at;
                 String id = Long.toHexString(ids.incrementAndGet());
-                on.writeAndFlush(Unpooled.wrappedBuffer(end.request(new StandInWire.Call(id, "u1", "read", true, "large", null, 0, 1_900_000,
-                        false, false), 1)));
+                on.writeAndFlush(Unpooled.wrappedBuffer(end.request(
+                        new StandInWire.Call(id, "u1", "read", true, "large", null, 0, 1_900_000, false, false), 1)));
             }
         }
 
@@ -379,25 +473,33 @@
             public void send(Channel on, long at) {
                 dueAt = at;
                 var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api?k=u1");
-                request.headers().set("host", "service").set("x-request-id", Long.toHexString(ids.incrementAndGet()))
-                        .set("x-priority-class", "read").set("x-tenant-id", "large").set("x-timeout", "1900m");
+                request.headers()
+                        .set("host", "service")
+                        .set("x-request-id", Long.toHexString(ids.incrementAndGet()))
+                        .set("x-priority-class", "read")
+                        .set("x-tenant-id", "large")
+                        .set("x-timeout", "1900m");
                 on.writeAndFlush(request);
             }
         }
 
         void fresh() throws InterruptedException {
-            outside.loop().submit(() -> {
-                latencies = new Histogram(TimeUnit.SECONDS.toMicros(60), 3);
-                wrong = 0;
-            }).sync();
+            outside.loop()
+                    .submit(() -> {
+                        latencies = new Histogram(TimeUnit.SECONDS.toMicros(60), 3);
+                        wrong = 0;
+                    })
+                    .sync();
         }
 
         void run(int seconds) throws InterruptedException {
-            outside.loop().submit(() -> {
-                nextAt = System.nanoTime();
-                until = nextAt + TimeUnit.SECONDS.toNanos(seconds);
-                tick();
-            }).sync();
+            outside.loop()
+                    .submit(() -> {
+                        nextAt = System.nanoTime();
+                        until = nextAt + TimeUnit.SECONDS.toNanos(seconds);
+                        tick();
+                    })
+                    .sync();
             TimeUnit.MILLISECONDS.sleep(seconds * 1_000L + 300);
         }
 
--- a/benchmarks/src/main/java/grebehoist/benchmarks/Main.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/Main.java
@@ -8,7 +8,7 @@
  * {@code slopes ...} how figures grow with size.
  */
 public final class Main {
-    private Main() { }
+    private Main() {}
 
     /** Runs one of them. */
     public static void main(String[] args) throws Exception {
@@ -19,8 +19,9 @@
             case "halfframes" -> HalfFrames.main(rest);
             case "slopes" -> System.exit(Slopes.run(rest));
             default -> {
-                System.err.println("usage: java -jar benchmarks.jar jmh [JMH's words] | loopback [--seconds N] [--runs N]"
-                        + " | halfframes [--connections N] | slopes [NAME ...]");
+                System.err.println(
+                        "usage: java -jar benchmarks.jar jmh [JMH's words] | loopback [--seconds N] [--runs N]"
+                                + " | halfframes [--connections N] | slopes [NAME ...]");
                 System.exit(2);
             }
         }
--- a/benchmarks/src/main/java/grebehoist/benchmarks/PolicyCost.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/PolicyCost.java
@@ -54,7 +54,7 @@
     public void prepare() {
         policy = new Policy(Workload.settings(backends * balancersForEach));
         now = 1_000_000_000L;
-        policy.handle(now, new Balancer.Members(Balancer.ListKind.FULL, Workload.backends(backends)), a -> { });
+        policy.handle(now, new Balancer.Members(Balancer.ListKind.FULL, Workload.backends(backends)), a -> {});
         refused = 0;
         for (int i = 0; i < 20_000; i++) {
             request();
@@ -68,8 +68,16 @@
         now += INTERVAL_US;
         actions.clear();
         String id = Integer.toHexString(++next);
-        policy.handle(now, new Balancer.Arrival(id, Workload.CLASSES.get(next % 3).name(), next % 4 == 0 ? "small" : "large", null,
-                2_000_000, false), actions::add);
+        policy.handle(
+                now,
+                new Balancer.Arrival(
+                        id,
+                        Workload.CLASSES.get(next % 3).name(),
+                        next % 4 == 0 ? "small" : "large",
+                        null,
+                        2_000_000,
+                        false),
+                actions::add);
         String backend = null;
         for (Action a : actions) {
             if (a instanceof Balancer.Send s) {
@@ -79,7 +87,8 @@
         if (backend == null) {
             refused++;
         } else {
-            policy.handle(now + LATENCY_US, new Balancer.AttemptEnded(id, 0, backend, Outcome.OK, LATENCY_US, true), a -> { });
+            policy.handle(
+                    now + LATENCY_US, new Balancer.AttemptEnded(id, 0, backend, Outcome.OK, LATENCY_US, true), a -> {});
         }
         return refused;
     }
--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Fit.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Fit.java
@@ -10,7 +10,7 @@
  */
 record Fit(double a, double exponent, double deviation, int points) {
     /** A measured value. */
-    record Point(double x, double y) { }
+    record Point(double x, double y) {}
 
     /** Returns the fit, or null where fewer than two different sizes have a value above zero. */
     static Fit of(List<Point> all) {
@@ -18,8 +18,10 @@
         if (points.stream().mapToDouble(Point::x).distinct().count() < 2) {
             return null;
         }
-        double meanX = points.stream().mapToDouble(p -> Math.log(p.x())).average().orElseThrow();
-        double meanY = points.stream().mapToDouble(p -> Math.log(p.y())).average().orElseThrow();
+        double meanX =
+                points.stream().mapToDouble(p -> Math.log(p.x())).average().orElseThrow();
+        double meanY =
+                points.stream().mapToDouble(p -> Math.log(p.y())).average().orElseThrow();
         double xy = 0;
         double xx = 0;
         for (Point p : points) {
@@ -28,7 +30,10 @@
         }
         double exponent = xy / xx;
         double a = Math.exp(meanY - exponent * meanX);
-        double worst = points.stream().mapToDouble(p -> Math.abs(Math.log(p.y() / (a * Math.pow(p.x(), exponent))))).max().orElseThrow();
+        double worst = points.stream()
+                .mapToDouble(p -> Math.abs(Math.log(p.y() / (a * Math.pow(p.x(), exponent)))))
+                .max()
+                .orElseThrow();
         return new Fit(a, exponent, Math.exp(worst) - 1, points.size());
     }
 
--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Heap.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Heap.java
@@ -4,7 +4,7 @@
 
 /** What is in use once all that is garbage has gone. */
 final class Heap {
-    private Heap() { }
+    private Heap() {}
 
     /** Returns bytes. */
     static long used() {
--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Line.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Line.java
@@ -35,7 +35,13 @@
         }
         double each = xy / xx;
         double fixed = meanY - each * meanX;
-        return new Line(fixed, each, points.stream().mapToDouble(p -> Math.abs(fixed + each * p.x() - p.y()) / p.y()).max().orElseThrow());
+        return new Line(
+                fixed,
+                each,
+                points.stream()
+                        .mapToDouble(p -> Math.abs(fixed + each * p.x() - p.y()) / p.y())
+                        .max()
+                        .orElseThrow());
     }
 
     /** Returns what the line says of a size. */
--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/ListService.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/ListService.java
@@ -41,21 +41,40 @@
     /** Listens at a port of its own on loopback. */
     ListService(Network network, byte[] list) throws InterruptedException {
         whole = list;
-        address = (InetSocketAddress) network.server().clone().childHandler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new Counter(), new HttpServerCodec(), new HttpObjectAggregator(MOST_REQUEST), new Call());
-            }
-        }).bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync().channel().localAddress();
+        address = (InetSocketAddress) network.server()
+                .clone()
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(
+                                        new Counter(),
+                                        new HttpServerCodec(),
+                                        new HttpObjectAggregator(MOST_REQUEST),
+                                        new Call());
+                    }
+                })
+                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .sync()
+                .channel()
+                .localAddress();
     }
 
     /** Returns a whole list in discovery's form, of backends under ids as long as the platform's; all are at one address. */
     static byte[] list(int backends, InetSocketAddress at) {
         var text = new StringBuilder("{\"version\":1,\"full\":true,\"servers\":[");
         for (int i = 0; i < backends; i++) {
-            text.append(i == 0 ? "" : ",").append(String.format(Locale.ROOT,
-                    "{\"id\":\"s-%08x\",\"addr\":\"%s:%d\",\"zone\":\"zone-%d\",\"kind\":\"m%d\",\"cell\":%d,\"state\":\"ready\",\"weight\":1.0,"
-                    + "\"started_ms\":0}", i * 0x9E3779B1, at.getAddress().getHostAddress(), at.getPort(), i % 13, i % 3, i % 7));
+            text.append(i == 0 ? "" : ",")
+                    .append(String.format(
+                            Locale.ROOT,
+                            "{\"id\":\"s-%08x\",\"addr\":\"%s:%d\",\"zone\":\"zone-%d\",\"kind\":\"m%d\",\"cell\":%d,\"state\":\"ready\",\"weight\":1.0,"
+                                    + "\"started_ms\":0}",
+                            i * 0x9E3779B1,
+                            at.getAddress().getHostAddress(),
+                            at.getPort(),
+                            i % 13,
+                            i % 3,
+                            i % 7));
         }
         return text.append("]}").toString().getBytes(StandardCharsets.US_ASCII);
     }
@@ -111,7 +130,8 @@
         }
 
         private void answer(ChannelHandlerContext ctx, byte[] body) {
-            var answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(body));
+            var answer = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(body));
             HttpUtil.setContentLength(answer, body.length);
             ctx.writeAndFlush(answer);
         }
--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/LogSlope.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/LogSlope.java
@@ -30,6 +30,7 @@
     private static final long MOST_WAIT_NS = 60_000_000_000L;
     /** After the last line that is waited for, whatever follows it. */
     private static final long AFTER_NS = 3_000_000_000L;
+
     private static final int MOST_DATAGRAM = 512;
 
     private final Selector selector = Selector.open();
@@ -69,18 +70,27 @@
     static Map<String, Double> log(Path jar, int members) throws Exception {
         // It wants something to serve, whose list it can have: nothing is logged of that.
         Network outside = Network.sockets();
-        var service = new ListService(outside, ListService.list(1, new InetSocketAddress(InetAddress.getLoopbackAddress(), 8_080)));
+        var service = new ListService(
+                outside, ListService.list(1, new InetSocketAddress(InetAddress.getLoopbackAddress(), 8_080)));
         try (var play = new LogSlope(members);
-                var program = new Program(jar, HEAP_MB, Program.installation(1, service.address(), members) + play.membership(), play.lines::add)) {
+                var program = new Program(
+                        jar,
+                        HEAP_MB,
+                        Program.installation(1, service.address(), members) + play.membership(),
+                        play.lines::add)) {
             return play.play(members, program);
         } finally {
-            outside.loop().parent().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).sync();
+            outside.loop()
+                    .parent()
+                    .shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
+                    .sync();
         }
     }
 
     private String membership() {
         return "[membership]\nlisten = \"" + text(addresses.get(0)) + "\"\nnumber = 0\nzone = \"zone-0\"\npeers = ["
-                + addresses.stream().map(a -> '"' + text(a) + '"').collect(Collectors.joining(", ")) + "]\n[[membership.key]]\nid = 1\nsecret = \""
+                + addresses.stream().map(a -> '"' + text(a) + '"').collect(Collectors.joining(", "))
+                + "]\n[[membership.key]]\nid = 1\nsecret = \""
                 + HexFormat.of().formatHex(VirtualMembers.SECRET) + "\"\n";
     }
 
@@ -97,18 +107,37 @@
         silent = last;
         run(() -> views("dead") >= 1, "the dead one in the log");
         long[] all = sum();
-        long[] views = lines.stream().filter(l -> l.contains("\"view\"")).mapToLong(String::length).toArray();
-        return DecisionSlopes.figures("view_line_bytes", Arrays.stream(views).average().orElse(0) + 1, "start_lines", start[0],
-                "start_bytes", start[1], "death_lines", all[0] - start[0], "death_bytes", all[1] - start[1], "cpu_ms", program.cpuMs());
+        long[] views = lines.stream()
+                .filter(l -> l.contains("\"view\""))
+                .mapToLong(String::length)
+                .toArray();
+        return DecisionSlopes.figures(
+                "view_line_bytes",
+                Arrays.stream(views).average().orElse(0) + 1,
+                "start_lines",
+                start[0],
+                "start_bytes",
+                start[1],
+                "death_lines",
+                all[0] - start[0],
+                "death_bytes",
+                all[1] - start[1],
+                "cpu_ms",
+                program.cpuMs());
     }
 
     private long[] sum() {
-        return new long[] {lines.size(), lines.stream().mapToLong(l -> l.length() + 1L).sum()};
+        return new long[] {
+            lines.size(), lines.stream().mapToLong(l -> l.length() + 1L).sum()
+        };
     }
 
     private long views(String state) {
-        return lines.stream().filter(l -> l.contains("\"view\"") && l.contains("\"state\":\"" + state + "\"")).map(l -> l.replaceAll(".*\"of\":\"([^\"]*)\".*", "$1"))
-                .distinct().count();
+        return lines.stream()
+                .filter(l -> l.contains("\"view\"") && l.contains("\"state\":\"" + state + "\""))
+                .map(l -> l.replaceAll(".*\"of\":\"([^\"]*)\".*", "$1"))
+                .distinct()
+                .count();
     }
 
     private void run(BooleanSupplier until, String what) throws IOException {
@@ -120,7 +149,8 @@
                 end = System.nanoTime() + AFTER_NS;
             }
             if (end == Long.MAX_VALUE && System.nanoTime() - from > MOST_WAIT_NS) {
-                throw new IllegalStateException("not seen: " + what + "; lines: " + lines.stream().limit(5).toList());
+                throw new IllegalStateException("not seen: " + what + "; lines: "
+                        + lines.stream().limit(5).toList());
             }
             selector.select(Math.max(1, (tickAt - System.nanoTime()) / 1_000_000));
             for (SelectionKey key : selector.selectedKeys()) {
@@ -141,7 +171,9 @@
 
     private void read(int number) throws IOException {
         var buffer = ByteBuffer.allocate(MOST_DATAGRAM);
-        for (SocketAddress from = channels.get(number).receive(buffer); from != null; from = channels.get(number).receive(buffer)) {
+        for (SocketAddress from = channels.get(number).receive(buffer);
+                from != null;
+                from = channels.get(number).receive(buffer)) {
             byte[] datagram = new byte[buffer.flip().remaining()];
             buffer.get(datagram).clear();
             if (number != silent) {
--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/MembershipSlopes.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/MembershipSlopes.java
@@ -15,7 +15,7 @@
     private static final int TASK_MEMBERS = 30;
     private static final int TICKS = 2_000;
 
-    private MembershipSlopes() { }
+    private MembershipSlopes() {}
 
     static Map<String, Double> membership(int members) {
         long before = Heap.used();
@@ -28,17 +28,31 @@
         long kept = Heap.used() - before;
         double restS = (RESTED_US - STARTED_US) / 1e6 * members;
         double startS = STARTED_US / 1e6 * members;
-        return DecisionSlopes.figures("start_bytes_s", start.bytes() / startS, "start_datagrams_s", start.datagrams() / startS,
-                "start_most_bytes_s", start.most() / (STARTED_US / 1e6), "rest_bytes_s", (end.bytes() - start.bytes()) / restS,
-                "rest_datagrams_s", (end.datagrams() - start.datagrams()) / restS, "tick_us", (end.tickNs() - start.tickNs()) / 1e3 / (end.ticks() - start.ticks()),
-                "received_us", (end.receivedNs() - start.receivedNs()) / 1e3 / (end.received() - start.received()),
-                "bytes_for_each_member", kept / (double) members / members, "alive_after_start", found);
+        return DecisionSlopes.figures(
+                "start_bytes_s",
+                start.bytes() / startS,
+                "start_datagrams_s",
+                start.datagrams() / startS,
+                "start_most_bytes_s",
+                start.most() / (STARTED_US / 1e6),
+                "rest_bytes_s",
+                (end.bytes() - start.bytes()) / restS,
+                "rest_datagrams_s",
+                (end.datagrams() - start.datagrams()) / restS,
+                "tick_us",
+                (end.tickNs() - start.tickNs()) / 1e3 / (end.ticks() - start.ticks()),
+                "received_us",
+                (end.receivedNs() - start.receivedNs()) / 1e3 / (end.received() - start.received()),
+                "bytes_for_each_member",
+                kept / (double) members / members,
+                "alive_after_start",
+                found);
     }
 
     /** One member that nobody answers: what it keeps of the others before it has heard of them. */
     static Map<String, Double> alone(int members) {
         long before = Heap.used();
-        FleetNode node = VirtualMembers.node(0, members, new SplittableRandom(SEED), (from, to, datagram) -> { });
+        FleetNode node = VirtualMembers.node(0, members, new SplittableRandom(SEED), (from, to, datagram) -> {});
         node.start(S);
         long kept = Heap.used() - before;
         long now = S;
@@ -51,7 +65,8 @@
         }
         double tickUs = (System.nanoTime() - from) / 1e3 / TICKS;
         Reference.reachabilityFence(node);
-        return DecisionSlopes.figures("bytes", kept, "bytes_for_each_member", kept / (double) members, "tick_us", tickUs);
+        return DecisionSlopes.figures(
+                "bytes", kept, "bytes_for_each_member", kept / (double) members, "tick_us", tickUs);
     }
 
     static Map<String, Double> leases(int tasks) {
@@ -65,7 +80,8 @@
         without.run(RESTED_US);
         with.run(RESTED_US);
         double seconds = (RESTED_US - STARTED_US) / 1e6;
-        double bytes = (with.sum().bytes() - withStart.bytes() - without.sum().bytes() + withoutStart.bytes()) / seconds;
+        double bytes =
+                (with.sum().bytes() - withStart.bytes() - without.sum().bytes() + withoutStart.bytes()) / seconds;
         figures.put("member_bytes_s", bytes / TASK_MEMBERS);
         figures.put("bytes_s_for_each_task", bytes / tasks);
         figures.put("most_bytes_s", with.sum().most() / (RESTED_US / 1e6));
--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/OpenLoop.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/OpenLoop.java
@@ -37,35 +37,48 @@
     private long until;
 
     /** What came back in one run: latencies in microseconds, and how many were not served. */
-    record Result(double p50, double p99, long answered, long wrong) { }
+    record Result(double p50, double p99, long answered, long wrong) {}
 
     /** Connects. */
     OpenLoop(Network network, InetSocketAddress to, int rate, int connections) throws InterruptedException {
         this.network = network;
         this.intervalNs = TimeUnit.SECONDS.toNanos(1) / rate;
         for (int i = 0; i < connections; i++) {
-            Channel channel = network.client().clone().handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_BODY), new Client());
-                }
-            }).connect(to).sync().channel();
+            Channel channel = network.client()
+                    .clone()
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel ch) {
+                            ch.pipeline()
+                                    .addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_BODY), new Client());
+                        }
+                    })
+                    .connect(to)
+                    .sync()
+                    .channel();
             network.loop().submit(() -> free.add(channel)).sync();
         }
     }
 
     /** Sends for so long, and waits for what is still out. */
     Result run(int seconds) throws Exception {
-        network.loop().submit(() -> {
-            latencies = new Histogram(TimeUnit.SECONDS.toMicros(60), 3);
-            wrong = 0;
-            nextAt = System.nanoTime();
-            until = nextAt + TimeUnit.SECONDS.toNanos(seconds);
-            tick();
-        }).sync();
+        network.loop()
+                .submit(() -> {
+                    latencies = new Histogram(TimeUnit.SECONDS.toMicros(60), 3);
+                    wrong = 0;
+                    nextAt = System.nanoTime();
+                    until = nextAt + TimeUnit.SECONDS.toNanos(seconds);
+                    tick();
+                })
+                .sync();
         TimeUnit.MILLISECONDS.sleep(seconds * 1_000L + 300);
-        return network.loop().submit(() -> new Result(latencies.getValueAtPercentile(50), latencies.getValueAtPercentile(99),
-                latencies.getTotalCount(), wrong)).get();
+        return network.loop()
+                .submit(() -> new Result(
+                        latencies.getValueAtPercentile(50),
+                        latencies.getValueAtPercentile(99),
+                        latencies.getTotalCount(),
+                        wrong))
+                .get();
     }
 
     /** Closes the connections. */
@@ -99,8 +112,12 @@
         void send(Channel on, long at) {
             dueAt = at;
             var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api?k=u1");
-            request.headers().set("host", "service").set("x-request-id", life + "-" + ++ids).set("x-priority-class", "read")
-                    .set("x-tenant-id", "large").set("x-timeout", "1900m");
+            request.headers()
+                    .set("host", "service")
+                    .set("x-request-id", life + "-" + ++ids)
+                    .set("x-priority-class", "read")
+                    .set("x-tenant-id", "large")
+                    .set("x-timeout", "1900m");
             on.writeAndFlush(request);
         }
 
--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/PlacementSlopes.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/PlacementSlopes.java
@@ -17,12 +17,13 @@
     private static final int CELLS = 82;
     /** A cell is given at most this multiple of the mean. */
     private static final double BOUND = 1.25;
+
     private static final double MOST_OF_A_CELL = 0.25;
 
-    private PlacementSlopes() { }
+    private PlacementSlopes() {}
 
     /** A service, or one of the parts of a large one. */
-    private record Part(int service, int number, double load) { }
+    private record Part(int service, int number, double load) {}
 
     static Map<String, Double> placement(int services) {
         List<Part> parts = parts(services);
@@ -32,17 +33,28 @@
         figures.put("parts", (double) parts.size());
         figures.put("plain_worst_of_mean", worst(parts, plain));
         figures.put("bounded_worst_of_mean", worst(parts, bounded));
-        figures.put("most_lists_of_a_cell", (double) IntStream.range(0, CELLS).mapToLong(c -> IntStream.range(0, parts.size())
-                .filter(i -> bounded[i] == c).map(i -> parts.get(i).service()).distinct().count()).max().orElse(0));
+        figures.put("most_lists_of_a_cell", (double) IntStream.range(0, CELLS)
+                .mapToLong(c -> IntStream.range(0, parts.size())
+                        .filter(i -> bounded[i] == c)
+                        .map(i -> parts.get(i).service())
+                        .distinct()
+                        .count())
+                .max()
+                .orElse(0));
         // One cell is lost: what moves beside what stood there.
         int[] after = place(parts, BOUND, 0);
-        figures.put("moved_for_nothing", IntStream.range(0, parts.size()).filter(i -> bounded[i] != 0 && bounded[i] != after[i])
-                .mapToDouble(i -> parts.get(i).load()).sum());
+        figures.put(
+                "moved_for_nothing",
+                IntStream.range(0, parts.size())
+                        .filter(i -> bounded[i] != 0 && bounded[i] != after[i])
+                        .mapToDouble(i -> parts.get(i).load())
+                        .sum());
         return figures;
     }
 
     private static List<Part> parts(int services) {
-        double all = IntStream.rangeClosed(1, services).mapToDouble(s -> 1.0 / s).sum();
+        double all =
+                IntStream.rangeClosed(1, services).mapToDouble(s -> 1.0 / s).sum();
         var parts = new ArrayList<Part>();
         for (int s = 1; s <= services; s++) {
             double load = 1 / (s * all);
@@ -63,8 +75,11 @@
         var cells = new int[parts.size()];
         for (int i = 0; i < cells.length; i++) {
             Part p = parts.get(i);
-            cells[i] = IntStream.range(0, CELLS).filter(c -> c != lost && load[c] + p.load() <= most).boxed()
-                    .max(Comparator.comparingLong(c -> mix(p.service() * 1_000_003L + p.number() * 131L + c * 7_919L))).orElseThrow();
+            cells[i] = IntStream.range(0, CELLS)
+                    .filter(c -> c != lost && load[c] + p.load() <= most)
+                    .boxed()
+                    .max(Comparator.comparingLong(c -> mix(p.service() * 1_000_003L + p.number() * 131L + c * 7_919L)))
+                    .orElseThrow();
             load[cells[i]] += p.load();
         }
         return cells;
--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Plot.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Plot.java
@@ -20,13 +20,14 @@
 
     private final StringBuilder svg = new StringBuilder();
 
-    private Plot() { }
+    private Plot() {}
 
     /** Returns the document. */
     static String of(Slope slope, Map<String, List<Fit.Point>> figures) {
         var plot = new Plot();
         int rows = (figures.size() + IN_A_ROW - 1) / IN_A_ROW;
-        plot.add("<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"%d\" height=\"%d\" font-family=\"sans-serif\" font-size=\"11\">%n",
+        plot.add(
+                "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"%d\" height=\"%d\" font-family=\"sans-serif\" font-size=\"11\">%n",
                 WIDTH * Math.min(IN_A_ROW, figures.size()), HEIGHT * rows);
         plot.add("<rect width=\"100%%\" height=\"100%%\" fill=\"white\"/>%n");
         int i = 0;
@@ -43,11 +44,17 @@
     private void panel(Slope slope, String figure, List<Fit.Point> points) {
         Fit fit = Fit.of(points);
         double least = points.stream().mapToDouble(Fit.Point::x).min().orElse(1);
-        double most = Math.max(slope.target(), points.stream().mapToDouble(Fit.Point::x).max().orElse(1));
-        double low = points.stream().mapToDouble(Fit.Point::y).filter(y -> y > 0).min().orElse(1);
+        double most = Math.max(
+                slope.target(), points.stream().mapToDouble(Fit.Point::x).max().orElse(1));
+        double low = points.stream()
+                .mapToDouble(Fit.Point::y)
+                .filter(y -> y > 0)
+                .min()
+                .orElse(1);
         double high = points.stream().mapToDouble(Fit.Point::y).max().orElse(1);
         Line fixed = Line.of(points);
-        boolean straight = fixed != null && fixed.fixed() > 0 && fixed.each() > 0 && fixed.deviation() < fit.deviation();
+        boolean straight =
+                fixed != null && fixed.fixed() > 0 && fixed.each() > 0 && fixed.deviation() < fit.deviation();
         DoubleUnaryOperator curve = fit == null ? null : straight ? fixed::at : fit::at;
         if (curve != null) {
             low = Math.min(low, Math.min(curve.applyAsDouble(least), curve.applyAsDouble(most)));
@@ -57,25 +64,40 @@
         var y = new Axis(low, high, HEIGHT - BOTTOM, TOP);
         add("<text x=\"%d\" y=\"16\" font-weight=\"bold\">%s: %s</text>%n", LEFT, text(slope.name()), text(figure));
         if (curve != null) {
-            add("<text x=\"%d\" y=\"28\" fill=\"#555\">%s, farthest off %.0f%%</text>%n", LEFT, straight ? String.format(Locale.ROOT, "%.3g + %.3g n",
-                    fixed.fixed(), fixed.each()) : String.format(Locale.ROOT, "%.3g n^%.2f", fit.a(), fit.exponent()),
+            add(
+                    "<text x=\"%d\" y=\"28\" fill=\"#555\">%s, farthest off %.0f%%</text>%n",
+                    LEFT,
+                    straight
+                            ? String.format(Locale.ROOT, "%.3g + %.3g n", fixed.fixed(), fixed.each())
+                            : String.format(Locale.ROOT, "%.3g n^%.2f", fit.a(), fit.exponent()),
                     100 * (straight ? fixed.deviation() : fit.deviation()));
-            String way = IntStream.rangeClosed(0, PIECES).mapToDouble(i -> least * Math.pow(most / least, i / (double) PIECES))
-                    .mapToObj(n -> String.format(Locale.ROOT, "%.1f,%.1f", x.at(n), y.at(curve.applyAsDouble(n)))).collect(Collectors.joining(" "));
+            String way = IntStream.rangeClosed(0, PIECES)
+                    .mapToDouble(i -> least * Math.pow(most / least, i / (double) PIECES))
+                    .mapToObj(n -> String.format(Locale.ROOT, "%.1f,%.1f", x.at(n), y.at(curve.applyAsDouble(n))))
+                    .collect(Collectors.joining(" "));
             add("<polyline points=\"%s\" fill=\"none\" stroke=\"#2a6\"/>%n", way);
         }
         line(LEFT, HEIGHT - BOTTOM, WIDTH - RIGHT, HEIGHT - BOTTOM, "stroke=\"black\"");
         line(LEFT, TOP, LEFT, HEIGHT - BOTTOM, "stroke=\"black\"");
-        line(x.at(slope.target()), TOP, x.at(slope.target()), HEIGHT - BOTTOM, "stroke=\"#c33\" stroke-dasharray=\"4 3\"");
+        line(
+                x.at(slope.target()),
+                TOP,
+                x.at(slope.target()),
+                HEIGHT - BOTTOM,
+                "stroke=\"#c33\" stroke-dasharray=\"4 3\"");
         for (double tick : x.ticks()) {
-            add("<text x=\"%.1f\" y=\"%d\" text-anchor=\"middle\">%s</text>%n", x.at(tick), HEIGHT - BOTTOM + 14, label(tick));
+            add(
+                    "<text x=\"%.1f\" y=\"%d\" text-anchor=\"middle\">%s</text>%n",
+                    x.at(tick), HEIGHT - BOTTOM + 14, label(tick));
             line(x.at(tick), HEIGHT - BOTTOM, x.at(tick), HEIGHT - BOTTOM + 4, "stroke=\"black\"");
         }
         for (double tick : y.ticks()) {
             add("<text x=\"%d\" y=\"%.1f\" text-anchor=\"end\">%s</text>%n", LEFT - 7, y.at(tick) + 4, label(tick));
             line(LEFT - 4, y.at(tick), LEFT, y.at(tick), "stroke=\"black\"");
         }
-        add("<text x=\"%d\" y=\"%d\" text-anchor=\"end\" fill=\"#555\">%s</text>%n", WIDTH - RIGHT, HEIGHT - 8, text(slope.of()));
+        add(
+                "<text x=\"%d\" y=\"%d\" text-anchor=\"end\" fill=\"#555\">%s</text>%n",
+                WIDTH - RIGHT, HEIGHT - 8, text(slope.of()));
         for (Fit.Point p : points) {
             if (p.y() > 0) {
                 add("<circle cx=\"%.1f\" cy=\"%.1f\" r=\"3\" fill=\"#236\"/>%n", x.at(p.x()), y.at(p.y()));
@@ -99,8 +121,11 @@
         /** Returns powers of ten, or one, two and five times them where there are few. */
         List<Double> ticks() {
             List<Double> steps = Math.log10(most / least) < 2 ? List.of(1.0, 2.0, 5.0) : List.of(1.0);
-            return IntStream.rangeClosed((int) Math.floor(Math.log10(least)), (int) Math.ceil(Math.log10(most))).boxed()
-                    .flatMap(e -> steps.stream().map(s -> s * Math.pow(10, e))).filter(t -> t >= least * 0.999 && t <= most * 1.001).toList();
+            return IntStream.rangeClosed((int) Math.floor(Math.log10(least)), (int) Math.ceil(Math.log10(most)))
+                    .boxed()
+                    .flatMap(e -> steps.stream().map(s -> s * Math.pow(10, e)))
+                    .filter(t -> t >= least * 0.999 && t <= most * 1.001)
+                    .toList();
         }
     }
 
@@ -108,7 +133,9 @@
         if (value >= 1e6) {
             return String.format(Locale.ROOT, "%.0fM", value / 1e6);
         }
-        return value >= 1e3 ? String.format(Locale.ROOT, "%.0fk", value / 1e3) : String.format(Locale.ROOT, value >= 1 ? "%.0f" : "%.2g", value);
+        return value >= 1e3
+                ? String.format(Locale.ROOT, "%.0fk", value / 1e3)
+                : String.format(Locale.ROOT, value >= 1 ? "%.0f" : "%.2g", value);
     }
 
     private static String text(String any) {
--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Program.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/Program.java
@@ -21,8 +21,16 @@
 
 /** The program in a process of its own, under the flags of {@code run} but for a larger heap, with an installation file of many pools. */
 final class Program implements AutoCloseable {
-    private static final List<String> FLAGS = List.of("-Djava.net.preferIPv4Stack=true", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData",
-            "-Dio.netty.jfr.enabled=false", "-Xss512k", "-Xms24m", "-XX:MaxDirectMemorySize=1g", "-XX:MaxMetaspaceSize=32m",
+    private static final List<String> FLAGS = List.of(
+            "-Djava.net.preferIPv4Stack=true",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-XX:-UsePerfData",
+            "-Dio.netty.jfr.enabled=false",
+            "-Xss512k",
+            "-Xms24m",
+            "-XX:MaxDirectMemorySize=1g",
+            "-XX:MaxMetaspaceSize=32m",
             "-XX:ReservedCodeCacheSize=16m");
     private static final int TICKS_A_SECOND = 100;
     private static final Pattern PORT = Pattern.compile("listener l0 .* is at port (\\d+)");
@@ -41,7 +49,7 @@
      * @param balancers how many proxies share each pool's backends, as the file says
      */
     Program(Path jar, int mostMb, int pools, InetSocketAddress discovery, int balancers) throws IOException {
-        this(jar, mostMb, installation(pools, discovery, balancers), line -> { });
+        this(jar, mostMb, installation(pools, discovery, balancers), line -> {});
     }
 
     /**
@@ -60,8 +68,11 @@
         if (Files.exists(archive)) {
             command.addAll(List.of("-Xshare:auto", "-XX:SharedArchiveFile=" + archive));
         }
-        command.addAll(List.of("-Xmx" + mostMb + "m", "-jar", jar.toString(), "serve", "--installation", file.toString()));
-        process = new ProcessBuilder(command).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        command.addAll(
+                List.of("-Xmx" + mostMb + "m", "-jar", jar.toString(), "serve", "--installation", file.toString()));
+        process = new ProcessBuilder(command)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .start();
         var reader = new Thread(this::read, "program's log");
         reader.setDaemon(true);
         reader.start();
@@ -74,7 +85,8 @@
                 log.accept(line);
                 Matcher port = PORT.matcher(line);
                 if (port.find()) {
-                    listens.complete(new InetSocketAddress(InetAddress.getLoopbackAddress(), Integer.parseInt(port.group(1))));
+                    listens.complete(
+                            new InetSocketAddress(InetAddress.getLoopbackAddress(), Integer.parseInt(port.group(1))));
                 }
                 last.append(last.length() < 2_000 ? line + "; " : "");
             }
@@ -88,7 +100,9 @@
     static String installation(int pools, InetSocketAddress discovery, int balancers) {
         var toml = new StringBuilder("[process]\nname = \"slope\"\nsockets = 65536\n");
         for (int i = 0; i < pools; i++) {
-            toml.append(String.format(Locale.ROOT, """
+            toml.append(String.format(
+                    Locale.ROOT,
+                    """
                     [[pool]]
                     name = "p%d"
                     protocol = "http"
@@ -129,7 +143,13 @@
                     protocol = "http"
                     address = "127.0.0.1:0"
                     pool = "p%d"
-                    """, i, discovery.getAddress().getHostAddress(), discovery.getPort(), balancers, i, i));
+                    """,
+                    i,
+                    discovery.getAddress().getHostAddress(),
+                    discovery.getPort(),
+                    balancers,
+                    i,
+                    i));
         }
         return toml.toString();
     }
@@ -173,8 +193,12 @@
     }
 
     private String jcmd(String what) throws IOException, InterruptedException {
-        Process jcmd = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(), Long.toString(process.pid()), what)
-                .redirectErrorStream(true).start();
+        Process jcmd = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(),
+                        Long.toString(process.pid()),
+                        what)
+                .redirectErrorStream(true)
+                .start();
         String said = new String(jcmd.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         if (jcmd.waitFor() != 0) {
             throw new IOException("jcmd " + what + ": " + said);
--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/ProgramSlopes.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/ProgramSlopes.java
@@ -25,6 +25,7 @@
     private static final int BACKENDS_OF_A_SERVICE = 37;
     /** So many proxies share a service's backends: a watch waits for 20 s at a time, as with any number from 40 on. */
     private static final int CELL = 60;
+
     private static final int LARGE_HEAP_MB = 1_024;
     private static final int HEAP_OF_RUN_MB = 48;
     private static final long SETTLE_MS = 5_000;
@@ -45,15 +46,25 @@
 
     Map<String, Double> start(int pools) throws Exception {
         Network outside = Network.sockets();
-        var service = new ListService(outside, ListService.list(BACKENDS_OF_A_SERVICE, new InetSocketAddress(InetAddress.getLoopbackAddress(), 8_080)));
+        var service = new ListService(
+                outside,
+                ListService.list(
+                        BACKENDS_OF_A_SERVICE, new InetSocketAddress(InetAddress.getLoopbackAddress(), 8_080)));
         long from = System.nanoTime();
         try (var program = new Program(jar, LARGE_HEAP_MB, pools, service.address(), CELL)) {
             program.address();
             double listensMs = (System.nanoTime() - from) / 1e6;
             awaitWatches(service, pools);
             double allMs = (System.nanoTime() - from) / 1e6;
-            return DecisionSlopes.figures("first_listens_ms", listensMs, "all_have_lists_ms", allMs, "cpu_ms", program.cpuMs(),
-                    "discovery_bytes", service.bytes());
+            return DecisionSlopes.figures(
+                    "first_listens_ms",
+                    listensMs,
+                    "all_have_lists_ms",
+                    allMs,
+                    "cpu_ms",
+                    program.cpuMs(),
+                    "discovery_bytes",
+                    service.bytes());
         } finally {
             end(outside);
         }
@@ -61,7 +72,10 @@
 
     Map<String, Double> rest(int pools) throws Exception {
         Network outside = Network.sockets();
-        var service = new ListService(outside, ListService.list(BACKENDS_OF_A_SERVICE, new InetSocketAddress(InetAddress.getLoopbackAddress(), 8_080)));
+        var service = new ListService(
+                outside,
+                ListService.list(
+                        BACKENDS_OF_A_SERVICE, new InetSocketAddress(InetAddress.getLoopbackAddress(), 8_080)));
         try (var program = new Program(jar, LARGE_HEAP_MB, pools, service.address(), CELL)) {
             awaitWatches(service, pools);
             TimeUnit.MILLISECONDS.sleep(SETTLE_MS);
@@ -75,8 +89,19 @@
             double bytesS = (service.bytes() - bytes) / seconds;
             double resident = program.residentMb();
             double heap = program.heapMb();
-            return DecisionSlopes.figures("cpu_ms_s", cpuMs, "calls_s", callsS, "bytes_s", bytesS, "heap_mb", heap, "heap_kb_each", 1e3 * heap / pools,
-                    "resident_mb", resident);
+            return DecisionSlopes.figures(
+                    "cpu_ms_s",
+                    cpuMs,
+                    "calls_s",
+                    callsS,
+                    "bytes_s",
+                    bytesS,
+                    "heap_mb",
+                    heap,
+                    "heap_kb_each",
+                    1e3 * heap / pools,
+                    "resident_mb",
+                    resident);
         } finally {
             end(outside);
         }
@@ -86,7 +111,8 @@
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MOST_WAIT_MS);
         while (service.waiting() < pools) {
             if (System.nanoTime() > until) {
-                throw new IllegalStateException("only " + service.waiting() + " of " + pools + " pools watch their lists");
+                throw new IllegalStateException(
+                        "only " + service.waiting() + " of " + pools + " pools watch their lists");
             }
             TimeUnit.MILLISECONDS.sleep(2);
         }
@@ -111,9 +137,25 @@
             double cpuMs = program.cpuMs() - cpu;
             double resident = program.residentMb();
             through.end();
-            return DecisionSlopes.figures("added_p50_us", with.p50() - without.p50(), "added_p99_us", with.p99() - without.p99(), "p50_us", with.p50(),
-                    "p99_us", with.p99(), "without_p50_us", without.p50(), "without_p99_us", without.p99(), "cpu_us_each", 1e3 * cpuMs / with.answered(),
-                    "not_served", with.wrong() + Math.max(0, (double) rate * MEASURED_S - with.answered()), "resident_mb", resident);
+            return DecisionSlopes.figures(
+                    "added_p50_us",
+                    with.p50() - without.p50(),
+                    "added_p99_us",
+                    with.p99() - without.p99(),
+                    "p50_us",
+                    with.p50(),
+                    "p99_us",
+                    with.p99(),
+                    "without_p50_us",
+                    without.p50(),
+                    "without_p99_us",
+                    without.p99(),
+                    "cpu_us_each",
+                    1e3 * cpuMs / with.answered(),
+                    "not_served",
+                    with.wrong() + Math.max(0, (double) rate * MEASURED_S - with.answered()),
+                    "resident_mb",
+                    resident);
         } finally {
             end(outside);
             end(behind);
@@ -123,24 +165,38 @@
     /** Answers at once. */
     private static InetSocketAddress backend(Network network) throws InterruptedException {
         byte[] body = "x".repeat(BODY).getBytes(StandardCharsets.US_ASCII);
-        return (InetSocketAddress) network.server().clone().childHandler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_REQUEST), new SimpleChannelInboundHandler<FullHttpRequest>() {
+        return (InetSocketAddress) network.server()
+                .clone()
+                .childHandler(new ChannelInitializer<Channel>() {
                     @Override
-                    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-                        var answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(body));
-                        HttpUtil.setContentLength(answer, body.length);
-                        ctx.writeAndFlush(answer);
-                    }
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(
+                                        new HttpServerCodec(),
+                                        new HttpObjectAggregator(MOST_REQUEST),
+                                        new SimpleChannelInboundHandler<FullHttpRequest>() {
+                                            @Override
+                                            protected void channelRead0(
+                                                    ChannelHandlerContext ctx, FullHttpRequest request) {
+                                                var answer = new DefaultFullHttpResponse(
+                                                        HttpVersion.HTTP_1_1,
+                                                        HttpResponseStatus.OK,
+                                                        Unpooled.wrappedBuffer(body));
+                                                HttpUtil.setContentLength(answer, body.length);
+                                                ctx.writeAndFlush(answer);
+                                            }
 
-                    @Override
-                    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                        ctx.close();
+                                            @Override
+                                            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                                                ctx.close();
+                                            }
+                                        });
                     }
-                });
-            }
-        }).bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync().channel().localAddress();
+                })
+                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .sync()
+                .channel()
+                .localAddress();
     }
 
     private static void end(Network network) throws InterruptedException {
--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/QuotaSlope.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/QuotaSlope.java
@@ -21,11 +21,12 @@
     private static final long FLOOD_EVERY_US = 10_000;
     /** What the backends together do of this proxy's requests: half of the flood. */
     private static final long WORK_US = 20_000;
+
     private static final long WAY_US = 5_000;
     private static final String SMALL = "small";
     private static final String FLOOD = "flood";
 
-    private QuotaSlope() { }
+    private QuotaSlope() {}
 
     private record Due(long atUs, long order, Balancer.Event event) implements Comparable<Due> {
         @Override
@@ -36,16 +37,31 @@
 
     /** Figures for a quota of so many requests a second over all proxies. */
     static Map<String, Double> quota(int perS) {
-        return DecisionSlopes.figures("refused_pct", 100 * refused(perS, perS), "refused_pct_without_quota", 100 * refused(perS, 1_000_000),
-                "its_part_a_second", perS / (double) PROXIES);
+        return DecisionSlopes.figures(
+                "refused_pct",
+                100 * refused(perS, perS),
+                "refused_pct_without_quota",
+                100 * refused(perS, 1_000_000),
+                "its_part_a_second",
+                perS / (double) PROXIES);
     }
 
     private static double refused(int perS, double quota) {
         Balancer.Settings some = Workload.settings(PROXIES);
-        var policy = new Policy(new Balancer.Settings(PROXIES, 0, "a", some.tickUs(), some.classes(),
-                List.of(new Balancer.Tenant(SMALL, quota), new Balancer.Tenant(FLOOD, 1e9)), some.overShareWorth(), false, some.limits(), some.rules(), 7));
+        var policy = new Policy(new Balancer.Settings(
+                PROXIES,
+                0,
+                "a",
+                some.tickUs(),
+                some.classes(),
+                List.of(new Balancer.Tenant(SMALL, quota), new Balancer.Tenant(FLOOD, 1e9)),
+                some.overShareWorth(),
+                false,
+                some.limits(),
+                some.rules(),
+                7));
         long now = 1_000_000_000L;
-        policy.handle(now, new Balancer.Members(ListKind.FULL, Workload.backends(BACKENDS)), a -> { });
+        policy.handle(now, new Balancer.Members(ListKind.FULL, Workload.backends(BACKENDS)), a -> {});
         var due = new PriorityQueue<Due>();
         long everyUs = (long) (2e6 * PROXIES / perS);
         long order = 0;
@@ -69,7 +85,11 @@
             for (Action a : actions) {
                 if (a instanceof Balancer.Send s) {
                     busyUntil = Math.max(now + WAY_US, busyUntil) + WORK_US;
-                    due.add(new Due(busyUntil, order++, new Balancer.AttemptEnded(s.id(), 0, s.backend(), Balancer.Outcome.OK, busyUntil - now, true)));
+                    due.add(new Due(
+                            busyUntil,
+                            order++,
+                            new Balancer.AttemptEnded(
+                                    s.id(), 0, s.backend(), Balancer.Outcome.OK, busyUntil - now, true)));
                 } else if (a instanceof Balancer.SetTimer t) {
                     due.add(new Due(t.atUs(), order++, new Balancer.TimerFired(t.token())));
                 } else if (a instanceof Balancer.Refuse r && r.id().startsWith(SMALL)) {
--- a/benchmarks/src/main/java/grebehoist/benchmarks/slopes/VirtualMembers.java
+++ b/benchmarks/src/main/java/grebehoist/benchmarks/slopes/VirtualMembers.java
@@ -21,6 +21,7 @@
     private static final long WAY_US = 700;
     /** What all of them seal with. */
     static final byte[] SECRET = "a key for slopes, of 32 bytes...".getBytes(StandardCharsets.UTF_8);
+
     private static final List<KeyRing.Key> KEYS = List.of(new KeyRing.Key(1, SECRET));
 
     /** A datagram, or a tick where it is null. */
@@ -57,8 +58,16 @@
         for (int i = 0; i < members; i++) {
             FleetNode node = node(i, members, random.split(), this::send);
             if (tasks > 0) {
-                node.share(new FleetNode.Tasks(LeaseTerms.standard(), 1, List.of(0, 1, 2, 3, 4), IntStream.range(0, tasks).mapToObj(t -> "task-" + t)
-                        .toList(), 1), new Protocol(LeaseTerms.standard(), 5));
+                node.share(
+                        new FleetNode.Tasks(
+                                LeaseTerms.standard(),
+                                1,
+                                List.of(0, 1, 2, 3, 4),
+                                IntStream.range(0, tasks)
+                                        .mapToObj(t -> "task-" + t)
+                                        .toList(),
+                                1),
+                        new Protocol(LeaseTerms.standard(), 5));
             }
             nodes.add(node);
         }
@@ -75,15 +84,19 @@
 
     /** Returns one that is yet to be started. */
     static FleetNode node(int number, int members, SplittableRandom random, Carrier carrier) {
-        return new FleetNode(new FleetNode.Identity(number, members, "proxy-" + number, "zone-" + number % ZONES), Terms.standard(), new KeyRing(KEYS),
-                random, new FleetNode.Output() {
+        return new FleetNode(
+                new FleetNode.Identity(number, members, "proxy-" + number, "zone-" + number % ZONES),
+                Terms.standard(),
+                new KeyRing(KEYS),
+                random,
+                new FleetNode.Output() {
                     @Override
                     public void send(int to, byte[] datagram) {
                         carrier.send(number, to, datagram);
                     }
 
                     @Override
-                    public void changed(Change change) { }
+                    public void changed(Change change) {}
                 });
     }
 
@@ -124,17 +137,31 @@
     }
 
     /** What was sent and taken so far. */
-    record Sum(long datagrams, long bytes, long most, long ticks, long tickNs, long received, long receivedNs) { }
+    record Sum(long datagrams, long bytes, long most, long ticks, long tickNs, long received, long receivedNs) {}
 
     /** Returns the sums; {@code most} is the bytes of the member that has sent most. */
     Sum sum() {
-        return new Sum(datagrams, IntStream.range(0, bytesOf.length).mapToLong(i -> bytesOf[i]).sum(),
-                IntStream.range(0, bytesOf.length).mapToLong(i -> bytesOf[i]).max().orElse(0), ticks, tickNs, received, receivedNs);
+        return new Sum(
+                datagrams,
+                IntStream.range(0, bytesOf.length).mapToLong(i -> bytesOf[i]).sum(),
+                IntStream.range(0, bytesOf.length)
+                        .mapToLong(i -> bytesOf[i])
+                        .max()
+                        .orElse(0),
+                ticks,
+                tickNs,
+                received,
+                receivedNs);
     }
 
     /** Returns how many others a member holds alive, in the mean. */
     double alive() {
-        return nodes.stream().mapToInt(n -> n.membership().count() == null ? 0 : n.membership().count().members()).average().orElse(0);
+        return nodes.stream()
+                .mapToInt(n -> n.membership().count() == null
+                        ? 0
+                        : n.membership().count().members())
+                .average()
+                .orElse(0);
     }
 
     /** Returns the virtual seconds that have passed. */
--- a/benchmarks/src/test/java/grebehoist/benchmarks/slopes/SlopesTest.java
+++ b/benchmarks/src/test/java/grebehoist/benchmarks/slopes/SlopesTest.java
@@ -22,7 +22,9 @@
 
     @Test
     void findsAPowerLaw() {
-        Fit fit = Fit.of(IntStream.of(1, 10, 100, 1_000).mapToObj(x -> new Fit.Point(x, 3 * Math.pow(x, 1.5))).toList());
+        Fit fit = Fit.of(IntStream.of(1, 10, 100, 1_000)
+                .mapToObj(x -> new Fit.Point(x, 3 * Math.pow(x, 1.5)))
+                .toList());
         assertThat(fit.a()).isCloseTo(3, within(1e-9));
         assertThat(fit.exponent()).isCloseTo(1.5, within(1e-9));
         assertThat(fit.deviation()).isCloseTo(0, within(1e-9));
@@ -32,14 +34,17 @@
     @Test
     void saysHowFarAMeasuredValueLiesOff() {
         // Alternately half and double a constant: the fit goes through the middle.
-        Fit fit = Fit.of(List.of(new Fit.Point(1, 2), new Fit.Point(10, 0.5), new Fit.Point(100, 0.5), new Fit.Point(1_000, 2)));
+        Fit fit = Fit.of(
+                List.of(new Fit.Point(1, 2), new Fit.Point(10, 0.5), new Fit.Point(100, 0.5), new Fit.Point(1_000, 2)));
         assertThat(fit.exponent()).isCloseTo(0, within(1e-9));
         assertThat(fit.deviation()).isCloseTo(1, within(1e-9));
     }
 
     @Test
     void findsAFixedPart() {
-        Line line = Line.of(IntStream.of(1, 10, 100, 1_000).mapToObj(x -> new Fit.Point(x, 40 + 3.0 * x)).toList());
+        Line line = Line.of(IntStream.of(1, 10, 100, 1_000)
+                .mapToObj(x -> new Fit.Point(x, 40 + 3.0 * x))
+                .toList());
         assertThat(line.fixed()).isCloseTo(40, within(1e-6));
         assertThat(line.each()).isCloseTo(3, within(1e-9));
         assertThat(line.deviation()).isCloseTo(0, within(1e-9));
@@ -55,8 +60,16 @@
     @Test
     void drawsWellFormedPanels() throws Exception {
         var slope = new Slope("some", "things & more", "", List.of(1), 5_000, false, n -> Map.of());
-        String svg = Plot.of(slope, Map.of("a_us", List.of(new Fit.Point(10, 1), new Fit.Point(1_000, 90)), "zero", List.of(new Fit.Point(10, 0))));
-        var document = DocumentBuilderFactory.newInstance().newDocumentBuilder().parse(new java.io.ByteArrayInputStream(svg.getBytes()));
+        String svg = Plot.of(
+                slope,
+                Map.of(
+                        "a_us",
+                        List.of(new Fit.Point(10, 1), new Fit.Point(1_000, 90)),
+                        "zero",
+                        List.of(new Fit.Point(10, 0))));
+        var document = DocumentBuilderFactory.newInstance()
+                .newDocumentBuilder()
+                .parse(new java.io.ByteArrayInputStream(svg.getBytes()));
         assertThat(document.getElementsByTagName("circle").getLength()).isEqualTo(2);
         assertThat(document.getElementsByTagName("g").getLength()).isEqualTo(2);
     }
@@ -73,11 +86,17 @@
     void readsAgainWhatItHasWritten() throws Exception {
         Path lines = directory.resolve("points.jsonl");
         var first = new StringWriter();
-        assertThat(new CommandLine(new Slopes()).setOut(new PrintWriter(first)).execute("placement", "--sizes", "75,300", "--json", lines.toString())).isZero();
-        assertThat(Files.readAllLines(lines).stream().filter(l -> l.contains("\"what\":\"point\""))).hasSize(2);
+        assertThat(new CommandLine(new Slopes())
+                        .setOut(new PrintWriter(first))
+                        .execute("placement", "--sizes", "75,300", "--json", lines.toString()))
+                .isZero();
+        assertThat(Files.readAllLines(lines).stream().filter(l -> l.contains("\"what\":\"point\"")))
+                .hasSize(2);
         var again = new StringWriter();
-        assertThat(new CommandLine(new Slopes()).setOut(new PrintWriter(again))
-                .execute("placement", "--read", lines.toString(), "--plot", directory.toString())).isZero();
+        assertThat(new CommandLine(new Slopes())
+                        .setOut(new PrintWriter(again))
+                        .execute("placement", "--read", lines.toString(), "--plot", directory.toString()))
+                .isZero();
         assertThat(directory.resolve("placement.svg")).exists();
         assertThat(fits(again.toString())).isNotEmpty().hasSameSizeAs(fits(first.toString()));
     }
--- a/core/src/main/java/beechfall/Balancer.java
+++ b/core/src/main/java/beechfall/Balancer.java
@@ -23,20 +23,43 @@
     }
 
     /** What a request may have done when it is sent twice. */
-    enum Effect { SAFE, KEYED, UNSAFE }
+    enum Effect {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /** The backends that discard repeats of a {@link Effect#KEYED} request together. */
-    enum Scope { ALL, ZONE, CELL }
+    enum Scope {
+        ALL,
+        ZONE,
+        CELL
+    }
 
     /** What the server list says of a backend. */
-    enum State { READY, DRAINING, GONE }
+    enum State {
+        READY,
+        DRAINING,
+        GONE
+    }
 
     /** What a list update holds: changes, a full list, the list as it was before a restart, or a failed call. */
-    enum ListKind { DELTA, FULL, CACHED, FAILED }
+    enum ListKind {
+        DELTA,
+        FULL,
+        CACHED,
+        FAILED
+    }
 
     /** How an attempt ended. */
     enum Outcome {
-        OK(false), ERROR(false), FULL(true), TIMEOUT(false), CONNECT_FAILED(true), RESET(false), CANCELLED(false),
+        OK(false),
+        ERROR(false),
+        FULL(true),
+        TIMEOUT(false),
+        CONNECT_FAILED(true),
+        RESET(false),
+        CANCELLED(false),
         NOT_SENT(true);
 
         private final boolean neverRan;
@@ -52,8 +75,15 @@
     }
 
     /** A request class: an answer within {@code aimUs} earns {@code worth}, a later one that part of it. */
-    record RequestClass(String name, long aimUs, long deadlineUs, double worth, double lateWorth, Effect effect,
-            Scope scope, long windowUs) {
+    record RequestClass(
+            String name,
+            long aimUs,
+            long deadlineUs,
+            double worth,
+            double lateWorth,
+            Effect effect,
+            Scope scope,
+            long windowUs) {
         public RequestClass {
             require(name != null && !name.isEmpty(), "class name");
             require(aimUs > 0, "aim of class " + name);
@@ -74,7 +104,12 @@
     }
 
     /** What the proxy may do. {@code listMustBeAsked}: the list comes only after {@link Watch} or {@link Fetch}. */
-    record Limits(boolean cancel, boolean secondCopies, boolean probes, boolean listMustBeAsked, int maxAttempts,
+    record Limits(
+            boolean cancel,
+            boolean secondCopies,
+            boolean probes,
+            boolean listMustBeAsked,
+            int maxAttempts,
             long maxRetryAfterUs) {
         public Limits {
             require(maxAttempts >= 1, "max attempts");
@@ -87,8 +122,8 @@
      * and falls over when all proxies send more than {@code fallMultiple} of its capacity for {@code fallUs}.
      * Where {@code fullUnproven}, a backend may answer {@link Outcome#FULL} for work that it had begun.
      */
-    record Rules(double coldFrom, long coldUs, double fallMultiple, long fallUs, long askWithinUs,
-            boolean fullUnproven) {
+    record Rules(
+            double coldFrom, long coldUs, double fallMultiple, long fallUs, long askWithinUs, boolean fullUnproven) {
         public Rules {
             require(coldFrom > 0 && coldFrom <= 1, "cold from");
             require(coldUs >= 0, "cold time");
@@ -102,8 +137,18 @@
      * All that an instance is told at its start. {@code rank} is its number among the balancers, from 0.
      * {@code tickUs} is the least time between two rounds of events.
      */
-    record Settings(int balancers, int rank, String zone, long tickUs, List<RequestClass> classes, List<Tenant> tenants,
-            double overShareWorth, boolean warmKeys, Limits limits, Rules rules, long seed) {
+    record Settings(
+            int balancers,
+            int rank,
+            String zone,
+            long tickUs,
+            List<RequestClass> classes,
+            List<Tenant> tenants,
+            double overShareWorth,
+            boolean warmKeys,
+            Limits limits,
+            Rules rules,
+            long seed) {
         public Settings {
             require(balancers >= 1, "balancers");
             require(rank >= 0, "rank");
@@ -120,7 +165,8 @@
 
         /** Returns the same for another number of balancers and another place among them. */
         Settings among(int others, int place) {
-            return new Settings(others, place, zone, tickUs, classes, tenants, overShareWorth, warmKeys, limits, rules, seed);
+            return new Settings(
+                    others, place, zone, tickUs, classes, tenants, overShareWorth, warmKeys, limits, rules, seed);
         }
     }
 
@@ -133,18 +179,18 @@
     }
 
     /** Something that happened to the proxy. */
-    sealed interface Event permits Members, Arrival, StreamStarted, AttemptEnded, ClientGone, TimerFired, ProbeEnded,
-            Acting, Fleet { }
+    sealed interface Event
+            permits Members, Arrival, StreamStarted, AttemptEnded, ClientGone, TimerFired, ProbeEnded, Acting, Fleet {}
 
     /** News of the server list. A backend missing from a full list is gone. */
-    record Members(ListKind kind, List<Backend> backends) implements Event { }
+    record Members(ListKind kind, List<Backend> backends) implements Event {}
 
     /** A client's request; {@code key} and {@code tenant} may be null, {@code leftUs} is the client's patience. */
     record Arrival(String id, String requestClass, String tenant, String key, long leftUs, boolean repeat)
-            implements Event { }
+            implements Event {}
 
     /** An answer has begun to stream: the attempt is the client's from here on. */
-    record StreamStarted(String id, int attempt) implements Event { }
+    record StreamStarted(String id, int attempt) implements Event {}
 
     /** The latency of an attempt that is answered by being written: nobody knows how long it takes. */
     long UNTIMED = -1;
@@ -156,16 +202,16 @@
      * @param last the request is over, by this or earlier
      */
     record AttemptEnded(String id, int attempt, String backend, Outcome outcome, long latencyUs, boolean last)
-            implements Event { }
+            implements Event {}
 
     /** The client has left; nothing more is owed. */
-    record ClientGone(String id) implements Event { }
+    record ClientGone(String id) implements Event {}
 
     /** A timer set earlier is due. */
-    record TimerFired(String token) implements Event { }
+    record TimerFired(String token) implements Event {}
 
     /** The result of a probe. */
-    record ProbeEnded(String backend, Outcome outcome, long latencyUs) implements Event { }
+    record ProbeEnded(String backend, Outcome outcome, long latencyUs) implements Event {}
 
     /**
      * From now on this instance acts for a part of one balancer, and another one for the rest: two processes serve as one proxy
@@ -192,37 +238,37 @@
     }
 
     /** Something the proxy is to do. */
-    sealed interface Action permits Send, Refuse, Fail, Cancel, Release, SetTimer, Probe, Watch, Fetch, Log { }
+    sealed interface Action permits Send, Refuse, Fail, Cancel, Release, SetTimer, Probe, Watch, Fetch, Log {}
 
     /** Send an attempt; the attempts of a request are numbered from 0 in the order sent. */
-    record Send(String id, String backend, long timeoutUs) implements Action { }
+    record Send(String id, String backend, long timeoutUs) implements Action {}
 
     /** Final answer: not now, and a retry is harmless. 0: no hint when to come back. */
-    record Refuse(String id, long retryAfterUs) implements Action { }
+    record Refuse(String id, long retryAfterUs) implements Action {}
 
     /** Final answer: failed, with nothing promised about its effect. */
-    record Fail(String id) implements Action { }
+    record Fail(String id) implements Action {}
 
     /** Stop waiting for one attempt. */
-    record Cancel(String id, int attempt) implements Action { }
+    record Cancel(String id, int attempt) implements Action {}
 
     /** Close the idle connections to a backend. */
-    record Release(String backend) implements Action { }
+    record Release(String backend) implements Action {}
 
     /** Ask for {@link TimerFired} at a time of the proxy's clock. */
-    record SetTimer(long atUs, String token) implements Action { }
+    record SetTimer(long atUs, String token) implements Action {}
 
     /** Check a backend. */
-    record Probe(String backend) implements Action { }
+    record Probe(String backend) implements Action {}
 
     /** Ask to be told of list changes from now on, or no longer. */
-    record Watch(boolean on) implements Action { }
+    record Watch(boolean on) implements Action {}
 
     /** Ask for the whole list once. */
-    record Fetch() implements Action { }
+    record Fetch() implements Action {}
 
     /** A line for the people who run the proxy. */
-    record Log(String text) implements Action { }
+    record Log(String text) implements Action {}
 
     /**
      * Takes one event and hands out what the proxy is to do about it.
--- a/core/src/main/java/beechfall/Group.java
+++ b/core/src/main/java/beechfall/Group.java
@@ -8,12 +8,13 @@
  */
 final class Group {
     /** What makes backends alike. */
-    record Key(Kind kind, double listed, double near) { }
+    record Key(Kind kind, double listed, double near) {}
 
     private final Key key;
     private double weight;
     /** By index in the order by hash: all of its backends; those that are calm and have neither turns nor answers of their own. */
     private final BitSet members = new BitSet();
+
     private final BitSet untouched = new BitSet();
 
     Group(Key key) {
--- a/core/src/main/java/beechfall/Order.java
+++ b/core/src/main/java/beechfall/Order.java
@@ -27,10 +27,12 @@
 final class Order {
     /** The index of one that is not here. */
     static final int ABSENT = -1;
+
     private static final int BLOCK = 256;
 
     /** By hash; this proxy's order begins somewhere in it and goes round. */
     private final List<Server> byHash = new ArrayList<>();
+
     private final Map<Group.Key, Group> groups = new LinkedHashMap<>();
     private final TreeSet<Server> restless = new TreeSet<>(Comparator.comparingInt(s -> s.index));
     private final Set<Server> touched = new LinkedHashSet<>();
@@ -179,7 +181,10 @@
             most = Math.max(most, s.weight());
         }
         for (Group g : groups.values()) {
-            g.weight(g.key().kind().samples() > 0 ? 1 / g.key().kind().meanUs() : g.key().listed() * scale);
+            g.weight(
+                    g.key().kind().samples() > 0
+                            ? 1 / g.key().kind().meanUs()
+                            : g.key().listed() * scale);
             most = alike.get(g) > 0 ? Math.max(most, g.weight()) : most;
         }
         double least = floor * most;
@@ -206,7 +211,8 @@
         int rounds = rounds(balancers);
         double at = (rank / rounds) * (double) rounds / balancers;
         int i = 0;
-        // By blocks: what a block weighs is told by how many of each group are in it, and by who differs from its group.
+        // By blocks: what a block weighs is told by how many of each group are in it, and by who differs from its
+        // group.
         double[] own = new double[byHash.size() / BLOCK + 1];
         for (Server s : touched) {
             own[s.index / BLOCK] += s.weight() - s.group().weight();
--- a/core/src/main/java/beechfall/Policy.java
+++ b/core/src/main/java/beechfall/Policy.java
@@ -26,11 +26,13 @@
     private static final double FLOOR = 0.05;
     /** One that is not trusted, or was tried before, comes after all others. */
     private static final double DISTRUST = 1e18;
+
     private static final double TRIED = 1e6;
     /** What others send unseen to a cold backend is to fit into this part of its present capacity, which is a guess. */
     private static final double COLD_UNSEEN = 0.8;
     /** The variance of a request's work in units of its mean squared, and how many deviations the cold budget keeps clear. */
     private static final double WORK_VARIANCE = 4;
+
     private static final double COLD_DEVIATIONS = 3;
     /** Attempts out may take this part of the shortest aim, by the rate of answers; held ones that again. */
     private static final double CROWD = 1 / 5.0;
@@ -42,6 +44,7 @@
     private static final double BORNE_KEPT = 0.8;
     /** Further attempts allowed for each request, and how many may be saved up. */
     private static final double RETRY_RATE = 0.2;
+
     private static final double RETRY_BURST = 10;
     /** An attempt is cut off after this multiple of the time to its aim: sooner, its work goes on unseen. */
     private static final double LATE = 3;
@@ -189,11 +192,13 @@
     }
 
     /** What this proxy thinks of a backend that it may send to: for people to look at, on the module's thread. */
-    public record View(String backend, double weight, int out, boolean avoided) { }
+    public record View(String backend, double weight, int out, boolean avoided) {}
 
     /** Returns what it thinks of each backend now. */
     public List<View> view() {
-        return order.all().stream().map(s -> new View(s.id(), s.weight(), s.out(), now < s.whole().tryAt())).toList();
+        return order.all().stream()
+                .map(s -> new View(s.id(), s.weight(), s.out(), now < s.whole().tryAt()))
+                .toList();
     }
 
     /** How much it keeps of backends and requests; a test looks whether that grows. */
@@ -336,7 +341,9 @@
             }
         }
         Server calm = border < 0 ? null : order.earliest(border);
-        if (calm != null && (calm.deadline() < earliest || calm.deadline() == earliest && order.position(calm) < order.position(best))) {
+        if (calm != null
+                && (calm.deadline() < earliest
+                        || calm.deadline() == earliest && order.position(calm) < order.position(best))) {
             best = calm;
         }
         // If nearly all look ill, it is this proxy that is cut off, or the load: then all are tried on.
@@ -398,8 +405,10 @@
 
     /** The backend where a key is likely to be warm: all proxies find the same one, by rendezvous hashing. */
     private Server home(String key) {
-        return order.all().stream().max(Comparator.comparingInt((Server s) -> mix(key.hashCode() ^ s.id().hashCode()))
-                .thenComparing(Server::id)).orElse(null);
+        return order.all().stream()
+                .max(Comparator.comparingInt((Server s) -> mix(key.hashCode() ^ s.id().hashCode()))
+                        .thenComparing(Server::id))
+                .orElse(null);
     }
 
     static int mix(int hash) {
@@ -418,15 +427,18 @@
 
     /** Rule 2: a request that may have run goes only where its class lets it run again. */
     private boolean effectAllows(Server s, Request r) {
-        return r.attempts.isEmpty() || r.type.effect() == Effect.SAFE || r.attempts.stream().allMatch(a ->
-                !mayHaveRun(a) || r.type.effect() == Effect.KEYED && now < a.sentAt + r.type.windowUs()
-                && sameGroup(r.type.scope(), a.sentTo, s.listed()));
+        return r.attempts.isEmpty()
+                || r.type.effect() == Effect.SAFE
+                || r.attempts.stream()
+                        .allMatch(a -> !mayHaveRun(a)
+                                || r.type.effect() == Effect.KEYED
+                                        && now < a.sentAt + r.type.windowUs()
+                                        && sameGroup(r.type.scope(), a.sentTo, s.listed()));
     }
 
     /** Rule 5: where 'full' is no proof, it counts as any other failure, for sends and refusals alike. */
     private boolean mayHaveRun(Attempt a) {
-        return a.outcome == null || !a.outcome.neverRan()
-                || a.outcome == Outcome.FULL && rules.fullUnproven();
+        return a.outcome == null || !a.outcome.neverRan() || a.outcome == Outcome.FULL && rules.fullUnproven();
     }
 
     private static boolean sameGroup(Scope scope, Backend a, Backend b) {
@@ -445,7 +457,8 @@
             return Double.POSITIVE_INFINITY;
         }
         double perUs = borneBy(s);
-        double budgetPerUs = acting * warmth * perUs * coldMultiple(warmth * perUs * settings.balancers() * rules.fallUs());
+        double budgetPerUs =
+                acting * warmth * perUs * coldMultiple(warmth * perUs * settings.balancers() * rules.fallUs());
         double tokens = s.fillColdTokens(0.75 * budgetPerUs, Math.max(1, budgetPerUs * rules.fallUs() / 4), now);
         return hasTurn(s, 0.75 * budgetPerUs * rules.fallUs()) ? tokens : 0;
     }
@@ -463,7 +476,9 @@
 
     /** What a warm backend bears from each proxy, in requests a microsecond: what answers show, or one request at a time. */
     private double borneBy(Server s) {
-        double requestUs = s.kind().samples() > 0 ? s.kind().meanUs() : settings.classes().get(0).aimUs();
+        double requestUs = s.kind().samples() > 0
+                ? s.kind().meanUs()
+                : settings.classes().get(0).aimUs();
         return Math.max(1 / (requestUs * settings.balancers()), borne * s.weight() * order.size());
     }
 
@@ -471,7 +486,8 @@
     private boolean hasTurn(Server s, double inWindow) {
         double together = inWindow * settings.balancers();
         long passed = (long) (together * (now - s.listed().startedAtUs()) / rules.fallUs());
-        return Math.floorMod(settings.rank() - mix(s.id().hashCode()) - passed, (long) settings.balancers()) < Math.ceil(together);
+        return Math.floorMod(settings.rank() - mix(s.id().hashCode()) - passed, (long) settings.balancers())
+                < Math.ceil(together);
     }
 
     /**
@@ -582,7 +598,9 @@
 
     private void retry(Request r) {
         // A request that no backend may be sent is over: held, it would only take up room.
-        if (now < r.aimAt && retryTokens >= 1 && r.attempts.size() < settings.limits().maxAttempts()
+        if (now < r.aimAt
+                && retryTokens >= 1
+                && r.attempts.size() < settings.limits().maxAttempts()
                 && order.all().stream().anyMatch(s -> effectAllows(s, r))) {
             retryTokens -= 1;
             hold(r);
@@ -612,7 +630,8 @@
     private void hold(Request r) {
         // Sent at the last moment, it is to be answered in time: twice a crowd's time ahead.
         r.giveUpAt = Math.min(r.aimAt - 2 * crowdUs, r.deadline - 2 * settings.tickUs());
-        r.cheaper = 1.0 * classes.values().stream().filter(c -> c.worth() < r.worth).count() / classes.size();
+        r.cheaper =
+                1.0 * classes.values().stream().filter(c -> c.worth() < r.worth).count() / classes.size();
         r.home = r.key == null ? null : home(r.key);
         int i = held.size();
         while (i > 0 && r.outranks(held.get(i - 1))) {
@@ -627,7 +646,7 @@
             return;
         }
         // A key away from its home costs its full work: in a crowd, the very room that is missing.
-        for (int i = 0; i < held.size() && held.get(i).worth == held.get(0).worth && mayGo(held.get(i));) {
+        for (int i = 0; i < held.size() && held.get(i).worth == held.get(0).worth && mayGo(held.get(i)); ) {
             Request r = held.get(i);
             if (r.home != null && pick(r) == r.home) {
                 held.remove(i);
@@ -636,7 +655,7 @@
                 i++;
             }
         }
-        for (int i = 0; i < held.size() && mayGo(held.get(i));) {
+        for (int i = 0; i < held.size() && mayGo(held.get(i)); ) {
             Request r = held.get(i);
             Server s = pick(r);
             if (s != null) {
@@ -674,7 +693,8 @@
     private long comeBackUs(Request r) {
         double heldUs = order.isEmpty() ? refreshUs : held.size() / Math.max(answerRate(), 1.0 / refreshUs);
         double spread = 1 - (mix(r.id.hashCode()) >>> 16) / 262_144.0;
-        return (long) (spread * Math.min(Math.max(crowdUs, heldUs), settings.limits().maxRetryAfterUs()));
+        return (long)
+                (spread * Math.min(Math.max(crowdUs, heldUs), settings.limits().maxRetryAfterUs()));
     }
 
     // Timers
--- a/core/src/main/java/beechfall/Server.java
+++ b/core/src/main/java/beechfall/Server.java
@@ -6,6 +6,7 @@
 final class Server {
     /** A kind's mean counts as so many of a backend's own answers, of which a refresh keeps a part. */
     private static final double OWN_PRIOR = 4;
+
     private static final double OWN_KEPT = 0.8;
     /** So few of its own answers would move its weight by less than a thousandth, and count as none. */
     private static final double FORGOTTEN = 0.004;
@@ -16,11 +17,13 @@
     boolean ready;
     /** Where {@link Order} keeps it: the hash that it goes by, and its place by that, {@link Order#ABSENT} where it has none. */
     int hash;
+
     int index = Order.ABSENT;
     private final String id;
     private final Trust whole = new Trust();
     /** Made when a flow first comes here: most backends never see most flows. */
     private Trust[] flows;
+
     private Backend listed;
     private Group group;
     private double ownWeight;
@@ -126,7 +129,8 @@
     }
 
     boolean trusted(int flow, long now, long silenceUs) {
-        return whole.holds(now, silenceUs) && (flows == null || flows[flow] == null || flows[flow].holds(now, silenceUs));
+        return whole.holds(now, silenceUs)
+                && (flows == null || flows[flow] == null || flows[flow].holds(now, silenceUs));
     }
 
     void sent(int flow, int allFlows, long now) {
--- a/core/src/main/java/beechfall/Trust.java
+++ b/core/src/main/java/beechfall/Trust.java
@@ -8,6 +8,7 @@
     private static final int RUN = 16;
     /** Errors are common from this part of all attempts on; then so many in a row tell of the backend as are no chance any more. */
     private static final double COMMON = 0.005;
+
     private static final double CHANCE = 1e-4;
 
     private int out;
@@ -29,8 +30,9 @@
     /** Where errors are common at all backends, or seldom here, one is bad luck: only more in a row tell of the backend. */
     boolean badLuck(boolean error, double share) {
         streak = error ? streak + 1 : 0;
-        boolean luck = error && pauseUs == 0 && (streak == 1 && run >= RUN
-                || share > COMMON && Math.pow(Math.min(share, 0.1), streak) > CHANCE);
+        boolean luck = error
+                && pauseUs == 0
+                && (streak == 1 && run >= RUN || share > COMMON && Math.pow(Math.min(share, 0.1), streak) > CHANCE);
         run = error ? 0 : Math.min(run + 1, RUN);
         return luck;
     }
@@ -52,7 +54,8 @@
     /** A failure brings the least pause; each that follows a pause doubles it, each answer halves it. */
     void judge(boolean good, long now, long leastUs) {
         if (now >= tryAt) {
-            pauseUs = good ? (pauseUs > leastUs ? pauseUs / 2 : 0)
+            pauseUs = good
+                    ? (pauseUs > leastUs ? pauseUs / 2 : 0)
                     : Math.min(Math.max(2 * pauseUs, leastUs), PAUSES * leastUs);
             tryAt = good ? tryAt : now + pauseUs;
         }
--- a/core/src/main/java/grebehoist/engine/Attempt.java
+++ b/core/src/main/java/grebehoist/engine/Attempt.java
@@ -27,7 +27,7 @@
         }
 
         /** The request's last byte has been handed to the network. Told once, before the end. */
-        default void written() { }
+        default void written() {}
     }
 
     /** Begins to send. Its end may be told before this returns. */
--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -40,6 +40,7 @@
     private final Map<String, Open> open = new HashMap<>();
     /** Of those that are open, how many still want their answer. */
     private int unanswered;
+
     private final Queue<Event> events = new ArrayDeque<>();
     private final List<Action> actions = new ArrayList<>();
     private MemberSource source;
@@ -129,10 +130,12 @@
         private final Tally.Row row;
         /** By their numbers. */
         private final List<Out> attempts = new ArrayList<>(2);
+
         private int out;
         private boolean over;
         /** When the answer is due; not before the payload has come whole, where it is still coming. */
         private long deadlineUs;
+
         private boolean whole;
         private Timers.Timer safety;
 
@@ -150,8 +153,11 @@
             if (type == null || type.effect() != Balancer.Effect.KEYED) {
                 return Long.MAX_VALUE;
             }
-            return attempts.stream().filter(a -> a.ended && a.ranForAllThatIsKnown()).mapToLong(a -> a.sentAt + type.windowUs())
-                    .min().orElse(Long.MAX_VALUE);
+            return attempts.stream()
+                    .filter(a -> a.ended && a.ranForAllThatIsKnown())
+                    .mapToLong(a -> a.sentAt + type.windowUs())
+                    .min()
+                    .orElse(Long.MAX_VALUE);
         }
     }
 
@@ -163,12 +169,15 @@
         private final long sentAt = timers.now();
         /** When the backend's time began: with the attempt, or with the last byte of a payload that came meanwhile. */
         private long startedAt = sentAt;
+
         private long timeoutUs;
         /** Null while it waits for the host to settle. */
         private Attempt attempt;
+
         private Timers.Timer timeout;
         /** Null where it may go out at any time. */
         private Timers.Timer windowEnd;
+
         private boolean ended;
         private Outcome outcome;
 
@@ -234,8 +243,18 @@
                     }
                 }
             }
-            return new RuleGuard.Send(request.request.id(), number, backend, types.get(request.request.requestClass()), !request.over,
-                    request.deadlineUs - now, toldDeadlineUs - now, othersOut, limits.maxAttempts(), limits.secondCopies(), mayHaveRun,
+            return new RuleGuard.Send(
+                    request.request.id(),
+                    number,
+                    backend,
+                    types.get(request.request.requestClass()),
+                    !request.over,
+                    request.deadlineUs - now,
+                    toldDeadlineUs - now,
+                    othersOut,
+                    limits.maxAttempts(),
+                    limits.secondCopies(),
+                    mayHaveRun,
                     module.slowStartAllowance(backend, now));
         }
 
@@ -245,7 +264,9 @@
 
         /** Returns whether its end is no proof that it never ran. */
         private boolean ranForAllThatIsKnown() {
-            return outcome != null && (!outcome.neverRan() || outcome == Outcome.FULL && settings.rules().fullUnproven());
+            return outcome != null
+                    && (!outcome.neverRan()
+                            || outcome == Outcome.FULL && settings.rules().fullUnproven());
         }
 
         void abort(Outcome outcome) {
@@ -288,7 +309,9 @@
         @Override
         public void ended(Outcome outcome, Payload answer) {
             if (ended) {
-                log.failure("a second end of an attempt", new IllegalStateException(outcome + " of " + request.request.id()));
+                log.failure(
+                        "a second end of an attempt",
+                        new IllegalStateException(outcome + " of " + request.request.id()));
                 if (answer != null) {
                     answer.release();
                 }
@@ -332,8 +355,13 @@
         open.put(request.id(), r);
         unanswered++;
         r.safety = timers.at(r.deadlineUs + SAFETY_US, () -> overdue(r));
-        deliver(new Balancer.Arrival(request.id(), request.requestClass(), request.tenant(), request.key(),
-                deadline - now, request.repeat()));
+        deliver(new Balancer.Arrival(
+                request.id(),
+                request.requestClass(),
+                request.tenant(),
+                request.key(),
+                deadline - now,
+                request.repeat()));
     }
 
     @Override
@@ -405,8 +433,13 @@
         } else if (answer != null) {
             answer.release();
         }
-        deliver(new Balancer.AttemptEnded(r.request.id(), out.number, out.backend, outcome,
-                outcome == Outcome.OK && answer == Payload.NONE ? Balancer.UNTIMED : timers.now() - out.startedAt, r.over));
+        deliver(new Balancer.AttemptEnded(
+                r.request.id(),
+                out.number,
+                out.backend,
+                outcome,
+                outcome == Outcome.OK && answer == Payload.NONE ? Balancer.UNTIMED : timers.now() - out.startedAt,
+                r.over));
         forget(r);
     }
 
@@ -506,7 +539,8 @@
 
     /** An error costs the request that it came with, not the proxy and all the others that it holds. */
     private void failRequestOf(Event event) {
-        String id = event instanceof Balancer.Arrival a ? a.id() : event instanceof Balancer.AttemptEnded a ? a.id() : null;
+        String id =
+                event instanceof Balancer.Arrival a ? a.id() : event instanceof Balancer.AttemptEnded a ? a.id() : null;
         if (id != null) {
             finish(id, this::fail);
         }
@@ -563,8 +597,8 @@
             return;
         }
         long left = r.deadlineUs - timers.now();
-        var out = new Out(r, r.attempts.size(), send.backend(),
-                send.timeoutUs() == 0 ? left : Math.min(send.timeoutUs(), left));
+        var out = new Out(
+                r, r.attempts.size(), send.backend(), send.timeoutUs() == 0 ? left : Math.min(send.timeoutUs(), left));
         r.attempts.add(out);
         // By the time of the decision: what has run out since then is seen before the first byte, and is no fault.
         if (out.timeoutUs > 0 && guard.maySend(out.facts(decidedAt + out.timeoutUs, decidedAt), decidedAt)) {
--- a/core/src/main/java/grebehoist/engine/Intake.java
+++ b/core/src/main/java/grebehoist/engine/Intake.java
@@ -28,7 +28,7 @@
     void giveUp(String id);
 
     /** A client's connection is closed from this side under a request that has no answer, which is never to happen. */
-    default void closedUnanswered(String id, String why) { }
+    default void closedUnanswered(String id, String why) {}
 
     /** The client has left before it had an answer; its responder is not called any more. */
     void clientGone(String id);
--- a/core/src/main/java/grebehoist/engine/Log.java
+++ b/core/src/main/java/grebehoist/engine/Log.java
@@ -12,10 +12,10 @@
     void failure(String what, Throwable cause);
 
     /** Writes a state transition. */
-    default void event(LogEvent event) { }
+    default void event(LogEvent event) {}
 
     /** Counts something that the metrics show. */
-    default void count(Counter counter) { }
+    default void count(Counter counter) {}
 
     /** Counts and writes a rule that was about to be broken. */
     default void violation(RuleGuard.Violation violation) {
--- a/core/src/main/java/grebehoist/engine/LogEvent.java
+++ b/core/src/main/java/grebehoist/engine/LogEvent.java
@@ -9,4 +9,4 @@
  * @param to the state now
  * @param cause why
  */
-public record LogEvent(String subject, String id, String from, String to, String cause) { }
+public record LogEvent(String subject, String id, String from, String to, String cause) {}
--- a/core/src/main/java/grebehoist/engine/Payload.java
+++ b/core/src/main/java/grebehoist/engine/Payload.java
@@ -8,10 +8,10 @@
     /** A payload that holds nothing. */
     Payload NONE = new Payload() {
         @Override
-        public void retain() { }
+        public void retain() {}
 
         @Override
-        public void release() { }
+        public void release() {}
     };
 
     /** Adds an owner. */
--- a/core/src/main/java/grebehoist/engine/Request.java
+++ b/core/src/main/java/grebehoist/engine/Request.java
@@ -17,8 +17,15 @@
  * @param payload what goes to a backend, the same for each attempt. The front stays its owner until the request is
  *         answered or its client gone: by then no attempt that is still unsent will be sent
  */
-public record Request(String id, String requestClass, String tenant, String key, boolean repeat, long deadlineUs,
-        long comingUs, Payload payload) {
+public record Request(
+        String id,
+        String requestClass,
+        String tenant,
+        String key,
+        boolean repeat,
+        long deadlineUs,
+        long comingUs,
+        Payload payload) {
     public Request {
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(requestClass, "requestClass");
@@ -26,7 +33,14 @@
     }
 
     /** A request that is there as a whole. */
-    public Request(String id, String requestClass, String tenant, String key, boolean repeat, long deadlineUs, Payload payload) {
+    public Request(
+            String id,
+            String requestClass,
+            String tenant,
+            String key,
+            boolean repeat,
+            long deadlineUs,
+            Payload payload) {
         this(id, requestClass, tenant, key, repeat, deadlineUs, 0, payload);
     }
 }
--- a/core/src/main/java/grebehoist/engine/RuleGuard.java
+++ b/core/src/main/java/grebehoist/engine/RuleGuard.java
@@ -50,7 +50,7 @@
      * @param endpoint the endpoint's id, or empty
      * @param detail the state and times that decided
      */
-    public record Violation(Rule rule, long atUs, String request, int attempt, String endpoint, String detail) { }
+    public record Violation(Rule rule, long atUs, String request, int attempt, String endpoint, String detail) {}
 
     /**
      * An attempt that is about to begin.
@@ -64,11 +64,22 @@
      * @param mayHaveRun the earlier attempts that may have run
      * @param slowStartAllowance how many requests all proxies together may send the endpoint in a window
      */
-    public record Send(String request, int attempt, String endpoint, RequestClass type, boolean open, long leftUs, long toldLeftUs, int othersOut,
-            int mostAttempts, boolean mayOverlap, List<Earlier> mayHaveRun, double slowStartAllowance) { }
+    public record Send(
+            String request,
+            int attempt,
+            String endpoint,
+            RequestClass type,
+            boolean open,
+            long leftUs,
+            long toldLeftUs,
+            int othersOut,
+            int mostAttempts,
+            boolean mayOverlap,
+            List<Earlier> mayHaveRun,
+            double slowStartAllowance) {}
 
     /** An earlier attempt of the same request that may have run. */
-    public record Earlier(String endpoint, long sentAtUs) { }
+    public record Earlier(String endpoint, long sentAtUs) {}
 
     /** Rule 3: the time between the notification and the last request that may begin. */
     static final long DRAIN_GRACE_US = 250_000;
@@ -77,9 +88,9 @@
     /** An endpoint that is gone is remembered for so long, for whatever still waits to be sent there. */
     private static final long GONE_KEPT_US = 30_000_000;
 
-    private record Notified(Backend backend, State state, long atUs) { }
+    private record Notified(Backend backend, State state, long atUs) {}
 
-    private record SlowStartSend(long atUs, double allowance) { }
+    private record SlowStartSend(long atUs, double allowance) {}
 
     private final Log log;
     private final long slowStartWindowUs;
@@ -110,7 +121,8 @@
             notified(l.backend(), l.backend().state(), nowUs);
         }
         if (kind != ListKind.DELTA) {
-            List.copyOf(endpoints.values()).stream().filter(n -> !named.contains(n.backend.id()))
+            List.copyOf(endpoints.values()).stream()
+                    .filter(n -> !named.contains(n.backend.id()))
                     .forEach(n -> notified(n.backend, State.GONE, nowUs));
         }
         forgetGone(nowUs);
@@ -162,11 +174,15 @@
             log.count(Counter.ATTEMPT_OUT_OF_TIME);
             return false;
         }
-        return endpointTakes(send, nowUs) && requestAllows(send, nowUs) && repeatAllowed(send, nowUs) && slowStartAllows(send, nowUs);
+        return endpointTakes(send, nowUs)
+                && requestAllows(send, nowUs)
+                && repeatAllowed(send, nowUs)
+                && slowStartAllows(send, nowUs);
     }
 
     private static boolean outOfWindow(Send send, long nowUs) {
-        return send.type != null && send.type.effect() == Effect.KEYED
+        return send.type != null
+                && send.type.effect() == Effect.KEYED
                 && send.mayHaveRun.stream().anyMatch(earlier -> nowUs - earlier.sentAtUs >= send.type.windowUs());
     }
 
@@ -201,8 +217,14 @@
         }
         for (Earlier earlier : send.mayHaveRun) {
             long since = nowUs - earlier.sentAtUs;
-            if (send.type.effect() == Effect.UNSAFE || since >= send.type.windowUs() || !sameScope(send.type.scope(), earlier.endpoint, send.endpoint)) {
-                return violated(Rule.REPEAT, send, nowUs, send.type.effect() + ", " + since + " us after an attempt at " + earlier.endpoint);
+            if (send.type.effect() == Effect.UNSAFE
+                    || since >= send.type.windowUs()
+                    || !sameScope(send.type.scope(), earlier.endpoint, send.endpoint)) {
+                return violated(
+                        Rule.REPEAT,
+                        send,
+                        nowUs,
+                        send.type.effect() + ", " + since + " us after an attempt at " + earlier.endpoint);
             }
         }
         return true;
@@ -214,7 +236,9 @@
         if (scope == Scope.ALL || a == null || b == null) {
             return true;
         }
-        return scope == Scope.ZONE ? String.valueOf(a.backend.zone()).equals(b.backend.zone()) : a.backend.cell() == b.backend.cell();
+        return scope == Scope.ZONE
+                ? String.valueOf(a.backend.zone()).equals(b.backend.zone())
+                : a.backend.cell() == b.backend.cell();
     }
 
     private boolean slowStartAllows(Send send, long nowUs) {
@@ -225,7 +249,8 @@
         Deque<SlowStartSend> sent = slowStarts.computeIfAbsent(send.endpoint, id -> new ArrayDeque<>());
         sent.removeIf(s -> nowUs - s.atUs > slowStartWindowUs);
         // What is allowed is an estimate that moves: what was sent under a larger one was right then.
-        double allowance = sent.stream().mapToDouble(SlowStartSend::allowance).reduce(send.slowStartAllowance, Math::max);
+        double allowance =
+                sent.stream().mapToDouble(SlowStartSend::allowance).reduce(send.slowStartAllowance, Math::max);
         if (sent.size() + 1 > allowance) {
             return violated(Rule.SLOW_START, send, nowUs, sent.size() + " in the window, at most " + allowance);
         }
@@ -248,7 +273,8 @@
         if (stateKnown && !ending) {
             return true;
         }
-        log.violation(new Violation(Rule.START, nowUs, "", -1, "", stateKnown ? "the process ends" : "the operators' state is not known"));
+        log.violation(new Violation(
+                Rule.START, nowUs, "", -1, "", stateKnown ? "the process ends" : "the operators' state is not known"));
         return false;
     }
 
--- a/core/src/main/java/grebehoist/engine/Tally.java
+++ b/core/src/main/java/grebehoist/engine/Tally.java
@@ -17,7 +17,7 @@
         private long failed;
         private long attempts;
 
-        private Row() { }
+        private Row() {}
 
         /** Returns the requests that were served. */
         public long served() {
--- a/core/src/main/java/grebehoist/members/Suspensions.java
+++ b/core/src/main/java/grebehoist/members/Suspensions.java
@@ -22,13 +22,14 @@
  */
 public final class Suspensions implements MemberSource.Sink {
     /** A backend that is back: what the source listed as its start then, and the start that it counts as having had. */
-    private record Resumed(long listedStartUs, long countedStartUs) { }
+    private record Resumed(long listedStartUs, long countedStartUs) {}
 
     private final MemberSource.Sink next;
     /** What the source has listed, by id; what is gone from the list is gone here. */
     private final Map<String, Listed> list = new LinkedHashMap<>();
     /** What is suspended here, and what is for the whole fleet. */
     private Set<String> here = Set.of();
+
     private Set<String> everywhere = Set.of();
     /** When each was suspended, by whomever first; it may have left the list since. */
     private final Map<String, Long> suspended = new HashMap<>();
@@ -123,8 +124,10 @@
             }
         }
         if (changed) {
-            // The whole list as it is known, and not as news from its source: the module may be waiting to ask it again.
-            next.members(ListKind.CACHED, list.values().stream().map(this::merged).toList());
+            // The whole list as it is known, and not as news from its source: the module may be waiting to ask it
+            // again.
+            next.members(
+                    ListKind.CACHED, list.values().stream().map(this::merged).toList());
         }
     }
 
@@ -136,6 +139,7 @@
         if (state == b.state() && started == b.startedAtUs()) {
             return l;
         }
-        return new Listed(new Balancer.Backend(b.id(), state, b.kind(), b.zone(), b.cell(), started, b.weight()), l.address());
+        return new Listed(
+                new Balancer.Backend(b.id(), state, b.kind(), b.zone(), b.cell(), started, b.weight()), l.address());
     }
 }
--- a/core/src/test/java/beechfall/ColdFleetTest.java
+++ b/core/src/test/java/beechfall/ColdFleetTest.java
@@ -38,10 +38,12 @@
     private static final Rules RULES = new Rules(0.4, 8 * S, 2, S, 10 * S, false);
 
     private static final class Fleet {
-        private final PriorityQueue<Due> due = new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::number));
+        private final PriorityQueue<Due> due =
+                new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::number));
         private final List<Policy> fleet = new ArrayList<>();
         /** Of each cold backend the sends of the last window. */
         private final Deque<Long> toCold = new ArrayDeque<>();
+
         private final Random random;
         private final int balancers;
         private long now = 1_000 * S;
@@ -51,7 +53,7 @@
         private double mostOfBudget;
 
         /** Something that is to come for a process; nothing if that is not there any more. */
-        record Due(long at, long number, Policy process, int rank, Event event) { }
+        record Due(long at, long number, Policy process, int rank, Event event) {}
 
         Fleet(int balancers, long seed) {
             this.balancers = balancers;
@@ -64,8 +66,20 @@
 
         /** A new process, which knows nothing. */
         void restart(int rank) {
-            fleet.set(rank, new Policy(new Balancer.Settings(balancers, rank, "a", 4 * MS, List.of(Proxy.READ), List.of(), 0.05, false,
-                    Proxy.LIMITS, RULES, random.nextLong())));
+            fleet.set(
+                    rank,
+                    new Policy(new Balancer.Settings(
+                            balancers,
+                            rank,
+                            "a",
+                            4 * MS,
+                            List.of(Proxy.READ),
+                            List.of(),
+                            0.05,
+                            false,
+                            Proxy.LIMITS,
+                            RULES,
+                            random.nextLong())));
         }
 
         void feed(int rank, Event event) {
@@ -76,7 +90,12 @@
                 if (action instanceof SetTimer t) {
                     due.add(new Due(t.atUs(), number++, process, rank, new TimerFired(t.token())));
                 } else if (action instanceof Send s) {
-                    due.add(new Due(now + ANSWER_US, number++, process, rank, new AttemptEnded(s.id(), 0, s.backend(), Outcome.OK, ANSWER_US, true)));
+                    due.add(new Due(
+                            now + ANSWER_US,
+                            number++,
+                            process,
+                            rank,
+                            new AttemptEnded(s.id(), 0, s.backend(), Outcome.OK, ANSWER_US, true)));
                     sent(s.backend());
                 }
             }
@@ -102,7 +121,8 @@
             double meanUs = 1e6 / (perS * balancers);
             long arrival = perS == 0 ? Long.MAX_VALUE : now;
             while (true) {
-                long next = Math.min(arrival, due.isEmpty() ? Long.MAX_VALUE : due.peek().at());
+                long next = Math.min(
+                        arrival, due.isEmpty() ? Long.MAX_VALUE : due.peek().at());
                 if (next > until) {
                     now = until;
                     return;
@@ -140,7 +160,9 @@
         }
 
         void assertKept() {
-            assertThat(mostOfBudget).as("of N + 2 root N + 2, " + most + " at most in a window").isLessThanOrEqualTo(1);
+            assertThat(mostOfBudget)
+                    .as("of N + 2 root N + 2, " + most + " at most in a window")
+                    .isLessThanOrEqualTo(1);
         }
     }
 
--- a/core/src/test/java/beechfall/CrowdTest.java
+++ b/core/src/test/java/beechfall/CrowdTest.java
@@ -86,8 +86,13 @@
         for (int i = 0; i < 20; i++) {
             p.arrive(READ);
         }
-        var hints = p.actions.stream().filter(a -> a instanceof Refuse).map(a -> ((Refuse) a).retryAfterUs()).toList();
-        assertThat(hints).hasSizeGreaterThan(5).doesNotHaveDuplicates()
+        var hints = p.actions.stream()
+                .filter(a -> a instanceof Refuse)
+                .map(a -> ((Refuse) a).retryAfterUs())
+                .toList();
+        assertThat(hints)
+                .hasSizeGreaterThan(5)
+                .doesNotHaveDuplicates()
                 .allSatisfy(hint -> assertThat(hint).isBetween(60 * MS, most));
     }
 
@@ -122,7 +127,9 @@
         for (int i = 0; i < 100; i++) {
             proxy.arrive(READ);
         }
-        long sent = proxy.actions.subList(before, proxy.actions.size()).stream().filter(a -> a instanceof Send).count();
+        long sent = proxy.actions.subList(before, proxy.actions.size()).stream()
+                .filter(a -> a instanceof Send)
+                .count();
         // 400 answers a second, and a fifth of the shortest aim (400 ms).
         assertThat(sent).isBetween(25L, 35L);
     }
@@ -130,7 +137,8 @@
     @Test
     void aLoneProxyKeepsItsBackendsBusyWhenUnqueuedWorkFillsTheLimit() {
         // One of three, the others gone. An answer takes 200 ms without a queue, more than a fifth of the shortest aim.
-        var p = new Proxy(new Balancer.Settings(3, 0, "a", MS, List.of(READ, Proxy.PAY), List.of(), 1, false, LIMITS, RULES, 1));
+        var p = new Proxy(
+                new Balancer.Settings(3, 0, "a", MS, List.of(READ, Proxy.PAY), List.of(), 1, false, LIMITS, RULES, 1));
         p.list(backend("a"), backend("b"), backend("c"));
         var out = new java.util.ArrayDeque<String>();
         int seen = 0;
@@ -155,7 +163,8 @@
     @Test
     void twelveProxiesTogetherHoldNoMoreThanOne() {
         var alone = new Proxy();
-        var oneOfTwelve = new Proxy(new Balancer.Settings(12, 0, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, 1));
+        var oneOfTwelve =
+                new Proxy(new Balancer.Settings(12, 0, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, 1));
         var backends = new Balancer.Backend[24];
         for (int i = 0; i < backends.length; i++) {
             backends[i] = backend("s" + i);
@@ -171,7 +180,8 @@
             backends[i] = backend("s" + i, "std", i % 2 == 0 ? "a" : "b", 1);
         }
         for (int rank = 0; rank < 12; rank++) {
-            var p = new Proxy(new Balancer.Settings(12, rank, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, rank));
+            var p = new Proxy(
+                    new Balancer.Settings(12, rank, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, rank));
             p.list(backends);
             for (int i = 0; i < 3; i++) {
                 gathered.merge(p.lastSend(p.arrive(READ)).backend(), 1, Integer::sum);
@@ -179,7 +189,9 @@
             String held = p.arrive(READ);
             assertThat(p.sends(held)).as("sent beyond this proxy's part").isZero();
         }
-        assertThat(gathered).hasSize(24).allSatisfy((id, proxies) -> assertThat(proxies).isBetween(1, 2));
+        assertThat(gathered)
+                .hasSize(24)
+                .allSatisfy((id, proxies) -> assertThat(proxies).isBetween(1, 2));
     }
 
     /**
@@ -195,7 +207,8 @@
         long latency = 60 * MS;
         int toCold = 0;
         for (int rank = 0; rank < 14; rank++) {
-            var p = new Proxy(new Balancer.Settings(14, rank, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, rank));
+            var p = new Proxy(
+                    new Balancer.Settings(14, rank, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, rank));
             p.list(backends);
             for (int i = 0; i < 100; i++) {
                 p.serve(READ, latency);
@@ -205,7 +218,7 @@
                 replaced[i] = Proxy.started("new" + i, p.now);
             }
             p.list(replaced);
-            for (long end = p.now + 2_000 * MS; p.now < end;) {
+            for (long end = p.now + 2_000 * MS; p.now < end; ) {
                 var burst = new ArrayList<String>();
                 for (int i = 0; i < 12; i++) {
                     burst.add(p.arrive(READ));
@@ -283,8 +296,14 @@
             out.add(p.arrive(READ));
         }
         String freed = p.lastSend(out.get(0)).backend();
-        String other = java.util.Arrays.stream(key).filter(k -> !home.get(k).equals(freed)).findFirst().orElseThrow();
-        String fits = java.util.Arrays.stream(key).filter(k -> home.get(k).equals(freed)).findFirst().orElseThrow();
+        String other = java.util.Arrays.stream(key)
+                .filter(k -> !home.get(k).equals(freed))
+                .findFirst()
+                .orElseThrow();
+        String fits = java.util.Arrays.stream(key)
+                .filter(k -> home.get(k).equals(freed))
+                .findFirst()
+                .orElseThrow();
         p.feed(new Balancer.Arrival("other", "read", null, other, 2 * Proxy.S, false));
         p.now += MS;
         p.feed(new Balancer.Arrival("fits", "read", null, fits, 2 * Proxy.S, false));
@@ -298,7 +317,9 @@
     private static Proxy oneOfHundreds(int rank, Balancer.RequestClass... classes) {
         var all = classes.length == 0 ? List.of(READ) : List.of(classes);
         var p = new Proxy(new Balancer.Settings(400, rank, "a", MS, all, List.of(), 1, false, LIMITS, RULES, rank));
-        p.list(java.util.stream.IntStream.range(0, 60).mapToObj(i -> backend("s" + i)).toArray(Balancer.Backend[]::new));
+        p.list(java.util.stream.IntStream.range(0, 60)
+                .mapToObj(i -> backend("s" + i))
+                .toArray(Balancer.Backend[]::new));
         p.run(5 * Proxy.S);
         return p;
     }
@@ -346,7 +367,11 @@
         crowded.run(20 * MS);
         crowded.end(first, Outcome.OK, 20 * MS);
         // One was held, and goes now.
-        String held = crowded.actions.stream().filter(a -> a instanceof Send).map(a -> ((Send) a).id()).reduce((a, b) -> b).get();
+        String held = crowded.actions.stream()
+                .filter(a -> a instanceof Send)
+                .map(a -> ((Send) a).id())
+                .reduce((a, b) -> b)
+                .get();
         crowded.end(held, Outcome.OK, 20 * MS);
         assertThat((double) sentIn(crowded)).isCloseTo(sentIn(calm), org.assertj.core.data.Offset.offset(1.0));
     }
@@ -381,7 +406,8 @@
                 p.run(170 * MS);
             }
         }
-        // All serve 33 a second at each of 60 backends. In 5 s a new one starts at 40% of that and may get up to 4 times as much.
+        // All serve 33 a second at each of 60 backends. In 5 s a new one starts at 40% of that and may get up to 4
+        // times as much.
         assertThat(got).isBetween(5 * 33 * 4 / 10 / 2, 5 * 33 * 4 / 10 * 3);
     }
 
@@ -390,7 +416,8 @@
         var cheap = oneOfHundreds(0, READ, PAY);
         var dear = oneOfHundreds(0, READ, PAY);
         for (var p : List.of(cheap, dear)) {
-            // All that was saved up, and what a slow attempt went past it, but not by more than the dearest may overdraw.
+            // All that was saved up, and what a slow attempt went past it, but not by more than the dearest may
+            // overdraw.
             String slow = p.arrive(READ);
             p.run(1200 * MS);
             p.end(slow, Outcome.TIMEOUT, 1200 * MS);
@@ -409,10 +436,14 @@
             String stuckAt = p.lastSend(p.arrive(READ)).backend();
             first.merge(stuckAt, 1, Integer::sum);
             p.run(300 * MS);
-            second.computeIfAbsent(stuckAt, id -> new java.util.HashSet<>()).add(p.lastSend(p.arrive(READ)).backend());
+            second.computeIfAbsent(stuckAt, id -> new java.util.HashSet<>())
+                    .add(p.lastSend(p.arrive(READ)).backend());
         }
-        assertThat(first).hasSize(60).allSatisfy((id, proxies) -> assertThat(proxies).isBetween(4, 9));
-        assertThat(second).allSatisfy((id, next) -> assertThat(next).doesNotContain(id).hasSizeGreaterThan(3));
+        assertThat(first)
+                .hasSize(60)
+                .allSatisfy((id, proxies) -> assertThat(proxies).isBetween(4, 9));
+        assertThat(second)
+                .allSatisfy((id, next) -> assertThat(next).doesNotContain(id).hasSizeGreaterThan(3));
     }
 
     @Test
@@ -474,7 +505,9 @@
             p.serve(READ, 20 * MS);
             p.run(2 * Proxy.S);
         }
-        assertThat(p.serve(READ, 20 * MS)).as("its own answers are forgotten in time").isEqualTo(slow);
+        assertThat(p.serve(READ, 20 * MS))
+                .as("its own answers are forgotten in time")
+                .isEqualTo(slow);
     }
 
     /** At 1,000 requests a second one error in fifty is twenty a second: each would put a backend off for longer than a second. */
@@ -494,7 +527,10 @@
                 refused += p.sends(id) == 0 ? 1 : 0;
             }
             assertThat(refused).as("share %s", share).isZero();
-            assertThat(p.policy.view()).as("share %s", share).filteredOn(Policy.View::avoided).hasSizeLessThan(2);
+            assertThat(p.policy.view())
+                    .as("share %s", share)
+                    .filteredOn(Policy.View::avoided)
+                    .hasSizeLessThan(2);
         }
     }
 
@@ -545,7 +581,9 @@
     @Test
     void oneThatIsFarBusierIsNotHeldToThePartOfAQuietHour() {
         var p = new Proxy(new Balancer.Settings(94, 0, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, 1));
-        p.list(java.util.stream.IntStream.range(0, 60).mapToObj(i -> backend("s" + i)).toArray(Balancer.Backend[]::new));
+        p.list(java.util.stream.IntStream.range(0, 60)
+                .mapToObj(i -> backend("s" + i))
+                .toArray(Balancer.Backend[]::new));
         for (int i = 0; i < 100; i++) {
             p.serve(READ, 40 * MS);
         }
@@ -586,7 +624,10 @@
             out.stream().filter(id -> p.sends(id) > 0).forEach(id -> p.end(id, Outcome.OK, 100 * MS));
             p.run(together == 1 ? 200 * MS : 0);
         }
-        return p.actions.subList(before, p.actions.size()).stream().filter(a -> a instanceof Send)
-                .map(a -> ((Send) a).backend()).distinct().count();
+        return p.actions.subList(before, p.actions.size()).stream()
+                .filter(a -> a instanceof Send)
+                .map(a -> ((Send) a).backend())
+                .distinct()
+                .count();
     }
 }
--- a/core/src/test/java/beechfall/FleetSizeTest.java
+++ b/core/src/test/java/beechfall/FleetSizeTest.java
@@ -7,15 +7,25 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.junit.jupiter.api.Test;
 
 /** How many share the backends may be told, in place of what the settings say. */
 class FleetSizeTest {
     private static Proxy proxy(int balancers, int rank) {
-        return new Proxy(new Balancer.Settings(balancers, rank, "a", MS, List.of(Proxy.READ), List.of(new Balancer.Tenant("acme", 400)), 0.1, false,
-                Proxy.LIMITS, Proxy.RULES, 1));
+        return new Proxy(new Balancer.Settings(
+                balancers,
+                rank,
+                "a",
+                MS,
+                List.of(Proxy.READ),
+                List.of(new Balancer.Tenant("acme", 400)),
+                0.1,
+                false,
+                Proxy.LIMITS,
+                Proxy.RULES,
+                1));
     }
 
     /** Where it sends so many requests, a backend going cold on the way. */
--- a/core/src/test/java/beechfall/LedgerTest.java
+++ b/core/src/test/java/beechfall/LedgerTest.java
@@ -49,7 +49,7 @@
         assertThat(books.attemptsSent).isGreaterThan(50);
     }
 
-    private record Due(long at, long order, Event event) { }
+    private record Due(long at, long order, Event event) {}
 
     private static final class Try {
         private final String backend;
@@ -87,8 +87,8 @@
         private final Map<String, Open> requests = new HashMap<>();
         private final Map<String, Backend> listed = new LinkedHashMap<>();
         private final Map<String, List<Long>> coldSends = new HashMap<>();
-        private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> a.at() != b.at()
-                ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
+        private final PriorityQueue<Due> due = new PriorityQueue<>(
+                (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
         private long now = 5_000_000_000L;
         private long order;
         private int arrived;
@@ -100,17 +100,36 @@
             var classes = new ArrayList<RequestClass>();
             for (Effect effect : Effect.values()) {
                 for (Scope scope : Scope.values()) {
-                    classes.add(new RequestClass(effect + "-" + scope, 150_000 + random.nextInt(500_000),
-                            700_000 + random.nextInt(2_000_000), 1 + random.nextInt(9), random.nextInt(3) / 4.0, effect,
-                            scope, 100_000 + random.nextInt(1_000_000)));
+                    classes.add(new RequestClass(
+                            effect + "-" + scope,
+                            150_000 + random.nextInt(500_000),
+                            700_000 + random.nextInt(2_000_000),
+                            1 + random.nextInt(9),
+                            random.nextInt(3) / 4.0,
+                            effect,
+                            scope,
+                            100_000 + random.nextInt(1_000_000)));
                 }
             }
-            settings = new Settings(1 + random.nextInt(4), 0, "a", TICK, classes, random.nextBoolean() ? List.of()
-                    : List.of(new Tenant("t", 50)), 0.1, false,
-                    new Limits(random.nextBoolean(), random.nextBoolean(), random.nextBoolean(), random.nextBoolean(),
-                            1 + random.nextInt(5), 1_000_000),
-                    new Rules(0.3, 8_000_000, 3, 1_000_000 + random.nextInt(2_000_000), 10_000_000,
-                            random.nextBoolean()), seed);
+            settings = new Settings(
+                    1 + random.nextInt(4),
+                    0,
+                    "a",
+                    TICK,
+                    classes,
+                    random.nextBoolean() ? List.of() : List.of(new Tenant("t", 50)),
+                    0.1,
+                    false,
+                    new Limits(
+                            random.nextBoolean(),
+                            random.nextBoolean(),
+                            random.nextBoolean(),
+                            random.nextBoolean(),
+                            1 + random.nextInt(5),
+                            1_000_000),
+                    new Rules(
+                            0.3, 8_000_000, 3, 1_000_000 + random.nextInt(2_000_000), 10_000_000, random.nextBoolean()),
+                    seed);
             policy = new Policy(settings);
         }
 
@@ -130,7 +149,9 @@
                     happen();
                 }
                 for (Open r : requests.values()) {
-                    assertThat(r.over || now <= r.deadline + 3 * TICK).as("answered before the client leaves").isTrue();
+                    assertThat(r.over || now <= r.deadline + 3 * TICK)
+                            .as("answered before the client leaves")
+                            .isTrue();
                 }
                 requests.values().removeIf(r -> r.over && r.tries.stream().allMatch(t -> t.outcome != null));
             }
@@ -139,11 +160,13 @@
         private void happen() {
             int arrivals = random.nextInt(100) < 30 ? random.nextInt(4) : 0;
             for (int i = 0; i < arrivals; i++) {
-                RequestClass type = settings.classes().get(random.nextInt(settings.classes().size()));
+                RequestClass type =
+                        settings.classes().get(random.nextInt(settings.classes().size()));
                 long left = (long) (type.deadlineUs() * (0.2 + 0.8 * random.nextDouble()));
                 String id = "q" + arrived++;
                 requests.put(id, new Open(type, now + left));
-                feed(new Arrival(id, type.name(), random.nextBoolean() ? "t" : null, null, left, random.nextInt(5) == 0));
+                feed(new Arrival(
+                        id, type.name(), random.nextBoolean() ? "t" : null, null, left, random.nextInt(5) == 0));
             }
             if (random.nextInt(200) == 0) {
                 String id = "s" + random.nextInt(8);
@@ -162,8 +185,14 @@
         }
 
         private Backend backend(String id, State state, long startedAt) {
-            return new Backend(id, state, "k" + random.nextInt(2), random.nextBoolean() ? "a" : "b", random.nextInt(3),
-                    startedAt, 1);
+            return new Backend(
+                    id,
+                    state,
+                    "k" + random.nextInt(2),
+                    random.nextBoolean() ? "a" : "b",
+                    random.nextInt(3),
+                    startedAt,
+                    1);
         }
 
         private void deliver(Event event) {
@@ -203,7 +232,9 @@
                 } else if (action instanceof Cancel a) {
                     assertThat(settings.limits().cancel()).isTrue();
                     Try t = requests.get(a.id()).tries.get(a.attempt());
-                    due.add(new Due(now + TICK, order++,
+                    due.add(new Due(
+                            now + TICK,
+                            order++,
                             new AttemptEnded(a.id(), a.attempt(), t.backend, Outcome.CANCELLED, now - t.sentAt, true)));
                 } else if (action instanceof SetTimer a) {
                     due.add(new Due(Math.max(a.atUs(), now + 1), order++, new TimerFired(a.token())));
@@ -225,7 +256,8 @@
             for (Try t : r.tries) {
                 if (t.mayHaveRun(settings.rules())) {
                     assertThat(r.type.effect()).isNotEqualTo(Effect.UNSAFE);
-                    assertThat(r.type.effect() == Effect.SAFE || r.type.scope() == Scope.ALL).isTrue();
+                    assertThat(r.type.effect() == Effect.SAFE || r.type.scope() == Scope.ALL)
+                            .isTrue();
                 }
             }
             over(id);
@@ -242,26 +274,32 @@
             assertThat(a.timeoutUs()).isPositive();
             assertThat(now + a.timeoutUs()).isLessThanOrEqualTo(r.deadline);
             for (Try t : r.tries) {
-                assertThat(settings.limits().secondCopies() || t.outcome != null).isTrue();
+                assertThat(settings.limits().secondCopies() || t.outcome != null)
+                        .isTrue();
                 if (t.mayHaveRun(settings.rules()) && r.type.effect() != Effect.SAFE) {
                     assertThat(r.type.effect()).isEqualTo(Effect.KEYED);
                     assertThat(now).isLessThan(t.sentAt + r.type.windowUs());
-                    assertThat(switch (r.type.scope()) {
-                        case ALL -> true;
-                        case ZONE -> t.sentTo.zone().equals(to.zone());
-                        case CELL -> t.sentTo.cell() == to.cell();
-                    }).isTrue();
+                    assertThat(
+                                    switch (r.type.scope()) {
+                                        case ALL -> true;
+                                        case ZONE -> t.sentTo.zone().equals(to.zone());
+                                        case CELL -> t.sentTo.cell() == to.cell();
+                                    })
+                            .isTrue();
                 }
             }
             cold(to);
             r.tries.add(new Try(to, now));
             int attempt = r.tries.size() - 1;
-            Outcome outcome = random.nextInt(10) < 6 ? Outcome.OK
+            Outcome outcome = random.nextInt(10) < 6
+                    ? Outcome.OK
                     : List.of(Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET)
                             .get(random.nextInt(5));
-            long latency = outcome == Outcome.TIMEOUT ? a.timeoutUs()
+            long latency = outcome == Outcome.TIMEOUT
+                    ? a.timeoutUs()
                     : Math.min(a.timeoutUs() - 1, 1_000 + random.nextInt(60_000));
-            due.add(new Due(now + latency, order++, new AttemptEnded(a.id(), attempt, to.id(), outcome, latency, false)));
+            due.add(new Due(
+                    now + latency, order++, new AttemptEnded(a.id(), attempt, to.id(), outcome, latency, false)));
             if (attempt == 0 && random.nextInt(50) == 0) {
                 due.add(new Due(now + random.nextInt(100_000), order++, new ClientGone(a.id())));
             }
@@ -275,7 +313,8 @@
             }
             List<Long> sends = coldSends.computeIfAbsent(to.id() + "@" + to.startedAtUs(), key -> new ArrayList<>());
             sends.add(now);
-            long inWindow = sends.stream().filter(at -> at > now - rules.fallUs()).count();
+            long inWindow =
+                    sends.stream().filter(at -> at > now - rules.fallUs()).count();
             double share = rules.coldFrom() + (1 - rules.coldFrom()) * (now - to.startedAtUs()) / rules.coldUs();
             double most = rules.fallMultiple() * share * 40 * rules.fallUs() / 1e6 / settings.balancers();
             assertThat((double) inWindow).as("cold budget").isLessThanOrEqualTo(Math.max(2, most));
--- a/core/src/test/java/beechfall/OrderTest.java
+++ b/core/src/test/java/beechfall/OrderTest.java
@@ -41,8 +41,18 @@
         int restless = 0;
         for (long seed = 1; seed <= 30; seed++) {
             var random = new SplittableRandom(seed * 31 + balancers * 7 + backends);
-            var settings = new Settings(balancers, random.nextInt(balancers), "a", 4 * MS, CLASSES, List.of(new Tenant("t", 1e6)), 0.05,
-                    false, Proxy.LIMITS, Proxy.RULES, seed);
+            var settings = new Settings(
+                    balancers,
+                    random.nextInt(balancers),
+                    "a",
+                    4 * MS,
+                    CLASSES,
+                    List.of(new Tenant("t", 1e6)),
+                    0.05,
+                    false,
+                    Proxy.LIMITS,
+                    Proxy.RULES,
+                    seed);
             var proxy = new Proxy(settings);
             int[] count = new int[2];
             proxy.policy.oracle((found, rule) -> {
@@ -70,20 +80,35 @@
             proxy.now += (long) (random.nextDouble() * random.nextDouble() * 60 * MS * slower);
             switch (random.nextInt(8)) {
                 case 0, 1, 2 -> {
-                    String id = proxy.arrive(CLASSES.get(random.nextInt(CLASSES.size())), random.nextBoolean() ? "t" : null);
+                    String id = proxy.arrive(
+                            CLASSES.get(random.nextInt(CLASSES.size())), random.nextBoolean() ? "t" : null);
                     if (proxy.sends(id) > 0) {
                         out.add(id);
                     }
                 }
-                case 3, 4, 5 -> out.stream().sorted().skip(random.nextInt(Math.max(1, out.size()))).findFirst().ifPresent(id -> {
-                    Outcome[] outcomes = {Outcome.OK, Outcome.OK, Outcome.OK, Outcome.OK, Outcome.ERROR, Outcome.TIMEOUT, Outcome.CONNECT_FAILED,
-                        Outcome.FULL};
-                    int before = proxy.sends(id);
-                    proxy.end(id, outcomes[random.nextInt(outcomes.length)], (long) (5 * MS + random.nextDouble() * 400 * MS));
-                    if (proxy.sends(id) == before) {
-                        out.remove(id);
-                    }
-                });
+                case 3, 4, 5 ->
+                    out.stream()
+                            .sorted()
+                            .skip(random.nextInt(Math.max(1, out.size())))
+                            .findFirst()
+                            .ifPresent(id -> {
+                                Outcome[] outcomes = {
+                                    Outcome.OK,
+                                    Outcome.OK,
+                                    Outcome.OK,
+                                    Outcome.OK,
+                                    Outcome.ERROR,
+                                    Outcome.TIMEOUT,
+                                    Outcome.CONNECT_FAILED,
+                                    Outcome.FULL
+                                };
+                                int before = proxy.sends(id);
+                                proxy.end(id, outcomes[random.nextInt(outcomes.length)], (long)
+                                        (5 * MS + random.nextDouble() * 400 * MS));
+                                if (proxy.sends(id) == before) {
+                                    out.remove(id);
+                                }
+                            });
                 case 6 -> proxy.timer("held");
                 default -> change(listed, proxy, random, next);
             }
@@ -93,8 +118,16 @@
     private static void put(Map<String, Backend> listed, Proxy proxy, SplittableRandom random, int[] next) {
         String id = "s" + next[0]++;
         long started = random.nextInt(3) > 0 ? 0 : proxy.now - random.nextLong(9 * S);
-        listed.put(id, new Backend(id, State.READY, "k" + random.nextInt(3), "abc".substring(random.nextInt(3)).substring(0, 1),
-                random.nextInt(4), started, 1));
+        listed.put(
+                id,
+                new Backend(
+                        id,
+                        State.READY,
+                        "k" + random.nextInt(3),
+                        "abc".substring(random.nextInt(3)).substring(0, 1),
+                        random.nextInt(4),
+                        started,
+                        1));
     }
 
     private static void change(Map<String, Backend> listed, Proxy proxy, SplittableRandom random, int[] next) {
@@ -103,7 +136,8 @@
         if (!ids.isEmpty() && random.nextBoolean()) {
             Backend b = listed.get(ids.get(random.nextInt(ids.size())));
             State state = State.values()[random.nextInt(State.values().length)];
-            var told = new Backend(b.id(), state, b.kind(), b.zone(), b.cell(), random.nextBoolean() ? b.startedAtUs() : proxy.now, 1);
+            var told = new Backend(
+                    b.id(), state, b.kind(), b.zone(), b.cell(), random.nextBoolean() ? b.startedAtUs() : proxy.now, 1);
             news.add(told);
             if (state == State.GONE) {
                 listed.remove(b.id());
@@ -131,7 +165,9 @@
             kinds.get(1).learn(35_000);
             for (int i = 0; i < n; i++) {
                 var s = new Server("s" + i, 0);
-                s.listed(Proxy.backend("s" + i), order.group(new Group.Key(kinds.get(random.nextInt(2)), 1, random.nextInt(2) * 3 + 1)));
+                s.listed(
+                        Proxy.backend("s" + i),
+                        order.group(new Group.Key(kinds.get(random.nextInt(2)), 1, random.nextInt(2) * 3 + 1)));
                 s.ready = true;
                 servers.add(s);
             }
@@ -153,9 +189,12 @@
                 if (change % 20 == 19) {
                     order.refresh(0.05, 7, 3, calm::contains);
                 }
-                assertThat(servers.stream().mapToDouble(Server::weight).sum()).isBetween(change % 20 == 19 ? 0.999_999 : 0, 1.000_001);
+                assertThat(servers.stream().mapToDouble(Server::weight).sum())
+                        .isBetween(change % 20 == 19 ? 0.999_999 : 0, 1.000_001);
                 assertThat(order.calm()).isEqualTo(calm.size());
-                assertThat(order.restless()).hasSize(n - calm.size()).isSortedAccordingTo(Comparator.comparingInt(order::position));
+                assertThat(order.restless())
+                        .hasSize(n - calm.size())
+                        .isSortedAccordingTo(Comparator.comparingInt(order::position));
                 int sound = 0;
                 Server earliest = null;
                 for (int place = 0; place < n; place++) {
@@ -167,7 +206,9 @@
                         }
                         earliest = earliest == null || here.deadline() < earliest.deadline() ? here : earliest;
                     }
-                    assertThat(order.earliest(place)).as("n " + n + " up to " + place).isSameAs(earliest);
+                    assertThat(order.earliest(place))
+                            .as("n " + n + " up to " + place)
+                            .isSameAs(earliest);
                 }
                 assertThat(order.placeOfSound(sound + 1)).isEqualTo(n - 1);
             }
--- a/core/src/test/java/beechfall/PickTest.java
+++ b/core/src/test/java/beechfall/PickTest.java
@@ -22,7 +22,9 @@
 
     @Test
     void worksThePapersTwoEndpointExample() {
-        proxy.list(new Backend("d1", State.READY, "one", "a", 1, 0, 1), new Backend("d2", State.READY, "two", "a", 1, 0, 2));
+        proxy.list(
+                new Backend("d1", State.READY, "one", "a", 1, 0, 1),
+                new Backend("d2", State.READY, "two", "a", 1, 0, 2));
         var order = new ArrayList<String>();
         for (int i = 0; i < 3; i++) {
             String id = proxy.arrive(READ);
@@ -128,7 +130,9 @@
             proxy.end(id, Outcome.OK, 10 * MS);
             if (i > 300) {
                 int now = i;
-                assertThat(last).hasSize(3).allSatisfy((backend, sent) -> assertThat(now - sent).isLessThan(40));
+                assertThat(last)
+                        .hasSize(3)
+                        .allSatisfy((backend, sent) -> assertThat(now - sent).isLessThan(40));
             }
         }
     }
@@ -180,8 +184,8 @@
         var backends = new Backend[] {backend("a"), backend("b"), backend("c"), backend("d")};
         var homes = new HashMap<String, String>();
         for (long seed = 1; seed <= 3; seed++) {
-            var p = new Proxy(new Balancer.Settings(3, 0, "a", MS, List.of(READ), List.of(), 1, true, Proxy.LIMITS, Proxy.RULES,
-                    seed));
+            var p = new Proxy(new Balancer.Settings(
+                    3, 0, "a", MS, List.of(READ), List.of(), 1, true, Proxy.LIMITS, Proxy.RULES, seed));
             p.list(backends);
             for (int i = 0; i < 40; i++) {
                 String key = "key" + i;
@@ -213,7 +217,9 @@
         proxy.arrive(READ);
         String third = proxy.arrive(READ);
         String fourth = proxy.arrive(READ);
-        assertThat(List.of(proxy.lastSend(third).backend(), proxy.lastSend(fourth).backend())).contains("far");
+        assertThat(List.of(
+                        proxy.lastSend(third).backend(), proxy.lastSend(fourth).backend()))
+                .contains("far");
     }
 
     @Test
--- a/core/src/test/java/beechfall/Proxy.java
+++ b/core/src/test/java/beechfall/Proxy.java
@@ -31,19 +31,16 @@
     static final long MS = 1_000;
     static final long S = 1_000_000;
 
-    static final RequestClass READ =
-            new RequestClass("read", 600 * MS, 2 * S, 1, 0, Effect.SAFE, Scope.ALL, 0);
+    static final RequestClass READ = new RequestClass("read", 600 * MS, 2 * S, 1, 0, Effect.SAFE, Scope.ALL, 0);
     static final RequestClass PAY =
             new RequestClass("pay", 400 * MS, 2 * S, 10, 0, Effect.KEYED, Scope.ZONE, 1200 * MS);
-    static final RequestClass BOOK =
-            new RequestClass("book", 600 * MS, 2 * S, 2, 0, Effect.KEYED, Scope.CELL, 12 * S);
-    static final RequestClass NOTE =
-            new RequestClass("note", 600 * MS, 2 * S, 2, 0, Effect.KEYED, Scope.ALL, 12 * S);
-    static final RequestClass VOTE =
-            new RequestClass("vote", 600 * MS, 2 * S, 3, 0, Effect.UNSAFE, Scope.ALL, 0);
+    static final RequestClass BOOK = new RequestClass("book", 600 * MS, 2 * S, 2, 0, Effect.KEYED, Scope.CELL, 12 * S);
+    static final RequestClass NOTE = new RequestClass("note", 600 * MS, 2 * S, 2, 0, Effect.KEYED, Scope.ALL, 12 * S);
+    static final RequestClass VOTE = new RequestClass("vote", 600 * MS, 2 * S, 3, 0, Effect.UNSAFE, Scope.ALL, 0);
 
     /** No hints when to come back: a refusal then equals any other. */
     static final Limits LIMITS = new Limits(true, false, false, false, 4, 0);
+
     static final Rules RULES = new Rules(0.4, 8 * S, 4, S, 10 * S, false);
 
     final Policy policy;
@@ -62,8 +59,18 @@
     }
 
     static Settings settings(Limits limits, Rules rules, Tenant... tenants) {
-        return new Settings(1, 0, "a", 4 * MS, List.of(READ, PAY, BOOK, NOTE, VOTE), List.of(tenants), 0.05, false, limits,
-                rules, 7);
+        return new Settings(
+                1,
+                0,
+                "a",
+                4 * MS,
+                List.of(READ, PAY, BOOK, NOTE, VOTE),
+                List.of(tenants),
+                0.05,
+                false,
+                limits,
+                rules,
+                7);
     }
 
     static Backend backend(String id, String kind, String zone, int cell) {
@@ -112,8 +119,8 @@
     /** The latest attempt of a request ends. */
     List<Action> end(String id, Outcome outcome, long latencyUs) {
         Send send = lastSend(id);
-        return feed(new AttemptEnded(id, attempts.get(id) - 1, send.backend(), outcome, latencyUs,
-                outcome == Outcome.OK));
+        return feed(
+                new AttemptEnded(id, attempts.get(id) - 1, send.backend(), outcome, latencyUs, outcome == Outcome.OK));
     }
 
     List<Action> timer(String token) {
@@ -124,8 +131,10 @@
     void run(long forUs) {
         long until = now + forUs;
         while (true) {
-            var due = actions.stream().filter(a -> a instanceof SetTimer t && t.atUs() <= until && !fired.contains(t))
-                    .map(a -> (SetTimer) a).min(java.util.Comparator.comparingLong(SetTimer::atUs));
+            var due = actions.stream()
+                    .filter(a -> a instanceof SetTimer t && t.atUs() <= until && !fired.contains(t))
+                    .map(a -> (SetTimer) a)
+                    .min(java.util.Comparator.comparingLong(SetTimer::atUs));
             if (due.isEmpty()) {
                 now = until;
                 return;
--- a/core/src/test/java/beechfall/RulesTest.java
+++ b/core/src/test/java/beechfall/RulesTest.java
@@ -94,9 +94,11 @@
         void eventsForWhatIsNotHeldArePassedOver() {
             proxy.list(backend("a"));
             assertThat(proxy.feed(new ClientGone("nobody"))).isEmpty();
-            assertThat(proxy.feed(new Balancer.AttemptEnded("nobody", 0, "a", Outcome.OK, MS, true))).isEmpty();
+            assertThat(proxy.feed(new Balancer.AttemptEnded("nobody", 0, "a", Outcome.OK, MS, true)))
+                    .isEmpty();
             assertThat(proxy.feed(new StreamStarted("nobody", 0))).isEmpty();
-            assertThat(proxy.feed(new Balancer.ProbeEnded("gone", Outcome.OK, MS))).isEmpty();
+            assertThat(proxy.feed(new Balancer.ProbeEnded("gone", Outcome.OK, MS)))
+                    .isEmpty();
         }
 
         @Test
@@ -104,7 +106,8 @@
             proxy.list(backend("a"), backend("b"));
             String id = proxy.arrive(READ);
             proxy.feed(new StreamStarted(id, 0));
-            assertThat(proxy.feed(new Balancer.AttemptEnded(id, 0, "a", Outcome.RESET, 3 * S, true))).isEmpty();
+            assertThat(proxy.feed(new Balancer.AttemptEnded(id, 0, "a", Outcome.RESET, 3 * S, true)))
+                    .isEmpty();
         }
     }
 
@@ -137,7 +140,10 @@
 
         @Test
         void aKeyedRequestThatMayHaveRunStaysInItsZone() {
-            proxy.list(backend("a1", "std", "a", 1), backend("b1", "std", "b", 2), backend("b2", "std", "b", 3),
+            proxy.list(
+                    backend("a1", "std", "a", 1),
+                    backend("b1", "std", "b", 2),
+                    backend("b2", "std", "b", 3),
                     backend("a2", "std", "a", 4));
             for (int i = 0; i < 8; i++) {
                 String id = proxy.arrive(PAY);
@@ -164,10 +170,10 @@
 
         @Test
         void aKeyedRequestIsNotSentAgainPastItsWindow() {
-            var shortWindow = new Balancer.RequestClass("pay", 600 * MS, 2 * S, 10, 0, Balancer.Effect.KEYED,
-                    Balancer.Scope.ZONE, 100 * MS);
-            var p = new Proxy(new Balancer.Settings(1, 0, "a", MS, List.of(shortWindow), List.of(), 1, false, LIMITS, RULES,
-                    1));
+            var shortWindow = new Balancer.RequestClass(
+                    "pay", 600 * MS, 2 * S, 10, 0, Balancer.Effect.KEYED, Balancer.Scope.ZONE, 100 * MS);
+            var p = new Proxy(
+                    new Balancer.Settings(1, 0, "a", MS, List.of(shortWindow), List.of(), 1, false, LIMITS, RULES, 1));
             p.list(backend("a"), backend("b"));
             String id = p.arrive(shortWindow);
             p.now += 100 * MS;
@@ -205,8 +211,7 @@
 
     @Nested
     class FullIsNoProofWhereTheRulesSaySo {
-        private final Proxy doubting =
-                new Proxy(Proxy.settings(LIMITS, new Rules(0.4, 8 * S, 4, S, 10 * S, true)));
+        private final Proxy doubting = new Proxy(Proxy.settings(LIMITS, new Rules(0.4, 8 * S, 4, S, 10 * S, true)));
 
         @Test
         void anUnsafeRequestIsNeitherSentAgainNorRefused() {
@@ -320,7 +325,8 @@
         @Test
         void aListThatMustBeAskedForIsAskedForAtOnceAndAgainAfterAFailure() {
             var p = new Proxy(Proxy.settings(new Limits(true, false, false, true, 4, 0), RULES));
-            assertThat(p.feed(new Members(ListKind.CACHED, List.of(backend("a"))))).contains(new Watch(true));
+            assertThat(p.feed(new Members(ListKind.CACHED, List.of(backend("a")))))
+                    .contains(new Watch(true));
             List<Action> after = p.feed(new Members(ListKind.FAILED, List.of()));
             SetTimer timer = (SetTimer) after.get(0);
             assertThat(timer.atUs()).isBetween(p.now + 1, p.now + RULES.askWithinUs());
@@ -336,7 +342,8 @@
             var p = new Proxy(Proxy.settings(new Limits(true, false, false, true, 4, 0), rarely));
             p.feed(new Members(ListKind.CACHED, List.of(backend("a"))));
             for (int i = 0; i < 20; i++) {
-                SetTimer timer = (SetTimer) p.feed(new Members(ListKind.FAILED, List.of())).get(0);
+                SetTimer timer = (SetTimer)
+                        p.feed(new Members(ListKind.FAILED, List.of())).get(0);
                 assertThat(timer.atUs()).as("after " + i).isBetween(p.now + 1, p.now + 1_200 * MS);
                 p.now = timer.atUs();
                 assertThat(p.timer(timer.token())).contains(new Watch(true));
@@ -346,11 +353,22 @@
         @Test
         void proxiesDoNotAskAgainInStep() {
             var p = new Proxy(Proxy.settings(new Limits(true, false, false, true, 4, 0), RULES));
-            var q = new Proxy(new Balancer.Settings(1, 0, "a", MS, List.of(READ), List.of(), 1, false,
-                    new Limits(true, false, false, true, 4, 0), RULES, 8));
+            var q = new Proxy(new Balancer.Settings(
+                    1,
+                    0,
+                    "a",
+                    MS,
+                    List.of(READ),
+                    List.of(),
+                    1,
+                    false,
+                    new Limits(true, false, false, true, 4, 0),
+                    RULES,
+                    8));
             assertThat(p.feed(new Members(ListKind.FAILED, List.of())))
                     .doesNotContainAnyElementsOf(q.feed(new Members(ListKind.FAILED, List.of())).stream()
-                            .filter(a -> a instanceof SetTimer t && t.atUs() != q.now + RULES.askWithinUs()).toList());
+                            .filter(a -> a instanceof SetTimer t && t.atUs() != q.now + RULES.askWithinUs())
+                            .toList());
         }
     }
 
@@ -358,6 +376,7 @@
     class AColdBackendIsNotPushedOver {
         /** One second of a backend at 40% or a little more that takes 50 ms for a request, times the multiple. */
         private static final int MOST = 36;
+
         private int sent;
 
         @Test
@@ -418,7 +437,8 @@
         }
 
         private static int toColdOf(int balancers, double part) {
-            var p = new Proxy(new Balancer.Settings(balancers, balancers / 3, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, 1));
+            var p = new Proxy(new Balancer.Settings(
+                    balancers, balancers / 3, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, 1));
             var backends = new Balancer.Backend[4];
             for (int i = 0; i < 4; i++) {
                 backends[i] = backend("s" + i);
--- a/core/src/test/java/grebehoist/engine/EngineTest.java
+++ b/core/src/test/java/grebehoist/engine/EngineTest.java
@@ -48,7 +48,7 @@
     /** Rule 1: a request that the module forgets is answered all the same, before its client gives up. */
     @Test
     void answersInTimeWhateverTheModuleDoes() {
-        var host = new FakeHost((event, actions) -> { });
+        var host = new FakeHost((event, actions) -> {});
         var client = host.ask("r1");
         host.run(1_001 * MS);
         assertThat(client.answers).isEmpty();
@@ -128,7 +128,9 @@
         var answer = new FakeHost.Counted();
         host.sent.get(0).answer(Outcome.OK, answer);
         assertThat(answer.owners).isZero();
-        assertThat(host.events(AttemptEnded.class)).extracting(AttemptEnded::last).containsExactly(true);
+        assertThat(host.events(AttemptEnded.class))
+                .extracting(AttemptEnded::last)
+                .containsExactly(true);
         assertThat(host.engine.open()).isZero();
         assertThat(host.timers()).isZero();
     }
@@ -141,7 +143,8 @@
         host.onStart = s -> s.written = false;
         host.ask("r2");
         host.run(50 * MS);
-        assertThat(host.events(AttemptEnded.class)).extracting(AttemptEnded::outcome)
+        assertThat(host.events(AttemptEnded.class))
+                .extracting(AttemptEnded::outcome)
                 .containsExactly(Outcome.TIMEOUT, Outcome.CONNECT_FAILED);
     }
 
@@ -180,8 +183,9 @@
         host.onStart = s -> s.written = false;
         host.ask("r1");
         host.toStop.add(host.sent.get(0));
-        host.engine.members(ListKind.DELTA, List.of(new Listed(
-                new Balancer.Backend("s0", Balancer.State.DRAINING, "k", "a", 0, 0, 1), "x")));
+        host.engine.members(
+                ListKind.DELTA,
+                List.of(new Listed(new Balancer.Backend("s0", Balancer.State.DRAINING, "k", "a", 0, 0, 1), "x")));
         assertThat(host.events.get(1)).isInstanceOf(Members.class);
         assertThat(host.events.get(2)).isEqualTo(new AttemptEnded("r1", 0, "s0", Outcome.NOT_SENT, 0, false));
         assertThat(host.sent).extracting(s -> s.backend).containsExactly("s0", "s1");
@@ -211,7 +215,8 @@
         host.settling = false;
         host.run(10 * MS);
         assertThat(late.answers).containsExactly("failed");
-        assertThat(host.events(AttemptEnded.class)).extracting(AttemptEnded::outcome)
+        assertThat(host.events(AttemptEnded.class))
+                .extracting(AttemptEnded::outcome)
                 .containsExactly(Outcome.CANCELLED, Outcome.OK, Outcome.NOT_SENT);
         assertThat(host.engine.open()).isZero();
     }
@@ -245,7 +250,9 @@
         host.run(FakeHost.WINDOW);
         host.settling = false;
         host.run(5 * MS);
-        assertThat(host.events(AttemptEnded.class)).filteredOn(e -> e.id().equals("r2")).extracting(AttemptEnded::outcome)
+        assertThat(host.events(AttemptEnded.class))
+                .filteredOn(e -> e.id().equals("r2"))
+                .extracting(AttemptEnded::outcome)
                 .startsWith(Outcome.RESET, Outcome.NOT_SENT);
         assertThat(host.sent).hasSize(3);
     }
@@ -262,7 +269,9 @@
         assertThat(host.sent).hasSize(2);
         assertThat(host.events(AttemptEnded.class)).hasSize(1);
         host.run(2 * MS);
-        assertThat(host.events(AttemptEnded.class)).extracting(AttemptEnded::outcome).startsWith(Outcome.RESET, Outcome.NOT_SENT);
+        assertThat(host.events(AttemptEnded.class))
+                .extracting(AttemptEnded::outcome)
+                .startsWith(Outcome.RESET, Outcome.NOT_SENT);
         assertThat(host.sent.get(1).ended).isEqualTo(Outcome.NOT_SENT);
 
         // Where the first attempt never ran there is no window yet.
@@ -386,7 +395,9 @@
         var host = new FakeHost(FakeHost.sendTo("s0", 0));
         host.room = false;
         assertThat(host.ask("r1").answers).containsExactly("failed");
-        assertThat(host.events(AttemptEnded.class)).extracting(AttemptEnded::outcome).containsExactly(Outcome.NOT_SENT);
+        assertThat(host.events(AttemptEnded.class))
+                .extracting(AttemptEnded::outcome)
+                .containsExactly(Outcome.NOT_SENT);
         assertThat(host.engine.open()).isZero();
     }
 
--- a/core/src/test/java/grebehoist/engine/FakeHost.java
+++ b/core/src/test/java/grebehoist/engine/FakeHost.java
@@ -15,8 +15,8 @@
             new Balancer.RequestClass("read", 600 * MS, 2_000 * MS, 1, 0, Balancer.Effect.SAFE, Balancer.Scope.ALL, 0);
 
     static final long WINDOW = 500 * MS;
-    static final Balancer.RequestClass KEYED =
-            new Balancer.RequestClass("keyed", 600 * MS, 2_000 * MS, 1, 0, Balancer.Effect.KEYED, Balancer.Scope.ALL, WINDOW);
+    static final Balancer.RequestClass KEYED = new Balancer.RequestClass(
+            "keyed", 600 * MS, 2_000 * MS, 1, 0, Balancer.Effect.KEYED, Balancer.Scope.ALL, WINDOW);
 
     /** Counts its owners. */
     static final class Counted implements Payload {
@@ -36,7 +36,7 @@
     /** What a client was told. */
     static final class Client implements Responder {
         final List<String> answers = new ArrayList<>();
-        Runnable onAnswer = () -> { };
+        Runnable onAnswer = () -> {};
 
         @Override
         public void served(Payload answer) {
@@ -98,7 +98,7 @@
 
     private record Due(long at, int order, Runnable action) implements Timers.Timer {
         @Override
-        public void cancel() { }
+        public void cancel() {}
     }
 
     private final class VirtualTimers implements Timers {
@@ -138,47 +138,62 @@
     }
 
     FakeHost(Balancer.Limits limits, BiConsumer<Balancer.Event, Consumer<Balancer.Action>> module) {
-        var settings = new Balancer.Settings(1, 0, "a", 4 * MS, List.of(READ, KEYED), List.of(), 1, false, limits,
-                new Balancer.Rules(0.4, 8_000 * MS, 4, 1_000 * MS, 10_000 * MS, false), 7);
-        engine = new Engine(settings, (nowUs, event, actions) -> {
-            events.add(event);
-            module.accept(event, actions);
-        }, new VirtualTimers(), new Transport() {
-            @Override
-            public List<? extends Attempt> members(Balancer.ListKind kind, List<Listed> listed) {
-                return List.copyOf(toStop);
-            }
-
-            @Override
-            public boolean anyReady() {
-                return true;
-            }
-
-            @Override
-            public Attempt attempt(String backend, Payload request, long deadlineUs, Attempt.End end) {
-                if (!room) {
-                    return null;
-                }
-                var attempt = new Sent(backend, deadlineUs, end);
-                sent.add(attempt);
-                return attempt;
-            }
-
-            @Override
-            public void release(String backend) {
-                asked.add("release " + backend);
-            }
-        }, new Log() {
-            @Override
-            public void line(String text) {
-                log.add(text);
-            }
-
-            @Override
-            public void failure(String what, Throwable cause) {
-                log.add(what + ": " + cause.getMessage());
-            }
-        });
+        var settings = new Balancer.Settings(
+                1,
+                0,
+                "a",
+                4 * MS,
+                List.of(READ, KEYED),
+                List.of(),
+                1,
+                false,
+                limits,
+                new Balancer.Rules(0.4, 8_000 * MS, 4, 1_000 * MS, 10_000 * MS, false),
+                7);
+        engine = new Engine(
+                settings,
+                (nowUs, event, actions) -> {
+                    events.add(event);
+                    module.accept(event, actions);
+                },
+                new VirtualTimers(),
+                new Transport() {
+                    @Override
+                    public List<? extends Attempt> members(Balancer.ListKind kind, List<Listed> listed) {
+                        return List.copyOf(toStop);
+                    }
+
+                    @Override
+                    public boolean anyReady() {
+                        return true;
+                    }
+
+                    @Override
+                    public Attempt attempt(String backend, Payload request, long deadlineUs, Attempt.End end) {
+                        if (!room) {
+                            return null;
+                        }
+                        var attempt = new Sent(backend, deadlineUs, end);
+                        sent.add(attempt);
+                        return attempt;
+                    }
+
+                    @Override
+                    public void release(String backend) {
+                        asked.add("release " + backend);
+                    }
+                },
+                new Log() {
+                    @Override
+                    public void line(String text) {
+                        log.add(text);
+                    }
+
+                    @Override
+                    public void failure(String what, Throwable cause) {
+                        log.add(what + ": " + cause.getMessage());
+                    }
+                });
         engine.source(new MemberSource() {
             @Override
             public void watch(boolean on) {
@@ -222,7 +237,8 @@
     void run(long forUs) {
         long until = now + forUs;
         while (true) {
-            var next = timers.stream().filter(t -> t.at() <= until)
+            var next = timers.stream()
+                    .filter(t -> t.at() <= until)
                     .min(Comparator.comparingLong(Due::at).thenComparingInt(Due::order));
             if (next.isEmpty()) {
                 now = until;
--- a/core/src/test/java/grebehoist/engine/RuleGuardTest.java
+++ b/core/src/test/java/grebehoist/engine/RuleGuardTest.java
@@ -20,28 +20,32 @@
     private static final long MS = 1_000;
     private static final long S = 1_000_000;
     private static final RequestClass READ = new RequestClass("read", 600 * MS, 2 * S, 1, 0, Effect.SAFE, Scope.ALL, 0);
-    private static final RequestClass KEYED = new RequestClass("keyed", 600 * MS, 2 * S, 1, 0, Effect.KEYED, Scope.ZONE, 500 * MS);
-    private static final RequestClass UNSAFE = new RequestClass("unsafe", 600 * MS, 2 * S, 1, 0, Effect.UNSAFE, Scope.ALL, 0);
+    private static final RequestClass KEYED =
+            new RequestClass("keyed", 600 * MS, 2 * S, 1, 0, Effect.KEYED, Scope.ZONE, 500 * MS);
+    private static final RequestClass UNSAFE =
+            new RequestClass("unsafe", 600 * MS, 2 * S, 1, 0, Effect.UNSAFE, Scope.ALL, 0);
 
     private final List<Rule> violations = new ArrayList<>();
     private final List<LogEvent> transitions = new ArrayList<>();
-    private final RuleGuard guard = new RuleGuard(new Log() {
-        @Override
-        public void line(String text) { }
-
-        @Override
-        public void failure(String what, Throwable cause) { }
-
-        @Override
-        public void event(LogEvent event) {
-            transitions.add(event);
-        }
-
-        @Override
-        public void violation(RuleGuard.Violation violation) {
-            violations.add(violation.rule());
-        }
-    }, S);
+    private final RuleGuard guard = new RuleGuard(
+            new Log() {
+                @Override
+                public void line(String text) {}
+
+                @Override
+                public void failure(String what, Throwable cause) {}
+
+                @Override
+                public void event(LogEvent event) {
+                    transitions.add(event);
+                }
+
+                @Override
+                public void violation(RuleGuard.Violation violation) {
+                    violations.add(violation.rule());
+                }
+            },
+            S);
 
     /** A send that breaks nothing, to be changed in one respect. */
     private static final class Facts {
@@ -56,7 +60,8 @@
         private double allowance = Double.POSITIVE_INFINITY;
 
         Send send() {
-            return new Send("r1", number, endpoint, type, open, leftUs, toldLeftUs, othersOut, 2, false, mayHaveRun, allowance);
+            return new Send(
+                    "r1", number, endpoint, type, open, leftUs, toldLeftUs, othersOut, 2, false, mayHaveRun, allowance);
         }
     }
 
@@ -73,11 +78,13 @@
         notified(ListKind.FULL, 0, listed("a1", State.READY), listed("a2", State.READY));
         assertThat(guard.begins(new Facts().send(), 0)).isTrue();
         notified(ListKind.DELTA, S, listed("a1", State.DRAINING));
-        assertThat(guard.begins(new Facts().send(), S + RuleGuard.DRAIN_GRACE_US)).isFalse();
+        assertThat(guard.begins(new Facts().send(), S + RuleGuard.DRAIN_GRACE_US))
+                .isFalse();
         assertThat(violations).isEmpty();
         // What is said again is not said anew.
         notified(ListKind.DELTA, S + 100 * MS, listed("a1", State.DRAINING));
-        assertThat(guard.begins(new Facts().send(), S + RuleGuard.DRAIN_GRACE_US + 1)).isFalse();
+        assertThat(guard.begins(new Facts().send(), S + RuleGuard.DRAIN_GRACE_US + 1))
+                .isFalse();
         assertThat(violations).containsExactly(Rule.DRAIN);
         notified(ListKind.DELTA, 2 * S, listed("a1", State.READY));
         assertThat(guard.begins(new Facts().send(), 2 * S)).isTrue();
@@ -113,7 +120,9 @@
         facts.leftUs = 0;
         assertThat(guard.maySend(facts.send(), 0)).isFalse();
         assertThat(violations).containsExactly(Rule.DEADLINE, Rule.DEADLINE);
-        assertThat(guard.begins(facts.send(), 0)).as("its connection came up too late").isFalse();
+        assertThat(guard.begins(facts.send(), 0))
+                .as("its connection came up too late")
+                .isFalse();
         assertThat(violations).hasSize(2);
     }
 
@@ -143,7 +152,9 @@
         assertThat(violations).containsExactly(Rule.REPEAT);
         guard.maySend(facts.send(), 500 * MS);
         assertThat(violations).as("decided on past its window").containsExactly(Rule.REPEAT, Rule.REPEAT);
-        assertThat(guard.begins(facts.send(), 500 * MS)).as("its connection came up too late").isFalse();
+        assertThat(guard.begins(facts.send(), 500 * MS))
+                .as("its connection came up too late")
+                .isFalse();
         assertThat(violations).hasSize(2);
         facts.endpoint = "b1";
         assertThat(guard.begins(facts.send(), 400 * MS)).as("in another zone").isFalse();
@@ -160,9 +171,13 @@
         }
         assertThat(guard.begins(facts.send(), S)).isFalse();
         assertThat(violations).containsExactly(Rule.SLOW_START);
-        assertThat(guard.begins(facts.send(), S + 1)).as("the first has left the window").isTrue();
+        assertThat(guard.begins(facts.send(), S + 1))
+                .as("the first has left the window")
+                .isTrue();
         facts.allowance = 1.5;
-        assertThat(guard.begins(facts.send(), S + 50 * MS)).as("what was sent was right then").isFalse();
+        assertThat(guard.begins(facts.send(), S + 50 * MS))
+                .as("what was sent was right then")
+                .isFalse();
         facts.allowance = Double.POSITIVE_INFINITY;
         assertThat(guard.begins(facts.send(), S + 60 * MS)).isTrue();
     }
--- a/core/src/test/java/grebehoist/members/SuspensionsTest.java
+++ b/core/src/test/java/grebehoist/members/SuspensionsTest.java
@@ -14,7 +14,12 @@
 class SuspensionsTest {
     private final List<String> told = new ArrayList<>();
     private final Suspensions suspensions = new Suspensions((kind, listed) -> told.add(kind + " "
-            + String.join(" ", listed.stream().map(l -> l.backend().id() + ":" + l.backend().state() + "@" + l.backend().startedAtUs()).toList())));
+            + String.join(
+                    " ",
+                    listed.stream()
+                            .map(l -> l.backend().id() + ":" + l.backend().state() + "@"
+                                    + l.backend().startedAtUs())
+                            .toList())));
 
     private static Listed line(String id, State state, long started) {
         return new Listed(new Balancer.Backend(id, state, "k", "z", 0, started, 1), "127.0.0.1:1");
@@ -81,8 +86,10 @@
             suspensions.set(Set.of(), 101 + i);
         }
         suspensions.members(ListKind.FULL, List.of());
-        assertThat(suspensions).hasFieldOrPropertyWithValue("list", java.util.Map.of())
-                .hasFieldOrPropertyWithValue("suspended", java.util.Map.of()).hasFieldOrPropertyWithValue("resumed", java.util.Map.of());
+        assertThat(suspensions)
+                .hasFieldOrPropertyWithValue("list", java.util.Map.of())
+                .hasFieldOrPropertyWithValue("suspended", java.util.Map.of())
+                .hasFieldOrPropertyWithValue("resumed", java.util.Map.of());
     }
 
     /** The operators of one proxy and whoever tells the fleet don't know of each other: both must put it back. */
@@ -105,12 +112,14 @@
         var common = new CommonSuspensions();
         var early = new ArrayList<String>();
         var late = new ArrayList<String>();
-        Suspensions one = common.merge((kind, listed) -> listed.forEach(l -> early.add(l.backend().id() + ":" + l.backend().state())));
+        Suspensions one = common.merge((kind, listed) -> listed.forEach(
+                l -> early.add(l.backend().id() + ":" + l.backend().state())));
         common.join(one, 0);
         one.members(ListKind.FULL, List.of(line("a", State.READY, 0), line("b", State.READY, 0)));
         common.set(Set.of("a", "elsewhere"), 100);
         assertThat(early).endsWith("a:DRAINING", "b:READY");
-        Suspensions other = common.merge((kind, listed) -> listed.forEach(l -> late.add(l.backend().id() + ":" + l.backend().state())));
+        Suspensions other = common.merge((kind, listed) -> listed.forEach(
+                l -> late.add(l.backend().id() + ":" + l.backend().state())));
         common.join(other, 200);
         other.members(ListKind.FULL, List.of(line("a", State.READY, 0), line("c", State.READY, 0)));
         assertThat(late).containsExactly("a:DRAINING", "c:READY");
--- a/daemon/src/main/java/grebehoist/backend/AttemptConnection.java
+++ b/daemon/src/main/java/grebehoist/backend/AttemptConnection.java
@@ -35,7 +35,7 @@
      * @param reusable whether the connection can be trusted with another attempt
      * @param answer for {@link Outcome#OK}, made of the message and its owner from here on; else null
      */
-    public record Verdict(Outcome outcome, boolean reusable, Payload answer) { }
+    public record Verdict(Outcome outcome, boolean reusable, Payload answer) {}
 
     private static final long SETTLE_US = 3_000;
 
@@ -48,6 +48,7 @@
     private boolean unasked;
     /** Whether an answer is passed on as it comes: its attempt has ended, and the connection is still its own. */
     private boolean streaming;
+
     private long idleSince;
     /** How much had come when that was last asked. */
     private long seen;
@@ -173,7 +174,7 @@
     }
 
     /** More of an answer that is passed on has come. */
-    protected void streamMoved() { }
+    protected void streamMoved() {}
 
     private void answered() {
         M message = answer;
@@ -224,7 +225,7 @@
     }
 
     /** The connection is about to be closed, as something went wrong with it. */
-    protected void failing(Throwable cause) { }
+    protected void failing(Throwable cause) {}
 
     @Override
     public final void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
--- a/daemon/src/main/java/grebehoist/backend/ConnectionPool.java
+++ b/daemon/src/main/java/grebehoist/backend/ConnectionPool.java
@@ -51,7 +51,7 @@
     @Override
     protected Channel pollChannel() {
         long now = timers.now();
-        for (Iterator<PooledConnection> i = idle.descendingIterator(); i.hasNext();) {
+        for (Iterator<PooledConnection> i = idle.descendingIterator(); i.hasNext(); ) {
             PooledConnection connection = i.next();
             if (connection.settled(now)) {
                 i.remove();
