--- a/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
+++ b/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
@@ -43,7 +43,7 @@
     }
 
     /** It has been written whole. */
-    protected void whole() { }
+    protected void whole() {}
 
     @Override
     public final void start() {
@@ -60,7 +60,10 @@
 
     @Override
     public final boolean answering() {
-        return channel != null && written && !ended && channel.attr(PooledConnection.KEY).get().moved();
+        return channel != null
+                && written
+                && !ended
+                && channel.attr(PooledConnection.KEY).get().moved();
     }
 
     private void connected(Future<Channel> f) {
@@ -71,7 +74,8 @@
         } else if (ended) {
             f.getNow().close();
         } else if (target.timers().settling()) {
-            // It came up while the loop was held up: that its client has left, or its backend drains, may be yet to be read.
+            // It came up while the loop was held up: that its client has left, or its backend drains, may be yet to be
+            // read.
             target.timers().at(target.timers().now() + SETTLE_US, () -> connected(f));
         } else {
             channel = f.getNow();
@@ -116,7 +120,10 @@
     /** Its connection is closed before anybody hears: no other attempt goes out beside it. */
     @Override
     public final void abort(Outcome outcome) {
-        if (ended || outcome == Outcome.TIMEOUT && channel != null && channel.attr(PooledConnection.KEY).get().passOn()) {
+        if (ended
+                || outcome == Outcome.TIMEOUT
+                        && channel != null
+                        && channel.attr(PooledConnection.KEY).get().passOn()) {
             return;
         }
         // The close fails a write that is under way, and that is not to end it a second time.
--- a/daemon/src/main/java/grebehoist/backend/PooledTransport.java
+++ b/daemon/src/main/java/grebehoist/backend/PooledTransport.java
@@ -49,8 +49,8 @@
         this.sockets = sockets;
         // Well before the backend does: a request that crosses its close ends as a reset, and may have run.
         this.idleUs = connIdleUs / IDLE_PART;
-        this.bootstrap = network.client().clone()
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutUs / 1_000));
+        this.bootstrap = network.client().clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
+                Math.max(1, connectTimeoutUs / 1_000));
     }
 
     /** Sets a new connection's handlers up, and returns the connection. */
@@ -131,13 +131,17 @@
         private Target(String address) {
             this.address = address;
             var remote = network.address(Addresses.parse(address));
-            pool = new ConnectionPool(bootstrap.clone().remoteAddress(remote), new AbstractChannelPoolHandler() {
-                @Override
-                public void channelCreated(Channel channel) {
-                    sockets.backendOpened(channel);
-                    channel.attr(PooledConnection.KEY).set(connection(channel, Target.this));
-                }
-            }, timers, sockets);
+            pool = new ConnectionPool(
+                    bootstrap.clone().remoteAddress(remote),
+                    new AbstractChannelPoolHandler() {
+                        @Override
+                        public void channelCreated(Channel channel) {
+                            sockets.backendOpened(channel);
+                            channel.attr(PooledConnection.KEY).set(connection(channel, Target.this));
+                        }
+                    },
+                    timers,
+                    sockets);
         }
 
         Timers timers() {
--- a/daemon/src/main/java/grebehoist/cli/ChangeCommand.java
+++ b/daemon/src/main/java/grebehoist/cli/ChangeCommand.java
@@ -21,7 +21,7 @@
     private static final int NOT_TAKEN = 1;
     private static final int BAD = 2;
 
-    private ChangeCommand() { }
+    private ChangeCommand() {}
 
     /** What can't be done with what the command line says. */
     private static final class Usage extends Exception {
@@ -95,12 +95,20 @@
         try {
             var options = new Options(new ArrayDeque<>(Arrays.asList(args)));
             if (options.stdin == (options.op != null) || options.stdin != (options.scope == null)) {
-                throw new Usage(options.stdin ? "--stdin stands without --scope and a change" : "--scope and a change are wanted, or --stdin");
+                throw new Usage(
+                        options.stdin
+                                ? "--stdin stands without --scope and a change"
+                                : "--scope and a change are wanted, or --stdin");
             }
-            Change one = options.stdin ? null
+            Change one = options.stdin
+                    ? null
                     : Change.of(options.op, options.scope, options.base, options.kind, options.key, options.value);
             Installation.DistributionEntry entry = read(options.file);
-            var changes = new ChangeStream(Distribution.layout(entry), entry.machines().stream().map(Installation.ControlEntry::door).toList(),
+            var changes = new ChangeStream(
+                    Distribution.layout(entry),
+                    entry.machines().stream()
+                            .map(Installation.ControlEntry::door)
+                            .toList(),
                     System.out);
             if (options.stdin) {
                 changes.addAll(System.in);
@@ -123,7 +131,12 @@
                 throw new Usage("nothing is changed here");
             }
             Installation.DistributionEntry entry = read(options.file);
-            var status = new FleetStatus(Distribution.layout(entry), entry.machines().stream().map(Installation.ControlEntry::door).toList(), System.out);
+            var status = new FleetStatus(
+                    Distribution.layout(entry),
+                    entry.machines().stream()
+                            .map(Installation.ControlEntry::door)
+                            .toList(),
+                    System.out);
             return status.tell(options.scope) ? 0 : NOT_TAKEN;
         } catch (Usage e) {
             return bad(List.of(e.getMessage(), STATUS));
--- a/daemon/src/main/java/grebehoist/cli/ConfigurationReloader.java
+++ b/daemon/src/main/java/grebehoist/cli/ConfigurationReloader.java
@@ -35,6 +35,7 @@
     private static final long REPORT_NS = TimeUnit.SECONDS.toNanos(2);
     /** So long a malformed file is looked at again, in case it was seen half-written. */
     private static final long REWRITE_NS = TimeUnit.SECONDS.toNanos(5);
+
     private static final long REWRITE_LOOK_MS = 100;
 
     private final Path file;
@@ -96,7 +97,8 @@
             log.count(Counter.CONFIGURATION_UNREADABLE);
             if (!complained) {
                 complained = true;
-                loop.accept(() -> log.line("the new configuration can't be read, it is tried again: " + e.getMessage()));
+                loop.accept(
+                        () -> log.line("the new configuration can't be read, it is tried again: " + e.getMessage()));
             }
             if (!reported && System.nanoTime() - startedNs > REPORT_NS) {
                 reported = true;
--- a/daemon/src/main/java/grebehoist/cli/Distribution.java
+++ b/daemon/src/main/java/grebehoist/cli/Distribution.java
@@ -32,7 +32,8 @@
 
     /** Returns where the machines are. */
     static Layout layout(Installation.DistributionEntry entry) {
-        return new Layout(entry.machines().stream().map(m -> new Layout.Machine(m.zone())).toList());
+        return new Layout(
+                entry.machines().stream().map(m -> new Layout.Machine(m.zone())).toList());
     }
 
     /**
@@ -40,11 +41,27 @@
      *
      * @param suspensions where what is suspended everywhere is told to all pools
      */
-    static Distribution begin(String name, Installation.DistributionEntry entry, Pool.Host host, CommonSuspensions suspensions) {
-        var settings = new DistributionSettings(entry.control(), name, entry.listen(), entry.number(), entry.scopes(),
-                entry.machines().stream().map(Installation.ControlEntry::address).toList(), layout(entry), DistributionTerms.standard(),
-                entry.keys().stream().map(k -> new KeyRing.Key(k.id(), HexFormat.of().parseHex(k.secret()))).toList());
-        var endpoint = new DistributionEndpoint(settings, host.network().loop(), host.timers(), host.log(),
+    static Distribution begin(
+            String name, Installation.DistributionEntry entry, Pool.Host host, CommonSuspensions suspensions) {
+        var settings = new DistributionSettings(
+                entry.control(),
+                name,
+                entry.listen(),
+                entry.number(),
+                entry.scopes(),
+                entry.machines().stream()
+                        .map(Installation.ControlEntry::address)
+                        .toList(),
+                layout(entry),
+                DistributionTerms.standard(),
+                entry.keys().stream()
+                        .map(k -> new KeyRing.Key(k.id(), HexFormat.of().parseHex(k.secret())))
+                        .toList());
+        var endpoint = new DistributionEndpoint(
+                settings,
+                host.network().loop(),
+                host.timers(),
+                host.log(),
                 ids -> suspensions.set(ids, host.timers().now()));
         endpoint.begin();
         return new Distribution(entry, host, endpoint);
@@ -62,7 +79,8 @@
             at(own);
             ChannelFuture opened = own.listen(host.network(), entry.door()).awaitUninterruptibly();
             if (!opened.isSuccess()) {
-                throw new Config.BadConfig("[distribution]: the door at " + entry.door() + ": " + opened.cause().getMessage());
+                throw new Config.BadConfig("[distribution]: the door at " + entry.door() + ": "
+                        + opened.cause().getMessage());
             }
         }
     }
@@ -95,7 +113,8 @@
         try {
             Call call = CallJson.call(json);
             if (call.machine() != endpoint.number()) {
-                throw new DistributionCalls.BadCall("key 'machine': this is machine " + endpoint.number() + ", not " + call.machine());
+                throw new DistributionCalls.BadCall(
+                        "key 'machine': this is machine " + endpoint.number() + ", not " + call.machine());
             }
             return CallJson.json(endpoint.answer(call));
         } catch (CallJson.BadJson e) {
--- a/daemon/src/main/java/grebehoist/cli/HangUp.java
+++ b/daemon/src/main/java/grebehoist/cli/HangUp.java
@@ -45,7 +45,7 @@
         }
     }
 
-    private HangUp() { }
+    private HangUp() {}
 
     /**
      * Runs an action at each SIGHUP; without this the signal ends the process.
@@ -62,8 +62,11 @@
                 }
                 return null;
             };
-            Object before = signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class).newInstance("HUP"),
-                    java.lang.reflect.Proxy.newProxyInstance(null, new Class<?>[] {handler}, handle));
+            Object before = signal.getMethod("handle", signal, handler)
+                    .invoke(
+                            null,
+                            signal.getConstructor(String.class).newInstance("HUP"),
+                            java.lang.reflect.Proxy.newProxyInstance(null, new Class<?>[] {handler}, handle));
             return before != handler.getField("SIG_IGN").get(null);
         } catch (InvocationTargetException e) {
             throw new IllegalStateException("this Java can't handle SIGHUP", e.getCause());
@@ -78,21 +81,23 @@
      * @param first the file as it was before it was last read
      */
     static void onChange(Path file, FileStamp first, Runnable action) {
-        var thread = new Thread(() -> {
-            FileStamp before = first;
-            try {
-                while (true) {
-                    TimeUnit.MILLISECONDS.sleep(LOOK_MS);
-                    FileStamp now = FileStamp.of(file);
-                    if (now != null && !now.equals(before)) {
-                        before = now;
-                        action.run();
+        var thread = new Thread(
+                () -> {
+                    FileStamp before = first;
+                    try {
+                        while (true) {
+                            TimeUnit.MILLISECONDS.sleep(LOOK_MS);
+                            FileStamp now = FileStamp.of(file);
+                            if (now != null && !now.equals(before)) {
+                                before = now;
+                                action.run();
+                            }
+                        }
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
                     }
-                }
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "configuration");
+                },
+                "configuration");
         thread.setDaemon(true);
         thread.start();
     }
--- a/daemon/src/main/java/grebehoist/cli/InstalledPools.java
+++ b/daemon/src/main/java/grebehoist/cli/InstalledPools.java
@@ -50,8 +50,9 @@
 
     /** Returns what it says of other proxies, or null where that is nothing. */
     PeerSettings peers() {
-        return installation.membership() == null ? null : Members.of(installation.name(), installation.membership(),
-                installation.lease());
+        return installation.membership() == null
+                ? null
+                : Members.of(installation.name(), installation.membership(), installation.lease());
     }
 
     /** Returns what it says of the distribution of configuration, or null. */
@@ -61,7 +62,8 @@
 
     /** Returns whether this process has something else to do than to serve: it is a machine that is set aside. */
     boolean servesNobody() {
-        return installation.distribution() != null && installation.distribution().control();
+        return installation.distribution() != null
+                && installation.distribution().control();
     }
 
     /** Returns the tasks of the fleet. */
@@ -74,8 +76,16 @@
         Map<String, Pool> pools = new HashMap<>();
         for (Installation.PoolEntry p : installation.pools()) {
             try {
-                pools.put(p.name(), serve.add(new Pool.Spec(p.name(), Pool.Protocol.valueOf(p.protocol().toUpperCase(Locale.ROOT)), p.settings(),
-                        p.discovery(), p.connIdleUs(), p.connectTimeoutUs(), p.maxFrame())));
+                pools.put(
+                        p.name(),
+                        serve.add(new Pool.Spec(
+                                p.name(),
+                                Pool.Protocol.valueOf(p.protocol().toUpperCase(Locale.ROOT)),
+                                p.settings(),
+                                p.discovery(),
+                                p.connIdleUs(),
+                                p.connectTimeoutUs(),
+                                p.maxFrame())));
             } catch (RuntimeException e) {
                 serve.tell("pool " + p.name() + " does not start: " + e);
             }
@@ -84,7 +94,9 @@
         for (Installation.ListenerEntry l : installation.listeners()) {
             Pool pool = pools.get(l.pool());
             if (pool != null) {
-                Front front = l.thrift() == null ? pool.httpFront(() -> pool.ready() && serve.settled()) : pool.thriftFront(l.thrift(), l.name() + "-");
+                Front front = l.thrift() == null
+                        ? pool.httpFront(() -> pool.ready() && serve.settled())
+                        : pool.thriftFront(l.thrift(), l.name() + "-");
                 started += serve.add(l.name(), pool, front, l.address()) == null ? 0 : 1;
             }
         }
--- a/daemon/src/main/java/grebehoist/cli/Listeners.java
+++ b/daemon/src/main/java/grebehoist/cli/Listeners.java
@@ -25,7 +25,7 @@
  */
 final class Listeners {
     /** A listener and where it is to listen. */
-    record Listener(String name, Pool pool, Front front, InetSocketAddress address) { }
+    record Listener(String name, Pool pool, Front front, InetSocketAddress address) {}
 
     /** An address that could not be had. */
     static final class CannotListen extends Exception {
@@ -45,6 +45,7 @@
     private final RuleGuard guard;
     /** Added to by the main thread, and read by the loop's and by signals'. */
     private final List<Listener> listeners = new CopyOnWriteArrayList<>();
+
     private volatile boolean ending;
 
     /**
@@ -78,7 +79,8 @@
      * @param stateKnown whether what operators have asked before is in force: before that nobody may be served
      * @return what listens, or null where the process has been told to end
      */
-    Channel bind(Supplier<ChannelFuture> attempt, boolean stateKnown, long patienceMs) throws CannotListen, InterruptedException {
+    Channel bind(Supplier<ChannelFuture> attempt, boolean stateKnown, long patienceMs)
+            throws CannotListen, InterruptedException {
         return new BoundedRetry(patienceMs, new Backoff(FIRST_RETRY_MS, LAST_RETRY_MS))
                 .run(() -> bindOnce(attempt, stateKnown), CannotListen.class, failure -> {
                     log.count(Counter.BIND_FAILED);
@@ -106,12 +108,15 @@
      * @return where it listens, or null where it can't yet: that is told, the others go on, and it is tried again
      */
     InetSocketAddress begin(Listener listener) {
-        ChannelFuture bound = listener.front().listen(network, listener.address()).awaitUninterruptibly();
+        ChannelFuture bound =
+                listener.front().listen(network, listener.address()).awaitUninterruptibly();
         if (bound.isSuccess()) {
             return listening(listener, bound);
         }
-        network.loop().execute(() -> log.line(process + ": listener " + listener.name() + " of pool " + listener.pool().name()
-                + " does not start: " + bound.cause().getMessage()));
+        network.loop()
+                .execute(() -> log.line(process + ": listener " + listener.name() + " of pool "
+                        + listener.pool().name() + " does not start: "
+                        + bound.cause().getMessage()));
         retry(listener, new Backoff(FIRST_RETRY_MS, LAST_RETRY_MS));
         return null;
     }
@@ -134,8 +139,9 @@
     private InetSocketAddress listening(Listener listener, ChannelFuture bound) {
         listeners.add(listener);
         var address = (InetSocketAddress) bound.channel().localAddress();
-        network.loop().execute(() -> log.line(process + ": listener " + listener.name() + " of pool " + listener.pool().name()
-                + " is at port " + address.getPort()));
+        network.loop()
+                .execute(() -> log.line(process + ": listener " + listener.name() + " of pool "
+                        + listener.pool().name() + " is at port " + address.getPort()));
         return address;
     }
 
@@ -146,7 +152,8 @@
 
     /** Does a step for each, on the loop's thread: one that fails holds up no other. */
     void each(Consumer<Front> step) {
-        listeners.forEach(l -> LoopTasks.contained(log, () -> step.accept(l.front())).run());
+        listeners.forEach(
+                l -> LoopTasks.contained(log, () -> step.accept(l.front())).run());
     }
 
     /** Returns whether any of them listens, or any client is still connected. */
--- a/daemon/src/main/java/grebehoist/cli/Main.java
+++ b/daemon/src/main/java/grebehoist/cli/Main.java
@@ -13,10 +13,11 @@
  * starts fast; {@code demo} shows the main job, and {@code search} is the fault search.
  */
 public final class Main {
-    private static final String USAGE = "usage: java -jar grebehoist.jar serve [--installation FILE] | check FILE | change ... | status ... | demo ... | search ..."
-            + " | train | drill";
+    private static final String USAGE =
+            "usage: java -jar grebehoist.jar serve [--installation FILE] | check FILE | change ... | status ... | demo ... | search ..."
+                    + " | train | drill";
 
-    private Main() { }
+    private Main() {}
 
     /**
      * Runs one of the commands.
--- a/daemon/src/main/java/grebehoist/cli/Members.java
+++ b/daemon/src/main/java/grebehoist/cli/Members.java
@@ -29,21 +29,36 @@
     /** As the platform's settings allow it. */
     static PeerSettings of(Config config) {
         Config.Peers peers = config.peers();
-        var identity = new FleetNode.Identity(config.settings().rank(), peers.addresses().size(), config.name(), config.settings().zone());
-        return new PeerSettings(identity, peers.listen(), peers.addresses(), Terms.standard(), PeerSettings.NO_SECRET,
-                null);
+        var identity = new FleetNode.Identity(
+                config.settings().rank(),
+                peers.addresses().size(),
+                config.name(),
+                config.settings().zone());
+        return new PeerSettings(
+                identity, peers.listen(), peers.addresses(), Terms.standard(), PeerSettings.NO_SECRET, null);
     }
 
     /** As an installation file has it. */
     static PeerSettings of(String name, Installation.MembershipEntry entry, Installation.LeaseEntry lease) {
         var identity = new FleetNode.Identity(entry.number(), entry.peers().size(), name, entry.zone());
-        return new PeerSettings(identity, entry.listen(), entry.peers(), Terms.bearing(entry.pauseUs()),
-                entry.keys().stream().map(k -> new KeyRing.Key(k.id(), HexFormat.of().parseHex(k.secret()))).toList(), lease == null ? null : tasks(lease));
+        return new PeerSettings(
+                identity,
+                entry.listen(),
+                entry.peers(),
+                Terms.bearing(entry.pauseUs()),
+                entry.keys().stream()
+                        .map(k -> new KeyRing.Key(k.id(), HexFormat.of().parseHex(k.secret())))
+                        .toList(),
+                lease == null ? null : tasks(lease));
     }
 
     /** The wall clock is read here, once, and for tokens alone. */
     private static FleetNode.Tasks tasks(Installation.LeaseEntry lease) {
-        return new FleetNode.Tasks(LeaseTerms.of(lease.leaseUs()), lease.set(), lease.voters(), lease.tasks().stream().map(TaskSpec::name).toList(),
+        return new FleetNode.Tasks(
+                LeaseTerms.of(lease.leaseUs()),
+                lease.set(),
+                lease.voters(),
+                lease.tasks().stream().map(TaskSpec::name).toList(),
                 System.currentTimeMillis());
     }
 
@@ -53,7 +68,12 @@
      * @param tasks what is to be called by whoever holds it; empty where there is nothing
      * @param share hears how many share the load, and this one's place among them
      */
-    static Members begin(PeerSettings settings, List<TaskSpec> tasks, EventLoop loop, LoopTimers timers, Log log,
+    static Members begin(
+            PeerSettings settings,
+            List<TaskSpec> tasks,
+            EventLoop loop,
+            LoopTimers timers,
+            Log log,
             BiConsumer<Integer, Integer> share) {
         var node = new PeerNode(settings, loop, timers, log, count -> share.accept(count.sharedBy(), count.rank()));
         if (!tasks.isEmpty()) {
--- a/daemon/src/main/java/grebehoist/cli/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -48,12 +48,15 @@
      * is to be ready within 10 s of its start: the runtime comes before this, the answer of a discovery that many call may come after it.
      */
     private static final long WARM_MS = 5_000;
+
     private static final long TRAIN_MS = 60_000;
     /** What a start needs and can't have for a moment is tried again for so long: a process is to be ready within 10 s. */
     private static final long START_PATIENCE_MS = 4_000;
+
     private static final long START_RETRY_MS = 20;
     /** An old process is told to end when the new one says that it can serve, within 6 s at the latest: this leaves time for the rest. */
     private static final long UPGRADE_WARM_MS = 3_000;
+
     private static final long HEARD_MS = 2_000;
     /** So much of one proxy the process acts for that is handing over. */
     private static final double LEAVING = 0.25;
@@ -64,22 +67,26 @@
     private final String name;
     /** What the platform tells, or null. */
     private final Config config;
+
     private final Network network;
     private final StderrLog log = new StderrLog();
     private final EventLoop loop;
     private final Pool.Host host;
     /** Null where the platform names no door for operators. */
     private final Operations operations;
+
     private volatile boolean succeeded;
     /** Whether it is not to be called ready yet. */
     private volatile boolean warming;
     /** Used by the loop's thread alone: how much of one proxy this process acts for, and whether that is settled. */
     private double acting = 1;
+
     private boolean leaving;
     /** Used by the main thread alone: whether what operators have asked before is in force. */
     private boolean begun;
     /** Added to by the main thread, and read by the loop's and by signals'. */
     private final List<Pool> pools = new CopyOnWriteArrayList<>();
+
     private final Listeners listeners;
     /** Null where this process speaks to no others. */
     private volatile Members members;
@@ -101,13 +108,23 @@
     }
 
     private Serve(Config config, Balancer module, Network network, Operations operations, InstalledPools more) {
-        this(config.name(), config, config.sockets() - (operations == null ? 0 : Door.MOST_CALLERS) - doors(more), network, operations, more);
-        var spec = Pool.Spec.http(config.name(), config.settings(), config.discovery(), config.connIdleUs(),
-                config.connectTimeoutUs());
-        Pool pool = new Pool(host, spec, new Pool.Wiring(settings -> module, t -> t, i -> i,
-                m -> operations == null ? common(m) : operations.merge(m)));
+        this(
+                config.name(),
+                config,
+                config.sockets() - (operations == null ? 0 : Door.MOST_CALLERS) - doors(more),
+                network,
+                operations,
+                more);
+        var spec = Pool.Spec.http(
+                config.name(), config.settings(), config.discovery(), config.connIdleUs(), config.connectTimeoutUs());
+        Pool pool = new Pool(
+                host,
+                spec,
+                new Pool.Wiring(
+                        settings -> module, t -> t, i -> i, m -> operations == null ? common(m) : operations.merge(m)));
         if (suspensions != null && operations != null) {
-            loop.execute(() -> suspensions.join(operations.suspensions(), host.timers().now()));
+            loop.execute(() ->
+                    suspensions.join(operations.suspensions(), host.timers().now()));
         }
         pools.add(pool);
         listeners.add(new Listeners.Listener(config.name(), pool, pool.httpFront(this::ready), config.listen()));
@@ -118,7 +135,8 @@
         this(more.name(), null, more.sockets() - doors(more), Network.sockets(), null, more);
     }
 
-    private Serve(String name, Config config, int sockets, Network network, Operations operations, InstalledPools more) {
+    private Serve(
+            String name, Config config, int sockets, Network network, Operations operations, InstalledPools more) {
         this.operations = operations;
         this.name = name;
         this.config = config;
@@ -131,7 +149,11 @@
 
     /** What the distribution's own door may hold of the descriptors. */
     private static int doors(InstalledPools more) {
-        return more == null || more.distribution() == null || more.distribution().door() == null ? 0 : Door.MOST_CALLERS;
+        return more == null
+                        || more.distribution() == null
+                        || more.distribution().door() == null
+                ? 0
+                : Door.MOST_CALLERS;
     }
 
     /** What stands between a pool and its source. */
@@ -161,13 +183,15 @@
         var reload = new HangUp.Deferred();
         boolean signalled = HangUp.handle(reload);
         try {
-            // Before the first socket: where that fails, the runtime takes it for all time that addresses can't be shared.
+            // Before the first socket: where that fails, the runtime takes it for all time that addresses can't be
+            // shared.
             SocketProbe.addressesCanBeShared();
             Path file = installed && System.getenv("PROXY_CONFIG") == null ? null : file();
             FileStamp stamp = file == null ? null : FileStamp.of(file);
             Config config = file == null ? null : readAtStart(file);
             InstalledPools more = installed ? InstalledPools.read(Path.of(args[1])) : null;
-            Operations operations = config == null || config.operator() == null ? null : operations(config, new StderrLog());
+            Operations operations =
+                    config == null || config.operator() == null ? null : operations(config, new StderrLog());
             boolean upgrade = operations != null && operations.besideAnother();
             // Clients come to the new process of an upgrade as soon as it listens, and nobody misses it before.
             if (upgrade) {
@@ -176,19 +200,23 @@
             var serve = config != null ? new Serve(config, operations, more) : new Serve(more);
             reload.begin(serve.reloading(file));
             if (!signalled && file != null) {
-                serve.tell("SIGHUP is ignored by whoever started this process: the configuration is read again when its file is written");
+                serve.tell(
+                        "SIGHUP is ignored by whoever started this process: the configuration is read again when its file is written");
                 HangUp.onChange(file, stamp, reload);
             }
             // Before it listens: what it accepts is to be answered, however soon it is told to end.
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                if (neverStarted) {
-                    return;
-                }
-                serve.drain();
-                StderrLog.flush(FLUSH_MS);
-                // All is answered and nothing is left to be tidied up.
-                Runtime.getRuntime().halt(0);
-            }, "drain"));
+            Runtime.getRuntime()
+                    .addShutdownHook(new Thread(
+                            () -> {
+                                if (neverStarted) {
+                                    return;
+                                }
+                                serve.drain();
+                                StderrLog.flush(FLUSH_MS);
+                                // All is answered and nothing is left to be tidied up.
+                                Runtime.getRuntime().halt(0);
+                            },
+                            "drain"));
             serve.warming = config != null && !upgrade && config.isFirstLife();
             // Before it serves: what is suspended everywhere is soon known.
             serve.distribute(more);
@@ -242,7 +270,8 @@
         Path files = Path.of(System.getProperty("java.io.tmpdir"));
         String own = System.getenv("TMPDIR");
         Path directory = (own == null || own.isEmpty() ? files : Path.of(own))
-                .resolve("grebehoist-" + config.name().replaceAll("[^A-Za-z0-9._-]", "_") + "-" + config.listen().getPort());
+                .resolve("grebehoist-" + config.name().replaceAll("[^A-Za-z0-9._-]", "_") + "-"
+                        + config.listen().getPort());
         try {
             return new Operations(StateDirectory.open(directory, log, START_PATIENCE_MS));
         } catch (IOException e) {
@@ -264,8 +293,17 @@
         Pool pool = pools.get(0);
         if (operations != null) {
             Front front = front();
-            operations.begin(new Operations.Target(this::ready, pool::tally, pool::unanswered, pool::avoided, front::sendAway,
-                    this::otherProcesses, log), host.timers(), loop);
+            operations.begin(
+                    new Operations.Target(
+                            this::ready,
+                            pool::tally,
+                            pool::unanswered,
+                            pool::avoided,
+                            front::sendAway,
+                            this::otherProcesses,
+                            log),
+                    host.timers(),
+                    loop);
         }
         loop.execute(() -> pool.begin(config.known()));
         begun = true;
@@ -401,7 +439,8 @@
     private void awaitReady() {
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HEARD_MS);
         try {
-            while (System.nanoTime() - until < 0 && !loop.submit(() -> pools.get(0).ready()).get()) {
+            while (System.nanoTime() - until < 0
+                    && !loop.submit(() -> pools.get(0).ready()).get()) {
                 TimeUnit.MILLISECONDS.sleep(LOOK_MS);
             }
         } catch (InterruptedException e) {
@@ -429,7 +468,8 @@
 
     /** Adds a pool beside those that are there, and begins it. */
     Pool add(Pool.Spec spec) {
-        var pool = suspensions == null ? new Pool(host, spec)
+        var pool = suspensions == null
+                ? new Pool(host, spec)
                 : new Pool(host, spec, new Pool.Wiring(Policy::new, t -> t, i -> i, this::common));
         pools.add(pool);
         loop.execute(() -> pool.begin(null));
@@ -481,7 +521,10 @@
     private static Config readAtStart(Path file) throws Config.BadConfig {
         try {
             return new BoundedRetry(START_PATIENCE_MS, new Backoff(START_RETRY_MS, 10 * START_RETRY_MS))
-                    .run(() -> Config.read(file), Config.BadConfig.class, failure -> failure instanceof Config.Unreadable unreadable && !unreadable.missing());
+                    .run(
+                            () -> Config.read(file),
+                            Config.BadConfig.class,
+                            failure -> failure instanceof Config.Unreadable unreadable && !unreadable.missing());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new Config.BadConfig("interrupted at the start");
--- a/daemon/src/main/java/grebehoist/cli/Shutdown.java
+++ b/daemon/src/main/java/grebehoist/cli/Shutdown.java
@@ -21,6 +21,7 @@
     private static final long FRONT_LAG_MS = 500;
     /** An upgraded process is used for so long on the connections that it has, each of which ends with its next answer. */
     private static final long HANDED_OVER_MS = 1_000;
+
     private static final long LOOK_MS = 10;
     /** The process is killed so long after the longest deadline, counted from the signal; a little earlier it ends. */
     private static final long KILL_MS = 600;
@@ -57,7 +58,8 @@
         long mostMs = Math.min(longestMs, LONGEST_COUNTED_MS) + KILL_MS;
         listeners.end();
         loop.execute(() -> begin(handsOver, leave, mostMs));
-        LoopTasks.after(loop, log, handsOver ? HANDED_OVER_MS : FRONT_LAG_MS, TimeUnit.MILLISECONDS, this::stopListening);
+        LoopTasks.after(
+                loop, log, handsOver ? HANDED_OVER_MS : FRONT_LAG_MS, TimeUnit.MILLISECONDS, this::stopListening);
         try {
             boolean all = drained.await(mostMs, TimeUnit.MILLISECONDS);
             loop.submit(() -> finish(all, leave)).awaitUninterruptibly(LOOK_MS);
@@ -67,11 +69,13 @@
     }
 
     private void begin(boolean handsOver, Runnable leave, long mostMs) {
-        log.line(process + (handsOver ? ": handing over to the process that has come up beside this one" : ": draining"));
+        log.line(process
+                + (handsOver ? ": handing over to the process that has come up beside this one" : ": draining"));
         log.event(new LogEvent("shutdown", process, "SERVING", handsOver ? "HANDING_OVER" : "DRAINING", "SIGTERM"));
         listeners.each(Front::closeAfterAnswers);
         long answerBy = timers.now() + TimeUnit.MILLISECONDS.toMicros(mostMs - LAST_ANSWERS_MS);
-        pools.forEach(p -> LoopTasks.contained(log, () -> p.answerAllBy(answerBy)).run());
+        pools.forEach(
+                p -> LoopTasks.contained(log, () -> p.answerAllBy(answerBy)).run());
         if (handsOver) {
             // The one that follows has this one's place among the members too.
             LoopTasks.contained(log, leave).run();
--- a/daemon/src/main/java/grebehoist/cli/Warmup.java
+++ b/daemon/src/main/java/grebehoist/cli/Warmup.java
@@ -45,6 +45,7 @@
     private static final int REQUESTS = 3_000;
     /** So often, and for so long, the thread that does it all waits: else it might keep the one that serves from running. */
     private static final int BREATHE_EVERY = 4;
+
     private static final long BREATHE_NS = 100_000;
     private static final int CLIENTS = 8;
     private static final int BACKENDS = 10;
@@ -62,16 +63,32 @@
         ObjectNode known = Json.object().put("version", 1).put("full", true);
         ArrayNode servers = known.putArray("servers");
         for (int i = 0; i < BACKENDS; i++) {
-            servers.addObject().put("id", "warm-" + i).put("addr", "127.0.0.1:" + (i + 1)).put("zone", "a")
-                    .put("kind", "k").put("cell", 0).put("state", "ready").put("weight", 1.0).put("started_ms", 0);
+            servers.addObject()
+                    .put("id", "warm-" + i)
+                    .put("addr", "127.0.0.1:" + (i + 1))
+                    .put("zone", "a")
+                    .put("kind", "k")
+                    .put("cell", 0)
+                    .put("state", "ready")
+                    .put("weight", 1.0)
+                    .put("started_ms", 0);
         }
         list = known.toString();
-        config = new Config("warm-up", address(0), address(BACKENDS + 1), null, like.sockets(), known, like.settings(), null,
-                like.connIdleUs(), like.connectTimeoutUs());
+        config = new Config(
+                "warm-up",
+                address(0),
+                address(BACKENDS + 1),
+                null,
+                like.sockets(),
+                known,
+                like.settings(),
+                null,
+                like.connIdleUs(),
+                like.connectTimeoutUs());
     }
 
     /** How a warm-up ended: how many made-up requests were served, and whether it broke off as the real ones came. */
-    record Result(int served, boolean wanted) { }
+    record Result(int served, boolean wanted) {}
 
     /** Serves made-up requests until the code is warm, the time is up or the process is wanted for real ones. */
     static Result run(Config config, long mostMs, BooleanSupplier wanted) {
@@ -88,7 +105,9 @@
         var serve = new Serve(config, new Policy(config.settings()), network, null);
         try {
             for (int i = 1; i <= BACKENDS + 1; i++) {
-                LoopChannels.bind(network.server().clone().childHandler(pipeline(new Peer())), network.address(address(i)))
+                LoopChannels.bind(
+                                network.server().clone().childHandler(pipeline(new Peer())),
+                                network.address(address(i)))
                         .syncUninterruptibly();
             }
             serve.begin();
@@ -115,8 +134,11 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(end instanceof Client ? new HttpClientCodec() : new HttpServerCodec(),
-                        new HttpObjectAggregator(HttpTransport.MAX_BODY), end);
+                channel.pipeline()
+                        .addLast(
+                                end instanceof Client ? new HttpClientCodec() : new HttpServerCodec(),
+                                new HttpObjectAggregator(HttpTransport.MAX_BODY),
+                                end);
             }
         };
     }
@@ -138,12 +160,14 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             boolean asksForList = request.uri().startsWith("/v1/");
-            if (asksForList && request.uri().contains("hold_ms") && !request.uri().contains("hold_ms=0")) {
+            if (asksForList
+                    && request.uri().contains("hold_ms")
+                    && !request.uri().contains("hold_ms=0")) {
                 return;
             }
             byte[] body = asksForList ? list.getBytes(StandardCharsets.US_ASCII) : BODY;
-            var answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
-                    Unpooled.wrappedBuffer(body));
+            var answer = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(body));
             HttpUtil.setContentLength(answer, body.length);
             later(ctx, answer);
         }
@@ -184,12 +208,19 @@
             List<Balancer.Tenant> tenants = config.settings().tenants();
             Balancer.RequestClass type = classes.get(sent % classes.size());
             boolean safe = type.effect() == Balancer.Effect.SAFE;
-            var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, safe ? HttpMethod.GET : HttpMethod.POST,
-                    "/api?k=" + sent, safe ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(BODY));
-            request.headers().set("host", "warm-up").set("x-request-id", Integer.toHexString(sent))
-                    .set("x-priority-class", type.name()).set("x-timeout", type.deadlineUs() / 1_000 + "m");
+            var request = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1,
+                    safe ? HttpMethod.GET : HttpMethod.POST,
+                    "/api?k=" + sent,
+                    safe ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(BODY));
+            request.headers()
+                    .set("host", "warm-up")
+                    .set("x-request-id", Integer.toHexString(sent))
+                    .set("x-priority-class", type.name())
+                    .set("x-timeout", type.deadlineUs() / 1_000 + "m");
             if (!tenants.isEmpty()) {
-                request.headers().set("x-tenant-id", tenants.get(sent % tenants.size()).name());
+                request.headers()
+                        .set("x-tenant-id", tenants.get(sent % tenants.size()).name());
             }
             if (!safe) {
                 HttpUtil.setContentLength(request, BODY.length);
--- a/daemon/src/main/java/grebehoist/config/Config.java
+++ b/daemon/src/main/java/grebehoist/config/Config.java
@@ -23,8 +23,17 @@
  * @param peers where other proxies are, or null where the settings allow no messages between them
  * @param connIdleUs a backend closes a connection that has stood idle for so long
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress operator, int sockets, JsonNode known,
-        Balancer.Settings settings, Peers peers, long connIdleUs, long connectTimeoutUs) {
+public record Config(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        InetSocketAddress operator,
+        int sockets,
+        JsonNode known,
+        Balancer.Settings settings,
+        Peers peers,
+        long connIdleUs,
+        long connectTimeoutUs) {
 
     /**
      * The proxies of the tier.
@@ -38,7 +47,6 @@
         }
     }
 
-
     /** A configuration that no proxy can run with; the message is for the operators and names the field. */
     public static class BadConfig extends Exception {
         private static final long serialVersionUID = 1L;
@@ -75,7 +83,17 @@
 
     /** Returns the same for another place to listen at. */
     public Config listeningAt(InetSocketAddress address) {
-        return new Config(name, address, discovery, operator == null ? null : address, sockets, known, settings, null, connIdleUs, connectTimeoutUs);
+        return new Config(
+                name,
+                address,
+                discovery,
+                operator == null ? null : address,
+                sockets,
+                known,
+                settings,
+                null,
+                connIdleUs,
+                connectTimeoutUs);
     }
 
     /** Reads a file. */
@@ -99,10 +117,15 @@
         flatten("", settings, values);
         try {
             Balancer.Settings read = SettingsReader.read(values, seed(json));
-            return new Config(text(json, "name"), address(json, "listen"), address(json, "discovery"),
-                    json.hasNonNull("operator") ? address(json, "operator") : null, sockets(json),
+            return new Config(
+                    text(json, "name"),
+                    address(json, "listen"),
+                    address(json, "discovery"),
+                    json.hasNonNull("operator") ? address(json, "operator") : null,
+                    sockets(json),
                     json.path("known").isObject() ? json.path("known") : null,
-                    read, SettingsReader.flag(values, "bounds.peer_messages") ? peers(json, read) : null,
+                    read,
+                    SettingsReader.flag(values, "bounds.peer_messages") ? peers(json, read) : null,
                     SettingsReader.whole(values, "bounds.conn_idle_us"),
                     SettingsReader.whole(values, "bounds.connect_timeout_us"));
         } catch (IllegalArgumentException e) {
@@ -128,8 +151,8 @@
     /** Spells nested JSON out as paths, as the simulator's wire has them. */
     private static void flatten(String path, JsonNode node, Map<String, String> values) {
         if (node.isObject()) {
-            node.properties().forEach(e ->
-                    flatten(path.isEmpty() ? e.getKey() : path + "." + e.getKey(), e.getValue(), values));
+            node.properties()
+                    .forEach(e -> flatten(path.isEmpty() ? e.getKey() : path + "." + e.getKey(), e.getValue(), values));
         } else if (node.isArray()) {
             values.put(path + ".count", Integer.toString(node.size()));
             for (int i = 0; i < node.size(); i++) {
--- a/daemon/src/main/java/grebehoist/config/Json.java
+++ b/daemon/src/main/java/grebehoist/config/Json.java
@@ -20,7 +20,7 @@
     private static final JsonFactory FACTORY = new JsonFactory();
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
-    private Json() { }
+    private Json() {}
 
     /** Returns an empty object. */
     public static ObjectNode object() {
@@ -63,7 +63,8 @@
             }
             case VALUE_NUMBER_INT -> {
                 return parser.getNumberType() == JsonParser.NumberType.BIG_INTEGER
-                        ? NODES.numberNode(parser.getBigIntegerValue()) : NODES.numberNode(parser.getLongValue());
+                        ? NODES.numberNode(parser.getBigIntegerValue())
+                        : NODES.numberNode(parser.getLongValue());
             }
             case VALUE_NUMBER_FLOAT -> {
                 return NODES.numberNode(parser.getDoubleValue());
--- a/daemon/src/main/java/grebehoist/config/JsonLines.java
+++ b/daemon/src/main/java/grebehoist/config/JsonLines.java
@@ -25,7 +25,11 @@
 
     /** Returns the begin of a line: when, who, what. */
     public ObjectNode line(String what) {
-        return Json.object().put("t_us", System.nanoTime() / 1_000).put("by", name).put("what", what).put("who", name);
+        return Json.object()
+                .put("t_us", System.nanoTime() / 1_000)
+                .put("by", name)
+                .put("what", what)
+                .put("who", name);
     }
 
     /** Writes a line. */
--- a/daemon/src/main/java/grebehoist/config/SettingsReader.java
+++ b/daemon/src/main/java/grebehoist/config/SettingsReader.java
@@ -63,8 +63,13 @@
             String path = "profiles." + i + ".";
             var effect = word(path + "effect", EFFECTS);
             boolean keyed = effect == Balancer.Effect.KEYED;
-            classes.add(new Balancer.RequestClass(text(path + "name"), whole(path + "aim_us"),
-                    whole(path + "deadline_us"), number(path + "value"), number(path + "late_worth"), effect,
+            classes.add(new Balancer.RequestClass(
+                    text(path + "name"),
+                    whole(path + "aim_us"),
+                    whole(path + "deadline_us"),
+                    number(path + "value"),
+                    number(path + "late_worth"),
+                    effect,
                     keyed ? word(path + "key_scope", SCOPES) : Balancer.Scope.ALL,
                     keyed ? whole(path + "window_us") : 0));
         }
@@ -74,14 +79,32 @@
             String path = "projects." + i + ".";
             tenants.add(new Balancer.Tenant(text(path + "name"), number(path + "allowance_per_s")));
         }
-        var limits = new Balancer.Limits(flag("bounds.cancel"), flag("bounds.may_duplicate"), flag("bounds.probes"),
-                word("registry_mode", MODES), (int) whole("bounds.most_tries"), whole("bounds.max_retry_after_us"));
-        var rules = new Balancer.Rules(number("invariants.cold_from"), whole("invariants.cold_us"),
-                number("invariants.fall_multiple"), whole("invariants.fall_us"), whole("invariants.must_ask_in_us"),
+        var limits = new Balancer.Limits(
+                flag("bounds.cancel"),
+                flag("bounds.may_duplicate"),
+                flag("bounds.probes"),
+                word("registry_mode", MODES),
+                (int) whole("bounds.most_tries"),
+                whole("bounds.max_retry_after_us"));
+        var rules = new Balancer.Rules(
+                number("invariants.cold_from"),
+                whole("invariants.cold_us"),
+                number("invariants.fall_multiple"),
+                whole("invariants.fall_us"),
+                whole("invariants.must_ask_in_us"),
                 flag(values, "invariants.full_unproven"));
-        return new Balancer.Settings((int) whole("balancers"), (int) whole("rank"), text("locality"),
-                whole("quantum_us"), classes, tenants, tenantCount > 0 ? number("over_share_worth") : 1,
-                flag(values, "extra.warm_keys"), limits, rules, seed);
+        return new Balancer.Settings(
+                (int) whole("balancers"),
+                (int) whole("rank"),
+                text("locality"),
+                whole("quantum_us"),
+                classes,
+                tenants,
+                tenantCount > 0 ? number("over_share_worth") : 1,
+                flag(values, "extra.warm_keys"),
+                limits,
+                rules,
+                seed);
     }
 
     private boolean has(String path) {
--- a/daemon/src/main/java/grebehoist/demo/Demo.java
+++ b/daemon/src/main/java/grebehoist/demo/Demo.java
@@ -32,7 +32,13 @@
  */
 public final class Demo {
     /** What can be brought about in the middle of the demo. */
-    private enum Trouble { SLOW, HANG, CRASH, DEPLOY, BURST }
+    private enum Trouble {
+        SLOW,
+        HANG,
+        CRASH,
+        DEPLOY,
+        BURST
+    }
 
     private static final long S = 1_000_000;
     private static final long MS = 1_000;
@@ -40,13 +46,21 @@
     private static final double LOAD = 0.6;
     private static final String USAGE = "usage: demo [--fault slow|hang|crash|deploy|burst] [--seconds N] [--seed N]";
 
-    private static final Balancer.Settings SETTINGS = new Balancer.Settings(1, 0, "u", 4 * MS,
-            List.of(new RequestClass("read-balance", 600 * MS, 2 * S, 1, 0, Effect.SAFE, Scope.ALL, 0),
+    private static final Balancer.Settings SETTINGS = new Balancer.Settings(
+            1,
+            0,
+            "u",
+            4 * MS,
+            List.of(
+                    new RequestClass("read-balance", 600 * MS, 2 * S, 1, 0, Effect.SAFE, Scope.ALL, 0),
                     new RequestClass("issue-invoice", 600 * MS, 2_500 * MS, 2, 0, Effect.KEYED, Scope.ZONE, 12 * S),
                     new RequestClass("post-payment", 400 * MS, 2 * S, 10, 0, Effect.KEYED, Scope.ZONE, 1_200 * MS)),
-            List.of(new Balancer.Tenant("vestkraft", 400), new Balancer.Tenant("dalen-energi", 200)), 0.05, false,
+            List.of(new Balancer.Tenant("vestkraft", 400), new Balancer.Tenant("dalen-energi", 200)),
+            0.05,
+            false,
             new Balancer.Limits(true, false, false, true, 4, 2 * S),
-            new Balancer.Rules(0.4, 8 * S, 4, S, 10 * S, false), 1);
+            new Balancer.Rules(0.4, 8 * S, 4, S, 10 * S, false),
+            1);
     private static final double[] SHARES = {0.48, 0.37, 0.15};
 
     private final Rig rig;
@@ -63,7 +77,11 @@
         this.seconds = seconds;
         rig = new Rig(SETTINGS, SHARES, 15 * S, seed);
         var spec = Pool.Spec.http("demo", SETTINGS, rig.discoveryOfNextProxy(), 15 * S, 200 * MS);
-        var host = new Pool.Host(network, new LoopTimers(network.loop()), new Sockets(network.loop(), new StderrLog(), 1_024), new StderrLog());
+        var host = new Pool.Host(
+                network,
+                new LoopTimers(network.loop()),
+                new Sockets(network.loop(), new StderrLog(), 1_024),
+                new StderrLog());
         pool = new Pool(host, spec, new Pool.Wiring(settings -> policy, t -> t, i -> i, m -> m));
     }
 
@@ -95,15 +113,24 @@
     private int play() throws InterruptedException {
         rig.machines(MACHINES);
         network.loop().submit(() -> pool.begin(null)).syncUninterruptibly();
-        ChannelFuture bound = network.loop().submit(() -> pool.httpFront().listen(network,
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))).syncUninterruptibly().getNow().syncUninterruptibly();
+        ChannelFuture bound = network.loop()
+                .submit(() ->
+                        pool.httpFront().listen(network, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)))
+                .syncUninterruptibly()
+                .getNow()
+                .syncUninterruptibly();
         rig.proxyAt((InetSocketAddress) bound.channel().localAddress());
         while (!network.loop().submit(pool::ready).syncUninterruptibly().getNow()) {
             TimeUnit.MILLISECONDS.sleep(5);
         }
         double capacity = rig.on(() -> rig.fleet().capacity());
-        System.out.printf(Locale.ROOT, "%d backends worth %.1f cores, clients ask for %.0f%% of that: %.0f requests a second%n",
-                MACHINES, capacity, 100 * LOAD, LOAD * capacity * S / 25_000);
+        System.out.printf(
+                Locale.ROOT,
+                "%d backends worth %.1f cores, clients ask for %.0f%% of that: %.0f requests a second%n",
+                MACHINES,
+                capacity,
+                100 * LOAD,
+                LOAD * capacity * S / 25_000);
         rig.load(LOAD * capacity, seconds * S);
         System.out.println("  s  asked served refused failed | backend: weight, attempts out, requests run");
         for (int second = 1; second <= seconds; second++) {
@@ -159,12 +186,22 @@
         Map<String, Policy.View> views = network.loop().submit(policy::view).syncUninterruptibly().getNow().stream()
                 .collect(Collectors.toMap(Policy.View::backend, v -> v));
         System.out.println(rig.on(() -> {
-            var text = new StringBuilder(String.format(Locale.ROOT, "%3d %6d %6d %7d %6d |", second, since(Count.ASKED),
-                    since(Count.SERVED), since(Count.REFUSED), since(Count.FAILED)));
+            var text = new StringBuilder(String.format(
+                    Locale.ROOT,
+                    "%3d %6d %6d %7d %6d |",
+                    second,
+                    since(Count.ASKED),
+                    since(Count.SERVED),
+                    since(Count.REFUSED),
+                    since(Count.FAILED)));
             for (Fleet.Machine m : rig.fleet().present()) {
                 Policy.View view = views.get(m.id());
                 long ran = m.backend().runs();
-                text.append(String.format(Locale.ROOT, " %s%s: %s %d", m.id(), m.leaving() ? " drains" : m.up() ? "" : " down",
+                text.append(String.format(
+                        Locale.ROOT,
+                        " %s%s: %s %d",
+                        m.id(),
+                        m.leaving() ? " drains" : m.up() ? "" : " down",
                         view == null ? "-" : String.format(Locale.ROOT, "%.2f, %d,", view.weight(), view.out()),
                         Math.max(0, ran - ranBefore.getOrDefault(m.id(), 0L))));
                 ranBefore.put(m.id(), ran);
--- a/daemon/src/main/java/grebehoist/discovery/Discovery.java
+++ b/daemon/src/main/java/grebehoist/discovery/Discovery.java
@@ -40,16 +40,19 @@
      * leaves a second call 1.5 s, and a discovery that is merely late is not asked twice for it.
      */
     private static final long OVERDUE_MS = 500;
+
     private static final long MOST_HOLD_MS = 60_000;
     private static final long LEAST_HOLD_MS = 1_500;
     /** Each empty answer is work for a service that all proxies share: so long for each of them. */
     private static final long HOLD_FOR_EACH_MS = 500;
+
     private static final long NO_NEWS_MS = 50;
     /**
      * An agent on the same machine answers at once, and at no cost: one that has not in this time is silent, and is asked again. What it
      * gets at discovery's return counts as notified at once, and nothing new may go to a drained backend 250 ms later.
      */
     private static final long AGENT_RETRY_MS = 100;
+
     private static final long SUPERVISION_MS = 250;
     /** The module pauses for 1.2 s at most before it asks again: a watch that nobody opens for longer than this has been lost. */
     private static final long MOST_UNATTENDED_MS = 1_500;
@@ -68,6 +71,7 @@
     private DiscoveryCall watch;
     /** A second call, made as the answer to the watch is overdue, or null; never without a watch. */
     private DiscoveryCall second;
+
     private boolean wanted;
     private long version = -1;
     private boolean heard;
@@ -75,6 +79,7 @@
     private boolean answers = true;
     /** Since when a watch is wanted and no call is out, by the loop's clock in nanoseconds; 0 while that is not so. */
     private long unattendedSince;
+
     private final Future<?> supervision;
 
     /**
@@ -83,7 +88,8 @@
      * @param clock the time that the decision module goes by
      * @param address where discovery is
      */
-    public Discovery(Network network, Timers clock, Log log, Sink sink, InetSocketAddress address, Balancer.Settings settings) {
+    public Discovery(
+            Network network, Timers clock, Log log, Sink sink, InetSocketAddress address, Balancer.Settings settings) {
         this.clock = clock;
         this.loop = network.loop();
         this.network = network;
@@ -95,7 +101,8 @@
         // A call whose other end has vanished looks like one that waits: until its answer is overdue no news comes.
         // Never more than twice the time within which a proxy has to ask.
         long share = pushed ? LEAST_HOLD_MS : Math.max(LEAST_HOLD_MS, HOLD_FOR_EACH_MS * settings.balancers());
-        this.holdMs = Math.min(Math.min(MOST_HOLD_MS, share), 2 * settings.rules().askWithinUs() / 1_000);
+        this.holdMs =
+                Math.min(Math.min(MOST_HOLD_MS, share), 2 * settings.rules().askWithinUs() / 1_000);
         this.supervision = LoopTasks.every(loop, log, SUPERVISION_MS, TimeUnit.MILLISECONDS, this::supervise);
     }
 
@@ -150,7 +157,8 @@
     }
 
     private DiscoveryCall watchCall(long waitMs) {
-        // A call that does not wait may be one of many that discovery works through in turn: asked twice, it takes twice as long.
+        // A call that does not wait may be one of many that discovery works through in turn: asked twice, it takes
+        // twice as long.
         long overdueMs = waitMs == 0 && !pushed ? -1 : waitMs + (pushed ? AGENT_RETRY_MS : OVERDUE_MS);
         return call(version, waitMs, waitMs + SILENCE_MS, overdueMs);
     }
@@ -160,7 +168,8 @@
     }
 
     private DiscoveryCall call(long from, long waitMs, long timeoutMs, long overdueMs) {
-        return new DiscoveryCall(network, log, new DiscoveryCall.Question(address, from, waitMs, timeoutMs, overdueMs), this);
+        return new DiscoveryCall(
+                network, log, new DiscoveryCall.Question(address, from, waitMs, timeoutMs, overdueMs), this);
     }
 
     private void endWatch() {
@@ -253,7 +262,12 @@
     private void answering(boolean now) {
         if (now != answers) {
             answers = now;
-            log.event(new LogEvent("watch", address.toString(), now ? "FAILING" : "ANSWERED", now ? "ANSWERED" : "FAILING", "a call has ended"));
+            log.event(new LogEvent(
+                    "watch",
+                    address.toString(),
+                    now ? "FAILING" : "ANSWERED",
+                    now ? "ANSWERED" : "FAILING",
+                    "a call has ended"));
         }
     }
 
@@ -267,7 +281,8 @@
      * asked for, which is taken under whatever version it comes.
      */
     private void regressed(DiscoveryCall call, EndpointList list) {
-        log.line("discovery: version " + list.version() + " after " + call.question().from() + ", asking for the whole list");
+        log.line("discovery: version " + list.version() + " after "
+                + call.question().from() + ", asking for the whole list");
         version = -1;
         // Not at once: two copies that take turns would be asked as fast as the CPU allows.
         later(NO_NEWS_MS, () -> {
@@ -276,7 +291,8 @@
             }
         });
         List<Listed> bad = starts.translate(ListKind.DELTA, list.entries(log), clock.now()).stream()
-                .filter(l -> l.backend().state() != Balancer.State.READY).toList();
+                .filter(l -> l.backend().state() != Balancer.State.READY)
+                .toList();
         if (!bad.isEmpty()) {
             sink.members(ListKind.DELTA, bad);
         }
--- a/daemon/src/main/java/grebehoist/discovery/DiscoveryCall.java
+++ b/daemon/src/main/java/grebehoist/discovery/DiscoveryCall.java
@@ -77,17 +77,30 @@
         this.owner = owner;
         this.log = log;
         // Guards against a discovery that is cut off and says nothing: TCP alone would never tell.
-        timeout = LoopTasks.after(network.loop(), log, question.timeoutMs, TimeUnit.MILLISECONDS, () -> finish(null, "no answer in time"));
-        overdueTimer = question.overdueMs < 0 ? null
+        timeout = LoopTasks.after(
+                network.loop(),
+                log,
+                question.timeoutMs,
+                TimeUnit.MILLISECONDS,
+                () -> finish(null, "no answer in time"));
+        overdueTimer = question.overdueMs < 0
+                ? null
                 : LoopTasks.after(network.loop(), log, question.overdueMs, TimeUnit.MILLISECONDS, this::becomeOverdue);
-        connecting = LoopChannels.connect(network.client().clone()
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER), DiscoveryCall.this);
-                    }
-                }), network.address(question.address));
+        connecting = LoopChannels.connect(
+                network.client()
+                        .clone()
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                        .handler(new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                channel.pipeline()
+                                        .addLast(
+                                                new HttpClientCodec(),
+                                                new HttpObjectAggregator(MAX_ANSWER),
+                                                DiscoveryCall.this);
+                            }
+                        }),
+                network.address(question.address));
         connecting.addListener(f -> {
             if (!f.isSuccess()) {
                 finish(null, "no connection: " + f.cause().getMessage());
@@ -117,14 +130,16 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, question.uri());
-        request.headers().set(HttpHeaderNames.HOST, question.address.getHostString() + ":" + question.address.getPort());
+        request.headers()
+                .set(HttpHeaderNames.HOST, question.address.getHostString() + ":" + question.address.getPort());
         HttpUtil.setKeepAlive(request, false);
         ctx.writeAndFlush(request);
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-        if (!response.status().equals(HttpResponseStatus.OK) || response.decoderResult().isFailure()) {
+        if (!response.status().equals(HttpResponseStatus.OK)
+                || response.decoderResult().isFailure()) {
             finish(null, "answer " + response.status());
             return;
         }
--- a/daemon/src/main/java/grebehoist/discovery/EndpointList.java
+++ b/daemon/src/main/java/grebehoist/discovery/EndpointList.java
@@ -19,7 +19,9 @@
 
     /** Returns whether it has the form of a list; its entries are checked one by one as they are read. */
     boolean wellFormed() {
-        return json.path("version").canConvertToLong() && json.path("full").isBoolean() && json.path("servers").isArray();
+        return json.path("version").canConvertToLong()
+                && json.path("full").isBoolean()
+                && json.path("servers").isArray();
     }
 
     long version() {
@@ -53,10 +55,22 @@
         String address = line.path("addr").asText();
         String id = line.path("id").asText();
         double weight = line.path("weight").asDouble(1);
-        if (state == null || Addresses.parse(address) == null || id.isEmpty() || !(weight > 0) || Double.isInfinite(weight)) {
+        if (state == null
+                || Addresses.parse(address) == null
+                || id.isEmpty()
+                || !(weight > 0)
+                || Double.isInfinite(weight)) {
             return null;
         }
-        return new Listed(new Balancer.Backend(id, state, line.path("kind").asText(null), line.path("zone").asText(null),
-                line.path("cell").asInt(), line.path("started_ms").asLong() * 1_000, weight), address);
+        return new Listed(
+                new Balancer.Backend(
+                        id,
+                        state,
+                        line.path("kind").asText(null),
+                        line.path("zone").asText(null),
+                        line.path("cell").asInt(),
+                        line.path("started_ms").asLong() * 1_000,
+                        weight),
+                address);
     }
 }
--- a/daemon/src/main/java/grebehoist/discovery/StartTimes.java
+++ b/daemon/src/main/java/grebehoist/discovery/StartTimes.java
@@ -24,13 +24,14 @@
     /** A start is told on a watch within this, where neither the list nor the clock is late. */
     static final long TOLERANCE_US = 2_000_000;
 
-    private record Start(long listedUs, long countedUs) { }
+    private record Start(long listedUs, long countedUs) {}
 
     private final Map<String, Start> starts = new HashMap<>();
     /** How long before now the latest start of any backend was, by this clock. */
     private long leastAgeUs = Long.MAX_VALUE;
     /** The same of starts that were told as changes. */
     private long leastAgeOfNewsUs = Long.MAX_VALUE;
+
     private boolean listed;
 
     /** Returns entries with their starts in this process's clock. */
@@ -74,14 +75,20 @@
             start = new Start(b.startedAtUs(), b.startedAtUs() + aheadUs());
             starts.put(b.id(), start);
         }
-        return start.countedUs == start.listedUs ? entry
-                : new Listed(new Backend(b.id(), b.state(), b.kind(), b.zone(), b.cell(), start.countedUs, b.weight()), entry.address());
+        return start.countedUs == start.listedUs
+                ? entry
+                : new Listed(
+                        new Backend(b.id(), b.state(), b.kind(), b.zone(), b.cell(), start.countedUs, b.weight()),
+                        entry.address());
     }
 
     /** Of backends that are gone nothing is kept. */
     private void forget(ListKind kind, List<Listed> entries) {
         if (kind == ListKind.DELTA) {
-            entries.stream().map(Listed::backend).filter(b -> b.state() == State.GONE).forEach(b -> starts.remove(b.id()));
+            entries.stream()
+                    .map(Listed::backend)
+                    .filter(b -> b.state() == State.GONE)
+                    .forEach(b -> starts.remove(b.id()));
         } else {
             Set<String> named = new HashSet<>();
             entries.forEach(e -> named.add(e.backend().id()));
--- a/daemon/src/main/java/grebehoist/distribution/CallJson.java
+++ b/daemon/src/main/java/grebehoist/distribution/CallJson.java
@@ -17,7 +17,7 @@
 public final class CallJson {
     private static final long MOST = Long.MAX_VALUE;
 
-    private CallJson() { }
+    private CallJson() {}
 
     /** JSON that is no call or no answer; the message names what is wrong and where. */
     public static final class BadJson extends Exception {
@@ -38,13 +38,20 @@
         } else if (call instanceof Call.Offer o) {
             json.put("call", "offer").put("epoch", o.epoch()).set("item", json(o.item()));
         } else if (call instanceof Call.Taken t) {
-            json.put("call", "taken").put("scope", t.scope()).put("epoch", t.epoch()).put("version", t.version());
+            json.put("call", "taken")
+                    .put("scope", t.scope())
+                    .put("epoch", t.epoch())
+                    .put("version", t.version());
         }
         return json.put("machine", call.machine());
     }
 
     private static ObjectNode json(Item item) {
-        ObjectNode json = Json.object().put("kind", item.kind()).put("scope", item.scope()).put("key", item.key()).put("version", item.version());
+        ObjectNode json = Json.object()
+                .put("kind", item.kind())
+                .put("scope", item.scope())
+                .put("key", item.key())
+                .put("version", item.version());
         // As everywhere: a removal has none.
         return item.removed() ? json : json.put("value", Base64.getEncoder().encodeToString(item.value()));
     }
@@ -64,11 +71,16 @@
             }
             case "offer" -> {
                 only(json, "call", "machine", "epoch", "item");
-                return new Call.Offer(machine, whole(json, "epoch", 0, MOST), item(object(json.path("item"), "key 'item'")));
+                return new Call.Offer(
+                        machine, whole(json, "epoch", 0, MOST), item(object(json.path("item"), "key 'item'")));
             }
             case "taken" -> {
                 only(json, "call", "machine", "scope", "epoch", "version");
-                return new Call.Taken(machine, scope(json), whole(json, "epoch", 0, MOST), whole(json, "version", 1, Item.MOST_VERSION));
+                return new Call.Taken(
+                        machine,
+                        scope(json),
+                        whole(json, "epoch", 0, MOST),
+                        whole(json, "version", 1, Item.MOST_VERSION));
             }
             default -> throw new BadJson("key 'call': '" + what + "' is none of create, open, offer, taken");
         }
@@ -118,7 +130,11 @@
             return json("held", h.lives()).put("version", h.version()).put("taken", h.taken());
         }
         var refusal = (Answer.Refusal) answer;
-        return Json.object().put("answer", "refusal").put("why", refusal.why()).put("head", refusal.head()).put("never", refusal.never());
+        return Json.object()
+                .put("answer", "refusal")
+                .put("why", refusal.why())
+                .put("head", refusal.head())
+                .put("never", refusal.never());
     }
 
     private static ObjectNode json(String answer, Lives lives) {
@@ -134,14 +150,18 @@
         switch (what) {
             case "opened" -> {
                 JsonNode pending = json.path("pending");
-                return new Answer.Opened(lives(json), whole(json, "head", 0, Item.MOST_VERSION),
-                        pending.isMissingNode() ? null : item(object(pending, "key 'pending'")), whole(json, "pending_epoch", 0, MOST));
+                return new Answer.Opened(
+                        lives(json),
+                        whole(json, "head", 0, Item.MOST_VERSION),
+                        pending.isMissingNode() ? null : item(object(pending, "key 'pending'")),
+                        whole(json, "pending_epoch", 0, MOST));
             }
             case "held" -> {
                 return new Answer.Held(lives(json), whole(json, "version", 0, Item.MOST_VERSION), flag(json, "taken"));
             }
             case "refusal" -> {
-                return new Answer.Refusal(text(json, "why"), whole(json, "head", -1, Item.MOST_VERSION), flag(json, "never"));
+                return new Answer.Refusal(
+                        text(json, "why"), whole(json, "head", -1, Item.MOST_VERSION), flag(json, "never"));
             }
             default -> throw new BadJson("key 'answer': '" + what + "' is none of opened, held, refusal");
         }
@@ -161,7 +181,8 @@
 
     private static JsonNode object(JsonNode json, String what) throws BadJson {
         if (!json.isObject()) {
-            throw new BadJson(what + ": an object is wanted" + (json.isMissingNode() ? "" : ", not " + json.getNodeType()));
+            throw new BadJson(
+                    what + ": an object is wanted" + (json.isMissingNode() ? "" : ", not " + json.getNodeType()));
         }
         return json;
     }
@@ -169,7 +190,8 @@
     private static String text(JsonNode json, String key) throws BadJson {
         JsonNode value = json.path(key);
         if (!value.isTextual() || value.asText().isEmpty()) {
-            throw new BadJson("key '" + key + "': " + (value.isMissingNode() ? "missing" : "a text is wanted, not " + value));
+            throw new BadJson(
+                    "key '" + key + "': " + (value.isMissingNode() ? "missing" : "a text is wanted, not " + value));
         }
         return value.asText();
     }
@@ -177,7 +199,8 @@
     private static boolean flag(JsonNode json, String key) throws BadJson {
         JsonNode value = json.path(key);
         if (!value.isBoolean()) {
-            throw new BadJson("key '" + key + "': " + (value.isMissingNode() ? "missing" : "true or false is wanted, not " + value));
+            throw new BadJson("key '" + key + "': "
+                    + (value.isMissingNode() ? "missing" : "true or false is wanted, not " + value));
         }
         return value.asBoolean();
     }
@@ -185,8 +208,10 @@
     private static long whole(JsonNode json, String key, long least, long most) throws BadJson {
         JsonNode value = json.path(key);
         if (!value.isIntegralNumber() || !value.canConvertToLong() || value.asLong() < least || value.asLong() > most) {
-            throw new BadJson("key '" + key + "': " + (value.isMissingNode() ? "missing"
-                    : "a whole number from " + least + " to " + most + " is wanted, not " + value));
+            throw new BadJson("key '" + key + "': "
+                    + (value.isMissingNode()
+                            ? "missing"
+                            : "a whole number from " + least + " to " + most + " is wanted, not " + value));
         }
         return value.asLong();
     }
--- a/daemon/src/main/java/grebehoist/distribution/DistributionEndpoint.java
+++ b/daemon/src/main/java/grebehoist/distribution/DistributionEndpoint.java
@@ -53,6 +53,7 @@
     private final Map<Integer, InetSocketAddress> proxies = new HashMap<>();
     /** While a datagram is looked at: who claims to have sent it, and where it came from. */
     private int claimed = -1;
+
     private InetSocketAddress from;
     private boolean suspensionsChanged;
     private Future<?> ticks;
@@ -65,7 +66,8 @@
      *
      * @param suspends hears which backends are suspended for all proxies that hold a scope which says so, whenever that has changed
      */
-    public DistributionEndpoint(DistributionSettings settings, EventLoop loop, LoopTimers timers, Log log, Consumer<Set<String>> suspends) {
+    public DistributionEndpoint(
+            DistributionSettings settings, EventLoop loop, LoopTimers timers, Log log, Consumer<Set<String>> suspends) {
         this.settings = settings;
         this.loop = loop;
         this.timers = timers;
@@ -74,10 +76,18 @@
         this.suspends = suspends;
         this.lines = new JsonLines(System.err, settings.name());
         // Which life this is has to differ from any before.
-        var random = new SplittableRandom(System.nanoTime() ^ ProcessHandle.current().pid() << 32 ^ System.currentTimeMillis());
-        var setup = new DistributionNode.Setup(settings.member(), settings.members(), settings.layout(), settings.terms(),
-                new KeyRing(settings.keys()), random);
-        this.node = settings.control() ? DistributionNode.machine(setup, new Output()) : DistributionNode.proxy(setup, settings.scopes(), new Output());
+        var random = new SplittableRandom(
+                System.nanoTime() ^ ProcessHandle.current().pid() << 32 ^ System.currentTimeMillis());
+        var setup = new DistributionNode.Setup(
+                settings.member(),
+                settings.members(),
+                settings.layout(),
+                settings.terms(),
+                new KeyRing(settings.keys()),
+                random);
+        this.node = settings.control()
+                ? DistributionNode.machine(setup, new Output())
+                : DistributionNode.proxy(setup, settings.scopes(), new Output());
         this.port = new DatagramPort(loop, settings.name() + ", distribution", settings.listen(), new Listener(), log);
         for (int i = 0; i < settings.machines().size(); i++) {
             machines.put(settings.machines().get(i), i);
@@ -96,7 +106,9 @@
                 return;
             }
             node.start(timers.now());
-            long tickUs = settings.control() ? settings.terms().machineTickUs() : settings.terms().proxyTickUs();
+            long tickUs = settings.control()
+                    ? settings.terms().machineTickUs()
+                    : settings.terms().proxyTickUs();
             ticks = LoopTasks.every(loop, log, tickUs, TimeUnit.MICROSECONDS, () -> node.tick(timers.now()));
         }
 
@@ -132,7 +144,9 @@
     private final class Output implements DistributionNode.Output {
         @Override
         public void send(int to, byte[] datagram) {
-            InetSocketAddress at = to < settings.machines().size() ? settings.machines().get(to) : to == claimed ? from : proxies.get(to);
+            InetSocketAddress at = to < settings.machines().size()
+                    ? settings.machines().get(to)
+                    : to == claimed ? from : proxies.get(to);
             if (at != null) {
                 port.send(at, datagram);
             }
@@ -152,7 +166,10 @@
         } else if (change instanceof DistributionChange.Removed r) {
             suspend(suspended.removed(r.item()), r.item(), r.version());
         } else if (change instanceof DistributionChange.SourceMoved m) {
-            lines.write(lines.line("source_moved").put("scope", m.scope()).put("from", m.from()).put("to", m.to()));
+            lines.write(lines.line("source_moved")
+                    .put("scope", m.scope())
+                    .put("from", m.from())
+                    .put("to", m.to()));
         } else if (change instanceof DistributionChange.Refilling r) {
             lines.write(lines.line("refilling").put("scope", r.scope()).put("from", r.from()));
         } else if (change instanceof DistributionChange.NoSuchScope n) {
@@ -169,8 +186,10 @@
         if (!changed) {
             return;
         }
-        lines.write(lines.line(suspended.holds(item.key()) ? "suspended_everywhere" : "resumed_everywhere").put("backend", item.key())
-                .put("scope", item.scope()).put("version", version));
+        lines.write(lines.line(suspended.holds(item.key()) ? "suspended_everywhere" : "resumed_everywhere")
+                .put("backend", item.key())
+                .put("scope", item.scope())
+                .put("version", version));
         if (!suspensionsChanged) {
             suspensionsChanged = true;
             loop.execute(() -> {
@@ -188,7 +207,8 @@
     /** Returns whether it knows what it is to know: a proxy has heard of all of its scopes, a machine of what the others hold. */
     public boolean filled() {
         Subscriber subscriber = node.subscriber();
-        return subscriber == null ? ticks != null && node.holder().unheard() == 0
+        return subscriber == null
+                ? ticks != null && node.holder().unheard() == 0
                 : subscriber.scopes().stream().allMatch(s -> subscriber.ageUs(s, timers.now()) >= 0);
     }
 
@@ -231,19 +251,31 @@
      */
     public ObjectNode figures(String scope, String after) {
         Holder holder = node.holder();
-        List<String> held = (holder == null ? node.subscriber().scopes() : holder.scopes()).stream().sorted().toList();
+        List<String> held = (holder == null ? node.subscriber().scopes() : holder.scopes())
+                .stream().sorted().toList();
         if (scope != null && !held.contains(scope)) {
             return null;
         }
-        ObjectNode all = Json.object().put("role", settings.control() ? "control" : "proxy").put("name", settings.name())
-                .put("number", settings.number()).put("filled", filled()).put("held", held.size());
+        ObjectNode all = Json.object()
+                .put("role", settings.control() ? "control" : "proxy")
+                .put("name", settings.name())
+                .put("number", settings.number())
+                .put("filled", filled())
+                .put("held", held.size());
         if (holder == null) {
             all.put("suspended", suspended.ids().size());
         } else {
-            all.put("unheard", holder.unheard()).put("zone", settings.layout().machines().get(settings.number()).zone());
+            all.put("unheard", holder.unheard())
+                    .put(
+                            "zone",
+                            settings.layout().machines().get(settings.number()).zone());
         }
-        List<String> told = scope != null ? List.of(scope)
-                : held.stream().filter(s -> after == null || s.compareTo(after) > 0).limit(MOST_TOLD).toList();
+        List<String> told = scope != null
+                ? List.of(scope)
+                : held.stream()
+                        .filter(s -> after == null || s.compareTo(after) > 0)
+                        .limit(MOST_TOLD)
+                        .toList();
         var scopes = all.putArray("scopes");
         for (String s : told) {
             scopes.add(holder == null ? got(s) : progress(s, holder));
@@ -260,17 +292,32 @@
     private ObjectNode got(String scope) {
         Subscriber subscriber = node.subscriber();
         long ageUs = subscriber.ageUs(scope, timers.now());
-        return Json.object().put("scope", scope).put("version", subscriber.version(scope)).put("items", subscriber.items(scope).size())
-                .put("source", subscriber.source(scope)).put("age_ms", ageUs < 0 ? -1 : ageUs / 1_000);
+        return Json.object()
+                .put("scope", scope)
+                .put("version", subscriber.version(scope))
+                .put("items", subscriber.items(scope).size())
+                .put("source", subscriber.source(scope))
+                .put("age_ms", ageUs < 0 ? -1 : ageUs / 1_000);
     }
 
     private ObjectNode progress(String scope, Holder holder) {
         Progress p = holder.progress(timers.now(), scope);
-        ObjectNode one = Json.object().put("scope", scope).put("version", p.version()).put("counts", holder.counts(scope)).put("known", p.known())
-                .put("in_force", p.inForce()).put("away", p.away()).put("p50_us", p.p50Us()).put("p99_us", p.p99Us()).put("worst_us", p.worstUs());
+        ObjectNode one = Json.object()
+                .put("scope", scope)
+                .put("version", p.version())
+                .put("counts", holder.counts(scope))
+                .put("known", p.known())
+                .put("in_force", p.inForce())
+                .put("away", p.away())
+                .put("p50_us", p.p50Us())
+                .put("p99_us", p.p99Us())
+                .put("worst_us", p.worstUs());
         var behind = one.putArray("behind");
-        p.behind().forEach(b -> behind.addObject().put("proxy", b.proxy() - settings.machines().size()).put("version", b.version())
-                .put("for_ms", b.forUs() / 1_000));
+        p.behind()
+                .forEach(b -> behind.addObject()
+                        .put("proxy", b.proxy() - settings.machines().size())
+                        .put("version", b.version())
+                        .put("for_ms", b.forUs() / 1_000));
         return one;
     }
 }
--- a/daemon/src/main/java/grebehoist/distribution/DistributionSettings.java
+++ b/daemon/src/main/java/grebehoist/distribution/DistributionSettings.java
@@ -18,8 +18,16 @@
  * @param layout where the machines are
  * @param keys one, or two while they change
  */
-public record DistributionSettings(boolean control, String name, InetSocketAddress listen, int number, List<String> scopes,
-        List<InetSocketAddress> machines, Layout layout, DistributionTerms terms, List<KeyRing.Key> keys) {
+public record DistributionSettings(
+        boolean control,
+        String name,
+        InetSocketAddress listen,
+        int number,
+        List<String> scopes,
+        List<InetSocketAddress> machines,
+        Layout layout,
+        DistributionTerms terms,
+        List<KeyRing.Key> keys) {
     /** A number of 16 bits names each machine and each proxy. */
     private static final int MOST_MEMBERS = 65_535;
 
--- a/daemon/src/main/java/grebehoist/distribution/EverywhereSuspended.java
+++ b/daemon/src/main/java/grebehoist/distribution/EverywhereSuspended.java
@@ -13,8 +13,10 @@
     /** An item is in force; returns whether a backend is suspended or back by that. */
     boolean applied(Item item) {
         // Another kind under the same key takes a suspension's place.
-        return item.kind() == Item.SUSPENSION ? scopes.computeIfAbsent(item.key(), k -> new HashSet<>()).add(item.scope())
-                && scopes.get(item.key()).size() == 1 : removed(item);
+        return item.kind() == Item.SUSPENSION
+                ? scopes.computeIfAbsent(item.key(), k -> new HashSet<>()).add(item.scope())
+                        && scopes.get(item.key()).size() == 1
+                : removed(item);
     }
 
     /** An item is no more; returns whether a backend is back by that. */
--- a/daemon/src/main/java/grebehoist/http/AnswerAssembler.java
+++ b/daemon/src/main/java/grebehoist/http/AnswerAssembler.java
@@ -69,7 +69,8 @@
     @Override
     protected boolean holds(HttpResponse head, int bytes) {
         // That it ended too soon is told by the end itself, which has its own outcome.
-        boolean unreadable = head.decoderResult().isFailure() && !(head.decoderResult().cause() instanceof PrematureChannelClosureException);
+        boolean unreadable = head.decoderResult().isFailure()
+                && !(head.decoderResult().cause() instanceof PrematureChannelClosureException);
         if (unreadable || length > (good(head) ? HttpTransport.MAX_BODY : HttpTransport.LONGEST_BODY)) {
             return false;
         }
@@ -95,13 +96,19 @@
 
     /** Only what can be an answer is passed on before its end. */
     private boolean good(HttpResponse head) {
-        return head.status().equals(HttpResponseStatus.OK) && head.decoderResult().isSuccess()
+        return head.status().equals(HttpResponseStatus.OK)
+                && head.decoderResult().isSuccess()
                 && length <= HttpTransport.LONGEST_BODY;
     }
 
     @Override
     protected void whole(ChannelHandlerContext ctx, HttpResponse head, ByteBuf body, DecoderResult result) {
-        var answer = new DefaultFullHttpResponse(head.protocolVersion(), head.status(), body, head.headers(), head.headers().copy().clear());
+        var answer = new DefaultFullHttpResponse(
+                head.protocolVersion(),
+                head.status(),
+                body,
+                head.headers(),
+                head.headers().copy().clear());
         answer.setDecoderResult(result);
         ctx.fireChannelRead(answer);
     }
@@ -110,7 +117,11 @@
     protected Sink streams(ChannelHandlerContext ctx, HttpResponse head) {
         AnswerStream stream = good(head) ? connection.stream(head, length) : null;
         if (stream == null) {
-            whole(ctx, head, Unpooled.EMPTY_BUFFER, DecoderResult.failure(new TooLongFrameException("an answer that is too long")));
+            whole(
+                    ctx,
+                    head,
+                    Unpooled.EMPTY_BUFFER,
+                    DecoderResult.failure(new TooLongFrameException("an answer that is too long")));
         }
         return stream;
     }
--- a/daemon/src/main/java/grebehoist/http/Answers.java
+++ b/daemon/src/main/java/grebehoist/http/Answers.java
@@ -15,7 +15,7 @@
 
 /** What clients are answered. */
 final class Answers {
-    private Answers() { }
+    private Answers() {}
 
     /** Passes a backend's answer on; the body goes with it. */
     static FullHttpResponse served(HttpAnswer served) {
@@ -45,7 +45,10 @@
     static FullHttpResponse refused(long retryAfterUs) {
         FullHttpResponse answer = plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "not now; trying again is harmless");
         if (retryAfterUs > 0) {
-            answer.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", (retryAfterUs + 999) / 1_000 / 1e3));
+            answer.headers()
+                    .set(
+                            HttpHeaderNames.RETRY_AFTER,
+                            String.format(Locale.ROOT, "%.3f", (retryAfterUs + 999) / 1_000 / 1e3));
         }
         return answer;
     }
--- a/daemon/src/main/java/grebehoist/http/Assembler.java
+++ b/daemon/src/main/java/grebehoist/http/Assembler.java
@@ -55,7 +55,7 @@
     protected abstract Sink streams(ChannelHandlerContext ctx, H message);
 
     /** What was held of a message has been handed on, or dropped. */
-    protected void forgets() { }
+    protected void forgets() {}
 
     /** Returns how many bytes of a body are held. */
     final int heldBytes() {
--- a/daemon/src/main/java/grebehoist/http/BackendConnection.java
+++ b/daemon/src/main/java/grebehoist/http/BackendConnection.java
@@ -25,6 +25,7 @@
 
     /** The long answer that is on its way, or null. */
     private AnswerStream stream;
+
     private boolean keeps;
     private final ReadSwitch reading;
     private boolean movedOn;
@@ -47,10 +48,13 @@
     @Override
     protected Verdict judge(FullHttpResponse response, PooledAttempt of) {
         boolean readable = response.decoderResult().isSuccess();
-        // One that began before the request was written whole can't be its answer; that it was turned away can be told then.
+        // One that began before the request was written whole can't be its answer; that it was turned away can be told
+        // then.
         boolean sound = readable && of.mayHaveRun();
         Outcome outcome = HttpOutcomes.ofAnswer(response, sound, readable);
-        return new Verdict(outcome, sound && HttpUtil.isKeepAlive(response),
+        return new Verdict(
+                outcome,
+                sound && HttpUtil.isKeepAlive(response),
                 outcome == Outcome.OK ? new HttpAnswer(response.headers(), response.content()) : null);
     }
 
--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -38,6 +38,7 @@
     private static final long HEAD_US = 2_400_000;
     /** A body must have come by then and so much later for each byte: 32 kB a second, half of what slow clients are known for. */
     private static final long BODY_US = 2_600_000;
+
     static final long US_A_BYTE = 31;
     /** A long body of which nothing more comes for so long, though it is read, will not be whole. */
     private static final long SILENT_US = 2_600_000;
@@ -53,6 +54,7 @@
     private static final long SLOW_READ_MS = 20;
     /** The rest of a body whose request was answered before its end. */
     private static final long DROPPED_OF_UPLOAD = HttpTransport.LONGEST_BODY;
+
     private static final long LINGER_US = 1_000_000;
     private static final long LINGER_OF_UPLOAD_US = 6_000_000;
     /** Long enough that the loop reads on, and sees that a client has left. */
@@ -70,6 +72,7 @@
     private long cameAt;
     /** Whether its client may have waited to be accepted, and may have left by now. */
     private boolean mayHaveWaited;
+
     private long firstByteAt = -1;
     private boolean headCame;
     private ReadBacklog backlog;
@@ -77,9 +80,11 @@
     private long lastReadAt;
     /** Since when nothing is open here: the connect, or the last answer. */
     private long idleSince;
+
     private boolean used;
     /** Whether nothing more is read as a request, and what is to be said of that, until it is written. */
     private boolean parting;
+
     private FullHttpResponse lastWord;
     private long partedAt = -1;
     private CutOff why = CutOff.CLIENT_LEFT;
@@ -88,9 +93,11 @@
     private long lingerUs = LINGER_US;
     /** How much of a long body had come when that was last looked at, and since when no more has. */
     private long uploaded;
+
     private long uploadedAt;
     /** How much of long answers has been written to the client. */
     private long given;
+
     private final TakeWatch takes = new TakeWatch(UNREAD_US);
 
     /**
@@ -197,7 +204,8 @@
 
             @Override
             public void cutOff() {
-                ClientConnection.this.cutOff(exchanges[0], Answers.plain(HttpResponseStatus.BAD_REQUEST, "not a body that can be read"));
+                ClientConnection.this.cutOff(
+                        exchanges[0], Answers.plain(HttpResponseStatus.BAD_REQUEST, "not a body that can be read"));
             }
         });
         uploaded = 0;
@@ -242,7 +250,8 @@
             waiting.add(next);
         } else {
             next.drop();
-            part(Answers.plain(HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests at once; these have not been begun"));
+            part(Answers.plain(
+                    HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests at once; these have not been begun"));
             return null;
         }
         return next;
@@ -449,7 +458,12 @@
     /** What has no request, or none any more, has no line of its own otherwise. */
     private void tell(CutOff cause, long bytes) {
         long ms = (front.now() - (partedAt >= 0 ? partedAt : firstByteAt >= 0 ? firstByteAt : uploadedAt)) / 1_000;
-        front.cutOffs().tell(front.now(), cause, "a request of which " + bytes + " bytes had come " + (headCame ? "behind its head, " : "") + ms + " ms ago");
+        front.cutOffs()
+                .tell(
+                        front.now(),
+                        cause,
+                        "a request of which " + bytes + " bytes had come " + (headCame ? "behind its head, " : "") + ms
+                                + " ms ago");
     }
 
     private boolean takesNothing(long now) {
@@ -517,7 +531,12 @@
         rest.release();
         if (dropped >= mostDropped) {
             channel.config().setAutoRead(false);
-            LoopTasks.after(channel.eventLoop(), front.log(), SLOW_READ_MS, TimeUnit.MILLISECONDS, () -> channel.config().setAutoRead(true));
+            LoopTasks.after(
+                    channel.eventLoop(),
+                    front.log(),
+                    SLOW_READ_MS,
+                    TimeUnit.MILLISECONDS,
+                    () -> channel.config().setAutoRead(true));
         }
     }
 
--- a/daemon/src/main/java/grebehoist/http/CutOffs.java
+++ b/daemon/src/main/java/grebehoist/http/CutOffs.java
@@ -12,6 +12,7 @@
 final class CutOffs {
     /** Enough to follow single cases; many at once have one cause, and its count says as much. */
     private static final int LINES_A_SECOND = 5;
+
     private static final long SECOND_US = 1_000_000;
 
     private final Log log;
--- a/daemon/src/main/java/grebehoist/http/Exchange.java
+++ b/daemon/src/main/java/grebehoist/http/Exchange.java
@@ -22,14 +22,17 @@
     private final Upload upload;
     /** The length of the body, as long as it counts as held. */
     private final int held;
+
     private final long cameAt;
     private String id;
     /** How long the client waits, for a request whose end was yet to come. */
     private long patienceUs;
+
     private AnswerStream stream;
     private boolean answered;
     /** How much of a long answer has been passed on. */
     private long passed;
+
     private boolean dropped;
 
     /**
@@ -38,7 +41,13 @@
      * @param upload the body where it is still coming, else null
      * @param cameAt when the last of its bytes so far came
      */
-    Exchange(HttpFront front, ClientConnection connection, HttpRequest request, ByteBuf body, Upload upload, long cameAt) {
+    Exchange(
+            HttpFront front,
+            ClientConnection connection,
+            HttpRequest request,
+            ByteBuf body,
+            Upload upload,
+            long cameAt) {
         this.front = front;
         this.connection = connection;
         this.request = request;
@@ -55,8 +64,10 @@
             String target = RequestReader.originForm(request.uri());
             var uri = new QueryStringDecoder(target);
             if (uri.rawPath().equals("/ready")) {
-                answer(front.ready() ? Answers.plain(HttpResponseStatus.OK, "ready")
-                        : Answers.plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready"));
+                answer(
+                        front.ready()
+                                ? Answers.plain(HttpResponseStatus.OK, "ready")
+                                : Answers.plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready"));
                 return;
             }
             read = front.reader().read(request, target, uri, body, upload, cameAt);
@@ -223,8 +234,8 @@
     /** How far it came, for the operators. */
     @Override
     public String toString() {
-        return id + " (" + (!answered ? "no answer" : passed == 0 ? "a short answer" : passed + " bytes of an answer") + ", "
-                + (front.now() - cameAt) / 1_000 + " ms after it came)";
+        return id + " (" + (!answered ? "no answer" : passed == 0 ? "a short answer" : passed + " bytes of an answer")
+                + ", " + (front.now() - cameAt) / 1_000 + " ms after it came)";
     }
 
     /** Gives up the request's bytes. */
--- a/daemon/src/main/java/grebehoist/http/Framing.java
+++ b/daemon/src/main/java/grebehoist/http/Framing.java
@@ -21,7 +21,7 @@
     /** Bodies are handed on in pieces of up to so many bytes. */
     private static final int PIECE = 64 * 1024;
 
-    private Framing() { }
+    private Framing() {}
 
     private static HttpDecoderConfig config() {
         return new HttpDecoderConfig().setMaxChunkSize(PIECE);
--- a/daemon/src/main/java/grebehoist/http/Headers.java
+++ b/daemon/src/main/java/grebehoist/http/Headers.java
@@ -17,11 +17,20 @@
     static final String NOT_PROCESSED = "x-not-processed";
 
     /** These concern one connection alone (RFC 9110, 7.6.1); the content length is set afresh by each sender. */
-    private static final Set<String> HOP_BY_HOP = Set.of("connection", "keep-alive", "proxy-connection", "te",
-            "trailer", "transfer-encoding", "upgrade", "proxy-authenticate", "proxy-authorization", "content-length",
+    private static final Set<String> HOP_BY_HOP = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "content-length",
             "expect");
 
-    private Headers() { }
+    private Headers() {}
 
     static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
         boolean named = from.contains(HttpHeaderNames.CONNECTION);
--- a/daemon/src/main/java/grebehoist/http/HttpAttempt.java
+++ b/daemon/src/main/java/grebehoist/http/HttpAttempt.java
@@ -36,8 +36,8 @@
 
     @Override
     protected Object message(Channel on) {
-        var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri(),
-                call.body().retainedDuplicate());
+        var request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, call.method(), call.uri(), call.body().retainedDuplicate());
         fill(request);
         if (!call.method().equals(HttpMethod.GET) || request.content().isReadable()) {
             HttpUtil.setContentLength(request, request.content().readableBytes());
@@ -96,7 +96,8 @@
                 if (!f.isSuccess()) {
                     whole.tryFailure(f.cause());
                 } else if (call.upload().paused()) {
-                    // The buffer still counts a piece while it tells of it: of the last one in it nothing more would be told.
+                    // The buffer still counts a piece while it tells of it: of the last one in it nothing more would be
+                    // told.
                     on.eventLoop().execute(this::goOn);
                 }
             });
--- a/daemon/src/main/java/grebehoist/http/HttpFront.java
+++ b/daemon/src/main/java/grebehoist/http/HttpFront.java
@@ -27,7 +27,12 @@
      * @param settings the pool's classes and tenants
      * @param ready whether the pool can serve, for whoever asks {@code GET /ready}
      */
-    public HttpFront(LoopTimers timers, Log log, Intake intake, Sockets sockets, Balancer.Settings settings,
+    public HttpFront(
+            LoopTimers timers,
+            Log log,
+            Intake intake,
+            Sockets sockets,
+            Balancer.Settings settings,
             BooleanSupplier ready) {
         super(timers, log, intake, sockets);
         this.ready = ready;
--- a/daemon/src/main/java/grebehoist/http/HttpOutcomes.java
+++ b/daemon/src/main/java/grebehoist/http/HttpOutcomes.java
@@ -23,7 +23,7 @@
  * </table>
  */
 final class HttpOutcomes {
-    private HttpOutcomes() { }
+    private HttpOutcomes() {}
 
     /**
      * Returns the outcome of an answer.
--- a/daemon/src/main/java/grebehoist/http/HttpTransport.java
+++ b/daemon/src/main/java/grebehoist/http/HttpTransport.java
@@ -36,8 +36,13 @@
         var assembler = new AnswerAssembler(timers());
         var connection = new BackendConnection(target, channel, decoder, timers());
         assembler.connection(connection);
-        channel.pipeline().addLast(new HttpRequestEncoder(), decoder, assembler,
-                new IdleStateHandler(0, 0, idleUs(), TimeUnit.MICROSECONDS), connection);
+        channel.pipeline()
+                .addLast(
+                        new HttpRequestEncoder(),
+                        decoder,
+                        assembler,
+                        new IdleStateHandler(0, 0, idleUs(), TimeUnit.MICROSECONDS),
+                        connection);
         return connection;
     }
 
--- a/daemon/src/main/java/grebehoist/http/ReadBacklog.java
+++ b/daemon/src/main/java/grebehoist/http/ReadBacklog.java
@@ -16,12 +16,14 @@
     static final int MOST_HELD = 2 * Network.UNREAD;
     /** Where nothing is known of how much is held. */
     static final int UNBOUNDED = Integer.MAX_VALUE;
+
     private static final int STEPS = 16;
 
-    private record Mark(long bytes, long atUs) { }
+    private record Mark(long bytes, long atUs) {}
 
     /** Empty while all that has come is read. */
     private final Deque<Mark> marks = new ArrayDeque<>(18);
+
     private final int mostHeld;
     private long bytes;
 
--- a/daemon/src/main/java/grebehoist/http/RequestAssembler.java
+++ b/daemon/src/main/java/grebehoist/http/RequestAssembler.java
@@ -45,7 +45,8 @@
             connection.part(bad);
             return false;
         }
-        // RFC 9110, 10.1.1: the client waits for this before it sends its body. In the middle of another answer it would be part of it.
+        // RFC 9110, 10.1.1: the client waits for this before it sends its body. In the middle of another answer it
+        // would be part of it.
         owesContinue = HttpUtil.is100ContinueExpected(head);
         if (connection.headCame()) {
             itsTurn(ctx.channel());
@@ -66,7 +67,8 @@
             return Answers.plain(HttpResponseStatus.BAD_REQUEST, "not a request that can be read");
         }
         List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        boolean plainChunks = codings.size() == 1 && codings.get(0).trim().equalsIgnoreCase("chunked")
+        boolean plainChunks = codings.size() == 1
+                && codings.get(0).trim().equalsIgnoreCase("chunked")
                 && head.protocolVersion().equals(HttpVersion.HTTP_1_1);
         if (!codings.isEmpty() && !plainChunks) {
             return Answers.plain(HttpResponseStatus.BAD_REQUEST, "a body that is not sent in plain chunks");
--- a/daemon/src/main/java/grebehoist/http/RequestReader.java
+++ b/daemon/src/main/java/grebehoist/http/RequestReader.java
@@ -66,7 +66,8 @@
      * @param upload the body where it goes on as it comes, else null
      * @param cameAt when its client's patience began, as far as can be known
      */
-    Request read(HttpRequest request, String target, QueryStringDecoder uri, ByteBuf body, Upload upload, long cameAt) throws Rejected {
+    Request read(HttpRequest request, String target, QueryStringDecoder uri, ByteBuf body, Upload upload, long cameAt)
+            throws Rejected {
         if (!uri.rawPath().equals("/api") && !uri.rawPath().startsWith("/api/")) {
             throw new Rejected(HttpResponseStatus.NOT_FOUND, "no such path");
         }
@@ -94,14 +95,22 @@
         List<String> keys = uri.parameters().get("k");
         long patienceUs = patienceUs(header(headers, Headers.TIMEOUT));
         long deadline = ClientFront.deadline(cameAt, patienceUs);
-        return new Request(requestId, requestClass, tenant, keys == null ? null : keys.get(0),
-                "1".equals(headers.get(Headers.RETRIED)), deadline, upload == null || upload.over() ? 0 : comingUs(upload),
+        return new Request(
+                requestId,
+                requestClass,
+                tenant,
+                keys == null ? null : keys.get(0),
+                "1".equals(headers.get(Headers.RETRIED)),
+                deadline,
+                upload == null || upload.over() ? 0 : comingUs(upload),
                 new HttpCall(request.method(), target, headers, body, upload));
     }
 
     /** How long the rest of a body may take: a client that keeps it moving is given all the time that it needs, within reason. */
     private static long comingUs(Upload upload) {
-        return upload.length() < 0 ? MOST_COMING_US : Math.min(MOST_COMING_US, LEAST_COMING_US + upload.length() * ClientConnection.US_A_BYTE);
+        return upload.length() < 0
+                ? MOST_COMING_US
+                : Math.min(MOST_COMING_US, LEAST_COMING_US + upload.length() * ClientConnection.US_A_BYTE);
     }
 
     private static String header(HttpHeaders headers, String name) throws Rejected {
--- a/daemon/src/main/java/grebehoist/installation/DistributionReader.java
+++ b/daemon/src/main/java/grebehoist/installation/DistributionReader.java
@@ -14,10 +14,11 @@
     private static final int MOST_MACHINES = 64;
     /** A number of 16 bits names each machine and each proxy. */
     private static final int MOST_MEMBERS = 65_535;
+
     private static final int MOST_SCOPES = 2_000;
     private static final int SCOPE_BYTES = 24;
 
-    private DistributionReader() { }
+    private DistributionReader() {}
 
     static Installation.DistributionEntry read(TomlTable t) {
         String role = t.word("role", ROLES);
--- a/daemon/src/main/java/grebehoist/installation/Installation.java
+++ b/daemon/src/main/java/grebehoist/installation/Installation.java
@@ -7,7 +7,6 @@
 import grebehoist.config.Json;
 import grebehoist.net.Addresses;
 import grebehoist.tasks.TaskSpec;
-import grebehoist.thrift.ThriftMethod;
 import grebehoist.thrift.ThriftOptions;
 import java.io.IOException;
 import java.io.InputStream;
@@ -33,21 +32,39 @@
  * @param lease null where the fleet has no tasks
  * @param distribution null where no configuration is distributed
  */
-public record Installation(String name, int sockets, List<PoolEntry> pools, List<ListenerEntry> listeners, MembershipEntry membership,
-        LeaseEntry lease, DistributionEntry distribution) {
+public record Installation(
+        String name,
+        int sockets,
+        List<PoolEntry> pools,
+        List<ListenerEntry> listeners,
+        MembershipEntry membership,
+        LeaseEntry lease,
+        DistributionEntry distribution) {
     /** A pool: backends that share a list and settings. */
-    public record PoolEntry(String name, String protocol, InetSocketAddress discovery, Balancer.Settings settings,
-            long connIdleUs, long connectTimeoutUs, int maxFrame) { }
+    public record PoolEntry(
+            String name,
+            String protocol,
+            InetSocketAddress discovery,
+            Balancer.Settings settings,
+            long connIdleUs,
+            long connectTimeoutUs,
+            int maxFrame) {}
 
     /** An address at which clients of a pool connect; {@code thrift} is null where it is not Thrift that they speak. */
-    public record ListenerEntry(String name, String protocol, InetSocketAddress address, String pool, ThriftOptions thrift) { }
+    public record ListenerEntry(
+            String name, String protocol, InetSocketAddress address, String pool, ThriftOptions thrift) {}
 
     /** The other proxies of a fleet, and the keys that they share: docs/membership.md. */
-    public record MembershipEntry(InetSocketAddress listen, int number, List<InetSocketAddress> peers, String zone, long pauseUs,
-            List<KeyEntry> keys) { }
+    public record MembershipEntry(
+            InetSocketAddress listen,
+            int number,
+            List<InetSocketAddress> peers,
+            String zone,
+            long pauseUs,
+            List<KeyEntry> keys) {}
 
     /** The tasks of the fleet and who grants them: docs/leases.md. */
-    public record LeaseEntry(int set, List<Integer> voters, long leaseUs, List<TaskSpec> tasks) { }
+    public record LeaseEntry(int set, List<Integer> voters, long leaseUs, List<TaskSpec> tasks) {}
 
     /**
      * Configuration that changes while the fleet runs: docs/distribution.md.
@@ -57,14 +74,20 @@
      * @param scopes what a proxy is to hold; empty for a machine
      * @param door where operators call, or null
      */
-    public record DistributionEntry(boolean control, InetSocketAddress listen, int number, List<String> scopes, InetSocketAddress door,
-            List<ControlEntry> machines, List<KeyEntry> keys) { }
+    public record DistributionEntry(
+            boolean control,
+            InetSocketAddress listen,
+            int number,
+            List<String> scopes,
+            InetSocketAddress door,
+            List<ControlEntry> machines,
+            List<KeyEntry> keys) {}
 
     /** A machine that is set aside for distribution: where it gets datagrams, where the writer calls it, and where it is. */
-    public record ControlEntry(InetSocketAddress address, InetSocketAddress door, String zone) { }
+    public record ControlEntry(InetSocketAddress address, InetSocketAddress door, String zone) {}
 
     /** A key, in hexadecimal. */
-    public record KeyEntry(int id, String secret) { }
+    public record KeyEntry(int id, String secret) {}
 
     /** A file that nothing can run with: all that is wrong with it, each with file, table and key. */
     public static final class BadInstallation extends Exception {
@@ -86,10 +109,10 @@
     private static final int MOST_VOTERS = 7;
     private static final int MOST_TASKS = 200;
     private static final Set<String> PROTOCOLS = Set.of("http", "thrift");
-    private static final Map<String, Balancer.Effect> EFFECTS = Map.of("safe", Balancer.Effect.SAFE, "keyed",
-            Balancer.Effect.KEYED, "unsafe", Balancer.Effect.UNSAFE);
-    private static final Map<String, Balancer.Scope> SCOPES = Map.of("all", Balancer.Scope.ALL, "zone", Balancer.Scope.ZONE,
-            "cell", Balancer.Scope.CELL);
+    private static final Map<String, Balancer.Effect> EFFECTS =
+            Map.of("safe", Balancer.Effect.SAFE, "keyed", Balancer.Effect.KEYED, "unsafe", Balancer.Effect.UNSAFE);
+    private static final Map<String, Balancer.Scope> SCOPES =
+            Map.of("all", Balancer.Scope.ALL, "zone", Balancer.Scope.ZONE, "cell", Balancer.Scope.CELL);
     private static final Map<String, Boolean> MODES = Map.of("ask", true, "push", false);
     private static final long MOST_MS = 24 * 3_600_000L;
     private static final int LEAST_SOCKETS = 128;
@@ -113,8 +136,9 @@
             root = Json.read(new TomlFactory().createParser(toml));
         } catch (JsonProcessingException e) {
             var at = e.getLocation();
-            throw new BadInstallation(List.of(file + (at == null ? "" : ": line " + at.getLineNr() + ", column " + at.getColumnNr())
-                    + ": not TOML: " + e.getOriginalMessage()));
+            throw new BadInstallation(
+                    List.of(file + (at == null ? "" : ": line " + at.getLineNr() + ", column " + at.getColumnNr())
+                            + ": not TOML: " + e.getOriginalMessage()));
         } catch (IOException e) {
             throw new BadInstallation(List.of(file + ": cannot be read: " + e));
         }
@@ -137,7 +161,8 @@
             var pools = new ArrayList<PoolEntry>();
             TomlTable members = top.optionalTable("membership");
             TomlTable distributed = top.optionalTable("distribution");
-            // A process of the platform's may have a file for what it does with others alone; a machine that is set aside has no pool.
+            // A process of the platform's may have a file for what it does with others alone; a machine that is set
+            // aside has no pool.
             boolean alone = members == null && distributed == null;
             top.tables("pool", "[[pool]]", alone).forEach(t -> pools.add(pool(t)));
             ThriftReader thrift = ThriftReader.read(top.table("thrift"), pools);
@@ -159,8 +184,10 @@
                 agree(listenerTables.get(i), listeners.get(i), pools, listeners.subList(0, i));
             }
             for (PoolEntry pool : pools) {
-                if (!pool.name().isEmpty() && listeners.stream().noneMatch(l -> l.pool().equals(pool.name()))) {
-                    problems.add(file + ": [[pool]] \"" + pool.name() + "\": no [[listener]] has pool = \"" + pool.name() + "\"");
+                if (!pool.name().isEmpty()
+                        && listeners.stream().noneMatch(l -> l.pool().equals(pool.name()))) {
+                    problems.add(file + ": [[pool]] \"" + pool.name() + "\": no [[listener]] has pool = \""
+                            + pool.name() + "\"");
                 }
             }
             return new Installation(name, sockets, pools, listeners, membership, lease, distribution);
@@ -204,7 +231,9 @@
                 voters.add((int) voter);
             }
             if (voters.size() % 2 == 0 && !voters.isEmpty()) {
-                t.problem("voters", "3, 5 or 7 are wanted: " + voters.size() + " bear no more deaths than " + (voters.size() - 1));
+                t.problem(
+                        "voters",
+                        "3, 5 or 7 are wanted: " + voters.size() + " bear no more deaths than " + (voters.size() - 1));
             }
             int set = (int) t.whole("set", 1L, 0, Integer.MAX_VALUE);
             long leaseUs = us(t.whole("lease_ms", 2_000L, 500, 600_000));
@@ -241,18 +270,25 @@
             var seen = new HashSet<String>();
             var twice = new TreeSet<String>();
             names.stream().filter(n -> !n.isEmpty() && !seen.add(n)).forEach(twice::add);
-            twice.forEach(n -> problems.add(file + ": " + table + " \"" + n + "\": key 'name': there are several of this name"));
+            twice.forEach(n ->
+                    problems.add(file + ": " + table + " \"" + n + "\": key 'name': there are several of this name"));
         }
 
         private void agree(TomlTable table, ListenerEntry listener, List<PoolEntry> pools, List<ListenerEntry> before) {
-            PoolEntry pool = pools.stream().filter(p -> p.name().equals(listener.pool())).findFirst().orElse(null);
+            PoolEntry pool = pools.stream()
+                    .filter(p -> p.name().equals(listener.pool()))
+                    .findFirst()
+                    .orElse(null);
             if (pool == null && !listener.pool().isEmpty()) {
                 table.problem("pool", "there is no [[pool]] \"" + listener.pool() + "\"");
-            } else if (pool != null && !pool.protocol().isEmpty() && !listener.protocol().isEmpty()
+            } else if (pool != null
+                    && !pool.protocol().isEmpty()
+                    && !listener.protocol().isEmpty()
                     && !pool.protocol().equals(listener.protocol())) {
                 table.problem("protocol", "pool \"" + pool.name() + "\" speaks \"" + pool.protocol() + "\"");
             }
-            if (listener.address() != null && listener.address().getPort() != 0
+            if (listener.address() != null
+                    && listener.address().getPort() != 0
                     && before.stream().anyMatch(l -> listener.address().equals(l.address()))) {
                 table.problem("address", "another [[listener]] has it already");
             }
@@ -263,7 +299,10 @@
             String protocol = t.word("protocol", PROTOCOLS);
             InetSocketAddress address = t.address("address");
             String pool = t.text("pool");
-            PoolEntry entry = pools.stream().filter(p -> p.name().equals(pool)).findFirst().orElse(null);
+            PoolEntry entry = pools.stream()
+                    .filter(p -> p.name().equals(pool))
+                    .findFirst()
+                    .orElse(null);
             ThriftOptions options = protocol.equals("thrift") ? thrift.options(t, entry) : null;
             t.done();
             return new ListenerEntry(name, protocol, address, pool, options);
@@ -296,11 +335,20 @@
                     tenants.add(new Balancer.Tenant(tenant, quota));
                 }
             }
-            unique(t.where() + " / [[pool.class]]", classes.stream().map(Balancer.RequestClass::name).toList());
-            unique(t.where() + " / [[pool.tenant]]", tenants.stream().map(Balancer.Tenant::name).toList());
+            unique(
+                    t.where() + " / [[pool.class]]",
+                    classes.stream().map(Balancer.RequestClass::name).toList());
+            unique(
+                    t.where() + " / [[pool.tenant]]",
+                    tenants.stream().map(Balancer.Tenant::name).toList());
             double overShare = t.number("over_share_worth", tenants.isEmpty() ? 1 : 0.05, 0, 1);
-            var limits = new Balancer.Limits(t.flag("cancel", true), false, false, asked,
-                    (int) t.whole("max_attempts", 4L, 1, 100), us(t.whole("max_retry_after_ms", 2_000L, 0, MOST_MS)));
+            var limits = new Balancer.Limits(
+                    t.flag("cancel", true),
+                    false,
+                    false,
+                    asked,
+                    (int) t.whole("max_attempts", 4L, 1, 100),
+                    us(t.whole("max_retry_after_ms", 2_000L, 0, MOST_MS)));
             Balancer.Rules rules = rules(t);
             long tickUs = us(t.whole("tick_ms", 4L, 0, 1_000));
             long idleUs = us(t.whole("conn_idle_ms", 15_000L, 10, MOST_MS));
@@ -314,16 +362,22 @@
             }
             t.done();
             // What could not be read is told; the rest of the file is read on as if it were not there.
-            Balancer.Settings settings = classes.isEmpty() ? null : new Balancer.Settings(balancers, rank, zone, tickUs, classes,
-                    tenants, overShare, false, limits, rules, seed);
+            Balancer.Settings settings = classes.isEmpty()
+                    ? null
+                    : new Balancer.Settings(
+                            balancers, rank, zone, tickUs, classes, tenants, overShare, false, limits, rules, seed);
             return new PoolEntry(name, protocol, discovery, settings, idleUs, connectUs, maxFrame);
         }
 
         private static Balancer.Rules rules(TomlTable pool) {
             TomlTable t = pool.table("rules");
-            var rules = new Balancer.Rules(t.number("cold_from", null, 0.001, 1), us(t.whole("cold_ms", null, 0, MOST_MS)),
-                    t.number("fall_multiple", null, 0.001, 1e6), us(t.whole("fall_ms", null, 1, MOST_MS)),
-                    us(pool.whole("ask_within_ms", 10_000L, 100, MOST_MS)), t.flag("full_unproven", false));
+            var rules = new Balancer.Rules(
+                    t.number("cold_from", null, 0.001, 1),
+                    us(t.whole("cold_ms", null, 0, MOST_MS)),
+                    t.number("fall_multiple", null, 0.001, 1e6),
+                    us(t.whole("fall_ms", null, 1, MOST_MS)),
+                    us(pool.whole("ask_within_ms", 10_000L, 100, MOST_MS)),
+                    t.flag("full_unproven", false));
             t.done();
             return rules;
         }
@@ -356,7 +410,8 @@
                 t.problem("deadline_ms", "it is before 'aim_ms'");
             }
             t.done();
-            return name.isEmpty() || effect == null || scope == null ? null
+            return name.isEmpty() || effect == null || scope == null
+                    ? null
                     : new Balancer.RequestClass(name, aimUs, deadlineUs, worth, lateWorth, effect, scope, windowUs);
         }
 
@@ -368,8 +423,19 @@
     /** Returns one line for a person. */
     public String summary() {
         String served = String.format(Locale.ROOT, "%d pools, %d listeners", pools.size(), listeners.size());
-        return distribution == null ? served : served + (distribution.control()
-                ? String.format(Locale.ROOT, ", control machine %d of %d", distribution.number(), distribution.machines().size())
-                : String.format(Locale.ROOT, ", %d scopes of %d control machines", distribution.scopes().size(), distribution.machines().size()));
+        return distribution == null
+                ? served
+                : served
+                        + (distribution.control()
+                                ? String.format(
+                                        Locale.ROOT,
+                                        ", control machine %d of %d",
+                                        distribution.number(),
+                                        distribution.machines().size())
+                                : String.format(
+                                        Locale.ROOT,
+                                        ", %d scopes of %d control machines",
+                                        distribution.scopes().size(),
+                                        distribution.machines().size()));
     }
 }
--- a/daemon/src/main/java/grebehoist/installation/KeyReader.java
+++ b/daemon/src/main/java/grebehoist/installation/KeyReader.java
@@ -7,7 +7,7 @@
 final class KeyReader {
     private static final int MOST = 2;
 
-    private KeyReader() { }
+    private KeyReader() {}
 
     /**
      * Reads the keys of a table.
--- a/daemon/src/main/java/grebehoist/installation/TomlTable.java
+++ b/daemon/src/main/java/grebehoist/installation/TomlTable.java
@@ -96,8 +96,11 @@
             return ifAbsent;
         }
         if (!value.canConvertToLong() || !value.isIntegralNumber() || value.asLong() < least || value.asLong() > most) {
-            problem(key, value.isMissingNode() ? "missing"
-                    : "a whole number from " + least + " to " + most + " is wanted, not " + value);
+            problem(
+                    key,
+                    value.isMissingNode()
+                            ? "missing"
+                            : "a whole number from " + least + " to " + most + " is wanted, not " + value);
             return least;
         }
         return value.asLong();
@@ -110,7 +113,11 @@
             return ifAbsent;
         }
         if (!value.isNumber() || !(value.asDouble() >= least && value.asDouble() <= most)) {
-            problem(key, value.isMissingNode() ? "missing" : "a number from " + least + " to " + most + " is wanted, not " + value);
+            problem(
+                    key,
+                    value.isMissingNode()
+                            ? "missing"
+                            : "a number from " + least + " to " + most + " is wanted, not " + value);
             return least;
         }
         return value.asDouble();
@@ -175,7 +182,9 @@
             }
         }
         if (!value.isArray() || texts.size() < least || texts.size() > most) {
-            problem(key, value.isMissingNode() ? "missing" : "an array of " + least + " to " + most + " texts is wanted");
+            problem(
+                    key,
+                    value.isMissingNode() ? "missing" : "an array of " + least + " to " + most + " texts is wanted");
         }
         return texts;
     }
@@ -185,9 +194,16 @@
         JsonNode value = value(key);
         var numbers = new ArrayList<Long>();
         value.forEach(v -> numbers.add(v.isIntegralNumber() && v.canConvertToLong() ? v.asLong() : Long.MIN_VALUE));
-        if (!value.isArray() || numbers.size() < leastOf || numbers.size() > mostOf || numbers.stream().anyMatch(n -> n < least || n > most)) {
-            problem(key, value.isMissingNode() ? "missing" : "an array of " + leastOf + " to " + mostOf + " whole numbers from " + least + " to " + most
-                    + " is wanted, not " + value);
+        if (!value.isArray()
+                || numbers.size() < leastOf
+                || numbers.size() > mostOf
+                || numbers.stream().anyMatch(n -> n < least || n > most)) {
+            problem(
+                    key,
+                    value.isMissingNode()
+                            ? "missing"
+                            : "an array of " + leastOf + " to " + mostOf + " whole numbers from " + least + " to "
+                                    + most + " is wanted, not " + value);
             return List.of();
         }
         return numbers;
@@ -204,7 +220,9 @@
         }
         for (JsonNode entry : value) {
             if (value.isArray()) {
-                String called = entry.path("name").isTextual() ? " \"" + entry.path("name").asText() + "\"" : " number " + (tables.size() + 1);
+                String called = entry.path("name").isTextual()
+                        ? " \"" + entry.path("name").asText() + "\""
+                        : " number " + (tables.size() + 1);
                 tables.add(new TomlTable(file, name + called, entry, problems));
             }
         }
--- a/daemon/src/main/java/grebehoist/operations/DistributionCalls.java
+++ b/daemon/src/main/java/grebehoist/operations/DistributionCalls.java
@@ -74,8 +74,11 @@
             refuse(answer, HttpResponseStatus.BAD_REQUEST, e.getMessage());
         } catch (JsonProcessingException e) {
             JsonLocation at = e.getLocation();
-            refuse(answer, HttpResponseStatus.BAD_REQUEST, (at == null ? "" : "line " + at.getLineNr() + ", column " + at.getColumnNr() + ": ")
-                    + "not JSON: " + e.getOriginalMessage());
+            refuse(
+                    answer,
+                    HttpResponseStatus.BAD_REQUEST,
+                    (at == null ? "" : "line " + at.getLineNr() + ", column " + at.getColumnNr() + ": ") + "not JSON: "
+                            + e.getOriginalMessage());
         } catch (IOException e) {
             refuse(answer, HttpResponseStatus.BAD_REQUEST, "not JSON: " + e.getMessage());
         }
@@ -89,7 +92,8 @@
         }
     }
 
-    private static void refuse(BiConsumer<HttpResponseStatus, ObjectNode> answer, HttpResponseStatus status, String why) {
+    private static void refuse(
+            BiConsumer<HttpResponseStatus, ObjectNode> answer, HttpResponseStatus status, String why) {
         answer.accept(status, Json.object().put("error", why));
     }
 
--- a/daemon/src/main/java/grebehoist/operations/Door.java
+++ b/daemon/src/main/java/grebehoist/operations/Door.java
@@ -65,11 +65,13 @@
     public static final int MOST_CALLERS = 24;
     /** A call must be over by then. */
     private static final long MOST_MS = 5_000;
+
     private static final int MOST_BODY = 4 * 1024;
     private static final String BACKENDS = "/v1/backends/";
 
     /** Null at a process that has no pool of the platform's. */
     private final Calls calls;
+
     private final Log log;
     private final Set<Channel> callers = new LinkedHashSet<>();
     /** Null where nothing is distributed; set once. */
@@ -92,13 +94,22 @@
 
     /** Listens; the future tells whether the address could be had. */
     public ChannelFuture listen(Network network, InetSocketAddress address) {
-        return LoopChannels.bind(network.server().clone().handler(LoopChannels.keepAccepting(log)).childHandler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                admit(channel);
-                channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY), new Caller());
-            }
-        }), network.address(address));
+        return LoopChannels.bind(
+                network.server()
+                        .clone()
+                        .handler(LoopChannels.keepAccepting(log))
+                        .childHandler(new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                admit(channel);
+                                channel.pipeline()
+                                        .addLast(
+                                                new HttpServerCodec(),
+                                                new HttpObjectAggregator(MOST_BODY),
+                                                new Caller());
+                            }
+                        }),
+                network.address(address));
     }
 
     private void admit(Channel channel) {
@@ -150,7 +161,10 @@
             case "/v1/readyz" -> {
                 if (expect(to, method, HttpMethod.GET)) {
                     boolean ready = calls == null ? distribution.ready() : calls.ready();
-                    answer(to, ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, ready ? "can serve" : "can't serve yet");
+                    answer(
+                            to,
+                            ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+                            ready ? "can serve" : "can't serve yet");
                 }
             }
             case "/v1/distribution", "/v1/distribution/call" -> {
@@ -206,7 +220,8 @@
             answer(to, HttpResponseStatus.NOT_FOUND, "no such call");
             return;
         }
-        String id = QueryStringDecoder.decodeComponent(path.substring(BACKENDS.length(), end).replace("+", "%2B"));
+        String id = QueryStringDecoder.decodeComponent(
+                path.substring(BACKENDS.length(), end).replace("+", "%2B"));
         if (!expect(to, method, HttpMethod.POST)) {
             return;
         }
@@ -230,16 +245,23 @@
     }
 
     private void answer(Channel to, boolean done, String state) {
-        answer(to, done ? HttpResponseStatus.OK : HttpResponseStatus.INSUFFICIENT_STORAGE, done ? state : "not on disk yet; it holds in this process, and is written as soon as that can be");
+        answer(
+                to,
+                done ? HttpResponseStatus.OK : HttpResponseStatus.INSUFFICIENT_STORAGE,
+                done ? state : "not on disk yet; it holds in this process, and is written as soon as that can be");
     }
 
     private void answer(Channel to, HttpResponseStatus status, String state) {
-        answer(to, status, Json.object().put(status.codeClass().equals(HttpResponseStatus.OK.codeClass()) ? "state" : "error", state));
+        answer(
+                to,
+                status,
+                Json.object()
+                        .put(status.codeClass().equals(HttpResponseStatus.OK.codeClass()) ? "state" : "error", state));
     }
 
     private void answer(Channel to, HttpResponseStatus status, JsonNode body) {
-        var answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                Unpooled.copiedBuffer(body.toString() + "\n", StandardCharsets.UTF_8));
+        var answer = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(body.toString() + "\n", StandardCharsets.UTF_8));
         answer.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json").set(HttpHeaderNames.CONNECTION, "close");
         HttpUtil.setContentLength(answer, answer.content().readableBytes());
         to.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
--- a/daemon/src/main/java/grebehoist/operations/Operations.java
+++ b/daemon/src/main/java/grebehoist/operations/Operations.java
@@ -36,8 +36,14 @@
      * @param otherProcesses hears how many other processes of this proxy live
      * @param log counts what the metrics show
      */
-    public record Target(BooleanSupplier ready, Supplier<Tally> tally, IntSupplier active, IntSupplier avoided,
-            Consumer<Boolean> sendAway, Consumer<StateDirectory.Shared> otherProcesses, StderrLog log) { }
+    public record Target(
+            BooleanSupplier ready,
+            Supplier<Tally> tally,
+            IntSupplier active,
+            IntSupplier avoided,
+            Consumer<Boolean> sendAway,
+            Consumer<StateDirectory.Shared> otherProcesses,
+            StderrLog log) {}
 
     /** A caller waits for 1 s. */
     private static final long ANSWER_US = 800_000;
@@ -50,6 +56,7 @@
     private volatile Supplier<ObjectNode> members;
     /** What the operators have asked, as it was applied last; null before that. */
     private StateDirectory.Shared inForce;
+
     private int applied;
     private int rejected;
 
@@ -95,7 +102,8 @@
     }
 
     private static String describe(StateDirectory.Shared shared) {
-        return (shared.drained() ? "DRAINED" : "ACTIVE") + ", suspended " + shared.suspended() + ", " + shared.others() + " other processes";
+        return (shared.drained() ? "DRAINED" : "ACTIVE") + ", suspended " + shared.suspended() + ", " + shared.others()
+                + " other processes";
     }
 
     /** A new configuration has been taken over, or left alone. */
@@ -130,9 +138,12 @@
         for (Counter counter : Counter.values()) {
             events.put(counter.metric(), target.log.counted(counter));
         }
-        return figures.put("tries", tries).put("active", target.active.getAsInt()).put("pool_size", suspensions.listed().size())
+        return figures.put("tries", tries)
+                .put("active", target.active.getAsInt())
+                .put("pool_size", suspensions.listed().size())
                 .put("pool_ejected", suspensions.suspendedOfList() + target.avoided.getAsInt())
-                .put("config_applied", applied).put("config_rejected", rejected);
+                .put("config_applied", applied)
+                .put("config_rejected", rejected);
     }
 
     /** Tells where the view of other proxies comes from; null without one. */
--- a/daemon/src/main/java/grebehoist/operations/ProcessCensus.java
+++ b/daemon/src/main/java/grebehoist/operations/ProcessCensus.java
@@ -24,7 +24,7 @@
      * @param others how many other processes live
      * @param newer whether one of them joined after this one
      */
-    record Count(int others, boolean newer) { }
+    record Count(int others, boolean newer) {}
 
     private static final Pattern NAME = Pattern.compile(StateFiles.PROCESS + "(\\d{1,18})-(\\d{1,18})");
 
@@ -59,7 +59,9 @@
             for (Path process : processes) {
                 greatest = Math.max(greatest, number(process));
             }
-            own = files.resolve(String.format("%s%016d-%d", StateFiles.PROCESS, greatest + 1, ProcessHandle.current().pid()));
+            own = files.resolve(String.format(
+                    "%s%016d-%d",
+                    StateFiles.PROCESS, greatest + 1, ProcessHandle.current().pid()));
         }
         // A process that looks between the making and the locking takes the file for a dead one's, and deletes it.
         while (locked == null) {
--- a/daemon/src/main/java/grebehoist/operations/StateDirectory.java
+++ b/daemon/src/main/java/grebehoist/operations/StateDirectory.java
@@ -40,6 +40,7 @@
     private static final int LOOKS_FOR_EACH_CENSUS = 4;
     /** A disk that fails for a moment must not delay what another process is to hear within {@link #LOOK_MS}. */
     private static final long FIRST_RETRY_MS = 20;
+
     private static final long LAST_RETRY_MS = 250;
 
     /**
@@ -50,13 +51,14 @@
      * @param others how many other processes of this proxy live
      * @param newer whether one of them began after this one
      */
-    public record Shared(Set<String> suspended, boolean drained, int others, boolean newer) { }
+    public record Shared(Set<String> suspended, boolean drained, int others, boolean newer) {}
 
     /** Something that operators have asked, in force here until it lasts on disk. */
     private static final class Pending {
         private final String file;
         /** The backend, or null for the drain. */
         private final String backend;
+
         private final boolean present;
         private final Consumer<Boolean> then;
         private final Backoff backoff = new Backoff(FIRST_RETRY_MS, LAST_RETRY_MS);
@@ -64,6 +66,7 @@
         private volatile boolean superseded;
         /** For the state thread: when the file that is to go was made or touched, as first seen. */
         private FileTime touched;
+
         private boolean seen;
         private boolean complained;
 
@@ -85,14 +88,16 @@
     });
     /** What the state thread has read last. */
     private Shared read;
+
     private int looks;
     private boolean readable = true;
 
     /** From here on for the executor of {@link #watch}: what the files say, what is asked beyond that, and what was told last. */
     private final Map<String, Pending> pending = new LinkedHashMap<>();
+
     private Shared onDisk;
     private Shared told;
-    private Consumer<Shared> listener = s -> { };
+    private Consumer<Shared> listener = s -> {};
     private volatile Executor owner = Runnable::run;
 
     /**
@@ -114,7 +119,8 @@
      *
      * @param patienceMs after so long it gives up
      */
-    public static StateDirectory open(Path directory, Log log, long patienceMs) throws IOException, InterruptedException {
+    public static StateDirectory open(Path directory, Log log, long patienceMs)
+            throws IOException, InterruptedException {
         return new BoundedRetry(patienceMs, new Backoff(FIRST_RETRY_MS, LAST_RETRY_MS))
                 .run(() -> new StateDirectory(directory, log), IOException.class, failure -> {
                     log.count(Counter.STATE_READ_FAILED);
@@ -241,7 +247,8 @@
             log.count(Counter.STATE_WRITE_FAILED);
             if (!request.complained) {
                 request.complained = true;
-                owner.execute(() -> log.line("operators: '" + request.file + "' is in force and could not be written, it is tried again: " + e));
+                owner.execute(() -> log.line("operators: '" + request.file
+                        + "' is in force and could not be written, it is tried again: " + e));
             }
             thread.schedule(() -> write(request), request.backoff.next(), TimeUnit.MILLISECONDS);
         }
@@ -278,7 +285,8 @@
     private void readable(boolean now, Exception why) {
         if (now != readable) {
             readable = now;
-            owner.execute(() -> log.line("operators: the state directory can " + (now ? "be read again" : "not be read, what was known holds: " + why)));
+            owner.execute(() -> log.line("operators: the state directory can "
+                    + (now ? "be read again" : "not be read, what was known holds: " + why)));
         }
     }
 
@@ -298,7 +306,8 @@
             census.join(listing.processes());
         }
         boolean count = before == null || looks++ % LOOKS_FOR_EACH_CENSUS == 0;
-        ProcessCensus.Count processes = count ? census.count(listing.processes()) : new ProcessCensus.Count(before.others, before.newer);
+        ProcessCensus.Count processes =
+                count ? census.count(listing.processes()) : new ProcessCensus.Count(before.others, before.newer);
         return new Shared(listing.suspended(), listing.drained(), processes.others(), processes.newer());
     }
 
--- a/daemon/src/main/java/grebehoist/operations/StateFiles.java
+++ b/daemon/src/main/java/grebehoist/operations/StateFiles.java
@@ -36,7 +36,7 @@
      * @param suspended the ids of suspended backends
      * @param processes the files of processes, living or dead
      */
-    record Listing(Set<String> suspended, boolean drained, List<Path> processes) { }
+    record Listing(Set<String> suspended, boolean drained, List<Path> processes) {}
 
     private final Path directory;
 
@@ -47,14 +47,16 @@
 
     /** Returns the name of a suspension's file, or null where an id is too long for one. */
     static String suspensionOf(String backend) {
-        String name = SUSPENDED + Base64.getUrlEncoder().withoutPadding().encodeToString(backend.getBytes(StandardCharsets.UTF_8));
+        String name = SUSPENDED
+                + Base64.getUrlEncoder().withoutPadding().encodeToString(backend.getBytes(StandardCharsets.UTF_8));
         return name.length() > LONGEST_NAME ? null : name;
     }
 
     /** Returns the backend that a file suspends, or null where somebody else has left it. */
     private static String backendOf(String name) {
         try {
-            return new String(Base64.getUrlDecoder().decode(name.substring(SUSPENDED.length())), StandardCharsets.UTF_8);
+            return new String(
+                    Base64.getUrlDecoder().decode(name.substring(SUSPENDED.length())), StandardCharsets.UTF_8);
         } catch (IllegalArgumentException e) {
             return null;
         }
--- a/daemon/src/main/java/grebehoist/peers/ChangeLog.java
+++ b/daemon/src/main/java/grebehoist/peers/ChangeLog.java
@@ -30,8 +30,11 @@
 
     void tell(Change change, Membership membership) {
         if (change instanceof Change.Viewed v) {
-            ObjectNode line = line("view").put("of", names.of(v.member())).put("member", v.member())
-                    .put("state", v.state().name().toLowerCase(Locale.ROOT)).put("incarnation", v.incarnation());
+            ObjectNode line = line("view")
+                    .put("of", names.of(v.member()))
+                    .put("member", v.member())
+                    .put("state", v.state().name().toLowerCase(Locale.ROOT))
+                    .put("incarnation", v.incarnation());
             ArrayNode reach = line.putArray("reach");
             membership.notReachedBy(v.member()).forEach(reach::add);
             v.doubters().forEach(d -> line.withArray("doubters").add(names.of(d)));
@@ -42,7 +45,10 @@
             r.reach().zones().forEach(z -> line.withArray("zones").add(z));
             write(line);
         } else if (change instanceof Change.Count c) {
-            write(line("count").put("members", c.members()).put("shared_by", c.sharedBy()).put("rank", c.rank()));
+            write(line("count")
+                    .put("members", c.members())
+                    .put("shared_by", c.sharedBy())
+                    .put("rank", c.rank()));
         } else if (change instanceof Change.Away a) {
             write(line("away").put("for_us", a.forUs()));
         } else if (change instanceof Change.Present p) {
@@ -59,11 +65,15 @@
     /** Of a task: {@code from_us} and {@code until_us} are on the clock of {@code t_us}. */
     void tell(LeaseChange change, String task, long nowUs) {
         if (change instanceof LeaseChange.Held h) {
-            ObjectNode line = line("holding").put("task", task).put("holder", name).put("token", h.token());
+            ObjectNode line =
+                    line("holding").put("task", task).put("holder", name).put("token", h.token());
             long from = line.path("t_us").asLong();
             write(line.put("from_us", from).put("until_us", from + h.untilUs() - nowUs));
         } else if (change instanceof LeaseChange.Ended e) {
-            write(line("holding_ended").put("task", task).put("holder", name).put("token", e.token())
+            write(line("holding_ended")
+                    .put("task", task)
+                    .put("holder", name)
+                    .put("token", e.token())
                     .put("why", e.why().name().toLowerCase(Locale.ROOT)));
         }
     }
--- a/daemon/src/main/java/grebehoist/peers/PeerNode.java
+++ b/daemon/src/main/java/grebehoist/peers/PeerNode.java
@@ -36,7 +36,8 @@
     private final ChangeLog changes;
     /** Null where the fleet has no tasks. */
     private final Leases leases;
-    private Consumer<LeaseChange> holdings = c -> { };
+
+    private Consumer<LeaseChange> holdings = c -> {};
     private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
     private Future<?> ticks;
     private boolean ended;
@@ -51,11 +52,17 @@
         this.settings = settings;
         this.loop = loop;
         this.timers = timers;
-        this.port = new DatagramPort(loop, settings.identity().name() + ", where other proxies are to reach it", settings.listen(), new Listener(), log);
+        this.port = new DatagramPort(
+                loop,
+                settings.identity().name() + ", where other proxies are to reach it",
+                settings.listen(),
+                new Listener(),
+                log);
         this.counts = counts;
         this.log = log;
         // Which life this is has to differ from any before; what the platform gives as a seed is another thing.
-        var random = new SplittableRandom(System.nanoTime() ^ ProcessHandle.current().pid() << 32 ^ System.currentTimeMillis());
+        var random = new SplittableRandom(
+                System.nanoTime() ^ ProcessHandle.current().pid() << 32 ^ System.currentTimeMillis());
         this.node = new FleetNode(settings.identity(), settings.terms(), new KeyRing(settings.keys()), random, this);
         this.leases = settings.tasks() == null ? null : node.share(settings.tasks());
         this.changes = new ChangeLog(System.err, settings.identity().name(), this::name);
@@ -143,24 +150,42 @@
     /** Returns what is held of the others, for operators. */
     public ObjectNode figures() {
         Membership m = node.membership();
-        ObjectNode all = Json.object().put("name", settings.identity().name()).put("number", settings.identity().number())
-                .put("present", m.present()).put("cut_off", m.isCutOff()).put("not_heard", m.isNotHeard());
+        ObjectNode all = Json.object()
+                .put("name", settings.identity().name())
+                .put("number", settings.identity().number())
+                .put("present", m.present())
+                .put("cut_off", m.isCutOff())
+                .put("not_heard", m.isNotHeard());
         Change.Count count = m.count();
         if (count != null) {
             all.put("alive", count.members()).put("shared_by", count.sharedBy()).put("rank", count.rank());
         }
         for (Membership.Seen s : m.seen(timers.now())) {
-            ObjectNode one = all.withArray("members").addObject().put("member", s.member()).put("name", s.name()).put("zone", s.zone())
-                    .put("state", s.state().name().toLowerCase(Locale.ROOT)).put("incarnation", s.incarnation()).put("age_ms", s.ageUs() / 1_000)
+            ObjectNode one = all.withArray("members")
+                    .addObject()
+                    .put("member", s.member())
+                    .put("name", s.name())
+                    .put("zone", s.zone())
+                    .put("state", s.state().name().toLowerCase(Locale.ROOT))
+                    .put("incarnation", s.incarnation())
+                    .put("age_ms", s.ageUs() / 1_000)
                     .put("why", s.why());
             List<Integer> doubters = s.doubters();
             doubters.forEach(d -> one.withArray("doubters").add(name(d)));
-            m.notReachedBy(s.member()).forEach(d -> one.withArray("not_reached_by").add(name(d)));
+            m.notReachedBy(s.member())
+                    .forEach(d -> one.withArray("not_reached_by").add(name(d)));
         }
         if (leases != null) {
             for (Leases.Seen t : leases.seen(timers.now())) {
-                all.withArray("tasks").addObject().put("task", t.task()).put("holder", t.holder() < 0 ? "" : name(t.holder())).put("here", t.holds())
-                        .put("token", t.token()).put("left_ms", t.leftUs() / 1_000).put("place", t.place()).put("granted", t.granted())
+                all.withArray("tasks")
+                        .addObject()
+                        .put("task", t.task())
+                        .put("holder", t.holder() < 0 ? "" : name(t.holder()))
+                        .put("here", t.holds())
+                        .put("token", t.token())
+                        .put("left_ms", t.leftUs() / 1_000)
+                        .put("place", t.place())
+                        .put("granted", t.granted())
                         .put("refused", t.refused());
             }
         }
--- a/daemon/src/main/java/grebehoist/peers/PeerSettings.java
+++ b/daemon/src/main/java/grebehoist/peers/PeerSettings.java
@@ -15,13 +15,19 @@
  * @param keys one, or two while they change
  * @param tasks null where the fleet has none
  */
-public record PeerSettings(FleetNode.Identity identity, InetSocketAddress listen, List<InetSocketAddress> addresses, Terms terms,
-        List<KeyRing.Key> keys, FleetNode.Tasks tasks) {
+public record PeerSettings(
+        FleetNode.Identity identity,
+        InetSocketAddress listen,
+        List<InetSocketAddress> addresses,
+        Terms terms,
+        List<KeyRing.Key> keys,
+        FleetNode.Tasks tasks) {
     /**
      * The platform tells no key. Then a seal shows damage and what is not of this program, and who sent it is as sure as the network's
      * word on the sender's address.
      */
-    public static final List<KeyRing.Key> NO_SECRET = List.of(new KeyRing.Key(0, "grebehoist, no secret".getBytes(StandardCharsets.UTF_8)));
+    public static final List<KeyRing.Key> NO_SECRET =
+            List.of(new KeyRing.Key(0, "grebehoist, no secret".getBytes(StandardCharsets.UTF_8)));
 
     public PeerSettings {
         addresses = List.copyOf(addresses);
--- a/daemon/src/main/java/grebehoist/pool/Pool.java
+++ b/daemon/src/main/java/grebehoist/pool/Pool.java
@@ -30,7 +30,7 @@
  */
 public final class Pool {
     /** What all pools of a process share. */
-    public record Host(Network network, LoopTimers timers, Sockets sockets, Log log) { }
+    public record Host(Network network, LoopTimers timers, Sockets sockets, Log log) {}
 
     /**
      * What a pool is told.
@@ -40,24 +40,41 @@
      * @param connectTimeoutUs how long a connection to a backend may take, in microseconds
      * @param maxFrame the longest Thrift message, in bytes
      */
-    public record Spec(String name, Protocol protocol, Balancer.Settings settings, InetSocketAddress discovery, long connIdleUs,
-            long connectTimeoutUs, int maxFrame) {
+    public record Spec(
+            String name,
+            Protocol protocol,
+            Balancer.Settings settings,
+            InetSocketAddress discovery,
+            long connIdleUs,
+            long connectTimeoutUs,
+            int maxFrame) {
         /** A pool of HTTP backends. */
-        public static Spec http(String name, Balancer.Settings settings, InetSocketAddress discovery, long connIdleUs,
+        public static Spec http(
+                String name,
+                Balancer.Settings settings,
+                InetSocketAddress discovery,
+                long connIdleUs,
                 long connectTimeoutUs) {
-            return new Spec(name, Protocol.HTTP, settings, discovery, connIdleUs, connectTimeoutUs, HttpTransport.MAX_BODY);
+            return new Spec(
+                    name, Protocol.HTTP, settings, discovery, connIdleUs, connectTimeoutUs, HttpTransport.MAX_BODY);
         }
     }
 
     /** What its backends speak. */
-    public enum Protocol { HTTP, THRIFT }
+    public enum Protocol {
+        HTTP,
+        THRIFT
+    }
 
     /**
      * What the parts are and what stands between them: nothing in service; a test that wants to see a rule broken puts
      * something there.
      */
-    public record Wiring(Function<Balancer.Settings, Balancer> module, UnaryOperator<Transport> transport,
-            UnaryOperator<Intake> intake, UnaryOperator<MemberSource.Sink> sink) {
+    public record Wiring(
+            Function<Balancer.Settings, Balancer> module,
+            UnaryOperator<Transport> transport,
+            UnaryOperator<Intake> intake,
+            UnaryOperator<MemberSource.Sink> sink) {
         /** As it is in service. */
         public static final Wiring IN_SERVICE =
                 new Wiring(Policy::new, UnaryOperator.identity(), UnaryOperator.identity(), UnaryOperator.identity());
@@ -85,17 +102,24 @@
         module = wiring.module().apply(settings);
         engine = new Engine(settings, module, host.timers(), transport, host.log());
         intake = wiring.intake().apply(engine);
-        discovery = new Discovery(host.network(), host.timers(), host.log(), wiring.sink().apply(engine), spec.discovery(), settings);
+        discovery = new Discovery(
+                host.network(), host.timers(), host.log(), wiring.sink().apply(engine), spec.discovery(), settings);
         engine.source(discovery);
     }
 
     private static Transport http(Host host, Spec spec) {
-        return new HttpTransport(host.timers(), host.network(), host.sockets(), spec.connIdleUs(), spec.connectTimeoutUs());
+        return new HttpTransport(
+                host.timers(), host.network(), host.sockets(), spec.connIdleUs(), spec.connectTimeoutUs());
     }
 
     /** In a method of its own: the class is loaded only where it is called. */
     private static Transport thrift(Host host, Spec spec) {
-        return new ThriftTransport(host.timers(), host.network(), host.sockets(), spec.connIdleUs(), spec.connectTimeoutUs(),
+        return new ThriftTransport(
+                host.timers(),
+                host.network(),
+                host.sockets(),
+                spec.connIdleUs(),
+                spec.connectTimeoutUs(),
                 spec.maxFrame());
     }
 
@@ -131,7 +155,8 @@
 
     /** Returns whether any request has ever come. */
     public boolean asked() {
-        return engine.open() > 0 || tally().rows().values().stream().anyMatch(r -> r.served() + r.refused() + r.failed() > 0);
+        return engine.open() > 0
+                || tally().rows().values().stream().anyMatch(r -> r.served() + r.refused() + r.failed() > 0);
     }
 
     /** Returns how many requests are open or have attempts out. */
@@ -151,7 +176,9 @@
 
     /** Returns how many backends that are ready the module now avoids, as far as it tells. */
     public int avoided() {
-        return module instanceof Policy policy ? (int) policy.view().stream().filter(Policy.View::avoided).count() : 0;
+        return module instanceof Policy policy
+                ? (int) policy.view().stream().filter(Policy.View::avoided).count()
+                : 0;
     }
 
     /** This process acts for a part of one proxy from now on, and another one for the rest. */
@@ -181,6 +208,9 @@
 
     /** Returns the longest that a client of any class waits, in microseconds. */
     public long longestDeadlineUs() {
-        return spec.settings().classes().stream().mapToLong(Balancer.RequestClass::deadlineUs).max().orElse(0);
+        return spec.settings().classes().stream()
+                .mapToLong(Balancer.RequestClass::deadlineUs)
+                .max()
+                .orElse(0);
     }
 }
--- a/daemon/src/main/java/grebehoist/search/Fault.java
+++ b/daemon/src/main/java/grebehoist/search/Fault.java
@@ -4,10 +4,18 @@
 
 /** What a script can bring about. The target is a backend, a proxy, or nothing, as each says. */
 enum Fault {
-    SILENT(Target.BACKEND, Act.SILENT), VANISH(Target.BACKEND, Act.VANISH), RESET_EARLY(Target.BACKEND, Act.RESET_EARLY),
-    RESET_LATE(Target.BACKEND, Act.RESET_LATE), HALF(Target.BACKEND, Act.HALF), HALF_SILENT(Target.BACKEND, Act.HALF_SILENT),
-    DRIP(Target.BACKEND, Act.DRIP), TWICE(Target.BACKEND, Act.TWICE), NEVER_RAN(Target.BACKEND, Act.NEVER_RAN),
-    UNAVAILABLE(Target.BACKEND, Act.UNAVAILABLE), ERROR(Target.BACKEND, Act.ERROR), NOISE(Target.BACKEND, Act.NOISE),
+    SILENT(Target.BACKEND, Act.SILENT),
+    VANISH(Target.BACKEND, Act.VANISH),
+    RESET_EARLY(Target.BACKEND, Act.RESET_EARLY),
+    RESET_LATE(Target.BACKEND, Act.RESET_LATE),
+    HALF(Target.BACKEND, Act.HALF),
+    HALF_SILENT(Target.BACKEND, Act.HALF_SILENT),
+    DRIP(Target.BACKEND, Act.DRIP),
+    TWICE(Target.BACKEND, Act.TWICE),
+    NEVER_RAN(Target.BACKEND, Act.NEVER_RAN),
+    UNAVAILABLE(Target.BACKEND, Act.UNAVAILABLE),
+    ERROR(Target.BACKEND, Act.ERROR),
+    NOISE(Target.BACKEND, Act.NOISE),
     CLOSE(Target.BACKEND, Act.CLOSE),
     /** Work takes {@code size} times as long. */
     SLOW(Target.BACKEND, null),
@@ -23,8 +31,11 @@
     MOVE(Target.BACKEND, null),
     /** Drained, and wanted again at the end. */
     DRAIN_AND_BACK(Target.BACKEND, null),
-    DISCOVERY_DOWN(Target.NOTHING, null), DISCOVERY_SILENT(Target.NOTHING, null), DISCOVERY_BUSY(Target.NOTHING, null),
-    DISCOVERY_NOISE(Target.NOTHING, null), DISCOVERY_STALE(Target.NOTHING, null),
+    DISCOVERY_DOWN(Target.NOTHING, null),
+    DISCOVERY_SILENT(Target.NOTHING, null),
+    DISCOVERY_BUSY(Target.NOTHING, null),
+    DISCOVERY_NOISE(Target.NOTHING, null),
+    DISCOVERY_STALE(Target.NOTHING, null),
     /** The proxy is stopped for a while, and goes on. */
     PAUSE(Target.PROXY, null),
     /** The proxy is killed, and comes back with the list that it had. */
@@ -32,9 +43,16 @@
     /** Traffic rises to {@code size} times the usual. */
     BURST(Target.NOTHING, null),
     /** Clients hang up, dawdle, go half-way or are rude; {@code size} is the share in the whole of them. */
-    HANG_UPS(Target.NOTHING, null), DAWDLERS(Target.NOTHING, null), HALF_WAYS(Target.NOTHING, null), RUDE(Target.NOTHING, null);
+    HANG_UPS(Target.NOTHING, null),
+    DAWDLERS(Target.NOTHING, null),
+    HALF_WAYS(Target.NOTHING, null),
+    RUDE(Target.NOTHING, null);
 
-    enum Target { BACKEND, PROXY, NOTHING }
+    enum Target {
+        BACKEND,
+        PROXY,
+        NOTHING
+    }
 
     private final Target target;
     private final Act act;
--- a/daemon/src/main/java/grebehoist/search/Protocol.java
+++ b/daemon/src/main/java/grebehoist/search/Protocol.java
@@ -22,9 +22,11 @@
 
     /** As long as an HTTP client's connection stands idle. */
     private static final long IDLE_US = 2_200_000;
+
     private static final int MOST_OPEN = 4;
     /** Fewer than clients may have open on a connection, on some seeds: reading stops, and nothing may be lost by it. */
     private static final int FEW_OPEN = 2;
+
     private static final long MOST_BYTES = 1 << 20;
 
     private final Pool.Protocol pool;
@@ -64,9 +66,19 @@
         if (pool == Pool.Protocol.HTTP) {
             return null;
         }
-        List<ThriftMethod> methods = classes.stream().map(c -> new ThriftMethod(c.name() + "*", c.name(), new At("2.1"),
-                c.effect() == beechfall.Balancer.Effect.KEYED ? new At("2.3") : null, new At("2.2"), new At("4"), new At("1"), new At("5"),
-                null)).toList();
-        return new ThriftOptions(methods, false, maxFrame, !inOrder(seed), maxOpen(seed), MOST_BYTES, MOST_BYTES, MOST_BYTES, IDLE_US);
+        List<ThriftMethod> methods = classes.stream()
+                .map(c -> new ThriftMethod(
+                        c.name() + "*",
+                        c.name(),
+                        new At("2.1"),
+                        c.effect() == beechfall.Balancer.Effect.KEYED ? new At("2.3") : null,
+                        new At("2.2"),
+                        new At("4"),
+                        new At("1"),
+                        new At("5"),
+                        null))
+                .toList();
+        return new ThriftOptions(
+                methods, false, maxFrame, !inOrder(seed), maxOpen(seed), MOST_BYTES, MOST_BYTES, MOST_BYTES, IDLE_US);
     }
 }
--- a/daemon/src/main/java/grebehoist/search/Script.java
+++ b/daemon/src/main/java/grebehoist/search/Script.java
@@ -53,8 +53,13 @@
         Fault[] faults = Fault.values();
         for (int i = 0; i < count; i++) {
             Fault fault = faults[random.nextInt(faults.length)];
-            steps.add(new Step(random.nextLong(length), fault, random.nextInt(8), 1 + (long) (1_500 * Math.pow(random.nextDouble(), 2)),
-                    (fault == Fault.SLOW || fault == Fault.BURST ? random.nextInt(150, 800) : random.nextInt(5, 60)) / 100.0));
+            steps.add(new Step(
+                    random.nextLong(length),
+                    fault,
+                    random.nextInt(8),
+                    1 + (long) (1_500 * Math.pow(random.nextDouble(), 2)),
+                    (fault == Fault.SLOW || fault == Fault.BURST ? random.nextInt(150, 800) : random.nextInt(5, 60))
+                            / 100.0));
         }
         return new Script(seed, proxies, backends, load, length, protocol, steps);
     }
@@ -77,8 +82,14 @@
 
     @Override
     public String toString() {
-        var text = new StringBuilder(String.format(Locale.ROOT, "seed=%d proxies=%d backends=%d load=%.3f length=%d", seed,
-                proxies, backends, load, lengthMs));
+        var text = new StringBuilder(String.format(
+                Locale.ROOT,
+                "seed=%d proxies=%d backends=%d load=%.3f length=%d",
+                seed,
+                proxies,
+                backends,
+                load,
+                lengthMs));
         text.append(protocol == Protocol.HTTP ? "" : " protocol=" + protocol);
         steps.forEach(s -> text.append('\n').append(s));
         return text.append('\n').toString();
@@ -96,7 +107,8 @@
             head.add(field.substring(field.indexOf('=') + 1));
         }
         if (!lines[0].trim().matches("seed=\\S+ proxies=\\S+ backends=\\S+ load=\\S+ length=\\S+( protocol=\\S+)?")) {
-            throw new IllegalArgumentException("line 1: 'seed=N proxies=N backends=N load=X length=MS [protocol=P]' is wanted");
+            throw new IllegalArgumentException(
+                    "line 1: 'seed=N proxies=N backends=N load=X length=MS [protocol=P]' is wanted");
         }
         var steps = new ArrayList<Step>();
         int number = 1;
@@ -105,14 +117,23 @@
                 String line = lines[number].replaceAll("#.*", "").trim();
                 if (!line.isEmpty()) {
                     String[] f = line.split("\\s+");
-                    steps.add(new Step(Long.parseLong(f[0]), Fault.valueOf(f[1]), Integer.parseInt(f[2]),
-                            Long.parseLong(f[3]), Double.parseDouble(f[4])));
+                    steps.add(new Step(
+                            Long.parseLong(f[0]),
+                            Fault.valueOf(f[1]),
+                            Integer.parseInt(f[2]),
+                            Long.parseLong(f[3]),
+                            Double.parseDouble(f[4])));
                 }
             }
             number = 0;
-            return new Script(Long.parseLong(head.get(0)), Integer.parseInt(head.get(1)), Integer.parseInt(head.get(2)),
-                    Double.parseDouble(head.get(3)), Long.parseLong(head.get(4)),
-                    head.size() > 5 ? Protocol.valueOf(head.get(5)) : Protocol.HTTP, steps);
+            return new Script(
+                    Long.parseLong(head.get(0)),
+                    Integer.parseInt(head.get(1)),
+                    Integer.parseInt(head.get(2)),
+                    Double.parseDouble(head.get(3)),
+                    Long.parseLong(head.get(4)),
+                    head.size() > 5 ? Protocol.valueOf(head.get(5)) : Protocol.HTTP,
+                    steps);
         } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
             throw new IllegalArgumentException("line " + (number + 1)
                     + ": 'AT_MS FAULT TARGET FOR_MS SIZE' is wanted, with a fault of the list: " + e.getMessage());
--- a/daemon/src/main/java/grebehoist/search/Search.java
+++ b/daemon/src/main/java/grebehoist/search/Search.java
@@ -49,7 +49,9 @@
         synchronized String summary() {
             var text = new StringBuilder(scripts + " scripts, " + broken.size() + " broke a rule;");
             for (Witness.Count c : Witness.Count.values()) {
-                text.append(' ').append(c.name().toLowerCase(Locale.ROOT).replace('_', ' ')).append(' ')
+                text.append(' ')
+                        .append(c.name().toLowerCase(Locale.ROOT).replace('_', ' '))
+                        .append(' ')
                         .append(counts.getOrDefault(c, 0L));
             }
             text.append("\nfaults:");
@@ -58,7 +60,7 @@
         }
     }
 
-    private Search() { }
+    private Search() {}
 
     /**
      * Plays the scripts of the seeds from one on.
@@ -67,21 +69,30 @@
      * @param goOn asked before each script
      * @param onBroken hears of each that broke a rule, on the thread that played it
      */
-    static Tally run(Protocol protocol, long firstSeed, BooleanSupplier goOn, int threads, Supplier<Pool.Wiring> wiring,
-            Consumer<World.Report> onBroken) throws InterruptedException {
+    static Tally run(
+            Protocol protocol,
+            long firstSeed,
+            BooleanSupplier goOn,
+            int threads,
+            Supplier<Pool.Wiring> wiring,
+            Consumer<World.Report> onBroken)
+            throws InterruptedException {
         var tally = new Tally();
         var next = new AtomicLong(firstSeed);
         var workers = new ArrayList<Thread>();
         for (int i = 0; i < threads; i++) {
-            var worker = new Thread(() -> {
-                while (goOn.getAsBoolean()) {
-                    World.Report report = World.play(Script.draw(next.getAndIncrement(), protocol), wiring.get());
-                    tally.add(report);
-                    if (report.broken()) {
-                        onBroken.accept(report);
-                    }
-                }
-            }, "search-" + i);
+            var worker = new Thread(
+                    () -> {
+                        while (goOn.getAsBoolean()) {
+                            World.Report report =
+                                    World.play(Script.draw(next.getAndIncrement(), protocol), wiring.get());
+                            tally.add(report);
+                            if (report.broken()) {
+                                onBroken.accept(report);
+                            }
+                        }
+                    },
+                    "search-" + i);
             worker.start();
             workers.add(worker);
         }
@@ -93,6 +104,7 @@
 
     /** Returns the smallest script found that shows the same as a report's. */
     static Script shrink(World.Report report, Supplier<Pool.Wiring> wiring, int mostPlays) {
-        return new Shrinker(s -> World.play(s, wiring.get()).find().equals(report.find()), mostPlays).shrink(report.script());
+        return new Shrinker(s -> World.play(s, wiring.get()).find().equals(report.find()), mostPlays)
+                .shrink(report.script());
     }
 }
--- a/daemon/src/main/java/grebehoist/search/SearchCommand.java
+++ b/daemon/src/main/java/grebehoist/search/SearchCommand.java
@@ -12,10 +12,11 @@
 public final class SearchCommand {
     private static final int SHRINK_PLAYS = 300;
     private static final int SHOWN = 5;
-    private static final String USAGE = "usage: search [--protocol http | long | thrift] [--seed N] [--scripts N | --seconds N] [--threads N]"
-            + " | search --replay FILE";
+    private static final String USAGE =
+            "usage: search [--protocol http | long | thrift] [--seed N] [--scripts N | --seconds N] [--threads N]"
+                    + " | search --replay FILE";
 
-    private SearchCommand() { }
+    private SearchCommand() {}
 
     /**
      * Runs the command.
@@ -62,17 +63,26 @@
         };
     }
 
-    private static int search(Protocol protocol, long seed, long scripts, long seconds, int threads) throws InterruptedException {
+    private static int search(Protocol protocol, long seed, long scripts, long seconds, int threads)
+            throws InterruptedException {
         long began = System.nanoTime();
         long until = began + TimeUnit.SECONDS.toNanos(seconds);
         var left = new AtomicLong(scripts);
         var shown = new AtomicInteger();
         System.out.println("search over " + protocol + " from seed " + seed + " on " + threads + " threads");
-        Search.Tally tally = Search.run(protocol, seed, () -> seconds > 0 ? System.nanoTime() - until < 0 : left.getAndDecrement() > 0,
-                threads, () -> Pool.Wiring.IN_SERVICE, report -> {
+        Search.Tally tally = Search.run(
+                protocol,
+                seed,
+                () -> seconds > 0 ? System.nanoTime() - until < 0 : left.getAndDecrement() > 0,
+                threads,
+                () -> Pool.Wiring.IN_SERVICE,
+                report -> {
                     if (shown.getAndIncrement() < SHOWN) {
                         Script small = Search.shrink(report, () -> Pool.Wiring.IN_SERVICE, SHRINK_PLAYS);
-                        print(World.play(small), "broken by the script of seed " + report.script().seed() + ", shrunk:");
+                        print(
+                                World.play(small),
+                                "broken by the script of seed "
+                                        + report.script().seed() + ", shrunk:");
                     }
                 });
         System.out.printf("%s%n%.1f s%n", tally.summary(), (System.nanoTime() - began) / 1e9);
--- a/daemon/src/main/java/grebehoist/search/World.java
+++ b/daemon/src/main/java/grebehoist/search/World.java
@@ -6,13 +6,13 @@
 import beechfall.Balancer.Scope;
 import com.fasterxml.jackson.databind.JsonNode;
 import grebehoist.config.Json;
+import grebehoist.engine.Attempt;
 import grebehoist.engine.Intake;
+import grebehoist.engine.Listed;
 import grebehoist.engine.Log;
 import grebehoist.engine.Payload;
 import grebehoist.engine.Request;
 import grebehoist.engine.Responder;
-import grebehoist.engine.Attempt;
-import grebehoist.engine.Listed;
 import grebehoist.engine.Transport;
 import grebehoist.net.Front;
 import grebehoist.net.LoopTimers;
@@ -36,8 +36,8 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.nio.channels.ClosedChannelException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
@@ -54,14 +54,17 @@
  */
 final class World {
     /** How a run went. */
-    record Report(Script script, List<Witness.Violation> violations, List<String> errors, Map<Witness.Count, Long> counts) {
+    record Report(
+            Script script, List<Witness.Violation> violations, List<String> errors, Map<Witness.Count, Long> counts) {
         boolean broken() {
             return !violations.isEmpty() || !errors.isEmpty();
         }
 
         /** Returns what went wrong first, without the figures: a smaller script is the same find if this is equal. */
         String find() {
-            return !errors.isEmpty() ? "error" : violations.isEmpty() ? "" : violations.get(0).rule().name();
+            return !errors.isEmpty()
+                    ? "error"
+                    : violations.isEmpty() ? "" : violations.get(0).rule().name();
         }
     }
 
@@ -69,6 +72,7 @@
     private static final long START_US = 1_800_000_000_000_000L;
     /** After the last arrival, until all is answered and connections and retries have come to rest. */
     private static final long SETTLE_US = 9_000 * MS;
+
     private static final long IDLE_US = 1_500 * MS;
     private static final int SOCKETS = 512;
     private static final int MAX_FRAME = 64 * 1024;
@@ -118,19 +122,41 @@
         this.random = new SplittableRandom(script.seed() ^ 0x9E3779B97F4A7C15L);
         // Cold for less long than in service, so that a short run has seen all of it.
         this.rules = new Balancer.Rules(0.4, 3_000 * MS, 4, 1_000 * MS, 10_000 * MS, false);
-        this.limits = new Balancer.Limits(random.nextInt(4) > 0, false, false, random.nextInt(4) > 0, 4,
-                random.nextInt(4) > 0 ? 1_000 * MS : 0);
+        this.limits = new Balancer.Limits(
+                random.nextInt(4) > 0, false, false, random.nextInt(4) > 0, 4, random.nextInt(4) > 0 ? 1_000 * MS : 0);
         this.witness = new Witness(Witness.Terms.of(settings(0), 0));
         this.witness.trace(trace);
         StandInWire wire = script.protocol().wire(script.seed());
         this.discovery = new StandInDiscovery(outsideNetwork, timers, witness);
-        this.clients = new StandInClients(wire, outsideNetwork, timers, witness, i -> proxies.get(i).address,
+        this.clients = new StandInClients(
+                wire,
+                outsideNetwork,
+                timers,
+                witness,
+                i -> proxies.get(i).address,
                 (i, at) -> proxies.get(i).excused(at));
-        boolean reuse = script.steps().stream().map(Script.Step::fault)
+        boolean reuse = script.steps().stream()
+                .map(Script.Step::fault)
                 .noneMatch(f -> f == Fault.KILL || f.name().startsWith("DISCOVERY"));
-        this.fleet = new Fleet(wire, outsideNetwork, timers, witness, discovery, settings(0), IDLE_US, random, this::nextAddress, reuse,
+        this.fleet = new Fleet(
+                wire,
+                outsideNetwork,
+                timers,
+                witness,
+                discovery,
+                settings(0),
+                IDLE_US,
+                random,
+                this::nextAddress,
+                reuse,
                 this::bound);
-        this.traffic = new Traffic(timers, clients, random, settings(0), SHARES, () -> script.load() * fleet.capacity(),
+        this.traffic = new Traffic(
+                timers,
+                clients,
+                random,
+                settings(0),
+                SHARES,
+                () -> script.load() * fleet.capacity(),
                 () -> random.nextInt(proxies.size()));
     }
 
@@ -141,7 +167,7 @@
 
     /** Plays a script with a program that differs somewhere. */
     static Report play(Script script, Pool.Wiring wiring) {
-        return play(script, wiring, line -> { });
+        return play(script, wiring, line -> {});
     }
 
     /** Plays a script, and tells each attempt and each answer as a line. */
@@ -150,8 +176,18 @@
     }
 
     private Balancer.Settings settings(int rank) {
-        return new Balancer.Settings(script.proxies(), rank, ZONES.get(rank % ZONES.size()), 4 * MS, CLASSES, TENANTS,
-                0.05, false, limits, rules, script.seed() + rank);
+        return new Balancer.Settings(
+                script.proxies(),
+                rank,
+                ZONES.get(rank % ZONES.size()),
+                4 * MS,
+                CLASSES,
+                TENANTS,
+                0.05,
+                false,
+                limits,
+                rules,
+                script.seed() + rank);
     }
 
     private InetSocketAddress nextAddress() {
@@ -182,12 +218,18 @@
         var violations = new ArrayList<>(witness.violations());
         for (Proxy p : proxies) {
             if (p.pool.open() != 0) {
-                violations.add(new Witness.Violation(Witness.Rule.ANSWER, "proxy " + p.number, timers.now(),
+                violations.add(new Witness.Violation(
+                        Witness.Rule.ANSWER,
+                        "proxy " + p.number,
+                        timers.now(),
                         "keeps " + p.pool.open() + " requests when all is over"));
             }
         }
         if (clients.rudeUnanswered() > 0) {
-            violations.add(new Witness.Violation(Witness.Rule.ANSWER, "rude clients", timers.now(),
+            violations.add(new Witness.Violation(
+                    Witness.Rule.ANSWER,
+                    "rude clients",
+                    timers.now(),
                     clients.rudeUnanswered() + " had neither an error nor a close in time"));
         }
         var counts = new EnumMap<Witness.Count, Long>(Witness.Count.class);
@@ -353,11 +395,24 @@
             boolean[] life = {true};
             alive = life;
             var errors = new Errors();
-            var host = new Pool.Host(network, new LoopTimers(loop, timers.now()), new Sockets(loop, errors, SOCKETS), errors);
-            var spec = new Pool.Spec("n" + number, script.protocol().pool(), settings(number), discoveryAt, IDLE_US, 200 * MS,
+            var host = new Pool.Host(
+                    network, new LoopTimers(loop, timers.now()), new Sockets(loop, errors, SOCKETS), errors);
+            var spec = new Pool.Spec(
+                    "n" + number,
+                    script.protocol().pool(),
+                    settings(number),
+                    discoveryAt,
+                    IDLE_US,
+                    200 * MS,
                     MAX_FRAME);
-            pool = new Pool(host, spec, new Pool.Wiring(wiring.module(), t -> new MortalTransport(wiring.transport().apply(t), life),
-                    i -> new MortalIntake(wiring.intake().apply(i), life), wiring.sink()));
+            pool = new Pool(
+                    host,
+                    spec,
+                    new Pool.Wiring(
+                            wiring.module(),
+                            t -> new MortalTransport(wiring.transport().apply(t), life),
+                            i -> new MortalIntake(wiring.intake().apply(i), life),
+                            wiring.sink()));
             pool.begin(read(known));
             bound(front().listen(network, address));
             loop.runDue();
@@ -405,11 +460,12 @@
     /** An error inside the program is one, whether or not it breaks a rule this time. */
     private final class Errors implements Log {
         @Override
-        public void line(String text) { }
+        public void line(String text) {}
 
         @Override
         public void failure(String what, Throwable cause) {
-            errors.add(what + ": " + cause + " at " + (cause.getStackTrace().length > 0 ? cause.getStackTrace()[0] : "?"));
+            errors.add(
+                    what + ": " + cause + " at " + (cause.getStackTrace().length > 0 ? cause.getStackTrace()[0] : "?"));
         }
     }
 
--- a/daemon/src/main/java/grebehoist/sim/Codec.java
+++ b/daemon/src/main/java/grebehoist/sim/Codec.java
@@ -26,7 +26,7 @@
             "stale_copy", Balancer.ListKind.CACHED,
             "broken", Balancer.ListKind.FAILED);
 
-    private Codec() { }
+    private Codec() {}
 
     /** Reads the settings of an {@code up} line. */
     static Balancer.Settings settings(Fields up) {
@@ -41,11 +41,21 @@
     static Balancer.Event event(String name, Fields in) {
         switch (name) {
             case "incoming":
-                return new Balancer.Arrival(in.text("op_id"), in.text("kind"), in.optional("user_group"),
-                        in.optional("path_key"), in.whole("patience_left_us"), in.flag("repeat"));
+                return new Balancer.Arrival(
+                        in.text("op_id"),
+                        in.text("kind"),
+                        in.optional("user_group"),
+                        in.optional("path_key"),
+                        in.whole("patience_left_us"),
+                        in.flag("repeat"));
             case "completed":
-                return new Balancer.AttemptEnded(in.text("op_id"), in.small("go"), in.text("backend"),
-                        word(in, "how", OUTCOMES), in.whole("cost_time_us"), in.flag("last"));
+                return new Balancer.AttemptEnded(
+                        in.text("op_id"),
+                        in.small("go"),
+                        in.text("backend"),
+                        word(in, "how", OUTCOMES),
+                        in.whole("cost_time_us"),
+                        in.flag("last"));
             case "deadline_hit":
                 return new Balancer.TimerFired(in.text("ctx"));
             case "hangup":
@@ -53,8 +63,7 @@
             case "flowing":
                 return new Balancer.StreamStarted(in.text("op_id"), in.small("go"));
             case "probed":
-                return new Balancer.ProbeEnded(in.text("backend"), word(in, "how", OUTCOMES),
-                        in.whole("cost_time_us"));
+                return new Balancer.ProbeEnded(in.text("backend"), word(in, "how", OUTCOMES), in.whole("cost_time_us"));
             case "inbox":
                 return null;
             default:
@@ -71,18 +80,32 @@
         if (!in.name().equals("entry")) {
             throw new WireException("expected 'entry', found '" + in.name() + "'");
         }
-        return new Balancer.Backend(in.text("backend"), word(in, "stage_state", STATES), in.optional("machine"),
-                in.optional("zone"), (int) in.whole("group", 0), in.whole("last_start_us", 0),
+        return new Balancer.Backend(
+                in.text("backend"),
+                word(in, "stage_state", STATES),
+                in.optional("machine"),
+                in.optional("zone"),
+                (int) in.whole("group", 0),
+                in.whole("last_start_us", 0),
                 in.number("capacity_hint", 1));
     }
 
     /** Appends the line of an action. */
     static void write(StringBuilder out, int who, Balancer.Action action) {
         if (action instanceof Balancer.Send a) {
-            head(out, "relay", who).append(" op_id=").append(a.id()).append(" backend=").append(a.backend())
-                    .append(" max_wait_us=").append(a.timeoutUs());
+            head(out, "relay", who)
+                    .append(" op_id=")
+                    .append(a.id())
+                    .append(" backend=")
+                    .append(a.backend())
+                    .append(" max_wait_us=")
+                    .append(a.timeoutUs());
         } else if (action instanceof Balancer.SetTimer a) {
-            head(out, "arm", who).append(" fire_at_us=").append(a.atUs()).append(" ctx=").append(a.token());
+            head(out, "arm", who)
+                    .append(" fire_at_us=")
+                    .append(a.atUs())
+                    .append(" ctx=")
+                    .append(a.token());
         } else if (action instanceof Balancer.Refuse a) {
             head(out, "not_now", who).append(" op_id=").append(a.id());
             if (a.retryAfterUs() > 0) {
@@ -91,7 +114,11 @@
         } else if (action instanceof Balancer.Fail a) {
             head(out, "finish_error", who).append(" op_id=").append(a.id());
         } else if (action instanceof Balancer.Cancel a) {
-            head(out, "retract", who).append(" op_id=").append(a.id()).append(" go=").append(a.attempt());
+            head(out, "retract", who)
+                    .append(" op_id=")
+                    .append(a.id())
+                    .append(" go=")
+                    .append(a.attempt());
         } else if (action instanceof Balancer.Release a) {
             head(out, "release", who).append(" backend=").append(a.backend());
         } else if (action instanceof Balancer.Probe a) {
--- a/daemon/src/main/java/grebehoist/sim/Fields.java
+++ b/daemon/src/main/java/grebehoist/sim/Fields.java
@@ -15,7 +15,7 @@
         count = 0;
         int length = text.length();
         nameEnd = end(0);
-        for (int start = nameEnd + 1; start < length;) {
+        for (int start = nameEnd + 1; start < length; ) {
             int stop = end(start);
             int equals = text.indexOf('=', start);
             if (equals <= start || equals >= stop) {
--- a/daemon/src/main/java/grebehoist/sim/Main.java
+++ b/daemon/src/main/java/grebehoist/sim/Main.java
@@ -6,7 +6,7 @@
 
 /** The command line: {@code drill} hosts instances of the module on standard input and output. */
 public final class Main {
-    private Main() { }
+    private Main() {}
 
     /**
      * Runs the host.
--- a/daemon/src/main/java/grebehoist/tasks/Runs.java
+++ b/daemon/src/main/java/grebehoist/tasks/Runs.java
@@ -20,6 +20,7 @@
 
     /** So many failures in a row, and another proxy is to try. */
     static final int MOST_FAILURES = 3;
+
     private static final long AGAIN_US = 100_000;
 
     private final long everyUs;
--- a/daemon/src/main/java/grebehoist/tasks/TaskCalls.java
+++ b/daemon/src/main/java/grebehoist/tasks/TaskCalls.java
@@ -39,6 +39,7 @@
     private static final int MOST_BODY = 4 * 1024;
     /** A proxy that could not do a task leaves it to others for so long. */
     private static final long REST_US = 30_000_000;
+
     private static final int CONFLICT = 409;
 
     private final String name;
@@ -59,7 +60,14 @@
      * @param name this process's, for receivers
      * @param lines hears what operators are to know, as JSON to be completed with time and name
      */
-    public TaskCalls(String name, List<TaskSpec> specs, Leases leases, EventLoop loop, LoopTimers timers, Log log, Consumer<ObjectNode> lines) {
+    public TaskCalls(
+            String name,
+            List<TaskSpec> specs,
+            Leases leases,
+            EventLoop loop,
+            LoopTimers timers,
+            Log log,
+            Consumer<ObjectNode> lines) {
         this.name = name;
         this.specs = List.copyOf(specs);
         this.runs = specs.stream().map(s -> new Runs(s.everyUs())).toArray(Runs[]::new);
@@ -70,7 +78,8 @@
         this.timers = timers;
         this.log = log;
         this.lines = lines;
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
+        this.bootstrap =
+                new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
     }
 
     /** Begins to look what is due. */
@@ -102,13 +111,19 @@
         TaskSpec spec = specs.get(task);
         out[task] = true;
         var call = new Call(task);
-        ChannelFuture connected = LoopChannels.connect(bootstrap.clone().handler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_BODY), call);
-            }
-        }), spec.to());
-        call.late = LoopTasks.after(loop, log, spec.actUs(), TimeUnit.MICROSECONDS,
+        ChannelFuture connected = LoopChannels.connect(
+                bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_BODY), call);
+                    }
+                }),
+                spec.to());
+        call.late = LoopTasks.after(
+                loop,
+                log,
+                spec.actUs(),
+                TimeUnit.MICROSECONDS,
                 () -> call.over(Runs.Heard.FAILED, 0, "no answer in time"));
         connected.addListener(f -> {
             if (!connected.isSuccess()) {
@@ -141,8 +156,13 @@
             TaskSpec spec = specs.get(task);
             run = runs[task].due(timers.now());
             var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, spec.path());
-            request.headers().set(HttpHeaderNames.HOST, spec.to().getHostString()).set(HttpHeaderNames.CONTENT_LENGTH, 0)
-                    .set(HttpHeaderNames.CONNECTION, "close").set("X-Task", spec.name()).set("X-Run", run).set("X-Holder", name);
+            request.headers()
+                    .set(HttpHeaderNames.HOST, spec.to().getHostString())
+                    .set(HttpHeaderNames.CONTENT_LENGTH, 0)
+                    .set(HttpHeaderNames.CONNECTION, "close")
+                    .set("X-Task", spec.name())
+                    .set("X-Run", run)
+                    .set("X-Holder", name);
             long token = leases.act(timers.now(), task, spec.leastLeftUs(), spec.actUs());
             if (token == 0) {
                 request.release();
--- a/daemon/src/main/java/grebehoist/thrift/CallReader.java
+++ b/daemon/src/main/java/grebehoist/thrift/CallReader.java
@@ -37,7 +37,7 @@
     }
 
     /** What was read: the request, and how its refusal is told. */
-    record Read(Request request, ThriftMethod method) { }
+    record Read(Request request, ThriftMethod method) {}
 
     /** A method with its paths made ready: slots, or -1 where a figure is fixed or not given. */
     private static final class Entry {
@@ -56,11 +56,15 @@
             figures.add(method.timeoutMs());
             figures.add(method.requestId());
             figures.add(method.retried());
-            slots = figures.stream().mapToInt(f -> f instanceof ThriftMethod.At at ? paths.add(at.path()) : -1).toArray();
+            slots = figures.stream()
+                    .mapToInt(f -> f instanceof ThriftMethod.At at ? paths.add(at.path()) : -1)
+                    .toArray();
         }
 
         String value(int which, ThriftMethod.Figure figure, String[] found) {
-            return slots[which] >= 0 ? found[slots[which]] : figure instanceof ThriftMethod.Fixed fixed ? fixed.value() : null;
+            return slots[which] >= 0
+                    ? found[slots[which]]
+                    : figure instanceof ThriftMethod.Fixed fixed ? fixed.value() : null;
         }
     }
 
@@ -118,8 +122,16 @@
         long patienceUs = patienceUs(entry, entry.value(3, method.timeoutMs(), found));
         long deadline = ClientFront.deadline(firstByteAt, patienceUs);
         var call = new ThriftCall(message, frame);
-        return new Read(new Request(id == null || id.isEmpty() ? idPrefix + nextId++ : id, method.requestClass(), tenant,
-                entry.value(2, method.about(), found), retried(entry.value(5, method.retried(), found)), deadline, call), method);
+        return new Read(
+                new Request(
+                        id == null || id.isEmpty() ? idPrefix + nextId++ : id,
+                        method.requestClass(),
+                        tenant,
+                        entry.value(2, method.about(), found),
+                        retried(entry.value(5, method.retried(), found)),
+                        deadline,
+                        call),
+                method);
     }
 
     private static boolean retried(String value) {
--- a/daemon/src/main/java/grebehoist/thrift/Encoding.java
+++ b/daemon/src/main/java/grebehoist/thrift/Encoding.java
@@ -12,7 +12,10 @@
     BINARY {
         @Override
         void writeHeader(ByteBuf out, int type, byte[] name, int sequenceId) {
-            out.writeInt(0x80010000 | type).writeInt(name.length).writeBytes(name).writeInt(sequenceId);
+            out.writeInt(0x80010000 | type)
+                    .writeInt(name.length)
+                    .writeBytes(name)
+                    .writeInt(sequenceId);
         }
     },
     /** Binary protocol as it was before there was a version; read, and answered in kind. */
--- a/daemon/src/main/java/grebehoist/thrift/Message.java
+++ b/daemon/src/main/java/grebehoist/thrift/Message.java
@@ -11,7 +11,8 @@
  * @param sequenceAt where the sequence id stands in the frame, and how long it is
  * @param bodyAt where the struct of arguments or of the result begins
  */
-record Message(Encoding encoding, int type, String name, int sequenceId, int sequenceAt, int sequenceLength, int bodyAt) {
+record Message(
+        Encoding encoding, int type, String name, int sequenceId, int sequenceAt, int sequenceLength, int bodyAt) {
     static final int CALL = 1;
     static final int REPLY = 2;
     static final int EXCEPTION = 3;
@@ -32,7 +33,8 @@
             int sequenceId = in.varint32();
             int length = in.at() - sequenceAt;
             String name = name(in, in.varint32());
-            return checked(new Message(Encoding.COMPACT, typeAndVersion >> 5 & 7, name, sequenceId, sequenceAt, length, in.at()));
+            return checked(new Message(
+                    Encoding.COMPACT, typeAndVersion >> 5 & 7, name, sequenceId, sequenceAt, length, in.at()));
         }
         if (first == 0x80) {
             if (in.u8() != 1) {
--- a/daemon/src/main/java/grebehoist/thrift/Replies.java
+++ b/daemon/src/main/java/grebehoist/thrift/Replies.java
@@ -13,7 +13,7 @@
     static final String REFUSED = "refused: not now; trying again is harmless";
     static final String FAILED = "failed: it may have taken effect";
 
-    private Replies() { }
+    private Replies() {}
 
     static ByteBuf refused(ByteBufAllocator allocator, Message call, ThriftMethod.Refusal declared, long retryAfterUs) {
         long ms = (retryAfterUs + 999) / 1_000;
--- a/daemon/src/main/java/grebehoist/thrift/ThriftBackendConnection.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftBackendConnection.java
@@ -17,6 +17,7 @@
 final class ThriftBackendConnection extends AttemptConnection<ByteBuf> {
     /** So long after a oneway call its connection is there for the server to read, and for nothing else. */
     private static final long LINGER_MS = 2_000;
+
     private static final FieldPaths TYPE = new FieldPaths();
     private static final int TYPE_SLOT = TYPE.add("2");
 
@@ -55,10 +56,12 @@
     protected Verdict judge(ByteBuf frame, PooledAttempt of) {
         try {
             Message message = Message.read(frame);
-            String[] found = StructWalk.walk(frame, message, message.type() == Message.EXCEPTION ? TYPE : FieldPaths.NONE);
+            String[] found =
+                    StructWalk.walk(frame, message, message.type() == Message.EXCEPTION ? TYPE : FieldPaths.NONE);
             // One that began before the call was written whole can't be its reply.
             if (of.mayHaveRun() && belongs(message, ((ThriftAttempt) of).message())) {
-                return message.type() == Message.REPLY ? new Verdict(Outcome.OK, true, new ThriftCall(message, frame))
+                return message.type() == Message.REPLY
+                        ? new Verdict(Outcome.OK, true, new ThriftCall(message, frame))
                         : new Verdict(ThriftOutcomes.ofException(found[TYPE_SLOT]), true, null);
             }
         } catch (BadFrame e) {
@@ -69,9 +72,12 @@
 
     /** A server behind a multiplexed processor answers under the method's name alone. */
     private boolean belongs(Message answer, Message call) {
-        boolean named = answer.name().equals(call.name()) || answer.name().equals(call.name().substring(call.name().indexOf(':') + 1));
+        boolean named = answer.name().equals(call.name())
+                || answer.name().equals(call.name().substring(call.name().indexOf(':') + 1));
         boolean alike = (answer.encoding() == Encoding.COMPACT) == (call.encoding() == Encoding.COMPACT);
-        return answer.sequenceId() == sequenceId && named && alike
+        return answer.sequenceId() == sequenceId
+                && named
+                && alike
                 && (answer.type() == Message.REPLY || answer.type() == Message.EXCEPTION);
     }
 }
