--- a/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
@@ -42,20 +42,25 @@
     private long cameAt;
     /** Whether its client may have waited to be accepted, and may have left by now. */
     private boolean mayHaveWaited;
+
     private long firstByteAt = -1;
     /** When what is being read may have come. */
     private long readAt;
+
     private long idleSince;
     /** How much of replies has been written. */
     private long given;
+
     private final TakeWatch takes = new TakeWatch(UNREAD_US);
     private long openBytes;
     private long resumedAt;
     /** Since when what is read now may have waited in the socket, as reading had stopped; negative where it has not. */
     private long unreadSince = -1;
+
     private long reads;
     /** Whether the last read left nothing in the socket. */
     private boolean drained;
+
     private boolean resuming;
     private long partedAt = -1;
     private boolean parting;
@@ -92,7 +97,8 @@
         cameAt = Long.MAX_VALUE;
         firstByteAt = firstByteAt < 0 ? readAt : firstByteAt;
         reads++;
-        // A socket's read that does not fill its buffer has left nothing; channels inside the process put writes together.
+        // A socket's read that does not fill its buffer has left nothing; channels inside the process put writes
+        // together.
         drained = channel instanceof SocketChannel && ((ByteBuf) message).isWritable();
         super.channelRead(ctx, message);
     }
@@ -175,7 +181,8 @@
         boolean look = front.catchingUp() || mayHaveWaited;
         mayHaveWaited = false;
         if (look) {
-            LoopTasks.after(channel.eventLoop(), front.log(), LOOK_MS, TimeUnit.MILLISECONDS, () -> begin(exchange, came));
+            LoopTasks.after(
+                    channel.eventLoop(), front.log(), LOOK_MS, TimeUnit.MILLISECONDS, () -> begin(exchange, came));
         } else {
             begin(exchange, came);
         }
@@ -188,7 +195,8 @@
         try {
             CallReader.Read read = front.reader().read(exchange.message(), exchange.frame(), came);
             if (front.intake().knows(read.request().id())) {
-                exchange.rejected(new CallReader.Rejected(ThriftOutcomes.PROTOCOL_ERROR, false, "a request with this id is being served"));
+                exchange.rejected(new CallReader.Rejected(
+                        ThriftOutcomes.PROTOCOL_ERROR, false, "a request with this id is being served"));
                 return;
             }
             exchange.begun(read.request().id(), read.method());
@@ -209,7 +217,8 @@
                 unreadSince = drained || unreadSince < 0 ? front.arrivedAt() : unreadSince;
             }
         } else if (!channel.config().isAutoRead() && !resuming) {
-            // Never from inside a call: a channel that reads at once would give the decoder bytes while it still hands out
+            // Never from inside a call: a channel that reads at once would give the decoder bytes while it still hands
+            // out
             // frames, and it would hand some out twice.
             resuming = true;
             channel.eventLoop().execute(this::resume);
@@ -218,7 +227,9 @@
 
     private boolean mayRead() {
         ThriftOptions options = front.options();
-        return open.size() < options.maxOpen() && openBytes < options.maxOpenBytes() && (open.isEmpty() || !front.full());
+        return open.size() < options.maxOpen()
+                && openBytes < options.maxOpenBytes()
+                && (open.isEmpty() || !front.full());
     }
 
     private void resume() {
@@ -237,7 +248,7 @@
             return;
         }
         ChannelFuture written = null;
-        for (Iterator<ThriftExchange> i = open.iterator(); i.hasNext();) {
+        for (Iterator<ThriftExchange> i = open.iterator(); i.hasNext(); ) {
             ThriftExchange next = i.next();
             if (next.done() && mayGo(next)) {
                 i.remove();
@@ -285,7 +296,8 @@
             if (earlier.oneway()) {
                 continue;
             }
-            if (!front.options().outOfOrder() && !earlier.done() || earlier.message().sequenceId() == exchange.message().sequenceId()) {
+            if (!front.options().outOfOrder() && !earlier.done()
+                    || earlier.message().sequenceId() == exchange.message().sequenceId()) {
                 return false;
             }
         }
@@ -363,10 +375,13 @@
             }
         } else if (firstByteAt >= 0 && frames.holdsMore()) {
             // A byte now and then renews nothing: the time is for the whole frame, and reading has not been stopped.
-            if (now - Math.max(firstByteAt, resumedAt) > WHOLE_US && channel.config().isAutoRead()) {
+            if (now - Math.max(firstByteAt, resumedAt) > WHOLE_US
+                    && channel.config().isAutoRead()) {
                 cutOff();
             }
-        } else if (open.isEmpty() && unsent == 0 && now - idleSince > front.options().idleUs()) {
+        } else if (open.isEmpty()
+                && unsent == 0
+                && now - idleSince > front.options().idleUs()) {
             part();
         }
     }
--- a/daemon/src/main/java/grebehoist/thrift/ThriftExchange.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftExchange.java
@@ -74,7 +74,11 @@
 
     @Override
     public void refused(long retryAfterUs) {
-        finish(oneway() ? null : Replies.refused(connection.alloc(), message, method == null ? null : method.refusal(), retryAfterUs));
+        finish(
+                oneway()
+                        ? null
+                        : Replies.refused(
+                                connection.alloc(), message, method == null ? null : method.refusal(), retryAfterUs));
     }
 
     @Override
--- a/daemon/src/main/java/grebehoist/thrift/ThriftFront.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftFront.java
@@ -15,6 +15,7 @@
     private final CallReader reader;
     /** Connections in the middle of a frame, and the bytes that it takes; whoever began first comes first. */
     private final Map<ThriftClientConnection, Integer> halves = new LinkedHashMap<>();
+
     private long bytesHalf;
     private long bytesOpen;
     private boolean full;
@@ -25,7 +26,13 @@
      * @param settings the pool's classes and tenants
      * @param idPrefix ahead of the ids of requests that bring none; no two listeners of a pool may have the same
      */
-    public ThriftFront(LoopTimers timers, Log log, Intake intake, Sockets sockets, Balancer.Settings settings, ThriftOptions options,
+    public ThriftFront(
+            LoopTimers timers,
+            Log log,
+            Intake intake,
+            Sockets sockets,
+            Balancer.Settings settings,
+            ThriftOptions options,
             String idPrefix) {
         super(timers, log, intake, sockets);
         this.options = options;
--- a/daemon/src/main/java/grebehoist/thrift/ThriftMethod.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftMethod.java
@@ -13,16 +13,24 @@
  * @param retried whether the client has asked this before ({@code true}, or a number other than 0), or null
  * @param refusal how a refusal is told, or null for the documented {@code TApplicationException}
  */
-public record ThriftMethod(String name, String requestClass, Figure tenant, Figure key, Figure about, Figure timeoutMs,
-        Figure requestId, Figure retried, Refusal refusal) {
+public record ThriftMethod(
+        String name,
+        String requestClass,
+        Figure tenant,
+        Figure key,
+        Figure about,
+        Figure timeoutMs,
+        Figure requestId,
+        Figure retried,
+        Refusal refusal) {
     /** Where a figure comes from. */
-    public sealed interface Figure permits At, Fixed { }
+    public sealed interface Figure permits At, Fixed {}
 
     /** From the arguments, at a path of field ids. */
-    public record At(String path) implements Figure { }
+    public record At(String path) implements Figure {}
 
     /** The same for all calls. */
-    public record Fixed(String value) implements Figure { }
+    public record Fixed(String value) implements Figure {}
 
     /**
      * An exception that the service declares.
@@ -31,7 +39,7 @@
      * @param message the id of its text, 0 for none
      * @param retryAfterMs the id of its i32 with the wait in milliseconds, 0 for none
      */
-    public record Refusal(int field, int message, int retryAfterMs) { }
+    public record Refusal(int field, int message, int retryAfterMs) {}
 
     /** Returns whether a text is a path of field ids. */
     public static boolean isPath(String text) {
--- a/daemon/src/main/java/grebehoist/thrift/ThriftOptions.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftOptions.java
@@ -15,8 +15,16 @@
  * @param maxHalfBytesInAll bytes of frames that have not come whole, over all connections of the listener
  * @param idleUs a connection on which no call is open for so long is closed
  */
-public record ThriftOptions(List<ThriftMethod> methods, boolean refuseUnknown, int maxFrame, boolean outOfOrder, int maxOpen,
-        long maxOpenBytes, long maxOpenBytesInAll, long maxHalfBytesInAll, long idleUs) {
+public record ThriftOptions(
+        List<ThriftMethod> methods,
+        boolean refuseUnknown,
+        int maxFrame,
+        boolean outOfOrder,
+        int maxOpen,
+        long maxOpenBytes,
+        long maxOpenBytesInAll,
+        long maxHalfBytesInAll,
+        long idleUs) {
     /** Takes the list over. */
     public ThriftOptions {
         methods = List.copyOf(methods);
--- a/daemon/src/main/java/grebehoist/thrift/ThriftOutcomes.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftOutcomes.java
@@ -34,7 +34,7 @@
 
     private static final Set<String> BEFORE_THE_SERVICE = Set.of("1", "2", "3", "7", "8", "9", "10");
 
-    private ThriftOutcomes() { }
+    private ThriftOutcomes() {}
 
     /** Returns the outcome of a {@code TApplicationException}; {@code type} is null where it names none. */
     static Outcome ofException(String type) {
--- a/daemon/src/main/java/grebehoist/thrift/ThriftTransport.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftTransport.java
@@ -23,7 +23,8 @@
      * @param connectTimeoutUs how long a connection may take to come up, in microseconds
      * @param maxFrame the longest reply, in bytes
      */
-    public ThriftTransport(Timers timers, Network network, Sockets sockets, long connIdleUs, long connectTimeoutUs, int maxFrame) {
+    public ThriftTransport(
+            Timers timers, Network network, Sockets sockets, long connIdleUs, long connectTimeoutUs, int maxFrame) {
         super(timers, network, sockets, connIdleUs, connectTimeoutUs);
         this.maxFrame = maxFrame;
     }
--- a/daemon/src/main/java/grebehoist/writer/Change.java
+++ b/daemon/src/main/java/grebehoist/writer/Change.java
@@ -17,8 +17,11 @@
 public record Change(Op op, String scope, long base, int kind, String key, byte[] value) {
     /** What is wanted. */
     public enum Op {
-        CREATE("create", Set.of("base")), SUSPEND("suspend", Set.of("key")), RESUME("resume", Set.of("key")),
-        SET("set", Set.of("kind", "key", "value")), REMOVE("remove", Set.of("kind", "key"));
+        CREATE("create", Set.of("base")),
+        SUSPEND("suspend", Set.of("key")),
+        RESUME("resume", Set.of("key")),
+        SET("set", Set.of("kind", "key", "value")),
+        REMOVE("remove", Set.of("kind", "key"));
 
         private final String word;
         private final Set<String> keys;
@@ -92,7 +95,8 @@
     private static String text(JsonNode json, String key) throws BadChange {
         JsonNode value = json.path(key);
         if (!value.isTextual()) {
-            throw new BadChange("key '" + key + "': " + (value.isMissingNode() ? "missing" : "a text is wanted, not " + value));
+            throw new BadChange(
+                    "key '" + key + "': " + (value.isMissingNode() ? "missing" : "a text is wanted, not " + value));
         }
         return value.asText();
     }
@@ -100,8 +104,10 @@
     private static long whole(JsonNode json, String key, long most) throws BadChange {
         JsonNode value = json.path(key);
         if (!value.isIntegralNumber() || !value.canConvertToLong() || value.asLong() < 0 || value.asLong() > most) {
-            throw new BadChange("key '" + key + "': " + (value.isMissingNode() ? "missing"
-                    : "a whole number from 0 to " + most + " is wanted, not " + value));
+            throw new BadChange("key '" + key + "': "
+                    + (value.isMissingNode()
+                            ? "missing"
+                            : "a whole number from 0 to " + most + " is wanted, not " + value));
         }
         return value.asLong();
     }
--- a/daemon/src/main/java/grebehoist/writer/ChangeStream.java
+++ b/daemon/src/main/java/grebehoist/writer/ChangeStream.java
@@ -35,6 +35,7 @@
     private static final int MOST_SCOPES = 20_000;
     /** Whether a change was taken is found out so often, and so long. */
     private static final long RETRY_MS = 300;
+
     private static final long PATIENCE_NS = TimeUnit.SECONDS.toNanos(8);
 
     /** What becomes of one change. */
@@ -71,7 +72,9 @@
             }
             first.since = System.nanoTime();
             Change c = first.change;
-            go(first, c.op() == Change.Op.CREATE ? writer.create(c.base()) : writer.change(c.kind(), c.key(), c.value()));
+            go(
+                    first,
+                    c.op() == Change.Op.CREATE ? writer.create(c.base()) : writer.change(c.kind(), c.key(), c.value()));
         }
 
         private void go(Wanted wanted, List<Call> calls) {
@@ -88,23 +91,35 @@
 
         /** An answer may come late, when another change is under way already, or none. */
         private void look(Wanted wanted) {
-            if (wanted == null || wanted != queue.peek() || wanted.told != null || writer == null || writer.result() == null) {
+            if (wanted == null
+                    || wanted != queue.peek()
+                    || wanted.told != null
+                    || writer == null
+                    || writer.result() == null) {
                 return;
             }
             Writer.Result result = writer.result();
             if (result instanceof Writer.Unknown && System.nanoTime() - wanted.since < PATIENCE_NS) {
                 if (!waits) {
                     waits = true;
-                    on.schedule(() -> {
-                        waits = false;
-                        if (wanted == queue.peek() && writer != null && writer.result() instanceof Writer.Unknown) {
-                            go(wanted, writer.retry());
-                        }
-                    }, RETRY_MS, TimeUnit.MILLISECONDS);
+                    on.schedule(
+                            () -> {
+                                waits = false;
+                                if (wanted == queue.peek()
+                                        && writer != null
+                                        && writer.result() instanceof Writer.Unknown) {
+                                    go(wanted, writer.retry());
+                                }
+                            },
+                            RETRY_MS,
+                            TimeUnit.MILLISECONDS);
                 }
                 return;
             }
-            ObjectNode line = Json.object().put("t_us", System.nanoTime() / 1_000).put("scope", name).put("op", wanted.change.op().word())
+            ObjectNode line = Json.object()
+                    .put("t_us", System.nanoTime() / 1_000)
+                    .put("scope", name)
+                    .put("op", wanted.change.op().word())
                     .put("key", wanted.change.key());
             if (result instanceof Writer.Taken t) {
                 line.put("result", "taken").put("version", t.version());
@@ -209,7 +224,11 @@
         places.acquire();
         on.execute(() -> {
             var wanted = new Wanted(null);
-            wanted.told = Json.object().put("t_us", System.nanoTime() / 1_000).put("line", line).put("result", "refused").put("why", "line " + line + ": " + why);
+            wanted.told = Json.object()
+                    .put("t_us", System.nanoTime() / 1_000)
+                    .put("line", line)
+                    .put("result", "refused")
+                    .put("why", "line " + line + ": " + why);
             untold.add(wanted);
             tell();
         });
--- a/daemon/src/main/java/grebehoist/writer/Doors.java
+++ b/daemon/src/main/java/grebehoist/writer/Doors.java
@@ -36,7 +36,7 @@
     private static final int MOST_WAITING = 4_096;
 
     /** A call; {@code again} where it was made before and not answered in time, which may be this side's fault. */
-    private record Waiting(Call call, Consumer<Answer> then, boolean again) { }
+    private record Waiting(Call call, Consumer<Answer> then, boolean again) {}
 
     /** A door, the calls that wait for one that is out to end, and until when it rests. */
     private static final class Door {
@@ -45,6 +45,7 @@
         private int out;
         /** One, until it has answered: this side's code is cold then, or the machine hangs. */
         private int most = 1;
+
         private boolean rests;
         private long restsUntilNs;
 
@@ -58,13 +59,17 @@
         }
     }
 
-    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(CONNECT)
-            .proxy(HttpClient.Builder.NO_PROXY).build();
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(CONNECT)
+            .proxy(HttpClient.Builder.NO_PROXY)
+            .build();
     private final List<Door> doors = new ArrayList<>();
     private final Executor on;
 
     Doors(List<InetSocketAddress> addresses, Executor on) {
-        addresses.forEach(a -> doors.add(new Door(URI.create("http://" + host(a) + ":" + a.getPort() + "/v1/distribution"))));
+        addresses.forEach(
+                a -> doors.add(new Door(URI.create("http://" + host(a) + ":" + a.getPort() + "/v1/distribution"))));
         this.on = on;
     }
 
@@ -97,32 +102,45 @@
 
     private void send(Door door, Waiting next) {
         door.out++;
-        HttpRequest request = HttpRequest.newBuilder(URI.create(door.uri + "/call")).timeout(ANSWER)
-                .POST(HttpRequest.BodyPublishers.ofString(CallJson.json(next.call).toString())).build();
-        client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray()).whenCompleteAsync((response, failure) -> {
-            door.out--;
-            if (failure == null) {
-                door.most = MOST_OUT;
-                next.then.accept(answer(response));
-            } else if (next.again || failure instanceof ConnectException || failure.getCause() instanceof ConnectException) {
-                door.most = 1;
-                door.rests = true;
-                door.restsUntilNs = System.nanoTime() + REST_NS;
-                next.then.accept(null);
-            } else {
-                // Asking twice is asking once, whatever it is.
-                door.waiting.addFirst(new Waiting(next.call, next.then, true));
-            }
-            next(door);
-        }, on);
+        HttpRequest request = HttpRequest.newBuilder(URI.create(door.uri + "/call"))
+                .timeout(ANSWER)
+                .POST(HttpRequest.BodyPublishers.ofString(
+                        CallJson.json(next.call).toString()))
+                .build();
+        client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray())
+                .whenCompleteAsync(
+                        (response, failure) -> {
+                            door.out--;
+                            if (failure == null) {
+                                door.most = MOST_OUT;
+                                next.then.accept(answer(response));
+                            } else if (next.again
+                                    || failure instanceof ConnectException
+                                    || failure.getCause() instanceof ConnectException) {
+                                door.most = 1;
+                                door.rests = true;
+                                door.restsUntilNs = System.nanoTime() + REST_NS;
+                                next.then.accept(null);
+                            } else {
+                                // Asking twice is asking once, whatever it is.
+                                door.waiting.addFirst(new Waiting(next.call, next.then, true));
+                            }
+                            next(door);
+                        },
+                        on);
     }
 
     /** A door that says no to the call itself will say so again. */
     private static Answer answer(HttpResponse<byte[]> response) {
         try {
             JsonNode json = json(response);
-            return response.statusCode() == 200 ? CallJson.answer(json)
-                    : new Answer.Refusal("HTTP status " + response.statusCode() + ", " + json.path("error").asText(), -1, false);
+            return response.statusCode() == 200
+                    ? CallJson.answer(json)
+                    : new Answer.Refusal(
+                            "HTTP status " + response.statusCode() + ", "
+                                    + json.path("error").asText(),
+                            -1,
+                            false);
         } catch (CallJson.BadJson | IOException e) {
             return null;
         }
@@ -133,18 +151,26 @@
     }
 
     /** What a door has told. */
-    record Told(int status, JsonNode json, String why) { }
+    record Told(int status, JsonNode json, String why) {}
 
     /** Asks a machine what it holds. The future has status 0 where there is no answer. */
     CompletableFuture<Told> figures(int machine, String query) {
-        HttpRequest request = HttpRequest.newBuilder(URI.create(doors.get(machine).uri + query)).timeout(ANSWER).GET().build();
-        return client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray()).handle((response, failure) -> {
-            try {
-                return failure != null ? new Told(0, null, String.valueOf(failure.getCause() == null ? failure : failure.getCause()))
-                        : new Told(response.statusCode(), json(response), "");
-            } catch (IOException e) {
-                return new Told(0, null, "not JSON: " + e.getMessage());
-            }
-        });
+        HttpRequest request = HttpRequest.newBuilder(URI.create(doors.get(machine).uri + query))
+                .timeout(ANSWER)
+                .GET()
+                .build();
+        return client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray())
+                .handle((response, failure) -> {
+                    try {
+                        return failure != null
+                                ? new Told(
+                                        0,
+                                        null,
+                                        String.valueOf(failure.getCause() == null ? failure : failure.getCause()))
+                                : new Told(response.statusCode(), json(response), "");
+                    } catch (IOException e) {
+                        return new Told(0, null, "not JSON: " + e.getMessage());
+                    }
+                });
     }
 }
--- a/daemon/src/main/java/grebehoist/writer/FleetStatus.java
+++ b/daemon/src/main/java/grebehoist/writer/FleetStatus.java
@@ -30,6 +30,7 @@
     private final PrintStream out;
     /** Of each scope, what each machine tells. */
     private final Map<String, Map<Integer, JsonNode>> told = new TreeMap<>();
+
     private final Map<Integer, String> silent = new TreeMap<>();
 
     /**
@@ -51,7 +52,9 @@
      * @return whether all machines have answered that are to hold it
      */
     public boolean tell(String scope) {
-        List<Integer> machines = scope == null ? IntStream.range(0, layout.machines().size()).boxed().toList() : layout.holders(scope);
+        List<Integer> machines = scope == null
+                ? IntStream.range(0, layout.machines().size()).boxed().toList()
+                : layout.holders(scope);
         Map<Integer, String> queries = new TreeMap<>();
         machines.forEach(m -> queries.put(m, scope == null ? "" : "?scope=" + encoded(scope)));
         while (!queries.isEmpty()) {
@@ -67,10 +70,15 @@
             });
         }
         if (scope != null && told.isEmpty()) {
-            out.println(Json.object().put("scope", scope).put("why", silent.isEmpty() ? "no machine that is to hold it does" : "not known"));
+            out.println(Json.object()
+                    .put("scope", scope)
+                    .put("why", silent.isEmpty() ? "no machine that is to hold it does" : "not known"));
         }
         told.forEach((name, by) -> out.println(sum(name, by)));
-        ObjectNode last = Json.object().put("machines", machines.size()).put("answered", machines.size() - silent.size()).put("scopes", told.size());
+        ObjectNode last = Json.object()
+                .put("machines", machines.size())
+                .put("answered", machines.size() - silent.size())
+                .put("scopes", told.size());
         ArrayNode no = last.putArray("silent");
         silent.forEach((m, why) -> no.addObject().put("machine", m).put("why", why));
         out.println(last);
@@ -91,30 +99,47 @@
             return null;
         }
         for (JsonNode scope : page.json().path("scopes")) {
-            told.computeIfAbsent(scope.path("scope").asText(), s -> new TreeMap<>()).put(machine, scope);
+            told.computeIfAbsent(scope.path("scope").asText(), s -> new TreeMap<>())
+                    .put(machine, scope);
         }
         return page.json().has("after") ? page.json().path("after").asText() : null;
     }
 
     private ObjectNode sum(String scope, Map<Integer, JsonNode> by) {
-        long version = by.values().stream().mapToLong(s -> s.path("version").asLong()).max().orElse(0);
+        long version = by.values().stream()
+                .mapToLong(s -> s.path("version").asLong())
+                .max()
+                .orElse(0);
         ObjectNode line = Json.object().put("scope", scope).put("version", version);
         line.put("known", sum(by, "known"));
         // What is in force of a machine that has not heard of the last change is not the last.
-        line.put("in_force", by.values().stream().filter(s -> s.path("version").asLong() == version).mapToLong(s -> s.path("in_force").asLong()).sum());
+        line.put(
+                "in_force",
+                by.values().stream()
+                        .filter(s -> s.path("version").asLong() == version)
+                        .mapToLong(s -> s.path("in_force").asLong())
+                        .sum());
         line.put("away", sum(by, "away"));
         for (String figure : List.of("p50_us", "p99_us", "worst_us")) {
-            line.put(figure, by.values().stream().mapToLong(s -> s.path(figure).asLong()).max().orElse(-1));
+            line.put(
+                    figure,
+                    by.values().stream()
+                            .mapToLong(s -> s.path(figure).asLong())
+                            .max()
+                            .orElse(-1));
         }
         List<JsonNode> behind = new ArrayList<>();
         by.values().forEach(s -> s.path("behind").forEach(behind::add));
-        behind.sort((a, b) -> Long.compare(b.path("for_ms").asLong(), a.path("for_ms").asLong()));
+        behind.sort((a, b) ->
+                Long.compare(b.path("for_ms").asLong(), a.path("for_ms").asLong()));
         ArrayNode named = line.putArray("behind");
         behind.stream().limit(MOST_NAMED).forEach(named::add);
         ArrayNode holders = line.putArray("holders");
         for (int machine : layout.holders(scope)) {
             JsonNode here = by.get(machine);
-            holders.addObject().put("machine", machine).put("version", here == null ? -1 : here.path("version").asLong())
+            holders.addObject()
+                    .put("machine", machine)
+                    .put("version", here == null ? -1 : here.path("version").asLong())
                     .put("counts", here != null && here.path("counts").asBoolean());
         }
         return line;
--- a/daemon/src/test/java/grebehoist/cli/ControlFleet.java
+++ b/daemon/src/test/java/grebehoist/cli/ControlFleet.java
@@ -53,15 +53,23 @@
     private String machines() {
         var text = new StringBuilder();
         for (int i = 0; i < MACHINES; i++) {
-            text.append("[[distribution.control]]\naddress = \"127.0.0.1:").append(ports[i]).append("\"\ndoor = \"127.0.0.1:").append(doors.get(i).getPort())
-                    .append("\"\nzone = \"z").append(i).append("\"\n");
+            text.append("[[distribution.control]]\naddress = \"127.0.0.1:")
+                    .append(ports[i])
+                    .append("\"\ndoor = \"127.0.0.1:")
+                    .append(doors.get(i).getPort())
+                    .append("\"\nzone = \"z")
+                    .append(i)
+                    .append("\"\n");
         }
         return text + "[[distribution.key]]\nid = 1\nsecret = \"00112233445566778899aabbccddeeff\"\n";
     }
 
     /** Returns the file of a proxy, with more tables. */
     String proxyFile(int number, String more, String... scopes) throws IOException {
-        return Files.writeString(folder.resolve("p" + number + ".toml"), more + """
+        return Files.writeString(
+                        folder.resolve("p" + number + ".toml"),
+                        more
+                                + """
                 [process]
                 name = "p%d"
                 [distribution]
@@ -69,11 +77,14 @@
                 listen = "127.0.0.1:%d"
                 number = %d
                 scopes = ["%s"]
-                """.formatted(number, ports[MACHINES + number], number, String.join("\", \"", scopes)) + machines()).toString();
+                """.formatted(number, ports[MACHINES + number], number, String.join("\", \"", scopes))
+                                + machines())
+                .toString();
     }
 
     private Path file(int machine) throws IOException {
-        return Files.writeString(folder.resolve("c" + machine + ".toml"), """
+        return Files.writeString(
+                folder.resolve("c" + machine + ".toml"), """
                 [process]
                 name = "c%d"
                 [distribution]
@@ -83,7 +94,11 @@
     }
 
     private static ProcessBuilder java(String... words) {
-        var command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC", "-Xmx64m", "-jar",
+        var command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-Xmx64m",
+                "-jar",
                 JAR.toString()));
         command.addAll(List.of(words));
         var builder = new ProcessBuilder(command);
@@ -94,19 +109,24 @@
     /** Starts all machines, and waits until each knows what the others hold. */
     void start() throws IOException, InterruptedException {
         for (int i = 0; i < MACHINES; i++) {
-            processes.add(java("serve", "--installation", file(i).toString()).redirectErrorStream(true)
-                    .redirectOutput(folder.resolve("c" + i + ".log").toFile()).start());
+            processes.add(java("serve", "--installation", file(i).toString())
+                    .redirectErrorStream(true)
+                    .redirectOutput(folder.resolve("c" + i + ".log").toFile())
+                    .start());
         }
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
         for (int i = 0; i < MACHINES; i++) {
             while (get(i, "/v1/readyz").status() != 200) {
                 if (System.nanoTime() - until > 0 || !processes.get(i).isAlive()) {
-                    throw new IllegalStateException("machine " + i + " is not ready: " + Files.readString(folder.resolve("c" + i + ".log")));
+                    throw new IllegalStateException(
+                            "machine " + i + " is not ready: " + Files.readString(folder.resolve("c" + i + ".log")));
                 }
                 TimeUnit.MILLISECONDS.sleep(20);
             }
         }
-        writer = java("change", "--installation", file(0).toString(), "--stdin").redirectError(ProcessBuilder.Redirect.INHERIT).start();
+        writer = java("change", "--installation", file(0).toString(), "--stdin")
+                .redirectError(ProcessBuilder.Redirect.INHERIT)
+                .start();
         results = new BufferedReader(new InputStreamReader(writer.getInputStream(), StandardCharsets.UTF_8));
     }
 
@@ -122,14 +142,18 @@
     /** Posts to a machine's door. */
     Wire.Message post(int machine, String path, String body) throws IOException {
         try (var wire = Wire.to(doors.get(machine))) {
-            return wire.send("POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length() + "\r\n\r\n" + body).read();
+            return wire.send("POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                            + body)
+                    .read();
         }
     }
 
     /** Has the writer make a change; returns what became of it. */
     JsonNode change(String op, String scope, String key) throws IOException {
-        writer.getOutputStream().write("{\"op\":\"%s\",\"scope\":\"%s\"%s}\n".formatted(op, scope, key.isEmpty() ? "" : ",\"key\":\"" + key + "\"")
-                .getBytes(StandardCharsets.UTF_8));
+        writer.getOutputStream()
+                .write("{\"op\":\"%s\",\"scope\":\"%s\"%s}\n"
+                        .formatted(op, scope, key.isEmpty() ? "" : ",\"key\":\"" + key + "\"")
+                        .getBytes(StandardCharsets.UTF_8));
         writer.getOutputStream().flush();
         return Fixture.json(results.readLine());
     }
@@ -138,8 +162,11 @@
     ObjectNode changeOnce(String... options) throws IOException, InterruptedException {
         var words = new ArrayList<>(List.of("change", "--installation", file(0).toString()));
         words.addAll(List.of(options));
-        Process change = java(words.toArray(String[]::new)).redirectError(ProcessBuilder.Redirect.INHERIT).start();
-        var line = (ObjectNode) Fixture.json(new String(change.getInputStream().readAllBytes(), StandardCharsets.UTF_8));
+        Process change = java(words.toArray(String[]::new))
+                .redirectError(ProcessBuilder.Redirect.INHERIT)
+                .start();
+        var line =
+                (ObjectNode) Fixture.json(new String(change.getInputStream().readAllBytes(), StandardCharsets.UTF_8));
         return line.put("exit", change.waitFor());
     }
 
@@ -151,7 +178,9 @@
 
     /** Runs the command {@code status}; returns its lines, the last of which is on the machines. */
     List<JsonNode> status(String scope) throws IOException {
-        Process status = java("status", "--installation", file(0).toString(), "--scope", scope).redirectError(ProcessBuilder.Redirect.INHERIT).start();
+        Process status = java("status", "--installation", file(0).toString(), "--scope", scope)
+                .redirectError(ProcessBuilder.Redirect.INHERIT)
+                .start();
         var lines = new ArrayList<JsonNode>();
         for (String line : new String(status.getInputStream().readAllBytes(), StandardCharsets.UTF_8).split("\n")) {
             lines.add(Fixture.json(line));
--- a/daemon/src/test/java/grebehoist/cli/DistributionIT.java
+++ b/daemon/src/test/java/grebehoist/cli/DistributionIT.java
@@ -27,9 +27,15 @@
     /** Begins a proxy with two pools, which the witness knows as two proxies: the installation's and the platform's. */
     private static void begin(Rig rig, ControlFleet control, ProxyProcess proxy, int number) throws Exception {
         InetSocketAddress more = ProxyProcess.freeAddress();
-        String file = control.proxyFile(number, InstallationText.pool("more", rig.discoveryOfNextProxy()) + InstallationText.listener("in", more, "more"),
-                "fleet", SCOPE);
-        proxy.configure(rig.discoveryOfNextProxy(), rig.on(rig.discovery()::known)).start("--installation", file).awaitReady();
+        String file = control.proxyFile(
+                number,
+                InstallationText.pool("more", rig.discoveryOfNextProxy())
+                        + InstallationText.listener("in", more, "more"),
+                "fleet",
+                SCOPE);
+        proxy.configure(rig.discoveryOfNextProxy(), rig.on(rig.discovery()::known))
+                .start("--installation", file)
+                .awaitReady();
         rig.await("the installed pool is ready", () -> ProxyProcess.ready(more));
         rig.proxyAt(more);
         rig.proxyAt(proxy.address());
@@ -41,8 +47,10 @@
             for (String text : proxy.log().split("\n")) {
                 if (text.startsWith("{") && text.contains("\"in_force\"")) {
                     JsonNode line = Fixture.json(text);
-                    if (line.path("scope").asText().equals(scope) && line.path("version").asLong() >= version) {
-                        return rig.now() - (System.nanoTime() / 1_000 - line.path("t_us").asLong());
+                    if (line.path("scope").asText().equals(scope)
+                            && line.path("version").asLong() >= version) {
+                        return rig.now()
+                                - (System.nanoTime() / 1_000 - line.path("t_us").asLong());
                     }
                 }
             }
@@ -56,7 +64,9 @@
     private static void awaitSuspended(Rig rig, List<ProxyProcess> proxies, String backend, long version) {
         for (int i = 0; i < proxies.size(); i++) {
             int number = i;
-            rig.await("version " + version + " is in force at p" + i, () -> inForceAt(rig, proxies.get(number), SCOPE, version) >= 0);
+            rig.await(
+                    "version " + version + " is in force at p" + i,
+                    () -> inForceAt(rig, proxies.get(number), SCOPE, version) >= 0);
             long at = inForceAt(rig, proxies.get(number), SCOPE, version);
             rig.run(() -> {
                 rig.witness().told(2 * number, backend, false, at);
@@ -77,7 +87,9 @@
     private static void awaitInForce(ControlFleet control, long version, long proxies) throws IOException {
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
         JsonNode status = control.status(SCOPE).get(0);
-        while (status.path("version").asLong() != version || status.path("known").asLong() != proxies || status.path("in_force").asLong() != proxies) {
+        while (status.path("version").asLong() != version
+                || status.path("known").asLong() != proxies
+                || status.path("in_force").asLong() != proxies) {
             assertThat(System.nanoTime() - until).as(status.toString()).isNegative();
             status = control.status(SCOPE).get(0);
         }
@@ -94,8 +106,10 @@
 
     @Test
     void whatIsSuspendedOnceIsSuspendedEverywhere() throws Exception {
-        try (var rig = ProcessIT.rig(); var control = new ControlFleet(folder, 2);
-                var first = new ProxyProcess("n0", ProcessIT.settings(0)).withDoor(); var second = new ProxyProcess("n1", ProcessIT.settings(1)).withDoor()) {
+        try (var rig = ProcessIT.rig();
+                var control = new ControlFleet(folder, 2);
+                var first = new ProxyProcess("n0", ProcessIT.settings(0)).withDoor();
+                var second = new ProxyProcess("n1", ProcessIT.settings(1)).withDoor()) {
             control.start();
             begin(rig, control, first, 0);
             begin(rig, control, second, 1);
@@ -106,25 +120,32 @@
             JsonNode early = control.change("suspend", SCOPE, out.id());
             assertThat(early.path("result").asText()).as(early.toString()).isEqualTo("refused");
             assertThat(early.path("why").asText()).contains("unknown scope");
-            assertThat(control.change("create", SCOPE, "").path("result").asText()).isEqualTo("taken");
-            assertThat(control.change("create", "fleet", "").path("result").asText()).isEqualTo("taken");
+            assertThat(control.change("create", SCOPE, "").path("result").asText())
+                    .isEqualTo("taken");
+            assertThat(control.change("create", "fleet", "").path("result").asText())
+                    .isEqualTo("taken");
             rig.awaitServed(200);
 
             JsonNode suspended = control.change("suspend", SCOPE, out.id());
-            assertThat(suspended.path("result").asText()).as(suspended.toString()).isEqualTo("taken");
+            assertThat(suspended.path("result").asText())
+                    .as(suspended.toString())
+                    .isEqualTo("taken");
             assertThat(suspended.path("version").asLong()).isEqualTo(1);
             awaitSuspended(rig, proxies, out.id(), 1);
             rig.awaitServed(300);
             // The operators of one proxy take it out too, and put it back: it stays out.
-            assertThat(first.call("POST", "/v1/backends/" + out.id() + "/suspend")).isEqualTo(200);
-            assertThat(first.call("POST", "/v1/backends/" + out.id() + "/resume")).isEqualTo(200);
+            assertThat(first.call("POST", "/v1/backends/" + out.id() + "/suspend"))
+                    .isEqualTo(200);
+            assertThat(first.call("POST", "/v1/backends/" + out.id() + "/resume"))
+                    .isEqualTo(200);
             rig.awaitServed(200);
             assertThat(first.figures().path("pool_ejected").asInt()).isEqualTo(1);
             awaitInForce(control, 1, 2);
 
             tellAll(rig, out.id(), true);
             long before = rig.on(() -> out.backend().runs());
-            assertThat(control.change("resume", SCOPE, out.id()).path("version").asLong()).isEqualTo(2);
+            assertThat(control.change("resume", SCOPE, out.id()).path("version").asLong())
+                    .isEqualTo(2);
             rig.await("it is used again", () -> out.backend().runs() > before);
             rig.awaitServed(200);
 
@@ -145,7 +166,13 @@
                 assertThat(scope(proxy).path("version").asLong()).isEqualTo(3);
                 assertThat(proxy.distribution().path("suspended").asInt()).isEqualTo(1);
             }
-            assertThat(Fixture.json(control.get(2, "/v1/distribution?scope=" + SCOPE).body()).path("scopes").path(0).path("version").asLong()).isEqualTo(3);
+            assertThat(Fixture.json(control.get(2, "/v1/distribution?scope=" + SCOPE)
+                                    .body())
+                            .path("scopes")
+                            .path(0)
+                            .path("version")
+                            .asLong())
+                    .isEqualTo(3);
             assertThat(control.endWriter()).as("its first was refused").isEqualTo(1);
 
             Witness witness = rig.finish();
@@ -160,25 +187,36 @@
     void whatIsNoCallChangesNothing() throws Exception {
         try (var control = new ControlFleet(folder, 0)) {
             control.start();
-            assertThat(control.change("create", SCOPE, "").path("result").asText()).isEqualTo("taken");
-            assertThat(control.change("suspend", SCOPE, "s-1").path("result").asText()).isEqualTo("taken");
+            assertThat(control.change("create", SCOPE, "").path("result").asText())
+                    .isEqualTo("taken");
+            assertThat(control.change("suspend", SCOPE, "s-1").path("result").asText())
+                    .isEqualTo("taken");
             // Taken means by two machines of three: this one may hear of it a moment later.
             String before = control.get(0, "/v1/distribution?scope=" + SCOPE).body();
             while (!before.contains("\"version\":1,")) {
                 TimeUnit.MILLISECONDS.sleep(10);
                 before = control.get(0, "/v1/distribution?scope=" + SCOPE).body();
             }
-            for (String call : List.of("", "{", "[]", "{\"call\":\"open\"}", "{\"call\":\"create\",\"machine\":0,\"scope\":\"\",\"base\":0}",
+            for (String call : List.of(
+                    "",
+                    "{",
+                    "[]",
+                    "{\"call\":\"open\"}",
+                    "{\"call\":\"create\",\"machine\":0,\"scope\":\"\",\"base\":0}",
                     "{\"call\":\"open\",\"machine\":1,\"scope\":\"" + SCOPE + "\",\"epoch\":9000000000000}")) {
                 Wire.Message answer = control.post(0, "/v1/distribution/call", call);
                 assertThat(answer.status()).as(call + answer.body()).isEqualTo(400);
                 assertThat(Fixture.json(answer.body()).path("error").asText()).isNotEmpty();
             }
-            Wire.Message old = control.post(0, "/v1/distribution/call", "{\"call\":\"open\",\"machine\":0,\"scope\":\"" + SCOPE + "\",\"epoch\":1}");
+            Wire.Message old = control.post(
+                    0,
+                    "/v1/distribution/call",
+                    "{\"call\":\"open\",\"machine\":0,\"scope\":\"" + SCOPE + "\",\"epoch\":1}");
             assertThat(old.status()).isEqualTo(200);
             assertThat(Fixture.json(old.body()).path("answer").asText()).isEqualTo("refusal");
             assertThat(control.get(0, "/v1/distribution?scope=" + SCOPE).body()).isEqualTo(before);
-            assertThat(control.change("resume", SCOPE, "s-1").path("version").asLong()).isEqualTo(2);
+            assertThat(control.change("resume", SCOPE, "s-1").path("version").asLong())
+                    .isEqualTo(2);
             assertThat(control.endWriter()).isZero();
         }
     }
--- a/daemon/src/test/java/grebehoist/cli/EndingsTest.java
+++ b/daemon/src/test/java/grebehoist/cli/EndingsTest.java
@@ -35,6 +35,7 @@
     private static final String READY = "GET /ready HTTP/1.1\r\n\r\n";
     /** A proxy of so many descriptors has places for 40 clients, and 32 that wait. */
     private static final int SOCKETS = 128;
+
     private static final int PLACES = 72;
 
     /** Holds the proxy's loop up, from inside the module, as the requests of some ids arrive. */
@@ -107,7 +108,9 @@
     /** What is asked on a connection whose end this side has begun is not taken: nothing of it may go to a backend. */
     @Test
     void aRequestThatCrossesTheEndOfItsConnectionIsNotSentOn() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             var seen = backend.always(Peer.ok("x"));
             client.send(Fixture.get("r1")).read();
             assertThat(endsInOrder(client)).isTrue();
@@ -123,7 +126,8 @@
     @Test
     void aClientThatLeftWhileItWaitedToBeAcceptedIsNotServed() throws Exception {
         var crowd = new ArrayList<Wire>();
-        try (var backend = new Peer(); var proxy = new Fixture(exceptHeld(), SOCKETS, 15_000_000, backend)) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(exceptHeld(), SOCKETS, 15_000_000, backend)) {
             var seen = backend.always(Peer.ok("x"));
             for (int i = 0; i < PLACES; i++) {
                 crowd.add(proxy.client().send(Fixture.get("held" + i)));
@@ -146,7 +150,8 @@
     @Test
     void aClientThatLeftWhileAcceptFailedIsNotServed() throws Exception {
         var failing = new AtomicBoolean();
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), acceptFailsWhile(failing), backend)) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), acceptFailsWhile(failing), backend)) {
             var seen = backend.always(Peer.ok("x"));
             // A connection to the backend that is there is written to at once.
             try (Wire first = proxy.client().send(Fixture.get("first"))) {
@@ -170,10 +175,12 @@
     /** The soak's seed 5319: the loop is held up between accepting a client and reading its request, and idle connections are due to end. */
     @Test
     void aRequestThatWaitsBehindAHoldUpIsNotTakenForRest() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), heldUpAfterAccept(), backend)) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), heldUpAfterAccept(), backend)) {
             backend.always(Peer.ok("x"));
             proxy.sendAway();
-            // Idle connections end from half a second on, every tenth of a second: some of these fall between accepting and reading a client.
+            // Idle connections end from half a second on, every tenth of a second: some of these fall between accepting
+            // and reading a client.
             long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(3);
             for (int i = 0; System.nanoTime() < until; i++) {
                 try (Wire client = proxy.client().send(Fixture.get("r" + i))) {
@@ -185,49 +192,55 @@
 
     private static Network heldUpAfterAccept() {
         Network sockets = Network.sockets();
-        ServerBootstrap server = new ServerBootstrap().group(sockets.loop()).channelFactory(() -> new NioServerSocketChannel() {
-            @Override
-            protected int doReadMessages(List<Object> accepted) throws Exception {
-                SocketChannel socket = javaChannel().accept();
-                if (socket == null) {
-                    return 0;
-                }
-                accepted.add(new NioSocketChannel(this, socket) {
-                    private boolean held;
-
+        ServerBootstrap server = new ServerBootstrap()
+                .group(sockets.loop())
+                .channelFactory(() -> new NioServerSocketChannel() {
                     @Override
-                    protected void doBeginRead() throws Exception {
-                        if (!held) {
-                            held = true;
-                            TimeUnit.MILLISECONDS.sleep(40);
+                    protected int doReadMessages(List<Object> accepted) throws Exception {
+                        SocketChannel socket = javaChannel().accept();
+                        if (socket == null) {
+                            return 0;
                         }
-                        super.doBeginRead();
+                        accepted.add(new NioSocketChannel(this, socket) {
+                            private boolean held;
+
+                            @Override
+                            protected void doBeginRead() throws Exception {
+                                if (!held) {
+                                    held = true;
+                                    TimeUnit.MILLISECONDS.sleep(40);
+                                }
+                                super.doBeginRead();
+                            }
+                        });
+                        return 1;
                     }
-                });
-                return 1;
-            }
-        }).option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator());
+                })
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator());
         return new Network(sockets.loop(), server, sockets.client(), sockets.addresses());
     }
 
     private static Network acceptFailsWhile(AtomicBoolean failing) {
         Network sockets = Network.sockets();
-        ServerBootstrap server = new ServerBootstrap().group(sockets.loop()).channelFactory(() -> new NioServerSocketChannel() {
-            @Override
-            protected int doReadMessages(List<Object> accepted) throws Exception {
-                if (failing.get()) {
-                    throw new IOException("accept: too many open files in system");
-                }
-                return super.doReadMessages(accepted);
-            }
-        }).option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator());
+        ServerBootstrap server = new ServerBootstrap()
+                .group(sockets.loop())
+                .channelFactory(() -> new NioServerSocketChannel() {
+                    @Override
+                    protected int doReadMessages(List<Object> accepted) throws Exception {
+                        if (failing.get()) {
+                            throw new IOException("accept: too many open files in system");
+                        }
+                        return super.doReadMessages(accepted);
+                    }
+                })
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator());
         return new Network(sockets.loop(), server, sockets.client(), sockets.addresses());
     }
 
     /** It sends more than is dropped at any speed behind a request that waits, and goes: that is seen behind all of it. */
     @Test
     void aClientThatSendsMuchAndGoesIsNoticed() throws Exception {
-        try (var proxy = new Fixture((event, actions) -> { })) {
+        try (var proxy = new Fixture((event, actions) -> {})) {
             try (var client = proxy.client()) {
                 client.send(Fixture.get("r1"));
                 proxy.next(Arrival.class);
@@ -245,7 +258,9 @@
     /** The same, but it stays: it has its answer whole, and the connection ends in order though it goes on sending. */
     @Test
     void aFloodBehindARequestDoesNotCostItsAnswer() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = backend.accept();
             attempt.read();
@@ -269,18 +284,24 @@
         var before = new Gate();
         var gate = new Gate();
         var clients = new ArrayList<Wire>();
-        try (var accepts = new ServerSocket(0, 50, InetAddress.getLoopbackAddress()); var backend = new Peer();
-                var proxy = new Fixture((event, actions) -> {
-                    if (event instanceof Members m && m.kind() == ListKind.CACHED) {
-                        actions.accept(new Watch(true));
-                    }
-                    holding("before", before, holding("r19", gate, Fixture.sendTo("s1"))).handle(event, actions);
-                }, backend)) {
+        try (var accepts = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+                var backend = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof Members m && m.kind() == ListKind.CACHED) {
+                                actions.accept(new Watch(true));
+                            }
+                            holding("before", before, holding("r19", gate, Fixture.sendTo("s1")))
+                                    .handle(event, actions);
+                        },
+                        backend)) {
             Wire watch = proxy.discovery.accept();
             watch.read();
-            watch.send(Peer.ok(Fixture.list(42, false, Fixture.entry("s1", "127.0.0.1:" + accepts.getLocalPort(), "ready"))));
+            watch.send(Peer.ok(
+                    Fixture.list(42, false, Fixture.entry("s1", "127.0.0.1:" + accepts.getLocalPort(), "ready"))));
             proxy.discovery.accept().read();
-            // In one read and one after the other, so that all connects but the last have begun when the loop stops, and none is up.
+            // In one read and one after the other, so that all connects but the last have begun when the loop stops,
+            // and none is up.
             for (int i = 0; i < 20; i++) {
                 clients.add(proxy.client());
                 clients.get(i).send(READY).read();
@@ -310,7 +331,9 @@
                     written = wire.read();
                 }
             }
-            assertThat(written.header("X-Request-ID")).as("the first that was written").isEqualTo("stays");
+            assertThat(written.header("X-Request-ID"))
+                    .as("the first that was written")
+                    .isEqualTo("stays");
         } finally {
             close(clients);
         }
@@ -321,7 +344,8 @@
     void whoWaitsToBeAcceptedIsServedBeforeTheListenerCloses() throws Exception {
         var gate = new Gate();
         var waiting = new ArrayList<Wire>();
-        try (var backend = new Peer(); var proxy = new Fixture(holding("stop", gate, Fixture.sendTo("s0")), backend)) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(holding("stop", gate, Fixture.sendTo("s0")), backend)) {
             backend.always(Peer.ok("x"));
             waiting.add(proxy.client().send(Fixture.get("stop")));
             gate.awaitReached();
@@ -350,12 +374,18 @@
     @Test
     void idleClientsLeaveDiscoveryItsDescriptor() throws Exception {
         var crowd = new ArrayList<Wire>();
-        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Members m && (m.kind() == ListKind.CACHED || m.kind() == ListKind.FAILED)) {
-                actions.accept(new Watch(true));
-            }
-            Fixture.sendTo("s0").handle(event, actions);
-        }, SOCKETS, 15_000_000, backend)) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof Members m
+                                    && (m.kind() == ListKind.CACHED || m.kind() == ListKind.FAILED)) {
+                                actions.accept(new Watch(true));
+                            }
+                            Fixture.sendTo("s0").handle(event, actions);
+                        },
+                        SOCKETS,
+                        15_000_000,
+                        backend)) {
             backend.always(Peer.ok("x"));
             Wire down = proxy.discovery.accept();
             down.read();
--- a/daemon/src/test/java/grebehoist/cli/EngineOnSocketsTest.java
+++ b/daemon/src/test/java/grebehoist/cli/EngineOnSocketsTest.java
@@ -17,9 +17,11 @@
     /** Rule 1: a request that the module forgets is answered all the same, before its client gives up. */
     @Test
     void answersInTimeWhateverTheModuleDoes() throws Exception {
-        try (var proxy = new Fixture((event, actions) -> { }); var client = proxy.client()) {
+        try (var proxy = new Fixture((event, actions) -> {});
+                var client = proxy.client()) {
             long sent = System.nanoTime();
-            Wire.Message answer = client.send(Fixture.get("r1").replace("1900m", "300000u")).read();
+            Wire.Message answer =
+                    client.send(Fixture.get("r1").replace("1900m", "300000u")).read();
             assertThat(answer.status()).isEqualTo(502);
             assertThat(System.nanoTime() - sent).isGreaterThan(200_000_000L);
             assertThat(proxy.next(ClientGone.class).id()).isEqualTo("r1");
@@ -28,12 +30,16 @@
 
     @Test
     void anErrorInTheModuleCostsOneRequest() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a && a.id().equals("bad")) {
-                throw new IllegalStateException("as the test wants it");
-            }
-            Fixture.sendTo("s0").handle(event, actions);
-        }, backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof Arrival a && a.id().equals("bad")) {
+                                throw new IllegalStateException("as the test wants it");
+                            }
+                            Fixture.sendTo("s0").handle(event, actions);
+                        },
+                        backend);
+                var client = proxy.client()) {
             backend.always(Peer.ok("x"));
             assertThat(client.send(Fixture.get("bad")).read().status()).isEqualTo(502);
             assertThat(client.send(Fixture.get("good")).read().status()).isEqualTo(200);
@@ -43,13 +49,17 @@
     /** Rule 2: no attempt goes out beside another, and none once the request is over or has had its tries. */
     @Test
     void sendsNoSecondCopy() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a) {
-                actions.accept(new Send(a.id(), "s0", 0));
-                actions.accept(new Send(a.id(), "s0", 0));
-                actions.accept(new Send(a.id(), "unknown", 0));
-            }
-        }, backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof Arrival a) {
+                                actions.accept(new Send(a.id(), "s0", 0));
+                                actions.accept(new Send(a.id(), "s0", 0));
+                                actions.accept(new Send(a.id(), "unknown", 0));
+                            }
+                        },
+                        backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire first = backend.accept();
             first.read();
@@ -67,12 +77,15 @@
 
     @Test
     void cancelsWhenTheModuleSaysSo() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
-            if (event instanceof ClientGone g) {
-                actions.accept(new Cancel(g.id(), 0));
-            }
-            Fixture.sendTo("s0").handle(event, actions);
-        }, backend)) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof ClientGone g) {
+                                actions.accept(new Cancel(g.id(), 0));
+                            }
+                            Fixture.sendTo("s0").handle(event, actions);
+                        },
+                        backend)) {
             Wire attempt;
             try (var client = proxy.client()) {
                 client.send(Fixture.get("r1"));
--- a/daemon/src/test/java/grebehoist/cli/Fixture.java
+++ b/daemon/src/test/java/grebehoist/cli/Fixture.java
@@ -4,17 +4,17 @@
 import beechfall.Balancer.Action;
 import beechfall.Balancer.Event;
 import beechfall.Policy;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import grebehoist.config.Config;
 import grebehoist.config.Json;
 import grebehoist.net.Network;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoop;
-import java.io.Closeable;
 import java.io.ByteArrayInputStream;
-import java.nio.charset.StandardCharsets;
-import com.fasterxml.jackson.databind.JsonNode;
+import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.BlockingQueue;
@@ -42,7 +42,6 @@
               "projects":[{"name":"acme","allowance_per_s":100}]}}
             """;
 
-
     public final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
     public final Peer discovery = new Peer();
     private final Serve serve;
@@ -77,7 +76,8 @@
         this(factory, Network.sockets(), sockets, idleUs, backends);
     }
 
-    private Fixture(Function<Balancer.Settings, Balancer> factory, Network network, int sockets, long idleUs, Peer... backends)
+    private Fixture(
+            Function<Balancer.Settings, Balancer> factory, Network network, int sockets, long idleUs, Peer... backends)
             throws Exception {
         var servers = new StringBuilder();
         for (int i = 0; i < backends.length; i++) {
@@ -86,10 +86,14 @@
         Config config = Config.parse(json(CONFIG.formatted(discovery.address(), sockets, servers, idleUs)));
         loop = network.loop();
         Balancer module = factory.apply(config.settings());
-        serve = new Serve(config, (now, event, actions) -> {
-            events.add(event);
-            module.handle(now, event, actions);
-        }, network, null);
+        serve = new Serve(
+                config,
+                (now, event, actions) -> {
+                    events.add(event);
+                    module.handle(now, event, actions);
+                },
+                network,
+                null);
         address = serve.start();
     }
 
--- a/daemon/src/test/java/grebehoist/cli/InstallationText.java
+++ b/daemon/src/test/java/grebehoist/cli/InstallationText.java
@@ -4,7 +4,7 @@
 
 /** Tables of an installation file with the classes of {@link ProcessIT}. */
 final class InstallationText {
-    private InstallationText() { }
+    private InstallationText() {}
 
     static String pool(String name, InetSocketAddress discovery) {
         return """
--- a/daemon/src/test/java/grebehoist/cli/LongMessagesIT.java
+++ b/daemon/src/test/java/grebehoist/cli/LongMessagesIT.java
@@ -25,31 +25,37 @@
     private static final int SLOW = 50;
     /** Many: an attempt out for each body that is on its way is more than the module lets out before few. */
     private static final int BACKENDS = 60;
+
     private static final int NORMAL = 200;
     /** What the least generous of the operators' days grants, less a tenth. */
     private static final long MOST_KB = 130 * 1_024;
+
     private static final int STEP = 16 * 1_024;
     /** 64 kB a second. */
     private static final long STEP_MS = 250;
     /** Past all the times after which one that does not move is cut off. */
     private static final long LASTS_MS = 13_000;
+
     private static final String PIECE = "x".repeat(STEP);
 
     /** A backend is taken out, one drains and one comes back, while long answers and bodies are on their way. */
     @Test
     void backendsComeAndGoUnderLongMessages() throws Exception {
-        try (var rig = new Rig(new HttpWire(true), ProcessIT.settings(0), new double[] {0.45, 0.3, 0.15, 0.1}, 15 * S, 35)) {
+        try (var rig =
+                new Rig(new HttpWire(true), ProcessIT.settings(0), new double[] {0.45, 0.3, 0.15, 0.1}, 15 * S, 35)) {
             rig.machines(5);
             try (var proxy = ProxyProcess.on(rig, new ProxyProcess("n0", ProcessIT.settings(0)).withDoor())) {
                 rig.load(3, 60 * S);
                 rig.awaitServed(200);
                 Fleet.Machine out = rig.fleet().staying().get(0);
-                assertThat(proxy.call("POST", "/v1/backends/" + out.id() + "/suspend")).isEqualTo(200);
+                assertThat(proxy.call("POST", "/v1/backends/" + out.id() + "/suspend"))
+                        .isEqualTo(200);
                 rig.run(() -> rig.witness().told(0, out.id(), false, rig.now()));
                 rig.run(() -> rig.fleet().staying().get(1).drainUntil(rig.now() + 2 * S));
                 rig.awaitServed(400);
                 rig.run(() -> rig.witness().told(0, out.id(), true, rig.now()));
-                assertThat(proxy.call("POST", "/v1/backends/" + out.id() + "/resume")).isEqualTo(200);
+                assertThat(proxy.call("POST", "/v1/backends/" + out.id() + "/resume"))
+                        .isEqualTo(200);
                 rig.awaitServed(200);
                 Witness witness = rig.finish();
                 String verdict = rig.on(witness::verdict);
@@ -69,15 +75,19 @@
         var backends = new ArrayList<Peer>();
         var over = new AtomicBoolean();
         var threads = new ArrayList<Thread>();
-        try (var discovery = new Peer(); var proxy = new ProxyProcess("n0", ProcessIT.settings(0)).withDoor()) {
+        try (var discovery = new Peer();
+                var proxy = new ProxyProcess("n0", ProcessIT.settings(0)).withDoor()) {
             var entries = new ArrayList<String>();
             for (int i = 0; i < BACKENDS; i++) {
                 var backend = new Peer();
                 backends.add(backend);
-                entries.add(Fixture.entry("s" + i, backend.address(), "ready").replace("\"started_ms\":7", "\"started_ms\":0"));
+                entries.add(Fixture.entry("s" + i, backend.address(), "ready")
+                        .replace("\"started_ms\":7", "\"started_ms\":0"));
                 Peer.background(() -> serve(backend, over));
             }
-            proxy.configure(discovery.socketAddress(), Fixture.list(41, true, entries.toArray(String[]::new))).start().awaitReady();
+            proxy.configure(discovery.socketAddress(), Fixture.list(41, true, entries.toArray(String[]::new)))
+                    .start()
+                    .awaitReady();
             // The first ones find the code cold.
             median(proxy);
             long alone = median(proxy);
@@ -89,13 +99,16 @@
                 threads.add(slow(cutOff, id, () -> read(proxy, id, begun, steps, over)));
                 threads.add(slow(cutOff, id, () -> write(proxy, id, begun, steps, over)));
             }
-            assertThat(begun.await(30, TimeUnit.SECONDS)).as("all have begun, but %s", cutOff).isTrue();
+            assertThat(begun.await(30, TimeUnit.SECONDS))
+                    .as("all have begun, but %s", cutOff)
+                    .isTrue();
             long beside = median(proxy);
             Thread.sleep(LASTS_MS);
             assertThat(cutOff).isEmpty();
             assertThat(steps.get()).as("all of them go on").isGreaterThan(2 * SLOW * (int) (LASTS_MS / STEP_MS) / 2);
             long kb = proxy.peakKb();
-            System.out.printf("%d slow readers and writers: %d MB at most; a normal request takes %.2f times what it takes alone%n",
+            System.out.printf(
+                    "%d slow readers and writers: %d MB at most; a normal request takes %.2f times what it takes alone%n",
                     SLOW, kb / 1_024, (double) beside / alone);
             assertThat(kb).isLessThan(MOST_KB);
             over.set(true);
@@ -106,7 +119,9 @@
             while (proxy.figures().path("active").asInt() > 0 && System.nanoTime() < until) {
                 Thread.sleep(50);
             }
-            assertThat(proxy.figures().path("active").asInt()).as("all is forgotten").isZero();
+            assertThat(proxy.figures().path("active").asInt())
+                    .as("all is forgotten")
+                    .isZero();
         } finally {
             over.set(true);
             for (Peer backend : backends) {
@@ -128,8 +143,9 @@
     }
 
     private static String head(String method, String id, String more) {
-        return method + " /api?k=u1 HTTP/1.1\r\nHost: service\r\nX-Request-ID: " + id + "\r\nX-Tenant-Id: large\r\nX-Timeout: 1900m\r\n"
-                + "X-Priority-Class: " + (method.equals("GET") ? "read" : "vote") + "\r\n" + more + "\r\n";
+        return method + " /api?k=u1 HTTP/1.1\r\nHost: service\r\nX-Request-ID: " + id
+                + "\r\nX-Tenant-Id: large\r\nX-Timeout: 1900m\r\n" + "X-Priority-Class: "
+                + (method.equals("GET") ? "read" : "vote") + "\r\n" + more + "\r\n";
     }
 
     /** Serves what is asked: long answers to slow ids, short ones to others. */
@@ -162,7 +178,9 @@
         }
     }
 
-    private static void read(ProxyProcess proxy, String id, CountDownLatch begun, AtomicInteger steps, AtomicBoolean over) throws IOException {
+    private static void read(
+            ProxyProcess proxy, String id, CountDownLatch begun, AtomicInteger steps, AtomicBoolean over)
+            throws IOException {
         try (var client = Wire.narrow(proxy.address())) {
             client.send(head("GET", id, ""));
             int status = client.head().status();
@@ -178,7 +196,9 @@
         }
     }
 
-    private static void write(ProxyProcess proxy, String id, CountDownLatch begun, AtomicInteger steps, AtomicBoolean over) throws IOException {
+    private static void write(
+            ProxyProcess proxy, String id, CountDownLatch begun, AtomicInteger steps, AtomicBoolean over)
+            throws IOException {
         try (var client = Wire.narrow(proxy.address())) {
             client.send(head("POST", id + "w", "Content-Length: " + 250 * STEP + "\r\n"));
             begun.countDown();
--- a/daemon/src/test/java/grebehoist/cli/MembersIT.java
+++ b/daemon/src/test/java/grebehoist/cli/MembersIT.java
@@ -19,11 +19,13 @@
 class MembersIT {
     private static final String OLD = "00112233445566778899aabbccddeeff";
     private static final String NEW = "ffeeddccbbaa99887766554433221100";
+
     @TempDir
     private Path folder;
 
     private static int[] ports() throws IOException {
-        try (var one = new DatagramSocket(0, InetAddress.getLoopbackAddress()); var other = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+        try (var one = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+                var other = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
             return new int[] {one.getLocalPort(), other.getLocalPort()};
         }
     }
@@ -31,7 +33,9 @@
     private String file(String name, int number, int[] ports, String... keys) throws IOException {
         var nowhere = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
         var anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-        var text = new StringBuilder(InstallationText.pool("more", nowhere) + InstallationText.listener("in", anyPort, "more") + """
+        var text = new StringBuilder(InstallationText.pool("more", nowhere)
+                + InstallationText.listener("in", anyPort, "more")
+                + """
                 [process]
                 name = "%s"
                 [membership]
@@ -40,13 +44,19 @@
                 zone = "ulven"
                 """.formatted(name, ports[number], ports[0], ports[1]));
         for (int i = 0; i < keys.length; i++) {
-            text.append("[[membership.key]]\nid = ").append(keys[i].equals(OLD) ? 1 : 2).append("\nsecret = \"").append(keys[i]).append("\"\n");
+            text.append("[[membership.key]]\nid = ")
+                    .append(keys[i].equals(OLD) ? 1 : 2)
+                    .append("\nsecret = \"")
+                    .append(keys[i])
+                    .append("\"\n");
         }
         return Files.writeString(folder.resolve(name + ".toml"), text).toString();
     }
 
     private static void begin(Rig rig, ProxyProcess proxy, String file) throws Exception {
-        proxy.configure(rig.discoveryOfNextProxy(), rig.on(rig.discovery()::known)).start("--installation", file).awaitReady();
+        proxy.configure(rig.discoveryOfNextProxy(), rig.on(rig.discovery()::known))
+                .start("--installation", file)
+                .awaitReady();
         rig.proxyAt(proxy.address());
     }
 
@@ -59,14 +69,17 @@
     }
 
     private static void awaitState(Rig rig, ProxyProcess at, int number, String state, long leastIncarnation) {
-        rig.await(number + " is " + state, () -> member(at, number).path("state").asText().equals(state)
-                && member(at, number).path("incarnation").asLong() >= leastIncarnation);
+        rig.await(
+                number + " is " + state,
+                () -> member(at, number).path("state").asText().equals(state)
+                        && member(at, number).path("incarnation").asLong() >= leastIncarnation);
     }
 
     @Test
     void oneLeavesAndAnotherTakesItsPlace() throws Exception {
         int[] ports = ports();
-        try (var rig = ProcessIT.rig(); var first = new ProxyProcess("p0", ProcessIT.settings(0)).withDoor();
+        try (var rig = ProcessIT.rig();
+                var first = new ProxyProcess("p0", ProcessIT.settings(0)).withDoor();
                 var second = new ProxyProcess("p1", ProcessIT.settings(1)).withDoor();
                 var twin = new ProxyProcess("p2", ProcessIT.settings(1)).withDoor()) {
             begin(rig, first, file("m0", 0, ports, OLD));
@@ -86,9 +99,12 @@
             });
             second.signal("TERM");
             assertThat(second.awaitEnd()).isZero();
-            // It has said that it ends; the other, which waits for its address, is there at once, as a later life of the same member.
+            // It has said that it ends; the other, which waits for its address, is there at once, as a later life of
+            // the same member.
             awaitState(rig, first, 1, "alive", 2);
-            rig.await("its name is known", () -> member(first, 1).path("name").asText().equals("m1-twin"));
+            rig.await(
+                    "its name is known",
+                    () -> member(first, 1).path("name").asText().equals("m1-twin"));
             assertThat(first.log()).contains("\"state\":\"left\"");
         }
     }
@@ -97,8 +113,10 @@
     @Test
     void aKeyThatOthersDoNotHaveIsRefusedAndCounted() throws Exception {
         int[] ports = ports();
-        try (var rig = ProcessIT.rig(); var first = new ProxyProcess("p0", ProcessIT.settings(0)).withDoor();
-                var stranger = new ProxyProcess("p1", ProcessIT.settings(1)).withDoor(); var second = new ProxyProcess("p2", ProcessIT.settings(1)).withDoor()) {
+        try (var rig = ProcessIT.rig();
+                var first = new ProxyProcess("p0", ProcessIT.settings(0)).withDoor();
+                var stranger = new ProxyProcess("p1", ProcessIT.settings(1)).withDoor();
+                var second = new ProxyProcess("p2", ProcessIT.settings(1)).withDoor()) {
             begin(rig, first, file("m0", 0, ports, NEW, OLD));
             begin(rig, stranger, file("m1", 1, ports, NEW.replace("ff", "00")));
             rig.await("strange seals are counted", () -> {
--- a/daemon/src/test/java/grebehoist/cli/OperationsIT.java
+++ b/daemon/src/test/java/grebehoist/cli/OperationsIT.java
@@ -31,20 +31,24 @@
     /** Rule 3 holds from the yes on, and rule 4 when it comes back, restarted, before discovery has heard of that. */
     @Test
     void aBackendIsTakenOutAndPutBack() throws Exception {
-        try (var rig = ProcessIT.rig(); var proxy = ProxyProcess.on(rig, new ProxyProcess("n0", ProcessIT.settings(0)).withDoor())) {
+        try (var rig = ProcessIT.rig();
+                var proxy = ProxyProcess.on(rig, new ProxyProcess("n0", ProcessIT.settings(0)).withDoor())) {
             rig.load(3, 60 * S);
             rig.awaitServed(200);
             Fleet.Machine out = rig.fleet().staying().get(0);
             assertThat(proxy.call("POST", "/v1/backends/nobody/suspend")).isEqualTo(404);
-            assertThat(proxy.call("POST", "/v1/backends/" + out.id() + "/suspend")).isEqualTo(200);
+            assertThat(proxy.call("POST", "/v1/backends/" + out.id() + "/suspend"))
+                    .isEqualTo(200);
             rig.run(() -> rig.witness().told(0, out.id(), false, rig.now()));
-            assertThat(proxy.call("POST", "/v1/backends/" + out.id() + "/suspend")).isEqualTo(200);
+            assertThat(proxy.call("POST", "/v1/backends/" + out.id() + "/suspend"))
+                    .isEqualTo(200);
             rig.awaitServed(300);
             assertThat(proxy.figures().path("pool_ejected").asInt()).isEqualTo(1);
             assertThat(proxy.figures().path("pool_size").asInt()).isEqualTo(5);
             rig.run(() -> rig.witness().told(0, out.id(), true, rig.now()));
             long before = rig.on(() -> out.backend().runs());
-            assertThat(proxy.call("POST", "/v1/backends/" + out.id() + "/resume")).isEqualTo(200);
+            assertThat(proxy.call("POST", "/v1/backends/" + out.id() + "/resume"))
+                    .isEqualTo(200);
             rig.await("it is used again", () -> out.backend().runs() > before);
             assertThat(proxy.figures().path("pool_ejected").asInt()).isZero();
             assertKept(rig);
@@ -53,13 +57,16 @@
 
     @Test
     void theFiguresAreTrue() throws Exception {
-        try (var rig = ProcessIT.rig(); var proxy = ProxyProcess.on(rig, new ProxyProcess("n0", ProcessIT.settings(0)).withDoor())) {
+        try (var rig = ProcessIT.rig();
+                var proxy = ProxyProcess.on(rig, new ProxyProcess("n0", ProcessIT.settings(0)).withDoor())) {
             rig.load(4, 60 * S);
             rig.awaitServed(500);
             rig.finish();
             JsonNode figures = proxy.figures();
-            assertThat(sum(figures.path("ok"))).isEqualTo(rig.on(() -> rig.witness().count(Count.SERVED)));
-            assertThat(sum(figures.path("shed"))).isEqualTo(rig.on(() -> rig.witness().count(Count.REFUSED)));
+            assertThat(sum(figures.path("ok")))
+                    .isEqualTo(rig.on(() -> rig.witness().count(Count.SERVED)));
+            assertThat(sum(figures.path("shed")))
+                    .isEqualTo(rig.on(() -> rig.witness().count(Count.REFUSED)));
             assertThat(figures.path("active").asInt()).isZero();
             long attempts = rig.on(() -> rig.witness().count(Count.ATTEMPTS));
             assertThat(figures.path("tries").asLong()).isBetween(attempts * 98 / 100 - 3, attempts * 102 / 100 + 3);
@@ -77,7 +84,8 @@
     /** A drained proxy says so, lets go of its clients, and serves again as soon as it is told to. */
     @Test
     void clientsAreSentAwayAndComeBack() throws Exception {
-        try (var rig = ProcessIT.rig(); var first = ProxyProcess.on(rig, new ProxyProcess("n0", ProcessIT.settings(0)).withDoor());
+        try (var rig = ProcessIT.rig();
+                var first = ProxyProcess.on(rig, new ProxyProcess("n0", ProcessIT.settings(0)).withDoor());
                 var second = ProxyProcess.on(rig, "n1", ProcessIT.settings(1))) {
             rig.load(3, 60 * S);
             rig.awaitServed(200);
@@ -104,12 +112,14 @@
     /** Nobody is turned away while a new version takes the old one's place, and what operators have asked for holds. */
     @Test
     void aNewVersionTakesOverUnderLoad() throws Exception {
-        try (var rig = ProcessIT.rig(); var old = ProxyProcess.on(rig, new ProxyProcess("n0", ProcessIT.settings(0)).withDoor());
+        try (var rig = ProcessIT.rig();
+                var old = ProxyProcess.on(rig, new ProxyProcess("n0", ProcessIT.settings(0)).withDoor());
                 var young = old.newVersion()) {
             rig.load(3, 60 * S);
             rig.awaitServed(200);
             Fleet.Machine out = rig.fleet().staying().get(0);
-            assertThat(old.call("POST", "/v1/backends/" + out.id() + "/suspend")).isEqualTo(200);
+            assertThat(old.call("POST", "/v1/backends/" + out.id() + "/suspend"))
+                    .isEqualTo(200);
             rig.run(() -> rig.witness().told(0, out.id(), false, rig.now()));
             InetSocketAddress discovery = rig.discoveryOfNextProxy();
             young.configure(discovery, rig.on(rig.discovery()::known)).start();
@@ -121,7 +131,9 @@
                 }
             });
             Fleet.Machine another = rig.fleet().staying().get(1);
-            assertThat(young.call("POST", "/v1/backends/" + another.id() + "/suspend")).as("both hear of it").isEqualTo(200);
+            assertThat(young.call("POST", "/v1/backends/" + another.id() + "/suspend"))
+                    .as("both hear of it")
+                    .isEqualTo(200);
             rig.run(() -> rig.witness().told(0, another.id(), false, rig.now()));
             rig.awaitServed(100);
             assertThat(old.figures().path("pool_ejected").asInt()).isEqualTo(2);
@@ -132,7 +144,8 @@
             assertThat(young.figures().path("pool_ejected").asInt()).isEqualTo(2);
             // From the call on it may be used.
             rig.run(() -> rig.witness().told(0, another.id(), true, rig.now()));
-            assertThat(young.call("POST", "/v1/backends/" + another.id() + "/resume")).isEqualTo(200);
+            assertThat(young.call("POST", "/v1/backends/" + another.id() + "/resume"))
+                    .isEqualTo(200);
             assertThat(young.figures().path("pool_ejected").asInt()).isEqualTo(1);
             assertKept(rig);
         }
--- a/daemon/src/test/java/grebehoist/cli/ProcessIT.java
+++ b/daemon/src/test/java/grebehoist/cli/ProcessIT.java
@@ -27,17 +27,26 @@
     private static final long S = 1_000_000;
     /** Cold code on a busy machine takes its time to accept whoever came while the process was stopped, but not this long. */
     private static final long MOST_CATCHING_UP_US = 2 * S;
+
     private static final double[] SHARES = {0.45, 0.3, 0.15, 0.1};
 
     static Balancer.Settings settings(int rank) {
-        return new Balancer.Settings(2, rank, "u", 4 * MS,
-                List.of(new RequestClass("read", 600 * MS, 2 * S, 1, 0, Effect.SAFE, Scope.ALL, 0),
+        return new Balancer.Settings(
+                2,
+                rank,
+                "u",
+                4 * MS,
+                List.of(
+                        new RequestClass("read", 600 * MS, 2 * S, 1, 0, Effect.SAFE, Scope.ALL, 0),
                         new RequestClass("invoice", 600 * MS, 2_500 * MS, 2, 0, Effect.KEYED, Scope.ZONE, 12 * S),
                         new RequestClass("pay", 400 * MS, 2 * S, 10, 0, Effect.KEYED, Scope.ZONE, 1_200 * MS),
                         new RequestClass("vote", 600 * MS, 2 * S, 3, 0, Effect.UNSAFE, Scope.ALL, 0)),
-                List.of(new Balancer.Tenant("large", 400), new Balancer.Tenant("small", 200)), 0.05, false,
+                List.of(new Balancer.Tenant("large", 400), new Balancer.Tenant("small", 200)),
+                0.05,
+                false,
                 new Balancer.Limits(true, false, false, true, 4, 2 * S),
-                new Balancer.Rules(0.4, 8 * S, 4, S, 10 * S, false), 1);
+                new Balancer.Rules(0.4, 8 * S, 4, S, 10 * S, false),
+                1);
     }
 
     static Rig rig() {
@@ -56,7 +65,9 @@
     /** What it held is lost with it; what comes after it is back is served, and no one else suffers. */
     @Test
     void killedUnderLoadAndBack() throws Exception {
-        try (var rig = rig(); var first = ProxyProcess.on(rig, "n0", settings(0)); var second = ProxyProcess.on(rig, "n1", settings(1))) {
+        try (var rig = rig();
+                var first = ProxyProcess.on(rig, "n0", settings(0));
+                var second = ProxyProcess.on(rig, "n1", settings(1))) {
             rig.load(3, 30 * S);
             rig.awaitServed(200);
             rig.excuse(0, Long.MAX_VALUE);
@@ -81,7 +92,9 @@
      */
     @Test
     void stoppedForThreeSecondsWhileABackendDrains() throws Exception {
-        try (var rig = rig(); var first = ProxyProcess.on(rig, "n0", settings(0)); var second = ProxyProcess.on(rig, "n1", settings(1))) {
+        try (var rig = rig();
+                var first = ProxyProcess.on(rig, "n0", settings(0));
+                var second = ProxyProcess.on(rig, "n1", settings(1))) {
             rig.load(3, 30 * S);
             rig.awaitServed(200);
             rig.excuse(0, Long.MAX_VALUE);
@@ -101,7 +114,8 @@
             rig.excuse(0, rig.now() + Rig.SLACK_US);
             rig.awaitServed(200);
             assertKept(rig);
-            System.out.println("written across the stop: " + rig.on(() -> rig.witness().writtenAcrossStops()));
+            System.out.println(
+                    "written across the stop: " + rig.on(() -> rig.witness().writtenAcrossStops()));
             assertThat(rig.on(() -> rig.witness().count(Count.TOLD))).isEqualTo(2);
             assertThat(second.alive()).isTrue();
         }
@@ -110,7 +124,9 @@
     /** A planned restart: all that was taken is answered, clients are sent elsewhere, and the process ends in its time. */
     @Test
     void toldToEndUnderLoad() throws Exception {
-        try (var rig = rig(); var first = ProxyProcess.on(rig, "n0", settings(0)); var second = ProxyProcess.on(rig, "n1", settings(1))) {
+        try (var rig = rig();
+                var first = ProxyProcess.on(rig, "n0", settings(0));
+                var second = ProxyProcess.on(rig, "n1", settings(1))) {
             rig.load(3, 30 * S);
             rig.awaitServed(200);
             first.signal("TERM");
@@ -128,10 +144,12 @@
     /** The address of discovery changes under load, while the old one goes down and a backend drains at the new one. */
     @Test
     void toldOfAnotherDiscoveryUnderLoad() throws Exception {
-        try (var rig = rig(); var first = ProxyProcess.on(rig, "n0", settings(0))) {
+        try (var rig = rig();
+                var first = ProxyProcess.on(rig, "n0", settings(0))) {
             rig.load(2, 30 * S);
             rig.awaitServed(100);
-            // The next listener of the same service; the witness knows it as another proxy's, so only service counts here.
+            // The next listener of the same service; the witness knows it as another proxy's, so only service counts
+            // here.
             InetSocketAddress other = rig.discoveryOfNextProxy();
             long calls = rig.on(rig.discovery()::calls);
             first.configure(other, null).signal("HUP");
@@ -149,7 +167,8 @@
      */
     @Test
     void clientsThatAreThereEndTheWarmUp() throws Exception {
-        try (var rig = rig(); var proxy = new ProxyProcess("n0", settings(0))) {
+        try (var rig = rig();
+                var proxy = new ProxyProcess("n0", settings(0))) {
             String unchanged = rig.on(rig.discovery()::known).replaceFirst("\"version\":\\d+", "\"version\":0");
             rig.proxyAt(proxy.address());
             rig.excuse(0, Long.MAX_VALUE);
@@ -166,9 +185,12 @@
     @Test
     void loadsNothingOfWhatIsOff() throws Exception {
         Path classes = Files.createTempFile("classes", ".log");
-        try (var rig = rig(); var proxy = new ProxyProcess("n0", settings(0))) {
+        try (var rig = rig();
+                var proxy = new ProxyProcess("n0", settings(0))) {
             proxy.configure(rig.discoveryOfNextProxy(), rig.on(rig.discovery()::known));
-            var command = new ProcessBuilder("/bin/sh", "-c",
+            var command = new ProcessBuilder(
+                    "/bin/sh",
+                    "-c",
                     ProxyProcess.runLine().replace("exec java ", "exec java -Xlog:class+load:file=" + classes + " "));
             command.directory(Path.of("..").toFile());
             command.environment().put("PROXY_CONFIG", proxy.configFile().toString());
@@ -178,16 +200,18 @@
                 rig.await("it is ready", () -> ProxyProcess.ready(proxy.address()));
                 rig.load(1, 5 * S);
                 rig.awaitServed(50);
-                    rig.finish();
+                rig.finish();
             } finally {
                 process.destroy();
                 process.waitFor();
             }
             List<String> loaded = Files.readAllLines(classes);
             assertThat(loaded).anyMatch(l -> l.contains("grebehoist.http.HttpFront"));
-            assertThat(loaded).noneMatch(l -> l.matches(".*(grebehoist\\.(testkit|search|demo|installation|thrift|fleet|peers|tasks|distribution|writer|members)|cli\\.Members|"
-                    + "cli\\.Distribution|operations\\.Distribution|net\\.DatagramPort|config\\.JsonLines|java\\.net\\.http|"
-                    + "dataformat\\.cbor|dataformat\\.toml|cli\\.InstalledPools).*"));
+            assertThat(loaded)
+                    .noneMatch(l -> l.matches(
+                            ".*(grebehoist\\.(testkit|search|demo|installation|thrift|fleet|peers|tasks|distribution|writer|members)|cli\\.Members|"
+                                    + "cli\\.Distribution|operations\\.Distribution|net\\.DatagramPort|config\\.JsonLines|java\\.net\\.http|"
+                                    + "dataformat\\.cbor|dataformat\\.toml|cli\\.InstalledPools).*"));
         } finally {
             Files.delete(classes);
         }
@@ -197,14 +221,20 @@
     @Test
     void servesThePoolsOfAnInstallation() throws Exception {
         Path file = Files.createTempFile("installation", ".toml");
-        try (var rig = rig(); var taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        try (var rig = rig();
+                var taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
                 var proxy = new ProxyProcess("n0", settings(0))) {
             InetSocketAddress billing = ProxyProcess.freeAddress();
-            Files.writeString(file, InstallationText.pool("billing", rig.discoveryOfNextProxy())
-                    + InstallationText.pool("archive", rig.discoveryOfNextProxy())
-                    + InstallationText.listener("billing-in", billing, "billing")
-                    + InstallationText.listener("archive-in", (InetSocketAddress) taken.getLocalSocketAddress(), "archive"));
-            proxy.configure(rig.discoveryOfNextProxy(), rig.on(rig.discovery()::known)).start("--installation", file.toString()).awaitReady();
+            Files.writeString(
+                    file,
+                    InstallationText.pool("billing", rig.discoveryOfNextProxy())
+                            + InstallationText.pool("archive", rig.discoveryOfNextProxy())
+                            + InstallationText.listener("billing-in", billing, "billing")
+                            + InstallationText.listener(
+                                    "archive-in", (InetSocketAddress) taken.getLocalSocketAddress(), "archive"));
+            proxy.configure(rig.discoveryOfNextProxy(), rig.on(rig.discovery()::known))
+                    .start("--installation", file.toString())
+                    .awaitReady();
             rig.await("the installed pool is ready", () -> ProxyProcess.ready(billing));
             // The first that is asked is the installation's, the last the platform's.
             rig.proxyAt(billing);
@@ -213,7 +243,9 @@
             rig.load(2, 30 * S);
             rig.awaitServed(200);
             assertKept(rig);
-            assertThat(proxy.log()).contains("listener archive-in of pool archive does not start").contains("listener billing-in of pool billing");
+            assertThat(proxy.log())
+                    .contains("listener archive-in of pool archive does not start")
+                    .contains("listener billing-in of pool billing");
             proxy.signal("TERM");
             assertThat(proxy.awaitEnd()).isZero();
         } finally {
--- a/daemon/src/test/java/grebehoist/cli/ProxyProcess.java
+++ b/daemon/src/test/java/grebehoist/cli/ProxyProcess.java
@@ -28,6 +28,7 @@
     private final Path log;
     /** What all processes of one proxy share for files; null where there is no door for operators. */
     private Path files;
+
     private InetSocketAddress door;
     private Process process;
 
@@ -68,7 +69,9 @@
     /** Calls at the operators' door; returns the status, or 0 where nobody answers. */
     int call(String method, String path) throws IOException {
         try (var wire = Wire.to(door)) {
-            return wire.send(method + " " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n").read().status();
+            return wire.send(method + " " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+                    .read()
+                    .status();
         } catch (ConnectException e) {
             return 0;
         }
@@ -77,21 +80,27 @@
     /** Returns the figures. */
     JsonNode figures() throws IOException {
         try (var wire = Wire.to(door)) {
-            return Fixture.json(wire.send("GET /v1/metrics HTTP/1.1\r\nHost: x\r\n\r\n").read().body());
+            return Fixture.json(wire.send("GET /v1/metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+                    .read()
+                    .body());
         }
     }
 
     /** Returns what it holds of the other proxies. */
     JsonNode members() throws IOException {
         try (var wire = Wire.to(door)) {
-            return Fixture.json(wire.send("GET /v1/members HTTP/1.1\r\nHost: x\r\n\r\n").read().body());
+            return Fixture.json(wire.send("GET /v1/members HTTP/1.1\r\nHost: x\r\n\r\n")
+                    .read()
+                    .body());
         }
     }
 
     /** Returns what it has of what is distributed. */
     JsonNode distribution() throws IOException {
         try (var wire = Wire.to(door)) {
-            return Fixture.json(wire.send("GET /v1/distribution HTTP/1.1\r\nHost: x\r\n\r\n").read().body());
+            return Fixture.json(wire.send("GET /v1/distribution HTTP/1.1\r\nHost: x\r\n\r\n")
+                    .read()
+                    .body());
         }
     }
 
@@ -111,18 +120,24 @@
         if (other != null) {
             return other;
         }
-        return Files.readAllLines(ROOT.resolve("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run = "))
-                .map(l -> l.substring(l.indexOf('"') + 1, l.lastIndexOf('"'))).findFirst().orElseThrow();
+        return Files.readAllLines(ROOT.resolve("deploy/balancer.toml")).stream()
+                .filter(l -> l.startsWith("run = "))
+                .map(l -> l.substring(l.indexOf('"') + 1, l.lastIndexOf('"')))
+                .findFirst()
+                .orElseThrow();
     }
 
     ProxyProcess start(String... more) throws IOException {
-        var command = new ProcessBuilder("/bin/sh", "-c", runLine() + (more.length == 0 ? "" : " " + String.join(" ", more)));
+        var command =
+                new ProcessBuilder("/bin/sh", "-c", runLine() + (more.length == 0 ? "" : " " + String.join(" ", more)));
         command.directory(ROOT.toFile());
         command.environment().put("PROXY_CONFIG", config.toString());
         if (files != null) {
             command.environment().put("TMPDIR", files.toString());
         }
-        process = command.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
+        process = command.redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                .start();
         return this;
     }
 
@@ -143,7 +158,9 @@
 
     static boolean ready(InetSocketAddress address) {
         try {
-            var connection = (HttpURLConnection) URI.create("http://127.0.0.1:" + address.getPort() + "/ready").toURL().openConnection();
+            var connection = (HttpURLConnection) URI.create("http://127.0.0.1:" + address.getPort() + "/ready")
+                    .toURL()
+                    .openConnection();
             connection.setConnectTimeout(1_000);
             connection.setReadTimeout(1_000);
             return connection.getResponseCode() == 200;
@@ -153,7 +170,10 @@
     }
 
     void signal(String signal) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).inheritIO().start().waitFor();
+        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+                .inheritIO()
+                .start()
+                .waitFor();
     }
 
     /** Stops it, and waits until all of its threads have been. */
@@ -190,8 +210,11 @@
 
     /** Returns the most memory that it has had, in kB (proc(5), VmHWM). */
     long peakKb() throws IOException {
-        return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status")).stream().filter(l -> l.startsWith("VmHWM:"))
-                .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).findFirst().orElseThrow();
+        return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status")).stream()
+                .filter(l -> l.startsWith("VmHWM:"))
+                .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", "")))
+                .findFirst()
+                .orElseThrow();
     }
 
     boolean alive() {
@@ -214,30 +237,60 @@
     private String json(InetSocketAddress discovery, String known) {
         List<String> profiles = new ArrayList<>();
         for (Balancer.RequestClass c : settings.classes()) {
-            profiles.add(String.format(Locale.ROOT, "{\"name\":\"%s\",\"aim_us\":%d,\"deadline_us\":%d,\"effect\":\"%s\",\"value\":%f,"
-                    + "\"late_worth\":%f,\"key_scope\":\"%s\",\"window_us\":%d}", c.name(), c.aimUs(), c.deadlineUs(),
+            profiles.add(String.format(
+                    Locale.ROOT,
+                    "{\"name\":\"%s\",\"aim_us\":%d,\"deadline_us\":%d,\"effect\":\"%s\",\"value\":%f,"
+                            + "\"late_worth\":%f,\"key_scope\":\"%s\",\"window_us\":%d}",
+                    c.name(),
+                    c.aimUs(),
+                    c.deadlineUs(),
                     switch (c.effect()) {
                         case SAFE -> "idempotent";
                         case KEYED -> "deduplicated";
                         case UNSAFE -> "at_most_once";
-                    }, c.worth(), c.lateWorth(), c.scope().name().toLowerCase(Locale.ROOT), c.windowUs()));
+                    },
+                    c.worth(),
+                    c.lateWorth(),
+                    c.scope().name().toLowerCase(Locale.ROOT),
+                    c.windowUs()));
         }
         List<String> tenants = settings.tenants().stream()
-                .map(t -> String.format(Locale.ROOT, "{\"name\":\"%s\",\"allowance_per_s\":%f}", t.name(), t.quotaPerS())).toList();
+                .map(t ->
+                        String.format(Locale.ROOT, "{\"name\":\"%s\",\"allowance_per_s\":%f}", t.name(), t.quotaPerS()))
+                .toList();
         Balancer.Limits limits = settings.limits();
         Balancer.Rules rules = settings.rules();
-        return String.format(Locale.ROOT, """
+        return String.format(
+                Locale.ROOT,
+                """
                 {"name":"%s","listen":"127.0.0.1:%d",%s"discovery":"127.0.0.1:%d","seed":"5f","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
                  %s"settings":{"balancers":%d,"rank":%d,"locality":"%s","quantum_us":%d,"registry_mode":"%s","over_share_worth":%f,
                  "bounds":{"cancel":%b,"may_duplicate":false,"probes":false,"most_tries":%d,"max_retry_after_us":%d,"conn_idle_us":15000000,
                   "connect_timeout_us":200000},
                  "invariants":{"cold_from":%f,"cold_us":%d,"fall_multiple":%f,"fall_us":%d,"must_ask_in_us":%d},
                  "profiles":[%s],"projects":[%s]}}
-                """, name, listen.getPort(), door == null ? "" : "\"operator\":\"127.0.0.1:" + door.getPort() + "\",",
-                discovery.getPort(), known == null ? "" : "\"known\":" + known + ",", settings.balancers(),
-                settings.rank(), settings.zone(), settings.tickUs(), limits.listMustBeAsked() ? "on_request" : "pushed",
-                settings.overShareWorth(), limits.cancel(), limits.maxAttempts(), limits.maxRetryAfterUs(), rules.coldFrom(), rules.coldUs(),
-                rules.fallMultiple(), rules.fallUs(), rules.askWithinUs(), String.join(",", profiles), String.join(",", tenants));
+                """,
+                name,
+                listen.getPort(),
+                door == null ? "" : "\"operator\":\"127.0.0.1:" + door.getPort() + "\",",
+                discovery.getPort(),
+                known == null ? "" : "\"known\":" + known + ",",
+                settings.balancers(),
+                settings.rank(),
+                settings.zone(),
+                settings.tickUs(),
+                limits.listMustBeAsked() ? "on_request" : "pushed",
+                settings.overShareWorth(),
+                limits.cancel(),
+                limits.maxAttempts(),
+                limits.maxRetryAfterUs(),
+                rules.coldFrom(),
+                rules.coldUs(),
+                rules.fallMultiple(),
+                rules.fallUs(),
+                rules.askWithinUs(),
+                String.join(",", profiles),
+                String.join(",", tenants));
     }
 
     /** Begins a proxy on a rig: with a list that it had before, so that it does not warm up for seconds. */
@@ -247,7 +300,9 @@
 
     /** Begins a proxy on a rig. */
     static ProxyProcess on(Rig rig, ProxyProcess proxy) throws IOException, InterruptedException {
-        proxy.configure(rig.discoveryOfNextProxy(), rig.on(rig.discovery()::known)).start().awaitReady();
+        proxy.configure(rig.discoveryOfNextProxy(), rig.on(rig.discovery()::known))
+                .start()
+                .awaitReady();
         rig.proxyAt(proxy.address());
         return proxy;
     }
--- a/daemon/src/test/java/grebehoist/cli/ServeTest.java
+++ b/daemon/src/test/java/grebehoist/cli/ServeTest.java
@@ -21,12 +21,15 @@
     void servesWithTheModule() throws Exception {
         var dead = new Peer();
         dead.close();
-        try (var backend = new Peer(); var proxy = Fixture.inService(dead, backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = Fixture.inService(dead, backend);
+                var client = proxy.client()) {
             backend.always(Peer.ok("served"));
             Wire call = proxy.discovery.accept();
             assertThat(call.read().first()).contains("from=41&hold_ms=0");
             for (int i = 0; i < 10; i++) {
-                assertThat(client.send(Fixture.post("r" + i, "pay")).read().body()).isEqualTo("served");
+                assertThat(client.send(Fixture.post("r" + i, "pay")).read().body())
+                        .isEqualTo("served");
             }
             call.send(Peer.ok(Fixture.list(42, true)));
             proxy.discovery.accept().read();
@@ -39,8 +42,11 @@
     /** Rule 1 at a restart: what is taken is answered, new clients are served while the front still sends them. */
     @Test
     void answersAllThatItHasTakenBeforeItEnds() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend);
-                var busy = proxy.client(); var idle = proxy.client(); var used = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var busy = proxy.client();
+                var idle = proxy.client();
+                var used = proxy.client()) {
             busy.send(Fixture.get("r1"));
             Wire slow = backend.accept();
             slow.read();
@@ -77,7 +83,8 @@
     @Test
     void givesUpConnectionsThatHoldNoRequest() throws Exception {
         var crowd = new ArrayList<Wire>();
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), 128, 15_000_000, backend)) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), 128, 15_000_000, backend)) {
             backend.always(Peer.ok("x"));
             Wire idle = proxy.client();
             crowd.add(idle);
@@ -100,7 +107,7 @@
     @Test
     void answersEndTheirConnectionsInACrowd() throws Exception {
         var crowd = new ArrayList<Wire>();
-        try (var proxy = new Fixture((event, actions) -> { }, 128, 15_000_000)) {
+        try (var proxy = new Fixture((event, actions) -> {}, 128, 15_000_000)) {
             for (int i = 0; i < 40; i++) {
                 crowd.add(proxy.client().send(Fixture.get("r" + i)));
                 proxy.next(Arrival.class);
@@ -119,11 +126,16 @@
     @Test
     void acceptsAgainOnceThereIsRoom() throws Exception {
         var crowd = new ArrayList<Wire>();
-        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a && a.id().startsWith("last")) {
-                Fixture.sendTo("s0").handle(event, actions);
-            }
-        }, 128, 15_000_000, backend)) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof Arrival a && a.id().startsWith("last")) {
+                                Fixture.sendTo("s0").handle(event, actions);
+                            }
+                        },
+                        128,
+                        15_000_000,
+                        backend)) {
             backend.always(Peer.ok("x"));
             for (int i = 0; i < 100; i++) {
                 crowd.add(proxy.client().send(Fixture.get("r" + i)));
@@ -146,7 +158,8 @@
     @Test
     void aNewConfigurationThatCannotBeReadIsTakenLater() throws Exception {
         Path file = Files.createTempDirectory("config").resolve("config.json");
-        try (var next = new Peer(); var proxy = Fixture.inService()) {
+        try (var next = new Peer();
+                var proxy = Fixture.inService()) {
             proxy.discovery.accept().read();
             Files.createDirectory(file);
             proxy.reload(file);
@@ -163,7 +176,8 @@
     @Test
     void aNewConfigurationThatIsHalfWrittenIsTakenOnceItIsWhole() throws Exception {
         Path file = Files.createTempFile("config", ".json");
-        try (var next = new Peer(); var proxy = Fixture.inService()) {
+        try (var next = new Peer();
+                var proxy = Fixture.inService()) {
             proxy.discovery.accept().read();
             String whole = Fixture.config(next.address());
             Files.writeString(file, whole.substring(0, whole.length() / 2));
@@ -178,13 +192,18 @@
     /** The program as it runs in service: without a handler SIGHUP would end it. */
     @Test
     void readsItsFileAgainOnSighup() throws Exception {
-        readsItsFileAgain("exec \"$@\"", process -> new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).inheritIO().start().waitFor());
+        readsItsFileAgain(
+                "exec \"$@\"",
+                process -> new ProcessBuilder("kill", "-HUP", Long.toString(process.pid()))
+                        .inheritIO()
+                        .start()
+                        .waitFor());
     }
 
     /** Started by nohup, say: the Java runtime takes no handler then, and the signal is lost without a word. */
     @Test
     void readsItsFileAgainWhereSighupIsIgnored() throws Exception {
-        readsItsFileAgain("trap '' HUP; exec \"$@\"", process -> { });
+        readsItsFileAgain("trap '' HUP; exec \"$@\"", process -> {});
     }
 
     /** How a process is told that its file was written. */
@@ -194,10 +213,20 @@
 
     private static void readsItsFileAgain(String start, Telling telling) throws Exception {
         Path file = Files.createTempFile("config", ".json");
-        try (var first = new Peer(); var second = new Peer()) {
+        try (var first = new Peer();
+                var second = new Peer()) {
             Files.writeString(file, Fixture.config(first.address()));
-            var command = new ProcessBuilder("/bin/sh", "-c", start, "sh", Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "grebehoist.cli.Main", "serve");
+            var command = new ProcessBuilder(
+                    "/bin/sh",
+                    "-c",
+                    start,
+                    "sh",
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-XX:TieredStopAtLevel=1",
+                    "-cp",
+                    System.getProperty("java.class.path"),
+                    "grebehoist.cli.Main",
+                    "serve");
             command.environment().put("PROXY_CONFIG", file.toString());
             Process process = command.inheritIO().start();
             try {
--- a/daemon/src/test/java/grebehoist/cli/ThriftProcessIT.java
+++ b/daemon/src/test/java/grebehoist/cli/ThriftProcessIT.java
@@ -44,8 +44,18 @@
             new RequestClass("invoice", 600 * MS, 2_500 * MS, 2, 0, Effect.KEYED, Scope.ZONE, 12 * S),
             new RequestClass("pay", 400 * MS, 2 * S, 10, 0, Effect.KEYED, Scope.ZONE, 1_200 * MS),
             new RequestClass("vote", 600 * MS, 2 * S, 3, 0, Effect.UNSAFE, Scope.ALL, 0));
-    private static final Balancer.Settings SETTINGS = new Balancer.Settings(1, 0, "u", 4 * MS, CLASSES, List.of(), 0.05, false,
-            new Balancer.Limits(true, false, false, true, 4, 2 * S), new Balancer.Rules(0.4, 8 * S, 4, S, 10 * S, false), 1);
+    private static final Balancer.Settings SETTINGS = new Balancer.Settings(
+            1,
+            0,
+            "u",
+            4 * MS,
+            CLASSES,
+            List.of(),
+            0.05,
+            false,
+            new Balancer.Limits(true, false, false, true, 4, 2 * S),
+            new Balancer.Rules(0.4, 8 * S, 4, S, 10 * S, false),
+            1);
 
     /** Answers each call with its name, or with the text of field 1 where there is one. */
     private static final TProcessor ECHO = (in, out) -> {
@@ -79,7 +89,8 @@
         out.writeString(value);
     }
 
-    private static String ask(TProtocol client, String method, int id, Arguments arguments) throws org.apache.thrift.TException {
+    private static String ask(TProtocol client, String method, int id, Arguments arguments)
+            throws org.apache.thrift.TException {
         client.writeMessageBegin(new TMessage(method, TMessageType.CALL, id));
         client.writeStructBegin(new TStruct("args"));
         arguments.write(client);
@@ -106,22 +117,30 @@
     void theExampleOfTheOperatorsPageRuns() throws Exception {
         Path file = Files.createTempFile("thrift", ".toml");
         var socket = new TServerSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-        var server = new TThreadPoolServer(new TThreadPoolServer.Args(socket).processor(ECHO)
-                .protocolFactory(new TBinaryProtocol.Factory()).transportFactory(new TFramedTransport.Factory()));
+        var server = new TThreadPoolServer(new TThreadPoolServer.Args(socket)
+                .processor(ECHO)
+                .protocolFactory(new TBinaryProtocol.Factory())
+                .transportFactory(new TFramedTransport.Factory()));
         var thread = new Thread(server::serve);
         thread.start();
-        try (var platform = new Peer(); var discovery = new Peer(); var proxy = new ProxyProcess("n0", SETTINGS)) {
+        try (var platform = new Peer();
+                var discovery = new Peer();
+                var proxy = new ProxyProcess("n0", SETTINGS)) {
             String list = "{\"version\":41,\"full\":true,\"servers\":["
-                    + Fixture.entry("s0", "127.0.0.1:" + socket.getServerSocket().getLocalPort(), "ready") + "]}";
+                    + Fixture.entry(
+                            "s0", "127.0.0.1:" + socket.getServerSocket().getLocalPort(), "ready") + "]}";
             platform.always(Peer.ok(list));
             discovery.always(Peer.ok(list));
             InetSocketAddress address = ProxyProcess.freeAddress();
             String example = Files.readString(Path.of("../deploy/thrift-example.toml"));
             assertThat(example).contains("127.0.0.1:8502").contains("127.0.0.1:9090");
-            Files.writeString(file, example.replace("127.0.0.1:8502", "127.0.0.1:" + discovery.port())
-                    .replace("127.0.0.1:9090", "127.0.0.1:" + address.getPort()));
+            Files.writeString(
+                    file,
+                    example.replace("127.0.0.1:8502", "127.0.0.1:" + discovery.port())
+                            .replace("127.0.0.1:9090", "127.0.0.1:" + address.getPort()));
             proxy.configure(new InetSocketAddress(InetAddress.getLoopbackAddress(), platform.port()), list)
-                    .start("--installation", file.toString()).awaitReady();
+                    .start("--installation", file.toString())
+                    .awaitReady();
             try (var transport = new TFramedTransport(new TSocket("127.0.0.1", address.getPort(), 10_000))) {
                 transport.open();
                 var binary = new TBinaryProtocol(transport);
@@ -140,10 +159,12 @@
                     answer = ask(binary, "postPayment", i, payment);
                 }
                 assertThat(answer).isEqualTo("request-1");
-                assertThat(ask(binary, "Balances:all", 900, out -> text(out, 1, "account-7"))).isEqualTo("account-7");
-                assertThat(ask(binary, "Balances:count", 901, out -> { })).isEqualTo("Balances:count");
-                assertThat(ask(binary, "postPayment", 902, out -> text(out, 1, "request-2"))).startsWith("7 unknown tenant");
-                assertThat(ask(binary, "deleteAll", 903, out -> { })).isEqualTo("1 unknown method deleteAll");
+                assertThat(ask(binary, "Balances:all", 900, out -> text(out, 1, "account-7")))
+                        .isEqualTo("account-7");
+                assertThat(ask(binary, "Balances:count", 901, out -> {})).isEqualTo("Balances:count");
+                assertThat(ask(binary, "postPayment", 902, out -> text(out, 1, "request-2")))
+                        .startsWith("7 unknown tenant");
+                assertThat(ask(binary, "deleteAll", 903, out -> {})).isEqualTo("1 unknown method deleteAll");
             }
         } finally {
             server.stop();
@@ -153,7 +174,8 @@
     }
 
     private static String installation(InetSocketAddress discovery, InetSocketAddress address) {
-        String methods = CLASSES.stream().map(c -> """
+        String methods = CLASSES.stream()
+                .map(c -> """
                 [[thrift.method]]
                 name = "%1$s*"
                 class = "%1$s"
@@ -162,22 +184,31 @@
                 timeout_ms = "4"
                 retried = "5"
                 %2$s
-                """.formatted(c.name(), c.effect() == Effect.KEYED ? "key = \"2.3\"" : "")).collect(Collectors.joining());
+                """.formatted(c.name(), c.effect() == Effect.KEYED ? "key = \"2.3\"" : ""))
+                .collect(Collectors.joining());
         return InstallationText.pool("billing", discovery).replace("\"http\"", "\"thrift\"") + methods
-                + InstallationText.listener("billing-in", address, "billing").replace("\"http\"", "\"thrift\"") + "out_of_order = true\n";
+                + InstallationText.listener("billing-in", address, "billing").replace("\"http\"", "\"thrift\"")
+                + "out_of_order = true\n";
     }
 
     /** Several calls open on each connection, oneway ones among them, while backends hang, break off, crash and drain. */
     @Test
     void keepsTheRulesOnSocketsWhileBackendsFail() throws Exception {
         Path file = Files.createTempFile("thrift", ".toml");
-        try (var rig = new Rig(new ThriftWire(ThriftWire.Kind.BOTH, 4, 64, false), SETTINGS, new double[] {0.45, 0.3, 0.15, 0.1}, 15 * S, 42);
+        try (var rig = new Rig(
+                        new ThriftWire(ThriftWire.Kind.BOTH, 4, 64, false),
+                        SETTINGS,
+                        new double[] {0.45, 0.3, 0.15, 0.1},
+                        15 * S,
+                        42);
                 var proxy = new ProxyProcess("n0", SETTINGS)) {
             rig.machines(5);
             InetSocketAddress address = ProxyProcess.freeAddress();
             Files.writeString(file, installation(rig.discoveryOfNextProxy(), address));
             rig.proxyAt(address);
-            proxy.configure(rig.discoveryOfNextProxy(), rig.on(rig.discovery()::known)).start("--installation", file.toString()).awaitReady();
+            proxy.configure(rig.discoveryOfNextProxy(), rig.on(rig.discovery()::known))
+                    .start("--installation", file.toString())
+                    .awaitReady();
             rig.run(() -> rig.traffic().oneway(0.1));
             rig.load(3, 60 * S);
             rig.awaitServed(200);
--- a/daemon/src/test/java/grebehoist/cli/WarmupTest.java
+++ b/daemon/src/test/java/grebehoist/cli/WarmupTest.java
@@ -10,12 +10,15 @@
     @Test
     void servesWhatItAsks() throws Exception {
         // Not all: on a slow machine some are late.
-        assertThat(Warmup.run(Config.parse(Fixture.config()), 60_000, () -> false).served()).isGreaterThan(1_000);
+        assertThat(Warmup.run(Config.parse(Fixture.config()), 60_000, () -> false)
+                        .served())
+                .isGreaterThan(1_000);
     }
 
     @Test
     void endsWhenItsTimeIsUp() throws Exception {
-        assertThat(Warmup.run(Config.parse(Fixture.config()), 0, () -> false).served()).isLessThan(1_000);
+        assertThat(Warmup.run(Config.parse(Fixture.config()), 0, () -> false).served())
+                .isLessThan(1_000);
     }
 
     @Test
--- a/daemon/src/test/java/grebehoist/cli/Wire.java
+++ b/daemon/src/test/java/grebehoist/cli/Wire.java
@@ -135,8 +135,11 @@
         }
 
         public String header(String name) {
-            return Arrays.stream(headers.split("\n")).filter(l -> l.regionMatches(true, 0, name + ":", 0, name.length() + 1))
-                    .map(l -> l.substring(name.length() + 1).trim()).findFirst().orElse(null);
+            return Arrays.stream(headers.split("\n"))
+                    .filter(l -> l.regionMatches(true, 0, name + ":", 0, name.length() + 1))
+                    .map(l -> l.substring(name.length() + 1).trim())
+                    .findFirst()
+                    .orElse(null);
         }
     }
 }
--- a/daemon/src/test/java/grebehoist/config/ConfigTest.java
+++ b/daemon/src/test/java/grebehoist/config/ConfigTest.java
@@ -20,7 +20,8 @@
         Config config = Config.parse(Fixture.config());
         assertThat(config.settings().seed()).isEqualTo(0x92094eb940cf389aL);
         assertThat(config.settings().limits().listMustBeAsked()).isTrue();
-        assertThat(config.settings().classes()).extracting(Balancer.RequestClass::effect)
+        assertThat(config.settings().classes())
+                .extracting(Balancer.RequestClass::effect)
                 .containsExactly(Balancer.Effect.SAFE, Balancer.Effect.KEYED, Balancer.Effect.UNSAFE);
         assertThat(config.settings().tenants()).containsExactly(new Balancer.Tenant("acme", 100));
         assertThat(config.connIdleUs()).isEqualTo(15_000_000);
@@ -38,16 +39,20 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "name|''|'name': missing",
-        "listen|'8080'|'listen': '8080' is no address and port",
-        "discovery|'host:80'|'discovery': 'host:80' is no address and port",
-        "seed|'xyz'|'seed': 'xyz' is no hexadecimal number of 64 bits",
-        "limits|''|'limits.sockets': a number of at least 128 is wanted",
-        "settings|'x'|'settings': an object is wanted"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "name|''|'name': missing",
+                "listen|'8080'|'listen': '8080' is no address and port",
+                "discovery|'host:80'|'discovery': 'host:80' is no address and port",
+                "seed|'xyz'|'seed': 'xyz' is no hexadecimal number of 64 bits",
+                "limits|''|'limits.sockets': a number of at least 128 is wanted",
+                "settings|'x'|'settings': an object is wanted"
+            })
     void namesTheFieldThatIsWrong(String field, String value, String message) throws Exception {
         assertThatThrownBy(() -> Config.parse(Fixture.config().put(field, value)))
-                .isInstanceOf(Config.BadConfig.class).hasMessage(message);
+                .isInstanceOf(Config.BadConfig.class)
+                .hasMessage(message);
     }
 
     @Test
@@ -75,7 +80,9 @@
         json.putArray("peers");
         assertThatThrownBy(() -> Config.parse(json)).hasMessage("'peers': 0 addresses, and this is proxy 0");
         json.putArray("peers").add("127.0.0.1:7946").add("127.0.0.1:7947");
-        assertThat(Config.parse(json).peers().addresses()).extracting(a -> a.getPort()).containsExactly(7946, 7947);
+        assertThat(Config.parse(json).peers().addresses())
+                .extracting(a -> a.getPort())
+                .containsExactly(7946, 7947);
         json.remove("peer_listen");
         assertThatThrownBy(() -> Config.parse(json)).hasMessage("'peer_listen': missing");
     }
@@ -83,8 +90,12 @@
     @Test
     void saysWhereAFileIsNoConfiguration(@TempDir Path folder) throws Exception {
         Path file = folder.resolve("config.json");
-        assertThatThrownBy(() -> Config.read(file)).isInstanceOf(Config.BadConfig.class).hasMessageStartingWith("cannot be read");
+        assertThatThrownBy(() -> Config.read(file))
+                .isInstanceOf(Config.BadConfig.class)
+                .hasMessageStartingWith("cannot be read");
         Files.writeString(file, "{");
-        assertThatThrownBy(() -> Config.read(file)).isInstanceOf(Config.BadConfig.class).hasMessageStartingWith("not JSON");
+        assertThatThrownBy(() -> Config.read(file))
+                .isInstanceOf(Config.BadConfig.class)
+                .hasMessageStartingWith("not JSON");
     }
 }
--- a/daemon/src/test/java/grebehoist/config/JsonTest.java
+++ b/daemon/src/test/java/grebehoist/config/JsonTest.java
@@ -13,12 +13,25 @@
 /** The mapper tells what a document means; the reader differs from it in what it costs alone. */
 class JsonTest {
     @ParameterizedTest
-    @ValueSource(strings = {"{\"a\":{\"b\":[1,-2.5,\"x\\u00e9\",true,false,null,{},[]]},\"a2\":9007199254740993}", "[]", "\"s\"",
-        "7", "1e3", "123456789012345678901234567890", "null", "", "  ", "{\"a\":1,\"a\":2}"})
+    @ValueSource(
+            strings = {
+                "{\"a\":{\"b\":[1,-2.5,\"x\\u00e9\",true,false,null,{},[]]},\"a2\":9007199254740993}",
+                "[]",
+                "\"s\"",
+                "7",
+                "1e3",
+                "123456789012345678901234567890",
+                "null",
+                "",
+                "  ",
+                "{\"a\":1,\"a\":2}"
+            })
     void readsWhatTheMapperReads(String text) throws Exception {
         // As text: an int and a long of the same value are different nodes.
-        assertThat(Fixture.json(text).toString()).isEqualTo(new ObjectMapper().readTree(text).toString());
-        assertThat(Fixture.json(text).getNodeType()).isEqualTo(new ObjectMapper().readTree(text).getNodeType());
+        assertThat(Fixture.json(text).toString())
+                .isEqualTo(new ObjectMapper().readTree(text).toString());
+        assertThat(Fixture.json(text).getNodeType())
+                .isEqualTo(new ObjectMapper().readTree(text).getNodeType());
     }
 
     @ParameterizedTest
--- a/daemon/src/test/java/grebehoist/discovery/DiscoveryTest.java
+++ b/daemon/src/test/java/grebehoist/discovery/DiscoveryTest.java
@@ -54,7 +54,8 @@
     /** Ready means that it can serve: not on the list of its last life alone, and not without a backend. */
     @Test
     void isReadyOnceDiscoveryHasSpoken() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(watcher(), backend)) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(watcher(), backend)) {
             Members known = proxy.next(Members.class);
             assertThat(known.kind()).isEqualTo(ListKind.CACHED);
             assertThat(known.backends()).containsExactly(new Backend("s0", State.READY, "m", "a", 1, 7_000, 1));
@@ -116,7 +117,10 @@
             proxy.next(Members.class);
             Wire call = proxy.discovery.accept();
             call.read();
-            call.send(Peer.ok(Fixture.list(40, true, Fixture.entry("s1", "127.0.0.1:1", "ready"),
+            call.send(Peer.ok(Fixture.list(
+                    40,
+                    true,
+                    Fixture.entry("s1", "127.0.0.1:1", "ready"),
                     Fixture.entry("s2", "127.0.0.1:2", "draining"))));
             Members bad = proxy.next(Members.class);
             assertThat(bad.kind()).isEqualTo(ListKind.DELTA);
@@ -133,10 +137,17 @@
 
     /** A failed call is told to the module, which decides when to ask again: nothing asks on its own. */
     @ParameterizedTest
-    @ValueSource(strings = {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nha",
-        "", "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nnot JSON", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]", "rubbish\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{\"version\":\"x\",\"full\":true,\"servers\":[]}"})
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nha",
+                "",
+                "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nnot JSON",
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]",
+                "rubbish\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{\"version\":\"x\",\"full\":true,\"servers\":[]}"
+            })
     void tellsOfAFailedCall(String answer) throws Exception {
         try (var proxy = new Fixture(watcher())) {
             proxy.next(Members.class);
@@ -167,7 +178,9 @@
             Wire next = proxy.discovery.accept();
             assertThat(next.read().first()).contains("from=42&hold_ms=0");
             next.send(Peer.ok(Fixture.list(43, false, Fixture.entry("s1", "127.0.0.1:1", "draining"))));
-            assertThat(proxy.next(Members.class).backends()).extracting(Backend::state).containsExactly(State.DRAINING);
+            assertThat(proxy.next(Members.class).backends())
+                    .extracting(Backend::state)
+                    .containsExactly(State.DRAINING);
         }
     }
 
@@ -276,10 +289,20 @@
             proxy.next(Members.class);
             Wire call = proxy.discovery.accept();
             call.read();
-            call.send(Peer.ok(Fixture.list(42, true, Fixture.entry("", "127.0.0.1:1", "ready"), "7", "null", "{}",
-                    Fixture.entry("s1", "localhost:1", "ready"), Fixture.entry("s2", "127.0.0.1:99999", "ready"),
-                    Fixture.entry("s3", "127.0.0.1:1", "asleep"), Fixture.entry("s4", "127.0.0.1:1", "ready"))));
-            assertThat(proxy.next(Members.class).backends()).extracting(Backend::id).containsExactly("s4");
+            call.send(Peer.ok(Fixture.list(
+                    42,
+                    true,
+                    Fixture.entry("", "127.0.0.1:1", "ready"),
+                    "7",
+                    "null",
+                    "{}",
+                    Fixture.entry("s1", "localhost:1", "ready"),
+                    Fixture.entry("s2", "127.0.0.1:99999", "ready"),
+                    Fixture.entry("s3", "127.0.0.1:1", "asleep"),
+                    Fixture.entry("s4", "127.0.0.1:1", "ready"))));
+            assertThat(proxy.next(Members.class).backends())
+                    .extracting(Backend::id)
+                    .containsExactly("s4");
         }
     }
 
@@ -301,10 +324,15 @@
     /** A new configuration: the watch moves at once, asks for the whole list, and the known backends serve meanwhile. */
     @Test
     void movesToTheDiscoveryOfANewConfiguration() throws Exception {
-        try (var backend = new Peer(); var moved = new Peer(); var proxy = new Fixture((event, actions) -> {
-            watcher().handle(event, actions);
-            Fixture.sendTo("s0").handle(event, actions);
-        }, backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var moved = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            watcher().handle(event, actions);
+                            Fixture.sendTo("s0").handle(event, actions);
+                        },
+                        backend);
+                var client = proxy.client()) {
             backend.always(Peer.ok("x"));
             Wire old = proxy.discovery.accept();
             old.read();
@@ -321,7 +349,8 @@
 
     @Test
     void aBadConfigurationLeavesTheWatchAlone() throws Exception {
-        try (var moved = new Peer(); var proxy = new Fixture(watcher())) {
+        try (var moved = new Peer();
+                var proxy = new Fixture(watcher())) {
             Wire call = proxy.discovery.accept();
             call.read();
             proxy.reload("{\"discovery\":");
--- a/daemon/src/test/java/grebehoist/discovery/StartTimesTest.java
+++ b/daemon/src/test/java/grebehoist/discovery/StartTimesTest.java
@@ -22,7 +22,10 @@
     }
 
     private long told(ListKind kind, String id, long startedUs, long nowUs) {
-        return starts.translate(kind, List.of(listed(id, startedUs)), nowUs).get(0).backend().startedAtUs();
+        return starts.translate(kind, List.of(listed(id, startedUs)), nowUs)
+                .get(0)
+                .backend()
+                .startedAtUs();
     }
 
     @Test
--- a/daemon/src/test/java/grebehoist/distribution/EverywhereSuspendedTest.java
+++ b/daemon/src/test/java/grebehoist/distribution/EverywhereSuspendedTest.java
@@ -15,11 +15,15 @@
     @Test
     void whoIsSuspendedByTwoScopesIsBackWithTheSecond() {
         assertThat(suspended.applied(item(Item.SUSPENSION, "fleet", "a"))).isTrue();
-        assertThat(suspended.applied(item(Item.SUSPENSION, "fleet", "a"))).as("again").isFalse();
+        assertThat(suspended.applied(item(Item.SUSPENSION, "fleet", "a")))
+                .as("again")
+                .isFalse();
         assertThat(suspended.applied(item(Item.SUSPENSION, "c1/x", "a"))).isFalse();
         assertThat(suspended.removed(item(Item.SUSPENSION, "fleet", "a"))).isFalse();
         assertThat(suspended.ids()).containsExactly("a");
-        assertThat(suspended.removed(item(Item.SUSPENSION, "fleet", "a"))).as("twice").isFalse();
+        assertThat(suspended.removed(item(Item.SUSPENSION, "fleet", "a")))
+                .as("twice")
+                .isFalse();
         assertThat(suspended.removed(item(Item.SUSPENSION, "c1/x", "a"))).isTrue();
         assertThat(suspended.ids()).isEmpty();
     }
@@ -29,7 +33,9 @@
         assertThat(suspended.applied(item(2, "fleet", "a"))).isFalse();
         assertThat(suspended.ids()).isEmpty();
         suspended.applied(item(Item.SUSPENSION, "fleet", "a"));
-        assertThat(suspended.applied(item(2, "fleet", "a"))).as("it takes the suspension's place").isTrue();
+        assertThat(suspended.applied(item(2, "fleet", "a")))
+                .as("it takes the suspension's place")
+                .isTrue();
         assertThat(suspended.holds("a")).isFalse();
     }
 }
--- a/daemon/src/test/java/grebehoist/http/HttpFrontTest.java
+++ b/daemon/src/test/java/grebehoist/http/HttpFrontTest.java
@@ -20,13 +20,15 @@
 
 /** The clients' side on loopback sockets. */
 class HttpFrontTest {
-    private static final Fixture.Module SILENT = (event, actions) -> { };
+    private static final Fixture.Module SILENT = (event, actions) -> {};
 
     @Test
     void passesRequestAndAnswerOnUnchanged() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
-            BlockingQueue<Wire.Message> seen = backend.always(Peer.answer("200 OK", "an\r\n\r\nswer", "Content-Type: a/b",
-                    "Connection: X-Hop", "X-Hop: 1"));
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
+            BlockingQueue<Wire.Message> seen = backend.always(
+                    Peer.answer("200 OK", "an\r\n\r\nswer", "Content-Type: a/b", "Connection: X-Hop", "X-Hop: 1"));
             Wire.Message answer = client.send(Fixture.post("r1", "bo\r\n\0dy")).read();
             Wire.Message request = Peer.next(seen);
             assertThat(request.first()).isEqualTo("POST /api?k=u%201&x HTTP/1.1");
@@ -50,25 +52,31 @@
 
     /** Whatever is wrong with a request, it costs neither a backend nor the module anything. */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "X-Priority-Class: read|X-Priority-Class: write|400",
-        "X-Priority-Class: read|X-Other: read|400",
-        "X-Priority-Class: read|X-Priority-Class: pay|405",
-        "X-Request-ID: r1|X-Other: r1|400",
-        "X-Tenant-Id: acme|X-Tenant-Id: nobody|400",
-        "X-Tenant-Id: acme|X-Other: acme|400",
-        "X-Timeout: 1900m|X-Timeout: soon|400",
-        "X-Timeout: 1900m|X-Timeout: 0m|400",
-        "X-Timeout: 1900m|X-Timeout: -5m|400",
-        "X-Timeout: 1900m|X-Timeout: 123456789m|400",
-        "X-Timeout: 1900m|X-Other: 1900m|400",
-        "GET /api?k=u1|GET /apis|404",
-        "GET /api?k=u1|GET /api?k=%zz|400",
-        "GET /api?k=u1|PUT /api|405",
-        "GET /api?k=u1 HTTP/1.1|NONSENSE|400"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "X-Priority-Class: read|X-Priority-Class: write|400",
+                "X-Priority-Class: read|X-Other: read|400",
+                "X-Priority-Class: read|X-Priority-Class: pay|405",
+                "X-Request-ID: r1|X-Other: r1|400",
+                "X-Tenant-Id: acme|X-Tenant-Id: nobody|400",
+                "X-Tenant-Id: acme|X-Other: acme|400",
+                "X-Timeout: 1900m|X-Timeout: soon|400",
+                "X-Timeout: 1900m|X-Timeout: 0m|400",
+                "X-Timeout: 1900m|X-Timeout: -5m|400",
+                "X-Timeout: 1900m|X-Timeout: 123456789m|400",
+                "X-Timeout: 1900m|X-Other: 1900m|400",
+                "GET /api?k=u1|GET /apis|404",
+                "GET /api?k=u1|GET /api?k=%zz|400",
+                "GET /api?k=u1|PUT /api|405",
+                "GET /api?k=u1 HTTP/1.1|NONSENSE|400"
+            })
     void turnsBadRequestsAway(String good, String bad, int status) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
-            assertThat(client.send(Fixture.get("r1").replace(good, bad)).read().status()).isEqualTo(status);
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
+            assertThat(client.send(Fixture.get("r1").replace(good, bad)).read().status())
+                    .isEqualTo(status);
             // Kept, the connection would bring the same again as fast as it is answered.
             assertThat(client.ended()).isTrue();
             backend.always(Peer.ok("x"));
@@ -79,15 +87,32 @@
 
     /** Two readers of such a request may disagree on where it ends, and what one takes for its body may be another. */
     @ParameterizedTest
-    @ValueSource(strings = {"Content-Length: 40\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked\r\nContent-Length: 3",
-        "Content-Length: 3\r\nContent-Length: 4", "Content-Length: 3\r\nContent-Length: 3", "Content-Length: -3",
-        "Content-Length: three", "Content-Length: +3", "Content-Length: 3, 3", "Content-Length: 99999999999999999999",
-        "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "Transfer-Encoding: identity",
-        "Transfer-Encoding : chunked", "a line with no colon", "nocolon"})
+    @ValueSource(
+            strings = {
+                "Content-Length: 40\r\nTransfer-Encoding: chunked",
+                "Transfer-Encoding: chunked\r\nContent-Length: 3",
+                "Content-Length: 3\r\nContent-Length: 4",
+                "Content-Length: 3\r\nContent-Length: 3",
+                "Content-Length: -3",
+                "Content-Length: three",
+                "Content-Length: +3",
+                "Content-Length: 3, 3",
+                "Content-Length: 99999999999999999999",
+                "Transfer-Encoding: gzip, chunked",
+                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                "Transfer-Encoding: identity",
+                "Transfer-Encoding : chunked",
+                "a line with no colon",
+                "nocolon"
+            })
     void aRequestWhoseEndIsInDoubtIsNotPassedOn(String lengths) throws Exception {
-        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
+        try (var proxy = new Fixture(SILENT);
+                var client = proxy.client()) {
             String head = Fixture.post("r1", "").replace("Content-Length: 0", lengths);
-            assertThat(client.send(head + "0\r\n\r\n" + Fixture.get("hidden")).read().status()).isBetween(400, 499);
+            assertThat(client.send(head + "0\r\n\r\n" + Fixture.get("hidden"))
+                            .read()
+                            .status())
+                    .isBetween(400, 499);
             assertThat(client.ended()).isTrue();
             assertThat(proxy.events).noneMatch(Arrival.class::isInstance);
         }
@@ -95,8 +120,11 @@
 
     @Test
     void chunksAreNoneOfHttp10() throws Exception {
-        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
-            client.send(Fixture.post("r1", "").replace("HTTP/1.1", "HTTP/1.0").replace("Content-Length: 0", "Transfer-Encoding: chunked")
+        try (var proxy = new Fixture(SILENT);
+                var client = proxy.client()) {
+            client.send(Fixture.post("r1", "")
+                            .replace("HTTP/1.1", "HTTP/1.0")
+                            .replace("Content-Length: 0", "Transfer-Encoding: chunked")
                     + "0\r\n\r\n");
             assertThat(client.read().status()).isEqualTo(400);
             assertThat(client.ended()).isTrue();
@@ -107,7 +135,8 @@
     @ParameterizedTest
     @ValueSource(strings = {"", "GET /api HT", "POST /api HTTP/1.1\r\nContent-Length: 900\r\n\r\nhalf"})
     void aRequestThatDoesNotComeIsNotWaitedFor(String part) throws Exception {
-        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
+        try (var proxy = new Fixture(SILENT);
+                var client = proxy.client()) {
             long connected = System.nanoTime();
             client.send(part);
             if (!part.isEmpty()) {
@@ -134,8 +163,10 @@
 
     @Test
     void anIdleConnectionIsClosed() throws Exception {
-        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
-            assertThat(client.send("GET /ready HTTP/1.1\r\n\r\n").read().status()).isEqualTo(503);
+        try (var proxy = new Fixture(SILENT);
+                var client = proxy.client()) {
+            assertThat(client.send("GET /ready HTTP/1.1\r\n\r\n").read().status())
+                    .isEqualTo(503);
             assertThat(client.ended()).isTrue();
         }
     }
@@ -143,7 +174,9 @@
     /** Of many requests at once a few are served; the rest costs no memory and is told that it has not been begun. */
     @Test
     void readsOnlyAFewRequestsAhead() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             var all = new StringBuilder();
             for (int i = 0; i < 400; i++) {
                 all.append(Fixture.get("r" + i));
@@ -164,7 +197,8 @@
     /** A client that goes on sending after its last answer is cut off: it costs neither memory nor the CPU of others. */
     @Test
     void aBodyWithoutEndIsCutOff() throws Exception {
-        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
+        try (var proxy = new Fixture(SILENT);
+                var client = proxy.client()) {
             client.send(Fixture.post("r1", "").replace("Content-Length: 0", "Content-Length: 60000000"));
             assertThat(client.read().status()).isEqualTo(413);
             String more = "x".repeat(65_536);
@@ -184,10 +218,14 @@
 
     @Test
     void aPathThatIsNoSingleLineIsNotPassedOn() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend)) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend)) {
             for (String bad : List.of("/api?k=a\rb", "/api?k=a\0b", "/api?k=a\u007fb")) {
                 try (var client = proxy.client()) {
-                    assertThat(client.send(Fixture.get("r1").replace("/api?k=u1", bad)).read().status()).isEqualTo(400);
+                    assertThat(client.send(Fixture.get("r1").replace("/api?k=u1", bad))
+                                    .read()
+                                    .status())
+                            .isEqualTo(400);
                 }
             }
             assertThat(proxy.events).noneMatch(Arrival.class::isInstance);
@@ -197,7 +235,9 @@
     @Test
     void passesTheLongestBodies() throws Exception {
         String body = "0123456789abcdef".repeat(4_096);
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             BlockingQueue<Wire.Message> seen = backend.always(Peer.ok(body));
             assertThat(client.send(Fixture.post("r1", body)).read().body()).isEqualTo(body);
             assertThat(Peer.next(seen).body()).isEqualTo(body);
@@ -206,16 +246,22 @@
 
     @Test
     void aKeyedRequestNeedsItsKey() throws Exception {
-        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
-            assertThat(client.send(Fixture.post("r1", "x").replace("Idempotency-Key", "X-Other")).read().status()).isEqualTo(400);
+        try (var proxy = new Fixture(SILENT);
+                var client = proxy.client()) {
+            assertThat(client.send(Fixture.post("r1", "x").replace("Idempotency-Key", "X-Other"))
+                            .read()
+                            .status())
+                    .isEqualTo(400);
         }
     }
 
     /** The client must read why it was turned away, even while it is still sending: no reset may overtake the answer. */
     @Test
     void aBodyTooLongIsToldSo() throws Exception {
-        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
-            client.send(Fixture.post("r1", "x".repeat(70_000)).replace("Content-Length: 70000", "Content-Length: 40000000"));
+        try (var proxy = new Fixture(SILENT);
+                var client = proxy.client()) {
+            client.send(Fixture.post("r1", "x".repeat(70_000))
+                    .replace("Content-Length: 70000", "Content-Length: 40000000"));
             assertThat(client.read().status()).isEqualTo(413);
             assertThat(client.ended()).isTrue();
         }
@@ -226,14 +272,16 @@
     void patienceRunsOnWhileTheProxyIsHeldUp() throws Exception {
         var goOn = new CountDownLatch(1);
         try (var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a && a.id().equals("r1")) {
-                try {
-                    goOn.await();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            }
-        }); var one = proxy.client(); var two = proxy.client()) {
+                    if (event instanceof Arrival a && a.id().equals("r1")) {
+                        try {
+                            goOn.await();
+                        } catch (InterruptedException e) {
+                            Thread.currentThread().interrupt();
+                        }
+                    }
+                });
+                var one = proxy.client();
+                var two = proxy.client()) {
             two.send("GET /ready HTTP/1.1\r\n\r\n").read();
             one.send(Fixture.get("r1"));
             proxy.next(Arrival.class);
@@ -250,7 +298,9 @@
     /** What comes behind a request that is being served must neither overtake its answer nor cost it. */
     @Test
     void rubbishBehindARequestIsAnsweredAfterIt() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1") + "RUBBISH\r\n\r\n" + Fixture.get("r2"));
             Wire attempt = backend.accept();
             attempt.read();
@@ -275,10 +325,11 @@
     @Test
     void aRefusalTellsWhenToComeBack() throws Exception {
         try (var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a) {
-                actions.accept(new Refuse(a.id(), a.id().equals("r1") ? 250_000 : 0));
-            }
-        }); var client = proxy.client()) {
+                    if (event instanceof Arrival a) {
+                        actions.accept(new Refuse(a.id(), a.id().equals("r1") ? 250_000 : 0));
+                    }
+                });
+                var client = proxy.client()) {
             Wire.Message answer = client.send(Fixture.get("r1")).read();
             assertThat(answer.status()).isEqualTo(503);
             assertThat(answer.header("Retry-After")).isEqualTo("0.250");
@@ -292,11 +343,12 @@
     @Test
     void answersInOrderAndOnce() throws Exception {
         try (var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a) {
-                actions.accept(new Refuse(a.id(), 0));
-                actions.accept(new Fail(a.id()));
-            }
-        }); var client = proxy.client()) {
+                    if (event instanceof Arrival a) {
+                        actions.accept(new Refuse(a.id(), 0));
+                        actions.accept(new Fail(a.id()));
+                    }
+                });
+                var client = proxy.client()) {
             client.send(Fixture.get("r1") + "GET /ready HTTP/1.1\r\n\r\n" + Fixture.get("r3"));
             assertThat(client.read().body()).startsWith("not now");
             assertThat(client.read().body()).startsWith("not ready");
@@ -306,7 +358,9 @@
 
     @Test
     void anIdThatIsBeingServedIsNotTakenTwice() throws Exception {
-        try (var proxy = new Fixture(SILENT); var one = proxy.client(); var two = proxy.client()) {
+        try (var proxy = new Fixture(SILENT);
+                var one = proxy.client();
+                var two = proxy.client()) {
             one.send(Fixture.get("r1"));
             proxy.next(Arrival.class);
             assertThat(two.send(Fixture.get("r1")).read().status()).isEqualTo(409);
@@ -315,8 +369,10 @@
 
     @Test
     void closesWhereTheClientAsksForIt() throws Exception {
-        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
-            Wire.Message answer = client.send("GET /other HTTP/1.1\r\nConnection: close\r\n\r\n").read();
+        try (var proxy = new Fixture(SILENT);
+                var client = proxy.client()) {
+            Wire.Message answer = client.send("GET /other HTTP/1.1\r\nConnection: close\r\n\r\n")
+                    .read();
             assertThat(answer.status()).isEqualTo(404);
             assertThat(answer.header("Connection")).isEqualTo("close");
             assertThat(client.ended()).isTrue();
--- a/daemon/src/test/java/grebehoist/http/HttpTransportTest.java
+++ b/daemon/src/test/java/grebehoist/http/HttpTransportTest.java
@@ -29,11 +29,19 @@
     private static final String OK_X = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
 
     @ParameterizedTest
-    @CsvSource({"503 Unavailable,X-Not-Processed: 1,FULL", "504 Late,X-Not-Processed: 1,FULL",
-        "503 Unavailable,X-Not-Processed: 0,ERROR", "504 Late,X-Other: 1,ERROR", "500 Error,X-Not-Processed: 1,ERROR",
-        "404 Unknown,X-Other: 1,ERROR", "200 OK,X-Not-Processed: 1,OK"})
+    @CsvSource({
+        "503 Unavailable,X-Not-Processed: 1,FULL",
+        "504 Late,X-Not-Processed: 1,FULL",
+        "503 Unavailable,X-Not-Processed: 0,ERROR",
+        "504 Late,X-Other: 1,ERROR",
+        "500 Error,X-Not-Processed: 1,ERROR",
+        "404 Unknown,X-Other: 1,ERROR",
+        "200 OK,X-Not-Processed: 1,OK"
+    })
     void tellsOutcomesByTheirAnswers(String status, String header, Outcome outcome) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             backend.always(Peer.answer(status, "x", header));
             client.send(Fixture.get("r1"));
             assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(outcome);
@@ -42,10 +50,17 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"", "HTTP/1.1 200 OK\r\nContent-Le", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"})
+    @ValueSource(
+            strings = {
+                "",
+                "HTTP/1.1 200 OK\r\nContent-Le",
+                "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"
+            })
     void aBreakAfterTheLastByteMayHaveRun(String part) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             try (Wire attempt = backend.accept()) {
                 attempt.read();
@@ -60,7 +75,8 @@
     void aRefusedConnectionNeverRan() throws Exception {
         var backend = new Peer();
         backend.close();
-        try (var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.CONNECT_FAILED);
             assertThat(client.read().status()).isEqualTo(502);
@@ -70,7 +86,9 @@
     /** Something came back, so it may have run; and nothing that follows on that connection is taken for an answer. */
     @Test
     void rubbishIsAnErrorAndEndsTheConnection() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = backend.accept();
             attempt.read();
@@ -91,16 +109,25 @@
 
     /** The request has run, and no answer that can be believed will follow: that is told now, not when time is up. */
     @ParameterizedTest
-    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 1\r\n\r\nx",
-        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 1\r\n\r\nx",
-        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nx", "HTTP/1.1 200 OK\r\nContent-Length: 0x1\r\n\r\nx",
-        "HTTP/1.1 2x0 OK\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 OK 200\r\nContent-Length: 1\r\n\r\nx",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\nzz\r\nx\r\n0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx", "HTTP/1.1 101 Switching Protocols\r\n\r\nx",
-        "\0noise without end", "\r\nHTTQ/1.1"})
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nContent-Length: 0x1\r\n\r\nx",
+                "HTTP/1.1 2x0 OK\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 OK 200\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\nzz\r\nx\r\n0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx",
+                "HTTP/1.1 101 Switching Protocols\r\n\r\nx",
+                "\0noise without end",
+                "\r\nHTTQ/1.1"
+            })
     void aSpoiltAnswerMayHaveRunAndIsToldAtOnce(String answer) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = backend.accept();
             attempt.read();
@@ -114,9 +141,13 @@
 
     /** One that stops on its way may be slow or have no end: nobody can tell before its time is up. */
     @ParameterizedTest
-    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", "HTTP/1.1 200 OK\r\nX-Pad: p\r\n", "\r\nHTT"})
+    @ValueSource(
+            strings = {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", "HTTP/1.1 200 OK\r\nX-Pad: p\r\n", "\r\nHTT"
+            })
     void anAnswerThatStopsIsGivenUpAtItsTimeOut(String part) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0", 300_000), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0", 300_000), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = backend.accept();
             attempt.read();
@@ -131,22 +162,31 @@
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 103 Early Hints\r\n\r\n", "X-Pad: pppppppp\r\n"})
     void anAnswerWithoutEndIsCutOff(String more) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = backend.accept();
             attempt.read();
             // It may be cut off before all of it is written.
-            Peer.background(() -> attempt.send((more.startsWith("HTTP") ? "" : "HTTP/1.1 200 OK\r\n") + more.repeat(10_000)));
+            Peer.background(
+                    () -> attempt.send((more.startsWith("HTTP") ? "" : "HTTP/1.1 200 OK\r\n") + more.repeat(10_000)));
             assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.ERROR);
         }
     }
 
     /** A good answer is the client's, whatever comes with it; only its connection is of no further use. */
     @ParameterizedTest
-    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxnoise", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx\r\n\0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny"})
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxnoise",
+                "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx\r\n\0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny"
+            })
     void whatComesBehindAnAnswerEndsItsConnection(String answer) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = backend.accept();
             attempt.read();
@@ -157,10 +197,15 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + OK_X,
-        "HTTP/1.1 200 OK\r\nX-Server-Load: TEXT ?\r\nContent-Length: 1\r\n\r\nx"})
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + OK_X,
+                "HTTP/1.1 200 OK\r\nX-Server-Load: TEXT ?\r\nContent-Length: 1\r\n\r\nx"
+            })
     void aGoodAnswerIsServedAndItsConnectionKept(String answer) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = backend.accept();
             attempt.read();
@@ -179,7 +224,9 @@
 
     @Test
     void anAnswerBehindAnAnswerIsNotTakenForTheNext() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = backend.accept();
             attempt.read();
@@ -196,7 +243,9 @@
 
     @Test
     void anAnswerTooLongIsAnError() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             backend.always("HTTP/1.1 200 OK\r\nContent-Length: 40000000\r\n\r\n" + "x".repeat(150_000));
             client.send(Fixture.get("r1"));
             assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.ERROR);
@@ -206,13 +255,19 @@
     /** While one attempt is out no other may be: the connection of one that is given up ends before the next begins. */
     @Test
     void aTimeOutClosesTheConnectionBeforeTheNextAttempt() throws Exception {
-        try (var slow = new Peer(); var other = new Peer(); var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a) {
-                actions.accept(new Send(a.id(), "s0", 50_000));
-            } else if (event instanceof AttemptEnded e && e.outcome() == Outcome.TIMEOUT) {
-                actions.accept(new Send(e.id(), "s1", 0));
-            }
-        }, slow, other); var client = proxy.client()) {
+        try (var slow = new Peer();
+                var other = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof Arrival a) {
+                                actions.accept(new Send(a.id(), "s0", 50_000));
+                            } else if (event instanceof AttemptEnded e && e.outcome() == Outcome.TIMEOUT) {
+                                actions.accept(new Send(e.id(), "s1", 0));
+                            }
+                        },
+                        slow,
+                        other);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire first = slow.accept();
             first.read();
@@ -226,12 +281,16 @@
 
     @Test
     void keepsConnectionsAndReleasesThem() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a && a.id().equals("r3")) {
-                actions.accept(new Release("s0"));
-            }
-            Fixture.sendTo("s0").handle(event, actions);
-        }, backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof Arrival a && a.id().equals("r3")) {
+                                actions.accept(new Release("s0"));
+                            }
+                            Fixture.sendTo("s0").handle(event, actions);
+                        },
+                        backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire first = backend.accept();
             for (String next : List.of("r2", "r3")) {
@@ -253,7 +312,8 @@
      */
     @Test
     void closesIdleConnectionsLongBeforeTheBackendDoes() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), 1_024, 6_000_000, backend);
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), 1_024, 6_000_000, backend);
                 var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = backend.accept();
@@ -269,8 +329,10 @@
     /** Rule 3 counts a send from its first byte: one that still waits for its connection must not go out any more. */
     @Test
     void aDrainStopsWhatIsStillConnecting() throws Exception {
-        try (var full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress()); var backend = new Peer();
-                var proxy = new Fixture(watching("s1"), backend); var client = proxy.client()) {
+        try (var full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                var backend = new Peer();
+                var proxy = new Fixture(watching("s1"), backend);
+                var client = proxy.client()) {
             List<Socket> crowd = fill(full);
             String address = "127.0.0.1:" + full.getLocalPort();
             Wire watch = proxy.discovery.accept();
@@ -303,7 +365,9 @@
     /** The id says which backend it is, the address only where: what was kept open to the old place is not used again. */
     @Test
     void followsABackendToItsNewAddress() throws Exception {
-        try (var old = new Peer(); var moved = new Peer(); var proxy = new Fixture(watching("s0"), 1_024, 60_000_000, old);
+        try (var old = new Peer();
+                var moved = new Peer();
+                var proxy = new Fixture(watching("s0"), 1_024, 60_000_000, old);
                 var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = old.accept();
--- a/daemon/src/test/java/grebehoist/http/LongMessagesTest.java
+++ b/daemon/src/test/java/grebehoist/http/LongMessagesTest.java
@@ -46,7 +46,9 @@
 
     @Test
     void aLongAnswerGoesOnBeforeItsEnd() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = attempt(backend);
             attempt.send("HTTP/1.1 200 OK\r\nContent-Length: 163840\r\nX-Kept: 1\r\n\r\n" + PIECE);
@@ -68,7 +70,9 @@
 
     @Test
     void chunksOfUnknownLengthGoOnAsChunks() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = attempt(backend);
             String chunk = "4000;x=y\r\n" + PIECE + "\r\n";
@@ -83,27 +87,33 @@
     @ParameterizedTest
     @ValueSource(strings = {"Content-Length: 163840", "Transfer-Encoding: chunked"})
     void anAnswerThatStopsHalfWayEndsTheClientsConnection(String length) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = attempt(backend);
             boolean chunks = length.endsWith("chunked");
-            attempt.send("HTTP/1.1 200 OK\r\n" + length + "\r\n\r\n" + (chunks ? ("4000\r\n" + PIECE + "\r\n").repeat(6) : PIECE));
+            attempt.send("HTTP/1.1 200 OK\r\n" + length + "\r\n\r\n"
+                    + (chunks ? ("4000\r\n" + PIECE + "\r\n").repeat(6) : PIECE));
             client.head();
             attempt.close();
             assertThatThrownBy(() -> {
-                if (chunks) {
-                    client.chunks();
-                } else {
-                    client.body(163_840);
-                }
-            }).hasMessageStartingWith("cut short");
+                        if (chunks) {
+                            client.chunks();
+                        } else {
+                            client.body(163_840);
+                        }
+                    })
+                    .hasMessageStartingWith("cut short");
         }
     }
 
     /** What the client does not take is not taken from the backend either: memory holds a little of it, however long it is. */
     @Test
     void anAnswerIsReadNoFasterThanItsClientTakesIt() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = attempt(backend);
             attempt.send("HTTP/1.1 200 OK\r\nContent-Length: 32768000\r\n\r\n");
@@ -135,7 +145,8 @@
 
     @Test
     void aClientThatLeavesEndsTheAnswer() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend)) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend)) {
             Wire attempt;
             try (var client = proxy.client()) {
                 client.send(Fixture.get("r1"));
@@ -150,8 +161,11 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void aLongBodyGoesOnAsItComes(boolean chunks) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
-            String head = Fixture.post("r1", "").replace("Content-Length: 0", chunks ? "Transfer-Encoding: chunked" : "Content-Length: 655360");
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
+            String head = Fixture.post("r1", "")
+                    .replace("Content-Length: 0", chunks ? "Transfer-Encoding: chunked" : "Content-Length: 655360");
             String piece = chunks ? "4000\r\n" + PIECE + "\r\n" : PIECE;
             client.send(head + piece.repeat(20));
             Wire attempt = backend.accept();
@@ -163,7 +177,8 @@
             assertThat(client.read().body()).isEqualTo("done");
             // The backend's time began with the last byte.
             assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.OK);
-            assertThat(client.send("GET /ready HTTP/1.1\r\n\r\n").read().status()).isEqualTo(503);
+            assertThat(client.send("GET /ready HTTP/1.1\r\n\r\n").read().status())
+                    .isEqualTo(503);
         }
     }
 
@@ -173,7 +188,9 @@
      */
     @Test
     void aLongBodyNeverStalls() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.post("r1", "").replace("Content-Length: 0", "Content-Length: 32768000"));
             var all = sending(client, PIECE);
             Wire attempt = attempt(backend);
@@ -189,11 +206,14 @@
     /** Rule 1, and for what was read ahead: its end had come before it began, so its deadline is that of any request. */
     @Test
     void aLongBodyThatWaitedItsTurnIsAnsweredInTime() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = attempt(backend);
             String body = "fff0\r\n" + "x".repeat(65_520) + "\r\n";
-            client.send(Fixture.post("r2", "").replace("Content-Length: 0", "Transfer-Encoding: chunked\r\nExpect: 100-continue")
+            client.send(Fixture.post("r2", "")
+                            .replace("Content-Length: 0", "Transfer-Encoding: chunked\r\nExpect: 100-continue")
                     + body.repeat(5) + "0\r\n\r\n");
             attempt.send("HTTP/1.1 200 OK\r\nContent-Length: 163840\r\n\r\n" + PIECE.repeat(10));
             assertThat(client.head().status()).isEqualTo(200);
@@ -210,7 +230,9 @@
     /** A slow client's body is held, and costs no backend a place until it is whole. */
     @Test
     void aSlowBodyIsHeldUntilItIsWhole() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.post("r1", "").replace("Content-Length: 0", "Content-Length: 163840"));
             for (int i = 0; i < 10; i++) {
                 assertThat(proxy.events).noneMatch(Arrival.class::isInstance);
@@ -227,36 +249,49 @@
     /** Rule 2: what has gone to one backend is not there for another, and what never ran may be asked for again. */
     @Test
     void aLongBodyGoesOutOnce() throws Exception {
-        try (var first = new Peer(); var second = new Peer(); var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a) {
-                actions.accept(new Send(a.id(), "s0", 0));
-            } else if (event instanceof AttemptEnded e && e.attempt() == 0) {
-                actions.accept(new Send(e.id(), "s1", 0));
-            } else if (event instanceof AttemptEnded e && !e.last()) {
-                actions.accept(new Refuse(e.id(), 0));
-            }
-        }, first, second); var client = proxy.client()) {
-            client.send(Fixture.post("r1", "").replace("Content-Length: 0", "Content-Length: 6553600") + PIECE.repeat(20));
+        try (var first = new Peer();
+                var second = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof Arrival a) {
+                                actions.accept(new Send(a.id(), "s0", 0));
+                            } else if (event instanceof AttemptEnded e && e.attempt() == 0) {
+                                actions.accept(new Send(e.id(), "s1", 0));
+                            } else if (event instanceof AttemptEnded e && !e.last()) {
+                                actions.accept(new Refuse(e.id(), 0));
+                            }
+                        },
+                        first,
+                        second);
+                var client = proxy.client()) {
+            client.send(
+                    Fixture.post("r1", "").replace("Content-Length: 0", "Content-Length: 6553600") + PIECE.repeat(20));
             Wire attempt = attempt(first);
             attempt.close();
             assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.CONNECT_FAILED);
             assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.NOT_SENT);
             assertThat(client.read().status()).isEqualTo(503);
             assertThat(client.ended()).isTrue();
-            assertThat(second.accept().ended()).as("a connection was opened, and no request came with it").isTrue();
+            assertThat(second.accept().ended())
+                    .as("a connection was opened, and no request came with it")
+                    .isTrue();
         }
     }
 
     /** Rule 1 and the hygiene of clients: one that stops in the middle is told so, once, and its backend begins with nothing. */
     @Test
     void aLongBodyThatStopsIsCutOff() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
-            client.send(Fixture.post("r1", "").replace("Content-Length: 0", "Content-Length: 6553600") + PIECE.repeat(20));
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
+            client.send(
+                    Fixture.post("r1", "").replace("Content-Length: 0", "Content-Length: 6553600") + PIECE.repeat(20));
             Wire attempt = attempt(backend);
             assertThat(client.read().status()).isEqualTo(408);
             assertThat(client.endedQuietly()).isTrue();
             assertThat(attempt.endedQuietly()).isTrue();
-            assertThat(proxy.client().send(Fixture.get("r1")).socket.isConnected()).isTrue();
+            assertThat(proxy.client().send(Fixture.get("r1")).socket.isConnected())
+                    .isTrue();
         }
     }
 
@@ -267,15 +302,20 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void aLongBodyThatNoBackendTakesIsRefused(boolean chunks) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a) {
-                actions.accept(new Send(a.id(), "s0", 500_000));
-            } else if (event instanceof AttemptEnded e && !e.last()) {
-                actions.accept(new Refuse(e.id(), 0));
-            }
-        }, backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof Arrival a) {
+                                actions.accept(new Send(a.id(), "s0", 500_000));
+                            } else if (event instanceof AttemptEnded e && !e.last()) {
+                                actions.accept(new Refuse(e.id(), 0));
+                            }
+                        },
+                        backend);
+                var client = proxy.client()) {
             String piece = chunks ? "4000\r\n" + PIECE + "\r\n" : PIECE;
-            client.send(Fixture.post("r1", "").replace("Content-Length: 0", chunks ? "Transfer-Encoding: chunked" : "Content-Length: 32768000"));
+            client.send(Fixture.post("r1", "")
+                    .replace("Content-Length: 0", chunks ? "Transfer-Encoding: chunked" : "Content-Length: 32768000"));
             var writing = sending(client, piece);
             Wire attempt = attempt(backend);
             assertThat(client.read().status()).isEqualTo(503);
@@ -288,18 +328,24 @@
 
     @Test
     void aLongBodyThatCannotBeReadFailsAndNeverRuns() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a) {
-                actions.accept(new Send(a.id(), "s0", 0));
-            } else if (event instanceof AttemptEnded e && !e.last()) {
-                actions.accept(new Fail(e.id()));
-            }
-        }, backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof Arrival a) {
+                                actions.accept(new Send(a.id(), "s0", 0));
+                            } else if (event instanceof AttemptEnded e && !e.last()) {
+                                actions.accept(new Fail(e.id()));
+                            }
+                        },
+                        backend);
+                var client = proxy.client()) {
             client.send(Fixture.post("r1", "").replace("Content-Length: 0", "Transfer-Encoding: chunked")
                     + ("4000\r\n" + PIECE + "\r\n").repeat(20) + "zz\r\n");
             Wire attempt = attempt(backend);
             assertThat(client.read().status()).isEqualTo(400);
-            assertThatThrownBy(attempt::chunks).isInstanceOf(IOException.class).isNotInstanceOf(SocketTimeoutException.class);
+            assertThatThrownBy(attempt::chunks)
+                    .isInstanceOf(IOException.class)
+                    .isNotInstanceOf(SocketTimeoutException.class);
         }
     }
 
@@ -307,7 +353,8 @@
     @Test
     void manySlowBodiesTakeNoMoreMemoryThanTheyMay() throws Exception {
         var clients = new ArrayList<Wire>();
-        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> { }, backend)) {
+        try (var backend = new Peer();
+                var proxy = new Fixture((event, actions) -> {}, backend)) {
             String piece = "x".repeat(60_000);
             for (int i = 0; i < 300; i++) {
                 Wire client = proxy.client();
@@ -342,7 +389,9 @@
     /** RFC 9112, 3.2.2: a proxy's client may name the whole URI; a backend is asked for its path. */
     @Test
     void aWholeUriIsAskedForByItsPath() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1").replace("GET /api", "GET http://service.internal/api"));
             Wire attempt = backend.accept();
             assertThat(attempt.read().first()).isEqualTo("GET /api?k=u1 HTTP/1.1");
--- a/daemon/src/test/java/grebehoist/http/PiecesTest.java
+++ b/daemon/src/test/java/grebehoist/http/PiecesTest.java
@@ -26,11 +26,17 @@
 
     /** Each pause is longer than what was once taken for the end of an answer, and they come in head, size, chunk and trailer. */
     @ParameterizedTest
-    @CsvSource({"110, HTTP/1.1 2|00 OK~Content-Le|ngth: 5~~he|llo", "110, HTTP/1.1 200 OK~Transfer-Encoding: chunked~|~5~h|ello~0~~",
-        "110, HTTP/1.1 200 OK~Transfer-Encoding: chunked~~5|;x=y~hello~|0~~", "110, HTTP/1.1 200 OK~Transfer-Encoding: chunked~~5~hello~0~X-T: |1~~",
-        "900, HTTP/1.1 200 OK~Content-Length: 5~~he|llo"})
+    @CsvSource({
+        "110, HTTP/1.1 2|00 OK~Content-Le|ngth: 5~~he|llo",
+        "110, HTTP/1.1 200 OK~Transfer-Encoding: chunked~|~5~h|ello~0~~",
+        "110, HTTP/1.1 200 OK~Transfer-Encoding: chunked~~5|;x=y~hello~|0~~",
+        "110, HTTP/1.1 200 OK~Transfer-Encoding: chunked~~5~hello~0~X-T: |1~~",
+        "900, HTTP/1.1 200 OK~Content-Length: 5~~he|llo"
+    })
     void anAnswerThatPausesIsServed(int pauseMs, String pieces) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = attempt(backend);
             for (String piece : pieces.replace("~", "\r\n").split("\\|")) {
@@ -39,7 +45,8 @@
             }
             Wire.Message head = client.head();
             assertThat(head.status()).isEqualTo(200);
-            assertThat(head.header("Content-Length") == null ? client.chunks() : client.body(5)).isEqualTo("hello");
+            assertThat(head.header("Content-Length") == null ? client.chunks() : client.body(5))
+                    .isEqualTo("hello");
             assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.OK);
         }
     }
@@ -47,7 +54,9 @@
     /** The bench's own case: the first byte of a long answer counts, however long the rest of it takes. */
     @Test
     void aLongAnswerHasBegunWithItsHead() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0", 200_000), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0", 200_000), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = attempt(backend);
             attempt.send("HTTP/1.1 200 OK\r\nContent-Length: " + LONG + "\r\n\r\n");
@@ -62,7 +71,9 @@
     @ParameterizedTest
     @ValueSource(longs = {60_000, 200_000})
     void anAnswerOfUnknownLengthThatHasBegunIsNotTimedOut(long timeoutUs) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0", timeoutUs), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0", timeoutUs), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = attempt(backend);
             attempt.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
@@ -81,7 +92,9 @@
     /** An attempt's time-out is for a backend that says nothing: what comes already is nearer than another backend's answer. */
     @Test
     void anAnswerThatKeepsComingIsNotTimedOutBeforeTheDeadline() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0", 150_000), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0", 150_000), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = attempt(backend);
             String answer = Peer.ok("z".repeat(20));
@@ -97,13 +110,17 @@
     @ParameterizedTest
     @CsvSource({"100, HTTP/1.0", "100000, HTTP/1.0", "100, HTTP/1.1", "100000, HTTP/1.1"})
     void anAnswerThatEndsWithItsConnectionComesWhole(int length, String version) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1").replace("HTTP/1.1", version));
             Wire attempt = attempt(backend);
             attempt.send("HTTP/1.1 200 OK\r\n\r\n" + "e".repeat(length));
             attempt.close();
             Wire.Message head = client.head();
-            String body = head.header("Content-Length") != null || version.endsWith("0") ? client.body(length) : client.chunks();
+            String body = head.header("Content-Length") != null || version.endsWith("0")
+                    ? client.body(length)
+                    : client.chunks();
             assertThat(body).isEqualTo("e".repeat(length));
             if (version.endsWith("0")) {
                 assertThat(client.ended()).isTrue();
@@ -115,7 +132,9 @@
     @ParameterizedTest
     @ValueSource(ints = {100, 100_000})
     void anAnswerWithoutALengthThatIsResetIsNotWhole(int length) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = attempt(backend);
             attempt.send("HTTP/1.1 200 OK\r\n\r\n" + "e".repeat(length));
@@ -139,7 +158,9 @@
     @ParameterizedTest
     @CsvSource({"34603008, 200", "34603009, 502"})
     void theLongestAnswerIsPassedOnAndNoLongerOne(int length, int status) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = attempt(backend);
             attempt.send("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n");
@@ -153,11 +174,18 @@
 
     /** A backend that answers before it has the whole body has not run it, and the client can read what it is told. */
     @ParameterizedTest
-    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nx"})
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nx"
+            })
     void anAnswerBeforeTheBodysEndIsNoneOfThisRequests(String answer) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
-            client.send(Fixture.post("r1", "").replace("Content-Length: 0", "Content-Length: 1000000") + "b".repeat(500_000));
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
+            client.send(Fixture.post("r1", "").replace("Content-Length: 0", "Content-Length: 1000000")
+                    + "b".repeat(500_000));
             Wire attempt = attempt(backend);
             attempt.send(answer);
             assertThat(proxy.next(AttemptEnded.class).outcome()).isNotEqualTo(Outcome.OK);
@@ -169,10 +197,13 @@
     /** Requests that are read ahead, and what can't be read behind them, do not come between the bytes of a long answer. */
     @Test
     void whatIsReadAheadWaitsForALongAnswer() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = attempt(backend);
-            attempt.send("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " + LONG + "\r\n\r\n" + "p".repeat(LONG / 2));
+            attempt.send("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " + LONG + "\r\n\r\n"
+                    + "p".repeat(LONG / 2));
             client.head();
             client.send(Fixture.get("r2") + "nonsense\r\n\r\n");
             attempt.send("p".repeat(LONG / 2));
@@ -189,11 +220,15 @@
     /** RFC 9110, 10.1.1: a client that asks whether it may go on hears so when its turn has come, and not in the middle of another answer. */
     @Test
     void whoAsksAheadWhetherToGoOnHearsItInTurn() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = attempt(backend);
-            client.send(Fixture.post("r2", "").replace("Content-Length: 0", "Expect: 100-continue\r\nContent-Length: 4"));
-            attempt.send("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " + LONG + "\r\n\r\n" + "c".repeat(LONG));
+            client.send(
+                    Fixture.post("r2", "").replace("Content-Length: 0", "Expect: 100-continue\r\nContent-Length: 4"));
+            attempt.send(
+                    "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " + LONG + "\r\n\r\n" + "c".repeat(LONG));
             assertThat(client.head().status()).isEqualTo(200);
             assertThat(client.body(LONG)).isEqualTo("c".repeat(LONG));
             assertThat(client.head().status()).isEqualTo(100);
@@ -207,18 +242,35 @@
 
     /** Around the lengths at which an answer is passed on as it comes. */
     @ParameterizedTest
-    @CsvSource({"16383, true", "16384, true", "16385, true", "65535, true", "65536, true", "65537, true", "65535, false", "65536, false", "65537, false",
-        "262144, false", "262145, false"})
+    @CsvSource({
+        "16383, true",
+        "16384, true",
+        "16385, true",
+        "65535, true",
+        "65536, true",
+        "65537, true",
+        "65535, false",
+        "65536, false",
+        "65537, false",
+        "262144, false",
+        "262145, false"
+    })
     void everyLengthComesWhole(int length, boolean chunks) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             for (int i = 0; i < 2; i++) {
                 client.send(Fixture.get("r" + i));
                 Wire attempt = attempt(backend);
                 String body = "b".repeat(length);
-                attempt.send("HTTP/1.1 200 OK\r\nConnection: close\r\n" + (chunks ? "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(length)
-                        + "\r\n" + body + "\r\n0\r\n\r\n" : "Content-Length: " + length + "\r\n\r\n" + body));
+                attempt.send("HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                        + (chunks
+                                ? "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(length) + "\r\n" + body
+                                        + "\r\n0\r\n\r\n"
+                                : "Content-Length: " + length + "\r\n\r\n" + body));
                 Wire.Message head = client.head();
-                assertThat(head.header("Content-Length") == null ? client.chunks() : client.body(length)).isEqualTo(body);
+                assertThat(head.header("Content-Length") == null ? client.chunks() : client.body(length))
+                        .isEqualTo(body);
             }
         }
     }
--- a/daemon/src/test/java/grebehoist/http/ReadBacklogTest.java
+++ b/daemon/src/test/java/grebehoist/http/ReadBacklogTest.java
@@ -33,8 +33,11 @@
         int piece = ReadBacklog.MOST_HELD / 4;
         for (int i = 1; i <= 100; i++) {
             long came = backlog.read(piece, i * 100L);
-            // Byte i came no sooner than byte i - 4 was read; as times are kept in steps it may be told a little sooner.
-            assertThat(came).isLessThanOrEqualTo(Math.max(0, i - 4) * 100L).isGreaterThanOrEqualTo(Math.max(0, i - 5) * 100L);
+            // Byte i came no sooner than byte i - 4 was read; as times are kept in steps it may be told a little
+            // sooner.
+            assertThat(came)
+                    .isLessThanOrEqualTo(Math.max(0, i - 4) * 100L)
+                    .isGreaterThanOrEqualTo(Math.max(0, i - 5) * 100L);
             assertThat(backlog.size()).isLessThan(20);
         }
         assertThat(backlog.endMayHaveComeAt(piece)).isEqualTo(9_700);
