--- a/daemon/src/test/java/grebehoist/http/SlowReadersTest.java
+++ b/daemon/src/test/java/grebehoist/http/SlowReadersTest.java
@@ -43,11 +43,18 @@
      */
     @Test
     void whoTakesLittleIsServedAndWhoTakesNothingIsCutOff() throws Exception {
-        try (var slow = new Peer(); var none = new Peer(); var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a) {
-                actions.accept(new Send(a.id(), a.id().equals("slow") ? "s0" : "s1", 0));
-            }
-        }, slow, none); var reads = Wire.narrow(proxy.address); var silent = Wire.narrow(proxy.address)) {
+        try (var slow = new Peer();
+                var none = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof Arrival a) {
+                                actions.accept(new Send(a.id(), a.id().equals("slow") ? "s0" : "s1", 0));
+                            }
+                        },
+                        slow,
+                        none);
+                var reads = Wire.narrow(proxy.address);
+                var silent = Wire.narrow(proxy.address)) {
             reads.send(Fixture.get("slow"));
             CompletableFuture<Void> given = answer(slow.accept());
             silent.send(Fixture.get("none"));
@@ -59,7 +66,9 @@
                 read.append(reads.body(16 * 1_024));
                 Thread.sleep(250);
                 assertThat(given).isNotCompletedExceptionally();
-                assertThat(System.nanoTime() - from).as("it is cut off in a stated time").isLessThan(25_000_000_000L);
+                assertThat(System.nanoTime() - from)
+                        .as("it is cut off in a stated time")
+                        .isLessThan(25_000_000_000L);
             }
             assertThat(notGiven).isCompletedExceptionally();
             read.append(reads.body(LENGTH - read.length()));
@@ -70,7 +79,9 @@
     /** What a client says too much, behind its last request, does not cost it the rest of an answer that is on its way. */
     @Test
     void bytesBehindTheLastRequestDoNotDestroyItsAnswer() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = Wire.narrow(proxy.address)) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = Wire.narrow(proxy.address)) {
             client.send(get("r1", "Connection: close"));
             CompletableFuture<Void> given = answer(backend.accept());
             assertThat(client.head().header("Connection")).isEqualTo("close");
@@ -92,14 +103,16 @@
     @Test
     void aDrainWaitsForWhatClientsHaveYetToTake() throws Exception {
         var clients = new ArrayList<Wire>();
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend)) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend)) {
             for (int i = 0; i < 40; i++) {
                 Wire client = Wire.narrow(proxy.address);
                 clients.add(client);
                 client.send(Fixture.get("r" + i));
                 Wire attempt = backend.accept();
                 attempt.head();
-                attempt.send("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " + length(i) + "\r\n\r\n" + "x".repeat(length(i)));
+                attempt.send("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " + length(i) + "\r\n\r\n"
+                        + "x".repeat(length(i)));
                 client.head();
             }
             CompletableFuture<Void> drained = CompletableFuture.runAsync(proxy::drain);
@@ -125,7 +138,9 @@
     /** The client can tell that an answer is not whole, and soon: its connection ends with its backend's. */
     @Test
     void aBackendThatDiesInMidAnswerIsToldAtOnce() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = Wire.narrow(proxy.address)) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = Wire.narrow(proxy.address)) {
             client.send(Fixture.get("r1"));
             Wire attempt = backend.accept();
             attempt.head();
@@ -134,7 +149,8 @@
             client.head();
             client.body(PIECE.length());
             attempt.close();
-            assertThatThrownBy(() -> client.body(LENGTH - PIECE.length())).isInstanceOf(IOException.class)
+            assertThatThrownBy(() -> client.body(LENGTH - PIECE.length()))
+                    .isInstanceOf(IOException.class)
                     .isNotInstanceOf(java.net.SocketTimeoutException.class);
         }
     }
--- a/daemon/src/test/java/grebehoist/operations/DistributionCallsTest.java
+++ b/daemon/src/test/java/grebehoist/operations/DistributionCallsTest.java
@@ -27,7 +27,9 @@
     private boolean ready;
     private final Network network = Network.sockets();
     private final Door opened = new Door(null, new StderrLog());
-    private final Channel door = opened.listen(network, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).syncUninterruptibly().channel();
+    private final Channel door = opened.listen(network, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+            .syncUninterruptibly()
+            .channel();
 
     @AfterEach
     void end() {
@@ -37,7 +39,8 @@
     private Wire.Message call(String line, String body) throws IOException {
         opened.distribution(new DistributionCalls(this));
         try (var wire = Wire.to((InetSocketAddress) door.localAddress())) {
-            return wire.send(line + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length() + "\r\n\r\n" + body).read();
+            return wire.send(line + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                    .read();
         }
     }
 
@@ -48,10 +51,21 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"GET /v1/distribution,200,figures null null", "GET /v1/distribution?scope=c1%2Fbilling,200,figures c1/billing null",
-        "GET /v1/distribution?after=a+b,200,figures null a b", "GET /v1/distribution?scope=none,404,figures none null",
-        "POST /v1/distribution,405,", "GET /v1/distribution/call,405,", "POST /v1/distribution/calls,404,", "GET /v1/distribution/x,404,",
-        "GET /v1/metrics,404,", "POST /v1/backends/s-1/suspend,404,", "POST /v1/proxy/drain,404,", "GET /v1/members,404,", "GET /v1/readyz,503,"})
+    @CsvSource({
+        "GET /v1/distribution,200,figures null null",
+        "GET /v1/distribution?scope=c1%2Fbilling,200,figures c1/billing null",
+        "GET /v1/distribution?after=a+b,200,figures null a b",
+        "GET /v1/distribution?scope=none,404,figures none null",
+        "POST /v1/distribution,405,",
+        "GET /v1/distribution/call,405,",
+        "POST /v1/distribution/calls,404,",
+        "GET /v1/distribution/x,404,",
+        "GET /v1/metrics,404,",
+        "POST /v1/backends/s-1/suspend,404,",
+        "POST /v1/proxy/drain,404,",
+        "GET /v1/members,404,",
+        "GET /v1/readyz,503,"
+    })
     void eachCallHasItsAnswer(String line, int status, String done) throws IOException {
         assertThat(call(line, "").status()).isEqualTo(status);
         assertThat(asked).isEqualTo(done == null ? List.of() : List.of(done));
@@ -74,7 +88,8 @@
         assertThat(error("", 400)).isEqualTo("no call");
         assertThat(error("[1]", 400)).isEqualTo("no call");
         assertThat(error("{\"call\":\"elsewhere\"}", 404)).isEqualTo("this process holds nothing for others");
-        assertThat(call("POST /v1/distribution/call", "x".repeat(5_000)).status()).isEqualTo(413);
+        assertThat(call("POST /v1/distribution/call", "x".repeat(5_000)).status())
+                .isEqualTo(413);
         assertThat(asked).isEmpty();
     }
 
@@ -88,7 +103,10 @@
     @Test
     void whereNothingIsDistributedThereIsNothing() throws IOException {
         try (var wire = Wire.to((InetSocketAddress) door.localAddress())) {
-            assertThat(wire.send("GET /v1/distribution HTTP/1.1\r\nHost: x\r\n\r\n").read().status()).isEqualTo(404);
+            assertThat(wire.send("GET /v1/distribution HTTP/1.1\r\nHost: x\r\n\r\n")
+                            .read()
+                            .status())
+                    .isEqualTo(404);
         }
     }
 
--- a/daemon/src/test/java/grebehoist/operations/DoorTest.java
+++ b/daemon/src/test/java/grebehoist/operations/DoorTest.java
@@ -26,7 +26,9 @@
     private boolean kept = true;
     private final Network network = Network.sockets();
     private final Channel door = new Door(this, new StderrLog())
-            .listen(network, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).syncUninterruptibly().channel();
+            .listen(network, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+            .syncUninterruptibly()
+            .channel();
 
     @AfterEach
     void end() {
@@ -35,18 +37,33 @@
 
     private Wire.Message call(String line) throws IOException {
         try (var wire = Wire.to((InetSocketAddress) door.localAddress())) {
-            Wire.Message answer = wire.send(line + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n").read();
+            Wire.Message answer = wire.send(line + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+                    .read();
             assertThat(wire.ended()).isTrue();
             return answer;
         }
     }
 
     @ParameterizedTest
-    @CsvSource({"POST /v1/backends/s-1/suspend,200,suspend s-1", "POST /v1/backends/s-1/resume,200,resume s-1",
-        "POST /v1/backends/a%2Fb%20+c/suspend,200,suspend a/b +c", "POST /v1/backends/none/suspend,404,", "POST /v1/backends/none/resume,404,",
-        "POST /v1/backends//suspend,404,", "POST /v1/backends/suspend,404,", "POST /v1/backends/s-1/stop,404,", "GET /v1/backends/s-1/suspend,405,",
-        "POST /v1/backends/%zz/suspend,400,", "POST /v1/proxy/drain,200,drain true", "POST /v1/proxy/activate,200,drain false",
-        "GET /v1/proxy/drain,405,", "POST /v1/metrics,405,", "GET /v1/readyz,503,", "GET /,404,", "NONSENSE,400,"})
+    @CsvSource({
+        "POST /v1/backends/s-1/suspend,200,suspend s-1",
+        "POST /v1/backends/s-1/resume,200,resume s-1",
+        "POST /v1/backends/a%2Fb%20+c/suspend,200,suspend a/b +c",
+        "POST /v1/backends/none/suspend,404,",
+        "POST /v1/backends/none/resume,404,",
+        "POST /v1/backends//suspend,404,",
+        "POST /v1/backends/suspend,404,",
+        "POST /v1/backends/s-1/stop,404,",
+        "GET /v1/backends/s-1/suspend,405,",
+        "POST /v1/backends/%zz/suspend,400,",
+        "POST /v1/proxy/drain,200,drain true",
+        "POST /v1/proxy/activate,200,drain false",
+        "GET /v1/proxy/drain,405,",
+        "POST /v1/metrics,405,",
+        "GET /v1/readyz,503,",
+        "GET /,404,",
+        "NONSENSE,400,"
+    })
     void eachCallHasItsAnswer(String line, int status, String done) throws IOException {
         assertThat(call(line).status()).isEqualTo(status);
         assertThat(asked).isEqualTo(done == null ? List.of() : List.of(done));
@@ -59,7 +76,9 @@
         assertThat(call("GET /v1/readyz").status()).isEqualTo(200);
         assertThat(call("GET /v1/metrics").body()).isEqualTo("{\"active\":3}\n");
         kept = false;
-        assertThat(call("POST /v1/proxy/drain").status()).as("what could not be kept is not promised").isEqualTo(507);
+        assertThat(call("POST /v1/proxy/drain").status())
+                .as("what could not be kept is not promised")
+                .isEqualTo(507);
     }
 
     /** Callers that complete no call cost those who do nothing, however many they are. */
--- a/daemon/src/test/java/grebehoist/operations/StateDirectoryTest.java
+++ b/daemon/src/test/java/grebehoist/operations/StateDirectoryTest.java
@@ -66,12 +66,16 @@
 
     @Test
     void whatOneIsToldTheOtherHearsAndTheNextFinds() throws Exception {
-        try (var old = open(); var young = open()) {
+        try (var old = open();
+                var young = open()) {
             BlockingQueue<Shared> seenByOld = watch(old);
             BlockingQueue<Shared> seenByYoung = watch(young);
             assertThat(done(then -> old.suspend("a/b ?", then))).isTrue();
-            assertThat(await(seenByYoung, s -> !s.suspended().isEmpty()).suspended()).containsExactly("a/b ?");
-            assertThat(done(then -> young.suspend("a/b ?", then))).as("twice is once").isTrue();
+            assertThat(await(seenByYoung, s -> !s.suspended().isEmpty()).suspended())
+                    .containsExactly("a/b ?");
+            assertThat(done(then -> young.suspend("a/b ?", then)))
+                    .as("twice is once")
+                    .isTrue();
             assertThat(done(then -> young.resume("a/b ?", then))).isTrue();
             await(seenByOld, s -> !s.suspended().isEmpty());
             await(seenByOld, s -> s.suspended().isEmpty());
@@ -117,13 +121,16 @@
     void thereIsABoundAndWhatIsOverItIsToldSo() throws Exception {
         try (var state = open()) {
             for (int i = 0; i < StateDirectory.MOST_SUSPENDED; i++) {
-                Files.createFile(directory.resolve("suspended-" + Base64.getUrlEncoder().withoutPadding().encodeToString(("b" + i).getBytes())));
+                Files.createFile(directory.resolve(
+                        "suspended-" + Base64.getUrlEncoder().withoutPadding().encodeToString(("b" + i).getBytes())));
             }
             BlockingQueue<Shared> seen = watch(state);
             await(seen, s -> s.suspended().size() == StateDirectory.MOST_SUSPENDED);
             assertThat(done(then -> state.suspend("more", then))).isFalse();
             assertThat(done(then -> state.suspend("b7", then))).isTrue();
-            assertThat(done(then -> state.suspend("x".repeat(400), then))).as("no file has such a name").isFalse();
+            assertThat(done(then -> state.suspend("x".repeat(400), then)))
+                    .as("no file has such a name")
+                    .isFalse();
         }
     }
 
@@ -155,7 +162,8 @@
     @Test
     void aProcessFileThatCannotBeOpenedHidesNothing() throws Exception {
         Files.createDirectory(directory.resolve("process-0000000000000001-1"));
-        try (var state = open(); var other = open()) {
+        try (var state = open();
+                var other = open()) {
             BlockingQueue<Shared> seen = watch(state);
             watch(other);
             assertThat(seen.take().others()).isPositive();
@@ -168,7 +176,8 @@
     @Test
     void theNewerOneIsNewerWhateverTheClockSays() throws Exception {
         Files.createFile(directory.resolve("process-9000000000000000-1"));
-        try (var old = open(); var young = open()) {
+        try (var old = open();
+                var young = open()) {
             BlockingQueue<Shared> seen = watch(old);
             assertThat(await(seen, s -> s.others() == 1).newer()).isTrue();
             assertThat(young.atStart().newer()).isFalse();
@@ -186,14 +195,20 @@
             Files.move(directory, moved);
             var lasts = new CompletableFuture<Boolean>();
             state.suspend("b", lasts::complete);
-            assertThat(await(seen, s -> s.suspended().size() > 1).suspended()).as("in force before it lasts").containsExactlyInAnyOrder("a", "b");
+            assertThat(await(seen, s -> s.suspended().size() > 1).suspended())
+                    .as("in force before it lasts")
+                    .containsExactlyInAnyOrder("a", "b");
             assertThat(lasts).isNotDone();
             Files.move(moved, directory);
-            assertThat(lasts.get(10, TimeUnit.SECONDS)).as("written once the directory is back, without another call").isTrue();
+            assertThat(lasts.get(10, TimeUnit.SECONDS))
+                    .as("written once the directory is back, without another call")
+                    .isTrue();
             try (var next = open()) {
                 assertThat(next.atStart().suspended()).containsExactlyInAnyOrder("a", "b");
             }
-            assertThat(seen).as("nothing but the other process").allMatch(s -> s.suspended().equals(Set.of("a", "b")));
+            assertThat(seen)
+                    .as("nothing but the other process")
+                    .allMatch(s -> s.suspended().equals(Set.of("a", "b")));
         } catch (IOException e) {
             throw new AssertionError("the directory could not be put back", e);
         }
--- a/daemon/src/test/java/grebehoist/search/BrokenProxyTest.java
+++ b/daemon/src/test/java/grebehoist/search/BrokenProxyTest.java
@@ -9,7 +9,6 @@
 import grebehoist.engine.Attempt;
 import grebehoist.engine.Intake;
 import grebehoist.engine.Listed;
-import grebehoist.engine.MemberSource;
 import grebehoist.engine.Payload;
 import grebehoist.engine.Request;
 import grebehoist.engine.Responder;
@@ -51,7 +50,8 @@
         return caught(Protocol.HTTP, rule, wiring);
     }
 
-    private static Violation caught(Protocol protocol, Rule rule, Supplier<Pool.Wiring> wiring) throws InterruptedException {
+    private static Violation caught(Protocol protocol, Rule rule, Supplier<Pool.Wiring> wiring)
+            throws InterruptedException {
         var left = new AtomicLong(SCRIPTS);
         var found = new ArrayList<Violation>();
         Search.run(protocol, 1, () -> left.getAndDecrement() > 0, 4, wiring, report -> {
@@ -59,7 +59,9 @@
                 report.violations().stream().filter(v -> v.rule() == rule).forEach(found::add);
             }
         });
-        assertThat(found).as("broken on purpose, and not seen in " + SCRIPTS + " scripts").isNotEmpty();
+        assertThat(found)
+                .as("broken on purpose, and not seen in " + SCRIPTS + " scripts")
+                .isNotEmpty();
         Violation first = found.get(0);
         assertThat(first.subject()).isNotBlank();
         assertThat(first.atUs()).isPositive();
@@ -71,76 +73,85 @@
     @Test
     void anEngineThatLosesAnAnswer() throws Exception {
         var seen = new AtomicInteger();
-        Violation v = caught(Rule.ANSWER, () -> intake(i -> new Passing(i) {
-            @Override
-            Responder responder(Responder to) {
-                return seen.incrementAndGet() % 50 == 0 ? new Silent() : to;
-            }
-        }));
+        Violation v = caught(
+                Rule.ANSWER,
+                () -> intake(i -> new Passing(i) {
+                    @Override
+                    Responder responder(Responder to) {
+                        return seen.incrementAndGet() % 50 == 0 ? new Silent() : to;
+                    }
+                }));
         assertThat(v.what()).contains("no answer");
     }
 
     @Test
     void anEngineThatServesTheAnswerOfAnother() throws Exception {
-        Violation v = caught(Rule.ANSWER, () -> intake(i -> new Passing(i) {
-            private Payload kept;
+        Violation v = caught(
+                Rule.ANSWER,
+                () -> intake(i -> new Passing(i) {
+                    private Payload kept;
 
-            @Override
-            Responder responder(Responder to) {
-                return new Through(to) {
                     @Override
-                    public void served(Payload answer) {
-                        if (kept == null) {
-                            kept = answer;
-                            answer.retain();
-                        }
-                        kept.retain();
-                        super.served(kept);
-                        answer.release();
+                    Responder responder(Responder to) {
+                        return new Through(to) {
+                            @Override
+                            public void served(Payload answer) {
+                                if (kept == null) {
+                                    kept = answer;
+                                    answer.retain();
+                                }
+                                kept.retain();
+                                super.served(kept);
+                                answer.release();
+                            }
+                        };
                     }
-                };
-            }
-        }));
+                }));
         assertThat(v.what()).contains("served with what no backend made for it");
     }
 
     /** It lets go of what a backend still gives; its client has the beginning and waits. */
     @Test
     void anEngineThatDropsLongAnswersOnTheirWay() throws Exception {
-        Violation v = caught(Protocol.HTTP_LONG, Rule.ANSWER, () -> intake(i -> new Passing(i) {
-            @Override
-            Responder responder(Responder to) {
-                return new Through(to) {
+        Violation v = caught(
+                Protocol.HTTP_LONG,
+                Rule.ANSWER,
+                () -> intake(i -> new Passing(i) {
                     @Override
-                    public void served(Payload answer) {
-                        super.served(answer);
-                        if (answer instanceof StreamedPayload) {
-                            answer.release();
-                        }
+                    Responder responder(Responder to) {
+                        return new Through(to) {
+                            @Override
+                            public void served(Payload answer) {
+                                super.served(answer);
+                                if (answer instanceof StreamedPayload) {
+                                    answer.release();
+                                }
+                            }
+                        };
                     }
-                };
-            }
-        }));
+                }));
         assertThat(v.what()).containsAnyOf("no answer", "cut off");
     }
 
     @Test
     void anEngineThatAnswersAndGoesOnTrying() throws Exception {
-        Violation v = caught(Rule.ANSWER, () -> intake(i -> new Passing(i) {
-            @Override
-            public void arrived(Request request, Responder responder) {
-                // Told that it failed, though it is handed in all the same.
-                request.payload().retain();
-                responder.failed();
-                super.arrived(request, new Through(new Silent()) {
+        Violation v = caught(
+                Rule.ANSWER,
+                () -> intake(i -> new Passing(i) {
                     @Override
-                    public void served(Payload answer) {
-                        super.served(answer);
-                        request.payload().release();
+                    public void arrived(Request request, Responder responder) {
+                        // Told that it failed, though it is handed in all the same.
+                        request.payload().retain();
+                        responder.failed();
+                        super.arrived(request, new Through(new Silent()) {
+                            @Override
+                            public void served(Payload answer) {
+                                super.served(answer);
+                                request.payload().release();
+                            }
+                        });
                     }
-                });
-            }
-        }));
+                }));
         assertThat(v.what()).containsAnyOf("after it was failed", "no answer");
     }
 
@@ -148,62 +159,103 @@
 
     @Test
     void aModuleThatSendsAgainWhateverTheClass() throws Exception {
-        Violation v = caught(Rule.EFFECT, () -> module(settings -> {
-            var safe = settings.classes().stream().map(c -> new Balancer.RequestClass(c.name(), c.aimUs(), c.deadlineUs(),
-                    c.worth(), c.lateWorth(), Balancer.Effect.SAFE, Balancer.Scope.ALL, 0)).toList();
-            return new Policy(new Balancer.Settings(settings.balancers(), settings.rank(), settings.zone(), settings.tickUs(),
-                    safe, settings.tenants(), settings.overShareWorth(), false, settings.limits(), settings.rules(), settings.seed()));
-        }));
+        Violation v = caught(
+                Rule.EFFECT,
+                () -> module(settings -> {
+                    var safe = settings.classes().stream()
+                            .map(c -> new Balancer.RequestClass(
+                                    c.name(),
+                                    c.aimUs(),
+                                    c.deadlineUs(),
+                                    c.worth(),
+                                    c.lateWorth(),
+                                    Balancer.Effect.SAFE,
+                                    Balancer.Scope.ALL,
+                                    0))
+                            .toList();
+                    return new Policy(new Balancer.Settings(
+                            settings.balancers(),
+                            settings.rank(),
+                            settings.zone(),
+                            settings.tickUs(),
+                            safe,
+                            settings.tenants(),
+                            settings.overShareWorth(),
+                            false,
+                            settings.limits(),
+                            settings.rules(),
+                            settings.seed()));
+                }));
         assertThat(v.what()).contains("may have run");
     }
 
     @Test
     void aModuleThatRefusesWhatMayHaveRun() throws Exception {
-        Violation v = caught(Rule.EFFECT, () -> module(settings -> {
-            var policy = new Policy(settings);
-            return (now, event, actions) -> policy.handle(now, event,
-                    a -> actions.accept(a instanceof Balancer.Fail f ? new Balancer.Refuse(f.id(), 0) : a));
-        }));
+        Violation v = caught(
+                Rule.EFFECT,
+                () -> module(settings -> {
+                    var policy = new Policy(settings);
+                    return (now, event, actions) -> policy.handle(
+                            now,
+                            event,
+                            a -> actions.accept(a instanceof Balancer.Fail f ? new Balancer.Refuse(f.id(), 0) : a));
+                }));
         assertThat(v.what()).contains("refused though attempt");
     }
 
     @Test
     void aTransportThatSendsByItselfAgain() throws Exception {
-        Violation v = caught(Rule.EFFECT, () -> transport(t -> new Passing.Of(t) {
-            @Override
-            public Attempt attempt(String backend, Payload request, long deadlineUs, Attempt.End end) {
-                Attempt copy = super.attempt(backend, request, deadlineUs, (outcome, answer) -> {
-                    if (answer != null) {
-                        answer.release();
+        Violation v = caught(
+                Rule.EFFECT,
+                () -> transport(t -> new Passing.Of(t) {
+                    @Override
+                    public Attempt attempt(String backend, Payload request, long deadlineUs, Attempt.End end) {
+                        Attempt copy = super.attempt(backend, request, deadlineUs, (outcome, answer) -> {
+                            if (answer != null) {
+                                answer.release();
+                            }
+                        });
+                        if (copy != null) {
+                            copy.start();
+                        }
+                        return super.attempt(backend, request, deadlineUs, end);
                     }
-                });
-                if (copy != null) {
-                    copy.start();
-                }
-                return super.attempt(backend, request, deadlineUs, end);
-            }
-        }));
+                }));
         assertThat(v.what()).containsAnyOf("was out", "may have run", "second time", "attempt number");
     }
 
     @Test
     void aTransportThatTakesAResetForProof() throws Exception {
-        caught(Rule.EFFECT, () -> transport(t -> new Passing.Of(t) {
-            @Override
-            public Attempt attempt(String backend, Payload request, long deadlineUs, Attempt.End end) {
-                return super.attempt(backend, request, deadlineUs,
-                        (outcome, answer) -> end.ended(outcome == Outcome.RESET ? Outcome.CONNECT_FAILED : outcome, answer));
-            }
-        }));
+        caught(
+                Rule.EFFECT,
+                () -> transport(t -> new Passing.Of(t) {
+                    @Override
+                    public Attempt attempt(String backend, Payload request, long deadlineUs, Attempt.End end) {
+                        return super.attempt(
+                                backend,
+                                request,
+                                deadlineUs,
+                                (outcome, answer) ->
+                                        end.ended(outcome == Outcome.RESET ? Outcome.CONNECT_FAILED : outcome, answer));
+                    }
+                }));
     }
 
     // Rule 3
 
     @Test
     void aProxyThatIsDeafToDrains() throws Exception {
-        Violation v = caught(Rule.DRAIN, () -> new Pool.Wiring(Policy::new, UnaryOperator.identity(), UnaryOperator.identity(),
-                sink -> (kind, listed) -> sink.members(kind == ListKind.FULL ? ListKind.DELTA : kind,
-                        listed.stream().filter(l -> l.backend().state() == Balancer.State.READY).toList())));
+        Violation v = caught(
+                Rule.DRAIN,
+                () -> new Pool.Wiring(
+                        Policy::new,
+                        UnaryOperator.identity(),
+                        UnaryOperator.identity(),
+                        sink -> (kind, listed) -> sink.members(
+                                kind == ListKind.FULL ? ListKind.DELTA : kind,
+                                listed.stream()
+                                        .filter(l -> l.backend().state() == Balancer.State.READY)
+                                        .toList())));
         assertThat(v.what()).containsPattern("\\d+ ms after proxy \\d was told");
     }
 
@@ -211,18 +263,26 @@
 
     @Test
     void aModuleThatSendsAllToTheNewestBackend() throws Exception {
-        Violation v = caught(Rule.COLD, () -> module(settings -> {
-            var policy = new Policy(settings);
-            var newest = new Balancer.Backend[1];
-            return (now, event, actions) -> {
-                if (event instanceof Balancer.Members m) {
-                    m.backends().stream().filter(b -> b.startedAtUs() > 0 && b.state() == Balancer.State.READY)
-                            .forEach(b -> newest[0] = b);
-                }
-                policy.handle(now, event, a -> actions.accept(newest[0] != null && a instanceof Balancer.Send s
-                        ? new Balancer.Send(s.id(), newest[0].id(), s.timeoutUs()) : a));
-            };
-        }));
+        Violation v = caught(
+                Rule.COLD,
+                () -> module(settings -> {
+                    var policy = new Policy(settings);
+                    var newest = new Balancer.Backend[1];
+                    return (now, event, actions) -> {
+                        if (event instanceof Balancer.Members m) {
+                            m.backends().stream()
+                                    .filter(b -> b.startedAtUs() > 0 && b.state() == Balancer.State.READY)
+                                    .forEach(b -> newest[0] = b);
+                        }
+                        policy.handle(
+                                now,
+                                event,
+                                a -> actions.accept(
+                                        newest[0] != null && a instanceof Balancer.Send s
+                                                ? new Balancer.Send(s.id(), newest[0].id(), s.timeoutUs())
+                                                : a));
+                    };
+                }));
         assertThat(v.what()).contains("ms of work within");
     }
 
@@ -322,9 +382,9 @@
         }
 
         @Override
-        public void refused(long retryAfterUs) { }
+        public void refused(long retryAfterUs) {}
 
         @Override
-        public void failed() { }
+        public void failed() {}
     }
 }
--- a/daemon/src/test/java/grebehoist/search/HardCasesTest.java
+++ b/daemon/src/test/java/grebehoist/search/HardCasesTest.java
@@ -18,9 +18,12 @@
     private static Map<Count, Long> play(double load, String steps) {
         var sum = new EnumMap<Count, Long>(Count.class);
         for (int seed = 1; seed <= SEEDS; seed++) {
-            Script script = Script.parse("seed=" + seed + " proxies=2 backends=4 load=" + load + " length=5000\n" + steps);
+            Script script =
+                    Script.parse("seed=" + seed + " proxies=2 backends=4 load=" + load + " length=5000\n" + steps);
             World.Report report = World.play(script);
-            assertThat(report.broken()).as(script + "" + report.violations() + report.errors()).isFalse();
+            assertThat(report.broken())
+                    .as(script + "" + report.violations() + report.errors())
+                    .isFalse();
             report.counts().forEach((c, n) -> sum.merge(c, n, Long::sum));
         }
         return sum;
@@ -69,7 +72,12 @@
     void aBackendRestartsWhereItWas() {
         var steps = new StringBuilder();
         for (int at = 200; at < 5000; at += 150) {
-            steps.append(at).append(" CRASH ").append(at / 150).append(' ').append(1 + at % 37).append(" 1\n");
+            steps.append(at)
+                    .append(" CRASH ")
+                    .append(at / 150)
+                    .append(' ')
+                    .append(1 + at % 37)
+                    .append(" 1\n");
         }
         var counts = play(steps.toString());
         assertThat(counts.get(Count.ATTEMPTS)).isGreaterThan(counts.get(Count.SERVED));
@@ -117,7 +125,12 @@
     void proxiesAreKilledAgainAndAgain() {
         var steps = new StringBuilder("0 DAWDLERS 0 5000 0.3\n");
         for (int at = 300; at < 5000; at += 250) {
-            steps.append(at).append(" KILL ").append(at / 250 % 2).append(' ').append(20 + at % 120).append(" 1\n");
+            steps.append(at)
+                    .append(" KILL ")
+                    .append(at / 250 % 2)
+                    .append(' ')
+                    .append(20 + at % 120)
+                    .append(" 1\n");
             steps.append(at + 40).append(" RESET_LATE ").append(at / 250).append(" 60 1\n");
         }
         var counts = play(steps.toString());
--- a/daemon/src/test/java/grebehoist/search/ScriptTest.java
+++ b/daemon/src/test/java/grebehoist/search/ScriptTest.java
@@ -19,18 +19,23 @@
 
     @Test
     void readsNotesAndEmptyLines() {
-        Script script = Script.parse("seed=3 proxies=1 backends=2 load=0.5 length=900\n\n# a drain\n10 REPLACE 0 50 1.0 # now\n");
+        Script script = Script.parse(
+                "seed=3 proxies=1 backends=2 load=0.5 length=900\n\n# a drain\n10 REPLACE 0 50 1.0 # now\n");
         assertThat(script.steps()).containsExactly(new Script.Step(10, Fault.REPLACE, 0, 50, 1));
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "seed=3 proxies=1|line 1:",
-        "seed=x proxies=1 backends=2 load=0.5 length=900|line 1:",
-        "seed=3 proxies=1 backends=2 load=0.5 length=900;10 REPLACE 0 50 1;20 FLOOD 0 50 1|line 3:",
-        "seed=3 proxies=1 backends=2 load=0.5 length=900;10 REPLACE 0|line 2:"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "seed=3 proxies=1|line 1:",
+                "seed=x proxies=1 backends=2 load=0.5 length=900|line 1:",
+                "seed=3 proxies=1 backends=2 load=0.5 length=900;10 REPLACE 0 50 1;20 FLOOD 0 50 1|line 3:",
+                "seed=3 proxies=1 backends=2 load=0.5 length=900;10 REPLACE 0|line 2:"
+            })
     void namesTheLineThatIsWrong(String text, String line) {
-        assertThatThrownBy(() -> Script.parse(text.replace(';', '\n'))).isInstanceOf(IllegalArgumentException.class)
+        assertThatThrownBy(() -> Script.parse(text.replace(';', '\n')))
+                .isInstanceOf(IllegalArgumentException.class)
                 .hasMessageStartingWith(line);
     }
 
@@ -44,8 +49,14 @@
                 30 DRIP 2 50 1
                 40 PAUSE 0 50 1
                 """);
-        var small = new Shrinker(s -> s.steps().stream().map(Script.Step::fault).toList().containsAll(List.of(Fault.SILENT, Fault.PAUSE))
-                && s.lengthMs() >= 1_000, 1_000).shrink(script);
+        var small = new Shrinker(
+                        s -> s.steps().stream()
+                                        .map(Script.Step::fault)
+                                        .toList()
+                                        .containsAll(List.of(Fault.SILENT, Fault.PAUSE))
+                                && s.lengthMs() >= 1_000,
+                        1_000)
+                .shrink(script);
         assertThat(small.steps()).extracting(Script.Step::fault).containsExactly(Fault.SILENT, Fault.PAUSE);
         assertThat(small.proxies()).isEqualTo(1);
         assertThat(small.lengthMs()).isBetween(1_000L, 1_500L);
@@ -54,10 +65,13 @@
     @Test
     void shrinkingEndsWhenItsPlaysAreUsedUp() {
         var plays = new int[1];
-        new Shrinker(s -> {
-            plays[0]++;
-            return true;
-        }, 7).shrink(Script.draw(5));
+        new Shrinker(
+                        s -> {
+                            plays[0]++;
+                            return true;
+                        },
+                        7)
+                .shrink(Script.draw(5));
         assertThat(plays[0]).isLessThanOrEqualTo(7);
     }
 }
--- a/daemon/src/test/java/grebehoist/search/SearchTest.java
+++ b/daemon/src/test/java/grebehoist/search/SearchTest.java
@@ -13,7 +13,8 @@
 class SearchTest {
     @Test
     void keepsTheRulesThroughTheSeeds() throws Exception {
-        assertKept(Protocol.HTTP, 2_000, EnumSet.complementOf(EnumSet.of(Count.ONEWAY, Count.STREAMED, Count.BROKEN_OFF)));
+        assertKept(
+                Protocol.HTTP, 2_000, EnumSet.complementOf(EnumSet.of(Count.ONEWAY, Count.STREAMED, Count.BROKEN_OFF)));
     }
 
     /** The same with bodies and answers around every length that counts, slow and in pieces, each byte checked. */
@@ -25,11 +26,18 @@
     /** Plays the scripts of so many seeds from 1 on over a protocol. */
     static void assertKept(Protocol protocol, long scripts, Set<Count> wanted) throws InterruptedException {
         var left = new AtomicLong(scripts);
-        Search.Tally tally = Search.run(protocol, 1, () -> left.getAndDecrement() > 0,
-                Math.min(8, Runtime.getRuntime().availableProcessors()), () -> Pool.Wiring.IN_SERVICE, report -> { });
+        Search.Tally tally = Search.run(
+                protocol,
+                1,
+                () -> left.getAndDecrement() > 0,
+                Math.min(8, Runtime.getRuntime().availableProcessors()),
+                () -> Pool.Wiring.IN_SERVICE,
+                report -> {});
         System.out.println(protocol + ", seeds 1 to " + scripts + ": " + tally.summary());
-        assertThat(tally.broken()).as("play one again with: search --replay FILE, the file holding the script")
-                .extracting(r -> "seed " + r.script().seed() + ": " + r.script() + r.violations() + r.errors()).isEmpty();
+        assertThat(tally.broken())
+                .as("play one again with: search --replay FILE, the file holding the script")
+                .extracting(r -> "seed " + r.script().seed() + ": " + r.script() + r.violations() + r.errors())
+                .isEmpty();
         assertThat(tally.scripts()).isEqualTo(scripts);
         // The scripts are no empty days: each kind of failure was brought about, and each kind of answer was given.
         assertThat(tally.faults().keySet()).containsExactlyInAnyOrder(Fault.values());
@@ -38,7 +46,9 @@
                 assertThat(tally.count(count)).as(count.name()).isGreaterThan(100);
             }
         }
-        assertThat(tally.count(Count.LATE)).as("nothing is excused for being a little late where time is virtual").isZero();
+        assertThat(tally.count(Count.LATE))
+                .as("nothing is excused for being a little late where time is virtual")
+                .isZero();
     }
 
     /** Equal scripts give equal runs: a seed is all that a report has to name. */
--- a/daemon/src/test/java/grebehoist/search/ThriftSearchTest.java
+++ b/daemon/src/test/java/grebehoist/search/ThriftSearchTest.java
@@ -15,7 +15,8 @@
 
     @Test
     void keepsTheRulesThroughTheSeeds() throws Exception {
-        SearchTest.assertKept(Protocol.THRIFT, 1_500, EnumSet.complementOf(EnumSet.of(Count.STREAMED, Count.BROKEN_OFF)));
+        SearchTest.assertKept(
+                Protocol.THRIFT, 1_500, EnumSet.complementOf(EnumSet.of(Count.STREAMED, Count.BROKEN_OFF)));
     }
 
     /**
@@ -31,18 +32,22 @@
             assertThat(thrift).as("seed " + seed).isEqualTo(http);
             lines += http.size();
         }
-        System.out.println(lines + " attempts and answers over " + ALIKE + " scripts are the same over HTTP and Thrift");
+        System.out.println(
+                lines + " attempts and answers over " + ALIKE + " scripts are the same over HTTP and Thrift");
         assertThat(lines).isGreaterThan(100 * ALIKE);
     }
 
     private static Script withoutPauses(Script script) {
-        return script.with(script.steps().stream().filter(s -> s.fault() != Fault.PAUSE).toList());
+        return script.with(
+                script.steps().stream().filter(s -> s.fault() != Fault.PAUSE).toList());
     }
 
     private static List<String> trace(Script script) {
         var lines = new ArrayList<String>();
         World.Report report = World.play(script, Pool.Wiring.IN_SERVICE, lines::add);
-        assertThat(report.broken()).as(script + "" + report.violations() + report.errors()).isFalse();
+        assertThat(report.broken())
+                .as(script + "" + report.violations() + report.errors())
+                .isFalse();
         return lines;
     }
 }
--- a/daemon/src/test/java/grebehoist/tasks/RunsTest.java
+++ b/daemon/src/test/java/grebehoist/tasks/RunsTest.java
@@ -20,7 +20,9 @@
     @Test
     void whatNobodyDidIsTold() {
         assertThat(runs.ended(200 * S, 20, Heard.DONE, 15)).isEqualTo(4);
-        assertThat(runs.ended(210 * S, 21, Heard.DONE, 0)).as("a receiver that does not say").isZero();
+        assertThat(runs.ended(210 * S, 21, Heard.DONE, 0))
+                .as("a receiver that does not say")
+                .isZero();
     }
 
     /** Where the receiver is ahead, as after a clock was wrong, runs go on from its last. */
--- a/daemon/src/test/java/grebehoist/thrift/CodecTest.java
+++ b/daemon/src/test/java/grebehoist/thrift/CodecTest.java
@@ -40,11 +40,35 @@
         assertThat(message.type()).isEqualTo(Message.CALL);
         assertThat(message.sequenceId()).isEqualTo(-77);
         var paths = new FieldPaths();
-        int[] slots = new int[] {paths.add("8"), paths.add("14.5.300"), paths.add("32000"), paths.add("6"), paths.add("5"), paths.add("1"),
-            paths.add("3"), paths.add("4"), paths.add("2"), paths.add("99"), paths.add("14.6"), paths.add("8")};
+        int[] slots = new int[] {
+            paths.add("8"),
+            paths.add("14.5.300"),
+            paths.add("32000"),
+            paths.add("6"),
+            paths.add("5"),
+            paths.add("1"),
+            paths.add("3"),
+            paths.add("4"),
+            paths.add("2"),
+            paths.add("99"),
+            paths.add("14.6"),
+            paths.add("8")
+        };
         String[] found = StructWalk.walk(frame, message, paths);
-        assertThat(Arrays.stream(slots).mapToObj(s -> found[s])).containsExactly("blåbær", "42", "far away",
-                Long.toString(Long.MAX_VALUE), Integer.toString(Integer.MIN_VALUE), "1", "-7", "-300", "0", null, null, "blåbær");
+        assertThat(Arrays.stream(slots).mapToObj(s -> found[s]))
+                .containsExactly(
+                        "blåbær",
+                        "42",
+                        "far away",
+                        Long.toString(Long.MAX_VALUE),
+                        Integer.toString(Integer.MIN_VALUE),
+                        "1",
+                        "-7",
+                        "-300",
+                        "0",
+                        null,
+                        null,
+                        "blåbær");
         assertThat(frame.readerIndex()).isZero();
     }
 
@@ -71,27 +95,54 @@
         byte[] whole = everything(kind, 5);
         for (int length = 0; length < whole.length; length++) {
             ByteBuf part = ThriftBytes.buf(Arrays.copyOf(whole, length));
-            assertThatThrownBy(() -> StructWalk.walk(part, Message.read(part), FieldPaths.NONE)).isInstanceOf(BadFrame.class);
+            assertThatThrownBy(() -> StructWalk.walk(part, Message.read(part), FieldPaths.NONE))
+                    .isInstanceOf(BadFrame.class);
         }
         ByteBuf more = ThriftBytes.buf(Arrays.copyOf(whole, whole.length + 1));
-        assertThatThrownBy(() -> StructWalk.walk(more, Message.read(more), FieldPaths.NONE)).hasMessageContaining("behind the message");
+        assertThatThrownBy(() -> StructWalk.walk(more, Message.read(more), FieldPaths.NONE))
+                .hasMessageContaining("behind the message");
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"", "81", "8002", "820201", "8222", "8224", "ffffffff", "474554202f", "80010001ffffffff", "8001000100000000",
-        "8001000900000001610000000100", "00000000", "7fffffff", "8221ffffffffff", "822101ffffffff7f"})
+    @ValueSource(
+            strings = {
+                "",
+                "81",
+                "8002",
+                "820201",
+                "8222",
+                "8224",
+                "ffffffff",
+                "474554202f",
+                "80010001ffffffff",
+                "8001000100000000",
+                "8001000900000001610000000100",
+                "00000000",
+                "7fffffff",
+                "8221ffffffffff",
+                "822101ffffffff7f"
+            })
     void aHeadThatIsNoneIsABadFrame(String hex) {
         ByteBuf frame = ThriftBytes.buf(ByteBufUtil.decodeHexDump(hex));
         assertThatThrownBy(() -> Message.read(frame)).isInstanceOf(BadFrame.class);
     }
 
     private static ByteBuf binary(String... parts) {
-        ByteBuf out = Unpooled.buffer().writeInt(0x80010001).writeInt(1).writeByte('m').writeInt(1);
+        ByteBuf out = Unpooled.buffer()
+                .writeInt(0x80010001)
+                .writeInt(1)
+                .writeByte('m')
+                .writeInt(1);
         return append(out, parts);
     }
 
     private static ByteBuf compact(String... parts) {
-        ByteBuf out = Unpooled.buffer().writeByte(0x82).writeByte(0x21).writeByte(1).writeByte(1).writeByte('m');
+        ByteBuf out = Unpooled.buffer()
+                .writeByte(0x82)
+                .writeByte(0x21)
+                .writeByte(1)
+                .writeByte(1)
+                .writeByte('m');
         return append(out, parts);
     }
 
@@ -103,7 +154,8 @@
     }
 
     private static void assertBad(ByteBuf frame, String why) {
-        assertThatThrownBy(() -> StructWalk.walk(frame, Message.read(frame), FieldPaths.NONE)).isInstanceOf(BadFrame.class)
+        assertThatThrownBy(() -> StructWalk.walk(frame, Message.read(frame), FieldPaths.NONE))
+                .isInstanceOf(BadFrame.class)
                 .hasMessageContaining(why);
     }
 
@@ -131,7 +183,11 @@
     void framesComeWholeHoweverTheyAreCut() {
         byte[] one = everything(Kind.COMPACT, 1);
         byte[] two = everything(Kind.BINARY, 2);
-        ByteBuf stream = Unpooled.buffer().writeInt(one.length).writeBytes(one).writeInt(two.length).writeBytes(two);
+        ByteBuf stream = Unpooled.buffer()
+                .writeInt(one.length)
+                .writeBytes(one)
+                .writeInt(two.length)
+                .writeBytes(two);
         for (int cut = 0; cut <= stream.readableBytes(); cut++) {
             var channel = new EmbeddedChannel(new Frames(MAX));
             channel.writeInbound(stream.copy(0, cut));
@@ -150,7 +206,8 @@
     @ValueSource(ints = {-1, Integer.MIN_VALUE, Integer.MAX_VALUE, MAX + 1})
     void aLengthThatCannotBeIsRefusedBeforeTheFrameIsRead(int length) {
         var channel = new EmbeddedChannel(new Frames(MAX));
-        assertThatThrownBy(() -> channel.writeInbound(Unpooled.buffer().writeInt(length))).isInstanceOf(CodecException.class);
+        assertThatThrownBy(() -> channel.writeInbound(Unpooled.buffer().writeInt(length)))
+                .isInstanceOf(CodecException.class);
         channel.finishAndReleaseAll();
     }
 
@@ -160,9 +217,14 @@
     void aDeclaredRefusalIsAStructInTheResult(Kind kind) throws Exception {
         ByteBuf frame = ThriftBytes.buf(everything(kind, 9));
         Message call = Message.read(frame);
-        for (var declared : new ThriftMethod.Refusal[] {new ThriftMethod.Refusal(2, 1, 3), new ThriftMethod.Refusal(20, 5, 4),
-            new ThriftMethod.Refusal(1, 0, 2), new ThriftMethod.Refusal(1, 7, 0)}) {
-            ByteBuf reply = Replies.refused(ByteBufAllocator.DEFAULT, call, declared, 1_500).skipBytes(4);
+        for (var declared : new ThriftMethod.Refusal[] {
+            new ThriftMethod.Refusal(2, 1, 3),
+            new ThriftMethod.Refusal(20, 5, 4),
+            new ThriftMethod.Refusal(1, 0, 2),
+            new ThriftMethod.Refusal(1, 7, 0)
+        }) {
+            ByteBuf reply = Replies.refused(ByteBufAllocator.DEFAULT, call, declared, 1_500)
+                    .skipBytes(4);
             Message head = Message.read(reply);
             var paths = new FieldPaths();
             int text = declared.message() == 0 ? -1 : paths.add(declared.field() + "." + declared.message());
@@ -195,8 +257,13 @@
     void claimsCostNoMemory() {
         List<ByteBuf> claims = new ArrayList<>();
         for (int type : new int[] {11, 13, 14, 15}) {
-            ByteBuf binary = Unpooled.buffer().writeInt(0x80010001).writeInt(3).writeBytes(new byte[] {'p', 'a', 'y'}).writeInt(1)
-                    .writeByte(type).writeShort(8);
+            ByteBuf binary = Unpooled.buffer()
+                    .writeInt(0x80010001)
+                    .writeInt(3)
+                    .writeBytes(new byte[] {'p', 'a', 'y'})
+                    .writeInt(1)
+                    .writeByte(type)
+                    .writeShort(8);
             if (type != 11) {
                 binary.writeByte(8);
             }
@@ -205,9 +272,14 @@
             }
             claims.add(binary.writeInt(Integer.MAX_VALUE).writeZero(100));
         }
-        claims.add(Unpooled.buffer().writeInt(0x80010001).writeInt(Integer.MAX_VALUE).writeZero(100));
-        claims.add(Unpooled.wrappedBuffer(new byte[] {(byte) 0x82, 0x21, 1, 3, 'p', 'a', 'y', (byte) 0x88, -1, -1, -1, -1, 7, 0, 0}));
-        claims.add(Unpooled.wrappedBuffer(new byte[] {(byte) 0x82, 0x21, 1, 3, 'p', 'a', 'y', (byte) 0x89, (byte) 0xF5, -1, -1, -1, -1, 7, 0}));
+        claims.add(Unpooled.buffer()
+                .writeInt(0x80010001)
+                .writeInt(Integer.MAX_VALUE)
+                .writeZero(100));
+        claims.add(Unpooled.wrappedBuffer(
+                new byte[] {(byte) 0x82, 0x21, 1, 3, 'p', 'a', 'y', (byte) 0x88, -1, -1, -1, -1, 7, 0, 0}));
+        claims.add(Unpooled.wrappedBuffer(
+                new byte[] {(byte) 0x82, 0x21, 1, 3, 'p', 'a', 'y', (byte) 0x89, (byte) 0xF5, -1, -1, -1, -1, 7, 0}));
         var paths = new FieldPaths();
         paths.add("8");
         var thread = (com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean();
@@ -234,12 +306,13 @@
     @Test
     void fieldPathsAreNumbersBetweenDots() {
         assertThat(new ArrayList<>(Arrays.asList("1", "2.1", "32767.1.2"))).allMatch(FieldPaths::isPath);
-        assertThat(new ArrayList<>(Arrays.asList("", ".", "1.", "a", "-1", "40000", "1..2", "1 "))).noneMatch(FieldPaths::isPath);
+        assertThat(new ArrayList<>(Arrays.asList("", ".", "1.", "a", "-1", "40000", "1..2", "1 ")))
+                .noneMatch(FieldPaths::isPath);
     }
 
     /** Mutates good messages and feeds them to the codec. */
     static final class CodecFuzz {
-        private CodecFuzz() { }
+        private CodecFuzz() {}
 
         /** Returns how many of the inputs were good messages all the same. */
         static long run(long seed, long inputs) {
@@ -251,7 +324,8 @@
             byte[][] good = new byte[6][];
             for (Kind kind : Kind.values()) {
                 good[kind.ordinal()] = everything(kind, 3);
-                good[3 + kind.ordinal()] = ThriftBytes.message(kind, TMessageType.CALL, "pay", 1, ThriftBytes.payment("r", "s", "k"));
+                good[3 + kind.ordinal()] =
+                        ThriftBytes.message(kind, TMessageType.CALL, "pay", 1, ThriftBytes.payment("r", "s", "k"));
             }
             long read = 0;
             for (long i = 0; i < inputs; i++) {
@@ -264,7 +338,12 @@
                         case 2 -> bytes = Arrays.copyOf(bytes, 1 + random.nextInt(bytes.length));
                         default -> {
                             int from = random.nextInt(bytes.length);
-                            System.arraycopy(bytes, Math.min(from, at), bytes, Math.max(from, at), bytes.length - Math.max(from, at));
+                            System.arraycopy(
+                                    bytes,
+                                    Math.min(from, at),
+                                    bytes,
+                                    Math.max(from, at),
+                                    bytes.length - Math.max(from, at));
                         }
                     }
                 }
@@ -278,8 +357,10 @@
                 } catch (BadFrame e) {
                     // As it should be.
                 } catch (RuntimeException | StackOverflowError e) {
-                    fail("input " + i + " of seed " + seed + ": " + ByteBufUtil.hexDump(bytes) + " "
-                            + new String(bytes, StandardCharsets.ISO_8859_1), e);
+                    fail(
+                            "input " + i + " of seed " + seed + ": " + ByteBufUtil.hexDump(bytes) + " "
+                                    + new String(bytes, StandardCharsets.ISO_8859_1),
+                            e);
                 }
             }
             return read;
--- a/daemon/src/test/java/grebehoist/thrift/ThriftBytes.java
+++ b/daemon/src/test/java/grebehoist/thrift/ThriftBytes.java
@@ -22,13 +22,17 @@
 /** Messages as libthrift writes them. */
 final class ThriftBytes {
     /** The protocols that a client may use. */
-    enum Kind { BINARY, BINARY_OLD, COMPACT }
+    enum Kind {
+        BINARY,
+        BINARY_OLD,
+        COMPACT
+    }
 
     interface Body {
         void write(TProtocol out) throws TException;
     }
 
-    private ThriftBytes() { }
+    private ThriftBytes() {}
 
     static TProtocol protocol(Kind kind, TTransport transport) {
         return switch (kind) {
--- a/daemon/src/test/java/grebehoist/thrift/ThriftProxyTest.java
+++ b/daemon/src/test/java/grebehoist/thrift/ThriftProxyTest.java
@@ -50,11 +50,12 @@
     private static final ThriftOptions ANY_ORDER = ThriftFixture.options(true, 64);
 
     private static byte[] pay(Kind kind, int sequenceId, String id) {
-        return ThriftBytes.message(kind, TMessageType.CALL, "pay", sequenceId, ThriftBytes.payment(id, "vestkraft", "k-" + id));
+        return ThriftBytes.message(
+                kind, TMessageType.CALL, "pay", sequenceId, ThriftBytes.payment(id, "vestkraft", "k-" + id));
     }
 
     private static byte[] call(String name, int sequenceId) {
-        return ThriftBytes.message(Kind.BINARY, TMessageType.CALL, name, sequenceId, out -> { });
+        return ThriftBytes.message(Kind.BINARY, TMessageType.CALL, name, sequenceId, out -> {});
     }
 
     /** A reply with a text as its result. */
@@ -137,8 +138,11 @@
         var socket = new TServerSocket(new InetSocketAddress("127.0.0.1", 0));
         int port = socket.getServerSocket().getLocalPort();
         var echo = new Echo();
-        var server = new TThreadPoolServer(new TThreadPoolServer.Args(socket).processor(echo).protocolFactory(factory)
-                .transportFactory(new TFramedTransport.Factory()).minWorkerThreads(1));
+        var server = new TThreadPoolServer(new TThreadPoolServer.Args(socket)
+                .processor(echo)
+                .protocolFactory(factory)
+                .transportFactory(new TFramedTransport.Factory())
+                .minWorkerThreads(1));
         var thread = new Thread(server::serve);
         thread.start();
         try (var proxy = new ThriftFixture(Policy::new, IN_ORDER, new InetSocketAddress("127.0.0.1", port));
@@ -174,7 +178,8 @@
             plain.writeStructEnd();
             plain.writeMessageEnd();
             transport.flush();
-            // What libthrift makes of a call that the proxy turns away: the next reply is to this one, not to the oneway call.
+            // What libthrift makes of a call that the proxy turns away: the next reply is to this one, not to the
+            // oneway call.
             plain.writeMessageBegin(new TMessage("unknown", TMessageType.CALL, 22));
             plain.writeStructBegin(new TStruct("args"));
             plain.writeFieldStop();
@@ -225,7 +230,20 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"0,ERROR", "1,FULL", "2,FULL", "3,FULL", "4,ERROR", "5,ERROR", "6,ERROR", "7,FULL", "8,FULL", "9,FULL", "10,FULL", "99,ERROR"})
+    @CsvSource({
+        "0,ERROR",
+        "1,FULL",
+        "2,FULL",
+        "3,FULL",
+        "4,ERROR",
+        "5,ERROR",
+        "6,ERROR",
+        "7,FULL",
+        "8,FULL",
+        "9,FULL",
+        "10,FULL",
+        "99,ERROR"
+    })
     void tellsOutcomesByTheTypeOfTheException(int type, Outcome outcome) throws Exception {
         try (ServerSocket backend = FrameWire.backend();
                 var proxy = new ThriftFixture(Fixture.sendTo("s0"), IN_ORDER, FrameWire.at(backend));
@@ -256,7 +274,8 @@
                     case "protocol" -> attempt.send(reply(Kind.COMPACT, "pay", id, "done"));
                     case "call" -> attempt.send(pay(Kind.BINARY, id, "r1"));
                     case "cut" -> attempt.send(Arrays.copyOf(good, good.length - 1));
-                    case "noise" -> attempt.raw("HTTP/1.1 200 OK\r\n\r\n".getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+                    case "noise" ->
+                        attempt.raw("HTTP/1.1 200 OK\r\n\r\n".getBytes(java.nio.charset.StandardCharsets.US_ASCII));
                     case "length" -> attempt.raw((byte) 0x80, (byte) 0, (byte) 0, (byte) 1);
                     default -> {
                         byte[] both = new byte[2 * (4 + good.length)];
@@ -324,12 +343,19 @@
 
     @Test
     void refusalsAndFailuresCanBeToldApart() throws Exception {
-        try (var proxy = new ThriftFixture((event, actions) -> {
-            if (event instanceof Arrival a) {
-                actions.accept(a.requestClass().equals("pay") ? new Fail(a.id()) : new Refuse(a.id(), 1_234_000));
-            }
-        }, IN_ORDER); var client = FrameWire.to(proxy.address)) {
-            assertThat(told(client.send(call("readX", 1)).read())).containsExactly("0", Replies.REFUSED + "; retry_after_ms=1234");
+        try (var proxy = new ThriftFixture(
+                        (event, actions) -> {
+                            if (event instanceof Arrival a) {
+                                actions.accept(
+                                        a.requestClass().equals("pay")
+                                                ? new Fail(a.id())
+                                                : new Refuse(a.id(), 1_234_000));
+                            }
+                        },
+                        IN_ORDER);
+                var client = FrameWire.to(proxy.address)) {
+            assertThat(told(client.send(call("readX", 1)).read()))
+                    .containsExactly("0", Replies.REFUSED + "; retry_after_ms=1234");
             assertThat(told(client.send(pay(Kind.COMPACT, 2, "r")).read())).containsExactly("6", Replies.FAILED);
             byte[] declared = client.send(call("declared", 3)).read();
             var paths = new FieldPaths();
@@ -344,11 +370,14 @@
     @ParameterizedTest
     @CsvSource({"unknown,1,unknown method unknown"})
     void whatCannotBePassedOnIsTold(String name, String type, String why) throws Exception {
-        try (var proxy = new ThriftFixture(Fixture.sendTo("s0"), IN_ORDER); var client = FrameWire.to(proxy.address)) {
+        try (var proxy = new ThriftFixture(Fixture.sendTo("s0"), IN_ORDER);
+                var client = FrameWire.to(proxy.address)) {
             assertThat(told(client.send(call(name, 1)).read())).containsExactly(type, why);
-            byte[] noKey = ThriftBytes.message(Kind.BINARY, TMessageType.CALL, "pay", 2, ThriftBytes.payment("r", "vestkraft", null));
+            byte[] noKey = ThriftBytes.message(
+                    Kind.BINARY, TMessageType.CALL, "pay", 2, ThriftBytes.payment("r", "vestkraft", null));
             assertThat(told(client.send(noKey).read())).containsExactly("7", "missing key");
-            byte[] noTenant = ThriftBytes.message(Kind.BINARY, TMessageType.CALL, "pay", 3, ThriftBytes.payment("r", "nobody", "k"));
+            byte[] noTenant = ThriftBytes.message(
+                    Kind.BINARY, TMessageType.CALL, "pay", 3, ThriftBytes.payment("r", "nobody", "k"));
             assertThat(told(client.send(noTenant).read())).containsExactly("7", "unknown tenant nobody");
             assertThat(proxy.events).noneMatch(e -> e instanceof Arrival);
         }
@@ -359,7 +388,8 @@
     @ValueSource(booleans = {false, true})
     void manyCallsAreOpenOnOneConnection(boolean anyOrder) throws Exception {
         try (ServerSocket backend = FrameWire.backend();
-                var proxy = new ThriftFixture(Fixture.sendTo("s0"), anyOrder ? ANY_ORDER : IN_ORDER, FrameWire.at(backend));
+                var proxy = new ThriftFixture(
+                        Fixture.sendTo("s0"), anyOrder ? ANY_ORDER : IN_ORDER, FrameWire.at(backend));
                 var client = FrameWire.to(proxy.address)) {
             client.send(call("readA", 7)).send(call("readB", 8)).send(call("readC", 7));
             FrameWire[] attempts = new FrameWire[3];
@@ -369,7 +399,8 @@
                 int which = head(came).name().charAt(4) - 'A';
                 attempts[which] = attempt;
                 if (which > 0) {
-                    attempt.send(reply(Kind.BINARY, head(came).name(), head(came).sequenceId(), "r" + which));
+                    attempt.send(
+                            reply(Kind.BINARY, head(came).name(), head(came).sequenceId(), "r" + which));
                 }
             }
             if (anyOrder) {
@@ -390,14 +421,18 @@
     /** Past the bound nothing is read, and nothing is dropped. */
     @Test
     void readingStopsWhereTooManyCallsAreOpen() throws Exception {
-        try (var proxy = new ThriftFixture(settings -> (now, event, actions) -> {
-            if (event instanceof Arrival a && a.requestClass().equals("read")) {
-                actions.accept(new SetTimer(now + 400 * ThriftFixture.MS, a.id()));
-            } else if (event instanceof TimerFired t) {
-                actions.accept(new Fail(t.token()));
-            }
-        }, ThriftFixture.options(false, 2)); var client = FrameWire.to(proxy.address)) {
-            byte[] quick = ThriftBytes.message(Kind.BINARY, TMessageType.CALL, "pay", 1, ThriftBytes.payment("x", "vestkraft", "k"));
+        try (var proxy = new ThriftFixture(
+                        settings -> (now, event, actions) -> {
+                            if (event instanceof Arrival a && a.requestClass().equals("read")) {
+                                actions.accept(new SetTimer(now + 400 * ThriftFixture.MS, a.id()));
+                            } else if (event instanceof TimerFired t) {
+                                actions.accept(new Fail(t.token()));
+                            }
+                        },
+                        ThriftFixture.options(false, 2));
+                var client = FrameWire.to(proxy.address)) {
+            byte[] quick = ThriftBytes.message(
+                    Kind.BINARY, TMessageType.CALL, "pay", 1, ThriftBytes.payment("x", "vestkraft", "k"));
             client.send(call("readA", 1));
             proxy.next(Arrival.class);
             client.send(call("readB", 2));
@@ -429,7 +464,9 @@
             Arrival one = proxy.next(Arrival.class);
             Arrival two = proxy.next(Arrival.class);
             assertThat(two.id()).isEqualTo("r2");
-            assertThat(two.leftUs()).isLessThanOrEqualTo(one.leftUs() - unread + 50 * ThriftFixture.MS).isPositive();
+            assertThat(two.leftUs())
+                    .isLessThanOrEqualTo(one.leftUs() - unread + 50 * ThriftFixture.MS)
+                    .isPositive();
         }
     }
 
@@ -437,12 +474,17 @@
     @Test
     void repliesDoNotWaitBehindOnewayCalls() throws Exception {
         try (ServerSocket server = FrameWire.backend();
-                var proxy = new ThriftFixture((event, out) -> {
-                    if (event instanceof Arrival a && a.requestClass().equals("read")) {
-                        out.accept(new Refuse(a.id(), 0));
-                    }
-                }, IN_ORDER, FrameWire.at(server)); FrameWire client = FrameWire.to(proxy.address)) {
-            client.send(ThriftBytes.message(Kind.BINARY, TMessageType.ONEWAY, "pay", 1, ThriftBytes.payment("r1", "vestkraft", "k")));
+                var proxy = new ThriftFixture(
+                        (event, out) -> {
+                            if (event instanceof Arrival a && a.requestClass().equals("read")) {
+                                out.accept(new Refuse(a.id(), 0));
+                            }
+                        },
+                        IN_ORDER,
+                        FrameWire.at(server));
+                FrameWire client = FrameWire.to(proxy.address)) {
+            client.send(ThriftBytes.message(
+                    Kind.BINARY, TMessageType.ONEWAY, "pay", 1, ThriftBytes.payment("r1", "vestkraft", "k")));
             client.send(call("read", 2));
             assertThat(told(client.read())[1]).startsWith("refused");
         }
@@ -465,17 +507,24 @@
     /** Written, it counts as answered and may have run; never reached, it may be tried again like any other. */
     @Test
     void aOnewayCallIsAnsweredByBeingWritten() throws Exception {
-        byte[] oneway = ThriftBytes.message(Kind.COMPACT, TMessageType.ONEWAY, "pay", 5, ThriftBytes.payment("o1", "vestkraft", "k"));
+        byte[] oneway = ThriftBytes.message(
+                Kind.COMPACT, TMessageType.ONEWAY, "pay", 5, ThriftBytes.payment("o1", "vestkraft", "k"));
         var dead = FrameWire.backend();
         InetSocketAddress nowhere = FrameWire.at(dead);
         dead.close();
-        try (ServerSocket backend = FrameWire.backend(); var proxy = new ThriftFixture((event, actions) -> {
-            if (event instanceof Arrival a) {
-                actions.accept(new Send(a.id(), "s0", 0));
-            } else if (event instanceof AttemptEnded e && e.outcome() == Outcome.CONNECT_FAILED) {
-                actions.accept(new Send(e.id(), "s1", 0));
-            }
-        }, IN_ORDER, nowhere, FrameWire.at(backend)); var client = FrameWire.to(proxy.address)) {
+        try (ServerSocket backend = FrameWire.backend();
+                var proxy = new ThriftFixture(
+                        (event, actions) -> {
+                            if (event instanceof Arrival a) {
+                                actions.accept(new Send(a.id(), "s0", 0));
+                            } else if (event instanceof AttemptEnded e && e.outcome() == Outcome.CONNECT_FAILED) {
+                                actions.accept(new Send(e.id(), "s1", 0));
+                            }
+                        },
+                        IN_ORDER,
+                        nowhere,
+                        FrameWire.at(backend));
+                var client = FrameWire.to(proxy.address)) {
             client.send(oneway);
             assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.CONNECT_FAILED);
             assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.OK);
@@ -494,7 +543,8 @@
         try (ServerSocket backend = FrameWire.backend();
                 var proxy = new ThriftFixture(Fixture.sendTo("s0"), IN_ORDER, FrameWire.at(backend));
                 var client = FrameWire.to(proxy.address)) {
-            client.send(call("readA", 1)).raw("GET / HTTP/1.1\r\n\r\n".getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+            client.send(call("readA", 1))
+                    .raw("GET / HTTP/1.1\r\n\r\n".getBytes(java.nio.charset.StandardCharsets.US_ASCII));
             try (var attempt = FrameWire.accept(backend)) {
                 byte[] came = attempt.read();
                 attempt.send(reply(Kind.BINARY, "readA", head(came).sequenceId(), "ok"));
@@ -508,7 +558,8 @@
     @Test
     void aCallWhoseArgumentsCannotBeReadIsTold() throws Exception {
         byte[] good = pay(Kind.BINARY, 3, "r1");
-        try (var proxy = new ThriftFixture(Fixture.sendTo("s0"), IN_ORDER); var client = FrameWire.to(proxy.address)) {
+        try (var proxy = new ThriftFixture(Fixture.sendTo("s0"), IN_ORDER);
+                var client = FrameWire.to(proxy.address)) {
             client.send(Arrays.copyOf(good, good.length - 1));
             assertThat(told(client.read())).containsExactly("7", "cut short");
             assertThat(client.read()).isNull();
@@ -518,7 +569,8 @@
     /** Half a frame is cut off in the time in which half an HTTP request is. */
     @Test
     void halfAFrameIsCutOff() throws Exception {
-        try (var proxy = new ThriftFixture(Fixture.sendTo("s0"), IN_ORDER); var client = FrameWire.to(proxy.address)) {
+        try (var proxy = new ThriftFixture(Fixture.sendTo("s0"), IN_ORDER);
+                var client = FrameWire.to(proxy.address)) {
             client.raw((byte) 0, (byte) 0, (byte) 1, (byte) 0, (byte) 0x80, (byte) 1);
             assertThat(client.read()).isNull();
         }
@@ -527,11 +579,14 @@
     /** A good client whose reads always end in mid-frame: each call is as old as its own last byte, and the connection stays. */
     @Test
     void aClientThatSplitsItsCallsIsServedOn() throws Exception {
-        try (var proxy = new ThriftFixture((event, actions) -> {
-            if (event instanceof Arrival a) {
-                actions.accept(new Refuse(a.id(), 0));
-            }
-        }, IN_ORDER); var client = FrameWire.to(proxy.address)) {
+        try (var proxy = new ThriftFixture(
+                        (event, actions) -> {
+                            if (event instanceof Arrival a) {
+                                actions.accept(new Refuse(a.id(), 0));
+                            }
+                        },
+                        IN_ORDER);
+                var client = FrameWire.to(proxy.address)) {
             byte[] frame = FrameWire.framed(call("readA", 1));
             int half = frame.length / 2;
             client.raw(Arrays.copyOf(frame, half));
@@ -553,7 +608,8 @@
         var clients = new ArrayList<FrameWire>();
         byte[] half = Arrays.copyOf(new byte[] {0, 0, (byte) 0xFF, (byte) 0xFF, (byte) 0x80, 1, 0, 1}, 40_000);
         try (ServerSocket backend = FrameWire.backend();
-                var proxy = new ThriftFixture(Fixture.sendTo("s0"), ThriftFixture.options(false, 64, 1 << 20), FrameWire.at(backend))) {
+                var proxy = new ThriftFixture(
+                        Fixture.sendTo("s0"), ThriftFixture.options(false, 64, 1 << 20), FrameWire.at(backend))) {
             try {
                 for (int i = 0; i < 100; i++) {
                     FrameWire client = FrameWire.to(proxy.address);
@@ -583,7 +639,8 @@
     void aDrainEndsConnectionsAfterTheirReplies() throws Exception {
         try (ServerSocket backend = FrameWire.backend();
                 var proxy = new ThriftFixture(Fixture.sendTo("s0"), IN_ORDER, FrameWire.at(backend));
-                var client = FrameWire.to(proxy.address); var idle = FrameWire.to(proxy.address)) {
+                var client = FrameWire.to(proxy.address);
+                var idle = FrameWire.to(proxy.address)) {
             client.send(call("readA", 1));
             try (var attempt = FrameWire.accept(backend)) {
                 byte[] came = attempt.read();
--- a/fleet/src/main/java/grebehoist/fleet/FleetNode.java
+++ b/fleet/src/main/java/grebehoist/fleet/FleetNode.java
@@ -35,7 +35,7 @@
         void changed(Change change);
 
         /** Tells what has changed about a task; not called where there are none. */
-        default void changed(LeaseChange change) { }
+        default void changed(LeaseChange change) {}
     }
 
     /**
@@ -44,15 +44,22 @@
      * @param set the number of this set of voters
      * @param floor tokens are greater than this: milliseconds of the wall clock
      */
-    public record Tasks(LeaseTerms terms, int set, List<Integer> voters, List<String> names, long floor) { }
+    public record Tasks(LeaseTerms terms, int set, List<Integer> voters, List<String> names, long floor) {}
 
     /** Who this member is: its number and how many there are, its name and zone. */
-    public record Identity(int number, int members, String name, String zone) { }
+    public record Identity(int number, int members, String name, String zone) {}
 
     /** Makes the machine; a test puts another one in its place. */
     public interface Maker {
         /** As the constructor of {@link Membership}. */
-        Membership make(Terms terms, int self, int members, String name, String zone, RandomGenerator random, Membership.Output out);
+        Membership make(
+                Terms terms,
+                int self,
+                int members,
+                String name,
+                String zone,
+                RandomGenerator random,
+                Membership.Output out);
     }
 
     private static final int MEMBERSHIP = Post.FIRST_TOPIC;
@@ -68,6 +75,7 @@
     private Leases leases;
     /** What is said of tasks goes together, as much as there is room for: at most one datagram's worth for each member. */
     private final Map<Integer, ByteArrayOutputStream> waiting = new LinkedHashMap<>();
+
     private long now;
     private long unreadable;
 
@@ -83,7 +91,13 @@
         this.random = random;
         this.post = new Post(identity.number(), identity.members(), ring, random);
         this.twins = new int[identity.members()];
-        this.membership = maker.make(terms, identity.number(), identity.members(), identity.name(), identity.zone(), random,
+        this.membership = maker.make(
+                terms,
+                identity.number(),
+                identity.members(),
+                identity.name(),
+                identity.zone(),
+                random,
                 new Membership.Output() {
                     @Override
                     public void send(int to, Message message) {
@@ -104,13 +118,25 @@
 
     /** As the other, with another protocol: a test puts one in its place. */
     public Leases share(Tasks tasks, Protocol protocol) {
-        var setup = new Leases.Setup(identity.number(), identity.members(), random.nextLong(1, 1L << 32), tasks.set(), tasks.voters(), tasks.names());
-        leases = new Leases(protocol, setup, tasks.floor(), random,
-                m -> m == identity.number() || membership.state(m) == State.ALIVE, new Leases.Output() {
+        var setup = new Leases.Setup(
+                identity.number(),
+                identity.members(),
+                random.nextLong(1, 1L << 32),
+                tasks.set(),
+                tasks.voters(),
+                tasks.names());
+        leases = new Leases(
+                protocol,
+                setup,
+                tasks.floor(),
+                random,
+                m -> m == identity.number() || membership.state(m) == State.ALIVE,
+                new Leases.Output() {
                     @Override
                     public void send(int to, LeaseMessage message) {
                         byte[] bytes = LeaseCodec.encode(message);
-                        ByteArrayOutputStream before = waiting.computeIfAbsent(to, t -> new ByteArrayOutputStream(Post.ROOM));
+                        ByteArrayOutputStream before =
+                                waiting.computeIfAbsent(to, t -> new ByteArrayOutputStream(Post.ROOM));
                         if (before.size() + bytes.length > Post.ROOM) {
                             seal(to, before);
                         }
@@ -185,7 +211,8 @@
                 unreadable++;
             }
         } else if (opened instanceof Post.Body body && body.topic() == LEASES && leases != null) {
-            List<LeaseMessage> messages = LeaseCodec.decode(body.bytes(), identity.members(), leases.tasks().size());
+            List<LeaseMessage> messages = LeaseCodec.decode(
+                    body.bytes(), identity.members(), leases.tasks().size());
             if (messages == null) {
                 unreadable++;
             } else {
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Answer.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Answer.java
@@ -9,7 +9,7 @@
      * @param pending a change that may have been taken; null for none
      * @param pendingEpoch the epoch that it was offered in; 0 for none
      */
-    record Opened(Lives lives, long head, Item pending, long pendingEpoch) implements Answer { }
+    record Opened(Lives lives, long head, Item pending, long pendingEpoch) implements Answer {}
 
     /**
      * It is held: the scope created, or the change kept.
@@ -17,7 +17,7 @@
      * @param version of the change, or of the scope that is there
      * @param taken whether it is known here to be taken
      */
-    record Held(Lives lives, long version, boolean taken) implements Answer { }
+    record Held(Lives lives, long version, boolean taken) implements Answer {}
 
     /**
      * It is not held, and this call will never make it so.
@@ -25,5 +25,5 @@
      * @param head the version of the scope's last change known here; -1 where it is not known
      * @param never whether the change can never be taken: another one was, in its place
      */
-    record Refusal(String why, long head, boolean never) implements Answer { }
+    record Refusal(String why, long head, boolean never) implements Answer {}
 }
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Book.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Book.java
@@ -8,13 +8,14 @@
 
 /** A holder's copy of a scope: the items, and the changes that survive, removals for a time among them, in the order of their versions. */
 final class Book {
-    private record Tombstone(String key, long version, long atUs) { }
+    private record Tombstone(String key, long version, long atUs) {}
 
     private final Rules rules;
     private final Replica replica;
     private final TreeMap<Long, Item> chain = new TreeMap<>();
     /** Versions of the removals that survive, by key. */
     private final Map<String, Long> removed = new HashMap<>(4);
+
     private final Deque<Tombstone> tombstones = new ArrayDeque<>(2);
     private long floor;
 
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Call.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Call.java
@@ -13,12 +13,14 @@
         /** Returns why there can't be such a scope; null for nothing. */
         static String flaw(String scope, long base) {
             String flaw = Item.flaw(scope);
-            return flaw != null || base >= 0 && base < Item.MOST_VERSION ? flaw : "version " + base + " for " + scope + " to begin with is out of bounds";
+            return flaw != null || base >= 0 && base < Item.MOST_VERSION
+                    ? flaw
+                    : "version " + base + " for " + scope + " to begin with is out of bounds";
         }
     }
 
     /** Nothing older than this epoch may change the scope from now on; and what has it now? */
-    record Open(int machine, String scope, long epoch) implements Call { }
+    record Open(int machine, String scope, long epoch) implements Call {}
 
     /** Is this the next change? In epoch 0 it is only asked whether it was, and nothing is kept. */
     record Offer(int machine, long epoch, Item item) implements Call {
@@ -29,5 +31,5 @@
     }
 
     /** This change was taken by two. */
-    record Taken(int machine, String scope, long epoch, long version) implements Call { }
+    record Taken(int machine, String scope, long epoch, long version) implements Call {}
 }
--- a/fleet/src/main/java/grebehoist/fleet/distribution/CborReader.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/CborReader.java
@@ -42,7 +42,8 @@
     }
 
     long number(long most) throws IOException {
-        if (cbor.nextToken() != JsonToken.VALUE_NUMBER_INT || cbor.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
+        if (cbor.nextToken() != JsonToken.VALUE_NUMBER_INT
+                || cbor.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
             throw new IOException("a whole number is wanted");
         }
         long value = cbor.getLongValue();
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Copy.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Copy.java
@@ -18,6 +18,7 @@
     private Replica staging;
     /** All has been here once that its source had when it began to give it. */
     private boolean whole;
+
     private long wholeAt = -1;
     private long confirmedUs = -1;
     private boolean missing;
@@ -62,7 +63,7 @@
         long before = to.have();
         int waited = to.waiting();
         for (Link link : links) {
-            to.take(link, to == replica ? this::applied : (item, old) -> { });
+            to.take(link, to == replica ? this::applied : (item, old) -> {});
         }
         if (to == replica && to.have() > before) {
             news.changed(new DistributionChange.InForce(scope, to.have()));
--- a/fleet/src/main/java/grebehoist/fleet/distribution/DistributionCodec.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/DistributionCodec.java
@@ -24,15 +24,20 @@
     private static final int NAMED = 11;
     /** Before the entries of a digest, with every number at its greatest; a listing's is longer. */
     static final int DIGEST_FRAME = 1 + 1 + 9 + 2 + 2;
+
     static final int CHANGES_FRAME = 1 + 1 + 9 + 2;
     static final int LISTING_FRAME = 1 + 1 + 9 + 2 + Item.SCOPE_BYTES + 1 + 2;
 
-    private DistributionCodec() { }
+    private DistributionCodec() {}
 
     static byte[] encode(Message message) {
         var to = new CborWriter();
         if (message instanceof Message.Digest d) {
-            to.array(4).number(DIGEST).number(d.seq()).number(d.sharers()).array(d.scopes().size());
+            to.array(4)
+                    .number(DIGEST)
+                    .number(d.seq())
+                    .number(d.sharers())
+                    .array(d.scopes().size());
             d.scopes().forEach(h -> to.raw(encode(h)));
         } else if (message instanceof Message.Seen s) {
             to.array(3).number(SEEN).number(s.seq()).number(s.differ());
@@ -40,7 +45,13 @@
             to.array(3).number(CHANGES).number(c.scope()).array(c.links().size());
             c.links().forEach(l -> to.raw(encode(l)));
         } else if (message instanceof Message.Head h) {
-            to.array(6).number(HEAD).number(h.scope()).number(h.head()).number(h.hash() & 0xFFFF_FFFFL).number(h.floor()).number(h.last());
+            to.array(6)
+                    .number(HEAD)
+                    .number(h.scope())
+                    .number(h.head())
+                    .number(h.hash() & 0xFFFF_FFFFL)
+                    .number(h.floor())
+                    .number(h.last());
         } else if (message instanceof Message.Unheld u) {
             to.array(3).number(UNHELD).number(u.scope()).number(u.filling() ? 1 : 0);
         } else if (message instanceof Message.Left l) {
@@ -53,11 +64,21 @@
 
     private static void encodeBetweenMachines(Message message, CborWriter to) {
         if (message instanceof Message.Holds h) {
-            to.array(5).number(HOLDS).number(h.scope()).number(h.version()).number(h.epoch()).number(h.life());
+            to.array(5)
+                    .number(HOLDS)
+                    .number(h.scope())
+                    .number(h.version())
+                    .number(h.epoch())
+                    .number(h.life());
         } else if (message instanceof Message.ListAfter l) {
             to.array(3).number(LIST_AFTER).number(l.life()).text(l.after());
         } else if (message instanceof Message.Listing l) {
-            to.array(5).number(LISTING).number(l.life()).text(l.after()).number(l.end() ? 1 : 0).array(l.scopes().size());
+            to.array(5)
+                    .number(LISTING)
+                    .number(l.life())
+                    .text(l.after())
+                    .number(l.end() ? 1 : 0)
+                    .array(l.scopes().size());
             l.scopes().forEach(s -> to.raw(encode(s)));
         } else if (message instanceof Message.Pending p) {
             to.array(4).number(PENDING).number(p.scope()).number(p.epoch()).raw(encode(p.link()));
@@ -69,7 +90,13 @@
     }
 
     static byte[] encode(Message.Have h) {
-        var to = new CborWriter().array(5).number(h.scope()).number(h.have()).number(h.hash() & 0xFFFF_FFFFL).number(h.fill() ? 1 : 0).array(h.gaps().size());
+        var to = new CborWriter()
+                .array(5)
+                .number(h.scope())
+                .number(h.have())
+                .number(h.hash() & 0xFFFF_FFFFL)
+                .number(h.fill() ? 1 : 0)
+                .array(h.gaps().size());
         long at = h.have();
         for (Message.Gap g : h.gaps()) {
             // Distances are short.
@@ -81,11 +108,25 @@
 
     static byte[] encode(Link l) {
         // The distance is mostly 1.
-        return new CborWriter().array(5).number(l.version()).number(l.version() - l.prev()).number(l.kind()).text(l.key()).bytes(l.value()).done();
+        return new CborWriter()
+                .array(5)
+                .number(l.version())
+                .number(l.version() - l.prev())
+                .number(l.kind())
+                .text(l.key())
+                .bytes(l.value())
+                .done();
     }
 
     static byte[] encode(Message.Listed s) {
-        return new CborWriter().array(5).text(s.scope()).number(s.head()).number(s.promised()).number(s.pending()).number(s.pendingEpoch()).done();
+        return new CborWriter()
+                .array(5)
+                .text(s.scope())
+                .number(s.head())
+                .number(s.promised())
+                .number(s.pending())
+                .number(s.pendingEpoch())
+                .done();
     }
 
     /** Reads messages, one behind the other; null for bytes that are none, or not only. */
@@ -112,7 +153,8 @@
             case DIGEST -> digest(from);
             case SEEN -> new Message.Seen(from.number(MOST), from.number(Long.MAX_VALUE));
             case CHANGES -> changes(from);
-            case HEAD -> new Message.Head(scope(from), from.number(MOST), hash(from), from.number(MOST), from.number(MOST));
+            case HEAD ->
+                new Message.Head(scope(from), from.number(MOST), hash(from), from.number(MOST), from.number(MOST));
             case UNHELD -> new Message.Unheld(scope(from), from.number(1) == 1);
             case LEFT -> new Message.Left(scope(from));
             case HOLDS -> new Message.Holds(scope(from), from.number(MOST), from.number(MOST), from.number(MOST));
@@ -181,7 +223,8 @@
         long version = from.number(MOST);
         long distance = from.number(version);
         int kind = (int) from.number(Item.MOST_KIND);
-        var link = new Link(version - distance, version, kind, from.text(1, Item.KEY_BYTES), from.bytesOrNull(Item.VALUE_BYTES));
+        var link = new Link(
+                version - distance, version, kind, from.text(1, Item.KEY_BYTES), from.bytesOrNull(Item.VALUE_BYTES));
         if (distance == 0) {
             throw new IOException("a change before itself");
         }
@@ -196,7 +239,12 @@
         var scopes = new ArrayList<Message.Listed>();
         from.array();
         while (from.another()) {
-            scopes.add(new Message.Listed(from.text(1, Item.SCOPE_BYTES), from.number(MOST), from.number(MOST), from.number(MOST), from.number(MOST)));
+            scopes.add(new Message.Listed(
+                    from.text(1, Item.SCOPE_BYTES),
+                    from.number(MOST),
+                    from.number(MOST),
+                    from.number(MOST),
+                    from.number(MOST)));
             from.end();
         }
         return new Message.Listing(life, after, end, scopes);
--- a/fleet/src/main/java/grebehoist/fleet/distribution/DistributionNode.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/DistributionNode.java
@@ -31,7 +31,8 @@
      * @param members machines and proxies together, 65,535 at most
      * @param random must differ from life to life
      */
-    public record Setup(int number, int members, Layout layout, DistributionTerms terms, KeyRing ring, RandomGenerator random) { }
+    public record Setup(
+            int number, int members, Layout layout, DistributionTerms terms, KeyRing ring, RandomGenerator random) {}
 
     private static final int TOPIC = Post.FIRST_TOPIC + 2;
 
@@ -75,7 +76,8 @@
     public static DistributionNode proxy(Setup setup, List<String> scopes, Output out, Rules rules) {
         var node = new DistributionNode(setup, out);
         if (setup.number() < node.machines) {
-            throw new IllegalArgumentException("proxy " + setup.number() + " has the number of a control machine: " + node.machines + " at least is wanted");
+            throw new IllegalArgumentException("proxy " + setup.number() + " has the number of a control machine: "
+                    + node.machines + " at least is wanted");
         }
         node.subscriber = new Subscriber(setup, scopes, rules, node.outbox, out::changed);
         return node;
--- a/fleet/src/main/java/grebehoist/fleet/distribution/DistributionTerms.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/DistributionTerms.java
@@ -19,22 +19,53 @@
  * @param mostScopes scopes that a machine holds
  * @param mostItems items of a scope
  */
-public record DistributionTerms(long machineTickUs, long proxyTickUs, long digestUs, long ackUs, long retryUs, long mostRetryUs, int patience, long awayUs,
-        long repairUs, long tombstoneUs, int mostTombstones, int pacePerS, int burst, int fillPerS, int machinePerS, int mostScopes, int mostItems) {
+public record DistributionTerms(
+        long machineTickUs,
+        long proxyTickUs,
+        long digestUs,
+        long ackUs,
+        long retryUs,
+        long mostRetryUs,
+        int patience,
+        long awayUs,
+        long repairUs,
+        long tombstoneUs,
+        int mostTombstones,
+        int pacePerS,
+        int burst,
+        int fillPerS,
+        int machinePerS,
+        int mostScopes,
+        int mostItems) {
     private static final long MS = 1_000;
     private static final long S = 1_000 * MS;
 
     public DistributionTerms {
-        if (machineTickUs <= 0 || proxyTickUs <= 0 || digestUs <= 0 || ackUs <= 0 || retryUs <= ackUs || mostRetryUs < retryUs || patience < 1
-                || awayUs < 2 * digestUs || repairUs <= 0 || tombstoneUs < awayUs || mostTombstones < 1 || pacePerS < 256 || burst < 256 || fillPerS < pacePerS
-                || machinePerS < fillPerS || mostScopes < 1 || mostItems < 1) {
+        if (machineTickUs <= 0
+                || proxyTickUs <= 0
+                || digestUs <= 0
+                || ackUs <= 0
+                || retryUs <= ackUs
+                || mostRetryUs < retryUs
+                || patience < 1
+                || awayUs < 2 * digestUs
+                || repairUs <= 0
+                || tombstoneUs < awayUs
+                || mostTombstones < 1
+                || pacePerS < 256
+                || burst < 256
+                || fillPerS < pacePerS
+                || machinePerS < fillPerS
+                || mostScopes < 1
+                || mostItems < 1) {
             throw new IllegalArgumentException("terms of distribution that contradict each other");
         }
     }
 
     /** Those that hold unless others are set. */
     public static DistributionTerms standard() {
-        return new DistributionTerms(20 * MS, 50 * MS, 2 * S, 50 * MS, 400 * MS, 2 * S, 4, 8 * S, S, 7_200 * S, 4_096, 1_200, 4_000, 24_000, 2_000_000,
-                20_000, 20_000);
+        return new DistributionTerms(
+                20 * MS, 50 * MS, 2 * S, 50 * MS, 400 * MS, 2 * S, 4, 8 * S, S, 7_200 * S, 4_096, 1_200, 4_000, 24_000,
+                2_000_000, 20_000, 20_000);
     }
 }
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Fellows.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Fellows.java
@@ -18,6 +18,7 @@
     private static final long ASK_EVERY_US = 300_000;
     /** A page for each so many scopes in common, so that all come round in about ten seconds. */
     private static final int SCOPES_A_PAGE = 80;
+
     private static final int MOST_PAGES = 8;
     private static final int MOST_PENDING = 32;
 
@@ -29,6 +30,7 @@
         private final Map<Long, Message.Pending> pending = new HashMap<>();
         /** What is compared next, before all else. */
         private final Set<Ledger> hot = new LinkedHashSet<>();
+
         private String cursor = "";
         private final Set<Ledger> toAck = new LinkedHashSet<>();
     }
@@ -167,7 +169,9 @@
             }
         }
         if (!next.isEmpty()) {
-            f.cursor = ledgers.lowerKey(next.get(0).scope()) == null ? "" : ledgers.lowerKey(next.get(0).scope());
+            f.cursor = ledgers.lowerKey(next.get(0).scope()) == null
+                    ? ""
+                    : ledgers.lowerKey(next.get(0).scope());
         }
     }
 
@@ -186,7 +190,7 @@
     private static List<Message.Have> page(Set<Ledger> of) {
         var haves = new ArrayList<Message.Have>();
         int room = Post.ROOM - DistributionCodec.DIGEST_FRAME;
-        for (var i = of.iterator(); i.hasNext();) {
+        for (var i = of.iterator(); i.hasNext(); ) {
             Message.Have have = i.next().have();
             room -= DistributionCodec.encode(have).length;
             if (room < 0) {
@@ -212,7 +216,12 @@
                 continue;
             }
             Item change = ledger.pending();
-            var entry = new Message.Listed(ledger.scope(), ledger.head(), ledger.promised(), change == null ? 0 : change.version(), ledger.pendingEpoch());
+            var entry = new Message.Listed(
+                    ledger.scope(),
+                    ledger.head(),
+                    ledger.promised(),
+                    change == null ? 0 : change.version(),
+                    ledger.pendingEpoch());
             room -= DistributionCodec.encode(entry).length;
             if (room < 0) {
                 end = false;
@@ -224,7 +233,10 @@
             }
         }
         for (Ledger l : pending) {
-            out.say(from, new Message.Pending(l.id(), l.pendingEpoch(), Link.of(l.pending().version() - 1, l.pending())));
+            out.say(
+                    from,
+                    new Message.Pending(
+                            l.id(), l.pendingEpoch(), Link.of(l.pending().version() - 1, l.pending())));
         }
         out.say(from, new Message.Listing(life, asked.after(), end, listed));
     }
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Giving.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Giving.java
@@ -19,11 +19,13 @@
     private final Outbox out;
     /** Those below this number are machines. */
     private final int machines;
+
     private final Map<Integer, Reader> readers = new HashMap<>();
     private final Map<Ledger, Map<Integer, Reader.Position>> positions = new HashMap<>();
     private final Map<Ledger, Latencies> latencies = new HashMap<>();
     /** Those who lack something, in the order in which they are served. */
     private final Set<Reader> due = new LinkedHashSet<>();
+
     private double tokens;
     private long filledUs;
 
@@ -58,7 +60,9 @@
     boolean told(long nowUs, int number, int sharers, Ledger ledger, Message.Have have) {
         Reader reader = readers.computeIfAbsent(number, n -> new Reader(n, nowUs, terms));
         reader.sharers(sharers);
-        Reader.Position p = positions.computeIfAbsent(ledger, l -> new HashMap<>()).computeIfAbsent(number, n -> new Reader.Position());
+        Reader.Position p = positions
+                .computeIfAbsent(ledger, l -> new HashMap<>())
+                .computeIfAbsent(number, n -> new Reader.Position());
         long before = p.have();
         p.told(nowUs, have, terms.retryUs());
         if (!isMachine(number)) {
@@ -100,7 +104,12 @@
     }
 
     private static Message.Head head(Ledger ledger) {
-        return new Message.Head(ledger.id(), ledger.head(), ledger.hash(), ledger.book().floor(), ledger.book().last());
+        return new Message.Head(
+                ledger.id(),
+                ledger.head(),
+                ledger.hash(),
+                ledger.book().floor(),
+                ledger.book().last());
     }
 
     /** One gets a scope from elsewhere. */
@@ -120,7 +129,7 @@
         tokens = Math.min(terms.machinePerS() / 10.0, tokens + (nowUs - filledUs) / 1e6 * terms.machinePerS());
         filledUs = nowUs;
         var served = new ArrayList<Reader>();
-        for (Iterator<Reader> i = due.iterator(); i.hasNext() && tokens > 0;) {
+        for (Iterator<Reader> i = due.iterator(); i.hasNext() && tokens > 0; ) {
             Reader reader = i.next();
             i.remove();
             served.add(reader);
@@ -169,7 +178,8 @@
         var links = new ArrayList<Link>();
         int room = Post.ROOM - DistributionCodec.CHANGES_FRAME;
         long at = of.from();
-        for (Link next = ledger.book().after(at); next != null && (links.isEmpty() || next.version() <= of.to());
+        for (Link next = ledger.book().after(at);
+                next != null && (links.isEmpty() || next.version() <= of.to());
                 next = ledger.book().after(at)) {
             room -= DistributionCodec.encode(next).length;
             if (room < 0) {
@@ -194,7 +204,8 @@
         int inForce = 0;
         int away = 0;
         var behind = new ArrayList<Progress.Behind>();
-        for (Map.Entry<Integer, Reader.Position> e : positions.getOrDefault(ledger, Map.of()).entrySet()) {
+        for (Map.Entry<Integer, Reader.Position> e :
+                positions.getOrDefault(ledger, Map.of()).entrySet()) {
             Reader.Position p = e.getValue();
             if (isMachine(e.getKey())) {
                 continue;
@@ -207,7 +218,8 @@
                 behind.add(new Progress.Behind(e.getKey(), p.have(), p.behindUs() < 0 ? 0 : nowUs - p.behindUs()));
             }
         }
-        behind.sort((a, b) -> a.forUs() != b.forUs() ? Long.compare(b.forUs(), a.forUs()) : Integer.compare(a.proxy(), b.proxy()));
+        behind.sort((a, b) ->
+                a.forUs() != b.forUs() ? Long.compare(b.forUs(), a.forUs()) : Integer.compare(a.proxy(), b.proxy()));
         int known = inForce + behind.size();
         Latencies l = latencies.getOrDefault(ledger, Latencies.NONE);
         List<Progress.Behind> named = behind.subList(0, Math.min(Progress.MOST_NAMED, behind.size()));
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Holder.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Holder.java
@@ -55,7 +55,9 @@
             return refusal(null, "unknown scope " + call.scope());
         }
         if (!ledger.counted()) {
-            return refusal(ledger, "machine " + self + " has started and fills itself: " + call.scope() + " is at " + ledger.head());
+            return refusal(
+                    ledger,
+                    "machine " + self + " has started and fills itself: " + call.scope() + " is at " + ledger.head());
         }
         if (call instanceof Call.Open o) {
             return open(ledger, o);
@@ -77,12 +79,18 @@
             return refusal(null, Call.Create.flaw(c.scope(), c.base()));
         }
         if (!fellows.heard(holders) || ledger != null && !ledger.counted()) {
-            return refusal(ledger, "machine " + self + " has started and fills itself: not all of " + holders + " have told what they hold");
+            return refusal(
+                    ledger,
+                    "machine " + self + " has started and fills itself: not all of " + holders
+                            + " have told what they hold");
         }
         if (ledger == null) {
             Ledger same = byId.get(Ids.of(c.scope()));
             if (same != null) {
-                return refusal(null, "scope " + c.scope() + " goes by the same number as " + same.scope() + ": another name is wanted");
+                return refusal(
+                        null,
+                        "scope " + c.scope() + " goes by the same number as " + same.scope()
+                                + ": another name is wanted");
             }
             if (ledgers.size() >= terms.mostScopes()) {
                 return refusal(null, "machine " + self + " holds " + ledgers.size() + " scopes, and no more than that");
@@ -105,23 +113,36 @@
             return refusal(ledger, older(o.epoch(), ledger));
         }
         ledger.promise(o.epoch());
-        return new Answer.Opened(fellows.lives(ledger.holders()), ledger.head(), ledger.pending(), ledger.pendingEpoch());
+        return new Answer.Opened(
+                fellows.lives(ledger.holders()), ledger.head(), ledger.pending(), ledger.pendingEpoch());
     }
 
     private static String older(long epoch, Ledger ledger) {
-        return "epoch " + epoch + " is older than " + ledger.promised() + " in " + ledger.scope() + ": another writer has begun";
+        return "epoch " + epoch + " is older than " + ledger.promised() + " in " + ledger.scope()
+                + ": another writer has begun";
     }
 
     private Answer offer(long nowUs, Ledger ledger, Call.Offer o) {
         Item item = o.item();
         if (item.version() <= ledger.head()) {
             Boolean is = ledger.is(item);
-            return is == null ? refusal(ledger, "version " + item.version() + " of " + item.scope() + " is too long ago to be compared")
-                    : is ? new Answer.Held(fellows.lives(ledger.holders()), item.version(), true)
-                    : new Answer.Refusal("version " + item.version() + " of " + item.scope() + " is another change: another writer has begun", ledger.head(), true);
+            return is == null
+                    ? refusal(
+                            ledger,
+                            "version " + item.version() + " of " + item.scope() + " is too long ago to be compared")
+                    : is
+                            ? new Answer.Held(fellows.lives(ledger.holders()), item.version(), true)
+                            : new Answer.Refusal(
+                                    "version " + item.version() + " of " + item.scope()
+                                            + " is another change: another writer has begun",
+                                    ledger.head(),
+                                    true);
         }
         if (o.epoch() == 0) {
-            return refusal(ledger, "version " + item.version() + " of " + item.scope() + " is not known to be taken here: head is " + ledger.head());
+            return refusal(
+                    ledger,
+                    "version " + item.version() + " of " + item.scope() + " is not known to be taken here: head is "
+                            + ledger.head());
         }
         if (rules.older(o.epoch(), ledger.promised())) {
             return refusal(ledger, older(o.epoch(), ledger));
@@ -132,13 +153,23 @@
         }
         if (item.version() > ledger.head() + 1) {
             fellows.hot(ledger);
-            return refusal(ledger, "gap in " + item.scope() + ": head is " + ledger.head() + ", offered is " + item.version());
-        }
-        if (!item.removed() && ledger.book().replica().item(item.key()) == null && ledger.book().replica().items().size() >= terms.mostItems()) {
-            return refusal(ledger, item.scope() + " has " + terms.mostItems() + " items, and no more than that: " + item.key() + " is one too many");
-        }
-        if (ledger.accepted() && ledger.pendingEpoch() == o.epoch() && !ledger.pending().equals(item)) {
-            return refusal(ledger, "two changes in epoch " + o.epoch() + " for version " + item.version() + " of " + item.scope());
+            return refusal(
+                    ledger, "gap in " + item.scope() + ": head is " + ledger.head() + ", offered is " + item.version());
+        }
+        if (!item.removed()
+                && ledger.book().replica().item(item.key()) == null
+                && ledger.book().replica().items().size() >= terms.mostItems()) {
+            return refusal(
+                    ledger,
+                    item.scope() + " has " + terms.mostItems() + " items, and no more than that: " + item.key()
+                            + " is one too many");
+        }
+        if (ledger.accepted()
+                && ledger.pendingEpoch() == o.epoch()
+                && !ledger.pending().equals(item)) {
+            return refusal(
+                    ledger,
+                    "two changes in epoch " + o.epoch() + " for version " + item.version() + " of " + item.scope());
         }
         ledger.accept(nowUs, o.epoch(), item, (i, before) -> committed(nowUs, ledger, i));
         boolean taken = ledger.head() >= item.version();
@@ -261,7 +292,10 @@
     /** A scope that a fellow has and this machine has not: it was not reached as it was created. */
     private void named(int from, String scope) {
         List<Integer> holders = layout.holders(scope);
-        if (holders.contains(self) && holders.contains(from) && fellows.heard(holders) && !byId.containsKey(Ids.of(scope))
+        if (holders.contains(self)
+                && holders.contains(from)
+                && fellows.heard(holders)
+                && !byId.containsKey(Ids.of(scope))
                 && ledgers.size() < terms.mostScopes()) {
             Ledger ledger = enter(new Ledger(scope, holders, self, rules, terms).count());
             fellows.hot(ledger, from);
@@ -269,8 +303,9 @@
     }
 
     private void ofScope(long nowUs, int from, Message message) {
-        long id = message instanceof Message.Holds h ? h.scope() : message instanceof Message.Changes c ? c.scope()
-                : message instanceof Message.Head h ? h.scope() : -1;
+        long id = message instanceof Message.Holds h
+                ? h.scope()
+                : message instanceof Message.Changes c ? c.scope() : message instanceof Message.Head h ? h.scope() : -1;
         Ledger ledger = byId.get(id);
         if (ledger == null || !ledger.holders().contains(from)) {
             return;
@@ -317,14 +352,16 @@
     /** Returns whether this holds a change: it was taken, as known here, or was accepted here. */
     public boolean holds(Item change) {
         Ledger ledger = ledgers.get(change.scope());
-        return ledger != null && (ledger.accepted() && ledger.pending().equals(change) || Boolean.TRUE.equals(ledger.is(change)));
+        return ledger != null
+                && (ledger.accepted() && ledger.pending().equals(change) || Boolean.TRUE.equals(ledger.is(change)));
     }
 
     /** Returns whether this would tell a writer of a change: it holds it, or has heard of it as it started, or it was taken too long ago to be compared. */
     public boolean knows(Item change) {
         Ledger ledger = ledgers.get(change.scope());
-        return ledger != null && (change.equals(ledger.pending())
-                || change.version() <= ledger.head() && !Boolean.FALSE.equals(ledger.is(change)));
+        return ledger != null
+                && (change.equals(ledger.pending())
+                        || change.version() <= ledger.head() && !Boolean.FALSE.equals(ledger.is(change)));
     }
 
     /** Returns whether this counts as a holder of a scope: it knows what its fellow holders knew when it started. */
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Ids.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Ids.java
@@ -8,7 +8,7 @@
 
 /** Numbers that stand for names and contents. */
 final class Ids {
-    private Ids() { }
+    private Ids() {}
 
     /** Returns what a scope goes by on the wire: 63 bits of the SHA-256 of its name. */
     static long of(String scope) {
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Item.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Item.java
@@ -39,16 +39,20 @@
             return "key " + key + " in " + scope + " has " + bytes + " bytes: 1 to " + KEY_BYTES + " are wanted";
         }
         if (value != null && value.length > VALUE_BYTES) {
-            return "value of " + key + " in " + scope + " has " + value.length + " bytes: at most " + VALUE_BYTES + " are wanted";
+            return "value of " + key + " in " + scope + " has " + value.length + " bytes: at most " + VALUE_BYTES
+                    + " are wanted";
         }
-        return version < 1 || version > MOST_VERSION ? "version " + version + " of " + key + " in " + scope + ": 1 to " + MOST_VERSION + " is wanted"
+        return version < 1 || version > MOST_VERSION
+                ? "version " + version + " of " + key + " in " + scope + ": 1 to " + MOST_VERSION + " is wanted"
                 : null;
     }
 
     /** Returns why this can't be the name of a scope; null for nothing. */
     public static String flaw(String scope) {
         int bytes = scope == null ? 0 : scope.getBytes(StandardCharsets.UTF_8).length;
-        return bytes < 1 || bytes > SCOPE_BYTES ? "scope " + scope + " has " + bytes + " bytes: 1 to " + SCOPE_BYTES + " are wanted" : null;
+        return bytes < 1 || bytes > SCOPE_BYTES
+                ? "scope " + scope + " has " + bytes + " bytes: 1 to " + SCOPE_BYTES + " are wanted"
+                : null;
     }
 
     public Item {
@@ -65,7 +69,11 @@
 
     @Override
     public boolean equals(Object other) {
-        return other instanceof Item i && kind == i.kind && version == i.version && scope.equals(i.scope) && key.equals(i.key)
+        return other instanceof Item i
+                && kind == i.kind
+                && version == i.version
+                && scope.equals(i.scope)
+                && key.equals(i.key)
                 && Arrays.equals(value, i.value);
     }
 
@@ -76,6 +84,7 @@
 
     @Override
     public String toString() {
-        return scope + "#" + version + " " + key + (removed() ? " removed" : " kind " + kind + ", " + value.length + " bytes");
+        return scope + "#" + version + " " + key
+                + (removed() ? " removed" : " kind " + kind + ", " + value.length + " bytes");
     }
 }
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Layout.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Layout.java
@@ -16,7 +16,7 @@
  */
 public record Layout(List<Machine> machines) {
     /** A control machine's place. */
-    public record Machine(String zone) { }
+    public record Machine(String zone) {}
 
     /** So many hold a scope, where there are so many. */
     public static final int COPIES = 3;
@@ -39,7 +39,8 @@
     /** Returns the machines that hold a scope, best first, in as many zones as there are. */
     public List<Integer> holders(String scope) {
         long place = hash(placement(scope));
-        List<Integer> ranked = ranked(IntStream.range(0, machines.size()).boxed().toList(), place);
+        List<Integer> ranked =
+                ranked(IntStream.range(0, machines.size()).boxed().toList(), place);
         var chosen = new ArrayList<Integer>();
         Set<String> zones = new HashSet<>();
         for (int machine : ranked) {
@@ -61,7 +62,11 @@
     }
 
     private static List<Integer> ranked(List<Integer> of, long place) {
-        return of.stream().sorted(Comparator.comparingLong((Integer m) -> mix(place ^ mix(m + 1L))).reversed().thenComparing(m -> m)).toList();
+        return of.stream()
+                .sorted(Comparator.comparingLong((Integer m) -> mix(place ^ mix(m + 1L)))
+                        .reversed()
+                        .thenComparing(m -> m))
+                .toList();
     }
 
     /** FNV-1a over the bytes, and a finisher: it must come out the same in every program that ever joins a fleet. */
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Ledger.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Ledger.java
@@ -9,9 +9,9 @@
 /** What one holder keeps of a scope: what was taken, what may have been, and what it has promised. */
 final class Ledger {
     /** A change that was taken lately, and when this holder learnt of it. */
-    record Logged(long version, long content, long atUs) { }
+    record Logged(long version, long content, long atUs) {}
 
-    private record Vote(long version, long epoch) { }
+    private record Vote(long version, long epoch) {}
 
     private static final int MOST_LOGGED = 128;
 
@@ -24,11 +24,13 @@
     private Book book;
     /** All of it got anew from a fellow, as removals are missing; null where that isn't so. */
     private Book staging;
+
     private long promised;
     private Item pending;
     private long pendingEpoch;
     /** Whether this holder has accepted the pending change itself, and not only heard of it when it started. */
     private boolean accepted;
+
     private final Map<Integer, Vote> votes = new HashMap<>(4);
     private final Deque<Logged> log = new ArrayDeque<>(4);
     private boolean counted;
@@ -106,10 +108,16 @@
     void take(long nowUs, Link link, Replica.Sink sink) {
         Book to = staging != null ? staging : book;
         long before = to.head();
-        to.take(nowUs, link, terms.mostTombstones(), to == book ? (item, old) -> {
-            log(nowUs, item);
-            sink.applied(item, old);
-        } : (item, old) -> { });
+        to.take(
+                nowUs,
+                link,
+                terms.mostTombstones(),
+                to == book
+                        ? (item, old) -> {
+                            log(nowUs, item);
+                            sink.applied(item, old);
+                        }
+                        : (item, old) -> {});
         grownUs = to.head() > before ? nowUs : grownUs;
         settle();
     }
@@ -141,7 +149,7 @@
 
     /** A scope begins with this version. */
     void begin(long base) {
-        book.take(0, Link.nothing(0, base), terms.mostTombstones(), (item, old) -> { });
+        book.take(0, Link.nothing(0, base), terms.mostTombstones(), (item, old) -> {});
     }
 
     /** What a fellow's copy is. */
@@ -156,7 +164,10 @@
         if (h.last() < h.head()) {
             take(nowUs, Link.nothing(h.last(), h.head()), sink);
         }
-        if (staging != null && staging.head() >= h.head() && staging.head() > head() && staging.replica().hash() == h.hash()) {
+        if (staging != null
+                && staging.head() >= h.head()
+                && staging.head() > head()
+                && staging.replica().hash() == h.hash()) {
             book = staging;
             staging = null;
             log.clear();
@@ -232,7 +243,11 @@
 
     /** The writer says that the pending change was taken. */
     void taken(long nowUs, long epoch, long version, Replica.Sink sink) {
-        if (counted && pending != null && pending.version() == version && pendingEpoch == epoch && version == head() + 1) {
+        if (counted
+                && pending != null
+                && pending.version() == version
+                && pendingEpoch == epoch
+                && version == head() + 1) {
             commit(nowUs, sink);
         }
     }
@@ -254,7 +269,8 @@
         promise(l.promised());
         if (change != null && change.link().version() > head()) {
             Item item = change.link().item(scope);
-            boolean newer = pending == null || item.version() > pending.version()
+            boolean newer = pending == null
+                    || item.version() > pending.version()
                     || item.version() == pending.version() && change.epoch() > pendingEpoch;
             if (newer) {
                 pending = item;
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Reader.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Reader.java
@@ -10,6 +10,7 @@
 final class Reader {
     /** So many changes are on their way at most: what comes early has to wait at the reader. It begins with fewer, and with few where nothing is told. */
     private static final int MOST_WINDOW = Replica.MOST_EARLY * 3 / 4;
+
     private static final int FIRST_WINDOW = 24;
     private static final int LEAST_WINDOW = 4;
 
@@ -17,19 +18,23 @@
     static final class Position {
         /** What it has told. */
         private long have = -1;
+
         private int hash;
         private boolean fill;
         private long heardUs;
         /** Up to where it was sent, and when something was last. */
         private long sentTo;
+
         private long sentUs;
         private long retryUs;
         private int window = FIRST_WINDOW;
         /** What is missing in the middle and to be sent again, and when that was done, by where it begins. */
         private final Deque<Message.Gap> gaps = new ArrayDeque<>(1);
+
         private final TreeMap<Long, Long> resent = new TreeMap<>();
         /** Since when it lacks something; -1 where it does not. */
         private long behindUs = -1;
+
         private long sinceUs;
 
         long have() {
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Replica.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Replica.java
@@ -20,6 +20,7 @@
 
     /** So much may wait for what is missing before it; the rest is asked for again. */
     static final int MOST_EARLY = 256;
+
     private static final int MOST_GAPS = 8;
 
     private final String scope;
@@ -27,6 +28,7 @@
     private final Map<String, Item> items = new HashMap<>(4);
     /** By the version before; null where nothing waits, as nearly always. */
     private TreeMap<Long, Link> early;
+
     private long have;
     private int hash;
 
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Rules.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Rules.java
@@ -45,7 +45,9 @@
     protected Answer.Opened toAdopt(Collection<Answer.Opened> answers, long head) {
         Answer.Opened newest = null;
         for (Answer.Opened a : answers) {
-            if (a.pending() != null && a.pending().version() == head + 1 && (newest == null || a.pendingEpoch() > newest.pendingEpoch())) {
+            if (a.pending() != null
+                    && a.pending().version() == head + 1
+                    && (newest == null || a.pendingEpoch() > newest.pendingEpoch())) {
                 newest = a;
             }
         }
@@ -54,7 +56,10 @@
 
     /** Returns whether the answers of two holders count together: each is of the life that the other has heard of last. */
     protected boolean together(int a, Lives ofA, int b, Lives ofB) {
-        return ofA.of().get(b) != null && ofA.of().get(b).equals(ofB.of().get(b)) && ofB.of().get(a) != null && ofB.of().get(a).equals(ofA.of().get(a));
+        return ofA.of().get(b) != null
+                && ofA.of().get(b).equals(ofB.of().get(b))
+                && ofB.of().get(a) != null
+                && ofB.of().get(a).equals(ofA.of().get(a));
     }
 
     /** Returns how many bytes may be sent to a proxy now. */
--- a/fleet/src/main/java/grebehoist/fleet/distribution/SourceGroup.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/SourceGroup.java
@@ -14,6 +14,7 @@
 final class SourceGroup {
     /** A question without an answer is asked again sooner than the next would be. */
     private static final double AGAIN = 1.5;
+
     private static final int SELDOM = 5;
     private static final long GIVING_US = 5_000_000;
     private static final long MOST_JITTER_US = 1_000_000;
@@ -25,14 +26,17 @@
     private final Map<Long, Copy> copies = new LinkedHashMap<>(4);
     /** What was told and is not yet answered, by number. */
     private final Map<Long, List<Message.Have>> asked = new HashMap<>(4);
+
     private final Set<Copy> toAck = new LinkedHashSet<>(4);
     private int at;
     private long digestUs;
     /** When the next one is due where this one is answered. */
     private long periodUs;
+
     private long ackUs;
     /** When the source is to be left; 0 where it is not. */
     private long moveUs;
+
     private int unanswered;
     private boolean answered = true;
     private long gaveUs = Long.MIN_VALUE / 2;
@@ -175,7 +179,8 @@
         heard();
         if (message instanceof Message.Unheld) {
             copy.notThere(source());
-        } else if (message instanceof Message.Changes c && copy.take(c.links()) || message instanceof Message.Head h && copy.headOf(source(), h)) {
+        } else if (message instanceof Message.Changes c && copy.take(c.links())
+                || message instanceof Message.Head h && copy.headOf(source(), h)) {
             if (toAck.isEmpty()) {
                 // Where much comes, and not all of a scope, it isn't told of each time.
                 ackUs = Math.max(nowUs + terms.ackUs(), copy.filling() ? 0 : ackedUs + SELDOM * terms.ackUs());
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Subscriber.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Subscriber.java
@@ -21,6 +21,7 @@
     private final Map<String, Copy> copies = new TreeMap<>();
     /** By what scopes are placed by. */
     private final Map<String, SourceGroup> groups = new LinkedHashMap<>();
+
     private final SourceGroup.Proxy proxy = new SourceGroup.Proxy() {
         private long questions;
 
@@ -31,7 +32,8 @@
 
         @Override
         public int sharers(long nowUs) {
-            return Math.min(Layout.MOST, (int) Math.max(1, groups.values().stream().filter(g -> g.gets(nowUs)).count()));
+            return Math.min(Layout.MOST, (int) Math.max(
+                    1, groups.values().stream().filter(g -> g.gets(nowUs)).count()));
         }
     };
 
@@ -67,7 +69,10 @@
             }
         }
         copies.put(scope, copy);
-        groups.computeIfAbsent(Layout.placement(scope), p -> new SourceGroup(layout.sources(scope, self), terms, random, out, proxy)).add(copy);
+        groups.computeIfAbsent(
+                        Layout.placement(scope),
+                        p -> new SourceGroup(layout.sources(scope, self), terms, random, out, proxy))
+                .add(copy);
         return null;
     }
 
@@ -96,8 +101,9 @@
             groups.values().stream().filter(g -> g.source() == from).forEach(g -> g.seen(nowUs, seen));
             return;
         }
-        long id = message instanceof Message.Changes c ? c.scope() : message instanceof Message.Head h ? h.scope()
-                : message instanceof Message.Unheld u ? u.scope() : -1;
+        long id = message instanceof Message.Changes c
+                ? c.scope()
+                : message instanceof Message.Head h ? h.scope() : message instanceof Message.Unheld u ? u.scope() : -1;
         for (SourceGroup g : groups.values()) {
             Copy copy = g.copy(id);
             if (copy != null && g.source() == from) {
--- a/fleet/src/main/java/grebehoist/fleet/distribution/Writer.java
+++ b/fleet/src/main/java/grebehoist/fleet/distribution/Writer.java
@@ -17,18 +17,25 @@
  */
 public final class Writer {
     /** What became of a change. */
-    public sealed interface Result { }
+    public sealed interface Result {}
 
     /** Two holders have it: it is lost only if both lose their memory together. */
-    public record Taken(long version) implements Result { }
+    public record Taken(long version) implements Result {}
 
     /** It is not in force and never will be. */
-    public record Refused(String why) implements Result { }
+    public record Refused(String why) implements Result {}
 
     /** It may come into force, or not. {@link #retry} finds out, or makes it so. */
-    public record Unknown(String why) implements Result { }
-
-    private enum Step { IDLE, CREATING, OPENING, ADOPTING, OFFERING, ASKING }
+    public record Unknown(String why) implements Result {}
+
+    private enum Step {
+        IDLE,
+        CREATING,
+        OPENING,
+        ADOPTING,
+        OFFERING,
+        ASKING
+    }
 
     /** Two different changes are never offered in one epoch for one version: each try that is not sure has a new one, so many at most. */
     private static final int TRIES = 4_096;
@@ -42,6 +49,7 @@
     private Result result;
     /** A majority has promised this epoch, and {@code head} is taken. */
     private boolean open;
+
     private long head;
     private long base;
     private int kind;
@@ -53,6 +61,7 @@
     private Item own;
     /** Somebody may have it. */
     private boolean doubt;
+
     private final Set<Integer> waiting = new HashSet<>();
     private Set<Call> calls = new HashSet<>();
     private final Map<Integer, Answer.Opened> opened = new HashMap<>();
@@ -244,7 +253,9 @@
         }
         Answer.Opened adopted = rules.toAdopt(opened.values(), head);
         if (adopted == null || own != null && Ids.same(own, adopted.pending())) {
-            return own != null && own.version() > head + 1 ? end(new Unknown("the change before is not known here")) : offering();
+            return own != null && own.version() > head + 1
+                    ? end(new Unknown("the change before is not known here"))
+                    : offering();
         }
         offered = adopted.pending();
         return ask(Step.ADOPTING, m -> new Call.Offer(m, epoch, offered));
@@ -319,7 +330,9 @@
     private boolean together(Map<Integer, Lives> answers) {
         int enough = rules.enough(holders.size());
         for (int a : answers.keySet()) {
-            long with = answers.keySet().stream().filter(b -> b == a || rules.together(a, answers.get(a), b, answers.get(b))).count();
+            long with = answers.keySet().stream()
+                    .filter(b -> b == a || rules.together(a, answers.get(a), b, answers.get(b)))
+                    .count();
             if (with >= enough) {
                 return true;
             }
--- a/fleet/src/main/java/grebehoist/fleet/lease/LeaseChange.java
+++ b/fleet/src/main/java/grebehoist/fleet/lease/LeaseChange.java
@@ -6,10 +6,10 @@
     int task();
 
     /** This member holds a task from now on, for the time being until then. */
-    record Held(int task, long token, long untilUs) implements LeaseChange { }
+    record Held(int task, long token, long untilUs) implements LeaseChange {}
 
     /** It holds it no more. */
-    record Ended(int task, long token, Why why) implements LeaseChange { }
+    record Ended(int task, long token, Why why) implements LeaseChange {}
 
     /** Why a holding ends. */
     enum Why {
--- a/fleet/src/main/java/grebehoist/fleet/lease/LeaseCodec.java
+++ b/fleet/src/main/java/grebehoist/fleet/lease/LeaseCodec.java
@@ -16,10 +16,11 @@
 public final class LeaseCodec {
     /** No round is greater: it is a token that every receiver can read as a JSON number. */
     public static final long MOST_ROUND = (1L << 53) - 1;
+
     private static final int FIELDS = 11;
     private static final CBORFactory CBOR = new CBORFactory();
 
-    private LeaseCodec() { }
+    private LeaseCodec() {}
 
     /** Returns the bytes of a message. */
     public static byte[] encode(LeaseMessage m) {
@@ -70,8 +71,14 @@
 
     private static LeaseMessage message(JsonParser cbor, int members, int tasks) throws IOException {
         var kind = LeaseMessage.Kind.values()[(int) number(cbor, LeaseMessage.Kind.values().length - 1)];
-        var message = new LeaseMessage(kind, (int) number(cbor, Integer.MAX_VALUE), (int) number(cbor, Math.max(0, tasks - 1)), ballot(cbor, members),
-                number(cbor, MOST_ROUND), number(cbor, Long.MAX_VALUE), ballot(cbor, members));
+        var message = new LeaseMessage(
+                kind,
+                (int) number(cbor, Integer.MAX_VALUE),
+                (int) number(cbor, Math.max(0, tasks - 1)),
+                ballot(cbor, members),
+                number(cbor, MOST_ROUND),
+                number(cbor, Long.MAX_VALUE),
+                ballot(cbor, members));
         // What a later version has to add is left alone.
         for (JsonToken t = cbor.nextToken(); t != JsonToken.END_ARRAY; t = cbor.nextToken()) {
             if (t == null || !t.isScalarValue()) {
@@ -86,7 +93,8 @@
     }
 
     private static long number(JsonParser cbor, long most) throws IOException {
-        if (cbor.nextToken() != JsonToken.VALUE_NUMBER_INT || cbor.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
+        if (cbor.nextToken() != JsonToken.VALUE_NUMBER_INT
+                || cbor.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
             throw new IOException("a whole number is wanted");
         }
         long value = cbor.getLongValue();
--- a/fleet/src/main/java/grebehoist/fleet/lease/LeaseTerms.java
+++ b/fleet/src/main/java/grebehoist/fleet/lease/LeaseTerms.java
@@ -12,10 +12,16 @@
  */
 public record LeaseTerms(long leaseUs, double drift, long renewUs, long againUs, long tryUs, long placeUs) {
     public LeaseTerms {
-        if (drift < 0 || drift >= 0.5 || leaseUs <= 0 || renewUs <= 0 || againUs <= 0 || tryUs < againUs || placeUs < 0
+        if (drift < 0
+                || drift >= 0.5
+                || leaseUs <= 0
+                || renewUs <= 0
+                || againUs <= 0
+                || tryUs < againUs
+                || placeUs < 0
                 || renewUs + tryUs >= heldUs(leaseUs, drift)) {
-            throw new IllegalArgumentException("terms of leases that contradict each other: lease " + leaseUs + " us, drift " + drift + ", renewed after "
-                    + renewUs + " us, a try of " + tryUs + " us");
+            throw new IllegalArgumentException("terms of leases that contradict each other: lease " + leaseUs
+                    + " us, drift " + drift + ", renewed after " + renewUs + " us, a try of " + tryUs + " us");
         }
     }
 
--- a/fleet/src/main/java/grebehoist/fleet/lease/Leases.java
+++ b/fleet/src/main/java/grebehoist/fleet/lease/Leases.java
@@ -36,14 +36,17 @@
         public Setup {
             voters = List.copyOf(voters);
             tasks = List.copyOf(tasks);
-            if (voters.isEmpty() || voters.stream().distinct().count() < voters.size() || voters.stream().anyMatch(v -> v < 0 || v >= members)) {
+            if (voters.isEmpty()
+                    || voters.stream().distinct().count() < voters.size()
+                    || voters.stream().anyMatch(v -> v < 0 || v >= members)) {
                 throw new IllegalArgumentException("voters " + voters + " of " + members + " members");
             }
         }
     }
 
     /** What is held of a task, for people. */
-    public record Seen(String task, boolean holds, long token, long leftUs, int holder, int place, int granted, int refused) { }
+    public record Seen(
+            String task, boolean holds, long token, long leftUs, int holder, int place, int granted, int refused) {}
 
     /** What is known of one task beside the claim. */
     private static final class Task {
@@ -52,13 +55,16 @@
         private Claim claim = Claim.NONE;
         /** Null in the silence of a voter, and of a member that is none. */
         private Vote vote;
+
         private long tryAtUs;
         private long askedAtUs;
         /** How often that question was said again, as far as it makes the next time later. */
         private int asks;
+
         private long renewAtUs;
         /** Voters that say that somebody else has it, a bit each, and until when, as far as they have said. */
         private long heldBy;
+
         private long heldUntilUs;
         private int holder = -1;
         private long handedUntilUs;
@@ -66,6 +72,7 @@
         private long homeAtUs;
         /** Something that was begun with this task is over by then. */
         private long busyUntilUs;
+
         private int place;
         private boolean wanted = true;
         private int granted;
@@ -79,6 +86,7 @@
 
     /** So many of the first members ask for a task; the others would only find it held. */
     private static final int CANDIDATES = 3;
+
     private static final int MOST_DOUBLED = 2;
     private static final long PLACES_EVERY_US = 500_000;
     private static final long LEARN_EVERY_US = 300_000;
@@ -88,6 +96,7 @@
     private static final long INCREDIBLE = 1L << 40;
     /** A task goes home to the member that comes first for it when it was held here for so long, one task a second. */
     private static final long HOME_AFTER_US = 10_000_000;
+
     private static final long HOME_EVERY_US = 1_000_000;
     /** Or so long where that one would not have it. */
     private static final long NOT_WANTED_US = 60_000_000;
@@ -117,7 +126,8 @@
      */
     public Leases(Protocol protocol, Setup setup, long floor, RandomGenerator random, IntPredicate alive, Output out) {
         if (protocol.voters() != setup.voters().size()) {
-            throw new IllegalArgumentException(setup.voters().size() + " voters, and a protocol for " + protocol.voters());
+            throw new IllegalArgumentException(
+                    setup.voters().size() + " voters, and a protocol for " + protocol.voters());
         }
         this.protocol = protocol;
         this.setup = setup;
@@ -188,17 +198,21 @@
                 t.asks = Math.min(t.asks + 1, MOST_DOUBLED);
                 ask(nowUs, number, t);
             }
-            // Who has just come knows nobody: all would ask for all tasks, and voters that began with it are silent anyway.
-        } else if (t.claim.token() > 0 ? nowUs >= t.renewAtUs : t.wanted && t.place < CANDIDATES && nowUs >= t.tryAtUs
-                && !silent(nowUs)) {
+            // Who has just come knows nobody: all would ask for all tasks, and voters that began with it are silent
+            // anyway.
+        } else if (t.claim.token() > 0
+                ? nowUs >= t.renewAtUs
+                : t.wanted && t.place < CANDIDATES && nowUs >= t.tryAtUs && !silent(nowUs)) {
             begin(nowUs, number, t);
         }
     }
 
     /** So long later than others, that they do not ask at the same time again and again. */
     private long apart(Task t) {
-        return t.claim.token() > 0 ? random.nextLong(protocol.terms().againUs())
-                : t.place * protocol.terms().placeUs() + random.nextLong(protocol.terms().placeUs() + 1);
+        return t.claim.token() > 0
+                ? random.nextLong(protocol.terms().againUs())
+                : t.place * protocol.terms().placeUs()
+                        + random.nextLong(protocol.terms().placeUs() + 1);
     }
 
     private void begin(long nowUs, int number, Task t) {
@@ -218,7 +232,14 @@
         long answers = t.claim.answers();
         for (int i = 0; i < setup.voters().size(); i++) {
             if ((answers & 1L << i) == 0) {
-                say(nowUs, setup.voters().get(i), phase == Phase.PREPARING ? Kind.PREPARE : Kind.PROPOSE, number, ballot, 0, Ballot.NONE);
+                say(
+                        nowUs,
+                        setup.voters().get(i),
+                        phase == Phase.PREPARING ? Kind.PREPARE : Kind.PROPOSE,
+                        number,
+                        ballot,
+                        0,
+                        Ballot.NONE);
             }
         }
     }
@@ -240,7 +261,9 @@
                 others.add(random.nextInt(others.size() + 1), m);
             }
         }
-        setup.voters().stream().filter(v -> v != setup.self()).forEach(v -> say(nowUs, v, Kind.LEARN, 0, Ballot.NONE, 0, Ballot.NONE));
+        setup.voters().stream()
+                .filter(v -> v != setup.self())
+                .forEach(v -> say(nowUs, v, Kind.LEARN, 0, Ballot.NONE, 0, Ballot.NONE));
         others.stream().limit(LEARN_FROM).forEach(m -> say(nowUs, m, Kind.LEARN, 0, Ballot.NONE, 0, Ballot.NONE));
     }
 
@@ -250,7 +273,8 @@
             otherSets++;
             return;
         }
-        long round = Math.max(m.highest(), Math.max(m.ballot().round(), m.other().round()));
+        long round =
+                Math.max(m.highest(), Math.max(m.ballot().round(), m.other().round()));
         if (!hear(round)) {
             return;
         }
@@ -299,7 +323,9 @@
             t.vote = protocol.release(t.vote, m.ballot());
             return;
         }
-        Protocol.Answer answer = m.kind() == Kind.PREPARE ? protocol.prepare(t.vote, nowUs, m.ballot()) : protocol.propose(t.vote, nowUs, m.ballot());
+        Protocol.Answer answer = m.kind() == Kind.PREPARE
+                ? protocol.prepare(t.vote, nowUs, m.ballot())
+                : protocol.propose(t.vote, nowUs, m.ballot());
         t.vote = answer.vote();
         if (answer.say() instanceof Protocol.Held held) {
             t.refused++;
@@ -309,7 +335,14 @@
             say(nowUs, from, Kind.HIGHER, m.task(), m.ballot(), 0, higher.than());
         } else {
             t.granted += m.kind() == Kind.PROPOSE ? 1 : 0;
-            say(nowUs, from, m.kind() == Kind.PREPARE ? Kind.PROMISE : Kind.GRANT, m.task(), m.ballot(), 0, Ballot.NONE);
+            say(
+                    nowUs,
+                    from,
+                    m.kind() == Kind.PREPARE ? Kind.PROMISE : Kind.GRANT,
+                    m.task(),
+                    m.ballot(),
+                    0,
+                    Ballot.NONE);
         }
     }
 
@@ -331,10 +364,12 @@
                 t.heldBy |= 1L << by;
                 t.heldUntilUs = Math.max(t.heldUntilUs, nowUs + m.leftUs());
                 t.holder = m.other().member();
-                if (2 * (setup.voters().size() - Long.bitCount(t.heldBy)) <= setup.voters().size()) {
+                if (2 * (setup.voters().size() - Long.bitCount(t.heldBy))
+                        <= setup.voters().size()) {
                     t.claim = t.claim.rest();
                     // Whoever has given it to this one may be heard by the voters a moment later.
-                    t.tryAtUs = nowUs < t.handedUntilUs ? nowUs + protocol.terms().againUs() / 4 : t.heldUntilUs + apart(t);
+                    t.tryAtUs =
+                            nowUs < t.handedUntilUs ? nowUs + protocol.terms().againUs() / 4 : t.heldUntilUs + apart(t);
                     t.heldUntilUs = 0;
                 }
             }
@@ -343,7 +378,7 @@
                 t.tryAtUs = nowUs + apart(t);
                 t.renewAtUs = nowUs + random.nextLong(protocol.terms().againUs());
             }
-            default -> { }
+            default -> {}
         }
     }
 
@@ -453,8 +488,17 @@
 
     /** Returns what is held of each task. */
     public List<Seen> seen(long nowUs) {
-        return Arrays.stream(tasks).map(t -> new Seen(t.name, t.claim.holds(nowUs), t.claim.holds(nowUs) ? t.claim.token() : 0,
-                Math.max(0, t.claim.untilUs() - nowUs), t.claim.holds(nowUs) ? setup.self() : t.holder, t.place, t.granted, t.refused)).toList();
+        return Arrays.stream(tasks)
+                .map(t -> new Seen(
+                        t.name,
+                        t.claim.holds(nowUs),
+                        t.claim.holds(nowUs) ? t.claim.token() : 0,
+                        Math.max(0, t.claim.untilUs() - nowUs),
+                        t.claim.holds(nowUs) ? setup.self() : t.holder,
+                        t.place,
+                        t.granted,
+                        t.refused))
+                .toList();
     }
 
     /** Returns the names of the tasks, by number. */
--- a/fleet/src/main/java/grebehoist/fleet/lease/Places.java
+++ b/fleet/src/main/java/grebehoist/fleet/lease/Places.java
@@ -7,7 +7,7 @@
  * (Steele, Lea, Flood 2014). Who comes or goes moves its own part of the tasks alone. Safety does not rest on it.
  */
 final class Places {
-    private Places() { }
+    private Places() {}
 
     /** Returns how many that may act come before a member, for a task. */
     static int place(long task, int member, int members, IntPredicate alive) {
@@ -23,7 +23,9 @@
     static int first(long task, int but, int members, IntPredicate alive) {
         int first = -1;
         for (int m = 0; m < members; m++) {
-            if (m != but && alive.test(m) && (first < 0 || Long.compareUnsigned(weight(task, m), weight(task, first)) > 0)) {
+            if (m != but
+                    && alive.test(m)
+                    && (first < 0 || Long.compareUnsigned(weight(task, m), weight(task, first)) > 0)) {
                 first = m;
             }
         }
--- a/fleet/src/main/java/grebehoist/fleet/lease/Protocol.java
+++ b/fleet/src/main/java/grebehoist/fleet/lease/Protocol.java
@@ -15,19 +15,19 @@
  */
 public class Protocol {
     /** What a voter says. */
-    public sealed interface Say permits Yes, Held, Higher { }
+    public sealed interface Say permits Yes, Held, Higher {}
 
     /** Yes, to the ballot that was asked about. */
-    public record Yes() implements Say { }
+    public record Yes() implements Say {}
 
     /** Somebody else has it. */
-    public record Held(Ballot by, long leftUs) implements Say { }
+    public record Held(Ballot by, long leftUs) implements Say {}
 
     /** A higher ballot was promised. */
-    public record Higher(Ballot than) implements Say { }
+    public record Higher(Ballot than) implements Say {}
 
     /** What a voter remembers from now on, and what it says. */
-    public record Answer(Vote vote, Say say) { }
+    public record Answer(Vote vote, Say say) {}
 
     private static final Yes YES = new Yes();
 
@@ -83,7 +83,9 @@
 
     /** A ballot that was granted is given back. An old one that comes late gives nothing back. */
     public Vote release(Vote vote, Ballot ballot) {
-        return vote.accepted() != null && isOf(vote.accepted(), ballot) ? new Vote(vote.promised(), null, 0, ballot) : vote;
+        return vote.accepted() != null && isOf(vote.accepted(), ballot)
+                ? new Vote(vote.promised(), null, 0, ballot)
+                : vote;
     }
 
     /** Whether a grant is the one that a release is about. */
@@ -122,8 +124,16 @@
             return claim.rest();
         }
         long answers = claim.answers() | 1L << voter;
-        return enough(Long.bitCount(answers)) ? new Claim(Phase.PROPOSING, ballot, nowUs, 0, claim.token(), claim.held(), claim.untilUs())
-                : new Claim(Phase.PREPARING, ballot, claim.sinceUs(), answers, claim.token(), claim.held(), claim.untilUs());
+        return enough(Long.bitCount(answers))
+                ? new Claim(Phase.PROPOSING, ballot, nowUs, 0, claim.token(), claim.held(), claim.untilUs())
+                : new Claim(
+                        Phase.PREPARING,
+                        ballot,
+                        claim.sinceUs(),
+                        answers,
+                        claim.token(),
+                        claim.held(),
+                        claim.untilUs());
     }
 
     /** A voter has granted. With a majority the task is held: anew, or on, where it was still held. */
@@ -133,13 +143,21 @@
         }
         long answers = claim.answers() | 1L << voter;
         if (!enough(Long.bitCount(answers))) {
-            return new Claim(Phase.PROPOSING, ballot, claim.sinceUs(), answers, claim.token(), claim.held(), claim.untilUs());
+            return new Claim(
+                    Phase.PROPOSING, ballot, claim.sinceUs(), answers, claim.token(), claim.held(), claim.untilUs());
         }
         long untilUs = countsFrom(claim.sinceUs(), nowUs) + heldUs();
         if (nowUs >= untilUs) {
             return claim.rest();
         }
-        return new Claim(Phase.RESTING, Ballot.NONE, 0, 0, claim.holds(nowUs) ? claim.token() : token(ballot, nowUs), ballot, untilUs);
+        return new Claim(
+                Phase.RESTING,
+                Ballot.NONE,
+                0,
+                0,
+                claim.holds(nowUs) ? claim.token() : token(ballot, nowUs),
+                ballot,
+                untilUs);
     }
 
     /** The holder gives it back: from here on it does not hold it, whatever becomes of the release. Nothing that it asked counts any more. */
--- a/fleet/src/main/java/grebehoist/fleet/membership/Entry.java
+++ b/fleet/src/main/java/grebehoist/fleet/membership/Entry.java
@@ -7,6 +7,7 @@
     long incarnation;
     /** What it has said of itself, in this life of ours; -1 where it has not been heard. */
     long ownWord = -1;
+
     String name = "";
     String zone = "";
     long sinceUs;
--- a/fleet/src/main/java/grebehoist/fleet/membership/FleetSize.java
+++ b/fleet/src/main/java/grebehoist/fleet/membership/FleetSize.java
@@ -60,7 +60,8 @@
             sharing.set(0, entries.length);
             settled = false;
         }
-        var count = new Change.Count(alive, sharing.cardinality(), sharing.get(0, self).cardinality());
+        var count = new Change.Count(
+                alive, sharing.cardinality(), sharing.get(0, self).cardinality());
         boolean changed = !count.equals(told);
         told = count;
         return changed ? count : null;
--- a/fleet/src/main/java/grebehoist/fleet/membership/Links.java
+++ b/fleet/src/main/java/grebehoist/fleet/membership/Links.java
@@ -14,6 +14,7 @@
 final class Links {
     /** A member that was missed so often in a row is not reached. */
     static final int MISSED = 3;
+
     private static final int KEPT = 8;
     private static final int ENOUGH = 4;
     private static final int MOST_ZONES = 64;
@@ -48,14 +49,21 @@
 
     /** Returns the zones that are not reached, few enough to be told. */
     List<String> zones() {
-        return outcomes.keySet().stream().filter(this::lacks).sorted().limit(News.MOST_REACH).toList();
+        return outcomes.keySet().stream()
+                .filter(this::lacks)
+                .sorted()
+                .limit(News.MOST_REACH)
+                .toList();
     }
 
     /** Returns the members that are not reached beside whole zones, few enough to be told. */
     List<Integer> members(Entry[] entries, List<String> zones) {
         var missed = new ArrayList<Integer>();
         for (Entry e : entries) {
-            if (e.missed >= MISSED && e.state.mayAct() && !zones.contains(e.zone) && missed.size() < News.MOST_REACH - zones.size()) {
+            if (e.missed >= MISSED
+                    && e.state.mayAct()
+                    && !zones.contains(e.zone)
+                    && missed.size() < News.MOST_REACH - zones.size()) {
                 missed.add(e.number);
             }
         }
--- a/fleet/src/main/java/grebehoist/fleet/membership/Membership.java
+++ b/fleet/src/main/java/grebehoist/fleet/membership/Membership.java
@@ -26,11 +26,19 @@
     }
 
     /** A view of one member, for people. */
-    public record Seen(int member, String name, String zone, State state, long incarnation, long ageUs, List<Integer> doubters, String why,
-            News.Reach reach) { }
+    public record Seen(
+            int member,
+            String name,
+            String zone,
+            State state,
+            long incarnation,
+            long ageUs,
+            List<Integer> doubters,
+            String why,
+            News.Reach reach) {}
 
     /** Somebody's question that this member passes on. */
-    private record Relay(int asker, long seq, int target, long untilUs) { }
+    private record Relay(int asker, long seq, int target, long untilUs) {}
 
     /** The probe of this period. */
     private static final class Probe {
@@ -65,6 +73,7 @@
     private static final int MOSTLY_SILENT = 6;
     /** A suspect is looked for by this member itself this often, and by so many of all members at a time. */
     private static final long LOOK_EVERY_US = 1_500_000;
+
     private static final double LOOKERS = 16;
     private static final int LAST_LOOKS = 3;
     private static final int MOST_ASKS = 2;
@@ -72,19 +81,23 @@
     private static final int SEEKING = 5;
     /** In this time an objection has gone round, where it gets out at all, and so long it counts that it did not. */
     private static final long NOT_HEARD_US = 3_000_000;
+
     private static final long NOT_HEARD_FOR_US = 10_000_000;
     /** Whoever was not there for longer may have missed that somebody came back. */
     private static final long MISSED_MUCH_US = 2_000_000;
+
     private static final long OBJECT_EVERY_US = 1_000_000;
     private static final int OBJECTORS = 50;
     /** How often a member that was never heard of before is told of. */
     private static final int FIRST_TIMES = 4;
+
     private static final long REACH_EVERY_US = 10_000_000;
     private static final long REACH_KEPT_US = 30_000_000;
     private static final long PULL_EVERY_US = 70_000;
     private static final long PULL_AGAIN_US = 300_000;
     /** What each datagram has beside its body, in bytes. */
     private static final int AROUND = Post.MOST_BYTES - Post.ROOM;
+
     private static final int WAKE_PINGS = 3;
 
     private final Terms terms;
@@ -115,6 +128,7 @@
     private long objectAt;
     /** How many others have told whom they do not reach. */
     private int reaching;
+
     private long sizeAt;
     private long pullAt;
     private int pullFrom;
@@ -127,15 +141,18 @@
     private long notHeardUntil;
     /** When it last objected to what was said of it, and with which incarnation. */
     private long objectedAt;
+
     private long objectedWith;
     /** The last concluded probes, the newest in the lowest bit: 1 where nothing came back. */
     private int silent;
+
     private int concluded;
     private int foreign;
     private double bytes;
     private long incredible;
     /** How many are suspect, and whether the count of members may change yet: what is calm costs nothing. */
     private int suspects;
+
     private boolean unsettled = true;
 
     /**
@@ -144,7 +161,8 @@
      * @param self this member's number, from 0
      * @param name and {@code zone}: what it tells of itself
      */
-    public Membership(Terms terms, int self, int members, String name, String zone, RandomGenerator random, Output out) {
+    public Membership(
+            Terms terms, int self, int members, String name, String zone, RandomGenerator random, Output out) {
         this.terms = terms;
         this.self = self;
         this.name = MessageCodec.cut(name);
@@ -283,7 +301,8 @@
 
     private void probe(long nowUs) {
         if (probe != null && !probe.direct && nowUs < probe.endUs && nowUs >= probe.againUs) {
-            // One in three datagrams lost must not mean that half of the members are asked for, and many of them doubted.
+            // One in three datagrams lost must not mean that half of the members are asked for, and many of them
+            // doubted.
             probe.againUs = nowUs + terms.directUs() / 2;
             send(probe.target, Message.Kind.PING, probe.seq, probe.target);
             if (nowUs >= probe.askUs && probe.asks < MOST_ASKS && !probe.indirect) {
@@ -359,8 +378,12 @@
         }
         var zones = new ArrayList<String>(List.of(zone));
         while (chosen.size() < Terms.HELPERS && !able.isEmpty()) {
-            int best = able.stream().min(Comparator.comparingInt(m -> (zones.contains(entries[m].zone) ? 1 : 0)
-                    + (entries[m].reach != null && entries[m].reach.lacks(target, entries[target].zone) ? 2 : 0))).orElseThrow();
+            int best = able.stream()
+                    .min(Comparator.comparingInt(m -> (zones.contains(entries[m].zone) ? 1 : 0)
+                            + (entries[m].reach != null && entries[m].reach.lacks(target, entries[target].zone)
+                                    ? 2
+                                    : 0)))
+                    .orElseThrow();
             able.remove(Integer.valueOf(best));
             chosen.add(best);
             zones.add(entries[best].zone);
@@ -447,7 +470,11 @@
         if (e.state != State.SUSPECT || e.incarnation < of) {
             e.suspicion = new Suspicion(nowUs);
             e.suspicion.doubt(by);
-            set(e, State.SUSPECT, of, by == self ? "not reached by this member, " + helped() : "not reached by " + named(by));
+            set(
+                    e,
+                    State.SUSPECT,
+                    of,
+                    by == self ? "not reached by this member, " + helped() : "not reached by " + named(by));
             queue.add(new News.Rumour(e.number, State.SUSPECT, of, by, ""));
         } else if (e.suspicion.doubt(by)) {
             queue.add(new News.Rumour(e.number, State.SUSPECT, of, by, ""));
@@ -455,7 +482,10 @@
     }
 
     private String helped() {
-        return probe == null ? "" : "asked through " + probe.asked.size() + " others, of whom " + probe.nacks.size() + " did not reach it either";
+        return probe == null
+                ? ""
+                : "asked through " + probe.asked.size() + " others, of whom " + probe.nacks.size()
+                        + " did not reach it either";
     }
 
     private String named(int member) {
@@ -470,11 +500,19 @@
             if (e.state == State.SUSPECT) {
                 lookFor(e, nowUs);
             }
-            if (e.state == State.SUSPECT && isOver(nowUs - silentSince(e.suspicion.sinceUs(), e.heardAt), e.suspicion.doubters().size(),
-                    e.suspicion.buriers()) && !lastLooks(e, nowUs)) {
+            if (e.state == State.SUSPECT
+                    && isOver(
+                            nowUs - silentSince(e.suspicion.sinceUs(), e.heardAt),
+                            e.suspicion.doubters().size(),
+                            e.suspicion.buriers())
+                    && !lastLooks(e, nowUs)) {
                 List<Integer> by = e.suspicion.doubters();
-                set(e, State.DEAD, e.incarnation, "suspected by " + by.stream().map(this::named).toList() + " for "
-                        + terms.leastSuspicionUs(entries.length) / 1_000 + " ms or more, and did not object");
+                set(
+                        e,
+                        State.DEAD,
+                        e.incarnation,
+                        "suspected by " + by.stream().map(this::named).toList() + " for "
+                                + terms.leastSuspicionUs(entries.length) / 1_000 + " ms or more, and did not object");
                 queue.add(new News.Rumour(e.number, State.DEAD, e.incarnation, self, ""));
             }
         }
@@ -536,7 +574,8 @@
         if (!state.mayAct()) {
             e.missed = 0;
         }
-        out.changed(new Change.Viewed(e.number, state, of, state == State.SUSPECT || state == State.DEAD ? doubters : List.of(), why));
+        out.changed(new Change.Viewed(
+                e.number, state, of, state == State.SUSPECT || state == State.DEAD ? doubters : List.of(), why));
     }
 
     // What comes
@@ -570,7 +609,7 @@
                     pullAt = nowUs + PULL_EVERY_US;
                 }
             }
-            case NEWS -> { }
+            case NEWS -> {}
         }
     }
 
@@ -578,7 +617,8 @@
         e.heardAt = nowUs;
         e.name = word.name();
         e.zone = word.zone();
-        // A lower one than was held comes late, or from a later life that is yet to be told of the earlier one (see send).
+        // A lower one than was held comes late, or from a later life that is yet to be told of the earlier one (see
+        // send).
         e.ownWord = word.incarnation();
         if (e.incarnation - e.ownWord > INCREDIBLE) {
             incredible++;
@@ -591,8 +631,9 @@
         if (word.incarnation() > e.incarnation) {
             e.missed = 0;
         }
-        if (word.incarnation() > e.incarnation || e.state == State.UNKNOWN || told == State.LEFT && e.state.mayAct()
-                && word.incarnation() == e.incarnation) {
+        if (word.incarnation() > e.incarnation
+                || e.state == State.UNKNOWN
+                || told == State.LEFT && e.state.mayAct() && word.incarnation() == e.incarnation) {
             boolean first = e.state == State.UNKNOWN;
             set(e, told, word.incarnation(), told == State.LEFT ? "it has said so" : "heard from it");
             passOn(new News.Rumour(e.number, told, e.incarnation, News.NOBODY, e.zone), first);
@@ -623,7 +664,11 @@
         switch (r.state()) {
             case ALIVE, LEFT -> {
                 boolean first = e.state == State.UNKNOWN;
-                set(e, r.state(), r.incarnation(), r.state() == State.LEFT ? "it has said so to others" : "others have heard from it");
+                set(
+                        e,
+                        r.state(),
+                        r.incarnation(),
+                        r.state() == State.LEFT ? "it has said so to others" : "others have heard from it");
                 passOn(new News.Rumour(e.number, r.state(), r.incarnation(), News.NOBODY, e.zone), first);
             }
             case SUSPECT -> doubt(e, r.incarnation(), r.by(), nowUs);
@@ -637,7 +682,7 @@
                     e.suspicion.bury(r.by());
                 }
             }
-            case UNKNOWN -> { }
+            case UNKNOWN -> {}
         }
     }
 
@@ -656,7 +701,10 @@
             object(r.incarnation());
             return;
         }
-        if (!leaving && r.incarnation() < objectedWith && r.state() != State.ALIVE && nowUs - objectedAt > NOT_HEARD_US) {
+        if (!leaving
+                && r.incarnation() < objectedWith
+                && r.state() != State.ALIVE
+                && nowUs - objectedAt > NOT_HEARD_US) {
             notHeard(nowUs);
         }
         boolean grown = nowUs - startedAt > Terms.GRACE_US;
@@ -668,7 +716,8 @@
             return;
         }
         if (r.state() == State.ALIVE && grown && ++foreign >= 2) {
-            out.changed(new Change.Twin(self, "somebody else speaks as this member, last as incarnation " + r.incarnation()));
+            out.changed(new Change.Twin(
+                    self, "somebody else speaks as this member, last as incarnation " + r.incarnation()));
         } else if (r.state() == State.SUSPECT || r.state() == State.DEAD) {
             health.worse(1);
         }
@@ -781,14 +830,17 @@
             }
         }
         List<News> fit = MessageCodec.fitting(known, room);
-        int after = fit.size() == known.size() ? entries.length : known.get(fit.size()).subject();
+        int after = fit.size() == known.size()
+                ? entries.length
+                : known.get(fit.size()).subject();
         post(to, new Message(Message.Kind.PAGE, m.seq(), after, word(), fit));
     }
 
     /** What is held of a member, as news. */
     private static News.Rumour rumour(Entry e, String zone) {
         List<Integer> doubters = e.suspicion == null ? List.of() : e.suspicion.doubters();
-        return new News.Rumour(e.number, e.state, e.incarnation, doubters.isEmpty() ? News.NOBODY : doubters.get(0), zone);
+        return new News.Rumour(
+                e.number, e.state, e.incarnation, doubters.isEmpty() ? News.NOBODY : doubters.get(0), zone);
     }
 
     // Who was dead or left is looked for, or two halves would never meet again
@@ -874,10 +926,14 @@
         List<String> zones = links.zones();
         var members = links.members(entries, zones);
         News.Reach before = entries[self].reach;
-        boolean same = before != null && before.members().equals(members) && before.zones().equals(zones);
+        boolean same = before != null
+                && before.members().equals(members)
+                && before.zones().equals(zones);
         boolean nothing = members.isEmpty() && zones.isEmpty();
         long age = nowUs - reachAt[self];
-        if (same ? nothing || age < REACH_EVERY_US : before == null && nothing || before != null && age < OBJECT_EVERY_US) {
+        if (same
+                ? nothing || age < REACH_EVERY_US
+                : before == null && nothing || before != null && age < OBJECT_EVERY_US) {
             return;
         }
         long version = Math.max(before == null ? 0 : before.version() + 1, incarnation << 12);
@@ -914,7 +970,8 @@
         Entry e = entries[to];
         int room = Post.ROOM - MessageCodec.bytes(number, subject, word());
         var news = new ArrayList<News>();
-        // Whoever is spoken ill of, or has forgotten an earlier life, hears it first (Lifeguard, 4.3, the buddy system).
+        // Whoever is spoken ill of, or has forgotten an earlier life, hears it first (Lifeguard, 4.3, the buddy
+        // system).
         if (e.incarnation > 0 && (e.state != State.ALIVE || e.ownWord < e.incarnation)) {
             news.add(rumour(e, ""));
             room -= MessageCodec.bytes(news.get(0));
@@ -931,7 +988,9 @@
             // A second's worth in debt: whoever asks this one again and again is no reason to send without end.
             return;
         }
-        bytes -= AROUND + MessageCodec.bytes(m.seq(), m.subject(), m.self()) + m.news().stream().mapToInt(MessageCodec::bytes).sum();
+        bytes -= AROUND
+                + MessageCodec.bytes(m.seq(), m.subject(), m.self())
+                + m.news().stream().mapToInt(MessageCodec::bytes).sum();
         out.send(to, m);
     }
 
@@ -949,8 +1008,16 @@
     /** Returns what is held of one member. */
     public Seen seen(int member, long nowUs) {
         Entry e = entries[member];
-        return new Seen(e.number, e.name, e.zone, e.state, e.incarnation, nowUs - e.sinceUs,
-                e.suspicion == null ? List.of() : e.suspicion.doubters(), e.why, e.reach);
+        return new Seen(
+                e.number,
+                e.name,
+                e.zone,
+                e.state,
+                e.incarnation,
+                nowUs - e.sinceUs,
+                e.suspicion == null ? List.of() : e.suspicion.doubters(),
+                e.why,
+                e.reach);
     }
 
     /** Returns what a member calls itself, or an empty text where that is not known. */
--- a/fleet/src/main/java/grebehoist/fleet/membership/Message.java
+++ b/fleet/src/main/java/grebehoist/fleet/membership/Message.java
@@ -29,7 +29,7 @@
     }
 
     /** A sender's word on itself; name and zone are cut to {@link MessageCodec#MOST_TEXT} bytes. */
-    public record Self(long incarnation, boolean leaving, String name, String zone) { }
+    public record Self(long incarnation, boolean leaving, String name, String zone) {}
 
     public Message {
         news = List.copyOf(news);
--- a/fleet/src/main/java/grebehoist/fleet/membership/MessageCodec.java
+++ b/fleet/src/main/java/grebehoist/fleet/membership/MessageCodec.java
@@ -20,12 +20,13 @@
     public static final int MOST_TEXT = 16;
     /** No incarnation is greater. */
     static final long MOST_INCARNATION = 1L << 48;
+
     private static final int REACH = 16;
     private static final int MOST_NEWS = 100;
     private static final int MOST_FIELDS = 16;
     private static final CBORFactory CBOR = new CBORFactory();
 
-    private MessageCodec() { }
+    private MessageCodec() {}
 
     /** Bytes that are no message. */
     public static final class BadMessage extends Exception {
@@ -86,16 +87,32 @@
     /** Returns how many bytes one piece of news takes. */
     static int bytes(News news) {
         if (news instanceof News.Rumour r) {
-            return 1 + number(r.about()) + 1 + number(r.incarnation()) + number(r.by() + 1) + (r.zone().isEmpty() ? 0 : text(r.zone()));
+            return 1
+                    + number(r.about())
+                    + 1
+                    + number(r.incarnation())
+                    + number(r.by() + 1)
+                    + (r.zone().isEmpty() ? 0 : text(r.zone()));
         }
         var r = (News.Reach) news;
-        return 1 + number(r.by()) + 1 + number(r.version()) + r.members().stream().mapToInt(MessageCodec::number).sum()
+        return 1
+                + number(r.by())
+                + 1
+                + number(r.version())
+                + r.members().stream().mapToInt(MessageCodec::number).sum()
                 + r.zones().stream().mapToInt(MessageCodec::text).sum();
     }
 
     /** Returns how many bytes a message takes without its news. */
     static int bytes(long seq, int subject, Message.Self self) {
-        return 3 + 1 + number(seq) + number(subject) + number(self.incarnation()) + 1 + text(self.name()) + text(self.zone());
+        return 3
+                + 1
+                + number(seq)
+                + number(subject)
+                + number(self.incarnation())
+                + 1
+                + text(self.name())
+                + text(self.zone());
     }
 
     private static int number(long n) {
@@ -158,15 +175,20 @@
             }
         }
         if (what == REACH) {
-            expect(numbers.size() + texts.size() <= News.MOST_REACH && numbers.stream().allMatch(n -> n >= 0 && n < members), "reach");
-            return new News.Reach(about, incarnation, numbers.stream().map(Long::intValue).toList(), texts);
+            expect(
+                    numbers.size() + texts.size() <= News.MOST_REACH
+                            && numbers.stream().allMatch(n -> n >= 0 && n < members),
+                    "reach");
+            return new News.Reach(
+                    about, incarnation, numbers.stream().map(Long::intValue).toList(), texts);
         }
         if (what <= 0 || what >= State.values().length) {
             return null;
         }
         long by = numbers.isEmpty() ? 0 : numbers.get(0);
         expect(by >= 0 && by <= members && incarnation <= MOST_INCARNATION, "a rumour out of bounds");
-        return new News.Rumour(about, State.values()[what], incarnation, (int) by - 1, texts.isEmpty() ? "" : texts.get(0));
+        return new News.Rumour(
+                about, State.values()[what], incarnation, (int) by - 1, texts.isEmpty() ? "" : texts.get(0));
     }
 
     private static long number(JsonParser cbor, long most) throws IOException, BadMessage {
--- a/fleet/src/main/java/grebehoist/fleet/membership/News.java
+++ b/fleet/src/main/java/grebehoist/fleet/membership/News.java
@@ -17,7 +17,7 @@
      * @param by who has found it suspect or dead, or {@link #NOBODY}
      * @param zone its zone, or empty where it is not told
      */
-    record Rumour(int about, State state, long incarnation, int by, String zone) implements News { }
+    record Rumour(int about, State state, long incarnation, int by, String zone) implements News {}
 
     /**
      * Whom a member hears of through others alone: it lives, and yet is not reached from there. A later version replaces the one before,
--- a/fleet/src/main/java/grebehoist/fleet/membership/NewsQueue.java
+++ b/fleet/src/main/java/grebehoist/fleet/membership/NewsQueue.java
@@ -16,7 +16,7 @@
     /** So many are looked at for what still fits. */
     private static final int MOST_LOOKS = 80;
 
-    private record Queued(News news, int times) { }
+    private record Queued(News news, int times) {}
 
     private final Map<Integer, Queued> bySubject = new HashMap<>();
     private final SortedMap<Integer, Set<Queued>> byTimes = new TreeMap<>();
--- a/fleet/src/main/java/grebehoist/fleet/membership/Terms.java
+++ b/fleet/src/main/java/grebehoist/fleet/membership/Terms.java
@@ -13,7 +13,15 @@
  * @param countHoldUs a member that was found dead counts as one that shares the load for so long
  * @param minorityHoldUs and so long where less than half of those that shared it are heard
  */
-public record Terms(long periodUs, long directUs, long tickUs, long gossipUs, long pauseUs, long awayUs, int bytesPerS, long countHoldUs,
+public record Terms(
+        long periodUs,
+        long directUs,
+        long tickUs,
+        long gossipUs,
+        long pauseUs,
+        long awayUs,
+        int bytesPerS,
+        long countHoldUs,
         long minorityHoldUs) {
     private static final long MS = 1_000;
     private static final long S = 1_000 * MS;
@@ -40,8 +48,16 @@
     static final long REVISIT_US = 2 * S;
 
     public Terms {
-        if (periodUs <= 0 || directUs <= 0 || directUs >= periodUs || tickUs <= 0 || gossipUs < tickUs || pauseUs < 0 || awayUs < 2 * tickUs
-                || bytesPerS < 1_000 || countHoldUs < 0 || minorityHoldUs < countHoldUs) {
+        if (periodUs <= 0
+                || directUs <= 0
+                || directUs >= periodUs
+                || tickUs <= 0
+                || gossipUs < tickUs
+                || pauseUs < 0
+                || awayUs < 2 * tickUs
+                || bytesPerS < 1_000
+                || countHoldUs < 0
+                || minorityHoldUs < countHoldUs) {
             throw new IllegalArgumentException("terms that contradict each other: " + this);
         }
     }
--- a/fleet/src/main/java/grebehoist/fleet/wire/Header.java
+++ b/fleet/src/main/java/grebehoist/fleet/wire/Header.java
@@ -36,7 +36,7 @@
     }
 
     /** What was read, and how many bytes it took. */
-    record Read(Header header, int length) { }
+    record Read(Header header, int length) {}
 
     void write(ByteArrayOutputStream to) {
         try (JsonGenerator cbor = CBOR.createGenerator(to)) {
@@ -62,7 +62,8 @@
             }
             long[] fields = new long[FIELDS];
             for (int i = 0; i < FIELDS; i++) {
-                if (cbor.nextToken() != JsonToken.VALUE_NUMBER_INT || cbor.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
+                if (cbor.nextToken() != JsonToken.VALUE_NUMBER_INT
+                        || cbor.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
                     throw new Unreadable("field " + i + " is no whole number");
                 }
                 fields[i] = cbor.getLongValue();
@@ -78,8 +79,17 @@
                 throw new Unreadable("too many fields");
             }
             int end = (int) cbor.currentLocation().getByteOffset();
-            return new Read(new Header((int) fields[0], (int) fields[1], (int) fields[2], fields[3], fields[4], fields[5], fields[6],
-                    (int) fields[7]), end);
+            return new Read(
+                    new Header(
+                            (int) fields[0],
+                            (int) fields[1],
+                            (int) fields[2],
+                            fields[3],
+                            fields[4],
+                            fields[5],
+                            fields[6],
+                            (int) fields[7]),
+                    end);
         } catch (IOException e) {
             throw new Unreadable(e.getMessage());
         }
--- a/fleet/src/main/java/grebehoist/fleet/wire/KeyRing.java
+++ b/fleet/src/main/java/grebehoist/fleet/wire/KeyRing.java
@@ -21,7 +21,8 @@
                 throw new IllegalArgumentException("key id " + id + ": 0 to 255 is wanted");
             }
             if (secret.length < LEAST) {
-                throw new IllegalArgumentException("key " + id + ": at least " + LEAST + " bytes are wanted, not " + secret.length);
+                throw new IllegalArgumentException(
+                        "key " + id + ": at least " + LEAST + " bytes are wanted, not " + secret.length);
             }
             secret = secret.clone();
         }
@@ -31,6 +32,7 @@
     public static final int SEAL = 16;
     /** The least bytes of a key. */
     public static final int LEAST = 16;
+
     private static final int MOST_KEYS = 2;
     private static final String ALGORITHM = "HmacSHA256";
 
@@ -43,7 +45,8 @@
             throw new IllegalArgumentException("one or two keys are wanted, not " + keys.size());
         }
         if (keys.stream().map(Key::id).distinct().count() < keys.size()) {
-            throw new IllegalArgumentException("two keys have the id " + keys.get(0).id());
+            throw new IllegalArgumentException(
+                    "two keys have the id " + keys.get(0).id());
         }
         this.keys = List.copyOf(keys);
         this.macs = this.keys.stream().map(KeyRing::mac).toList();
--- a/fleet/src/main/java/grebehoist/fleet/wire/Post.java
+++ b/fleet/src/main/java/grebehoist/fleet/wire/Post.java
@@ -26,9 +26,11 @@
     private static final int HELLO = 0;
     /** No body: the answer to it. */
     private static final int WELCOME = 1;
+
     private static final byte[] NOTHING = {};
     /** The first topic of those who speak over this. */
     public static final int FIRST_TOPIC = 8;
+
     private static final long HELLO_EVERY_US = 100_000;
     /** What could not be said is of use for so long. */
     private static final long RESAID_US = 400_000;
@@ -36,13 +38,13 @@
     private static final int FLOOD_PER_S = 200;
 
     /** What a datagram was good for. */
-    public sealed interface Opened permits Body, Dropped, Words { }
+    public sealed interface Opened permits Body, Dropped, Words {}
 
     /** A body to be handed on. */
-    public record Body(int from, int topic, byte[] bytes) implements Opened { }
+    public record Body(int from, int topic, byte[] bytes) implements Opened {}
 
     /** It changes nothing. */
-    public record Dropped(Refused why) implements Opened { }
+    public record Dropped(Refused why) implements Opened {}
 
     /**
      * Words were exchanged.
@@ -50,11 +52,11 @@
      * @param again what is to be sent to the member now, perhaps nothing
      * @param proven whether it is sure that the member has said this, and now
      */
-    public record Words(int from, List<byte[]> again, boolean proven) implements Opened { }
+    public record Words(int from, List<byte[]> again, boolean proven) implements Opened {}
 
-    private record Unsaid(int topic, byte[] body, long atUs) { }
+    private record Unsaid(int topic, byte[] body, long atUs) {}
 
-    private record Allowance(double left, long atUs) { }
+    private record Allowance(double left, long atUs) {}
 
     /** What is kept of a member that has sealed something rightly, or that something was sealed for. */
     private static final class Peer {
@@ -70,6 +72,7 @@
     private final long secret;
     /** Of most members of a large fleet nothing is ever heard: only the others take room. */
     private final Map<Integer, Peer> peers = new HashMap<>();
+
     private final Map<Integer, Allowance> allowances = new HashMap<>();
     private final Map<Refused, Long> refused = new EnumMap<>(Refused.class);
 
@@ -148,8 +151,16 @@
     private byte[] datagram(int to, int topic, byte[] body, long echo) {
         Session session = peer(to).session;
         var out = new ByteArrayOutputStream(MOST_BYTES);
-        new Header(Header.VERSION, ring.sealing(), self, life, session.nextCount() & 0xFFFF_FFFFL, echo, word(to, session.epoch()),
-                topic).write(out);
+        new Header(
+                        Header.VERSION,
+                        ring.sealing(),
+                        self,
+                        life,
+                        session.nextCount() & 0xFFFF_FFFFL,
+                        echo,
+                        word(to, session.epoch()),
+                        topic)
+                .write(out);
         out.writeBytes(body);
         byte[] bytes = out.toByteArray();
         out.writeBytes(ring.seal(ring.sealing(), self, to, bytes, bytes.length));
@@ -158,7 +169,12 @@
 
     /** The word that a member has to echo; nobody can guess it who has not been told. */
     private long word(int member, int epoch) {
-        byte[] mixed = ring.seal(ring.sealing(), member, epoch, ByteBuffer.allocate(8).putLong(secret).array(), 8);
+        byte[] mixed = ring.seal(
+                ring.sealing(),
+                member,
+                epoch,
+                ByteBuffer.allocate(8).putLong(secret).array(),
+                8);
         return Math.max(1, ByteBuffer.wrap(mixed).getInt() & 0xFFFF_FFFFL);
     }
 
@@ -184,7 +200,9 @@
         try {
             Header.Read read = Header.read(datagram, sealed);
             Refused why = flaw(from, read.header(), datagram, sealed);
-            return why != null ? drop(why) : admit(nowUs, from, read.header(), Arrays.copyOfRange(datagram, read.length(), sealed));
+            return why != null
+                    ? drop(why)
+                    : admit(nowUs, from, read.header(), Arrays.copyOfRange(datagram, read.length(), sealed));
         } catch (Header.Unreadable e) {
             return drop(Refused.UNREADABLE);
         }
@@ -203,7 +221,13 @@
         if (!ring.has(header.key())) {
             return Refused.KEY;
         }
-        if (!ring.opens(header.key(), header.sender(), self, datagram, sealed, Arrays.copyOfRange(datagram, sealed, datagram.length))) {
+        if (!ring.opens(
+                header.key(),
+                header.sender(),
+                self,
+                datagram,
+                sealed,
+                Arrays.copyOfRange(datagram, sealed, datagram.length))) {
             return Refused.SEAL;
         }
         return header.sender() == from ? null : Refused.WRONG_PLACE;
@@ -211,7 +235,8 @@
 
     private boolean allowed(long nowUs, int from) {
         Allowance before = allowances.get(from);
-        double left = before == null ? 2 * FLOOD_PER_S
+        double left = before == null
+                ? 2 * FLOOD_PER_S
                 : Math.min(2 * FLOOD_PER_S, before.left() + (nowUs - before.atUs()) * (FLOOD_PER_S / 1e6));
         allowances.put(from, new Allowance(Math.max(0, left - 1), nowUs));
         return left >= 1;
@@ -221,7 +246,9 @@
         Peer peer = peer(from);
         Session session = peer.session;
         boolean proven = header.echo() == word(from, session.epoch())
-                || session.speaks(header.life()) && session.epoch() > 0 && header.echo() == word(from, session.epoch() - 1);
+                || session.speaks(header.life())
+                        && session.epoch() > 0
+                        && header.echo() == word(from, session.epoch() - 1);
         if (!proven) {
             refused.merge(Refused.UNPROVEN, 1L, Long::sum);
             if (nowUs - peer.greetedAt < HELLO_EVERY_US) {
@@ -250,7 +277,9 @@
             return new Words(from, List.of(), true);
         }
         boolean say = again != null && nowUs - again.atUs() < RESAID_US;
-        return new Words(from, List.of(datagram(from, say ? again.topic() : WELCOME, say ? again.body() : NOTHING, session.echo())),
+        return new Words(
+                from,
+                List.of(datagram(from, say ? again.topic() : WELCOME, say ? again.body() : NOTHING, session.echo())),
                 true);
     }
 }
--- a/fleet/src/main/java/grebehoist/fleet/wire/Session.java
+++ b/fleet/src/main/java/grebehoist/fleet/wire/Session.java
@@ -7,16 +7,19 @@
 final class Session {
     /** So far behind the newest a datagram may come (RFC 4303, 3.4.3, has 32 at least). */
     private static final int WINDOW = 64;
+
     private static final int LIVES = 4;
 
     /** 0 as long as none has proven itself. */
     private long life;
     /** Earlier lives; one that speaks again shows that two processes have the same number. */
     private final Deque<Long> before = new ArrayDeque<>();
+
     private long newest;
     private long seen;
     /** Grows as lives change, so that what an earlier life has learnt proves nothing. */
     private int epoch;
+
     private long echo;
     private long count;
     private int twins;
--- a/fleet/src/test/java/grebehoist/fleet/distribution/BookTest.java
+++ b/fleet/src/test/java/grebehoist/fleet/distribution/BookTest.java
@@ -6,7 +6,7 @@
 
 /** A holder's copy: which changes survive, and for how long removals do. */
 class BookTest {
-    private static final Replica.Sink NOBODY = (item, before) -> { };
+    private static final Replica.Sink NOBODY = (item, before) -> {};
     private final Book book = new Book("s", new Rules());
 
     private void take(long atUs, long version, String key, boolean removed) {
--- a/fleet/src/test/java/grebehoist/fleet/distribution/DistributionCodecTest.java
+++ b/fleet/src/test/java/grebehoist/fleet/distribution/DistributionCodecTest.java
@@ -13,11 +13,29 @@
     private static final long MOST = Item.MOST_VERSION;
     private static final Message.Have HAVE = new Message.Have(Long.MAX_VALUE, MOST, -1, true, List.of());
     private static final Message.Listed LISTED = new Message.Listed("s".repeat(24), MOST, MOST, MOST, MOST);
-    private static final List<Message> PLAIN = List.of(new Message.Digest(0, 1, List.of()), new Message.Digest(7, 64, List.of(HAVE, new Message.Have(3, 1, 5, false, List.of(new Message.Gap(1, 4), new Message.Gap(9, MOST))))),
-            new Message.Seen(9, 5), new Message.Head(4, 5, -6, 3, 2), new Message.Unheld(8, true), new Message.Unheld(8, false), new Message.Left(12),
-            new Message.Holds(1, MOST, MOST, MOST), new Message.ListAfter(5, ""), new Message.ListAfter(5, "c1/s"),
-            new Message.Listing(5, "", true, List.of()), new Message.Listing(5, "s".repeat(24), false, List.of(LISTED)), new Message.Ask(6),
-            new Message.Named("c1/s"), new Message.Changes(77, List.of()), new Message.Changes(77, List.of(new Link(4, 9, 255, "k", null))));
+    private static final List<Message> PLAIN = List.of(
+            new Message.Digest(0, 1, List.of()),
+            new Message.Digest(
+                    7,
+                    64,
+                    List.of(
+                            HAVE,
+                            new Message.Have(
+                                    3, 1, 5, false, List.of(new Message.Gap(1, 4), new Message.Gap(9, MOST))))),
+            new Message.Seen(9, 5),
+            new Message.Head(4, 5, -6, 3, 2),
+            new Message.Unheld(8, true),
+            new Message.Unheld(8, false),
+            new Message.Left(12),
+            new Message.Holds(1, MOST, MOST, MOST),
+            new Message.ListAfter(5, ""),
+            new Message.ListAfter(5, "c1/s"),
+            new Message.Listing(5, "", true, List.of()),
+            new Message.Listing(5, "s".repeat(24), false, List.of(LISTED)),
+            new Message.Ask(6),
+            new Message.Named("c1/s"),
+            new Message.Changes(77, List.of()),
+            new Message.Changes(77, List.of(new Link(4, 9, 255, "k", null))));
 
     @Test
     void eachMessageIsReadAsItWasWritten() {
@@ -45,20 +63,54 @@
         assertThat(back.links().get(0).item("s")).isEqualTo(link.item("s"));
         byte[] pending = DistributionCodec.encode(new Message.Pending(Long.MAX_VALUE, MOST, link));
         assertThat(pending.length).isLessThanOrEqualTo(Post.ROOM);
-        assertThat(((Message.Pending) DistributionCodec.decode(pending).get(0)).link().item("s")).isEqualTo(link.item("s"));
-        assertThat(DistributionCodec.DIGEST_FRAME + DistributionCodec.encode(HAVE).length).isLessThanOrEqualTo(Post.ROOM);
-        assertThat(DistributionCodec.LISTING_FRAME + DistributionCodec.encode(LISTED).length).isLessThanOrEqualTo(Post.ROOM);
+        assertThat(((Message.Pending) DistributionCodec.decode(pending).get(0))
+                        .link()
+                        .item("s"))
+                .isEqualTo(link.item("s"));
+        assertThat(DistributionCodec.DIGEST_FRAME + DistributionCodec.encode(HAVE).length)
+                .isLessThanOrEqualTo(Post.ROOM);
+        assertThat(DistributionCodec.LISTING_FRAME + DistributionCodec.encode(LISTED).length)
+                .isLessThanOrEqualTo(Post.ROOM);
     }
 
     @Test
     void whatALaterVersionAddsIsLeftAlone() {
-        byte[] more = new CborWriter().array(5).number(1).number(9).number(5).text("more").array(1).number(3).done();
+        byte[] more = new CborWriter()
+                .array(5)
+                .number(1)
+                .number(9)
+                .number(5)
+                .text("more")
+                .array(1)
+                .number(3)
+                .done();
         assertThat(DistributionCodec.decode(more)).containsExactly(new Message.Seen(9, 5));
-        byte[] unknown = new CborWriter().array(3).number(99).text("?").array(2).array(0).bytes(null).done();
-        assertThat(DistributionCodec.decode(join(unknown, DistributionCodec.encode(PLAIN.get(3))))).containsExactly(PLAIN.get(3));
-        byte[] link = new CborWriter().array(4).number(2).number(77).array(1).array(6).number(9).number(5).number(3).text("k").bytes(null).number(1)
-                .text("more").done();
-        assertThat(DistributionCodec.decode(link)).containsExactly(new Message.Changes(77, List.of(new Link(4, 9, 3, "k", null))));
+        byte[] unknown = new CborWriter()
+                .array(3)
+                .number(99)
+                .text("?")
+                .array(2)
+                .array(0)
+                .bytes(null)
+                .done();
+        assertThat(DistributionCodec.decode(join(unknown, DistributionCodec.encode(PLAIN.get(3)))))
+                .containsExactly(PLAIN.get(3));
+        byte[] link = new CborWriter()
+                .array(4)
+                .number(2)
+                .number(77)
+                .array(1)
+                .array(6)
+                .number(9)
+                .number(5)
+                .number(3)
+                .text("k")
+                .bytes(null)
+                .number(1)
+                .text("more")
+                .done();
+        assertThat(DistributionCodec.decode(link))
+                .containsExactly(new Message.Changes(77, List.of(new Link(4, 9, 3, "k", null))));
     }
 
     @Test
@@ -75,11 +127,40 @@
         }
         assertThat(DistributionCodec.decode(new byte[0])).isNull();
         assertThat(DistributionCodec.decode(new byte[] {1})).isNull();
-        assertThat(DistributionCodec.decode(new CborWriter().array(3).number(1).number(9).text("?").done())).isNull();
-        assertThat(DistributionCodec.decode(new CborWriter().array(2).number(2).number(9).done())).as("cut off").isNull();
-        byte[] before = new CborWriter().array(3).number(2).number(77).array(1).array(5).number(9).number(0).number(3).text("k").bytes(null).done();
-        assertThat(DistributionCodec.decode(before)).as("a change before itself").isNull();
-        byte[] far = new CborWriter().array(3).number(2).number(77).array(1).array(5).number(9).number(10).number(3).text("k").bytes(null).done();
+        assertThat(DistributionCodec.decode(
+                        new CborWriter().array(3).number(1).number(9).text("?").done()))
+                .isNull();
+        assertThat(DistributionCodec.decode(
+                        new CborWriter().array(2).number(2).number(9).done()))
+                .as("cut off")
+                .isNull();
+        byte[] before = new CborWriter()
+                .array(3)
+                .number(2)
+                .number(77)
+                .array(1)
+                .array(5)
+                .number(9)
+                .number(0)
+                .number(3)
+                .text("k")
+                .bytes(null)
+                .done();
+        assertThat(DistributionCodec.decode(before))
+                .as("a change before itself")
+                .isNull();
+        byte[] far = new CborWriter()
+                .array(3)
+                .number(2)
+                .number(77)
+                .array(1)
+                .array(5)
+                .number(9)
+                .number(10)
+                .number(3)
+                .text("k")
+                .bytes(null)
+                .done();
         assertThat(DistributionCodec.decode(far)).as("a change before all").isNull();
     }
 }
