--- a/fleet/src/test/java/grebehoist/fleet/distribution/DistributionNodeTest.java
+++ b/fleet/src/test/java/grebehoist/fleet/distribution/DistributionNodeTest.java
@@ -25,7 +25,8 @@
             fleet.run(100_000);
         }
         assertThat(fleet.set(w, "key3", null)).isEqualTo(new Writer.Taken(21));
-        long took = fleet.until("in force at all", () -> List.of(0, 1, 2, 3).stream().allMatch(p -> fleet.equal(p, "c1/billing")));
+        long took = fleet.until(
+                "in force at all", () -> List.of(0, 1, 2, 3).stream().allMatch(p -> fleet.equal(p, "c1/billing")));
         System.out.println("in force after " + took / 1_000 + " ms");
         assertThat(took).isLessThan(S);
         assertThat(fleet.proxy(0).version("c1/billing")).isEqualTo(21);
@@ -47,10 +48,13 @@
         fleet.run(S);
         fleet.machine(0);
         assertThat(fleet.holder(0).counts("c1/a")).isFalse();
-        assertThat(fleet.holder(0).answer(fleet.now, new Call.Open(0, "c1/a", 1L << 50))).isInstanceOf(Answer.Refusal.class);
+        assertThat(fleet.holder(0).answer(fleet.now, new Call.Open(0, "c1/a", 1L << 50)))
+                .isInstanceOf(Answer.Refusal.class);
         long took = fleet.until("counts", () -> fleet.holder(0).counts("c1/a"));
         System.out.println("filled after " + took / 1_000 + " ms");
-        assertThat(fleet.holder(0).items("c1/a")).isEqualTo(fleet.holder(1).items("c1/a")).hasSize(300);
+        assertThat(fleet.holder(0).items("c1/a"))
+                .isEqualTo(fleet.holder(1).items("c1/a"))
+                .hasSize(300);
     }
 
     /** One datagram in five is lost, of those that repair it too. */
@@ -64,15 +68,23 @@
         fleet.network = (from, to) -> fleet.random.nextInt(5) == 0;
         Writer w = fleet.writer("c1/a");
         for (int i = 1; i <= 200; i++) {
-            assertThat(fleet.set(w, "key" + i % 50, i % 7 == 0 ? null : "v" + i)).isEqualTo(new Writer.Taken(i));
+            assertThat(fleet.set(w, "key" + i % 50, i % 7 == 0 ? null : "v" + i))
+                    .isEqualTo(new Writer.Taken(i));
             fleet.run(20_000);
         }
-        long took = fleet.until("in force at all", () -> List.of(0, 1, 2).stream().allMatch(p -> fleet.equal(p, "c1/a")));
+        long took =
+                fleet.until("in force at all", () -> List.of(0, 1, 2).stream().allMatch(p -> fleet.equal(p, "c1/a")));
         System.out.println("at 20% loss in force after " + took / 1_000 + " ms");
         assertThat(took).isLessThan(11 * S);
-        List<Long> versions = fleet.told.stream().filter(t -> t.by() == 3 && t.change() instanceof DistributionChange.InForce)
-                .map(t -> ((DistributionChange.InForce) t.change()).version()).toList();
-        assertThat(versions).as("versions only grow").isSorted().doesNotHaveDuplicates().endsWith(200L);
+        List<Long> versions = fleet.told.stream()
+                .filter(t -> t.by() == 3 && t.change() instanceof DistributionChange.InForce)
+                .map(t -> ((DistributionChange.InForce) t.change()).version())
+                .toList();
+        assertThat(versions)
+                .as("versions only grow")
+                .isSorted()
+                .doesNotHaveDuplicates()
+                .endsWith(200L);
     }
 
     /** The holder that a proxy asks dies; the next change is in force within 11 s at 10% loss. */
@@ -90,11 +102,15 @@
         int dead = fleet.proxy(0).source("c1/a");
         fleet.kill(dead);
         assertThat(fleet.set(w, "k", "2")).isEqualTo(new Writer.Taken(2));
-        long took = fleet.until("in force at all", () -> IntStream.range(0, 6).allMatch(p -> fleet.proxy(p).version("c1/a") == 2));
+        long took = fleet.until(
+                "in force at all",
+                () -> IntStream.range(0, 6).allMatch(p -> fleet.proxy(p).version("c1/a") == 2));
         System.out.println("with the source dead in force after " + took / 1_000 + " ms");
         assertThat(took).isLessThan(11 * S);
-        assertThat(fleet.told).anySatisfy(t -> assertThat(t.change()).isEqualTo(new DistributionChange.SourceMoved("c1/a", dead,
-                fleet.proxy(0).source("c1/a"))));
+        assertThat(fleet.told)
+                .anySatisfy(t -> assertThat(t.change())
+                        .isEqualTo(new DistributionChange.SourceMoved(
+                                "c1/a", dead, fleet.proxy(0).source("c1/a"))));
     }
 
     /** What a proxy has is not what its source has, at the same version: all of it is got anew, and nothing is out of force meanwhile. */
@@ -116,10 +132,15 @@
         for (int m = 0; m < 3; m++) {
             fleet.machine(m);
         }
-        fleet.until("all machines know each other", () -> IntStream.range(0, 3).allMatch(m -> fleet.holder(m).unheard() == 0));
+        fleet.until(
+                "all machines know each other",
+                () -> IntStream.range(0, 3).allMatch(m -> fleet.holder(m).unheard() == 0));
         fleet.run(9 * S);
-        assertThat(fleet.proxy(0).items("c1/a")).as("no such scope erases nothing").hasSize(100);
-        assertThat(fleet.told).anySatisfy(t -> assertThat(t.change()).isInstanceOf(DistributionChange.NoSuchScope.class));
+        assertThat(fleet.proxy(0).items("c1/a"))
+                .as("no such scope erases nothing")
+                .hasSize(100);
+        assertThat(fleet.told)
+                .anySatisfy(t -> assertThat(t.change()).isInstanceOf(DistributionChange.NoSuchScope.class));
         fleet.create("c1/a");
         Writer other = fleet.writer("c1/a");
         int told = fleet.told.size();
@@ -128,20 +149,43 @@
         }
         fleet.until("the other state is in force", () -> fleet.equal(0, "c1/a"));
         assertThat(fleet.proxy(0).items("c1/a")).hasSize(50);
-        List<DistributionChange> news = fleet.told.subList(told, fleet.told.size()).stream().filter(t -> t.by() == 3).map(TestFleet.Told::change).toList();
-        assertThat(news.stream().filter(DistributionChange.Removed.class::isInstance)).hasSize(51);
-        assertThat(news.stream().filter(DistributionChange.Applied.class::isInstance)).hasSize(50);
+        List<DistributionChange> news = fleet.told.subList(told, fleet.told.size()).stream()
+                .filter(t -> t.by() == 3)
+                .map(TestFleet.Told::change)
+                .toList();
+        assertThat(news.stream().filter(DistributionChange.Removed.class::isInstance))
+                .hasSize(51);
+        assertThat(news.stream().filter(DistributionChange.Applied.class::isInstance))
+                .hasSize(50);
     }
 
     /** A removal was forgotten before a proxy that was cut off has heard of it. */
     @Test
     void aForgottenRemovalIsMissedByNobody() {
         var s = DistributionTerms.standard();
-        var terms = new DistributionTerms(s.machineTickUs(), s.proxyTickUs(), s.digestUs(), s.ackUs(), s.retryUs(), s.mostRetryUs(), s.patience(), s.awayUs(),
-                s.repairUs(), 10 * S, s.mostTombstones(), s.pacePerS(), s.burst(), s.fillPerS(), s.machinePerS(), s.mostScopes(), s.mostItems());
+        var terms = new DistributionTerms(
+                s.machineTickUs(),
+                s.proxyTickUs(),
+                s.digestUs(),
+                s.ackUs(),
+                s.retryUs(),
+                s.mostRetryUs(),
+                s.patience(),
+                s.awayUs(),
+                s.repairUs(),
+                10 * S,
+                s.mostTombstones(),
+                s.pacePerS(),
+                s.burst(),
+                s.fillPerS(),
+                s.machinePerS(),
+                s.mostScopes(),
+                s.mostItems());
         var fleet = new TestFleet(3, 1, terms, 8);
         IntStream.range(0, 3).forEach(fleet::machine);
-        fleet.until("all machines know each other", () -> IntStream.range(0, 3).allMatch(m -> fleet.holder(m).unheard() == 0));
+        fleet.until(
+                "all machines know each other",
+                () -> IntStream.range(0, 3).allMatch(m -> fleet.holder(m).unheard() == 0));
         fleet.create("c1/a");
         fleet.startProxy(0, "c1/a");
         Writer w = fleet.writer("c1/a");
@@ -213,8 +257,13 @@
         long most = 0;
         for (long at = from; at < fleet.now; at += S / 10) {
             long begin = at;
-            most = Math.max(most, fleet.sent.stream().filter(x -> (x.to() == 3 || x.from() == 3) && x.atUs() >= begin && x.atUs() < begin + 11 * S)
-                    .mapToLong(TestFleet.Sent::bytes).sum());
+            most = Math.max(
+                    most,
+                    fleet.sent.stream()
+                            .filter(x ->
+                                    (x.to() == 3 || x.from() == 3) && x.atUs() >= begin && x.atUs() < begin + 11 * S)
+                            .mapToLong(TestFleet.Sent::bytes)
+                            .sum());
         }
         System.out.println("most in 11 s: " + most + " bytes");
         assertThat(most).isLessThan(11 * 3_000);
@@ -269,7 +318,9 @@
         assertThat(soon.behind()).allSatisfy(b -> assertThat(b.forUs()).isBetween(19 * S / 10, 21 * S / 10));
         fleet.run(10 * S);
         Progress later = fleet.holder(0).progress(fleet.now, "c1/a");
-        assertThat(later.away()).as("the dead one, and the one that isn't heard").isEqualTo(2);
+        assertThat(later.away())
+                .as("the dead one, and the one that isn't heard")
+                .isEqualTo(2);
         assertThat(later.known()).isEqualTo(2);
         assertThat(later.behind()).extracting(Progress.Behind::proxy).containsExactly(2);
         fleet.network = (from, to) -> false;
@@ -290,10 +341,22 @@
         fleet.set(fleet.writer("c1/a"), "k", "1");
         Holder holder = fleet.holder(0);
         int hash = Ids.state("k", 1);
-        holder.received(fleet.now, 1, new Message.Digest(1, 1, List.of(new Message.Have(Ids.of("c1/a"), 1, hash, false, List.of()))));
-        holder.received(fleet.now, 2, new Message.Digest(1, 1, List.of(new Message.Have(Ids.of("c1/a"), 1, hash + 1, false, List.of()))));
-        holder.received(fleet.now, 3, new Message.Digest(1, 1, List.of(new Message.Have(Ids.of("c1/a"), 0, 0, true, List.of()))));
-        holder.received(fleet.now, 3, new Message.Digest(2, 1, List.of(new Message.Have(Ids.of("c9/none"), 0, 0, true, List.of()))));
+        holder.received(
+                fleet.now,
+                1,
+                new Message.Digest(1, 1, List.of(new Message.Have(Ids.of("c1/a"), 1, hash, false, List.of()))));
+        holder.received(
+                fleet.now,
+                2,
+                new Message.Digest(1, 1, List.of(new Message.Have(Ids.of("c1/a"), 1, hash + 1, false, List.of()))));
+        holder.received(
+                fleet.now,
+                3,
+                new Message.Digest(1, 1, List.of(new Message.Have(Ids.of("c1/a"), 0, 0, true, List.of()))));
+        holder.received(
+                fleet.now,
+                3,
+                new Message.Digest(2, 1, List.of(new Message.Have(Ids.of("c9/none"), 0, 0, true, List.of()))));
         Progress p = holder.progress(fleet.now, "c1/a");
         assertThat(p.known()).isEqualTo(3);
         assertThat(p.inForce()).isEqualTo(1);
@@ -307,14 +370,22 @@
         TestFleet fleet = TestFleet.started(5, 1, 17);
         List<Integer> holders = fleet.layout.holders("c1/a");
         int late = holders.get(2);
-        fleet.kill(IntStream.range(0, 5).filter(m -> !holders.contains(m)).findFirst().orElseThrow());
+        fleet.kill(IntStream.range(0, 5)
+                .filter(m -> !holders.contains(m))
+                .findFirst()
+                .orElseThrow());
         Writer w = fleet.writer("c1/a");
         for (Call call : w.create(40)) {
-            List<Call> more = call.machine() == late ? w.gaveUp(call) : w.answered(call, fleet.holder(call.machine()).answer(fleet.now, call));
+            List<Call> more = call.machine() == late
+                    ? w.gaveUp(call)
+                    : w.answered(call, fleet.holder(call.machine()).answer(fleet.now, call));
             assertThat(more).isEmpty();
         }
         assertThat(w.result()).isEqualTo(new Writer.Taken(40));
-        fleet.until("learnt", () -> fleet.holder(late).version("c1/a") == 40 && fleet.holder(late).counts("c1/a"));
+        fleet.until(
+                "learnt",
+                () -> fleet.holder(late).version("c1/a") == 40
+                        && fleet.holder(late).counts("c1/a"));
         assertThat(fleet.set(w, "k", "v")).isEqualTo(new Writer.Taken(41));
     }
 
@@ -328,12 +399,16 @@
         fleet.set(fleet.writer("c2/b"), "k", "2");
         assertThat(fleet.proxy(0).subscribe("c1/a")).isNull();
         assertThat(fleet.proxy(0).subscribe("c2/b")).isNull();
-        assertThat(fleet.proxy(0).subscribe("a name that is too long for a scope")).contains("35 bytes");
+        assertThat(fleet.proxy(0).subscribe("a name that is too long for a scope"))
+                .contains("35 bytes");
         fleet.until("both in force", () -> fleet.equal(0, "c1/a") && fleet.equal(0, "c2/b"));
         fleet.proxy(0).unsubscribe("c1/a");
         fleet.run(S);
         assertThat(fleet.proxy(0).scopes()).containsExactly("c2/b");
-        assertThat(IntStream.range(0, 3).map(m -> fleet.holder(m).progress(fleet.now, "c1/a").known()).sum()).isZero();
+        assertThat(IntStream.range(0, 3)
+                        .map(m -> fleet.holder(m).progress(fleet.now, "c1/a").known())
+                        .sum())
+                .isZero();
         assertThat(fleet.proxy(0).source("c1/a")).isEqualTo(-1);
         assertThat(fleet.proxy(0).ageUs("c1/a", fleet.now)).isEqualTo(-1);
     }
--- a/fleet/src/test/java/grebehoist/fleet/distribution/LayoutTest.java
+++ b/fleet/src/test/java/grebehoist/fleet/distribution/LayoutTest.java
@@ -14,7 +14,9 @@
 /** Who holds what. */
 class LayoutTest {
     private static Layout of(int machines, int zones) {
-        return new Layout(IntStream.range(0, machines).mapToObj(m -> new Layout.Machine("zone" + m % zones)).toList());
+        return new Layout(IntStream.range(0, machines)
+                .mapToObj(m -> new Layout.Machine("zone" + m % zones))
+                .toList());
     }
 
     private static List<String> scopes(int n) {
@@ -39,7 +41,9 @@
     void itIsTheSameEverywhere() {
         Layout layout = of(35, 13);
         assertThat(layout.holders("fleet")).containsExactly(17, 34, 24);
-        assertThat(layout.holders("c17/billing")).isEqualTo(layout.holders("c17/mail")).containsExactly(13, 8, 23);
+        assertThat(layout.holders("c17/billing"))
+                .isEqualTo(layout.holders("c17/mail"))
+                .containsExactly(13, 8, 23);
         assertThat(layout.sources("c17/billing", 4_000)).containsExactly(13, 8, 23);
     }
 
@@ -97,6 +101,7 @@
     void badLayoutsAreRefused() {
         assertThatThrownBy(() -> new Layout(List.of())).hasMessageContaining("0 control machines");
         assertThatThrownBy(() -> of(65, 3)).hasMessageContaining("65 control machines");
-        assertThat(of(64, 3).machines().stream().map(Layout.Machine::zone).collect(Collectors.toSet())).hasSize(3);
+        assertThat(of(64, 3).machines().stream().map(Layout.Machine::zone).collect(Collectors.toSet()))
+                .hasSize(3);
     }
 }
--- a/fleet/src/test/java/grebehoist/fleet/distribution/ReplicaTest.java
+++ b/fleet/src/test/java/grebehoist/fleet/distribution/ReplicaTest.java
@@ -10,7 +10,7 @@
 
 /** In which order, how often and by which ways changes come makes no difference. */
 class ReplicaTest {
-    private static final Replica.Sink NOBODY = (item, before) -> { };
+    private static final Replica.Sink NOBODY = (item, before) -> {};
     private final Rules rules = new Rules();
 
     private static Link set(long prev, long version, String key) {
@@ -62,7 +62,9 @@
         replica.take(remove(1, 2, "k"), NOBODY);
         assertThat(replica.item("k").version()).isEqualTo(3);
         replica.take(remove(1, 2, "k"), NOBODY);
-        assertThat(replica.item("k").version()).as("a late removal removes nothing").isEqualTo(3);
+        assertThat(replica.item("k").version())
+                .as("a late removal removes nothing")
+                .isEqualTo(3);
         assertThat(replica.have()).isEqualTo(3);
     }
 
--- a/fleet/src/test/java/grebehoist/fleet/distribution/TestFleet.java
+++ b/fleet/src/test/java/grebehoist/fleet/distribution/TestFleet.java
@@ -24,10 +24,10 @@
     }
 
     /** What one has told, and when. */
-    record Told(long atUs, int by, DistributionChange change) { }
+    record Told(long atUs, int by, DistributionChange change) {}
 
     /** What was sent. */
-    record Sent(long atUs, int from, int to, int bytes) { }
+    record Sent(long atUs, int from, int to, int bytes) {}
 
     private record Event(long atUs, long order, Runnable what) implements Comparable<Event> {
         @Override
@@ -51,7 +51,9 @@
     private long epoch = 1_000;
 
     TestFleet(int machines, int proxies, DistributionTerms terms, long seed) {
-        this.layout = new Layout(IntStream.range(0, machines).mapToObj(m -> new Layout.Machine("z" + m % 3)).toList());
+        this.layout = new Layout(IntStream.range(0, machines)
+                .mapToObj(m -> new Layout.Machine("z" + m % 3))
+                .toList());
         this.terms = terms;
         this.nodes = new DistributionNode[machines + proxies];
         this.lives = new int[machines + proxies];
@@ -62,7 +64,9 @@
     static TestFleet started(int machines, int proxies, long seed) {
         var fleet = new TestFleet(machines, proxies, DistributionTerms.standard(), seed);
         IntStream.range(0, machines).forEach(fleet::machine);
-        fleet.until("all machines know each other", () -> IntStream.range(0, machines).allMatch(m -> fleet.holder(m).unheard() == 0));
+        fleet.until(
+                "all machines know each other",
+                () -> IntStream.range(0, machines).allMatch(m -> fleet.holder(m).unheard() == 0));
         return fleet;
     }
 
@@ -93,7 +97,12 @@
     }
 
     private DistributionNode.Setup setup(int number) {
-        return new DistributionNode.Setup(number, nodes.length, layout, terms, new KeyRing(List.of(new KeyRing.Key(1, SECRET))),
+        return new DistributionNode.Setup(
+                number,
+                nodes.length,
+                layout,
+                terms,
+                new KeyRing(List.of(new KeyRing.Key(1, SECRET))),
                 new SplittableRandom(random.nextLong()));
     }
 
@@ -198,7 +207,11 @@
     }
 
     boolean equal(int proxy, String scope) {
-        int any = layout.holders(scope).stream().filter(m -> nodes[m] != null).findFirst().orElseThrow();
-        return proxy(proxy).version(scope) == holder(any).version(scope) && proxy(proxy).items(scope).equals(holder(any).items(scope));
+        int any = layout.holders(scope).stream()
+                .filter(m -> nodes[m] != null)
+                .findFirst()
+                .orElseThrow();
+        return proxy(proxy).version(scope) == holder(any).version(scope)
+                && proxy(proxy).items(scope).equals(holder(any).items(scope));
     }
 }
--- a/fleet/src/test/java/grebehoist/fleet/distribution/WriterTest.java
+++ b/fleet/src/test/java/grebehoist/fleet/distribution/WriterTest.java
@@ -28,7 +28,10 @@
         Deque<Call> calls = new ArrayDeque<>(first);
         while (!calls.isEmpty()) {
             Call call = calls.poll();
-            calls.addAll(carried.test(call) ? writer.answered(call, fleet.holder(call.machine()).answer(fleet.now, call)) : writer.gaveUp(call));
+            calls.addAll(
+                    carried.test(call)
+                            ? writer.answered(call, fleet.holder(call.machine()).answer(fleet.now, call))
+                            : writer.gaveUp(call));
         }
         return writer.result();
     }
@@ -45,11 +48,13 @@
         fleet.create(SCOPE);
         Writer w = fleet.writer(SCOPE);
         assertThat(w.change(1, "k", new byte[97])).isEmpty();
-        assertThat(w.result()).isEqualTo(new Writer.Refused("value of k in c1/billing has 97 bytes: at most 96 are wanted"));
+        assertThat(w.result())
+                .isEqualTo(new Writer.Refused("value of k in c1/billing has 97 bytes: at most 96 are wanted"));
         assertThat(w.change(1, "k".repeat(49), new byte[0])).isEmpty();
         assertThat(w.result().toString()).contains("in c1/billing has 49 bytes");
         assertThat(fleet.set(w, "k", "v")).as("the next one goes on").isEqualTo(new Writer.Taken(1));
-        assertThatThrownBy(() -> new Writer(fleet.layout, SCOPE, Item.MOST_VERSION)).hasMessageContaining("epoch");
+        assertThatThrownBy(() -> new Writer(fleet.layout, SCOPE, Item.MOST_VERSION))
+                .hasMessageContaining("epoch");
     }
 
     @Test
@@ -69,7 +74,8 @@
         Writer young = fleet.writer(SCOPE);
         assertThat(fleet.set(old, "k", "old")).isEqualTo(new Writer.Taken(1));
         assertThat(fleet.set(young, "k", "young")).isEqualTo(new Writer.Taken(2));
-        assertThat(fleet.set(old, "k", "old again")).isEqualTo(new Writer.Refused("version 2 of c1/billing is another change: another writer has begun"));
+        assertThat(fleet.set(old, "k", "old again"))
+                .isEqualTo(new Writer.Refused("version 2 of c1/billing is another change: another writer has begun"));
         Writer.Result r = fleet.set(old, "k", "old again");
         assertThat(r).isInstanceOf(Writer.Refused.class);
         assertThat(r.toString()).contains("is older than").contains(SCOPE);
@@ -83,9 +89,11 @@
         fleet.network = (from, to) -> from == c || to == c;
         Writer w = fleet.writer(SCOPE);
         for (int i = 1; i <= 5; i++) {
-            assertThat(some(w, w.change(2, "k" + i, bytes("v")), call -> call.machine() != c)).isEqualTo(new Writer.Taken(i));
+            assertThat(some(w, w.change(2, "k" + i, bytes("v")), call -> call.machine() != c))
+                    .isEqualTo(new Writer.Taken(i));
         }
-        Answer gap = fleet.holder(c).answer(fleet.now, new Call.Offer(c, 1L << 50, new Item(2, SCOPE, "k", bytes("v"), 6)));
+        Answer gap =
+                fleet.holder(c).answer(fleet.now, new Call.Offer(c, 1L << 50, new Item(2, SCOPE, "k", bytes("v"), 6)));
         assertThat(gap).isEqualTo(new Answer.Refusal("gap in c1/billing: head is 0, offered is 6", 0, false));
         fleet.network = (from, to) -> false;
         fleet.until("the third has all", () -> fleet.holder(c).version(SCOPE) == 5);
@@ -98,17 +106,23 @@
         var item = new Item(2, SCOPE, "k", bytes("v"), 1);
         Answer first = fleet.holder(a).answer(fleet.now, new Call.Offer(a, 8, item));
         assertThat(first).isInstanceOf(Answer.Held.class);
-        assertThat(fleet.holder(a).answer(fleet.now, new Call.Offer(a, 8, item))).isEqualTo(first);
+        assertThat(fleet.holder(a).answer(fleet.now, new Call.Offer(a, 8, item)))
+                .isEqualTo(first);
         fleet.holder(b).answer(fleet.now, new Call.Offer(b, 8, item));
-        fleet.until("taken", () -> fleet.holder(a).version(SCOPE) == 1 && fleet.holder(c).version(SCOPE) == 1);
+        fleet.until(
+                "taken",
+                () -> fleet.holder(a).version(SCOPE) == 1 && fleet.holder(c).version(SCOPE) == 1);
         Answer again = fleet.holder(a).answer(fleet.now, new Call.Offer(a, 8, item));
         assertThat(again).isInstanceOf(Answer.Held.class);
         assertThat(((Answer.Held) again).taken()).isTrue();
         assertThat(fleet.holder(a).version(SCOPE)).isEqualTo(1);
         var another = new Item(2, SCOPE, "k", bytes("w"), 1);
-        assertThat(fleet.holder(a).answer(fleet.now, new Call.Offer(a, 9, another))).as("another one has its place")
-                .isEqualTo(new Answer.Refusal("version 1 of c1/billing is another change: another writer has begun", 1, true));
-        assertThat(fleet.holder(a).answer(fleet.now, new Call.Offer(a, 0, new Item(2, SCOPE, "k", bytes("w"), 2)))).as("only a question")
+        assertThat(fleet.holder(a).answer(fleet.now, new Call.Offer(a, 9, another)))
+                .as("another one has its place")
+                .isEqualTo(new Answer.Refusal(
+                        "version 1 of c1/billing is another change: another writer has begun", 1, true));
+        assertThat(fleet.holder(a).answer(fleet.now, new Call.Offer(a, 0, new Item(2, SCOPE, "k", bytes("w"), 2))))
+                .as("only a question")
                 .isInstanceOf(Answer.Refusal.class);
     }
 
@@ -125,7 +139,8 @@
             return call instanceof Call.Open;
         });
         assertThat(r).isInstanceOf(Writer.Unknown.class);
-        fleet.until("taken", () -> holders.stream().allMatch(h -> fleet.holder(h).version(SCOPE) == 1));
+        fleet.until(
+                "taken", () -> holders.stream().allMatch(h -> fleet.holder(h).version(SCOPE) == 1));
         assertThat(fleet.carry(w, w.retry())).as("the same number").isEqualTo(new Writer.Taken(1));
         assertThat(fleet.holder(b).version(SCOPE)).isEqualTo(1);
     }
@@ -135,13 +150,16 @@
         fleet.create(SCOPE);
         fleet.network = (from, to) -> true;
         Writer w = fleet.writer(SCOPE);
-        Writer.Result r = some(w, w.change(2, "k", bytes("first")), call -> call instanceof Call.Open || call.machine() == a);
+        Writer.Result r =
+                some(w, w.change(2, "k", bytes("first")), call -> call instanceof Call.Open || call.machine() == a);
         assertThat(r).isInstanceOf(Writer.Unknown.class);
         assertThat(fleet.holder(a).version(SCOPE)).isZero();
         Writer next = fleet.writer(SCOPE);
         assertThat(fleet.set(next, "other", "second")).isEqualTo(new Writer.Taken(2));
         assertThat(fleet.holder(a).items(SCOPE)).extracting(TestFleet::text).containsExactly("first", "second");
-        assertThat(fleet.carry(w, w.retry())).as("the older writer learns what became of it").isEqualTo(new Writer.Taken(1));
+        assertThat(fleet.carry(w, w.retry()))
+                .as("the older writer learns what became of it")
+                .isEqualTo(new Writer.Taken(1));
     }
 
     @Test
@@ -149,13 +167,17 @@
         fleet.create(SCOPE);
         fleet.network = (from, to) -> true;
         Writer w = fleet.writer(SCOPE);
-        assertThat(some(w, w.change(2, "k", bytes("first")), call -> call instanceof Call.Open || call.machine() == a)).isInstanceOf(Writer.Unknown.class);
+        assertThat(some(w, w.change(2, "k", bytes("first")), call -> call instanceof Call.Open || call.machine() == a))
+                .isInstanceOf(Writer.Unknown.class);
         Writer next = fleet.writer(SCOPE);
         // It does not reach the one that has it.
-        assertThat(some(next, next.change(2, "other", bytes("second")), call -> call.machine() != a)).isEqualTo(new Writer.Taken(1));
+        assertThat(some(next, next.change(2, "other", bytes("second")), call -> call.machine() != a))
+                .isEqualTo(new Writer.Taken(1));
         assertThat(fleet.carry(w, w.retry())).isInstanceOf(Writer.Refused.class);
         fleet.network = (from, to) -> false;
-        fleet.until("all have the same", () -> holders.stream().allMatch(h -> fleet.holder(h).version(SCOPE) == 1));
+        fleet.until(
+                "all have the same",
+                () -> holders.stream().allMatch(h -> fleet.holder(h).version(SCOPE) == 1));
         fleet.run(3 * TestFleet.S);
         assertThat(fleet.holder(a).items(SCOPE)).extracting(TestFleet::text).containsExactly("second");
     }
@@ -166,10 +188,12 @@
         fleet.create(SCOPE);
         fleet.network = (from, to) -> true;
         Writer w = fleet.writer(SCOPE);
-        assertThat(some(w, w.change(2, "k", bytes("first")), call -> call instanceof Call.Open || call.machine() == a)).isInstanceOf(Writer.Unknown.class);
+        assertThat(some(w, w.change(2, "k", bytes("first")), call -> call instanceof Call.Open || call.machine() == a))
+                .isInstanceOf(Writer.Unknown.class);
         assertThat(some(w, w.retry(), call -> false)).isInstanceOf(Writer.Unknown.class);
         assertThat(some(w, w.retry(), call -> call instanceof Call.Open)).isInstanceOf(Writer.Unknown.class);
-        assertThat(some(w, w.retry(), call -> call instanceof Call.Open || call.machine() == c)).isInstanceOf(Writer.Unknown.class);
+        assertThat(some(w, w.retry(), call -> call instanceof Call.Open || call.machine() == c))
+                .isInstanceOf(Writer.Unknown.class);
         assertThat(fleet.carry(w, w.retry())).isEqualTo(new Writer.Taken(1));
     }
 
@@ -177,7 +201,8 @@
     void withoutAMajorityNothingIsSentAndARefusalIsFinal() {
         fleet.create(SCOPE);
         Writer w = fleet.writer(SCOPE);
-        assertThat(some(w, w.change(2, "k", bytes("v")), call -> call.machine() == a)).isInstanceOf(Writer.Refused.class)
+        assertThat(some(w, w.change(2, "k", bytes("v")), call -> call.machine() == a))
+                .isInstanceOf(Writer.Refused.class)
                 .hasToString("Refused[why=2 of 3 holders did not answer]");
         assertThat(fleet.set(w, "l", "v")).isEqualTo(new Writer.Taken(1));
         assertThat(fleet.holder(a).items(SCOPE)).extracting(Item::key).containsExactly("l");
@@ -187,7 +212,9 @@
     @Test
     void answersOfAFormerLifeDoNotCount() {
         Writer w = heldByOneThatStartsAnewAndByAnother();
-        assertThat(w.result()).as("the second's answer shows that the first one's is of a former life").isInstanceOf(Writer.Unknown.class);
+        assertThat(w.result())
+                .as("the second's answer shows that the first one's is of a former life")
+                .isInstanceOf(Writer.Unknown.class);
         assertThat(fleet.carry(w, w.retry())).isEqualTo(new Writer.Taken(1));
     }
 
@@ -231,8 +258,24 @@
 
     @Test
     void aScopeHasABound() {
-        var few = new DistributionTerms(20_000, 50_000, 2_000_000, 50_000, 400_000, 2_000_000, 3, 8_000_000, 1_000_000, 7_200_000_000L, 100, 1_500,
-                6_000, 24_000, 2_000_000, 2, 3);
+        var few = new DistributionTerms(
+                20_000,
+                50_000,
+                2_000_000,
+                50_000,
+                400_000,
+                2_000_000,
+                3,
+                8_000_000,
+                1_000_000,
+                7_200_000_000L,
+                100,
+                1_500,
+                6_000,
+                24_000,
+                2_000_000,
+                2,
+                3);
         var small = new TestFleet(1, 1, few, 4);
         small.machine(0);
         Writer w = small.writer("s");
@@ -240,13 +283,15 @@
         for (int i = 0; i < 3; i++) {
             assertThat(small.set(w, "k" + i, "v")).isEqualTo(new Writer.Taken(i + 1));
         }
-        assertThat(small.set(w, "k3", "v").toString()).contains("s has 3 items, and no more than that: k3 is one too many");
+        assertThat(small.set(w, "k3", "v").toString())
+                .contains("s has 3 items, and no more than that: k3 is one too many");
         assertThat(small.set(w, "k2", "w")).as("another value").isEqualTo(new Writer.Taken(4));
         assertThat(small.set(w, "k2", null)).isEqualTo(new Writer.Taken(5));
         assertThat(small.set(w, "k3", "v")).isEqualTo(new Writer.Taken(6));
         small.create("t");
         Writer u = small.writer("u");
         assertThat(small.carry(u, u.create(0)).toString()).contains("machine 0 holds 2 scopes, and no more than that");
-        assertThat(small.holder(0).answer(0, new Call.Open(1, "s", 3)).toString()).contains("machine 0 does not hold s: [0] do");
+        assertThat(small.holder(0).answer(0, new Call.Open(1, "s", 3)).toString())
+                .contains("machine 0 does not hold s: [0] do");
     }
 }
--- a/fleet/src/test/java/grebehoist/fleet/lease/LeasesTest.java
+++ b/fleet/src/test/java/grebehoist/fleet/lease/LeasesTest.java
@@ -18,7 +18,7 @@
     private static final LeaseTerms TERMS = LeaseTerms.standard();
     private static final long STEP_US = 20_000;
 
-    private record Sent(int from, int to, LeaseMessage message) { }
+    private record Sent(int from, int to, LeaseMessage message) {}
 
     private final Leases[] members = new Leases[4];
     private final List<List<LeaseChange>> changes = new ArrayList<>();
@@ -38,8 +38,13 @@
     }
 
     private Leases member(int number, long life, int set, long floor) {
-        return new Leases(new Protocol(TERMS, 3), new Leases.Setup(number, members.length, life, set, List.of(0, 1, 2), List.of("books")), floor,
-                new SplittableRandom(number), m -> !dead.get(m), new Leases.Output() {
+        return new Leases(
+                new Protocol(TERMS, 3),
+                new Leases.Setup(number, members.length, life, set, List.of(0, 1, 2), List.of("books")),
+                floor,
+                new SplittableRandom(number),
+                m -> !dead.get(m),
+                new Leases.Output() {
                     @Override
                     public void send(int to, LeaseMessage message) {
                         way.add(new Sent(number, to, message));
@@ -86,7 +91,9 @@
     @Test
     void nobodyIsGrantedAnythingInTheSilenceOfTheVoters() {
         go(TERMS.silenceUs() - STEP_US);
-        assertThat(all).noneMatch(s -> s.message().kind() == Kind.PROMISE || s.message().kind() == Kind.GRANT);
+        assertThat(all)
+                .noneMatch(
+                        s -> s.message().kind() == Kind.PROMISE || s.message().kind() == Kind.GRANT);
         go(1_000_000);
         assertThat(holder()).isNotNegative();
     }
@@ -124,8 +131,10 @@
         assertThat(members[first].mayAct(now, 0, 0)).isZero();
         go(200_000);
         assertThat(holder()).isNotNegative().isNotEqualTo(first);
-        assertThat(changes.get(first)).last().isEqualTo(new LeaseChange.Ended(0, ((LeaseChange.Held) changes.get(first).get(0)).token(),
-                LeaseChange.Why.GIVEN_BACK));
+        assertThat(changes.get(first))
+                .last()
+                .isEqualTo(new LeaseChange.Ended(
+                        0, ((LeaseChange.Held) changes.get(first).get(0)).token(), LeaseChange.Why.GIVEN_BACK));
     }
 
     /** A holder that gave a task back while its call was out had the next one begin beside it (TrialIT). */
@@ -159,7 +168,10 @@
             members[first].tick(now);
         }
         assertThat(members[first].mayAct(now, 0, 0)).isZero();
-        assertThat(changes.get(first)).last().isInstanceOfSatisfying(LeaseChange.Ended.class, e -> assertThat(e.why()).isEqualTo(LeaseChange.Why.LAPSED));
+        assertThat(changes.get(first))
+                .last()
+                .isInstanceOfSatisfying(
+                        LeaseChange.Ended.class, e -> assertThat(e.why()).isEqualTo(LeaseChange.Why.LAPSED));
     }
 
     /** What takes so long must be over before the lease is. */
@@ -215,7 +227,8 @@
     void aRoundBeyondBeliefChangesNothing() {
         members[0] = member(0, 2, 1, 1_800_000_000_000L);
         members[0].start(now);
-        members[0].received(now, 3, new LeaseMessage(Kind.KNOWN, 1, 0, Ballot.NONE, LeaseCodec.MOST_ROUND, 0, Ballot.NONE));
+        members[0].received(
+                now, 3, new LeaseMessage(Kind.KNOWN, 1, 0, Ballot.NONE, LeaseCodec.MOST_ROUND, 0, Ballot.NONE));
         assertThat(members[0].highest()).isLessThan(1_800_000_001_000L);
         assertThat(members[0].incredible()).isEqualTo(1);
     }
@@ -225,7 +238,8 @@
     void aBallotOfSomebodyElseIsNotAnswered() {
         go(5_000_000);
         all.clear();
-        members[0].received(now, 3, new LeaseMessage(Kind.PREPARE, 1, 0, new Ballot(1_000, 2, 1), 1_000, 0, Ballot.NONE));
+        members[0].received(
+                now, 3, new LeaseMessage(Kind.PREPARE, 1, 0, new Ballot(1_000, 2, 1), 1_000, 0, Ballot.NONE));
         assertThat(all).isEmpty();
     }
 
@@ -233,25 +247,37 @@
     void messagesAreReadAsTheyWereWritten() {
         var random = new SplittableRandom(5);
         for (int i = 0; i < 1_000; i++) {
-            var ballot = new Ballot(random.nextLong(LeaseCodec.MOST_ROUND), random.nextInt(-1, 2_000), random.nextLong(1L << 32));
-            var message = new LeaseMessage(Kind.values()[random.nextInt(Kind.values().length)], random.nextInt(1 << 30), random.nextInt(200), ballot,
-                    random.nextLong(LeaseCodec.MOST_ROUND), random.nextLong(1L << 40), i % 2 == 0 ? Ballot.NONE : ballot);
+            var ballot = new Ballot(
+                    random.nextLong(LeaseCodec.MOST_ROUND), random.nextInt(-1, 2_000), random.nextLong(1L << 32));
+            var message = new LeaseMessage(
+                    Kind.values()[random.nextInt(Kind.values().length)],
+                    random.nextInt(1 << 30),
+                    random.nextInt(200),
+                    ballot,
+                    random.nextLong(LeaseCodec.MOST_ROUND),
+                    random.nextLong(1L << 40),
+                    i % 2 == 0 ? Ballot.NONE : ballot);
             byte[] bytes = LeaseCodec.encode(message);
             assertThat(bytes.length).isLessThanOrEqualTo(70);
             assertThat(LeaseCodec.decode(bytes, 2_000, 200)).containsExactly(message);
             byte[] two = Arrays.copyOf(bytes, 2 * bytes.length);
             System.arraycopy(bytes, 0, two, bytes.length, bytes.length);
             assertThat(LeaseCodec.decode(two, 2_000, 200)).containsExactly(message, message);
-            assertThat(LeaseCodec.decode(Arrays.copyOf(bytes, random.nextInt(bytes.length - 2)), 2_000, 200)).isNull();
+            assertThat(LeaseCodec.decode(Arrays.copyOf(bytes, random.nextInt(bytes.length - 2)), 2_000, 200))
+                    .isNull();
             bytes[random.nextInt(bytes.length)] ^= (byte) (1 << random.nextInt(8));
             List<LeaseMessage> spoilt = LeaseCodec.decode(bytes, 2_000, 200);
-            assertThat(spoilt == null || spoilt.stream().allMatch(m -> m.task() < 200 && m.ballot().member() < 2_000)).isTrue();
+            assertThat(spoilt == null
+                            || spoilt.stream()
+                                    .allMatch(m -> m.task() < 200 && m.ballot().member() < 2_000))
+                    .isTrue();
         }
     }
 
     @Test
     void termsThatContradictEachOtherAreNamed() {
-        assertThatThrownBy(() -> new LeaseTerms(1_000_000, 0.01, 900_000, 40_000, 200_000, 1)).hasMessageContaining("lease 1000000 us");
+        assertThatThrownBy(() -> new LeaseTerms(1_000_000, 0.01, 900_000, 40_000, 200_000, 1))
+                .hasMessageContaining("lease 1000000 us");
         assertThat(TERMS.heldUs()).isLessThan(TERMS.leaseUs());
         assertThat(TERMS.silenceUs()).isGreaterThan(TERMS.leaseUs());
     }
--- a/fleet/src/test/java/grebehoist/fleet/membership/MembershipTest.java
+++ b/fleet/src/test/java/grebehoist/fleet/membership/MembershipTest.java
@@ -44,7 +44,8 @@
                 if (m.kind() == Message.Kind.PING && !List.of(silent).contains(to)) {
                     member.received(now, to, new Message(Message.Kind.ACK, m.seq(), to, word(to, 1), List.of()));
                 } else if (m.kind() == Message.Kind.ASK && !List.of(silent).contains(to)) {
-                    member.received(now, to, new Message(Message.Kind.NACK, m.seq(), m.subject(), word(to, 1), List.of()));
+                    member.received(
+                            now, to, new Message(Message.Kind.NACK, m.seq(), m.subject(), word(to, 1), List.of()));
                 }
             }
         }
@@ -68,8 +69,11 @@
         assertThat(member.state(2)).isEqualTo(State.SUSPECT);
         pass(TERMS.mostSuspicionUs(4), 2);
         assertThat(member.state(2)).isEqualTo(State.DEAD);
-        Change.Viewed why = changes.stream().filter(c -> c instanceof Change.Viewed v && v.state() == State.DEAD)
-                .map(Change.Viewed.class::cast).findFirst().orElseThrow();
+        Change.Viewed why = changes.stream()
+                .filter(c -> c instanceof Change.Viewed v && v.state() == State.DEAD)
+                .map(Change.Viewed.class::cast)
+                .findFirst()
+                .orElseThrow();
         assertThat(why.doubters()).containsExactly(0);
         assertThat(why.why()).contains("suspected by [n0]");
     }
@@ -150,7 +154,8 @@
     @Test
     void theCountFallsForWhoLeavesAndMuchLaterForWhoDies() {
         begin();
-        member.received(now, 3, new Message(Message.Kind.NEWS, 0, 0, new Message.Self(1, true, "n3", "lysaker"), List.of()));
+        member.received(
+                now, 3, new Message(Message.Kind.NEWS, 0, 0, new Message.Self(1, true, "n3", "lysaker"), List.of()));
         pass(2 * S, 3);
         assertThat(member.count()).isEqualTo(new Change.Count(3, 3, 0));
         pass(20 * S, 2, 3);
@@ -176,7 +181,15 @@
     @Test
     void theNextLifeTakesTheIncarnationAfterThat() {
         member.start(now);
-        member.received(now, 2, new Message(Message.Kind.ACK, 1, 2, word(2, 5), List.of(new News.Rumour(0, State.ALIVE, 7, News.NOBODY, ""))));
+        member.received(
+                now,
+                2,
+                new Message(
+                        Message.Kind.ACK,
+                        1,
+                        2,
+                        word(2, 5),
+                        List.of(new News.Rumour(0, State.ALIVE, 7, News.NOBODY, ""))));
         assertThat(member.incarnation(0)).isEqualTo(8);
     }
 
@@ -197,8 +210,15 @@
         begin();
         var random = new SplittableRandom(3);
         for (int i = 0; i < 20_000; i++) {
-            tells(1 + random.nextInt(3), new News.Rumour(random.nextInt(4), State.values()[1 + random.nextInt(4)], random.nextInt(1_000),
-                    random.nextInt(4), ""), new News.Reach(random.nextInt(4), i, List.of(random.nextInt(4)), List.of("z" + i % 9)));
+            tells(
+                    1 + random.nextInt(3),
+                    new News.Rumour(
+                            random.nextInt(4),
+                            State.values()[1 + random.nextInt(4)],
+                            random.nextInt(1_000),
+                            random.nextInt(4),
+                            ""),
+                    new News.Reach(random.nextInt(4), i, List.of(random.nextInt(4)), List.of("z" + i % 9)));
             member.received(now, 1, new Message(Message.Kind.ASK, i, 2, word(1, 1), List.of()));
             if (i % 100 == 0) {
                 pass(TERMS.tickUs(), 2);
--- a/fleet/src/test/java/grebehoist/fleet/membership/MessageCodecTest.java
+++ b/fleet/src/test/java/grebehoist/fleet/membership/MessageCodecTest.java
@@ -22,10 +22,15 @@
     private News news() {
         int about = (int) number(MEMBERS - 1);
         if (random.nextInt(4) == 0) {
-            return new News.Reach(about, number(Long.MAX_VALUE / 2), List.of((int) number(MEMBERS - 1)), List.of("ulven", "ø"));
+            return new News.Reach(
+                    about, number(Long.MAX_VALUE / 2), List.of((int) number(MEMBERS - 1)), List.of("ulven", "ø"));
         }
-        return new News.Rumour(about, State.values()[random.nextInt(1, 5)], number(MessageCodec.MOST_INCARNATION),
-                random.nextInt(-1, MEMBERS), random.nextBoolean() ? "" : "lysaker");
+        return new News.Rumour(
+                about,
+                State.values()[random.nextInt(1, 5)],
+                number(MessageCodec.MOST_INCARNATION),
+                random.nextInt(-1, MEMBERS),
+                random.nextBoolean() ? "" : "lysaker");
     }
 
     private Message message() {
@@ -33,9 +38,17 @@
         for (int i = random.nextInt(20); i > 0; i--) {
             news.add(news());
         }
-        var self = new Message.Self(number(MessageCodec.MOST_INCARNATION), random.nextBoolean(), MessageCodec.cut("n" + random.nextInt(1_000)),
+        var self = new Message.Self(
+                number(MessageCodec.MOST_INCARNATION),
+                random.nextBoolean(),
+                MessageCodec.cut("n" + random.nextInt(1_000)),
                 MessageCodec.cut("skøyen-and-much-more-than-fits"));
-        return new Message(Message.Kind.values()[random.nextInt(7)], number(Long.MAX_VALUE / 2), (int) number(MEMBERS), self, news);
+        return new Message(
+                Message.Kind.values()[random.nextInt(7)],
+                number(Long.MAX_VALUE / 2),
+                (int) number(MEMBERS),
+                self,
+                news);
     }
 
     @Test
@@ -44,8 +57,12 @@
             Message m = message();
             byte[] bytes = MessageCodec.encode(m);
             assertThat(MessageCodec.decode(bytes, MEMBERS)).isEqualTo(m);
-            int before = MessageCodec.bytes(m.seq(), m.subject(), m.self()) + m.news().stream().mapToInt(MessageCodec::bytes).sum();
-            assertThat(bytes.length).as("seed 5, message " + i).isLessThanOrEqualTo(before).isGreaterThan(before - 4);
+            int before = MessageCodec.bytes(m.seq(), m.subject(), m.self())
+                    + m.news().stream().mapToInt(MessageCodec::bytes).sum();
+            assertThat(bytes.length)
+                    .as("seed 5, message " + i)
+                    .isLessThanOrEqualTo(before)
+                    .isGreaterThan(before - 4);
         }
     }
 
@@ -66,7 +83,11 @@
 
     @Test
     void aNumberThatIsNobodysIsRefused() {
-        byte[] bytes = MessageCodec.encode(new Message(Message.Kind.NEWS, 1, 0, new Message.Self(1, false, "n", ""),
+        byte[] bytes = MessageCodec.encode(new Message(
+                Message.Kind.NEWS,
+                1,
+                0,
+                new Message.Self(1, false, "n", ""),
                 List.of(new News.Rumour(600, State.DEAD, 1, 2, ""))));
         assertThatThrownBy(() -> MessageCodec.decode(bytes, 600)).isInstanceOf(MessageCodec.BadMessage.class);
     }
@@ -87,7 +108,9 @@
             cbor.writeArray(new long[] {6, 1, 2, 0}, 0, 4);
             cbor.writeEndArray();
         }
-        assertThat(MessageCodec.decode(out.toByteArray(), MEMBERS).news()).extracting(News::subject).containsExactly(5, 6);
+        assertThat(MessageCodec.decode(out.toByteArray(), MEMBERS).news())
+                .extracting(News::subject)
+                .containsExactly(5, 6);
     }
 
     @Test
@@ -98,7 +121,8 @@
         }
         List<News> fit = MessageCodec.fitting(news, Post.ROOM - 40);
         assertThat(fit).hasSizeGreaterThan(12);
-        assertThat(MessageCodec.encode(new Message(Message.Kind.PAGE, 70_000, 420, new Message.Self(3, false, "n12", "ulven"), fit)))
+        assertThat(MessageCodec.encode(
+                        new Message(Message.Kind.PAGE, 70_000, 420, new Message.Self(3, false, "n12", "ulven"), fit)))
                 .hasSizeLessThanOrEqualTo(Post.ROOM);
     }
 }
--- a/fleet/src/test/java/grebehoist/fleet/wire/PostTest.java
+++ b/fleet/src/test/java/grebehoist/fleet/wire/PostTest.java
@@ -83,7 +83,9 @@
             assertThat(later.open(now, 0, datagram)).isNotInstanceOf(Post.Body.class);
         }
         assertThat(later.refused().get(Refused.UNPROVEN)).isEqualTo(50);
-        assertThat(say(a, 0, later, 1)).as("what is said now is heard all the same").containsExactly("hey");
+        assertThat(say(a, 0, later, 1))
+                .as("what is said now is heard all the same")
+                .containsExactly("hey");
     }
 
     /** The sender starts anew; what its earlier lives said, and was lost on the way then, comes now. */
@@ -127,7 +129,8 @@
         assertThat(b.open(now, 2, forB)).as("from elsewhere").isEqualTo(new Post.Dropped(Refused.WRONG_PLACE));
         assertThat(b.open(now, -1, forB)).as("from nobody's address").isEqualTo(new Post.Dropped(Refused.WRONG_PLACE));
         assertThat(post(1, NEW).open(now, 0, forB)).isEqualTo(new Post.Dropped(Refused.KEY));
-        assertThat(post(1, key(1, "another secret of this id")).open(now, 0, forB)).isEqualTo(new Post.Dropped(Refused.SEAL));
+        assertThat(post(1, key(1, "another secret of this id")).open(now, 0, forB))
+                .isEqualTo(new Post.Dropped(Refused.SEAL));
         assertThat(b.open(now, 0, new byte[257])).isEqualTo(new Post.Dropped(Refused.TOO_LONG));
         assertThat(b.open(now, 0, new byte[0])).isEqualTo(new Post.Dropped(Refused.UNREADABLE));
         for (int bit = 0; bit < 8 * forB.length; bit++) {
@@ -154,14 +157,20 @@
     /** All have the old key; each gets the new one behind it, then before it, then alone: at each step any two hear each other. */
     @Test
     void aKeyChangesWithoutAGap() {
-        List<KeyRing.Key[]> steps = List.of(new KeyRing.Key[] {OLD}, new KeyRing.Key[] {OLD, NEW}, new KeyRing.Key[] {NEW, OLD},
-                new KeyRing.Key[] {NEW});
+        List<KeyRing.Key[]> steps = List.of(
+                new KeyRing.Key[] {OLD}, new KeyRing.Key[] {OLD, NEW}, new KeyRing.Key[] {NEW, OLD}, new KeyRing.Key[] {
+                    NEW
+                });
         for (int i = 0; i < steps.size(); i++) {
             for (int j = Math.max(0, i - 1); j <= Math.min(steps.size() - 1, i + 1); j++) {
-                assertThat(say(post(0, steps.get(i)), 0, post(1, steps.get(j)), 1)).as(i + " to " + j).containsExactly("hey");
+                assertThat(say(post(0, steps.get(i)), 0, post(1, steps.get(j)), 1))
+                        .as(i + " to " + j)
+                        .containsExactly("hey");
             }
         }
-        assertThat(say(post(0, OLD), 0, post(1, NEW), 1)).as("one that was away for all of it").isEmpty();
+        assertThat(say(post(0, OLD), 0, post(1, NEW), 1))
+                .as("one that was away for all of it")
+                .isEmpty();
     }
 
     @Test
@@ -183,9 +192,14 @@
 
     @Test
     void noDatagramIsLongerThanThePlatformAllows() {
-        Post a = new Post(65_000, 65_535, new KeyRing(List.of(key(255, "a key whose id takes two bytes"))), new SplittableRandom(3));
+        Post a = new Post(
+                65_000,
+                65_535,
+                new KeyRing(List.of(key(255, "a key whose id takes two bytes"))),
+                new SplittableRandom(3));
         assertThat(a.seal(now, 1, Post.FIRST_TOPIC, new byte[Post.ROOM])).hasSizeLessThanOrEqualTo(Post.MOST_BYTES);
-        assertThatThrownBy(() -> a.seal(now, 1, Post.FIRST_TOPIC, new byte[Post.ROOM + 1])).hasMessageContaining("a body of");
+        assertThatThrownBy(() -> a.seal(now, 1, Post.FIRST_TOPIC, new byte[Post.ROOM + 1]))
+                .hasMessageContaining("a body of");
     }
 
     @Test
@@ -199,7 +213,8 @@
     void theSenderThatADatagramNamesIsReadWithoutProof() {
         Post a = post(0, OLD);
         assertThat(Post.sender(a.seal(now, 1, Post.FIRST_TOPIC, HEY))).isZero();
-        assertThat(Post.sender(post(2, OLD).seal(now, 1, Post.FIRST_TOPIC, HEY))).isEqualTo(2);
+        assertThat(Post.sender(post(2, OLD).seal(now, 1, Post.FIRST_TOPIC, HEY)))
+                .isEqualTo(2);
         assertThat(Post.sender(new byte[0])).isEqualTo(-1);
         assertThat(Post.sender(new byte[100])).isEqualTo(-1);
         assertThat(Post.sender(new byte[257])).isEqualTo(-1);
--- a/lab/src/main/java/grebehoist/lab/Comparison.java
+++ b/lab/src/main/java/grebehoist/lab/Comparison.java
@@ -23,7 +23,9 @@
             }
         }
         Arrays.sort(means);
-        return new Comparison(Arrays.stream(differences).average().orElseThrow(), means[RESAMPLES / 40],
+        return new Comparison(
+                Arrays.stream(differences).average().orElseThrow(),
+                means[RESAMPLES / 40],
                 means[RESAMPLES - 1 - RESAMPLES / 40]);
     }
 
--- a/lab/src/main/java/grebehoist/lab/Figures.java
+++ b/lab/src/main/java/grebehoist/lab/Figures.java
@@ -25,7 +25,12 @@
     }
 
     /** How a client's request has ended, after all its tries. */
-    enum End { GOOD, LATE, REFUSED, FAILED }
+    enum End {
+        GOOD,
+        LATE,
+        REFUSED,
+        FAILED
+    }
 
     void offered(double second, double itsWorth) {
         row(second)[OFFERED]++;
--- a/lab/src/main/java/grebehoist/lab/Job.java
+++ b/lab/src/main/java/grebehoist/lab/Job.java
@@ -47,8 +47,8 @@
     }
 
     @Override
-    public void retain() { }
+    public void retain() {}
 
     @Override
-    public void release() { }
+    public void release() {}
 }
--- a/lab/src/main/java/grebehoist/lab/Policies.java
+++ b/lab/src/main/java/grebehoist/lab/Policies.java
@@ -28,7 +28,7 @@
         RIVALS.put("oracle", (random, truth, aim) -> Rules.oracle(truth, aim / 2));
     }
 
-    private Policies() { }
+    private Policies() {}
 
     static TreeSet<String> names() {
         var names = new TreeSet<>(RIVALS.keySet());
@@ -43,15 +43,20 @@
      */
     static void check(String name) {
         if (!name.equals(OURS) && !RIVALS.containsKey(plain(name))) {
-            throw new LabException("policies: no policy \"" + name + "\"; there are " + names() + ", the rivals with " + BUDGET + " too");
+            throw new LabException("policies: no policy \"" + name + "\"; there are " + names() + ", the rivals with "
+                    + BUDGET + " too");
         }
     }
 
-    static Balancer make(String name, Balancer.Settings settings, UniformRandomProvider random, ToDoubleFunction<String> truth) {
+    static Balancer make(
+            String name, Balancer.Settings settings, UniformRandomProvider random, ToDoubleFunction<String> truth) {
         if (name.equals(OURS)) {
             return new Policy(settings);
         }
-        long aim = settings.classes().stream().mapToLong(Balancer.RequestClass::aimUs).min().orElseThrow();
+        long aim = settings.classes().stream()
+                .mapToLong(Balancer.RequestClass::aimUs)
+                .min()
+                .orElseThrow();
         return new Rival(settings, RIVALS.get(plain(name)).rule(random, truth, aim), name.endsWith(BUDGET));
     }
 
--- a/lab/src/main/java/grebehoist/lab/Proxy.java
+++ b/lab/src/main/java/grebehoist/lab/Proxy.java
@@ -32,17 +32,24 @@
     private final Engine engine;
     /** When this proxy was told that a backend wants nothing new, or {@link #READY}. */
     private final Map<String, Long> leavingSince = new HashMap<>();
+
     private final Map<Job, Integer> out = new HashMap<>();
     private long newsAt;
 
-    Proxy(Balancer.Settings settings, Balancer module, VirtualTime time, Map<String, Machine> machines, long oneWayUs, Figures figures) {
+    Proxy(
+            Balancer.Settings settings,
+            Balancer module,
+            VirtualTime time,
+            Map<String, Machine> machines,
+            long oneWayUs,
+            Figures figures) {
         this.time = time;
         this.machines = machines;
         this.oneWayUs = oneWayUs;
         this.figures = figures;
         this.engine = new Engine(settings, module, time, this, new Log() {
             @Override
-            public void line(String text) { }
+            public void line(String text) {}
 
             @Override
             public void failure(String what, Throwable cause) {
@@ -52,10 +59,10 @@
         });
         engine.source(new MemberSource() {
             @Override
-            public void watch(boolean on) { }
+            public void watch(boolean on) {}
 
             @Override
-            public void fetch() { }
+            public void fetch() {}
         });
     }
 
@@ -76,7 +83,10 @@
     /** It hears of this at a time, but not before what was told it earlier. */
     void tell(long atUs, ListKind kind, List<Backend> backends) {
         newsAt = Math.max(newsAt, atUs);
-        time.at(newsAt, () -> engine.members(kind, backends.stream().map(b -> new Listed(b, b.id())).toList()));
+        time.at(
+                newsAt,
+                () -> engine.members(
+                        kind, backends.stream().map(b -> new Listed(b, b.id())).toList()));
     }
 
     @Override
@@ -110,7 +120,7 @@
     }
 
     @Override
-    public void release(String backend) { }
+    public void release(String backend) {}
 
     private final class OnWire implements Attempt {
         private final Machine machine;
--- a/lab/src/main/java/grebehoist/lab/Rival.java
+++ b/lab/src/main/java/grebehoist/lab/Rival.java
@@ -16,6 +16,7 @@
 final class Rival implements Balancer {
     /** Finagle's and Linkerd's default: a fifth more attempts than requests, ten saved up. */
     private static final double BUDGET = 0.2;
+
     private static final double BUDGET_MOST = 10;
 
     /** Chooses one of the backends that are ready, at least one; null where it refuses. May be called again for another. */
@@ -54,7 +55,7 @@
         }
     }
 
-    private record Sent(RequestClass type, long deadline, Node to, int attempts) { }
+    private record Sent(RequestClass type, long deadline, Node to, int attempts) {}
 
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Rule rule;
--- a/lab/src/main/java/grebehoist/lab/Rules.java
+++ b/lab/src/main/java/grebehoist/lab/Rules.java
@@ -6,7 +6,7 @@
 
 /** How rivals choose, each from its published rule. */
 final class Rules {
-    private Rules() { }
+    private Rules() {}
 
     /** Each backend is as likely as any other. */
     static Rival.Rule random(UniformRandomProvider random) {
@@ -65,7 +65,8 @@
         };
     }
 
-    private static Rival.Node better(List<Rival.Node> ready, UniformRandomProvider random, ToDoubleFunction<Rival.Node> cost) {
+    private static Rival.Node better(
+            List<Rival.Node> ready, UniformRandomProvider random, ToDoubleFunction<Rival.Node> cost) {
         Rival.Node a = ready.get(random.nextInt(ready.size()));
         Rival.Node b = ready.get(random.nextInt(ready.size()));
         return cost.applyAsDouble(b) < cost.applyAsDouble(a) ? b : a;
--- a/lab/src/main/java/grebehoist/lab/VirtualTime.java
+++ b/lab/src/main/java/grebehoist/lab/VirtualTime.java
@@ -10,6 +10,7 @@
 final class VirtualTime implements Timers {
     /** So many events that are to come are more than any fleet here needs: the load has outgrown the experiment. */
     private final int most;
+
     private final PriorityQueue<Due> queue = new PriorityQueue<>();
     private long now;
     private long asked;
@@ -52,7 +53,8 @@
         if (queue.size() >= most) {
             queue.removeIf(d -> d.action == null);
             if (queue.size() >= most) {
-                throw new LabException("more than " + most + " events wait at " + now / 1e6 + " s: the fleet cannot bear this load");
+                throw new LabException(
+                        "more than " + most + " events wait at " + now / 1e6 + " s: the fleet cannot bear this load");
             }
         }
         var due = new Due(Math.max(atUs, now), asked++, action);
--- a/lab/src/main/java/grebehoist/lab/WorkSampler.java
+++ b/lab/src/main/java/grebehoist/lab/WorkSampler.java
@@ -24,8 +24,10 @@
         @Override
         DoubleSupplier of(double meanUs, double cv, UniformRandomProvider random) {
             double variance = Math.log1p(cv * cv);
-            return LogNormalSampler.of(ZigguratSampler.NormalizedGaussian.of(random), Math.log(meanUs) - variance / 2,
-                    Math.sqrt(variance))::sample;
+            return LogNormalSampler.of(
+                            ZigguratSampler.NormalizedGaussian.of(random),
+                            Math.log(meanUs) - variance / 2,
+                            Math.sqrt(variance))::sample;
         }
     },
     /** Pareto's shape follows from the coefficient of variation: cv^2 = 1 / (shape (shape - 2)). */
--- a/lab/src/main/java/grebehoist/lab/World.java
+++ b/lab/src/main/java/grebehoist/lab/World.java
@@ -28,7 +28,16 @@
     /** What one play may have waiting: some 100 bytes each. */
     private static final int MOST_EVENTS = 5_000_000;
 
-    private enum Stream { ARRIVALS, WORK, MACHINES, FAULTS, NEWS, CLIENTS, POLICIES, SHARES }
+    private enum Stream {
+        ARRIVALS,
+        WORK,
+        MACHINES,
+        FAULTS,
+        NEWS,
+        CLIENTS,
+        POLICIES,
+        SHARES
+    }
 
     private final Experiment e;
     private final long seed;
@@ -61,18 +70,42 @@
         }
         UniformRandomProvider workRandom = random(Stream.WORK);
         e.classes().forEach(c -> work.add(c.work().of(c.meanMs() * 1e3, c.cv(), workRandom)));
-        var classes = e.classes().stream().map(Experiment.RequestClass::settings).toList();
+        var classes =
+                e.classes().stream().map(Experiment.RequestClass::settings).toList();
         var limits = new Balancer.Limits(true, false, false, false, 4, 2_000_000);
-        var rules = new Balancer.Rules(e.kinds().stream().mapToDouble(Experiment.Kind::coldFrom).min().orElse(1),
-                (long) (e.kinds().stream().mapToDouble(Experiment.Kind::coldS).max().orElse(0) * 1e6), 4, 1_000_000, 10_000_000, false);
+        var rules = new Balancer.Rules(
+                e.kinds().stream().mapToDouble(Experiment.Kind::coldFrom).min().orElse(1),
+                (long) (e.kinds().stream()
+                                .mapToDouble(Experiment.Kind::coldS)
+                                .max()
+                                .orElse(0)
+                        * 1e6),
+                4,
+                1_000_000,
+                10_000_000,
+                false);
         UniformRandomProvider policies = random(Stream.POLICIES);
         int believed = (int) Math.max(1, Math.round(e.proxies() * e.fleet().configured()));
         for (int rank = 0; rank < e.proxies(); rank++) {
-            var settings = new Balancer.Settings(believed, rank % believed, "a", 1_000, classes, List.of(), 1, false, limits, rules,
+            var settings = new Balancer.Settings(
+                    believed,
+                    rank % believed,
+                    "a",
+                    1_000,
+                    classes,
+                    List.of(),
+                    1,
+                    false,
+                    limits,
+                    rules,
                     policies.nextLong());
-            var module = Policies.make(policy, settings, RandomSource.XO_RO_SHI_RO_128_PP.create(policies.nextLong()),
+            var module = Policies.make(
+                    policy,
+                    settings,
+                    RandomSource.XO_RO_SHI_RO_128_PP.create(policies.nextLong()),
                     id -> machines.get(id).waitUs());
-            proxies.add(new Proxy(settings, module, time, machines, Math.round(e.network().oneWayMs() * 1e3), figures));
+            proxies.add(new Proxy(
+                    settings, module, time, machines, Math.round(e.network().oneWayMs() * 1e3), figures));
         }
     }
 
@@ -95,7 +128,10 @@
         e.faults().forEach(f -> schedule(f, faults));
         arrivals();
         time.at(START_US + (long) (e.warmupS() * 1e6), () -> figures.begin(workDone()));
-        double patience = e.classes().stream().mapToDouble(Experiment.RequestClass::deadlineMs).max().orElse(0);
+        double patience = e.classes().stream()
+                .mapToDouble(Experiment.RequestClass::deadlineMs)
+                .max()
+                .orElse(0);
         time.runTo(endUs + (long) (2e3 * patience) + 1_000_000);
         figures.end(workDone());
         for (int i = 0; i < waiting; i++) {
@@ -119,7 +155,12 @@
 
     private Machine add(Experiment.Kind kind) {
         double spread = ZigguratSampler.NormalizedGaussian.of(machineRandom).sample() * kind.speedCv();
-        var m = new Machine(kind.name() + "-" + machines.size(), kind, kind.speed() * Math.max(0.2, 1 + spread), time, machineRandom);
+        var m = new Machine(
+                kind.name() + "-" + machines.size(),
+                kind,
+                kind.speed() * Math.max(0.2, 1 + spread),
+                time,
+                machineRandom);
         machines.put(m.id(), m);
         return m;
     }
@@ -132,16 +173,19 @@
             return () -> random.nextInt(e.proxies());
         }
         DoubleSupplier share = WorkSampler.LOGNORMAL.of(1, e.load().uneven(), random(Stream.SHARES));
-        return GuideTableDiscreteSampler.of(random, DoubleStream.generate(share).limit(e.proxies()).toArray())::sample;
+        return GuideTableDiscreteSampler.of(
+                random, DoubleStream.generate(share).limit(e.proxies()).toArray())::sample;
     }
 
     /** A Poisson process at the highest rate, thinned to the rate of the moment (Lewis and Shedler, 1979). */
     private void arrivals() {
         UniformRandomProvider random = random(Stream.ARRIVALS);
-        double most = Math.max(1, e.load().steps().stream().mapToDouble(s -> s.get(1)).max().orElse(1));
+        double most = Math.max(
+                1, e.load().steps().stream().mapToDouble(s -> s.get(1)).max().orElse(1));
         double perUs = e.ratePerS() * most / 1e6;
         var gap = ZigguratSampler.Exponential.of(random, 1 / perUs);
-        double classShares = e.classes().stream().mapToDouble(Experiment.RequestClass::share).sum();
+        double classShares =
+                e.classes().stream().mapToDouble(Experiment.RequestClass::share).sum();
         IntSupplier front = front(random);
         new Runnable() {
             private double at = START_US;
@@ -154,7 +198,8 @@
                     boolean comes = random.nextDouble() * most < e.load().factor(second);
                     double pick = random.nextDouble() * classShares;
                     int type = 0;
-                    while (type < e.classes().size() - 1 && pick >= e.classes().get(type).share()) {
+                    while (type < e.classes().size() - 1
+                            && pick >= e.classes().get(type).share()) {
                         pick -= e.classes().get(type++).share();
                     }
                     int chosen = type;
@@ -162,7 +207,13 @@
                     time.at((long) at, () -> {
                         if (comes) {
                             boolean unsafe = e.classes().get(chosen).effect() == Balancer.Effect.UNSAFE;
-                            ask(new Job(chosen, unsafe, Math.max(1, work.get(chosen).getAsDouble()), time.now()), proxy);
+                            ask(
+                                    new Job(
+                                            chosen,
+                                            unsafe,
+                                            Math.max(1, work.get(chosen).getAsDouble()),
+                                            time.now()),
+                                    proxy);
                         }
                         run();
                     });
@@ -182,51 +233,54 @@
         long deadline = job.firstAt() + (long) (type.deadlineMs() * 1e3);
         waiting++;
         String id = Integer.toString(++asked);
-        proxies.get(proxy).intake().arrived(new Request(id, type.name(), null, null, number > 1, deadline, job), new Responder() {
-            private boolean answered;
+        proxies.get(proxy)
+                .intake()
+                .arrived(new Request(id, type.name(), null, null, number > 1, deadline, job), new Responder() {
+                    private boolean answered;
 
-            private void once() {
-                if (answered) {
-                    figures.broken("1: a second answer");
-                } else {
-                    waiting--;
-                }
-                answered = true;
-                if (time.now() > deadline + 5_000) {
-                    figures.broken("1: an answer after its deadline");
-                }
-            }
+                    private void once() {
+                        if (answered) {
+                            figures.broken("1: a second answer");
+                        } else {
+                            waiting--;
+                        }
+                        answered = true;
+                        if (time.now() > deadline + 5_000) {
+                            figures.broken("1: an answer after its deadline");
+                        }
+                    }
 
-            @Override
-            public void served(Payload answer) {
-                once();
-                long took = time.now() - job.firstAt();
-                end(took <= type.aimMs() * 1e3 ? Figures.End.GOOD : Figures.End.LATE);
-            }
+                    @Override
+                    public void served(Payload answer) {
+                        once();
+                        long took = time.now() - job.firstAt();
+                        end(took <= type.aimMs() * 1e3 ? Figures.End.GOOD : Figures.End.LATE);
+                    }
 
-            @Override
-            public void refused(long retryAfterUs) {
-                once();
-                double pause = Math.max(retryAfterUs, e.load().backoffMs() * 1e3) * (1 + clients.nextDouble() / 2);
-                if (number <= e.load().retries() && time.now() + pause < deadline) {
-                    time.at(time.now() + (long) pause, () -> ask(job, comeBack.getAsInt()));
-                } else {
-                    end(Figures.End.REFUSED);
-                }
-            }
+                    @Override
+                    public void refused(long retryAfterUs) {
+                        once();
+                        double pause =
+                                Math.max(retryAfterUs, e.load().backoffMs() * 1e3) * (1 + clients.nextDouble() / 2);
+                        if (number <= e.load().retries() && time.now() + pause < deadline) {
+                            time.at(time.now() + (long) pause, () -> ask(job, comeBack.getAsInt()));
+                        } else {
+                            end(Figures.End.REFUSED);
+                        }
+                    }
 
-            @Override
-            public void failed() {
-                once();
-                end(Figures.End.FAILED);
-            }
+                    @Override
+                    public void failed() {
+                        once();
+                        end(Figures.End.FAILED);
+                    }
 
-            private void end(Figures.End how) {
-                if (counted) {
-                    figures.ended(second, how, type.worth(), time.now() - job.firstAt(), job.workUs());
-                }
-            }
-        });
+                    private void end(Figures.End how) {
+                        if (counted) {
+                            figures.ended(second, how, type.worth(), time.now() - job.firstAt(), job.workUs());
+                        }
+                    }
+                });
     }
 
     // What goes wrong
@@ -276,6 +330,7 @@
         var line = List.of(m.listed());
         double least = e.discovery().lagMs().get(0) * 1e3;
         double most = e.discovery().lagMs().get(1) * 1e3;
-        proxies.forEach(p -> p.tell(time.now() + (long) (least + (most - least) * news.nextDouble()), ListKind.DELTA, line));
+        proxies.forEach(p ->
+                p.tell(time.now() + (long) (least + (most - least) * news.nextDouble()), ListKind.DELTA, line));
     }
 }
--- a/lab/src/test/java/grebehoist/lab/ExperimentTest.java
+++ b/lab/src/test/java/grebehoist/lab/ExperimentTest.java
@@ -36,9 +36,13 @@
             [load]|[[fault]]\\nkind = "hang"\\nat_s = 1\\n[load]|fault HANG
             """)
     void badInputIsNamed(String part, String instead, String message) {
-        String text = GOOD.replaceFirst(java.util.regex.Pattern.quote(part), java.util.regex.Matcher.quoteReplacement(instead.replace("\\n", "\n")));
+        String text = GOOD.replaceFirst(
+                java.util.regex.Pattern.quote(part),
+                java.util.regex.Matcher.quoteReplacement(instead.replace("\\n", "\n")));
         assertThat(text).isNotEqualTo(GOOD);
-        assertThatThrownBy(() -> Text.experiment(text)).isInstanceOf(LabException.class).hasMessageStartingWith("test: ")
+        assertThatThrownBy(() -> Text.experiment(text))
+                .isInstanceOf(LabException.class)
+                .hasMessageStartingWith("test: ")
                 .hasMessageContaining(message);
     }
 
@@ -58,14 +62,22 @@
     void theCommandLineTellsWhatItPlaysAndWhatItFinds() throws Exception {
         Path file = Files.writeString(folder.resolve("a.toml"), GOOD.replace("utilisation = 0.5", "utilisation = 0.9"));
         Path json = folder.resolve("out.json");
-        assertThat(lab("run", file.toString(), "--policy", "oracle", "--repetitions", "2", "--json", json.toString())).startsWith("0 ")
-                .contains("2 proxies, 3 machines").containsPattern("oracle +[01]\\.\\d{4} ");
-        assertThat(new com.fasterxml.jackson.databind.ObjectMapper().readTree(json.toFile())).hasSize(2);
-        assertThat(lab("compare", file.toString(), "random", "random")).startsWith("0 ").contains("no difference shown");
-        assertThat(lab("compare", file.toString(), "oracle", "random", "--repetitions", "6")).contains("oracle is better");
+        assertThat(lab("run", file.toString(), "--policy", "oracle", "--repetitions", "2", "--json", json.toString()))
+                .startsWith("0 ")
+                .contains("2 proxies, 3 machines")
+                .containsPattern("oracle +[01]\\.\\d{4} ");
+        assertThat(new com.fasterxml.jackson.databind.ObjectMapper().readTree(json.toFile()))
+                .hasSize(2);
+        assertThat(lab("compare", file.toString(), "random", "random"))
+                .startsWith("0 ")
+                .contains("no difference shown");
+        assertThat(lab("compare", file.toString(), "oracle", "random", "--repetitions", "6"))
+                .contains("oracle is better");
         assertThat(lab("list", folder.toString())).contains("a.toml", "a fleet");
         assertThat(lab("show", file.toString())).contains("135 requests a second");
-        assertThat(lab("run", folder.resolve("none.toml").toString())).startsWith("2 ").contains("none.toml: cannot be read");
+        assertThat(lab("run", folder.resolve("none.toml").toString()))
+                .startsWith("2 ")
+                .contains("none.toml: cannot be read");
         assertThat(lab("run", file.toString(), "--polcy", "x")).startsWith("2 ").contains("--policy");
         assertThat(lab("run", "--help")).startsWith("0 ").contains("--repetitions");
     }
--- a/lab/src/test/java/grebehoist/lab/LayersTest.java
+++ b/lab/src/test/java/grebehoist/lab/LayersTest.java
@@ -9,13 +9,27 @@
 
 class LayersTest {
     private static final JavaClasses LAB = new ClassFileImporter()
-            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("grebehoist.lab");
+            .withImportOption(new ImportOption.DoNotIncludeTests())
+            .importPackages("grebehoist.lab");
 
     /** A model of a fleet needs no socket, and nothing of the daemon. */
     @Test
     void theLaboratoryStandsOnTheCoreAlone() {
-        classes().should().onlyDependOnClassesThat().resideInAnyPackage("grebehoist.lab..", "grebehoist.engine..", "beechfall..", "java.lang..",
-                "java.util..", "java.io..", "java.nio..", "picocli..", "org.HdrHistogram..", "org.apache.commons.rng..", "com.fasterxml.jackson..")
+        classes()
+                .should()
+                .onlyDependOnClassesThat()
+                .resideInAnyPackage(
+                        "grebehoist.lab..",
+                        "grebehoist.engine..",
+                        "beechfall..",
+                        "java.lang..",
+                        "java.util..",
+                        "java.io..",
+                        "java.nio..",
+                        "picocli..",
+                        "org.HdrHistogram..",
+                        "org.apache.commons.rng..",
+                        "com.fasterxml.jackson..")
                 .check(LAB);
     }
 }
--- a/lab/src/test/java/grebehoist/lab/MiscountTest.java
+++ b/lab/src/test/java/grebehoist/lab/MiscountTest.java
@@ -47,10 +47,20 @@
         double[] right = after(1, 0);
         double[] wrong = after(configured, 0);
         double[] told = after(configured, TOLD_S);
-        System.out.printf(Locale.ROOT, "configured %s times: refused, late: right %.4f %.4f, wrong %.4f %.4f, told %.4f %.4f%n", configured, right[0],
-                right[1], wrong[0], wrong[1], told[0], told[1]);
+        System.out.printf(
+                Locale.ROOT,
+                "configured %s times: refused, late: right %.4f %.4f, wrong %.4f %.4f, told %.4f %.4f%n",
+                configured,
+                right[0],
+                right[1],
+                wrong[0],
+                wrong[1],
+                told[0],
+                told[1]);
         assertThat(told[0]).as("refused").isBetween(right[0] - 0.01, right[0] + 0.01);
         assertThat(told[1]).as("late").isBetween(right[1] - 0.01, right[1] + 0.01);
-        assertThat(wrong[0] > right[0] + 0.03).as("four times as many as there are refuse what they could serve").isEqualTo(configured > 1);
+        assertThat(wrong[0] > right[0] + 0.03)
+                .as("four times as many as there are refuse what they could serve")
+                .isEqualTo(configured > 1);
     }
 }
--- a/lab/src/test/java/grebehoist/lab/ProxyTest.java
+++ b/lab/src/test/java/grebehoist/lab/ProxyTest.java
@@ -22,8 +22,18 @@
     private int answers;
 
     private Proxy proxy(Balancer module) {
-        var settings = new Balancer.Settings(1, 0, "a", 1_000, List.of(e.classes().get(1).settings()), List.of(), 1, false,
-                new Balancer.Limits(true, false, false, false, 4, 0), new Balancer.Rules(0.5, 5_000_000, 4, 1_000_000, 10_000_000, false), 1);
+        var settings = new Balancer.Settings(
+                1,
+                0,
+                "a",
+                1_000,
+                List.of(e.classes().get(1).settings()),
+                List.of(),
+                1,
+                false,
+                new Balancer.Limits(true, false, false, false, 4, 0),
+                new Balancer.Rules(0.5, 5_000_000, 4, 1_000_000, 10_000_000, false),
+                1);
         var p = new Proxy(settings, module, time, Map.of("m", machine), 100, figures);
         p.tell(0, ListKind.FULL, List.of(machine.listed()));
         time.runTo(10);
@@ -31,22 +41,25 @@
     }
 
     private void ask(Proxy p, Job job) {
-        p.intake().arrived(new Request("r" + answers, "payment", null, null, false, time.now() + 3_000_000, job), new Responder() {
-            @Override
-            public void served(Payload answer) {
-                answers++;
-            }
+        p.intake()
+                .arrived(
+                        new Request("r" + answers, "payment", null, null, false, time.now() + 3_000_000, job),
+                        new Responder() {
+                            @Override
+                            public void served(Payload answer) {
+                                answers++;
+                            }
 
-            @Override
-            public void refused(long retryAfterUs) {
-                answers++;
-            }
+                            @Override
+                            public void refused(long retryAfterUs) {
+                                answers++;
+                            }
 
-            @Override
-            public void failed() {
-                answers++;
-            }
-        });
+                            @Override
+                            public void failed() {
+                                answers++;
+                            }
+                        });
     }
 
     @Test
@@ -89,8 +102,12 @@
 
     @Test
     void aPolicyThatThrowsEndsItsPlayAndNoOther() {
-        assertThatThrownBy(() -> ask(proxy((now, event, actions) -> {
-            throw new IllegalStateException("on purpose");
-        }), new Job(1, true, 10_000, 0))).isInstanceOf(LabException.class).hasMessageContaining("on purpose");
+        assertThatThrownBy(() -> ask(
+                        proxy((now, event, actions) -> {
+                            throw new IllegalStateException("on purpose");
+                        }),
+                        new Job(1, true, 10_000, 0)))
+                .isInstanceOf(LabException.class)
+                .hasMessageContaining("on purpose");
     }
 }
--- a/lab/src/test/java/grebehoist/lab/RecordedTest.java
+++ b/lab/src/test/java/grebehoist/lab/RecordedTest.java
@@ -26,17 +26,22 @@
         }
         // A gain at one size of a fleet may cost at another: our module at each.
         for (String name : FLEETS) {
-            for (Experiment e : Experiment.read(Path.of("experiments", name + ".toml")).atEachSize()) {
+            for (Experiment e :
+                    Experiment.read(Path.of("experiments", name + ".toml")).atEachSize()) {
                 record(name + " " + e.proxies() + "x" + e.machines(), e, List.of("beechfall"), lines);
             }
         }
-        assertThat(String.join("\n", lines)).isEqualToIgnoringNewLines(Files.readString(Path.of("src/test/resources/recorded.txt")).strip());
+        assertThat(String.join("\n", lines))
+                .isEqualToIgnoringNewLines(Files.readString(Path.of("src/test/resources/recorded.txt"))
+                        .strip());
     }
 
     /** A fixed margin of the cold budget, found with 14 proxies, refused 3.6% here and 11 to 14% in the demo. */
     @Test
     void aDeployBeforeOneProxyRefusesNextToNothing() {
-        Experiment one = Experiment.read(Path.of("experiments", "fleet-deploy.toml")).atEachSize().get(0);
+        Experiment one = Experiment.read(Path.of("experiments", "fleet-deploy.toml"))
+                .atEachSize()
+                .get(0);
         assertThat(one.proxies()).isEqualTo(1);
         for (Play p : Play.all(one, List.of("beechfall"), 3, 3)) {
             assertThat(p.figures().refused()).as("seed " + p.seed()).isLessThan(0.02);
@@ -47,8 +52,17 @@
         for (Play p : Play.all(e, policies, 1, 3)) {
             Figures f = p.figures();
             assertThat(f.broken()).as(name + " " + p.policy()).isEmpty();
-            lines.add(String.format(Locale.ROOT, "%s %s offered %d goodput %.6f refused %.6f p99 %.3f attempts %d events %d", name, p.policy(),
-                    f.offered(), f.goodput(), f.refused(), f.percentileMs(99), f.attempts(), p.events()));
+            lines.add(String.format(
+                    Locale.ROOT,
+                    "%s %s offered %d goodput %.6f refused %.6f p99 %.3f attempts %d events %d",
+                    name,
+                    p.policy(),
+                    f.offered(),
+                    f.goodput(),
+                    f.refused(),
+                    f.percentileMs(99),
+                    f.attempts(),
+                    p.events()));
         }
     }
 
@@ -56,8 +70,11 @@
     @Test
     void allExperimentsAreRight() throws Exception {
         try (var files = Files.list(Path.of("experiments"))) {
-            var names = files.map(f -> Experiment.read(f).name() + ".toml " + f.getFileName()).toList();
-            assertThat(names).hasSizeGreaterThan(20).allSatisfy(n -> assertThat(n.split(" ")[0]).isEqualTo(n.split(" ")[1]));
+            var names = files.map(f -> Experiment.read(f).name() + ".toml " + f.getFileName())
+                    .toList();
+            assertThat(names)
+                    .hasSizeGreaterThan(20)
+                    .allSatisfy(n -> assertThat(n.split(" ")[0]).isEqualTo(n.split(" ")[1]));
         }
     }
 }
--- a/lab/src/test/java/grebehoist/lab/Text.java
+++ b/lab/src/test/java/grebehoist/lab/Text.java
@@ -2,7 +2,7 @@
 
 /** Experiments as text. */
 final class Text {
-    private Text() { }
+    private Text() {}
 
     /** One class of exponential work of 25 ms that has all the time it needs, on machines of one kind, by random choice. */
     static String queue(String kind, String work, double utilisation) {
--- a/lab/src/test/java/grebehoist/lab/TheoryTest.java
+++ b/lab/src/test/java/grebehoist/lab/TheoryTest.java
@@ -11,12 +11,18 @@
 
     private static void holds(String text, double theoryMs) {
         Experiment e = Text.experiment(text);
-        double[] means = LongStream.range(0, 8).parallel().mapToDouble(seed -> new World(e, "random", seed).play().meanMs()).toArray();
+        double[] means = LongStream.range(0, 8)
+                .parallel()
+                .mapToDouble(seed -> new World(e, "random", seed).play().meanMs())
+                .toArray();
         double mean = java.util.Arrays.stream(means).average().orElseThrow();
-        double variance = java.util.Arrays.stream(means).map(m -> (m - mean) * (m - mean)).sum() / (means.length - 1);
+        double variance =
+                java.util.Arrays.stream(means).map(m -> (m - mean) * (m - mean)).sum() / (means.length - 1);
         double error = Math.sqrt(variance / means.length);
         assertThat(error).as("the error is small enough to tell").isLessThan(0.04 * theoryMs);
-        assertThat(mean).as("theory says %.2f ms, standard error %.2f", theoryMs, error).isBetween(theoryMs - 4 * error, theoryMs + 4 * error);
+        assertThat(mean)
+                .as("theory says %.2f ms, standard error %.2f", theoryMs, error)
+                .isBetween(theoryMs - 4 * error, theoryMs + 4 * error);
     }
 
     @Test
--- a/lab/src/test/java/grebehoist/lab/WorldTest.java
+++ b/lab/src/test/java/grebehoist/lab/WorldTest.java
@@ -33,16 +33,20 @@
             """;
 
     private static String figures(Play p) {
-        return p.policy() + p.seed() + " " + p.events() + " " + p.figures().offered() + " " + p.figures().goodput() + " "
-                + p.figures().attempts() + " " + p.figures().percentileMs(99) + " " + p.figures().wasted() + " " + p.figures().broken();
+        return p.policy() + p.seed() + " " + p.events() + " " + p.figures().offered() + " "
+                + p.figures().goodput() + " " + p.figures().attempts() + " "
+                + p.figures().percentileMs(99) + " " + p.figures().wasted() + " "
+                + p.figures().broken();
     }
 
     @Test
     void equalSeedsGiveEqualFiguresOnAnyNumberOfThreads() {
         Experiment e = Text.experiment(Text.fleet(20, 8, 0.6, TROUBLE));
         List<String> policies = List.copyOf(Policies.names());
-        List<String> one = Play.all(e, policies, 2, 1).stream().map(WorldTest::figures).toList();
-        List<String> many = Play.all(e, policies, 2, 5).stream().map(WorldTest::figures).toList();
+        List<String> one =
+                Play.all(e, policies, 2, 1).stream().map(WorldTest::figures).toList();
+        List<String> many =
+                Play.all(e, policies, 2, 5).stream().map(WorldTest::figures).toList();
         assertThat(many).isEqualTo(one);
         assertThat(one).doesNotHaveDuplicates();
     }
@@ -53,8 +57,11 @@
             var world = new World(Text.experiment(Text.fleet(20, 8, 0.6, TROUBLE)), Policies.OURS, seed);
             Figures f = world.play();
             assertThat(f.broken()).as("seed " + seed).isEmpty();
-            assertThat(f.offered()).isEqualTo(f.count(Figures.End.GOOD) + f.count(Figures.End.LATE) + f.count(Figures.End.REFUSED)
-                    + f.count(Figures.End.FAILED));
+            assertThat(f.offered())
+                    .isEqualTo(f.count(Figures.End.GOOD)
+                            + f.count(Figures.End.LATE)
+                            + f.count(Figures.End.REFUSED)
+                            + f.count(Figures.End.FAILED));
             assertThat(world.remembered()).as("seed " + seed).isZero();
             assertThat(f.goodput()).as("seed " + seed).isBetween(0.5, 1.0);
         }
@@ -82,7 +89,8 @@
                 """;
         Experiment plain = Text.experiment(Text.fleet(1, 4, 0.2, ""));
         Experiment slowed = Text.experiment(Text.fleet(1, 4, 0.2, slow));
-        assertThat(new World(slowed, "oracle", 1).play().meanMs()).isGreaterThan(2.5 * new World(plain, "oracle", 1).play().meanMs());
+        assertThat(new World(slowed, "oracle", 1).play().meanMs())
+                .isGreaterThan(2.5 * new World(plain, "oracle", 1).play().meanMs());
     }
 
     @Test
@@ -104,12 +112,12 @@
     void aFleetThatCannotBearItsLoadIsToldApart() {
         var time = new VirtualTime(0, 100);
         for (int i = 0; i < 100; i++) {
-            time.at(i, () -> { }).cancel();
+            time.at(i, () -> {}).cancel();
         }
         for (int i = 0; i < 100; i++) {
-            time.at(i, () -> { });
+            time.at(i, () -> {});
         }
-        assertThatThrownBy(() -> time.at(1, () -> { })).hasMessageContaining("cannot bear this load");
+        assertThatThrownBy(() -> time.at(1, () -> {})).hasMessageContaining("cannot bear this load");
         assertThat(time.waiting()).isEqualTo(100);
         time.runTo(1_000);
         assertThat(time.waiting()).isZero();
--- a/net/src/main/java/grebehoist/net/AcceptBacklog.java
+++ b/net/src/main/java/grebehoist/net/AcceptBacklog.java
@@ -22,6 +22,7 @@
     private boolean drained = true;
     /** How many were accepted so far, and by the last check. */
     private long accepts;
+
     private long seen;
     private boolean accepting = true;
     private boolean checking;
--- a/net/src/main/java/grebehoist/net/AcceptWorker.java
+++ b/net/src/main/java/grebehoist/net/AcceptWorker.java
@@ -22,7 +22,8 @@
 
     /** Makes one that lives as long as a loop. */
     AcceptWorker(EventLoop loop) {
-        threads = new ThreadPoolExecutor(0, Integer.MAX_VALUE, IDLE_S, TimeUnit.SECONDS, new SynchronousQueue<>(), AcceptWorker::thread);
+        threads = new ThreadPoolExecutor(
+                0, Integer.MAX_VALUE, IDLE_S, TimeUnit.SECONDS, new SynchronousQueue<>(), AcceptWorker::thread);
         loop.terminationFuture().addListener(f -> threads.shutdown());
     }
 
--- a/net/src/main/java/grebehoist/net/Addresses.java
+++ b/net/src/main/java/grebehoist/net/Addresses.java
@@ -7,7 +7,7 @@
 
 /** Numeric addresses with a port: there is no DNS where this runs, and none is to be waited for. */
 public final class Addresses {
-    private Addresses() { }
+    private Addresses() {}
 
     /** Returns the address, or null where the text is none. */
     public static InetSocketAddress parse(String text) {
--- a/net/src/main/java/grebehoist/net/BoundedRetry.java
+++ b/net/src/main/java/grebehoist/net/BoundedRetry.java
@@ -50,7 +50,8 @@
      * @param kind the failures after which it is tried again; others pass
      * @throws E the last failure, after the time is over or where another try would not help
      */
-    public <T, E extends Exception> T run(Step<T, E> step, Class<E> kind, Failed<E> failed) throws E, InterruptedException {
+    public <T, E extends Exception> T run(Step<T, E> step, Class<E> kind, Failed<E> failed)
+            throws E, InterruptedException {
         while (true) {
             try {
                 return step.run();
--- a/net/src/main/java/grebehoist/net/ClientFront.java
+++ b/net/src/main/java/grebehoist/net/ClientFront.java
@@ -47,11 +47,13 @@
     private final Set<C> connections = new LinkedHashSet<>();
     /** Null before it listens. */
     private volatile Channel listener;
+
     private boolean closing;
     /** Whether nobody comes any more: each connection ends when nothing is asked on it. */
     private boolean stopped;
     /** Since when clients are sent away, or {@link Long#MAX_VALUE}. */
     private long awaySince = Long.MAX_VALUE;
+
     private volatile AcceptBacklog backlog;
     private Future<?> sweep;
 
@@ -72,16 +74,21 @@
 
     @Override
     public final ChannelFuture listen(Network network, InetSocketAddress address) {
-        backlog = new AcceptBacklog(timers, network.loop(), log, () -> listener instanceof ListeningSocket socket && socket.accepting());
+        backlog = new AcceptBacklog(
+                timers, network.loop(), log, () -> listener instanceof ListeningSocket socket && socket.accepting());
         sweep = LoopTasks.every(network.loop(), log, SWEEP_US, TimeUnit.MICROSECONDS, this::sweep);
-        ChannelFuture bound = LoopChannels.bind(network.server().clone().handler(new AcceptRetry(log, new Accepting()))
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        sockets.clientOpened(channel);
-                        channel.pipeline().addLast(connection(backlog.accepted()));
-                    }
-                }), network.address(address));
+        ChannelFuture bound = LoopChannels.bind(
+                network.server()
+                        .clone()
+                        .handler(new AcceptRetry(log, new Accepting()))
+                        .childHandler(new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                sockets.clientOpened(channel);
+                                channel.pipeline().addLast(connection(backlog.accepted()));
+                            }
+                        }),
+                network.address(address));
         listener = bound.channel();
         bound.addListener(f -> {
             if (f.isSuccess() && stopped) {
@@ -149,7 +156,9 @@
             return;
         }
         long restSince = now - GREETING_US;
-        List.copyOf(connections).stream().filter(c -> c.idleSince() <= restSince).forEach(Connection::partIfIdle);
+        List.copyOf(connections).stream()
+                .filter(c -> c.idleSince() <= restSince)
+                .forEach(Connection::partIfIdle);
     }
 
     @Override
--- a/net/src/main/java/grebehoist/net/DatagramPort.java
+++ b/net/src/main/java/grebehoist/net/DatagramPort.java
@@ -24,12 +24,13 @@
 public final class DatagramPort {
     /** What is longer is cut off here, which is more than any datagram that counts, so that whoever reads sees that it is too long. */
     public static final int MOST_BYTES = 512;
+
     private static final long AGAIN_MS = 250;
 
     /** Hears what comes, on the loop's thread. */
     public interface Listener {
         /** The socket is there, at this address: sent to it before, nothing has come. */
-        default void bound(InetSocketAddress at) { }
+        default void bound(InetSocketAddress at) {}
 
         /** A datagram has come. */
         void received(InetSocketAddress from, byte[] datagram);
@@ -69,8 +70,13 @@
         if (closed) {
             return;
         }
-        ChannelFuture bound = LoopChannels.bind(new Bootstrap().group(loop).channel(NioDatagramChannel.class)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MOST_BYTES)).handler(new Receiver()), wanted);
+        ChannelFuture bound = LoopChannels.bind(
+                new Bootstrap()
+                        .group(loop)
+                        .channel(NioDatagramChannel.class)
+                        .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MOST_BYTES))
+                        .handler(new Receiver()),
+                wanted);
         bound.addListener(f -> {
             if (!bound.isSuccess()) {
                 complain(bound.cause());
@@ -87,7 +93,8 @@
     private void complain(Throwable cause) {
         if (!complained) {
             complained = true;
-            log.line(name + ": " + wanted + " can't be had (another process as the same member?); it is tried again: " + cause.getMessage());
+            log.line(name + ": " + wanted + " can't be had (another process as the same member?); it is tried again: "
+                    + cause.getMessage());
         }
     }
 
@@ -111,11 +118,12 @@
             unsent++;
             return;
         }
-        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), to)).addListener(f -> {
-            if (!f.isSuccess()) {
-                unsent++;
-            }
-        });
+        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), to))
+                .addListener(f -> {
+                    if (!f.isSuccess()) {
+                        unsent++;
+                    }
+                });
     }
 
     /** Returns whether it waits for its address, which somebody else has. */
--- a/net/src/main/java/grebehoist/net/InterruptibleSockets.java
+++ b/net/src/main/java/grebehoist/net/InterruptibleSockets.java
@@ -12,12 +12,12 @@
 final class InterruptibleSockets {
     private static final int END_OF_STREAM = -1;
 
-    private InterruptibleSockets() { }
+    private InterruptibleSockets() {}
 
     /** A connection that this process opens, or has accepted. */
     static final class Connection extends NioSocketChannel {
         /** Makes one that is yet to be connected. */
-        Connection() { }
+        Connection() {}
 
         /** Makes one that a listener has accepted. */
         Connection(Channel listener, SocketChannel accepted) {
--- a/net/src/main/java/grebehoist/net/ListeningSocket.java
+++ b/net/src/main/java/grebehoist/net/ListeningSocket.java
@@ -18,9 +18,9 @@
  */
 final class ListeningSocket extends NioServerSocketChannel {
     /** Tells the pipeline, ahead of the connection that a call has accepted, that the call took long. */
-    record Delayed(long us) { }
+    record Delayed(long us) {}
 
-    private record Outcome(SocketChannel socket, Throwable failure) { }
+    private record Outcome(SocketChannel socket, Throwable failure) {}
 
     /** Longer than a busy machine makes a thread wait; clients' time counts from their request, as far as it can be known. */
     private static final long DELAYED_US = 20_000;
--- a/net/src/main/java/grebehoist/net/LoopChannels.java
+++ b/net/src/main/java/grebehoist/net/LoopChannels.java
@@ -17,7 +17,7 @@
  * and closing its channel throws. All connects and binds of the program go through here, which {@code LayersTest} holds.
  */
 public final class LoopChannels {
-    private LoopChannels() { }
+    private LoopChannels() {}
 
     /** Connects to an address. */
     public static ChannelFuture connect(Bootstrap bootstrap, SocketAddress remote) {
@@ -47,7 +47,7 @@
     /** Of a listener whose clients' time is not counted. */
     private record AlwaysAccepting(Channel listener) implements AcceptRetry.Owner {
         @Override
-        public void paused() { }
+        public void paused() {}
 
         @Override
         public void resume() {
@@ -55,7 +55,7 @@
         }
 
         @Override
-        public void delayed(long us) { }
+        public void delayed(long us) {}
     }
 
     /** Closes the channel of a connect or bind, whatever has become of it. */
--- a/net/src/main/java/grebehoist/net/LoopTasks.java
+++ b/net/src/main/java/grebehoist/net/LoopTasks.java
@@ -14,7 +14,7 @@
  * word. Here a failure is logged and counted, and a periodic task goes on.
  */
 public final class LoopTasks {
-    private LoopTasks() { }
+    private LoopTasks() {}
 
     /** Runs a task once, after a delay. */
     public static Future<?> after(EventExecutor loop, Log log, long delay, TimeUnit unit, Runnable task) {
--- a/net/src/main/java/grebehoist/net/LoopTimers.java
+++ b/net/src/main/java/grebehoist/net/LoopTimers.java
@@ -99,7 +99,9 @@
     /** Returns when the loop was last seen before the long stop that it is catching up with, or {@link Long#MAX_VALUE}. */
     public long heldUpSince() {
         long now = now();
-        return now - lastHeartbeatAt > LONG_HELD_UP_US ? lastHeartbeatAt : now < catchingUpUntil ? lastHeldUpFrom : Long.MAX_VALUE;
+        return now - lastHeartbeatAt > LONG_HELD_UP_US
+                ? lastHeartbeatAt
+                : now < catchingUpUntil ? lastHeldUpFrom : Long.MAX_VALUE;
     }
 
     @Override
--- a/net/src/main/java/grebehoist/net/Network.java
+++ b/net/src/main/java/grebehoist/net/Network.java
@@ -24,7 +24,10 @@
  * What connections are made of, and the one thread that they are served by: sockets, or, for a warm-up or a test, Netty's
  * channels inside the process. The bootstraps are templates, to be cloned.
  */
-public record Network(EventLoop loop, ServerBootstrap server, Bootstrap client,
+public record Network(
+        EventLoop loop,
+        ServerBootstrap server,
+        Bootstrap client,
         Function<InetSocketAddress, SocketAddress> addresses) {
     private static final int BACKLOG = 1_024;
     /**
@@ -54,16 +57,28 @@
     public static Network sockets(boolean shared) {
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         var acceptWorker = new AcceptWorker(loop);
-        ServerBootstrap server = new ServerBootstrap().group(loop).channelFactory(() -> new ListeningSocket(acceptWorker))
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.SO_SNDBUF, UNSENT).childOption(ChannelOption.SO_RCVBUF, UNREAD)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, pieces()).childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, marks());
+        ServerBootstrap server = new ServerBootstrap()
+                .group(loop)
+                .channelFactory(() -> new ListeningSocket(acceptWorker))
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.SO_SNDBUF, UNSENT)
+                .childOption(ChannelOption.SO_RCVBUF, UNREAD)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, pieces())
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, marks());
         if (shared) {
             server.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
         }
-        return new Network(loop, server, new Bootstrap().group(loop).channelFactory(InterruptibleSockets.Connection::new)
-                .option(ChannelOption.SO_SNDBUF, UNSENT).option(ChannelOption.RECVBUF_ALLOCATOR, pieces())
-                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, marks()), a -> a);
+        return new Network(
+                loop,
+                server,
+                new Bootstrap()
+                        .group(loop)
+                        .channelFactory(InterruptibleSockets.Connection::new)
+                        .option(ChannelOption.SO_SNDBUF, UNSENT)
+                        .option(ChannelOption.RECVBUF_ALLOCATOR, pieces())
+                        .option(ChannelOption.WRITE_BUFFER_WATER_MARK, marks()),
+                a -> a);
     }
 
     private static RecvByteBufAllocator pieces() {
@@ -81,8 +96,11 @@
 
     /** Returns channels inside the process, on a loop that handles such channels: all in one world reach one another. */
     public static Network inProcess(EventLoop loop, InProcess world) {
-        return new Network(loop, new ServerBootstrap().group(loop).channel(LocalServerChannel.class),
-                new Bootstrap().group(loop).channel(LocalChannel.class), world::at);
+        return new Network(
+                loop,
+                new ServerBootstrap().group(loop).channel(LocalServerChannel.class),
+                new Bootstrap().group(loop).channel(LocalChannel.class),
+                world::at);
     }
 
     /** The addresses inside a process are the whole process's: each world has its own. */
--- a/net/src/main/java/grebehoist/net/SocketProbe.java
+++ b/net/src/main/java/grebehoist/net/SocketProbe.java
@@ -11,7 +11,7 @@
  * <p>Java has no way to say so; two fields of {@code sun.nio.ch.Net} are set by name, which the jar's manifest opens ({@code Add-Opens}).
  */
 public final class SocketProbe {
-    private SocketProbe() { }
+    private SocketProbe() {}
 
     /**
      * Returns whether addresses can be shared, after telling the runtime so where it thinks otherwise. Comes before anything that
--- a/net/src/main/java/grebehoist/net/Sockets.java
+++ b/net/src/main/java/grebehoist/net/Sockets.java
@@ -39,9 +39,11 @@
     private final Map<Channel, Long> idleBackends = new LinkedHashMap<>();
     /** Connections on which no whole request has come yet, and those idle after an answer; the oldest first. */
     private final Map<Channel, Long> silentClients = new LinkedHashMap<>();
+
     private final Map<Channel, Long> idleClients = new LinkedHashMap<>();
     /** Connections that are about to end, and since when; the oldest first. */
     private final Map<Channel, Long> partingClients = new LinkedHashMap<>();
+
     private int clients;
     private int backends;
     private boolean makingRoom;
@@ -108,7 +110,8 @@
         while (clients > mostClients && close(partingClients, GREETING_NS)) {
             // They had their time.
         }
-        while (clients - partingClients.size() > mostClients && (part(silentClients, GREETING_NS) || part(idleClients, 0))) {
+        while (clients - partingClients.size() > mostClients
+                && (part(silentClients, GREETING_NS) || part(idleClients, 0))) {
             // One more will have left soon.
         }
         if (clients > mostClients && !(silentClients.isEmpty() && partingClients.isEmpty())) {
@@ -160,7 +163,9 @@
 
     /** Returns whether one more connection to a backend may be opened. */
     public boolean roomForBackend() {
-        return Math.min(clients, mostClients) + backends < most || close(idleBackends, 0) || close(partingClients, GREETING_NS)
+        return Math.min(clients, mostClients) + backends < most
+                || close(idleBackends, 0)
+                || close(partingClients, GREETING_NS)
                 || partingClients.size() < MOST_PARTING && (part(silentClients, GREETING_NS) || part(idleClients, 0));
     }
 
--- a/net/src/main/java/grebehoist/net/StderrLog.java
+++ b/net/src/main/java/grebehoist/net/StderrLog.java
@@ -94,8 +94,13 @@
 
     @Override
     public void event(LogEvent event) {
-        line(new JsonLine("transition").put("subject", event.subject()).put("id", event.id()).put("from", event.from())
-                .put("to", event.to()).put("cause", event.cause()).toString());
+        line(new JsonLine("transition")
+                .put("subject", event.subject())
+                .put("id", event.id())
+                .put("from", event.from())
+                .put("to", event.to())
+                .put("cause", event.cause())
+                .toString());
     }
 
     @Override
@@ -111,9 +116,14 @@
     @Override
     public void violation(Violation violation) {
         violations.incrementAndGet(violation.rule().ordinal());
-        line(new JsonLine("invariant_violation").put("rule", violation.rule().name()).put("at_us", Long.toString(violation.atUs()))
-                .put("request", violation.request()).put("attempt", Integer.toString(violation.attempt()))
-                .put("endpoint", violation.endpoint()).put("detail", violation.detail()).toString());
+        line(new JsonLine("invariant_violation")
+                .put("rule", violation.rule().name())
+                .put("at_us", Long.toString(violation.atUs()))
+                .put("request", violation.request())
+                .put("attempt", Integer.toString(violation.attempt()))
+                .put("endpoint", violation.endpoint())
+                .put("detail", violation.detail())
+                .toString());
     }
 
     /** Returns how often a rule was about to be broken. */
--- a/net/src/test/java/grebehoist/net/BoundedRetryTest.java
+++ b/net/src/test/java/grebehoist/net/BoundedRetryTest.java
@@ -26,30 +26,43 @@
 
     @Test
     void triesUntilItWorks() throws Exception {
-        assertThat(retry(LONG_MS).run(this::worksAtThird, IOException.class, e -> true)).isEqualTo("done");
+        assertThat(retry(LONG_MS).run(this::worksAtThird, IOException.class, e -> true))
+                .isEqualTo("done");
         assertThat(tries).hasValue(3);
     }
 
     @Test
     void endsWithTheLastFailureWhenItsTimeIsOver() {
-        assertThatThrownBy(() -> retry(0).run(this::worksAtThird, IOException.class, e -> true)).isInstanceOf(IOException.class).hasMessage("not yet");
+        assertThatThrownBy(() -> retry(0).run(this::worksAtThird, IOException.class, e -> true))
+                .isInstanceOf(IOException.class)
+                .hasMessage("not yet");
     }
 
     @Test
     void endsAtOnceWhereAnotherTryWouldNotHelp() {
-        assertThatThrownBy(() -> retry(LONG_MS).run(() -> {
-            tries.incrementAndGet();
-            throw new FileNotFoundException("not there");
-        }, IOException.class, e -> !(e instanceof FileNotFoundException))).isInstanceOf(FileNotFoundException.class);
+        assertThatThrownBy(() -> retry(LONG_MS)
+                        .run(
+                                () -> {
+                                    tries.incrementAndGet();
+                                    throw new FileNotFoundException("not there");
+                                },
+                                IOException.class,
+                                e -> !(e instanceof FileNotFoundException)))
+                .isInstanceOf(FileNotFoundException.class);
         assertThat(tries).hasValue(1);
     }
 
     @Test
     void letsOtherFailuresPass() {
-        assertThatThrownBy(() -> retry(LONG_MS).run(() -> {
-            tries.incrementAndGet();
-            throw new IllegalStateException("a defect");
-        }, IOException.class, e -> true)).isInstanceOf(IllegalStateException.class);
+        assertThatThrownBy(() -> retry(LONG_MS)
+                        .run(
+                                () -> {
+                                    tries.incrementAndGet();
+                                    throw new IllegalStateException("a defect");
+                                },
+                                IOException.class,
+                                e -> true))
+                .isInstanceOf(IllegalStateException.class);
         assertThat(tries).hasValue(1);
     }
 }
--- a/net/src/test/java/grebehoist/net/DatagramPortTest.java
+++ b/net/src/test/java/grebehoist/net/DatagramPortTest.java
@@ -116,12 +116,15 @@
         try (var socket = new DatagramSocket(ANY)) {
             at = (InetSocketAddress) socket.getLocalSocketAddress();
             port = open(at, heard);
-            assertThat(next(lines)).contains("test").contains(Integer.toString(at.getPort())).contains("tried again");
+            assertThat(next(lines))
+                    .contains("test")
+                    .contains(Integer.toString(at.getPort()))
+                    .contains("tried again");
             send(port, at, new byte[1]);
             assertThat(loop.submit(port::unsent).get()).isEqualTo(1);
             assertThat(loop.submit(port::waits).get()).isTrue();
             // Two more tries at least, of which nothing is said.
-            loop.schedule(() -> { }, 600, TimeUnit.MILLISECONDS).sync();
+            loop.schedule(() -> {}, 600, TimeUnit.MILLISECONDS).sync();
         }
         assertThat(next(heard.bound)).isEqualTo(at);
         assertThat(loop.submit(port::waits).get()).isFalse();
@@ -168,7 +171,7 @@
         var never = new DatagramPort(loop, "test", at, heard, log);
         never.close();
         never.begin();
-        loop.submit(() -> { }).sync();
+        loop.submit(() -> {}).sync();
         assertThat(heard.bound).isEmpty();
     }
 }
--- a/net/src/test/java/grebehoist/net/ListeningSocketTest.java
+++ b/net/src/test/java/grebehoist/net/ListeningSocketTest.java
@@ -36,7 +36,9 @@
 
     @BeforeEach
     void listen() {
-        listener = (ListeningSocket) new ServerBootstrap().group(group).channelFactory(() -> new ListeningSocket(calls::add))
+        listener = (ListeningSocket) new ServerBootstrap()
+                .group(group)
+                .channelFactory(() -> new ListeningSocket(calls::add))
                 .handler(new ChannelInboundHandlerAdapter() {
                     @Override
                     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
@@ -44,7 +46,9 @@
                     }
                 })
                 .childHandler(new Greeter())
-                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).syncUninterruptibly().channel();
+                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .syncUninterruptibly()
+                .channel();
     }
 
     @AfterEach
@@ -73,7 +77,8 @@
     }
 
     private Socket connect() throws IOException {
-        var socket = new Socket(InetAddress.getLoopbackAddress(), listener.localAddress().getPort());
+        var socket = new Socket(
+                InetAddress.getLoopbackAddress(), listener.localAddress().getPort());
         socket.setSoTimeout(10_000);
         return socket;
     }
@@ -88,7 +93,8 @@
 
     @Test
     void acceptsOneAfterTheOther() throws Exception {
-        try (Socket first = connect(); Socket second = connect()) {
+        try (Socket first = connect();
+                Socket second = connect()) {
             calls.take().run();
             assertThat(read(first, GREETING.length())).isEqualTo(GREETING);
             calls.take().run();
@@ -123,7 +129,10 @@
             TimeUnit.MILLISECONDS.sleep(30);
             call.run();
             assertThat(read(waiting, GREETING.length())).isEqualTo(GREETING);
-            assertThat(events.take()).isInstanceOfSatisfying(ListeningSocket.Delayed.class, d -> assertThat(d.us()).isGreaterThanOrEqualTo(30_000));
+            assertThat(events.take())
+                    .isInstanceOfSatisfying(
+                            ListeningSocket.Delayed.class,
+                            d -> assertThat(d.us()).isGreaterThanOrEqualTo(30_000));
         }
     }
 
@@ -149,7 +158,9 @@
         }
         listener.config().setAutoRead(false);
         try (Socket later = connect()) {
-            assertThat(calls.poll(50, TimeUnit.MILLISECONDS)).as("nobody is accepted while reading rests").isNull();
+            assertThat(calls.poll(50, TimeUnit.MILLISECONDS))
+                    .as("nobody is accepted while reading rests")
+                    .isNull();
             listener.config().setAutoRead(true);
             calls.take().run();
             assertThat(read(later, GREETING.length())).isEqualTo(GREETING);
--- a/net/src/test/java/grebehoist/net/TakeWatchTest.java
+++ b/net/src/test/java/grebehoist/net/TakeWatchTest.java
@@ -11,13 +11,17 @@
     @Test
     void aClientIsNotStuckWhoseAnswerIsFilledUpToTheSameMark() {
         for (int i = 0; i < 100; i++) {
-            assertThat(watch.stuck(64_000 + i * 32_000L, 64_000, i * 100L)).as("look %d", i).isFalse();
+            assertThat(watch.stuck(64_000 + i * 32_000L, 64_000, i * 100L))
+                    .as("look %d", i)
+                    .isFalse();
         }
     }
 
     @Test
     void whoTakesNothingIsStuckAfterItsTimeAndNotBefore() {
-        assertThat(new TakeWatch(1_000).stuck(50_000, 50_000, 9_000_000)).as("the first look is no standstill").isFalse();
+        assertThat(new TakeWatch(1_000).stuck(50_000, 50_000, 9_000_000))
+                .as("the first look is no standstill")
+                .isFalse();
         assertThat(watch.stuck(50_000, 40_000, 100)).isFalse();
         assertThat(watch.stuck(50_000, 40_000, 1_100)).isFalse();
         assertThat(watch.stuck(50_000, 40_000, 1_101)).isTrue();
--- a/testkit/src/main/java/grebehoist/testkit/Fleet.java
+++ b/testkit/src/main/java/grebehoist/testkit/Fleet.java
@@ -52,8 +52,17 @@
      *         nothing, would find it where it looks for the old one, and can't know
      * @param started hears of each listener
      */
-    public Fleet(StandInWire wire, Network network, Timers timers, Witness witness, StandInDiscovery discovery, Balancer.Settings settings,
-            long idleUs, SplittableRandom random, Supplier<InetSocketAddress> addresses, boolean reuse,
+    public Fleet(
+            StandInWire wire,
+            Network network,
+            Timers timers,
+            Witness witness,
+            StandInDiscovery discovery,
+            Balancer.Settings settings,
+            long idleUs,
+            SplittableRandom random,
+            Supplier<InetSocketAddress> addresses,
+            boolean reuse,
             Consumer<ChannelFuture> started) {
         this.wire = wire;
         this.network = network;
@@ -86,8 +95,12 @@
 
     /** Adds a machine: warm, as one that has run for long, or cold; at an address that another has left, if there may be. */
     public Machine add(boolean warm) {
-        InetSocketAddress left = machines.stream().filter(m -> reuse && m.gone && m.told()).map(m -> m.address)
-                .filter(a -> machines.stream().noneMatch(m -> !m.gone && m.address.equals(a))).findFirst().orElse(null);
+        InetSocketAddress left = machines.stream()
+                .filter(m -> reuse && m.gone && m.told())
+                .map(m -> m.address)
+                .filter(a -> machines.stream().noneMatch(m -> !m.gone && m.address.equals(a)))
+                .findFirst()
+                .orElse(null);
         return new Machine(left != null ? left : addresses.get(), warm);
     }
 
@@ -145,8 +158,16 @@
 
         private void start(boolean warm, Runnable then) {
             up = true;
-            backend = new StandInBackend(new StandInBackend.Machine(id, fast ? "std" : "old", zone, cell, cores, speed, QUEUE, idleUs),
-                    address, wire, network, timers, witness, rules, classes, memories);
+            backend = new StandInBackend(
+                    new StandInBackend.Machine(id, fast ? "std" : "old", zone, cell, cores, speed, QUEUE, idleUs),
+                    address,
+                    wire,
+                    network,
+                    timers,
+                    witness,
+                    rules,
+                    classes,
+                    memories);
             ChannelFuture listening = backend.start(warm);
             started.accept(listening);
             StandInBackend starting = backend;
@@ -160,8 +181,15 @@
         }
 
         private void list(State state) {
-            discovery.put(new StandInDiscovery.Entry(id, "127.0.0.1:" + address.getPort(), zone, fast ? "std" : "old", cell, state,
-                    fast ? 1 : 0.8, backend.startedAtUs()));
+            discovery.put(new StandInDiscovery.Entry(
+                    id,
+                    "127.0.0.1:" + address.getPort(),
+                    zone,
+                    fast ? "std" : "old",
+                    cell,
+                    state,
+                    fast ? 1 : 0.8,
+                    backend.startedAtUs()));
         }
 
         /** Returns whether all that can hear have heard that it leaves. */
@@ -187,11 +215,13 @@
             });
             timers.at(backAtUs, () -> {
                 if (!leaving) {
-                    start(false, () -> timers.at(timers.now() + random.nextLong(1 * MS, 500 * MS), () -> {
-                        if (!leaving) {
-                            list(State.READY);
-                        }
-                    }));
+                    start(
+                            false,
+                            () -> timers.at(timers.now() + random.nextLong(1 * MS, 500 * MS), () -> {
+                                if (!leaving) {
+                                    list(State.READY);
+                                }
+                            }));
                 }
             });
         }
--- a/testkit/src/main/java/grebehoist/testkit/HttpWire.java
+++ b/testkit/src/main/java/grebehoist/testkit/HttpWire.java
@@ -104,8 +104,17 @@
                     ctx.writeAndFlush(Unpooled.wrappedBuffer(message("404 Not Found", "")));
                     return false;
                 }
-                side.began(new Call(id, "", head.get(REQUEST_CLASS, ""), false, head.get(TENANT), head.get(KEY),
-                        Long.parseLong(head.get(WORK, "1000")), 0, head.contains("x-retried"), false));
+                side.began(new Call(
+                        id,
+                        "",
+                        head.get(REQUEST_CLASS, ""),
+                        false,
+                        head.get(TENANT),
+                        head.get(KEY),
+                        Long.parseLong(head.get(WORK, "1000")),
+                        0,
+                        head.contains("x-retried"),
+                        false));
                 return true;
             }
         });
@@ -168,36 +177,51 @@
         for (String header : headers) {
             text.append(header).append("\r\n");
         }
-        return text.append("Content-Length: ").append(body.length()).append("\r\n\r\n").append(body).toString()
+        return text.append("Content-Length: ")
+                .append(body.length())
+                .append("\r\n\r\n")
+                .append(body)
+                .toString()
                 .getBytes(StandardCharsets.US_ASCII);
     }
 
     @Override
     public ClientEnd client(Channel channel, ClientSide side) {
-        channel.pipeline().addLast(new HttpResponseDecoder(), new ChannelInboundHandlerAdapter() {
-            @Override
-            public void channelRead(ChannelHandlerContext ctx, Object message) {
-                if (shaped && message instanceof HttpResponse head && head.status().code() == 200) {
-                    side.begun();
-                }
-                ctx.fireChannelRead(message);
-            }
-        }, new HttpObjectAggregator(1 << 20),
-                new SimpleChannelInboundHandler<FullHttpResponse>() {
-                    @Override
-                    protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
-                        if (answer.decoderResult().isFailure()) {
-                            ctx.close();
-                            return;
-                        }
-                        int status = answer.status().code();
-                        Heard heard = status == 200 ? Heard.SERVED : status == 429 || status == 503 ? Heard.REFUSED : Heard.FAILED;
-                        String after = answer.headers().get("retry-after");
-                        side.answered(new Answer(-1, heard,
-                                heard == Heard.SERVED ? body(answer) : "",
-                                after == null ? -1 : (long) (1e6 * Double.parseDouble(after)), HttpUtil.isKeepAlive(answer)));
-                    }
-                });
+        channel.pipeline()
+                .addLast(
+                        new HttpResponseDecoder(),
+                        new ChannelInboundHandlerAdapter() {
+                            @Override
+                            public void channelRead(ChannelHandlerContext ctx, Object message) {
+                                if (shaped
+                                        && message instanceof HttpResponse head
+                                        && head.status().code() == 200) {
+                                    side.begun();
+                                }
+                                ctx.fireChannelRead(message);
+                            }
+                        },
+                        new HttpObjectAggregator(1 << 20),
+                        new SimpleChannelInboundHandler<FullHttpResponse>() {
+                            @Override
+                            protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+                                if (answer.decoderResult().isFailure()) {
+                                    ctx.close();
+                                    return;
+                                }
+                                int status = answer.status().code();
+                                Heard heard = status == 200
+                                        ? Heard.SERVED
+                                        : status == 429 || status == 503 ? Heard.REFUSED : Heard.FAILED;
+                                String after = answer.headers().get("retry-after");
+                                side.answered(new Answer(
+                                        -1,
+                                        heard,
+                                        heard == Heard.SERVED ? body(answer) : "",
+                                        after == null ? -1 : (long) (1e6 * Double.parseDouble(after)),
+                                        HttpUtil.isKeepAlive(answer)));
+                            }
+                        });
         return new ClientEnd() {
             @Override
             public byte[] request(Call call, int tag) {
@@ -238,6 +262,7 @@
 
     @Override
     public byte[] rubbish() {
-        return "GET /api HTTP/1.1\r\nthis is no header\r\nContent-Length: -4\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+        return "GET /api HTTP/1.1\r\nthis is no header\r\nContent-Length: -4\r\n\r\n"
+                .getBytes(StandardCharsets.US_ASCII);
     }
 }
--- a/testkit/src/main/java/grebehoist/testkit/KeyMemory.java
+++ b/testkit/src/main/java/grebehoist/testkit/KeyMemory.java
@@ -5,7 +5,7 @@
 
 /** What one group of backends remembers of keyed requests: a repeat within the window does nothing. */
 final class KeyMemory {
-    private record Entry(long until, String body) { }
+    private record Entry(long until, String body) {}
 
     private final Map<String, Entry> entries = new HashMap<>();
     private long sweepAtUs;
--- a/testkit/src/main/java/grebehoist/testkit/Rig.java
+++ b/testkit/src/main/java/grebehoist/testkit/Rig.java
@@ -23,6 +23,7 @@
 public final class Rig implements AutoCloseable {
     /** What loopback and a busy machine may add to any moment, in microseconds: what the operators' pages allow too. */
     public static final long SLACK_US = 50_000;
+
     private static final int LOOK_MS = 5;
 
     private final Network network = Network.sockets();
@@ -54,14 +55,26 @@
     }
 
     /** As the other, with other terms. */
-    public Rig(StandInWire wire, Balancer.Settings settings, double[] shares, long connIdleUs, long seed, Witness.Terms terms) {
+    public Rig(
+            StandInWire wire,
+            Balancer.Settings settings,
+            double[] shares,
+            long connIdleUs,
+            long seed,
+            Witness.Terms terms) {
         random = new SplittableRandom(seed);
         witness = new Witness(terms);
         discovery = new StandInDiscovery(network, timers, witness);
-        clients = new StandInClients(wire, network, timers, witness, proxies::get, (proxy, at) ->
-                at < excusedUntilUs.getOrDefault(proxy, Long.MIN_VALUE));
+        clients = new StandInClients(
+                wire,
+                network,
+                timers,
+                witness,
+                proxies::get,
+                (proxy, at) -> at < excusedUntilUs.getOrDefault(proxy, Long.MIN_VALUE));
         clients.dealtOut(proxy -> !avoided.contains(proxy));
-        fleet = new Fleet(wire, network, timers, witness, discovery, settings, connIdleUs, random, Rig::anyPort, false, f -> { });
+        fleet = new Fleet(
+                wire, network, timers, witness, discovery, settings, connIdleUs, random, Rig::anyPort, false, f -> {});
         traffic = new Traffic(timers, clients, random, settings, shares, () -> cores, this::aProxy);
     }
 
@@ -101,7 +114,10 @@
 
     /** Listens as the discovery of one more proxy; returns the address. Proxies are counted from 0. */
     public InetSocketAddress discoveryOfNextProxy() {
-        return (InetSocketAddress) on(() -> discovery.listen(anyPort())).syncUninterruptibly().channel().localAddress();
+        return (InetSocketAddress) on(() -> discovery.listen(anyPort()))
+                .syncUninterruptibly()
+                .channel()
+                .localAddress();
     }
 
     /** Tells where the proxy is whose discovery was asked for last. */
--- a/testkit/src/main/java/grebehoist/testkit/StandInBackend.java
+++ b/testkit/src/main/java/grebehoist/testkit/StandInBackend.java
@@ -63,7 +63,8 @@
      * @param queue how many may wait beside those that run
      * @param idleUs a connection that has stood idle for so long is closed
      */
-    public record Machine(String id, String kind, String zone, int cell, int cores, double speed, int queue, long idleUs) { }
+    public record Machine(
+            String id, String kind, String zone, int cell, int cores, double speed, int queue, long idleUs) {}
 
     private static final StandInWire.Pace DRIP = new StandInWire.Pace(4, 30_000);
     private static final long SWEEP_US = 50_000;
@@ -97,8 +98,16 @@
      * @param wire what it speaks
      * @param memories what its groups remember of keys
      */
-    public StandInBackend(Machine machine, InetSocketAddress address, StandInWire wire, Network network, Timers timers, Witness witness,
-            Balancer.Rules rules, Map<String, Balancer.RequestClass> classes, KeyMemories memories) {
+    public StandInBackend(
+            Machine machine,
+            InetSocketAddress address,
+            StandInWire wire,
+            Network network,
+            Timers timers,
+            Witness witness,
+            Balancer.Rules rules,
+            Map<String, Balancer.RequestClass> classes,
+            KeyMemories memories) {
         this.machine = machine;
         this.address = address;
         this.wire = wire;
@@ -144,14 +153,17 @@
 
     private ChannelFuture listen() {
         int thisLife = life;
-        ChannelFuture bound = network.server().clone().childHandler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                var connection = new Connection(channel);
-                connection.end = wire.backend(channel, connection);
-                channel.pipeline().addLast(connection);
-            }
-        }).bind(network.address(address));
+        ChannelFuture bound = network.server()
+                .clone()
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        var connection = new Connection(channel);
+                        connection.end = wire.backend(channel, connection);
+                        channel.pipeline().addLast(connection);
+                    }
+                })
+                .bind(network.address(address));
         listener = bound.channel();
         timers.at(timers.now() + SWEEP_US, () -> sweep(thisLife));
         return bound;
@@ -343,7 +355,7 @@
                 case ERROR, UNAVAILABLE -> write(end.reply(StandInWire.Reply.ERROR, ""));
                 case NOISE -> write(end.reply(StandInWire.Reply.NOISE, ""));
                 case RESET_LATE, CLOSE -> channel.close();
-                default -> { }
+                default -> {}
             }
         }
 
@@ -377,7 +389,7 @@
                 case UNAVAILABLE -> write(end.reply(StandInWire.Reply.UNAVAILABLE, ""));
                 case NOISE -> write(end.reply(StandInWire.Reply.NOISE, ""));
                 case RESET_LATE -> channel.close();
-                default -> { }
+                default -> {}
             }
         }
 
--- a/testkit/src/main/java/grebehoist/testkit/StandInClients.java
+++ b/testkit/src/main/java/grebehoist/testkit/StandInClients.java
@@ -50,8 +50,16 @@
      * @param retries how often it asks again at most
      * @param oneway whether it wants no answer
      */
-    public record Order(String operation, Balancer.RequestClass type, String tenant, long workUs, long patienceUs,
-            Manner manner, long hangUpUs, int retries, boolean oneway) { }
+    public record Order(
+            String operation,
+            Balancer.RequestClass type,
+            String tenant,
+            long workUs,
+            long patienceUs,
+            Manner manner,
+            long hangUpUs,
+            int retries,
+            boolean oneway) {}
 
     private static final StandInWire.Pace DAWDLE = new StandInWire.Pace(3, 20_000);
     private static final long PIECE_US = 20_000;
@@ -80,7 +88,12 @@
      * @param proxies where each proxy listens
      * @param excused whether a proxy can't be blamed for what it did not answer by some time: it was stopped or killed
      */
-    public StandInClients(StandInWire wire, Network network, Timers timers, Witness witness, IntFunction<InetSocketAddress> proxies,
+    public StandInClients(
+            StandInWire wire,
+            Network network,
+            Timers timers,
+            Witness witness,
+            IntFunction<InetSocketAddress> proxies,
             BiPredicate<Integer, Long> excused) {
         this.wire = wire;
         this.network = network;
@@ -123,7 +136,7 @@
 
     /** Takes one out; a request that is sent in pieces, or is to be cut off, shares it with no other. */
     private Connection takeRoomy(int proxy, boolean alone) {
-        for (Iterator<Connection> i = roomy(proxy).descendingIterator(); i.hasNext();) {
+        for (Iterator<Connection> i = roomy(proxy).descendingIterator(); i.hasNext(); ) {
             Connection connection = i.next();
             if (!alone || connection.open.isEmpty()) {
                 i.remove();
@@ -170,20 +183,24 @@
 
         private void connect() {
             var fresh = new Connection(proxy);
-            network.client().clone().handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    fresh.end = wire.client(channel, fresh);
-                    channel.pipeline().addLast(fresh);
-                }
-            }).connect(network.address(proxies.apply(proxy))).addListener(f -> {
-                if (f.isSuccess()) {
-                    fresh.carry(this);
-                } else {
-                    // Nobody has taken it.
-                    end();
-                }
-            });
+            network.client()
+                    .clone()
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel channel) {
+                            fresh.end = wire.client(channel, fresh);
+                            channel.pipeline().addLast(fresh);
+                        }
+                    })
+                    .connect(network.address(proxies.apply(proxy)))
+                    .addListener(f -> {
+                        if (f.isSuccess()) {
+                            fresh.carry(this);
+                        } else {
+                            // Nobody has taken it.
+                            end();
+                        }
+                    });
         }
 
         void send(Connection on, int tag) {
@@ -220,9 +237,17 @@
 
         private StandInWire.Call call() {
             Balancer.Effect effect = order.type().effect();
-            return new StandInWire.Call(id, order.operation(), order.type().name(), effect == Balancer.Effect.SAFE,
-                    order.tenant(), effect == Balancer.Effect.KEYED ? "key-" + order.operation() : null, order.workUs(),
-                    order.patienceUs(), number > 0, order.oneway());
+            return new StandInWire.Call(
+                    id,
+                    order.operation(),
+                    order.type().name(),
+                    effect == Balancer.Effect.SAFE,
+                    order.tenant(),
+                    effect == Balancer.Effect.KEYED ? "key-" + order.operation() : null,
+                    order.workUs(),
+                    order.patienceUs(),
+                    number > 0,
+                    order.oneway());
         }
 
         private void pieces(byte[] all, int from, StandInWire.Pace pace) {
@@ -314,11 +339,14 @@
                 default -> witness.failed(id, now);
             }
             Balancer.Effect effect = order.type().effect();
-            if (number < order.retries() && (answer.heard() == StandInWire.Heard.REFUSED
-                    || answer.heard() == StandInWire.Heard.FAILED && effect == Balancer.Effect.SAFE)) {
+            if (number < order.retries()
+                    && (answer.heard() == StandInWire.Heard.REFUSED
+                            || answer.heard() == StandInWire.Heard.FAILED && effect == Balancer.Effect.SAFE)) {
                 long waitUs = answer.retryAfterUs() < 0 ? BACKOFF_US : answer.retryAfterUs();
-                if (effect == Balancer.Effect.KEYED && order.type().scope() == Balancer.Scope.ALL
-                        && now + waitUs + order.patienceUs() > firstUs + order.type().windowUs()) {
+                if (effect == Balancer.Effect.KEYED
+                        && order.type().scope() == Balancer.Scope.ALL
+                        && now + waitUs + order.patienceUs()
+                                > firstUs + order.type().windowUs()) {
                     // It may have run though it was refused: harmless only as long as all of them remember it.
                     return;
                 }
--- a/testkit/src/main/java/grebehoist/testkit/StandInDiscovery.java
+++ b/testkit/src/main/java/grebehoist/testkit/StandInDiscovery.java
@@ -51,17 +51,24 @@
     }
 
     /** A line of the list. */
-    public record Entry(String id, String address, String zone, String kind, int cell, State state, double weight,
+    public record Entry(
+            String id,
+            String address,
+            String zone,
+            String kind,
+            int cell,
+            State state,
+            double weight,
             long startedAtUs) {
         Entry in(State next) {
             return new Entry(id, address, zone, kind, cell, next, weight, startedAtUs);
         }
     }
 
-    private record Change(long version, Entry entry) { }
+    private record Change(long version, Entry entry) {}
 
     /** The whole list at some version. */
-    private record Snapshot(long version, Map<String, Entry> entries) { }
+    private record Snapshot(long version, Map<String, Entry> entries) {}
 
     private static final int STALE_CHANGES = 3;
     private static final int KEPT_CHANGES = 200;
@@ -91,14 +98,18 @@
     public ChannelFuture listen(InetSocketAddress address) {
         int proxy = known.size();
         known.add(new LinkedHashSet<>());
-        return network.server().clone().childHandler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                open.add(channel);
-                channel.closeFuture().addListener(f -> open.remove(channel));
-                channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1_024), new Call(proxy));
-            }
-        }).bind(network.address(address));
+        return network.server()
+                .clone()
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        open.add(channel);
+                        channel.closeFuture().addListener(f -> open.remove(channel));
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec(), new HttpObjectAggregator(1_024), new Call(proxy));
+                    }
+                })
+                .bind(network.address(address));
     }
 
     /** Changes what it does with calls from now on; whoever waits when it goes down is cut off. */
@@ -162,13 +173,31 @@
     }
 
     private static String json(long version, boolean full, Iterable<Entry> entries) {
-        var text = new StringBuilder("{\"version\":").append(version).append(",\"full\":").append(full).append(",\"servers\":[");
+        var text = new StringBuilder("{\"version\":")
+                .append(version)
+                .append(",\"full\":")
+                .append(full)
+                .append(",\"servers\":[");
         String comma = "";
         for (Entry e : entries) {
-            text.append(comma).append("{\"id\":\"").append(e.id()).append("\",\"addr\":\"").append(e.address())
-                    .append("\",\"zone\":\"").append(e.zone()).append("\",\"kind\":\"").append(e.kind()).append("\",\"cell\":")
-                    .append(e.cell()).append(",\"state\":\"").append(e.state().name().toLowerCase(Locale.ROOT))
-                    .append("\",\"weight\":").append(e.weight()).append(",\"started_ms\":").append(e.startedAtUs() / 1_000).append('}');
+            text.append(comma)
+                    .append("{\"id\":\"")
+                    .append(e.id())
+                    .append("\",\"addr\":\"")
+                    .append(e.address())
+                    .append("\",\"zone\":\"")
+                    .append(e.zone())
+                    .append("\",\"kind\":\"")
+                    .append(e.kind())
+                    .append("\",\"cell\":")
+                    .append(e.cell())
+                    .append(",\"state\":\"")
+                    .append(e.state().name().toLowerCase(Locale.ROOT))
+                    .append("\",\"weight\":")
+                    .append(e.weight())
+                    .append(",\"started_ms\":")
+                    .append(e.startedAtUs() / 1_000)
+                    .append('}');
             comma = ",";
         }
         return text.append("]}").toString();
@@ -189,8 +218,12 @@
             calls++;
             callsByProxy.merge(proxy, 1L, Long::sum);
             var uri = new QueryStringDecoder(request.uri());
-            from = Long.parseLong(uri.parameters().getOrDefault("from", List.of("-1")).get(0));
-            long holdUs = 1_000 * Long.parseLong(uri.parameters().getOrDefault("hold_ms", List.of("0")).get(0));
+            from = Long.parseLong(
+                    uri.parameters().getOrDefault("from", List.of("-1")).get(0));
+            long holdUs = 1_000
+                    * Long.parseLong(uri.parameters()
+                            .getOrDefault("hold_ms", List.of("0"))
+                            .get(0));
             switch (mode) {
                 case UP, STALE -> {
                     if (from >= 0 && from == shown().version() && holdUs > 0) {
@@ -207,7 +240,7 @@
                 case DOWN -> ctx.close();
                 case BUSY -> send(HttpResponseStatus.SERVICE_UNAVAILABLE, "");
                 case NOISE -> send(HttpResponseStatus.OK, "{\"servers\":\"none\"");
-                default -> { }
+                default -> {}
             }
         }
 
@@ -218,8 +251,11 @@
         void answer() {
             waiting.remove(this);
             Snapshot shown = shown();
-            boolean delta = from >= 0 && shown.version() == version
-                    && (from == version || !changes.isEmpty() && from >= changes.getFirst().version() - 1) && from <= version;
+            boolean delta = from >= 0
+                    && shown.version() == version
+                    && (from == version
+                            || !changes.isEmpty() && from >= changes.getFirst().version() - 1)
+                    && from <= version;
             var told = new ArrayList<Entry>();
             if (delta) {
                 changes.stream().filter(c -> c.version() > from).forEach(c -> told.add(c.entry()));
@@ -252,8 +288,8 @@
         }
 
         private void send(HttpResponseStatus status, String body) {
-            var answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                    Unpooled.copiedBuffer(body, StandardCharsets.US_ASCII));
+            var answer = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(body, StandardCharsets.US_ASCII));
             HttpUtil.setContentLength(answer, body.length());
             ctx.writeAndFlush(answer);
         }
--- a/testkit/src/main/java/grebehoist/testkit/StandInWire.java
+++ b/testkit/src/main/java/grebehoist/testkit/StandInWire.java
@@ -18,8 +18,17 @@
      * @param patienceUs how long its client waits
      * @param oneway whether nobody answers it
      */
-    record Call(String id, String operation, String requestClass, boolean safe, String tenant, String key, long workUs,
-            long patienceUs, boolean retried, boolean oneway) { }
+    record Call(
+            String id,
+            String operation,
+            String requestClass,
+            boolean safe,
+            String tenant,
+            String key,
+            long workUs,
+            long patienceUs,
+            boolean retried,
+            boolean oneway) {}
 
     /**
      * How slowly a message is written.
@@ -51,7 +60,11 @@
     }
 
     /** What a client hears. */
-    enum Heard { SERVED, REFUSED, FAILED }
+    enum Heard {
+        SERVED,
+        REFUSED,
+        FAILED
+    }
 
     /**
      * What a client hears of a call.
@@ -61,7 +74,7 @@
      * @param retryAfterUs when to come back, or -1 where nothing is said of that
      * @param reusable whether the connection is open for more
      */
-    record Answer(int tag, Heard heard, String body, long retryAfterUs, boolean reusable) { }
+    record Answer(int tag, Heard heard, String body, long retryAfterUs, boolean reusable) {}
 
     /** Hears what comes to a backend on a connection, one call at a time. */
     interface BackendSide {
@@ -72,7 +85,7 @@
         void whole();
 
         /** What has come is not what a client sent. */
-        default void garbled() { }
+        default void garbled() {}
     }
 
     /** Writes a backend's replies on a connection. */
@@ -91,7 +104,7 @@
         void answered(Answer answer);
 
         /** An answer has begun to come whose first bytes may be what counts. */
-        default void begun() { }
+        default void begun() {}
     }
 
     /** Writes a client's calls on a connection. */
--- a/testkit/src/main/java/grebehoist/testkit/ThriftWire.java
+++ b/testkit/src/main/java/grebehoist/testkit/ThriftWire.java
@@ -42,7 +42,8 @@
 
     /** In which protocol clients write. */
     public enum Kind {
-        BINARY, COMPACT,
+        BINARY,
+        COMPACT,
         /** Binary and compact in turn on one connection. */
         BOTH
     }
@@ -104,7 +105,10 @@
             out.writeMessageBegin(head);
             body.write(out);
             out.writeMessageEnd();
-            return ByteBuffer.allocate(4 + buffer.length()).putInt(buffer.length()).put(buffer.getArray(), 0, buffer.length()).array();
+            return ByteBuffer.allocate(4 + buffer.length())
+                    .putInt(buffer.length())
+                    .put(buffer.getArray(), 0, buffer.length())
+                    .array();
         } catch (TException e) {
             throw new IllegalStateException("written to memory", e);
         }
@@ -178,20 +182,30 @@
             Map<String, String> f = fields(in, "");
             boolean oneway = head.type == TMessageType.ONEWAY;
             String type = oneway ? head.name.substring(0, head.name.length() - ONEWAY.length()) : head.name;
-            side.began(new Call(f.getOrDefault("1", ""), f.get("2.2"), type, false, f.get("2.1"), f.get("2.3"),
-                    Long.parseLong(f.getOrDefault("6", "1000")), 0, Boolean.parseBoolean(f.get("5")), oneway));
+            side.began(new Call(
+                    f.getOrDefault("1", ""),
+                    f.get("2.2"),
+                    type,
+                    false,
+                    f.get("2.1"),
+                    f.get("2.3"),
+                    Long.parseLong(f.getOrDefault("6", "1000")),
+                    0,
+                    Boolean.parseBoolean(f.get("5")),
+                    oneway));
             side.whole();
         }
 
         @Override
         public byte[] reply(Reply reply, String body) {
             return switch (reply) {
-                case OK -> frame(compact, new TMessage(head.name, TMessageType.REPLY, head.seqid), out -> {
-                    out.writeStructBegin(new TStruct(""));
-                    text(out, 0, body);
-                    out.writeFieldStop();
-                    out.writeStructEnd();
-                });
+                case OK ->
+                    frame(compact, new TMessage(head.name, TMessageType.REPLY, head.seqid), out -> {
+                        out.writeStructBegin(new TStruct(""));
+                        text(out, 0, body);
+                        out.writeFieldStop();
+                        out.writeStructEnd();
+                    });
                 case NEVER_RAN -> exception(TApplicationException.UNKNOWN_METHOD, "not here");
                 case UNAVAILABLE -> exception(TApplicationException.UNKNOWN, "busy");
                 case ERROR -> exception(TApplicationException.INTERNAL_ERROR, "went wrong");
@@ -200,7 +214,9 @@
         }
 
         private byte[] exception(int type, String text) {
-            return frame(compact, new TMessage(head.name, TMessageType.EXCEPTION, head.seqid),
+            return frame(
+                    compact,
+                    new TMessage(head.name, TMessageType.EXCEPTION, head.seqid),
                     out -> new TApplicationException(type, text).write(out));
         }
     }
@@ -219,15 +235,20 @@
             void read(boolean compact, TProtocol in) throws TException {
                 TMessage head = in.readMessageBegin();
                 if (head.type != TMessageType.EXCEPTION) {
-                    side.answered(new Answer(head.seqid, Heard.SERVED, fields(in, "").getOrDefault("0", ""), -1, true));
+                    side.answered(
+                            new Answer(head.seqid, Heard.SERVED, fields(in, "").getOrDefault("0", ""), -1, true));
                     return;
                 }
                 TApplicationException told = TApplicationException.readFrom(in);
                 String text = String.valueOf(told.getMessage());
                 Matcher after = RETRY_AFTER.matcher(text);
                 boolean refused = told.getType() == TApplicationException.UNKNOWN && text.startsWith("refused: ");
-                side.answered(new Answer(head.seqid, refused ? Heard.REFUSED : Heard.FAILED, "",
-                        after.find() ? 1_000 * Long.parseLong(after.group(1)) : -1, true));
+                side.answered(new Answer(
+                        head.seqid,
+                        refused ? Heard.REFUSED : Heard.FAILED,
+                        "",
+                        after.find() ? 1_000 * Long.parseLong(after.group(1)) : -1,
+                        true));
             }
         });
         return new ClientEnd() {
@@ -237,26 +258,27 @@
             public byte[] request(Call call, int tag) {
                 compact = kind == Kind.BOTH ? !compact : compact;
                 byte type = call.oneway() ? TMessageType.ONEWAY : TMessageType.CALL;
-                return frame(compact, new TMessage(call.requestClass() + (call.oneway() ? ONEWAY : ""), type, tag), out -> {
-                    out.writeStructBegin(new TStruct(""));
-                    text(out, 1, call.id());
-                    out.writeFieldBegin(new TField("", TType.STRUCT, (short) 2));
-                    out.writeStructBegin(new TStruct(""));
-                    text(out, 1, call.tenant());
-                    text(out, 2, call.operation());
-                    text(out, 3, call.key());
-                    out.writeFieldStop();
-                    out.writeStructEnd();
-                    out.writeFieldBegin(new TField("", TType.I32, (short) 4));
-                    out.writeI32((int) (call.patienceUs() / 1_000));
-                    out.writeFieldBegin(new TField("", TType.BOOL, (short) 5));
-                    out.writeBool(call.retried());
-                    out.writeFieldBegin(new TField("", TType.I64, (short) 6));
-                    out.writeI64(call.workUs());
-                    text(out, 7, "do " + call.operation() + " once, please");
-                    out.writeFieldStop();
-                    out.writeStructEnd();
-                });
+                return frame(
+                        compact, new TMessage(call.requestClass() + (call.oneway() ? ONEWAY : ""), type, tag), out -> {
+                            out.writeStructBegin(new TStruct(""));
+                            text(out, 1, call.id());
+                            out.writeFieldBegin(new TField("", TType.STRUCT, (short) 2));
+                            out.writeStructBegin(new TStruct(""));
+                            text(out, 1, call.tenant());
+                            text(out, 2, call.operation());
+                            text(out, 3, call.key());
+                            out.writeFieldStop();
+                            out.writeStructEnd();
+                            out.writeFieldBegin(new TField("", TType.I32, (short) 4));
+                            out.writeI32((int) (call.patienceUs() / 1_000));
+                            out.writeFieldBegin(new TField("", TType.BOOL, (short) 5));
+                            out.writeBool(call.retried());
+                            out.writeFieldBegin(new TField("", TType.I64, (short) 6));
+                            out.writeI64(call.workUs());
+                            text(out, 7, "do " + call.operation() + " once, please");
+                            out.writeFieldStop();
+                            out.writeStructEnd();
+                        });
             }
         };
     }
--- a/testkit/src/main/java/grebehoist/testkit/Traffic.java
+++ b/testkit/src/main/java/grebehoist/testkit/Traffic.java
@@ -15,6 +15,7 @@
 public final class Traffic {
     /** The mean work of a request, in microseconds. */
     public static final double MEAN_WORK_US = 25_000;
+
     private static final double LEAST_PER_S = 8;
 
     private final Timers timers;
@@ -39,8 +40,14 @@
      * @param cores how many warm cores of speed 1 are asked for at this moment
      * @param proxy which proxy the next request goes to
      */
-    public Traffic(Timers timers, StandInClients clients, SplittableRandom random, Balancer.Settings settings, double[] shares,
-            DoubleSupplier cores, IntSupplier proxy) {
+    public Traffic(
+            Timers timers,
+            StandInClients clients,
+            SplittableRandom random,
+            Balancer.Settings settings,
+            double[] shares,
+            DoubleSupplier cores,
+            IntSupplier proxy) {
         this.timers = timers;
         this.clients = clients;
         this.random = random;
@@ -107,12 +114,25 @@
             manner = drawn > 0 && drawn < m.getValue() ? m.getKey() : manner;
             drawn -= m.getValue();
         }
-        String tenant = tenants.isEmpty() ? null : tenants.get(random.nextInt(4) > 0 ? 0 : random.nextInt(tenants.size())).name();
+        String tenant = tenants.isEmpty()
+                ? null
+                : tenants.get(random.nextInt(4) > 0 ? 0 : random.nextInt(tenants.size()))
+                        .name();
         long work = (long) (MEAN_WORK_US * random.nextDouble(0.6, 1.4));
         // In whole milliseconds, as some protocols know no other.
         long patience = (long) (c.deadlineUs() * random.nextDouble(0.7, 1)) / 1_000 * 1_000;
         boolean nobodyWaits = oneway > 0 && manner == Manner.PLAIN && random.nextDouble() < oneway;
-        clients.ask(proxy.getAsInt(), new StandInClients.Order("o" + nextOrder++, c, tenant, work, patience, manner,
-                random.nextLong(400_000), random.nextInt(3), nobodyWaits));
+        clients.ask(
+                proxy.getAsInt(),
+                new StandInClients.Order(
+                        "o" + nextOrder++,
+                        c,
+                        tenant,
+                        work,
+                        patience,
+                        manner,
+                        random.nextLong(400_000),
+                        random.nextInt(3),
+                        nobodyWaits));
     }
 }
--- a/testkit/src/main/java/grebehoist/testkit/Witness.java
+++ b/testkit/src/main/java/grebehoist/testkit/Witness.java
@@ -57,11 +57,24 @@
      *         operators lose an answer only half a second after its time
      * @param drainGraceUs how long after the news something new may still come
      */
-    public record Terms(long slackUs, long lateUs, long drainGraceUs, int maxAttempts, double fallMultiple, long fallUs, long forgetUs) {
+    public record Terms(
+            long slackUs,
+            long lateUs,
+            long drainGraceUs,
+            int maxAttempts,
+            double fallMultiple,
+            long fallUs,
+            long forgetUs) {
         /** Returns the terms of the operators' pages, with the slack that they allow on sockets, or none. */
         public static Terms of(Balancer.Settings settings, long slackUs) {
-            return new Terms(slackUs, slackUs, 250_000, settings.limits().maxAttempts(), settings.rules().fallMultiple(),
-                    settings.rules().fallUs(), 20_000_000);
+            return new Terms(
+                    slackUs,
+                    slackUs,
+                    250_000,
+                    settings.limits().maxAttempts(),
+                    settings.rules().fallMultiple(),
+                    settings.rules().fallUs(),
+                    20_000_000);
         }
 
         /** The same where answers may be later. */
@@ -78,7 +91,13 @@
      * @param deadlineUs when the client gives up
      * @param oneway whether nobody is to answer it
      */
-    public record Ask(String id, String operation, Balancer.RequestClass type, int proxy, long askedUs, long deadlineUs,
+    public record Ask(
+            String id,
+            String operation,
+            Balancer.RequestClass type,
+            int proxy,
+            long askedUs,
+            long deadlineUs,
             boolean oneway) {
         /** One that is owed an answer. */
         public Ask(String id, String operation, Balancer.RequestClass type, int proxy, long askedUs, long deadlineUs) {
@@ -87,13 +106,26 @@
     }
 
     /** What became of the requests, counted. */
-    public enum Count { ASKED, ONEWAY, SERVED, REFUSED, FAILED, LEFT, EXCUSED, ATTEMPTS, RUNS, REPEATS_DROPPED, TURNED_AWAY, TOLD,
+    public enum Count {
+        ASKED,
+        ONEWAY,
+        SERVED,
+        REFUSED,
+        FAILED,
+        LEFT,
+        EXCUSED,
+        ATTEMPTS,
+        RUNS,
+        REPEATS_DROPPED,
+        TURNED_AWAY,
+        TOLD,
         /** Served with an answer that began a while before its end. */
         STREAMED,
         /** Answered after its time and the slack, perhaps not too late. */
         LATE,
         /** Failed, as the backend broke off the answer that it was giving. */
-        BROKEN_OFF }
+        BROKEN_OFF
+    }
 
     /** Whoever holds back what a backend has given for so long loses it, by the operators' page. */
     private static final long HELD_BACK_US = 2_000_000;
@@ -113,6 +145,7 @@
         private boolean whole;
         /** From when on it is of no interest but for what comes late. */
         private long doneUs;
+
         private final List<Sent> attempts = new ArrayList<>(2);
         private String answer;
         private long answeredUs = Long.MAX_VALUE;
@@ -172,13 +205,22 @@
             }
             Balancer.Effect effect = r.ask.type().effect();
             if (effect != Balancer.Effect.SAFE && !effects.add(r.ask.operation())) {
-                broken(Rule.EFFECT, id, atUs, "attempt " + number + " at " + backend + " had the effect of "
-                        + r.ask.operation() + " (" + effect + ") a second time" + history(r));
+                broken(
+                        Rule.EFFECT,
+                        id,
+                        atUs,
+                        "attempt " + number + " at " + backend + " had the effect of " + r.ask.operation() + " ("
+                                + effect + ") a second time" + history(r));
             }
-            if (effect != Balancer.Effect.SAFE && r.answer != null && r.answer.equals("refused")
+            if (effect != Balancer.Effect.SAFE
+                    && r.answer != null
+                    && r.answer.equals("refused")
                     && !(effect == Balancer.Effect.KEYED && r.ask.type().scope() == Balancer.Scope.ALL)) {
-                broken(Rule.EFFECT, id, atUs, "it had its effect at " + backend + " though it was refused at "
-                        + r.answeredUs + history(r));
+                broken(
+                        Rule.EFFECT,
+                        id,
+                        atUs,
+                        "it had its effect at " + backend + " though it was refused at " + r.answeredUs + history(r));
             }
         }
 
@@ -212,8 +254,9 @@
     private long violationsLeftOut;
     /** The last stop of each proxy's process. */
     private final Map<Integer, Stop> stops = new HashMap<>();
+
     private int writtenAcrossStops;
-    private Consumer<String> trace = line -> { };
+    private Consumer<String> trace = line -> {};
 
     /** Makes a witness that has heard nothing yet. */
     public Witness(Terms terms) {
@@ -289,9 +332,18 @@
         if (wholeUs > atUs + terms.slackUs()) {
             counts.merge(Count.STREAMED, 1L, Long::sum);
         }
-        long given = r.attempts.stream().mapToLong(a -> a.overUs).filter(us -> us <= wholeUs).max().orElse(wholeUs);
+        long given = r.attempts.stream()
+                .mapToLong(a -> a.overUs)
+                .filter(us -> us <= wholeUs)
+                .max()
+                .orElse(wholeUs);
         if (wholeUs - given > HELD_BACK_US + terms.slackUs()) {
-            broken(Rule.ANSWER, id, wholeUs, "held back for " + (wholeUs - given) / 1_000 + " ms after its backend had given all of it" + history(r));
+            broken(
+                    Rule.ANSWER,
+                    id,
+                    wholeUs,
+                    "held back for " + (wholeUs - given) / 1_000 + " ms after its backend had given all of it"
+                            + history(r));
         }
     }
 
@@ -321,8 +373,11 @@
                 || type.effect() == Balancer.Effect.KEYED && type.scope() == Balancer.Scope.ALL;
         for (Sent a : r.attempts) {
             if (!repeatable && a.mayHaveRun()) {
-                broken(Rule.EFFECT, id, atUs, "refused though attempt " + a.number + " at " + a.backend
-                        + " may have run" + history(r));
+                broken(
+                        Rule.EFFECT,
+                        id,
+                        atUs,
+                        "refused though attempt " + a.number + " at " + a.backend + " may have run" + history(r));
             }
         }
     }
@@ -456,7 +511,11 @@
         trace.accept(atUs + " " + id + " attempt " + sent.number + " at " + backend);
         long late = atUs - terms.slackUs();
         if (late > r.answeredUs) {
-            broken(Rule.ANSWER, id, atUs, "sent to " + backend + " after it was " + r.answer + " at " + r.answeredUs + history(r));
+            broken(
+                    Rule.ANSWER,
+                    id,
+                    atUs,
+                    "sent to " + backend + " after it was " + r.answer + " at " + r.answeredUs + history(r));
         }
         if (late > r.leftUs) {
             broken(Rule.ANSWER, id, atUs, "sent to " + backend + " after its client left at " + r.leftUs + history(r));
@@ -474,8 +533,12 @@
             broken(Rule.EFFECT, id, atUs, "attempt number " + r.attempts.size() + history(r));
         }
         if (drains) {
-            broken(Rule.DRAIN, id, atUs, "sent to " + backend + " " + (atUs - since) / 1_000 + " ms after proxy "
-                    + r.ask.proxy() + " was told that it drains or is gone");
+            broken(
+                    Rule.DRAIN,
+                    id,
+                    atUs,
+                    "sent to " + backend + " " + (atUs - since) / 1_000 + " ms after proxy " + r.ask.proxy()
+                            + " was told that it drains or is gone");
         }
         return sent;
     }
@@ -486,11 +549,12 @@
             if (earlier == next || !earlier.mayHaveRun()) {
                 continue;
             }
-            String which = "attempt " + next.number + " at " + next.backend + " though attempt " + earlier.number + " at "
-                    + earlier.backend + " may have run: ";
+            String which = "attempt " + next.number + " at " + next.backend + " though attempt " + earlier.number
+                    + " at " + earlier.backend + " may have run: ";
             if (type.effect() == Balancer.Effect.UNSAFE) {
                 broken(Rule.EFFECT, r.ask.id(), next.wholeUs, which + "the class is unsafe" + history(r));
-            } else if (type.effect() == Balancer.Effect.KEYED && !type.scope().equals(Balancer.Scope.ALL)
+            } else if (type.effect() == Balancer.Effect.KEYED
+                    && !type.scope().equals(Balancer.Scope.ALL)
                     && !earlier.group.equals(next.group)) {
                 broken(Rule.EFFECT, r.ask.id(), next.wholeUs, which + "another group" + history(r));
             } else if (type.effect() == Balancer.Effect.KEYED
@@ -534,8 +598,13 @@
         double sum = window.stream().mapToLong(w -> w[1]).sum();
         double most = terms.fallMultiple() * capacity * terms.fallUs();
         if (sum > most) {
-            broken(Rule.COLD, backend, atUs, String.format("sent %.0f ms of work within %d ms, cold, where %.0f ms push it over",
-                    sum / 1e3, terms.fallUs() / 1_000, most / 1e3));
+            broken(
+                    Rule.COLD,
+                    backend,
+                    atUs,
+                    String.format(
+                            "sent %.0f ms of work within %d ms, cold, where %.0f ms push it over",
+                            sum / 1e3, terms.fallUs() / 1_000, most / 1e3));
             return true;
         }
         return false;
@@ -579,10 +648,16 @@
     private void judgeOverlap(Known r, long atUs) {
         for (Sent later : r.attempts) {
             for (Sent earlier : r.attempts) {
-                if (earlier.number < later.number && earlier.wholeUs != Long.MAX_VALUE && later.wholeUs != Long.MAX_VALUE
+                if (earlier.number < later.number
+                        && earlier.wholeUs != Long.MAX_VALUE
+                        && later.wholeUs != Long.MAX_VALUE
                         && earlier.overUs - terms.slackUs() > later.wholeUs) {
-                    broken(Rule.EFFECT, r.ask.id(), later.wholeUs, "attempt " + later.number + " at " + later.backend
-                            + " while attempt " + earlier.number + " at " + earlier.backend + " was out" + history(r));
+                    broken(
+                            Rule.EFFECT,
+                            r.ask.id(),
+                            later.wholeUs,
+                            "attempt " + later.number + " at " + later.backend + " while attempt " + earlier.number
+                                    + " at " + earlier.backend + " was out" + history(r));
                 }
             }
         }
@@ -598,7 +673,7 @@
             oldest = byDeadline.peek();
         }
         if (tokens.size() > 2 * requests.size() + 1_000) {
-            for (Iterator<String> i = tokens.values().iterator(); i.hasNext();) {
+            for (Iterator<String> i = tokens.values().iterator(); i.hasNext(); ) {
                 if (!requests.containsKey(i.next())) {
                     i.remove();
                 }
@@ -623,11 +698,16 @@
 
     /** Returns the verdict for a person. */
     public String verdict() {
-        var text = new StringBuilder(violations.isEmpty() ? "the four rules were kept" : violations.size()
-                + violationsLeftOut + " broken rules");
+        var text = new StringBuilder(
+                violations.isEmpty()
+                        ? "the four rules were kept"
+                        : violations.size() + violationsLeftOut + " broken rules");
         text.append(" (");
         for (Count c : Count.values()) {
-            text.append(c.ordinal() == 0 ? "" : ", ").append(count(c)).append(' ').append(c.name().toLowerCase(Locale.ROOT).replace('_', ' '));
+            text.append(c.ordinal() == 0 ? "" : ", ")
+                    .append(count(c))
+                    .append(' ')
+                    .append(c.name().toLowerCase(Locale.ROOT).replace('_', ' '));
         }
         text.append(')');
         violations.stream().limit(20).forEach(v -> text.append("\n  ").append(v));
@@ -644,12 +724,24 @@
     }
 
     private static String history(Known r) {
-        var text = new StringBuilder(" [").append(r.ask.type().name()).append(", asked at ").append(r.ask.askedUs())
-                .append(" until ").append(r.ask.deadlineUs());
+        var text = new StringBuilder(" [")
+                .append(r.ask.type().name())
+                .append(", asked at ")
+                .append(r.ask.askedUs())
+                .append(" until ")
+                .append(r.ask.deadlineUs());
         for (Sent a : r.attempts) {
-            text.append("; ").append(a.number).append(" at ").append(a.backend).append('/').append(a.group).append(" began ").append(a.beganUs)
+            text.append("; ")
+                    .append(a.number)
+                    .append(" at ")
+                    .append(a.backend)
+                    .append('/')
+                    .append(a.group)
+                    .append(" began ")
+                    .append(a.beganUs)
                     .append(a.wholeUs == Long.MAX_VALUE ? ", not whole" : ", whole " + a.wholeUs)
-                    .append(a.overUs == Long.MAX_VALUE ? "" : ", over " + a.overUs).append(a.turnedAway ? ", turned away" : "");
+                    .append(a.overUs == Long.MAX_VALUE ? "" : ", over " + a.overUs)
+                    .append(a.turnedAway ? ", turned away" : "");
         }
         return text.append(']').toString();
     }
--- a/testkit/src/test/java/grebehoist/testkit/WitnessTest.java
+++ b/testkit/src/test/java/grebehoist/testkit/WitnessTest.java
@@ -15,7 +15,8 @@
 /** The witness knows the rules: what keeps them passes, and what breaks one is named with its request and time. */
 class WitnessTest {
     private static final long MS = 1_000;
-    private static final RequestClass READ = new RequestClass("read", 300 * MS, 1_000 * MS, 1, 0, Effect.SAFE, Scope.ALL, 0);
+    private static final RequestClass READ =
+            new RequestClass("read", 300 * MS, 1_000 * MS, 1, 0, Effect.SAFE, Scope.ALL, 0);
     private static final RequestClass PAY =
             new RequestClass("pay", 300 * MS, 1_000 * MS, 1, 0, Effect.KEYED, Scope.ZONE, 500 * MS);
     private static final RequestClass FILE =
@@ -43,7 +44,9 @@
         assertThat(first.subject()).isEqualTo(subject);
         assertThat(first.atUs()).isEqualTo(at);
         assertThat(first.what()).contains(what);
-        assertThat(witness.verdict()).contains("rule " + (rule.ordinal() + 1) + " (" + rule + ")").contains(subject);
+        assertThat(witness.verdict())
+                .contains("rule " + (rule.ordinal() + 1) + " (" + rule + ")")
+                .contains(subject);
     }
 
     /** One write may have been decided on right before a process was stopped; a second one, or one of a later request, was not. */
@@ -117,7 +120,12 @@
         witness.garbled("r2", 20 * MS);
         assertBroken(Rule.ANSWER, "r2", 20 * MS, "wrong bytes");
         witness.finish(9_000 * MS);
-        assertThat(witness.violations()).hasSize(2).last().extracting(Witness.Violation::what).asString().startsWith("no answer at all");
+        assertThat(witness.violations())
+                .hasSize(2)
+                .last()
+                .extracting(Witness.Violation::what)
+                .asString()
+                .startsWith("no answer at all");
         // All that is kept goes away once its time is over.
         witness.asked(new Ask("r3", "op-r3", READ, 0, 60_000 * MS, 61_000 * MS));
         assertThat(witness.remembered()).isOne();
@@ -192,7 +200,9 @@
     @Test
     void rule1AConnectionThatEndsWithoutAnAnswer() {
         ask("r1", READ);
-        assertThat(witness.cutOff("r1", true, 10 * MS)).as("closed between requests, as a proxy may").isTrue();
+        assertThat(witness.cutOff("r1", true, 10 * MS))
+                .as("closed between requests, as a proxy may")
+                .isTrue();
         assertThat(witness.cutOff("r1", false, 20 * MS)).isFalse();
         assertBroken(Rule.ANSWER, "r1", 20 * MS, "closed without an answer");
         ask("r2", READ);
@@ -211,8 +221,12 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"VOTE,all,all,20,unsafe", "PAY,zone x,zone y,20,another group", "PAY,zone x,zone x,511,past the window",
-        "FILE,all,all,511,past the window"})
+    @CsvSource({
+        "VOTE,all,all,20,unsafe",
+        "PAY,zone x,zone y,20,another group",
+        "PAY,zone x,zone x,511,past the window",
+        "FILE,all,all,511,past the window"
+    })
     void rule2SentAgainWhereItsClassForbids(String type, String group, String next, long atMs, String why) {
         ask("r1", type.equals("VOTE") ? VOTE : type.equals("PAY") ? PAY : FILE);
         whole("r1", "a", group, 10 * MS).over(15 * MS);
@@ -254,7 +268,9 @@
         first.over(20 * MS);
         second.over(30 * MS);
         witness.finish(40 * MS);
-        assertThat(witness.violations()).as("unanswered alone").extracting(Witness.Violation::what)
+        assertThat(witness.violations())
+                .as("unanswered alone")
+                .extracting(Witness.Violation::what)
                 .allMatch(w -> w.startsWith("no answer at all"));
         ask("r2", READ);
         first = whole("r2", "a", "all", 10 * MS);
@@ -263,7 +279,8 @@
         whole("r2", "c", "all", 30 * MS);
         witness.failed("r2", 40 * MS);
         witness.finish(50 * MS);
-        assertThat(witness.violations()).extracting(Witness.Violation::what)
+        assertThat(witness.violations())
+                .extracting(Witness.Violation::what)
                 .anyMatch(w -> w.startsWith("attempt number 3"))
                 .anyMatch(w -> w.startsWith("attempt 1 at b while attempt 0 at a was out"));
     }
@@ -302,7 +319,9 @@
         }
         assertThat(witness.coldWork("a", 100 * MS, 1, 400 * MS)).isTrue();
         assertBroken(Rule.COLD, "a", 400 * MS, "sent 4100 ms of work within 1000 ms");
-        assertThat(witness.coldWork("a", 100 * MS, 1, 1_395 * MS)).as("the window has passed").isFalse();
+        assertThat(witness.coldWork("a", 100 * MS, 1, 1_395 * MS))
+                .as("the window has passed")
+                .isFalse();
     }
 
     /** What is kept goes away, and a proxy that always breaks a rule does not fill the memory of its witness. */
--- a/trial/src/main/java/grebehoist/trial/Explorer.java
+++ b/trial/src/main/java/grebehoist/trial/Explorer.java
@@ -24,12 +24,15 @@
 public final class Explorer {
     /** Time moves by this, in microseconds: a tick. */
     private static final long STEP_US = 250_000;
+
     private static final long PAUSE_US = 1_000_000;
-    static final Terms TERMS = new Terms(2 * STEP_US, STEP_US, STEP_US, STEP_US, PAUSE_US, 2 * STEP_US + 100_000, 4_000, 2_000_000, 600_000_000);
+    static final Terms TERMS = new Terms(
+            2 * STEP_US, STEP_US, STEP_US, STEP_US, PAUSE_US, 2 * STEP_US + 100_000, 4_000, 2_000_000, 600_000_000);
     /** Before anything goes wrong all have found each other, or nobody has begun. */
     private static final int QUIET = 10;
     /** So many steps after the last fault all is to be known. */
     private static final int TAIL = 90;
+
     private static final int MOST_FOUND = 5;
     private static final int FATES = 4;
 
@@ -40,7 +43,7 @@
      * @param states different states of all members together, as far as they show it
      * @param found what must not be, with the way there: the shortest first
      */
-    public record Result(long plays, long states, List<String> found) { }
+    public record Result(long plays, long states, List<String> found) {}
 
     private final int members;
     private final int steps;
@@ -70,11 +73,16 @@
         // The way on which nothing goes wrong; each other one goes wrong for the first time somewhere along it.
         List<Integer> options = explorer.play(List.of());
         explorer.branches(options, List.of()).parallelStream().forEach(explorer::from);
-        return new Result(explorer.plays.get(), explorer.states.size(), explorer.found.stream().sorted((a, b) -> a.length() - b.length()).toList());
+        return new Result(
+                explorer.plays.get(),
+                explorer.states.size(),
+                explorer.found.stream()
+                        .sorted((a, b) -> a.length() - b.length())
+                        .toList());
     }
 
     /** A choice other than the first, at a point of a way. */
-    private record Choice(int at, int what) { }
+    private record Choice(int at, int what) {}
 
     private List<List<Choice>> branches(List<Integer> options, List<Choice> before) {
         int from = before.isEmpty() ? 0 : before.get(before.size() - 1).at() + 1;
@@ -114,7 +122,7 @@
         };
     }
 
-    private record Sent(int from, int life, int to, int toLife, Message message) { }
+    private record Sent(int from, int life, int to, int toLife, Message message) {}
 
     private final class World {
         private final List<Choice> way;
@@ -164,8 +172,11 @@
             long left = Arrays.stream(machines).filter(m -> m != null).count();
             for (int by = 0; by < members && left > 1; by++) {
                 for (int of = 0; of < members; of++) {
-                    if (by != of && machines[by] != null && (machines[of] == null ? views[by][of].mayAct() : views[by][of] != State.ALIVE)) {
-                        wrong("member " + by + " holds " + of + " " + views[by][of] + ", which " + (machines[of] == null ? "crashed" : "runs"));
+                    if (by != of
+                            && machines[by] != null
+                            && (machines[of] == null ? views[by][of].mayAct() : views[by][of] != State.ALIVE)) {
+                        wrong("member " + by + " holds " + of + " " + views[by][of] + ", which "
+                                + (machines[of] == null ? "crashed" : "runs"));
                     }
                 }
             }
@@ -207,27 +218,31 @@
             Arrays.fill(views[who], State.UNKNOWN);
             Arrays.fill(incarnations[who], 0);
             sockets.get(who).clear();
-            machines[who] = maker.make(TERMS, who, members, "n" + who, "z" + who, random(31L * who + lives), new Membership.Output() {
-                @Override
-                public void send(int to, Message message) {
-                    // The seal sees to it that only this life of the receiver takes it: it has to have been heard of.
-                    sent.add(new Sent(who, lives, to, life[to], message));
-                }
+            machines[who] = maker.make(
+                    TERMS, who, members, "n" + who, "z" + who, random(31L * who + lives), new Membership.Output() {
+                        @Override
+                        public void send(int to, Message message) {
+                            // The seal sees to it that only this life of the receiver takes it: it has to have been
+                            // heard of.
+                            sent.add(new Sent(who, lives, to, life[to], message));
+                        }
 
-                @Override
-                public void changed(Change change) {
-                    if (change instanceof Change.Viewed v && life[who] == lives) {
-                        viewed(who, v);
-                    }
-                }
-            });
+                        @Override
+                        public void changed(Change change) {
+                            if (change instanceof Change.Viewed v && life[who] == lives) {
+                                viewed(who, v);
+                            }
+                        }
+                    });
             machines[who].start(now);
         }
 
         private void step() {
             now += STEP_US;
             for (int i = 0; i < members; i++) {
-                stoppedFor[i] = stopped[i] ? stoppedFor[i] + STEP_US : machines[i] != null && stoppedFor[i] > PAUSE_US ? stoppedFor[i] : 0;
+                stoppedFor[i] = stopped[i]
+                        ? stoppedFor[i] + STEP_US
+                        : machines[i] != null && stoppedFor[i] > PAUSE_US ? stoppedFor[i] : 0;
                 if (machines[i] != null && !stopped[i]) {
                     read(i);
                     machines[i].tick(now);
@@ -240,7 +255,7 @@
                 for (Sent s : moving) {
                     switch (choose(FATES)) {
                         case 0 -> arrive(s);
-                        case 1 -> { }
+                        case 1 -> {}
                         case 2 -> late.add(s);
                         default -> {
                             arrive(s);
@@ -281,9 +296,11 @@
                 return;
             }
             if (!views[by][of].mayAct() && v.state().mayAct() && v.incarnation() <= incarnations[by][of]) {
-                wrong("member " + by + " holds " + of + " " + v.state() + " at incarnation " + v.incarnation() + " after " + views[by][of]);
+                wrong("member " + by + " holds " + of + " " + v.state() + " at incarnation " + v.incarnation()
+                        + " after " + views[by][of]);
             }
-            boolean running = machines[of] != null && stoppedFor[of] <= PAUSE_US && now - crashedAt[of] > TAIL * STEP_US;
+            boolean running =
+                    machines[of] != null && stoppedFor[of] <= PAUSE_US && now - crashedAt[of] > TAIL * STEP_US;
             if (v.state() == State.DEAD && running) {
                 wrong("member " + by + " holds " + of + " dead, which ran all the time");
             }
@@ -305,14 +322,20 @@
                 if (machines[i] == null) {
                     continue;
                 }
-                hash = 31 * hash + (machines[i].present() ? 1 : 0) + (machines[i].isCutOff() ? 2 : 0) + (machines[i].isNotHeard() ? 4 : 0);
+                hash = 31 * hash
+                        + (machines[i].present() ? 1 : 0)
+                        + (machines[i].isCutOff() ? 2 : 0)
+                        + (machines[i].isNotHeard() ? 4 : 0);
                 for (int j = 0; j < members; j++) {
                     hash = (hash * 31 + machines[i].state(j).ordinal()) * 31 + machines[i].incarnation(j);
                     hash = 31 * hash + machines[i].notReachedBy(j).hashCode();
                 }
                 hash = 31 * hash + machines[i].seen(i, now).incarnation();
             }
-            states.add(hash * 0x9E3779B97F4A7C15L + IntStream.range(0, members).map(i -> sockets.get(i).size()).sum());
+            states.add(hash * 0x9E3779B97F4A7C15L
+                    + IntStream.range(0, members)
+                            .map(i -> sockets.get(i).size())
+                            .sum());
         }
     }
 }
--- a/trial/src/main/java/grebehoist/trial/Fault.java
+++ b/trial/src/main/java/grebehoist/trial/Fault.java
@@ -90,7 +90,14 @@
 
     @Override
     public String toString() {
-        return String.format(Locale.ROOT, "%s at %.1f s for %.1f s of %s%s%s", kind.word(), atUs / 1e6, forUs / 1e6, who,
-                to.isEmpty() ? "" : " to " + to, rate > 0 ? String.format(Locale.ROOT, " rate %.2f", rate) : "");
+        return String.format(
+                Locale.ROOT,
+                "%s at %.1f s for %.1f s of %s%s%s",
+                kind.word(),
+                atUs / 1e6,
+                forUs / 1e6,
+                who,
+                to.isEmpty() ? "" : " to " + to,
+                rate > 0 ? String.format(Locale.ROOT, " rate %.2f", rate) : "");
     }
 }
--- a/trial/src/main/java/grebehoist/trial/FaultLibrary.java
+++ b/trial/src/main/java/grebehoist/trial/FaultLibrary.java
@@ -20,8 +20,26 @@
 final class FaultLibrary {
     /** System calls in the order in which the library counts them. */
     enum SystemCall {
-        SOCKET, CONNECT, BIND, LISTEN, ACCEPT, OPEN, CREATE, OPENDIR, RENAME, UNLINK, MKDIR, WRITE, READ, FSYNC, FTRUNCATE, EPOLL_WAIT, POLL,
-        CLOCK, SEND, RECEIVE
+        SOCKET,
+        CONNECT,
+        BIND,
+        LISTEN,
+        ACCEPT,
+        OPEN,
+        CREATE,
+        OPENDIR,
+        RENAME,
+        UNLINK,
+        MKDIR,
+        WRITE,
+        READ,
+        FSYNC,
+        FTRUNCATE,
+        EPOLL_WAIT,
+        POLL,
+        CLOCK,
+        SEND,
+        RECEIVE
     }
 
     private static final int CELL_BYTES = Long.BYTES;
@@ -39,8 +57,10 @@
         try (InputStream text = FaultLibrary.class.getResourceAsStream("faults.c")) {
             Files.copy(text, source, StandardCopyOption.REPLACE_EXISTING);
         }
-        Process compiler = new ProcessBuilder("cc", "-shared", "-fPIC", "-O2", "-o", library.toString(), source.toString(), "-ldl")
-                .redirectErrorStream(true).start();
+        Process compiler = new ProcessBuilder(
+                        "cc", "-shared", "-fPIC", "-O2", "-o", library.toString(), source.toString(), "-ldl")
+                .redirectErrorStream(true)
+                .start();
         String messages = new String(compiler.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         if (compiler.waitFor() != 0) {
             throw new IOException("faults.c does not compile: " + messages);
@@ -68,7 +88,8 @@
 
         private Injection(Path file) throws IOException {
             int bytes = (SystemCall.values().length + 1) * CELL_BYTES;
-            try (FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
+            try (FileChannel channel = FileChannel.open(
+                    file, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
                 cells = channel.map(FileChannel.MapMode.READ_WRITE, 0, bytes);
             }
             cells.order(ByteOrder.nativeOrder());
--- a/trial/src/main/java/grebehoist/trial/LeaseExplorer.java
+++ b/trial/src/main/java/grebehoist/trial/LeaseExplorer.java
@@ -30,14 +30,17 @@
 public final class LeaseExplorer {
     /** Of clocks that are wrong by a quarter: a slow one shows 3 while a fast one shows 5. */
     static final LeaseTerms TERMS = new LeaseTerms(10, 0.25, 1, 1, 4, 1);
+
     private static final int FAST = 5;
     private static final int[] SPEEDS = {3, FAST};
     private static final int MEMBERS = 2;
     /** While a try is in these, somebody wants to know whether its ballot may come, or hears what voters say of it. */
     private static final Set<Phase> ASKED = EnumSet.of(Phase.PREPARING);
+
     private static final Set<Phase> HEARD = EnumSet.of(Phase.PREPARING, Phase.PROPOSING);
     /** Of each ballot: whether its grant was asked for, and given back; then promises and grants by voter. */
     private static final int PROPOSED = 0;
+
     private static final int RELEASED = 1;
     private static final int KINDS = 2;
 
@@ -48,7 +51,7 @@
      * @param voterCrashes and {@code memberCrashes}: so many at most
      * @param mostStates it stops there, and says so
      */
-    public record Bounds(int voters, int ballots, int voterCrashes, int memberCrashes, int mostStates) { }
+    public record Bounds(int voters, int ballots, int voterCrashes, int memberCrashes, int mostStates) {}
 
     /**
      * What was gone through.
@@ -57,32 +60,71 @@
      * @param complete whether all states within the bounds were seen
      * @param found the shortest way to what must not be, or an empty list
      */
-    public record Result(long states, int depth, boolean complete, List<String> found) { }
+    public record Result(long states, int depth, boolean complete, List<String> found) {}
 
     /** A state; the arrays are not changed. */
-    private record World(int time, Ballot[] ballots, long[] said, Vote[] votes, int[] silentUntil, Claim[] claims, int[] lives, int voterCrashes,
-            int memberCrashes, long lastToken) {
+    private record World(
+            int time,
+            Ballot[] ballots,
+            long[] said,
+            Vote[] votes,
+            int[] silentUntil,
+            Claim[] claims,
+            int[] lives,
+            int voterCrashes,
+            int memberCrashes,
+            long lastToken) {
         World copy() {
-            return new World(time, ballots.clone(), said.clone(), votes.clone(), silentUntil.clone(), claims.clone(), lives.clone(), voterCrashes,
-                    memberCrashes, lastToken);
+            return new World(
+                    time,
+                    ballots.clone(),
+                    said.clone(),
+                    votes.clone(),
+                    silentUntil.clone(),
+                    claims.clone(),
+                    lives.clone(),
+                    voterCrashes,
+                    memberCrashes,
+                    lastToken);
         }
 
         World later() {
-            return new World(time + 1, ballots, said, votes, silentUntil, claims, lives, voterCrashes, memberCrashes, lastToken);
+            return new World(
+                    time + 1, ballots, said, votes, silentUntil, claims, lives, voterCrashes, memberCrashes, lastToken);
         }
 
         World crashed(int ofVoters, int ofMembers) {
-            return new World(time, ballots, said, votes, silentUntil, claims, lives, voterCrashes + ofVoters, memberCrashes + ofMembers, lastToken);
+            return new World(
+                    time,
+                    ballots,
+                    said,
+                    votes,
+                    silentUntil,
+                    claims,
+                    lives,
+                    voterCrashes + ofVoters,
+                    memberCrashes + ofMembers,
+                    lastToken);
         }
 
         World heldWith(long token) {
-            return new World(time, ballots, said, votes, silentUntil, claims, lives, voterCrashes, memberCrashes, token);
+            return new World(
+                    time, ballots, said, votes, silentUntil, claims, lives, voterCrashes, memberCrashes, token);
         }
 
         World asking(Ballot ballot) {
             Ballot[] more = Arrays.copyOf(ballots, ballots.length + 1);
             more[ballots.length] = ballot;
-            return new World(time, more, Arrays.copyOf(said, more.length), votes, silentUntil, claims.clone(), lives, voterCrashes, memberCrashes,
+            return new World(
+                    time,
+                    more,
+                    Arrays.copyOf(said, more.length),
+                    votes,
+                    silentUntil,
+                    claims.clone(),
+                    lives,
+                    voterCrashes,
+                    memberCrashes,
                     lastToken);
         }
 
@@ -92,13 +134,14 @@
 
         /** Whether a try of a ballot is in one of some phases, so that somebody listens for it. */
         boolean isOpen(int ballot, Set<Phase> phases) {
-            return Arrays.stream(claims).anyMatch(c -> phases.contains(c.phase()) && c.ballot().equals(ballots[ballot]));
+            return Arrays.stream(claims)
+                    .anyMatch(c -> phases.contains(c.phase()) && c.ballot().equals(ballots[ballot]));
         }
     }
 
-    private record Step(long from, String what) { }
+    private record Step(long from, String what) {}
 
-    private record Reached(World world, long print) { }
+    private record Reached(World world, long print) {}
 
     private final Protocol protocol;
     private final Bounds bounds;
@@ -141,7 +184,9 @@
 
     private List<String> way() {
         var steps = new ArrayList<String>(List.of(wrong));
-        for (long at = wrongFrom; seen.containsKey(at) && seen.get(at).from() != 0; at = seen.get(at).from()) {
+        for (long at = wrongFrom;
+                seen.containsKey(at) && seen.get(at).from() != 0;
+                at = seen.get(at).from()) {
             steps.add(seen.get(at).what());
         }
         Collections.reverse(steps);
@@ -175,7 +220,11 @@
         int now = clock(w, m);
         if (w.ballots().length < bounds.ballots()) {
             long most = w.highest();
-            long own = Arrays.stream(w.ballots()).filter(b -> b.member() == m && b.life() == w.lives()[m]).mapToLong(Ballot::round).max().orElse(0);
+            long own = Arrays.stream(w.ballots())
+                    .filter(b -> b.member() == m && b.life() == w.lives()[m])
+                    .mapToLong(Ballot::round)
+                    .max()
+                    .orElse(0);
             begin(w, from, m, now, most + 1);
             if (own < most && w.lives()[m] == 0) {
                 begin(w, from, m, now, own + 1);
@@ -314,7 +363,10 @@
         var voters = new long[bounds.voters()];
         for (int v = 0; v < voters.length; v++) {
             Vote vote = w.votes()[v].at(voterNow);
-            long h = mix(mix(hash(vote.promised()), vote.accepted() == null ? -5 : hash(vote.accepted()) + vote.untilUs() - voterNow),
+            long h = mix(
+                    mix(
+                            hash(vote.promised()),
+                            vote.accepted() == null ? -5 : hash(vote.accepted()) + vote.untilUs() - voterNow),
                     mix(hash(vote.released()), Math.max(0, w.silentUntil()[v] - voterNow)));
             for (int b = 0; b < w.ballots().length; b++) {
                 h = mix(h, w.isOpen(b, HEARD) ? w.said()[b] >>> promise(v) & 3 : 0);
@@ -336,8 +388,9 @@
             Claim c = w.claims()[m];
             int now = clock(w, m);
             boolean holds = c.holds(now);
-            long ago = c.phase() == Phase.RESTING ? 0 : Math.min(now - c.sinceUs(),
-                    1 + (c.phase() == Phase.PREPARING ? TERMS.tryUs() : TERMS.leaseUs()));
+            long ago = c.phase() == Phase.RESTING
+                    ? 0
+                    : Math.min(now - c.sinceUs(), 1 + (c.phase() == Phase.PREPARING ? TERMS.tryUs() : TERMS.leaseUs()));
             h = mix(mix(h, c.phase().ordinal() + 4L * w.lives()[m]), hash(c.ballot()));
             h = mix(mix(h, ago), holds ? mix(c.token(), c.untilUs() - now) + hash(c.held()) : 0);
         }
