--- a/trial/src/main/java/grebehoist/trial/Member.java
+++ b/trial/src/main/java/grebehoist/trial/Member.java
@@ -25,21 +25,33 @@
 /** One proxy: its platform's configuration, and a process that is started, stopped, killed and started again. Used by one thread. */
 final class Member implements AutoCloseable {
     private static final int KEPT_LINES = 200;
-    private static final List<String> FLAGS = List.of("-Djava.net.preferIPv4Stack=true", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-            "-Xshare:auto", "-XX:-UsePerfData", "-Dio.netty.jfr.enabled=false", "-Xss512k", "-Xms24m", "-Xmx48m",
-            "-XX:MaxDirectMemorySize=40m", "-XX:MaxMetaspaceSize=32m", "-XX:ReservedCodeCacheSize=16m");
+    private static final List<String> FLAGS = List.of(
+            "-Djava.net.preferIPv4Stack=true",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-Xshare:auto",
+            "-XX:-UsePerfData",
+            "-Dio.netty.jfr.enabled=false",
+            "-Xss512k",
+            "-Xms24m",
+            "-Xmx48m",
+            "-XX:MaxDirectMemorySize=40m",
+            "-XX:MaxMetaspaceSize=32m",
+            "-XX:ReservedCodeCacheSize=16m");
 
     private final String name;
     private final Path jar;
     private final Path config;
     /** Null where the platform's configuration is all that it is told. */
     private final Path installation;
+
     private final InetSocketAddress listen;
     private final Consumer<String> lines;
     private final Deque<String> log = new ArrayDeque<>();
     private final Map<String, String> environment = new HashMap<>();
     /** Null where the jar is the whole program. */
     private Path overrides;
+
     private Process process;
     private Thread reader;
 
@@ -49,7 +61,14 @@
      * @param installed its installation file's text, or null
      * @param lines hears each line of JSON that the process writes, on a thread of its own
      */
-    Member(String name, Path jar, Path directory, InetSocketAddress listen, ObjectNode json, String installed, Consumer<String> lines)
+    Member(
+            String name,
+            Path jar,
+            Path directory,
+            InetSocketAddress listen,
+            ObjectNode json,
+            String installed,
+            Consumer<String> lines)
             throws IOException {
         this.name = name;
         this.jar = jar;
@@ -61,30 +80,64 @@
     }
 
     /** Returns the platform's configuration of a proxy that may speak to others. */
-    static ObjectNode config(String name, InetSocketAddress listen, InetSocketAddress discovery, Balancer.Settings settings, String known,
-            InetSocketAddress peerListen, List<InetSocketAddress> peers) throws IOException {
-        ObjectNode json = History.JSON.createObjectNode().put("name", name).put("listen", text(listen)).put("discovery", text(discovery))
-                .put("seed", "5f").put("peer_listen", text(peerListen));
+    static ObjectNode config(
+            String name,
+            InetSocketAddress listen,
+            InetSocketAddress discovery,
+            Balancer.Settings settings,
+            String known,
+            InetSocketAddress peerListen,
+            List<InetSocketAddress> peers)
+            throws IOException {
+        ObjectNode json = History.JSON
+                .createObjectNode()
+                .put("name", name)
+                .put("listen", text(listen))
+                .put("discovery", text(discovery))
+                .put("seed", "5f")
+                .put("peer_listen", text(peerListen));
         json.putObject("limits").put("cores", 1.0).put("memory_mb", 192).put("sockets", 1_024);
         peers.forEach(p -> json.withArray("peers").add(text(p)));
         json.set("known", History.JSON.readTree(known));
-        ObjectNode s = json.putObject("settings").put("balancers", settings.balancers()).put("rank", settings.rank())
-                .put("locality", settings.zone()).put("quantum_us", settings.tickUs()).put("registry_mode", "on_request")
+        ObjectNode s = json.putObject("settings")
+                .put("balancers", settings.balancers())
+                .put("rank", settings.rank())
+                .put("locality", settings.zone())
+                .put("quantum_us", settings.tickUs())
+                .put("registry_mode", "on_request")
                 .put("over_share_worth", settings.overShareWorth());
-        s.putObject("bounds").put("cancel", settings.limits().cancel()).put("may_duplicate", false).put("probes", false)
-                .put("most_tries", settings.limits().maxAttempts()).put("max_retry_after_us", settings.limits().maxRetryAfterUs())
-                .put("conn_idle_us", 15_000_000).put("connect_timeout_us", 200_000).put("peer_messages", true);
+        s.putObject("bounds")
+                .put("cancel", settings.limits().cancel())
+                .put("may_duplicate", false)
+                .put("probes", false)
+                .put("most_tries", settings.limits().maxAttempts())
+                .put("max_retry_after_us", settings.limits().maxRetryAfterUs())
+                .put("conn_idle_us", 15_000_000)
+                .put("connect_timeout_us", 200_000)
+                .put("peer_messages", true);
         Balancer.Rules rules = settings.rules();
-        s.putObject("invariants").put("cold_from", rules.coldFrom()).put("cold_us", rules.coldUs()).put("fall_multiple", rules.fallMultiple())
-                .put("fall_us", rules.fallUs()).put("must_ask_in_us", rules.askWithinUs());
+        s.putObject("invariants")
+                .put("cold_from", rules.coldFrom())
+                .put("cold_us", rules.coldUs())
+                .put("fall_multiple", rules.fallMultiple())
+                .put("fall_us", rules.fallUs())
+                .put("must_ask_in_us", rules.askWithinUs());
         ArrayNode profiles = s.putArray("profiles");
         for (Balancer.RequestClass c : settings.classes()) {
-            profiles.addObject().put("name", c.name()).put("aim_us", c.aimUs()).put("deadline_us", c.deadlineUs())
-                    .put("effect", switch (c.effect()) {
-                        case SAFE -> "idempotent";
-                        case KEYED -> "deduplicated";
-                        case UNSAFE -> "at_most_once";
-                    }).put("value", c.worth()).put("late_worth", c.lateWorth()).put("key_scope", c.scope().name().toLowerCase(Locale.ROOT))
+            profiles.addObject()
+                    .put("name", c.name())
+                    .put("aim_us", c.aimUs())
+                    .put("deadline_us", c.deadlineUs())
+                    .put(
+                            "effect",
+                            switch (c.effect()) {
+                                case SAFE -> "idempotent";
+                                case KEYED -> "deduplicated";
+                                case UNSAFE -> "at_most_once";
+                            })
+                    .put("value", c.worth())
+                    .put("late_worth", c.lateWorth())
+                    .put("key_scope", c.scope().name().toLowerCase(Locale.ROOT))
                     .put("window_us", c.windowUs());
         }
         s.putArray("projects");
@@ -189,7 +242,9 @@
 
     boolean ready() {
         try {
-            var connection = (HttpURLConnection) URI.create("http://127.0.0.1:" + listen.getPort() + "/ready").toURL().openConnection();
+            var connection = (HttpURLConnection) URI.create("http://127.0.0.1:" + listen.getPort() + "/ready")
+                    .toURL()
+                    .openConnection();
             connection.setConnectTimeout(500);
             connection.setReadTimeout(500);
             return connection.getResponseCode() == 200;
@@ -201,7 +256,9 @@
     /** Sends a signal, by the process's id. */
     void signal(String signal) throws IOException, InterruptedException {
         if (alive()) {
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
         }
     }
 
--- a/trial/src/main/java/grebehoist/trial/Play.java
+++ b/trial/src/main/java/grebehoist/trial/Play.java
@@ -40,7 +40,7 @@
      *
      * @param tasks of the fleet, 0 for none
      */
-    record Setting(Path jar, int backends, double load, Path history, int tasks) { }
+    record Setting(Path jar, int backends, double load, Path history, int tasks) {}
 
     /**
      * How it ended.
@@ -58,12 +58,14 @@
     private static final long S = 1_000_000;
     /** So long after it goes on a process may still accept whoever came while it was stopped. */
     private static final long CATCHING_UP_US = 1_000 * MS;
+
     private static final long SLOW_MS = 120;
     private static final long START_MS = 60_000;
     private static final long END_MS = 6_000;
     private static final long YOUNG_US = 15 * S;
     /** On days at full size an answer is lost half a second after its time (STANDING): so many processes share the machine's cores. */
     private static final long LATE_US = 500 * MS;
+
     private static final double MOST_LATE = 0.005;
     /** A refusal is no fault; more than this part of all requests is. */
     private static final double MOST_REFUSED = 0.10;
@@ -74,9 +76,11 @@
     private final Relay relay;
     /** Null without tasks. */
     private final Receiver receiver;
+
     private final LeaseChecker checker = new LeaseChecker();
     /** When each task was done last, by the receiver. */
     private final Map<String, Long> doneAt = new ConcurrentHashMap<>();
+
     private final History history;
     private final Referee referee;
     private final Path directory = Files.createTempDirectory("trial");
@@ -85,6 +89,7 @@
     private final int[] pauses;
     /** Members on a slow processor, each as often as it is told so. */
     private final List<Integer> slowed = new CopyOnWriteArrayList<>();
+
     private volatile boolean over;
 
     Play(Script script, Setting setting) throws IOException {
@@ -95,7 +100,12 @@
         pauses = new int[n];
         referee = new Referee(n, script.pauseUs(), YOUNG_US);
         history = new History(setting.history());
-        rig = new Rig(new HttpWire(), settings(0), new double[] {0.5, 0.3, 0.2}, 15 * S, script.seed(),
+        rig = new Rig(
+                new HttpWire(),
+                settings(0),
+                new double[] {0.5, 0.3, 0.2},
+                15 * S,
+                script.seed(),
                 Witness.Terms.of(settings(0), Rig.SLACK_US).lateBy(LATE_US));
         rig.machines(setting.backends());
         var real = new InetSocketAddress[n];
@@ -111,9 +121,15 @@
                 peers.add(relay.address(i, j));
             }
             int number = i;
-            members.add(new Member("n" + i, setting.jar(), directory, listen[i], Member.config("n" + i, listen[i], rig.discoveryOfNextProxy(),
-                    settings(i), known, real[i], peers),
-                    receiver == null ? null : plan.installation("n" + i, i, script.zone(i), real[i], peers, receiver.address()),
+            members.add(new Member(
+                    "n" + i,
+                    setting.jar(),
+                    directory,
+                    listen[i],
+                    Member.config("n" + i, listen[i], rig.discoveryOfNextProxy(), settings(i), known, real[i], peers),
+                    receiver == null
+                            ? null
+                            : plan.installation("n" + i, i, script.zone(i), real[i], peers, receiver.address()),
                     line -> said(number, line)));
             rig.proxyAt(listen[i]);
             rig.avoid(i, true);
@@ -121,11 +137,20 @@
     }
 
     private Balancer.Settings settings(int rank) {
-        return new Balancer.Settings(script.members(), rank, script.zone(rank), 4 * MS,
-                List.of(new RequestClass("read", 600 * MS, 2 * S, 1, 0, Effect.SAFE, Scope.ALL, 0),
+        return new Balancer.Settings(
+                script.members(),
+                rank,
+                script.zone(rank),
+                4 * MS,
+                List.of(
+                        new RequestClass("read", 600 * MS, 2 * S, 1, 0, Effect.SAFE, Scope.ALL, 0),
                         new RequestClass("invoice", 600 * MS, 2_500 * MS, 2, 0, Effect.KEYED, Scope.ZONE, 12 * S),
                         new RequestClass("vote", 600 * MS, 2 * S, 3, 0, Effect.UNSAFE, Scope.ALL, 0)),
-                List.of(), 1, false, new Balancer.Limits(true, false, false, true, 4, 2 * S), new Balancer.Rules(0.4, 8 * S, 4, S, 10 * S, false),
+                List.of(),
+                1,
+                false,
+                new Balancer.Limits(true, false, false, true, 4, 2 * S),
+                new Balancer.Rules(0.4, 8 * S, 4, S, 10 * S, false),
                 1);
     }
 
@@ -171,7 +196,7 @@
         slow.setDaemon(true);
         slow.start();
         long from = now();
-        record Step(long atUs, boolean begins, Fault fault) { }
+        record Step(long atUs, boolean begins, Fault fault) {}
         var steps = new PriorityQueue<Step>(Comparator.comparingLong(Step::atUs));
         script.faults().forEach(f -> {
             steps.add(new Step(f.atUs(), true, f));
@@ -251,7 +276,9 @@
         }
         for (int i = 0; i < members.size(); i++) {
             if (!members.get(i).alive() && downs[i] == 0) {
-                found("ended", "n" + i + " has ended by itself: " + members.get(i).log());
+                found(
+                        "ended",
+                        "n" + i + " has ended by itself: " + members.get(i).log());
             }
         }
     }
@@ -291,7 +318,8 @@
     }
 
     private void process(int who, String state) {
-        ObjectNode line = History.referee(now(), "process").put("who", "n" + who).put("state", state);
+        ObjectNode line =
+                History.referee(now(), "process").put("who", "n" + who).put("state", state);
         history.line(line);
         check(line);
     }
@@ -316,13 +344,15 @@
     }
 
     private void awaitReadyLater(int who) {
-        var waiter = new Thread(() -> {
-            try {
-                awaitReady(who);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "waits for n" + who);
+        var waiter = new Thread(
+                () -> {
+                    try {
+                        awaitReady(who);
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                },
+                "waits for n" + who);
         waiter.setDaemon(true);
         waiter.start();
     }
@@ -339,7 +369,7 @@
                 case SLOW -> slowed.add(who);
                 case KILL, RESTART -> down(who, "KILL");
                 case LEAVE -> down(who, "TERM");
-                default -> { }
+                default -> {}
             }
         }
     }
@@ -442,7 +472,7 @@
                         }
                     }
                 }
-                default -> { }
+                default -> {}
             }
         }
         synchronized (referee) {
@@ -451,7 +481,8 @@
     }
 
     private void tell(Fault f, String what) {
-        ObjectNode line = History.referee(now(), what).put("kind", f.kind().word()).put("rate", f.rate());
+        ObjectNode line =
+                History.referee(now(), what).put("kind", f.kind().word()).put("rate", f.rate());
         f.who().forEach(m -> line.withArray("who").add("n" + m));
         f.to().forEach(m -> line.withArray("to").add("n" + m));
         history.line(line);
@@ -466,8 +497,13 @@
             long at = json.path("t_us").asLong();
             synchronized (referee) {
                 switch (json.path("what").asText()) {
-                    case "view" -> referee.viewed(at, by, json.path("member").asInt(),
-                            State.valueOf(json.path("state").asText().toUpperCase(Locale.ROOT)), json.path("incarnation").asLong());
+                    case "view" ->
+                        referee.viewed(
+                                at,
+                                by,
+                                json.path("member").asInt(),
+                                State.valueOf(json.path("state").asText().toUpperCase(Locale.ROOT)),
+                                json.path("incarnation").asLong());
                     case "count" -> referee.counted(by, json.path("shared_by").asInt());
                     default -> referee.count(json.path("what").asText());
                 }
--- a/trial/src/main/java/grebehoist/trial/Receiver.java
+++ b/trial/src/main/java/grebehoist/trial/Receiver.java
@@ -76,7 +76,9 @@
             String line = in.readLine();
             for (int n = 0; line != null && !line.isEmpty() && n < MOST_LINES; n++) {
                 int colon = line.indexOf(':');
-                headers.put(colon < 0 ? "" : line.substring(0, colon), line.substring(colon + 1).trim());
+                headers.put(
+                        colon < 0 ? "" : line.substring(0, colon),
+                        line.substring(colon + 1).trim());
                 line = in.readLine();
             }
             if (line != null && headers.containsKey("X-Task")) {
@@ -102,7 +104,8 @@
         }
     }
 
-    private String effect(Map<String, String> headers, Done known, long token, long run, boolean accepted) throws InterruptedException {
+    private String effect(Map<String, String> headers, Done known, long token, long run, boolean accepted)
+            throws InterruptedException {
         long began = System.nanoTime() / 1_000;
         long before = known.run;
         known.token = Math.max(known.token, token);
@@ -112,11 +115,22 @@
         }
         String task = headers.get("X-Task");
         long ended = System.nanoTime() / 1_000;
-        effects.accept(History.JSON.createObjectNode().put("t_us", ended).put("by", "receiver").put("what", "effect").put("task", task)
-                .put("class", TaskPlan.fenced(Integer.parseInt(task.substring(1))) ? "fenced" : "timed").put("holder", headers.get("X-Holder"))
-                .put("token", token).put("run", run).put("began_us", began).put("ended_us", ended).put("accepted", accepted));
-        return "HTTP/1.1 " + (accepted ? "200 OK" : "409 Conflict") + "\r\nContent-Length: 0\r\nConnection: close\r\nX-Last-Run: " + before
-                + "\r\nX-Last-Token: " + known.token + "\r\n\r\n";
+        effects.accept(History.JSON
+                .createObjectNode()
+                .put("t_us", ended)
+                .put("by", "receiver")
+                .put("what", "effect")
+                .put("task", task)
+                .put("class", TaskPlan.fenced(Integer.parseInt(task.substring(1))) ? "fenced" : "timed")
+                .put("holder", headers.get("X-Holder"))
+                .put("token", token)
+                .put("run", run)
+                .put("began_us", began)
+                .put("ended_us", ended)
+                .put("accepted", accepted));
+        return "HTTP/1.1 " + (accepted ? "200 OK" : "409 Conflict")
+                + "\r\nContent-Length: 0\r\nConnection: close\r\nX-Last-Run: " + before + "\r\nX-Last-Token: "
+                + known.token + "\r\n\r\n";
     }
 
     @Override
--- a/trial/src/main/java/grebehoist/trial/Referee.java
+++ b/trial/src/main/java/grebehoist/trial/Referee.java
@@ -18,18 +18,20 @@
  */
 public final class Referee {
     /** What a member held of another. */
-    private record Held(State state, long incarnation) { }
+    private record Held(State state, long incarnation) {}
 
-    private record Span(long fromUs, long toUs, Fault fault) { }
+    private record Span(long fromUs, long toUs, Fault fault) {}
 
     /** A member may be held dead for what was done to it so long ago. */
     private static final long BLAMED_US = 30_000_000;
     /** The clock that stops a process and the process itself do not agree to the millisecond. */
     private static final long SLACK_US = 300_000;
+
     private static final long LOOK_US = 1_000_000;
     private static final long NEW_US = 5_000_000;
     private static final int MOST_KEPT = 100_000;
-    private static final Set<Fault.Kind> STOPPING = EnumSet.of(Fault.Kind.PAUSE, Fault.Kind.KILL, Fault.Kind.RESTART, Fault.Kind.LEAVE);
+    private static final Set<Fault.Kind> STOPPING =
+            EnumSet.of(Fault.Kind.PAUSE, Fault.Kind.KILL, Fault.Kind.RESTART, Fault.Kind.LEAVE);
     private static final int MOST_FINDINGS = 50;
 
     private final int members;
@@ -40,10 +42,12 @@
     private final long youngUs;
     /** How many share the load by a member's own count. */
     private final Map<Integer, Integer> sharedBy = new HashMap<>();
+
     private final List<Span> spans = new ArrayList<>();
     private final List<String> findings = new ArrayList<>();
     /** Who was reached from whom in which second; kept as it is asked for again and again. */
     private final Map<Long, BitSet> lately = new HashMap<>();
+
     private final Map<String, Integer> counts = new TreeMap<>();
 
     /**
@@ -97,15 +101,25 @@
         }
         Held before = views.get(by).put(of, new Held(state, incarnation));
         if (before != null && !before.state().mayAct() && state.mayAct() && incarnation <= before.incarnation()) {
-            found("raised", atUs, "member " + by + " holds " + of + " " + state + " at incarnation " + incarnation + ", after "
-                    + before.state() + " at " + before.incarnation());
+            found(
+                    "raised",
+                    atUs,
+                    "member " + by + " holds " + of + " " + state + " at incarnation " + incarnation + ", after "
+                            + before.state() + " at " + before.incarnation());
         }
         if (before != null && incarnation < before.incarnation() && state != State.ALIVE) {
-            found("back", atUs, "member " + by + " goes back to incarnation " + incarnation + " of " + of + " from " + before.incarnation());
+            found(
+                    "back",
+                    atUs,
+                    "member " + by + " goes back to incarnation " + incarnation + " of " + of + " from "
+                            + before.incarnation());
         }
         if (state == State.DEAD && !excused(atUs, by, of)) {
-            found("falsely dead", atUs, "member " + by + " holds " + of + " dead, which ran, was heard of and was not stopped for "
-                    + pauseUs / 1_000 + " ms");
+            found(
+                    "falsely dead",
+                    atUs,
+                    "member " + by + " holds " + of + " dead, which ran, was heard of and was not stopped for "
+                            + pauseUs / 1_000 + " ms");
         }
         if (state == State.DEAD && running[of]) {
             count("dead while running, excused or not");
@@ -121,11 +135,14 @@
         if (!running[of] || atUs - startedAt[of] < BLAMED_US || atUs - startedAt[by] < NEW_US) {
             return true;
         }
-        if (spans.stream().filter(s -> s.fromUs() <= atUs && s.toUs() > atUs - BLAMED_US).anyMatch(s -> switch (s.fault().kind()) {
-            case PAUSE -> s.fault().who().contains(of) && Math.min(atUs, s.toUs()) - s.fromUs() > pauseUs - SLACK_US;
-            case KILL, RESTART, LEAVE -> s.fault().who().contains(of);
-            default -> false;
-        })) {
+        if (spans.stream()
+                .filter(s -> s.fromUs() <= atUs && s.toUs() > atUs - BLAMED_US)
+                .anyMatch(s -> switch (s.fault().kind()) {
+                    case PAUSE ->
+                        s.fault().who().contains(of) && Math.min(atUs, s.toUs()) - s.fromUs() > pauseUs - SLACK_US;
+                    case KILL, RESTART, LEAVE -> s.fault().who().contains(of);
+                    default -> false;
+                })) {
             return true;
         }
         for (long t = Math.max(0, atUs - BLAMED_US); t < atUs - LOOK_US; t += LOOK_US) {
@@ -143,14 +160,21 @@
         if (lately.size() > MOST_KEPT) {
             lately.clear();
         }
-        return lately.computeIfAbsent(second * members + from, k -> reached(second * LOOK_US, from)).get(to);
+        return lately.computeIfAbsent(second * members + from, k -> reached(second * LOOK_US, from))
+                .get(to);
     }
 
     private BitSet reached(long t, int from) {
-        List<Fault> then = spans.stream().filter(s -> s.fromUs() <= t && t < s.toUs()).map(Span::fault).toList();
+        List<Fault> then = spans.stream()
+                .filter(s -> s.fromUs() <= t && t < s.toUs())
+                .map(Span::fault)
+                .toList();
         List<Fault> cuts = then.stream().filter(f -> !f.to().isEmpty()).toList();
         var stands = new BitSet();
-        then.stream().filter(f -> STOPPING.contains(f.kind())).flatMap(f -> f.who().stream()).forEach(stands::set);
+        then.stream()
+                .filter(f -> STOPPING.contains(f.kind()))
+                .flatMap(f -> f.who().stream())
+                .forEach(stands::set);
         var reached = new BitSet();
         reached.set(from);
         var next = new ArrayDeque<Integer>(List.of(from));
@@ -192,8 +216,11 @@
     }
 
     private boolean stopped(int who, long atUs) {
-        return spans.stream().anyMatch(s -> s.fault().kind() == Fault.Kind.PAUSE && s.fault().who().contains(who) && s.fromUs() <= atUs
-                && atUs < s.toUs());
+        return spans.stream()
+                .anyMatch(s -> s.fault().kind() == Fault.Kind.PAUSE
+                        && s.fault().who().contains(who)
+                        && s.fromUs() <= atUs
+                        && atUs < s.toUs());
     }
 
     /** Whether it has just come, or woken up, or come back after it had left while some can't hear that. */
@@ -201,12 +228,15 @@
         if (atUs - startedAt[who] < youngUs) {
             return true;
         }
-        boolean cut = spans.stream().anyMatch(s -> !s.fault().to().isEmpty() && s.fromUs() <= atUs && s.toUs() > atUs - youngUs);
-        return spans.stream().filter(s -> s.fault().who().contains(who) && s.fromUs() <= atUs).anyMatch(s -> switch (s.fault().kind()) {
-            case PAUSE -> s.toUs() > atUs - youngUs;
-            case LEAVE -> cut;
-            default -> false;
-        });
+        boolean cut = spans.stream()
+                .anyMatch(s -> !s.fault().to().isEmpty() && s.fromUs() <= atUs && s.toUs() > atUs - youngUs);
+        return spans.stream()
+                .filter(s -> s.fault().who().contains(who) && s.fromUs() <= atUs)
+                .anyMatch(s -> switch (s.fault().kind()) {
+                    case PAUSE -> s.toUs() > atUs - youngUs;
+                    case LEAVE -> cut;
+                    default -> false;
+                });
     }
 
     /** All faults are over, and there was time: everybody that runs is to hold everybody that runs alive, and nobody else. */
@@ -225,7 +255,8 @@
                 Held held = views.get(by).get(of);
                 State state = held == null ? State.UNKNOWN : held.state();
                 if (running[of] ? state != State.ALIVE : state.mayAct()) {
-                    wrong.add("member " + by + " holds " + of + " " + state + ", which " + (running[of] ? "runs" : "does not run"));
+                    wrong.add("member " + by + " holds " + of + " " + state + ", which "
+                            + (running[of] ? "runs" : "does not run"));
                 }
             }
         }
--- a/trial/src/main/java/grebehoist/trial/Relay.java
+++ b/trial/src/main/java/grebehoist/trial/Relay.java
@@ -26,7 +26,7 @@
     private static final int MOST_WAITING = 200_000;
     private static final int BUFFER = 1 << 20;
 
-    private record Link(int from, int to) { }
+    private record Link(int from, int to) {}
 
     private record Waiting(long atNs, long order, Link link, ByteBuffer bytes) implements Comparable<Waiting> {
         @Override
@@ -64,7 +64,8 @@
             for (int b = 0; b < members; b++) {
                 if (a != b) {
                     DatagramChannel socket = DatagramChannel.open().setOption(StandardSocketOptions.SO_RCVBUF, BUFFER);
-                    socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).configureBlocking(false);
+                    socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                            .configureBlocking(false);
                     socket.register(selector, SelectionKey.OP_READ, new Link(a, b));
                     sockets[a][b] = socket;
                     random[a][b] = new SplittableRandom(seed ^ (long) a << 32 ^ b);
@@ -107,7 +108,9 @@
                     Waiting next = late.poll();
                     pass(next.link(), next.bytes());
                 }
-                long waitMs = late.isEmpty() ? 100 : Math.max(1, TimeUnit.NANOSECONDS.toMillis(late.peek().atNs() - now));
+                long waitMs = late.isEmpty()
+                        ? 100
+                        : Math.max(1, TimeUnit.NANOSECONDS.toMillis(late.peek().atNs() - now));
                 selector.select(key -> read(key, buffer), Math.min(100, waitMs));
             }
         } catch (IOException e) {
@@ -124,7 +127,8 @@
                 buffer.flip();
                 // Whoever else sends here is none of the members.
                 if (from.equals(real[link.from()])) {
-                    ByteBuffer copy = ByteBuffer.allocate(buffer.remaining()).put(buffer).flip();
+                    ByteBuffer copy =
+                            ByteBuffer.allocate(buffer.remaining()).put(buffer).flip();
                     carry(link, copy);
                 }
             }
--- a/trial/src/main/java/grebehoist/trial/Script.java
+++ b/trial/src/main/java/grebehoist/trial/Script.java
@@ -15,6 +15,7 @@
 public record Script(long seed, int members, int zones, long pauseUs, long lengthUs, List<Fault> faults) {
     /** After the last fault all is to be as if there had been none in this time. */
     public static final long SETTLE_US = 45_000_000;
+
     private static final long S = 1_000_000;
     private static final double MOST_LOSS = 0.3;
 
@@ -42,7 +43,8 @@
     }
 
     /** Draws a script: faults of some kinds, a few at a time, over a length of time. */
-    public static Script draw(long seed, int members, int zones, long pauseUs, long lengthUs, Set<Fault.Kind> kinds, int faults) {
+    public static Script draw(
+            long seed, int members, int zones, long pauseUs, long lengthUs, Set<Fault.Kind> kinds, int faults) {
         var random = new SplittableRandom(seed);
         var none = new Script(seed, members, zones, pauseUs, lengthUs, List.of());
         var drawn = new ArrayList<Fault>();
@@ -66,7 +68,8 @@
             case PAUSE -> {
                 // Well under what is borne, or well over.
                 long bound = random.nextInt(3) > 0 ? (long) (0.8 * pauseUs) : Math.min(60 * S, lengthUs);
-                yield new Fault(kind, at, random.nextLong(10_000, bound), random.nextBoolean() ? one : some, List.of(), 0);
+                yield new Fault(
+                        kind, at, random.nextLong(10_000, bound), random.nextBoolean() ? one : some, List.of(), 0);
             }
             case LOSS -> new Fault(kind, at, forUs, List.of(), List.of(), random.nextDouble(0.05, MOST_LOSS));
             case LATE -> new Fault(kind, at, forUs, List.of(), List.of(), random.nextDouble(0.02, 0.2));
@@ -76,13 +79,22 @@
                 int target = others.get(random.nextInt(others.size()));
                 List<Integer> butOne = others.stream().filter(m -> m != target).toList();
                 int form = members < 4 ? 0 : random.nextInt(3);
-                yield form == 0 ? new Fault(kind, at, forUs, one, List.of(target), 0)
-                        : form == 1 ? new Fault(kind, at, forUs, butOne, one, 0) : new Fault(kind, at, forUs, one, butOne, 0);
+                yield form == 0
+                        ? new Fault(kind, at, forUs, one, List.of(target), 0)
+                        : form == 1
+                                ? new Fault(kind, at, forUs, butOne, one, 0)
+                                : new Fault(kind, at, forUs, one, butOne, 0);
             }
             case SPLIT -> new Fault(kind, at, forUs, some, rest, 0);
             case MUTE -> {
                 List<Integer> zone = zone("z" + random.nextInt(zones));
-                yield new Fault(kind, at, forUs, zone, all().stream().filter(m -> !zone.contains(m)).toList(), 0);
+                yield new Fault(
+                        kind,
+                        at,
+                        forUs,
+                        zone,
+                        all().stream().filter(m -> !zone.contains(m)).toList(),
+                        0);
             }
             case KILL -> new Fault(kind, at, forUs, random.nextBoolean() ? one : some, List.of(), 0);
             case RESTART -> new Fault(kind, at, random.nextLong(1_000, 200_000), one, List.of(), 0);
--- a/trial/src/main/java/grebehoist/trial/Shrinker.java
+++ b/trial/src/main/java/grebehoist/trial/Shrinker.java
@@ -6,7 +6,7 @@
 
 /** Takes faults away from a script that fails, as long as it goes on failing. */
 final class Shrinker {
-    private Shrinker() { }
+    private Shrinker() {}
 
     /**
      * Returns a script with as few faults as can be found one by one.
@@ -17,7 +17,7 @@
     static Script shrink(Script script, Predicate<Script> fails, int mostPlays) {
         Script smallest = script;
         int plays = 0;
-        for (int i = 0; i < smallest.faults().size() && plays < mostPlays;) {
+        for (int i = 0; i < smallest.faults().size() && plays < mostPlays; ) {
             List<Fault> fewer = new ArrayList<>(smallest.faults());
             fewer.remove(i);
             Script candidate = smallest.with(fewer);
--- a/trial/src/main/java/grebehoist/trial/SoakCommand.java
+++ b/trial/src/main/java/grebehoist/trial/SoakCommand.java
@@ -24,29 +24,51 @@
 import picocli.CommandLine.Spec;
 
 /** The randomized fault soak. */
-@Command(name = "soak", mixinStandardHelpOptions = true,
-        description = "Plays real processes under load while system calls, processes, backends, discovery and clients fail.")
+@Command(
+        name = "soak",
+        mixinStandardHelpOptions = true,
+        description =
+                "Plays real processes under load while system calls, processes, backends, discovery and clients fail.")
 final class SoakCommand implements Callable<Integer> {
     private static final int MOST_AGAIN = 2;
 
     @Spec
     private CommandSpec spec;
+
     @Option(names = "--seeds", defaultValue = "1", description = "So many plays, from the seed on (${DEFAULT-VALUE}).")
     private int seeds;
+
     @Option(names = "--seed", defaultValue = "1", description = "The first seed (${DEFAULT-VALUE}).")
     private long seed;
-    @Option(names = "--processes", defaultValue = "10..40", description = "So many, or drawn from a range (${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--processes",
+            defaultValue = "10..40",
+            description = "So many, or drawn from a range (${DEFAULT-VALUE}).")
     private String processes;
+
     @Option(names = "--seconds", defaultValue = "60", description = "How long faults begin (${DEFAULT-VALUE}).")
     private int seconds;
-    @Option(names = "--faults", split = ",", defaultValue = "all", description = "Kinds of faults, or all (${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--faults",
+            split = ",",
+            defaultValue = "all",
+            description = "Kinds of faults, or all (${DEFAULT-VALUE}).")
     private List<String> faults;
+
     @Option(names = "--parallel", defaultValue = "1", description = "So many plays side by side (${DEFAULT-VALUE}).")
     private int parallel;
+
     @Option(names = "--report", description = "Where the table is written, too.")
     private Path report;
-    @Option(names = "--daemon", defaultValue = "daemon/target/grebehoist.jar", description = "The program (${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--daemon",
+            defaultValue = "daemon/target/grebehoist.jar",
+            description = "The program (${DEFAULT-VALUE}).")
     private Path daemon;
+
     @Option(names = "--shrink", description = "Takes faults away from a schedule that fails.")
     private boolean shrink;
 
@@ -62,7 +84,8 @@
             throw new ParameterException(spec.commandLine(), "--daemon: there is no " + daemon);
         }
         if (seeds < 1 || seconds < 5 || parallel < 1) {
-            throw new ParameterException(spec.commandLine(), "at least 1 seed, 5 seconds and 1 play at a time are wanted");
+            throw new ParameterException(
+                    spec.commandLine(), "at least 1 seed, 5 seconds and 1 play at a time are wanted");
         }
         int failed = 0;
         ExecutorService plays = Executors.newFixedThreadPool(parallel);
@@ -95,7 +118,9 @@
             int least = Integer.parseInt(range[0]);
             return SoakSchedule.draw(of, least, Integer.parseInt(range[range.length - 1]), seconds, kinds());
         } catch (IllegalArgumentException e) {
-            throw new ParameterException(spec.commandLine(), "--processes: '" + processes + "' is neither a number nor a range such as 10..40");
+            throw new ParameterException(
+                    spec.commandLine(),
+                    "--processes: '" + processes + "' is neither a number nor a range such as 10..40");
         }
     }
 
@@ -105,8 +130,11 @@
         }
         var kinds = EnumSet.noneOf(Kind.class);
         for (String word : faults) {
-            kinds.add(EnumSet.allOf(Kind.class).stream().filter(k -> k.word().equals(word)).findFirst()
-                    .orElseThrow(() -> new ParameterException(spec.commandLine(), "--faults: there is no '" + word + "'")));
+            kinds.add(EnumSet.allOf(Kind.class).stream()
+                    .filter(k -> k.word().equals(word))
+                    .findFirst()
+                    .orElseThrow(
+                            () -> new ParameterException(spec.commandLine(), "--faults: there is no '" + word + "'")));
         }
         return kinds;
     }
@@ -117,8 +145,9 @@
         for (int again = 0; again < MOST_AGAIN && verdict.isVoid(); again++) {
             synchronized (lines) {
                 voids++;
-                line("seed " + schedule.seed() + ": void, the stand-ins were " + verdict.lagUs() / 1_000 + " ms late; played again. "
-                        + verdict.findings().size() + " findings, the first: " + verdict.findings().get(0));
+                line("seed " + schedule.seed() + ": void, the stand-ins were " + verdict.lagUs() / 1_000
+                        + " ms late; played again. " + verdict.findings().size() + " findings, the first: "
+                        + verdict.findings().get(0));
             }
             verdict = playOnce(schedule);
         }
@@ -135,12 +164,14 @@
         verdict.played().forEach((kind, n) -> played.merge(kind, n, Integer::sum));
         verdict.injected().forEach((call, n) -> injected.merge(call, n, Long::sum));
         requests += verdict.requests();
-        line("seed " + schedule.seed() + ", " + schedule.processes() + " processes, " + schedule.faults().size() + " faults: "
-                + (verdict.held() ? "held" : verdict.findings().size() + " findings") + "; stand-ins late by " + verdict.lagUs() / 1_000 + " ms; " + verdict.summary());
+        line("seed " + schedule.seed() + ", " + schedule.processes() + " processes, "
+                + schedule.faults().size() + " faults: "
+                + (verdict.held() ? "held" : verdict.findings().size() + " findings") + "; stand-ins late by "
+                + verdict.lagUs() / 1_000 + " ms; " + verdict.summary());
         verdict.findings().forEach(f -> line("  BROKEN " + f));
         if (!verdict.held()) {
-            line("  again: java -jar trial/target/trial.jar soak --seeds 1 --seed " + schedule.seed() + " --processes " + processes
-                    + " --seconds " + seconds + " --faults " + String.join(",", faults));
+            line("  again: java -jar trial/target/trial.jar soak --seeds 1 --seed " + schedule.seed() + " --processes "
+                    + processes + " --seconds " + seconds + " --faults " + String.join(",", faults));
             if (shrink) {
                 shrink(schedule);
             }
@@ -169,7 +200,8 @@
     }
 
     private void summary(int failed) {
-        line(seeds + " plays, " + failed + " with findings, " + requests + " requests; " + voids + " plays void and played again");
+        line(seeds + " plays, " + failed + " with findings, " + requests + " requests; " + voids
+                + " plays void and played again");
         line("faults played: " + played);
         line("system calls that failed: " + injected);
     }
--- a/trial/src/main/java/grebehoist/trial/SoakFault.java
+++ b/trial/src/main/java/grebehoist/trial/SoakFault.java
@@ -11,7 +11,14 @@
  */
 record SoakFault(Kind kind, long atMs, long forMs, int target) {
     /** What it happens to. */
-    enum Target { SYSTEM_CALL, PROCESS, OPERATOR, BACKEND, DISCOVERY, CLIENTS }
+    enum Target {
+        SYSTEM_CALL,
+        PROCESS,
+        OPERATOR,
+        BACKEND,
+        DISCOVERY,
+        CLIENTS
+    }
 
     /** What goes wrong. */
     enum Kind {
@@ -99,6 +106,7 @@
 
     @Override
     public String toString() {
-        return String.format(Locale.ROOT, "%s at %.1f s for %.1f s, target %d", kind.word(), atMs / 1e3, forMs / 1e3, target);
+        return String.format(
+                Locale.ROOT, "%s at %.1f s for %.1f s, target %d", kind.word(), atMs / 1e3, forMs / 1e3, target);
     }
 }
--- a/trial/src/main/java/grebehoist/trial/SoakPlay.java
+++ b/trial/src/main/java/grebehoist/trial/SoakPlay.java
@@ -45,7 +45,12 @@
      *
      * @param lagUs how late the stand-ins were at worst: clients, backends and witness run on one thread
      */
-    record Verdict(List<String> findings, Map<SoakFault.Kind, Integer> played, Map<SystemCall, Long> injected, long requests, long lagUs,
+    record Verdict(
+            List<String> findings,
+            Map<SoakFault.Kind, Integer> played,
+            Map<SystemCall, Long> injected,
+            long requests,
+            long lagUs,
             String summary) {
         boolean held() {
             return findings.isEmpty();
@@ -66,12 +71,14 @@
     private static final long CATCHING_UP_US = 1_000 * MS;
     /** Answers are lost half a second after their time, as on days at full size: many processes share the cores. */
     private static final long LATE_US = 500 * MS;
+
     private static final long OPERATORS_US = S;
     private static final long QUIET_MS = 4_000;
     /** Twice what the witness allows for a busy machine. */
     private static final long MOST_LAG_US = 2 * Rig.SLACK_US;
     /** A new configuration counts some seconds after SIGHUP, and no fault lasts as long. */
     private static final long RELOAD_MS = 6_000;
+
     private static final long LONGEST_PAUSE_MS = 150;
     private static final int BACKENDS = 10;
     private static final int CROWD = 60;
@@ -95,6 +102,7 @@
     private final List<Socket> crowd = Collections.synchronizedList(new ArrayList<>());
     /** Where the play is broken off, its processes are not left behind. */
     private final Thread interrupted = new Thread(() -> proxies.forEach(SoakProxy::kill));
+
     private long beganNs;
 
     /**
@@ -106,8 +114,14 @@
         this.schedule = schedule;
         this.coresForEach = coresForEach;
         Runtime.getRuntime().addShutdownHook(interrupted);
-        // On sockets each time limit is 50 ms longer (PROTOCOL): so long backends know a key beyond the window that proxies are told.
-        rig = new Rig(new HttpWire(), settings(0, Rig.SLACK_US), new double[] {0.4, 0.2, 0.2, 0.2}, 15 * S, schedule.seed(),
+        // On sockets each time limit is 50 ms longer (PROTOCOL): so long backends know a key beyond the window that
+        // proxies are told.
+        rig = new Rig(
+                new HttpWire(),
+                settings(0, Rig.SLACK_US),
+                new double[] {0.4, 0.2, 0.2, 0.2},
+                15 * S,
+                schedule.seed(),
                 Witness.Terms.of(settings(0, 0), Rig.SLACK_US).lateBy(LATE_US));
         rig.machines(BACKENDS);
         lag = new RigLag(rig);
@@ -115,11 +129,25 @@
         List<InetSocketAddress> addresses = addresses(3 * schedule.processes());
         for (int i = 0; i < schedule.processes(); i++) {
             InetSocketAddress listen = addresses.get(3 * i);
-            ObjectNode config = Member.config("n" + i, listen, rig.discoveryOfNextProxy(), settings(i, 0), rig.on(rig.discovery()::known), listen,
+            ObjectNode config = Member.config(
+                    "n" + i,
+                    listen,
+                    rig.discoveryOfNextProxy(),
+                    settings(i, 0),
+                    rig.on(rig.discovery()::known),
+                    listen,
                     List.of());
             ((ObjectNode) config.path("settings").path("bounds")).put("peer_messages", false);
-            proxies.add(new SoakProxy(i, program, directory, listen, addresses.subList(3 * i + 1, 3 * i + 3), config, library,
-                    schedule.systemCalls(i, listen.getPort()), schedule.seed()));
+            proxies.add(new SoakProxy(
+                    i,
+                    program,
+                    directory,
+                    listen,
+                    addresses.subList(3 * i + 1, 3 * i + 3),
+                    config,
+                    library,
+                    schedule.systemCalls(i, listen.getPort()),
+                    schedule.seed()));
             rig.proxyAt(listen);
             rig.avoid(i, true);
             rig.excuse(i, Long.MAX_VALUE);
@@ -127,12 +155,31 @@
     }
 
     private Balancer.Settings settings(int rank, long windowSlackUs) {
-        return new Balancer.Settings(schedule.processes(), rank, "usl".substring(rank % 3, rank % 3 + 1), 4 * MS,
-                List.of(new RequestClass("read", 600 * MS, 2 * S, 1, 0, Effect.SAFE, Scope.ALL, 0),
-                        new RequestClass("invoice", 600 * MS, 2_500 * MS, 2, 0, Effect.KEYED, Scope.ZONE, 12 * S + windowSlackUs),
-                        new RequestClass("pay", 600 * MS, 2 * S, 2, 0, Effect.KEYED, Scope.ZONE, 60 * MS + windowSlackUs),
+        return new Balancer.Settings(
+                schedule.processes(),
+                rank,
+                "usl".substring(rank % 3, rank % 3 + 1),
+                4 * MS,
+                List.of(
+                        new RequestClass("read", 600 * MS, 2 * S, 1, 0, Effect.SAFE, Scope.ALL, 0),
+                        new RequestClass(
+                                "invoice",
+                                600 * MS,
+                                2_500 * MS,
+                                2,
+                                0,
+                                Effect.KEYED,
+                                Scope.ZONE,
+                                12 * S + windowSlackUs),
+                        new RequestClass(
+                                "pay", 600 * MS, 2 * S, 2, 0, Effect.KEYED, Scope.ZONE, 60 * MS + windowSlackUs),
                         new RequestClass("vote", 600 * MS, 2 * S, 3, 0, Effect.UNSAFE, Scope.ALL, 0)),
-                List.of(), 1, false, new Balancer.Limits(true, false, false, true, 4, 2 * S), new Balancer.Rules(0.4, 8 * S, 1.5, S, 10 * S, false), 1);
+                List.of(),
+                1,
+                false,
+                new Balancer.Limits(true, false, false, true, 4, 2 * S),
+                new Balancer.Rules(0.4, 8 * S, 1.5, S, 10 * S, false),
+                1);
     }
 
     /** Free addresses, held for the whole play by sockets that share them and listen to nobody: no other process gets one meanwhile. */
@@ -141,7 +188,8 @@
         for (int i = 0; i < number; i++) {
             SocketChannel socket = SocketChannel.open();
             held.add(socket);
-            socket.setOption(StandardSocketOptions.SO_REUSEADDR, true).setOption(StandardSocketOptions.SO_REUSEPORT, true)
+            socket.setOption(StandardSocketOptions.SO_REUSEADDR, true)
+                    .setOption(StandardSocketOptions.SO_REUSEPORT, true)
                     .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
             addresses.add((InetSocketAddress) socket.getLocalAddress());
         }
@@ -155,7 +203,11 @@
         for (SoakProxy proxy : proxies) {
             awaitServing(proxy, 2 * READY_MS);
         }
-        rig.load(Math.min(coresForEach * schedule.processes(), 0.4 * rig.on(() -> rig.fleet().capacity())), 3_600 * S);
+        rig.load(
+                Math.min(
+                        coresForEach * schedule.processes(),
+                        0.4 * rig.on(() -> rig.fleet().capacity())),
+                3_600 * S);
         lag.reset();
         beganNs = System.nanoTime();
         for (SoakFault fault : schedule.faults()) {
@@ -168,7 +220,12 @@
         TimeUnit.SECONDS.sleep(schedule.seconds());
         endFaults();
         judge();
-        return new Verdict(List.copyOf(findings), Map.copyOf(played), injected(), rig.on(() -> rig.witness().count(Count.ASKED)), lag.worstUs(),
+        return new Verdict(
+                List.copyOf(findings),
+                Map.copyOf(played),
+                injected(),
+                rig.on(() -> rig.witness().count(Count.ASKED)),
+                lag.worstUs(),
                 rig.on(rig.witness()::verdict));
     }
 
@@ -191,7 +248,8 @@
             rig.excuse(proxy.number(), Long.MIN_VALUE);
             rig.avoid(proxy.number(), false);
         } else {
-            found("n" + proxy.number() + " is not ready within " + 2 * mostMs + " ms: " + proxy.current().log());
+            found("n" + proxy.number() + " is not ready within " + 2 * mostMs + " ms: "
+                    + proxy.current().log());
         }
     }
 
@@ -293,7 +351,8 @@
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RELOAD_MS);
         while (applied(proxy.figures()) <= before) {
             if (System.nanoTime() - until > 0) {
-                found("n" + proxy.number() + " has not taken its new configuration over: " + proxy.current().log());
+                found("n" + proxy.number() + " has not taken its new configuration over: "
+                        + proxy.current().log());
                 return;
             }
             TimeUnit.MILLISECONDS.sleep(50);
@@ -392,7 +451,9 @@
             SoakProxy proxy = proxies.get(fault.target() % proxies.size());
             for (int i = 0; i < CROWD; i++) {
                 try {
-                    crowd.add(new Socket(InetAddress.getLoopbackAddress(), proxy.current().address().getPort()));
+                    crowd.add(new Socket(
+                            InetAddress.getLoopbackAddress(),
+                            proxy.current().address().getPort()));
                 } catch (IOException e) {
                     // It is down just now.
                     return false;
@@ -450,7 +511,8 @@
         for (SoakProxy proxy : proxies) {
             judge(proxy, served.get(proxy));
             if (rig.on(() -> rig.discovery().callsAt(proxy.number())) <= calls.get(proxy)) {
-                found("n" + proxy.number() + " asks discovery no more: " + proxy.current().log());
+                found("n" + proxy.number() + " asks discovery no more: "
+                        + proxy.current().log());
             }
         }
         if (lateStarts.get() * STARTS_FOR_A_LATE_ONE > starts.get()) {
@@ -480,12 +542,15 @@
             return;
         }
         if (served(figures) <= servedBefore) {
-            found(name + " serves nobody, " + QUIET_MS + " ms after the last fault: " + proxy.current().log());
+            found(name + " serves nobody, " + QUIET_MS + " ms after the last fault: "
+                    + proxy.current().log());
         }
         figures.path("invariant_violations").properties().forEach(v -> {
             if (v.getValue().asLong() > 0) {
                 found(name + ": invariant " + v.getKey() + " violated " + v.getValue() + " times: "
-                        + proxy.current().log().stream().filter(l -> l.contains("invariant_violation")).toList());
+                        + proxy.current().log().stream()
+                                .filter(l -> l.contains("invariant_violation"))
+                                .toList());
             }
         });
         if (figures.path("events").path("task_failed").asLong() > 0) {
--- a/trial/src/main/java/grebehoist/trial/SoakProxy.java
+++ b/trial/src/main/java/grebehoist/trial/SoakProxy.java
@@ -21,6 +21,7 @@
 final class SoakProxy implements AutoCloseable {
     /** SIGKILL comes so long after SIGTERM: the longest deadline of the soak's classes, 2.5 s, and 0.7 s. */
     static final long KILL_MS = 3_200;
+
     static final int NO_ANSWER = 0;
     private static final int CALL_TIMEOUT_MS = 3_000;
 
@@ -37,9 +38,11 @@
     private volatile Member current;
     /** The one that was started last. */
     private volatile Member started;
+
     private volatile InetSocketAddress door;
     /** The door of the process that was started last. */
     private InetSocketAddress starting;
+
     private volatile Injection injection;
     /** Whether it is being restarted, upgraded, stopped or reloaded. */
     private boolean busy;
@@ -50,8 +53,17 @@
      * @param config its configuration without the operators' address
      * @param doors two addresses for operators: processes take them in turns
      */
-    SoakProxy(int number, SoakProgram program, Path directory, InetSocketAddress listen, List<InetSocketAddress> doors, ObjectNode config, FaultLibrary library,
-            String systemCalls, long seed) throws IOException {
+    SoakProxy(
+            int number,
+            SoakProgram program,
+            Path directory,
+            InetSocketAddress listen,
+            List<InetSocketAddress> doors,
+            ObjectNode config,
+            FaultLibrary library,
+            String systemCalls,
+            long seed)
+            throws IOException {
         this.number = number;
         this.program = program;
         this.directory = Files.createDirectory(directory.resolve("n" + number));
@@ -94,7 +106,8 @@
         InetSocketAddress own = starting;
         ObjectNode json = config.deepCopy().put("operator", "127.0.0.1:" + own.getPort());
         json.set("known", History.JSON.readTree(known));
-        var member = new Member("n" + number + "-" + life % 2, program.jar(), directory, listen, json, null, line -> { });
+        var member =
+                new Member("n" + number + "-" + life % 2, program.jar(), directory, listen, json, null, line -> {});
         member.override(program.overrides());
         member.environment("TMPDIR", directory.toString());
         if (!systemCalls.isEmpty()) {
@@ -113,7 +126,10 @@
 
     /** Writes the configuration as it is, or half of it, where its process reads it. */
     void writeConfiguration(boolean whole) throws IOException {
-        String text = config.deepCopy().put("operator", "127.0.0.1:" + door.getPort()).put("note", System.nanoTime()).toString();
+        String text = config.deepCopy()
+                .put("operator", "127.0.0.1:" + door.getPort())
+                .put("note", System.nanoTime())
+                .toString();
         current.configure(whole ? text : text.substring(0, text.length() / 2));
     }
 
@@ -137,7 +153,8 @@
     }
 
     private HttpURLConnection open(String method, String path) throws IOException {
-        var connection = (HttpURLConnection) URI.create("http://127.0.0.1:" + door.getPort() + path).toURL().openConnection();
+        var connection = (HttpURLConnection)
+                URI.create("http://127.0.0.1:" + door.getPort() + path).toURL().openConnection();
         connection.setRequestMethod(method);
         connection.setConnectTimeout(CALL_TIMEOUT_MS);
         connection.setReadTimeout(CALL_TIMEOUT_MS);
@@ -165,7 +182,10 @@
     /** Returns the most memory that its process has had, in kB (proc(5), VmHWM), or 0. */
     long peakKb() {
         try (Stream<String> lines = Files.lines(Path.of("/proc", Long.toString(current.pid()), "status"))) {
-            return lines.filter(l -> l.startsWith("VmHWM:")).mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).findFirst().orElse(0);
+            return lines.filter(l -> l.startsWith("VmHWM:"))
+                    .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", "")))
+                    .findFirst()
+                    .orElse(0);
         } catch (IOException e) {
             return 0;
         }
--- a/trial/src/main/java/grebehoist/trial/SoakSchedule.java
+++ b/trial/src/main/java/grebehoist/trial/SoakSchedule.java
@@ -20,9 +20,12 @@
     private static final long LONGEST_CALL_MS = 1_500;
     /** The first seconds of a process's life, in which it starts. */
     private static final long START_MS = 3_000;
+
     private static final List<String> SOCKET_ERRORS = List.of("EMFILE", "ENFILE", "ENOBUFS", "ENOMEM");
-    private static final List<String> CONNECT_ERRORS = List.of("EADDRNOTAVAIL", "ENETUNREACH", "ECONNREFUSED", "ETIMEDOUT", "EAGAIN");
-    private static final List<String> ACCEPT_ERRORS = List.of("ECONNABORTED", "EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "EPROTO");
+    private static final List<String> CONNECT_ERRORS =
+            List.of("EADDRNOTAVAIL", "ENETUNREACH", "ECONNREFUSED", "ETIMEDOUT", "EAGAIN");
+    private static final List<String> ACCEPT_ERRORS =
+            List.of("ECONNABORTED", "EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "EPROTO");
     private static final List<String> BIND_ERRORS = List.of("EADDRINUSE", "EADDRNOTAVAIL", "ENOBUFS");
     private static final List<String> WRITE_ERRORS = List.of("ENOSPC", "EIO", "EDQUOT", "EROFS");
     private static final List<String> READ_ERRORS = List.of("EMFILE", "ENFILE", "EIO", "ENOMEM");
@@ -44,7 +47,8 @@
         for (int i = 0; i < number; i++) {
             Kind kind = all.get(random.nextInt(all.size()));
             long most = kind.target() == Target.SYSTEM_CALL ? LONGEST_CALL_MS : LONGEST_MS;
-            faults.add(new SoakFault(kind, random.nextLong(seconds * 1_000L), random.nextLong(300, most), random.nextInt(1_000)));
+            faults.add(new SoakFault(
+                    kind, random.nextLong(seconds * 1_000L), random.nextLong(300, most), random.nextInt(1_000)));
         }
         faults.sort(Comparator.comparingLong(SoakFault::atMs));
         return new SoakSchedule(seed, processes, seconds, faults);
@@ -71,18 +75,21 @@
     }
 
     private String rule(SoakFault f, int listenPort) {
-        String window = ",from=" + (f.target() % 3 == 0 ? f.atMs() % START_MS : START_MS + f.atMs()) + ",for=" + f.forMs() + ",every=" + seconds * 1_000L;
+        String window = ",from=" + (f.target() % 3 == 0 ? f.atMs() % START_MS : START_MS + f.atMs()) + ",for="
+                + f.forMs() + ",every=" + seconds * 1_000L;
         return switch (f.kind()) {
             case SOCKET -> "call=socket" + error(SOCKET_ERRORS, f) + window;
             case CONNECT -> "call=connect" + error(CONNECT_ERRORS, f) + window;
             case ACCEPT -> "call=accept" + error(ACCEPT_ERRORS, f) + window;
             case BIND -> "call=bind" + error(BIND_ERRORS, f) + window;
             case STATE_WRITE -> "call=create,path=grebehoist-" + error(WRITE_ERRORS, f) + window;
-            case STATE_READ -> "call=opendir,path=grebehoist-" + error(READ_ERRORS, f) + window
-                    + ";call=open,path=process-" + error(READ_ERRORS, f) + window;
+            case STATE_READ ->
+                "call=opendir,path=grebehoist-" + error(READ_ERRORS, f) + window + ";call=open,path=process-"
+                        + error(READ_ERRORS, f) + window;
             case STATE_DELETE -> "call=unlink,path=grebehoist-,errno=EIO" + window;
             case CONFIGURATION_READ -> "call=open,path=.json" + error(READ_ERRORS, f) + window;
-            case WAIT -> "call=epoll_wait,errno=EINTR,percent=50" + window + ";call=receive,errno=EINTR,percent=20" + window;
+            case WAIT ->
+                "call=epoll_wait,errno=EINTR,percent=50" + window + ";call=receive,errno=EINTR,percent=20" + window;
             case SHORT -> "call=send,action=short" + window + ";call=receive,action=short" + window;
             case BROKEN_READ -> "call=receive,percent=5,except=" + listenPort + error(BROKEN_ERRORS, f) + window;
             case BROKEN_WRITE -> "call=send,percent=5,except=" + listenPort + error(BROKEN_ERRORS, f) + window;
--- a/trial/src/main/java/grebehoist/trial/TaskPlan.java
+++ b/trial/src/main/java/grebehoist/trial/TaskPlan.java
@@ -16,6 +16,7 @@
     static final long ACT_MS = 900;
     /** The longest effect is over before the call is given up. */
     static final long LONGEST_EFFECT_MS = 500;
+
     private static final int MOST_VOTERS = 5;
 
     static String name(int task) {
@@ -27,17 +28,37 @@
     }
 
     List<Integer> voters() {
-        return IntStream.range(0, members >= MOST_VOTERS ? MOST_VOTERS : 3).boxed().toList();
+        return IntStream.range(0, members >= MOST_VOTERS ? MOST_VOTERS : 3)
+                .boxed()
+                .toList();
     }
 
     /** Returns the file of one process. */
-    String installation(String name, int number, String zone, InetSocketAddress listen, List<InetSocketAddress> peers, InetSocketAddress receiver) {
-        var text = new StringBuilder("[process]\nname = \"" + name + "\"\n[membership]\nlisten = \"" + text(listen) + "\"\nnumber = " + number
-                + "\nzone = \"" + zone + "\"\npeers = [" + String.join(", ", peers.stream().map(p -> '"' + text(p) + '"').toList())
-                + "]\n[[membership.key]]\nid = 1\nsecret = \"" + "5a".repeat(16) + "\"\n[lease]\nvoters = " + voters() + "\nlease_ms = " + LEASE_MS + "\n");
+    String installation(
+            String name,
+            int number,
+            String zone,
+            InetSocketAddress listen,
+            List<InetSocketAddress> peers,
+            InetSocketAddress receiver) {
+        var text = new StringBuilder("[process]\nname = \"" + name + "\"\n[membership]\nlisten = \"" + text(listen)
+                + "\"\nnumber = " + number
+                + "\nzone = \"" + zone + "\"\npeers = ["
+                + String.join(", ", peers.stream().map(p -> '"' + text(p) + '"').toList())
+                + "]\n[[membership.key]]\nid = 1\nsecret = \"" + "5a".repeat(16) + "\"\n[lease]\nvoters = " + voters()
+                + "\nlease_ms = " + LEASE_MS + "\n");
         for (int t = 0; t < tasks; t++) {
-            text.append("[[task]]\nname = \"").append(name(t)).append("\"\nclass = \"").append(fenced(t) ? "fenced" : "timed").append("\"\ncall = \"")
-                    .append(text(receiver)).append("\"\nevery_ms = ").append(EVERY_MS).append("\nact_ms = ").append(ACT_MS).append('\n');
+            text.append("[[task]]\nname = \"")
+                    .append(name(t))
+                    .append("\"\nclass = \"")
+                    .append(fenced(t) ? "fenced" : "timed")
+                    .append("\"\ncall = \"")
+                    .append(text(receiver))
+                    .append("\"\nevery_ms = ")
+                    .append(EVERY_MS)
+                    .append("\nact_ms = ")
+                    .append(ACT_MS)
+                    .append('\n');
         }
         return text.toString();
     }
--- a/trial/src/main/java/grebehoist/trial/Trial.java
+++ b/trial/src/main/java/grebehoist/trial/Trial.java
@@ -30,10 +30,24 @@
 import picocli.CommandLine.Spec;
 
 /** The trial's command line; docs/trial.md is its page. Exits with 0 where all held, 1 where something broke, 2 on wrong arguments. */
-@Command(name = "trial", version = "grebehoist trial 0.2.0", mixinStandardHelpOptions = true,
-        description = "Several processes of the program, and faults between them.", synopsisSubcommandLabel = "COMMAND",
-        subcommands = {Trial.Run.class, Trial.Search.class, Trial.Explore.class, Trial.Leases.class, Trial.Check.class, FiguresCommand.class, ScaleCommand.class,
-                HollowCommand.class, DistributionSearch.class, SoakCommand.class})
+@Command(
+        name = "trial",
+        version = "grebehoist trial 0.2.0",
+        mixinStandardHelpOptions = true,
+        description = "Several processes of the program, and faults between them.",
+        synopsisSubcommandLabel = "COMMAND",
+        subcommands = {
+            Trial.Run.class,
+            Trial.Search.class,
+            Trial.Explore.class,
+            Trial.Leases.class,
+            Trial.Check.class,
+            FiguresCommand.class,
+            ScaleCommand.class,
+            HollowCommand.class,
+            DistributionSearch.class,
+            SoakCommand.class
+        })
 public final class Trial implements Runnable {
     private static final long S = 1_000_000;
 
@@ -46,7 +60,11 @@
     }
 
     static int execute(PrintWriter out, PrintWriter err, String... args) {
-        return new CommandLine(new Trial()).setOut(out).setErr(err).setCaseInsensitiveEnumValuesAllowed(true).execute(args);
+        return new CommandLine(new Trial())
+                .setOut(out)
+                .setErr(err)
+                .setCaseInsensitiveEnumValuesAllowed(true)
+                .execute(args);
     }
 
     @Override
@@ -58,24 +76,44 @@
     private abstract static class Playing implements Callable<Integer> {
         @Spec
         CommandSpec spec;
-        @Option(names = "--zones", defaultValue = "3", description = "Zones that they are in, in turn (${DEFAULT-VALUE}).")
+
+        @Option(
+                names = "--zones",
+                defaultValue = "3",
+                description = "Zones that they are in, in turn (${DEFAULT-VALUE}).")
         int zones;
-        @Option(names = "--seconds", defaultValue = "60", description = "Until the last fault is over (${DEFAULT-VALUE}).")
+
+        @Option(
+                names = "--seconds",
+                defaultValue = "60",
+                description = "Until the last fault is over (${DEFAULT-VALUE}).")
         int seconds;
+
         @Option(names = "--seed", defaultValue = "1", description = "Draws the faults (${DEFAULT-VALUE}).")
         long seed;
+
         @Option(names = "--faults", split = ",", description = "Kinds of faults: ${COMPLETION-CANDIDATES} (all).")
         Set<Fault.Kind> faults = EnumSet.allOf(Fault.Kind.class);
+
         @Option(names = "--number", description = "So many faults (one in six seconds).")
         Integer number;
+
         @Option(names = "--shrink", description = "Takes faults away from a script that fails.")
         boolean shrink;
 
         Script script(long of, int members) {
             if (members < 2 || zones < 1 || zones > members || seconds < 5) {
-                throw new ParameterException(spec.commandLine(), "at least 2 processes, 1 zone and 5 seconds are wanted");
+                throw new ParameterException(
+                        spec.commandLine(), "at least 2 processes, 1 zone and 5 seconds are wanted");
             }
-            return Script.draw(of, members, zones, Terms.standard().pauseUs(), seconds * S, faults, number != null ? number : Math.max(1, seconds / 6));
+            return Script.draw(
+                    of,
+                    members,
+                    zones,
+                    Terms.standard().pauseUs(),
+                    seconds * S,
+                    faults,
+                    number != null ? number : Math.max(1, seconds / 6));
         }
 
         PrintWriter out() {
@@ -87,26 +125,48 @@
             out().println("  " + verdict.traffic());
             out().println("  " + verdict.tasks());
             verdict.findings().forEach(f -> out().println("BROKEN " + f));
-            out().println(String.format(Locale.ROOT, "seed %d, %d members, %d zones: %s", script.seed(), script.members(), script.zones(),
+            out().println(String.format(
+                    Locale.ROOT,
+                    "seed %d, %d members, %d zones: %s",
+                    script.seed(),
+                    script.members(),
+                    script.zones(),
                     verdict.held() ? "all held" : verdict.findings().size() + " findings"));
             return verdict.held() ? 0 : 1;
         }
     }
 
     /** Plays a script on processes. */
-    @Command(name = "run", mixinStandardHelpOptions = true, description = "Starts processes of the program and puts faults between them.")
+    @Command(
+            name = "run",
+            mixinStandardHelpOptions = true,
+            description = "Starts processes of the program and puts faults between them.")
     static final class Run extends Playing {
         @Option(names = "--processes", defaultValue = "12", description = "So many (${DEFAULT-VALUE}).")
         int processes;
+
         @Option(names = "--history", description = "Where what happened is written, a JSON object a line.")
         Path history;
-        @Option(names = "--daemon", defaultValue = "daemon/target/grebehoist.jar", description = "The program (${DEFAULT-VALUE}).")
+
+        @Option(
+                names = "--daemon",
+                defaultValue = "daemon/target/grebehoist.jar",
+                description = "The program (${DEFAULT-VALUE}).")
         Path daemon;
+
         @Option(names = "--backends", defaultValue = "12", description = "Stand-ins (${DEFAULT-VALUE}).")
         int backends;
-        @Option(names = "--load", defaultValue = "0.4", description = "What clients ask for, as a part of the backends' capacity (${DEFAULT-VALUE}).")
+
+        @Option(
+                names = "--load",
+                defaultValue = "0.4",
+                description = "What clients ask for, as a part of the backends' capacity (${DEFAULT-VALUE}).")
         double load;
-        @Option(names = "--tasks", defaultValue = "0", description = "Tasks of the fleet that one process at a time is to do (${DEFAULT-VALUE}).")
+
+        @Option(
+                names = "--tasks",
+                defaultValue = "0",
+                description = "Tasks of the fleet that one process at a time is to do (${DEFAULT-VALUE}).")
         int tasks;
 
         @Override
@@ -116,12 +176,14 @@
                 throw new ParameterException(spec.commandLine(), "--daemon: there is no " + daemon);
             }
             if (tasks < 0 || tasks > 200 || tasks > 0 && processes < 3) {
-                throw new ParameterException(spec.commandLine(), "--tasks: 0 to 200, and at least 3 processes to grant them");
+                throw new ParameterException(
+                        spec.commandLine(), "--tasks: 0 to 200, and at least 3 processes to grant them");
             }
             script.faults().forEach(f -> out().println("  " + f));
             int code = tell(script, play(script, history));
             if (code != 0 && shrink) {
-                Script smallest = Shrinker.shrink(script, this::fails, 2 * script.faults().size());
+                Script smallest =
+                        Shrinker.shrink(script, this::fails, 2 * script.faults().size());
                 out().println("with fewest faults:");
                 smallest.faults().forEach(f -> out().println("  " + f));
             }
@@ -147,11 +209,18 @@
     }
 
     /** Plays many scripts on virtual time. */
-    @Command(name = "search", mixinStandardHelpOptions = true, description = "Plays scripts on virtual time: the same machines, no processes.")
+    @Command(
+            name = "search",
+            mixinStandardHelpOptions = true,
+            description = "Plays scripts on virtual time: the same machines, no processes.")
     static final class Search extends Playing {
         @Option(names = "--members", defaultValue = "5", description = "So many (${DEFAULT-VALUE}).")
         int members;
-        @Option(names = "--scripts", defaultValue = "100", description = "So many, from the seed on (${DEFAULT-VALUE}).")
+
+        @Option(
+                names = "--scripts",
+                defaultValue = "100",
+                description = "So many, from the seed on (${DEFAULT-VALUE}).")
         int scripts;
 
         @Override
@@ -169,8 +238,16 @@
                 }
             });
             for (Script f : failed) {
-                Script told = shrink ? Shrinker.shrink(f, s -> !VirtualFleet.play(s, Terms.standard()).findings().isEmpty(), 200) : f;
-                out().println("seed " + f.seed() + ": " + VirtualFleet.play(told, Terms.standard()).findings().get(0));
+                Script told = shrink
+                        ? Shrinker.shrink(
+                                f,
+                                s -> !VirtualFleet.play(s, Terms.standard())
+                                        .findings()
+                                        .isEmpty(),
+                                200)
+                        : f;
+                out().println("seed " + f.seed() + ": "
+                        + VirtualFleet.play(told, Terms.standard()).findings().get(0));
                 told.faults().forEach(fault -> out().println("  " + fault));
             }
             for (Map.Entry<String, Integer> c : counts.entrySet()) {
@@ -182,16 +259,24 @@
     }
 
     /** Goes through all that can happen to a few members. */
-    @Command(name = "explore", mixinStandardHelpOptions = true,
+    @Command(
+            name = "explore",
+            mixinStandardHelpOptions = true,
             description = "Goes through every way in which so many things can go wrong in so many steps.")
     static final class Explore implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
+
         @Option(names = "--members", defaultValue = "3", description = "So many (${DEFAULT-VALUE}).")
         private int members;
+
         @Option(names = "--steps", defaultValue = "8", description = "Of 250 ms (${DEFAULT-VALUE}).")
         private int steps;
-        @Option(names = "--wrong", defaultValue = "2", description = "So many things go wrong at most (${DEFAULT-VALUE}).")
+
+        @Option(
+                names = "--wrong",
+                defaultValue = "2",
+                description = "So many things go wrong at most (${DEFAULT-VALUE}).")
         private int wrong;
 
         @Override
@@ -199,8 +284,15 @@
             int code = 0;
             for (boolean converged : new boolean[] {true, false}) {
                 Explorer.Result r = Explorer.explore(members, steps, wrong, converged, Membership::new);
-                spec.commandLine().getOut().println(String.format(Locale.ROOT, "%s: %d ways, %d states, %d findings",
-                        converged ? "members that know each other" : "members that begin", r.plays(), r.states(), r.found().size()));
+                spec.commandLine()
+                        .getOut()
+                        .println(String.format(
+                                Locale.ROOT,
+                                "%s: %d ways, %d states, %d findings",
+                                converged ? "members that know each other" : "members that begin",
+                                r.plays(),
+                                r.states(),
+                                r.found().size()));
                 r.found().forEach(spec.commandLine().getOut()::println);
                 code |= r.found().isEmpty() ? 0 : 1;
             }
@@ -209,39 +301,68 @@
     }
 
     /** Goes through all states of the functions that leases are safe by. */
-    @Command(name = "leases", mixinStandardHelpOptions = true,
+    @Command(
+            name = "leases",
+            mixinStandardHelpOptions = true,
             description = "Goes through every state of voters and of two members that want one task.")
     static final class Leases implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
+
         @Option(names = "--voters", defaultValue = "3", description = "So many (${DEFAULT-VALUE}).")
         private int voters;
-        @Option(names = "--ballots", defaultValue = "3", description = "Tries of both members at most (${DEFAULT-VALUE}).")
+
+        @Option(
+                names = "--ballots",
+                defaultValue = "3",
+                description = "Tries of both members at most (${DEFAULT-VALUE}).")
         private int ballots;
-        @Option(names = "--crashes", defaultValue = "1", description = "Of voters, and as many of members (${DEFAULT-VALUE}).")
+
+        @Option(
+                names = "--crashes",
+                defaultValue = "1",
+                description = "Of voters, and as many of members (${DEFAULT-VALUE}).")
         private int crashes;
-        @Option(names = "--states", defaultValue = "20000000", description = "It stops after so many (${DEFAULT-VALUE}).")
+
+        @Option(
+                names = "--states",
+                defaultValue = "20000000",
+                description = "It stops after so many (${DEFAULT-VALUE}).")
         private int states;
 
         @Override
         public Integer call() {
             if (voters < 1 || voters > 7 || ballots < 1 || crashes < 0) {
-                throw new ParameterException(spec.commandLine(), "1 to 7 voters, at least one ballot, no negative numbers");
+                throw new ParameterException(
+                        spec.commandLine(), "1 to 7 voters, at least one ballot, no negative numbers");
             }
-            LeaseExplorer.Result r = LeaseExplorer.explore(new Protocol(LeaseExplorer.TERMS, voters),
+            LeaseExplorer.Result r = LeaseExplorer.explore(
+                    new Protocol(LeaseExplorer.TERMS, voters),
                     new LeaseExplorer.Bounds(voters, ballots, crashes, crashes, states));
-            spec.commandLine().getOut().println(String.format(Locale.ROOT, "%d states, %d steps deep, %s", r.states(), r.depth(),
-                    !r.found().isEmpty() ? "BROKEN:" : r.complete() ? "all of them, none broken" : "not all of them, none broken"));
+            spec.commandLine()
+                    .getOut()
+                    .println(String.format(
+                            Locale.ROOT,
+                            "%d states, %d steps deep, %s",
+                            r.states(),
+                            r.depth(),
+                            !r.found().isEmpty()
+                                    ? "BROKEN:"
+                                    : r.complete() ? "all of them, none broken" : "not all of them, none broken"));
             r.found().forEach(step -> spec.commandLine().getOut().println("  " + step));
             return r.found().isEmpty() ? 0 : 1;
         }
     }
 
     /** Judges a history that was written before. */
-    @Command(name = "check", mixinStandardHelpOptions = true, description = "Judges what a history says of tasks; it knows no protocol.")
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
+            description = "Judges what a history says of tasks; it knows no protocol.")
     static final class Check implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
+
         @Parameters(paramLabel = "FILE", description = "A history, one JSON object a line.")
         private Path file;
 
--- a/trial/src/main/java/grebehoist/trial/VirtualFleet.java
+++ b/trial/src/main/java/grebehoist/trial/VirtualFleet.java
@@ -42,20 +42,25 @@
 
         /** Returns those that hold unless others are set. */
         public static Tasks standard(int tasks) {
-            return new Tasks(tasks, n -> new Protocol(LeaseTerms.standard(), n), LeaseTerms.standard().drift());
+            return new Tasks(
+                    tasks,
+                    n -> new Protocol(LeaseTerms.standard(), n),
+                    LeaseTerms.standard().drift());
         }
     }
 
     /** What was sent: datagrams, their bytes, and those of the longest. */
-    public record Traffic(long datagrams, long bytes, int longest) { }
+    public record Traffic(long datagrams, long bytes, int longest) {}
 
     private static final long S = 1_000_000;
     /** All have found each other by then, and faults begin. */
     static final long FAULTS_FROM_US = 10 * S;
+
     private static final int SOCKET = 200;
     private static final long YOUNG_US = 10 * S;
     private static final long SLOW_US = 250_000;
-    private static final List<KeyRing.Key> KEYS = List.of(new KeyRing.Key(1, "a key for trials, of 32 bytes...".getBytes(StandardCharsets.UTF_8)));
+    private static final List<KeyRing.Key> KEYS =
+            List.of(new KeyRing.Key(1, "a key for trials, of 32 bytes...".getBytes(StandardCharsets.UTF_8)));
 
     private record Event(long atUs, long order, Runnable what) implements Comparable<Event> {
         @Override
@@ -64,7 +69,7 @@
         }
     }
 
-    private record Arrived(int from, byte[] bytes) { }
+    private record Arrived(int from, byte[] bytes) {}
 
     /** One process. */
     private final class Host {
@@ -88,8 +93,12 @@
             socket.clear();
             referee.started(now, number);
             int lives = life;
-            node = new FleetNode(new FleetNode.Identity(number, hosts.length, "n" + number, script.zone(number)), terms, new KeyRing(KEYS),
-                    new SplittableRandom(random.nextLong()), new FleetNode.Output() {
+            node = new FleetNode(
+                    new FleetNode.Identity(number, hosts.length, "n" + number, script.zone(number)),
+                    terms,
+                    new KeyRing(KEYS),
+                    new SplittableRandom(random.nextLong()),
+                    new FleetNode.Output() {
                         @Override
                         public void send(int to, byte[] datagram) {
                             if (life == lives && node != null) {
@@ -108,10 +117,19 @@
                                 held(number, change);
                             }
                         }
-                    }, maker);
+                    },
+                    maker);
             if (tasks.tasks() > 0) {
-                leases = node.share(new FleetNode.Tasks(protocol.terms(), 1, plan.voters(), IntStream.range(0, tasks.tasks()).mapToObj(TaskPlan::name)
-                        .toList(), now / 1_000), protocol);
+                leases = node.share(
+                        new FleetNode.Tasks(
+                                protocol.terms(),
+                                1,
+                                plan.voters(),
+                                IntStream.range(0, tasks.tasks())
+                                        .mapToObj(TaskPlan::name)
+                                        .toList(),
+                                now / 1_000),
+                        protocol);
             }
             node.start(local());
             at(now + random.nextLong(terms.tickUs()), () -> tick(lives));
@@ -181,6 +199,7 @@
     private final Protocol protocol;
     /** The greatest token with which each task was held. */
     private final long[] tokens;
+
     private final long[] freeSince;
     private final List<Long> freeUs = new ArrayList<>();
     private final Referee referee;
@@ -225,17 +244,19 @@
 
     /** Plays a script to its end, and lets all settle. */
     public static Referee play(Script script, Terms terms, FleetNode.Maker maker) {
-        return new VirtualFleet(script, terms, maker, (at, by, change) -> { }).playOut().referee;
+        return new VirtualFleet(script, terms, maker, (at, by, change) -> {}).playOut().referee;
     }
 
     /** Plays a script with tasks to its end, and lets all settle. */
     public static VirtualFleet play(Script script, Terms terms, Tasks tasks) {
-        return new VirtualFleet(script, terms, Membership::new, (at, by, change) -> { }, tasks).playOut();
+        return new VirtualFleet(script, terms, Membership::new, (at, by, change) -> {}, tasks).playOut();
     }
 
     private VirtualFleet playOut() {
         begin();
-        run(script.faults().stream().mapToLong(Fault::endUs).max().orElse(script.lengthUs()) + FAULTS_FROM_US + Script.SETTLE_US);
+        run(script.faults().stream().mapToLong(Fault::endUs).max().orElse(script.lengthUs())
+                + FAULTS_FROM_US
+                + Script.SETTLE_US);
         referee.settled(now);
         for (int t = 0; t < tasks.tasks(); t++) {
             if (holders(t) != 1) {
@@ -297,7 +318,7 @@
                         }
                     });
                 }
-                default -> { }
+                default -> {}
             }
         }
     }
@@ -315,7 +336,7 @@
                         h.start();
                     }
                 }
-                default -> { }
+                default -> {}
             }
         }
     }
@@ -356,12 +377,18 @@
             referee.count("held");
             for (Host other : hosts) {
                 if (other.number != by && other.token(task) > 0) {
-                    referee.found("two holders", now, by + " holds " + TaskPlan.name(task) + " with token " + h.token() + " beside " + other.number
-                            + " with " + other.token(task));
+                    referee.found(
+                            "two holders",
+                            now,
+                            by + " holds " + TaskPlan.name(task) + " with token " + h.token() + " beside "
+                                    + other.number + " with " + other.token(task));
                 }
             }
             if (h.token() <= tokens[task]) {
-                referee.found("token", now, by + " holds " + TaskPlan.name(task) + " with token " + h.token() + " after " + tokens[task]);
+                referee.found(
+                        "token",
+                        now,
+                        by + " holds " + TaskPlan.name(task) + " with token " + h.token() + " after " + tokens[task]);
             }
             tokens[task] = Math.max(tokens[task], h.token());
             if (freeSince[task] > 0) {
--- a/trial/src/main/java/grebehoist/trial/distribution/ByteBudget.java
+++ b/trial/src/main/java/grebehoist/trial/distribution/ByteBudget.java
@@ -5,7 +5,7 @@
 
 /** Whether what passes one host keeps to so many bytes a second in every window of time. */
 final class ByteBudget {
-    private record Passed(long atUs, int bytes) { }
+    private record Passed(long atUs, int bytes) {}
 
     private final long most;
     private final long windowUs;
--- a/trial/src/main/java/grebehoist/trial/distribution/DistributionReferee.java
+++ b/trial/src/main/java/grebehoist/trial/distribution/DistributionReferee.java
@@ -94,7 +94,8 @@
     void refused(long atUs, Item change) {
         count("refused");
         refused.computeIfAbsent(change.scope(), s -> new HashSet<>()).add(Content.of(change));
-        for (Item known : committed.getOrDefault(change.scope(), new TreeMap<>()).values()) {
+        for (Item known :
+                committed.getOrDefault(change.scope(), new TreeMap<>()).values()) {
             if (Content.of(known).equals(Content.of(change)) && !excused(change.scope())) {
                 found("refused and in force", atUs, known.toString());
             }
@@ -120,7 +121,8 @@
     }
 
     private void agree(long atUs, Item change, String by) {
-        Item before = committed.computeIfAbsent(change.scope(), s -> new TreeMap<>()).putIfAbsent(change.version(), change);
+        Item before =
+                committed.computeIfAbsent(change.scope(), s -> new TreeMap<>()).putIfAbsent(change.version(), change);
         if (before != null && !before.equals(change) && !excused(change.scope())) {
             found("two changes of one version", atUs, before + " and " + change + ": " + by);
         }
@@ -138,7 +140,10 @@
             return;
         }
         if (version <= before) {
-            found("a version that does not grow", atUs, scope + " at proxy " + proxy + ": " + version + " after " + before);
+            found(
+                    "a version that does not grow",
+                    atUs,
+                    scope + " at proxy " + proxy + ": " + version + " after " + before);
         }
         of.put(scope, version);
         whole(atUs, "proxy " + proxy, scope, version, byKey(items));
@@ -157,7 +162,10 @@
         last.forEach((key, item) -> {
             Item has = items.get(key);
             if (item.version() <= version && (item.removed() ? has != null : !item.equals(has))) {
-                found("said to be in force and is not", atUs, item + " at " + by + ", which has " + has + ", at version " + version);
+                found(
+                        "said to be in force and is not",
+                        atUs,
+                        item + " at " + by + ", which has " + has + ", at version " + version);
             }
         });
     }
--- a/trial/src/main/java/grebehoist/trial/distribution/DistributionSearch.java
+++ b/trial/src/main/java/grebehoist/trial/distribution/DistributionSearch.java
@@ -15,20 +15,26 @@
 import picocli.CommandLine.Spec;
 
 /** Plays many scripts of the distribution on virtual time. */
-@Command(name = "distribution", mixinStandardHelpOptions = true,
-        description = "Plays scripts of the distribution of configuration on virtual time: the same machines, no processes.")
+@Command(
+        name = "distribution",
+        mixinStandardHelpOptions = true,
+        description =
+                "Plays scripts of the distribution of configuration on virtual time: the same machines, no processes.")
 public final class DistributionSearch implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
+
     @Option(names = "--scripts", defaultValue = "1000", description = "So many, from the seed on (${DEFAULT-VALUE}).")
     private int scripts;
+
     @Option(names = "--seed", defaultValue = "1", description = "Draws the first script (${DEFAULT-VALUE}).")
     private long seed;
+
     @Option(names = "--shrink", description = "Takes faults away from the first script that fails.")
     private boolean shrink;
 
     /** What many scripts came to. */
-    record Outcome(Map<String, Integer> counts, Map<Long, List<DistributionReferee.Finding>> failed) { }
+    record Outcome(Map<String, Integer> counts, Map<Long, List<DistributionReferee.Finding>> failed) {}
 
     /** Plays scripts, as many at a time as there are processors. */
     static Outcome play(long from, int scripts, Rules rules) {
@@ -55,9 +61,11 @@
         Outcome outcome = play(seed, scripts, new Rules());
         outcome.counts().forEach((what, n) -> out.println("  " + n + " " + what));
         outcome.failed().forEach((s, findings) -> findings.forEach(f -> out.println("BROKEN seed " + s + ": " + f)));
-        out.println(scripts + " scripts from seed " + seed + ": " + (outcome.failed().isEmpty() ? "all held" : outcome.failed().size() + " failed"));
+        out.println(scripts + " scripts from seed " + seed + ": "
+                + (outcome.failed().isEmpty() ? "all held" : outcome.failed().size() + " failed"));
         if (shrink && !outcome.failed().isEmpty()) {
-            DistributionScript smallest = shrink(DistributionScript.draw(outcome.failed().keySet().iterator().next()));
+            DistributionScript smallest = shrink(
+                    DistributionScript.draw(outcome.failed().keySet().iterator().next()));
             out.println("seed " + smallest.seed() + " with fewest faults:");
             smallest.faults().forEach(f -> out.println("  " + f));
             VirtualDistribution.play(smallest, new Rules()).findings().forEach(f -> out.println("  " + f));
@@ -67,7 +75,7 @@
 
     private static DistributionScript shrink(DistributionScript script) {
         DistributionScript smallest = script;
-        for (int i = 0; i < smallest.faults().size();) {
+        for (int i = 0; i < smallest.faults().size(); ) {
             List<Fault> fewer = new ArrayList<>(smallest.faults());
             fewer.remove(i);
             DistributionScript candidate = smallest.with(fewer);
--- a/trial/src/main/java/grebehoist/trial/distribution/Fault.java
+++ b/trial/src/main/java/grebehoist/trial/distribution/Fault.java
@@ -75,7 +75,13 @@
 
     @Override
     public String toString() {
-        return String.format(Locale.ROOT, "%s at %.1f s for %.1f s of %s%s", kind.name().toLowerCase(Locale.ROOT).replace('_', ' '), atUs / 1e6, forUs / 1e6,
-                who, rate > 0 ? String.format(Locale.ROOT, " rate %.2f", rate) : "");
+        return String.format(
+                Locale.ROOT,
+                "%s at %.1f s for %.1f s of %s%s",
+                kind.name().toLowerCase(Locale.ROOT).replace('_', ' '),
+                atUs / 1e6,
+                forUs / 1e6,
+                who,
+                rate > 0 ? String.format(Locale.ROOT, " rate %.2f", rate) : "");
     }
 }
--- a/trial/src/main/java/grebehoist/trial/distribution/HolderMemory.java
+++ b/trial/src/main/java/grebehoist/trial/distribution/HolderMemory.java
@@ -30,7 +30,11 @@
 
     /** Returns whether two know a change; or one does, and another one has lost its memory since. */
     boolean known(Item change) {
-        return layout.holders(change.scope()).stream().filter(m -> !remembers(m, change.scope()) || holders.apply(m).knows(change)).count() >= 2;
+        return layout.holders(change.scope()).stream()
+                        .filter(m -> !remembers(m, change.scope())
+                                || holders.apply(m).knows(change))
+                        .count()
+                >= 2;
     }
 
     /** Returns the machines that hold a change. */
--- a/trial/src/main/java/grebehoist/trial/distribution/VirtualDistribution.java
+++ b/trial/src/main/java/grebehoist/trial/distribution/VirtualDistribution.java
@@ -32,12 +32,14 @@
     private static final long SETTLE_US = 14 * S;
     /** What comes all at once is paced. */
     private static final long BURST_US = 45 * S;
+
     private static final long IN_FORCE_US = 11 * S;
     private static final int SOCKET = 400;
     private static final int BYTES_PER_S = 3_000;
     private static final int UDP_BYTES = 28;
     private static final long CALL_US = 500_000;
-    private static final List<KeyRing.Key> KEYS = List.of(new KeyRing.Key(1, "a key for trials, of 32 bytes...".getBytes(StandardCharsets.UTF_8)));
+    private static final List<KeyRing.Key> KEYS =
+            List.of(new KeyRing.Key(1, "a key for trials, of 32 bytes...".getBytes(StandardCharsets.UTF_8)));
 
     /** A process: a machine or a proxy, or where a writer runs. */
     private final class Host {
@@ -69,7 +71,12 @@
         void start() {
             life++;
             socket.clear();
-            var setup = new DistributionNode.Setup(number, script.machines() + script.proxies(), layout, terms, new KeyRing(KEYS),
+            var setup = new DistributionNode.Setup(
+                    number,
+                    script.machines() + script.proxies(),
+                    layout,
+                    terms,
+                    new KeyRing(KEYS),
                     new SplittableRandom(random.nextLong()));
             int lives = life;
             var out = new DistributionNode.Output() {
@@ -88,7 +95,9 @@
                 }
             };
             referee.started(number);
-            node = isMachine() ? DistributionNode.machine(setup, out, rules) : DistributionNode.proxy(setup, scopes, out, rules);
+            node = isMachine()
+                    ? DistributionNode.machine(setup, out, rules)
+                    : DistributionNode.proxy(setup, scopes, out, rules);
             node.start(local());
             at(now() + random.nextLong(tickUs()), () -> tick(lives));
         }
@@ -163,8 +172,12 @@
         this.script = script;
         this.rules = rules;
         this.random = new SplittableRandom(script.seed() ^ 0x5EEDL);
-        this.layout = new Layout(IntStream.range(0, script.machines()).mapToObj(m -> new Layout.Machine("z" + DistributionScript.zone(m))).toList());
-        this.scopes = IntStream.range(0, script.scopes()).mapToObj(i -> "c" + i / 2 + "/s" + i).toList();
+        this.layout = new Layout(IntStream.range(0, script.machines())
+                .mapToObj(m -> new Layout.Machine("z" + DistributionScript.zone(m)))
+                .toList());
+        this.scopes = IntStream.range(0, script.scopes())
+                .mapToObj(i -> "c" + i / 2 + "/s" + i)
+                .toList();
         this.hosts = new Host[script.hosts()];
         this.memory = new HolderMemory(layout, m -> hosts[m].node == null ? null : hosts[m].node.holder());
         for (int i = 0; i < hosts.length; i++) {
@@ -195,13 +208,16 @@
             at(now() + random.nextLong(S), writer::work);
         }
         if (script.burst() > 0) {
-            at(FAULTS_FROM_US + random.nextLong(S, DistributionScript.LENGTH_US), () -> writers.get(0).burst(script.burst()));
+            at(
+                    FAULTS_FROM_US + random.nextLong(S, DistributionScript.LENGTH_US),
+                    () -> writers.get(0).burst(script.burst()));
         }
         for (Fault f : script.faults()) {
             at(FAULTS_FROM_US + f.atUs(), () -> begin(f));
             at(FAULTS_FROM_US + f.endUs(), () -> end(f));
         }
-        long over = FAULTS_FROM_US + script.faults().stream().mapToLong(Fault::endUs).max().orElse(0);
+        long over = FAULTS_FROM_US
+                + script.faults().stream().mapToLong(Fault::endUs).max().orElse(0);
         run(Math.max(over, FAULTS_FROM_US + DistributionScript.LENGTH_US));
         writers.forEach(VirtualWriter::stop);
         run(now() + SETTLE_US + (script.burst() > 0 ? BURST_US : 0));
@@ -227,7 +243,8 @@
                 continue;
             }
             if (last.get(i).taken() == 0) {
-                referee.found("not taken after all", now(), scope + ": " + last.get(i).result());
+                referee.found(
+                        "not taken after all", now(), scope + ": " + last.get(i).result());
             }
             referee.nothingLost(now(), scope);
             for (int m : layout.holders(scope)) {
@@ -336,9 +353,12 @@
         }
         long onItsWayUs = random.nextLong(100, 1_000);
         for (long lateUs : Fault.delaysUs(active, from, to, random)) {
-            at(now() + onItsWayUs + lateUs, () -> hosts[to].arrive(() -> {
-                hosts[to].node.received(hosts[to].local(), hosts[to].isProxy() ? from : Post.sender(datagram), datagram);
-            }));
+            at(
+                    now() + onItsWayUs + lateUs,
+                    () -> hosts[to].arrive(() -> {
+                        hosts[to].node.received(
+                                hosts[to].local(), hosts[to].isProxy() ? from : Post.sender(datagram), datagram);
+                    }));
         }
     }
 
@@ -353,16 +373,20 @@
         };
         at(now() + CALL_US, () -> hosts[from].arrive(() -> once.accept(null)));
         for (long lateUs : first(Fault.delaysUs(active, from, call.machine(), random))) {
-            at(now() + random.nextLong(200, 2_000) + lateUs, () -> hosts[call.machine()].arrive(() -> {
-                Host h = hosts[call.machine()];
-                Answer answer = h.node.holder().answer(h.local(), call);
-                if (call instanceof Call.Offer o && answer instanceof Answer.Held) {
-                    referee.held(call.machine(), o.item());
-                }
-                for (long backUs : first(Fault.delaysUs(active, call.machine(), from, random))) {
-                    at(now() + random.nextLong(200, 2_000) + backUs, () -> hosts[from].arrive(() -> once.accept(answer)));
-                }
-            }));
+            at(
+                    now() + random.nextLong(200, 2_000) + lateUs,
+                    () -> hosts[call.machine()].arrive(() -> {
+                        Host h = hosts[call.machine()];
+                        Answer answer = h.node.holder().answer(h.local(), call);
+                        if (call instanceof Call.Offer o && answer instanceof Answer.Held) {
+                            referee.held(call.machine(), o.item());
+                        }
+                        for (long backUs : first(Fault.delaysUs(active, call.machine(), from, random))) {
+                            at(
+                                    now() + random.nextLong(200, 2_000) + backUs,
+                                    () -> hosts[from].arrive(() -> once.accept(answer)));
+                        }
+                    }));
         }
     }
 
@@ -379,7 +403,12 @@
         } else if (change instanceof DistributionChange.Applied a) {
             referee.inForce(now(), "proxy " + by.number, a.item(), memory.holding(a.item()));
         } else if (change instanceof DistributionChange.InForce f) {
-            referee.inForce(now(), by.number, f.scope(), f.version(), by.node.subscriber().items(f.scope()));
+            referee.inForce(
+                    now(),
+                    by.number,
+                    f.scope(),
+                    f.version(),
+                    by.node.subscriber().items(f.scope()));
         } else if (change instanceof DistributionChange.Refilling) {
             referee.count("refills");
         } else if (change instanceof DistributionChange.SourceMoved) {
--- a/trial/src/main/java/grebehoist/trial/distribution/VirtualWriter.java
+++ b/trial/src/main/java/grebehoist/trial/distribution/VirtualWriter.java
@@ -88,7 +88,12 @@
         // A removal has no value: its kind has to tell it from others.
         byte[] value = (host + "-" + made + "-" + fleet.now()).getBytes(StandardCharsets.UTF_8);
         String key = burst > 0 ? "burst" + made : "k" + fleet.random().nextInt(KEYS);
-        change = new Item(remove ? fleet.nextRemoval() : 2, scope, key, remove ? null : burst > 0 ? Arrays.copyOf(value, BURST_BYTES) : value, 1);
+        change = new Item(
+                remove ? fleet.nextRemoval() : 2,
+                scope,
+                key,
+                remove ? null : burst > 0 ? Arrays.copyOf(value, BURST_BYTES) : value,
+                1);
         carry(writer(), writer().change(change.kind(), key, change.value()));
     }
 
--- a/trial/src/main/java/grebehoist/trial/scale/Books.java
+++ b/trial/src/main/java/grebehoist/trial/scale/Books.java
@@ -18,6 +18,7 @@
     private final boolean[] created;
     /** The last change of a scope whose end is not known. */
     private final Map<Integer, ObjectNode> doubtful = new HashMap<>();
+
     private final Map<String, Integer> results = new TreeMap<>();
     private final Set<String> reasons = new HashSet<>();
     private final Judge judge;
@@ -75,7 +76,9 @@
         switch (change.path("op").asText()) {
             case "suspend" -> contents[scope].apply(Contents.SUSPENSION, key, "", version);
             case "resume" -> contents[scope].apply(Contents.SUSPENSION, key, null, version);
-            case "set" -> contents[scope].apply(change.path("kind").asInt(), key, change.path("value").asText(), version);
+            case "set" ->
+                contents[scope].apply(
+                        change.path("kind").asInt(), key, change.path("value").asText(), version);
             default -> contents[scope].apply(change.path("kind").asInt(), key, null, version);
         }
     }
--- a/trial/src/main/java/grebehoist/trial/scale/ChangeDraw.java
+++ b/trial/src/main/java/grebehoist/trial/scale/ChangeDraw.java
@@ -9,6 +9,7 @@
 final class ChangeDraw {
     /** Of the changes, those of the fleet's scope: each goes to all proxies. */
     private static final double FLEET = 0.02;
+
     private static final double SUSPEND_OR_RESUME = 0.4;
     private static final double REMOVE = 0.1;
     private static final int FIRST_KIND = 2;
@@ -63,7 +64,8 @@
         int place = random.nextInt(Math.max(1, sizes[scope]) + 2);
         if (random.nextDouble() < SUSPEND_OR_RESUME) {
             String backend = "b" + random.nextInt(20);
-            return line(scope, held.has(Contents.SUSPENSION, backend) ? "resume" : "suspend").put("key", backend);
+            return line(scope, held.has(Contents.SUSPENSION, backend) ? "resume" : "suspend")
+                    .put("key", backend);
         }
         if (random.nextDouble() < REMOVE && held.has(kind(place), "k" + place)) {
             return line(scope, "remove").put("kind", kind(place)).put("key", "k" + place);
--- a/trial/src/main/java/grebehoist/trial/scale/ChangeFeed.java
+++ b/trial/src/main/java/grebehoist/trial/scale/ChangeFeed.java
@@ -12,14 +12,15 @@
 
 /** The writer: the program's command {@code change --stdin}, which answers each line by one, in order. */
 final class ChangeFeed implements AutoCloseable {
-    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx96m", "-XX:-UsePerfData");
+    private static final List<String> FLAGS =
+            List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx96m", "-XX:-UsePerfData");
 
     /** Hears what came of a change, on the feed's thread. */
     interface Hears {
         void answered(ObjectNode change, long askedUs, JsonNode answer);
     }
 
-    private record Asked(ObjectNode change, long atUs) { }
+    private record Asked(ObjectNode change, long atUs) {}
 
     private final Subprocess process;
     private final Hears hears;
@@ -27,7 +28,8 @@
 
     ChangeFeed(String name, Path jar, Path installation, Hears hears) throws IOException {
         this.hears = hears;
-        process = new Subprocess(name, FLAGS, jar, List.of("change", "--installation", installation.toString(), "--stdin"), this::heard);
+        process = new Subprocess(
+                name, FLAGS, jar, List.of("change", "--installation", installation.toString(), "--stdin"), this::heard);
     }
 
     /** Asks for a change. */
--- a/trial/src/main/java/grebehoist/trial/scale/Contents.java
+++ b/trial/src/main/java/grebehoist/trial/scale/Contents.java
@@ -59,7 +59,9 @@
         long sum = 0;
         for (Map.Entry<String, String> e : live.entrySet()) {
             int blank = e.getKey().indexOf(' ');
-            sum += digest(Integer.parseInt(e.getKey().substring(0, blank)), e.getKey().substring(blank + 1),
+            sum += digest(
+                    Integer.parseInt(e.getKey().substring(0, blank)),
+                    e.getKey().substring(blank + 1),
                     e.getValue().getBytes(StandardCharsets.UTF_8));
         }
         return sum;
--- a/trial/src/main/java/grebehoist/trial/scale/ControlMachines.java
+++ b/trial/src/main/java/grebehoist/trial/scale/ControlMachines.java
@@ -18,14 +18,24 @@
 final class ControlMachines implements AutoCloseable {
     /** What all datagrams of a play are sealed with, in hexadecimal: only for trials, on loopback. */
     static final String KEY = "6f6e6c7920666f7220747269616c732c206f6e206c6f6f706261636b";
-    private static final List<String> FLAGS = List.of("-Djava.net.preferIPv4Stack=true", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-            "-Xshare:auto", "-XX:-UsePerfData", "-Dio.netty.jfr.enabled=false", "-Xss512k", "-Xmx64m", "-XX:MaxDirectMemorySize=40m",
+
+    private static final List<String> FLAGS = List.of(
+            "-Djava.net.preferIPv4Stack=true",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-Xshare:auto",
+            "-XX:-UsePerfData",
+            "-Dio.netty.jfr.enabled=false",
+            "-Xss512k",
+            "-Xmx64m",
+            "-XX:MaxDirectMemorySize=40m",
             "-XX:ReservedCodeCacheSize=24m");
 
     private final Path jar;
     private final Path directory;
     /** Of machines, then of real proxies. */
     private final InetSocketAddress[] listen;
+
     private final InetSocketAddress[] doors;
     private final MachineRelay relay;
     private final Subprocess[] processes;
@@ -41,7 +51,9 @@
         processes = new Subprocess[number];
         spentMs = new long[number];
         List<AutoCloseable> held = ports();
-        int[] zones = IntStream.range(0, listen.length).map(i -> Plan.zone(i < number ? i : plan.proxies() + i - number)).toArray();
+        int[] zones = IntStream.range(0, listen.length)
+                .map(i -> Plan.zone(i < number ? i : plan.proxies() + i - number))
+                .toArray();
         relay = new MachineRelay(listen, zones, number, plan.seed());
         for (AutoCloseable h : held) {
             try {
@@ -84,18 +96,32 @@
     }
 
     private String text(String name, String role, int at, int sees) throws IOException {
-        var text = new StringBuilder("[process]\nname = \"").append(name).append("\"\n[distribution]\nrole = \"").append(role)
-                .append("\"\nlisten = \"").append(text(listen[at])).append("\"\n");
+        var text = new StringBuilder("[process]\nname = \"")
+                .append(name)
+                .append("\"\n[distribution]\nrole = \"")
+                .append(role)
+                .append("\"\nlisten = \"")
+                .append(text(listen[at]))
+                .append("\"\n");
         for (int i = 0; i < processes.length; i++) {
-            text.append("[[distribution.control]]\naddress = \"").append(text(sees < 0 ? listen[i] : relay.address(sees, i)))
-                    .append("\"\ndoor = \"").append(text(doors[i])).append("\"\nzone = \"").append(Plan.zoneName(Plan.zone(i))).append("\"\n");
+            text.append("[[distribution.control]]\naddress = \"")
+                    .append(text(sees < 0 ? listen[i] : relay.address(sees, i)))
+                    .append("\"\ndoor = \"")
+                    .append(text(doors[i]))
+                    .append("\"\nzone = \"")
+                    .append(Plan.zoneName(Plan.zone(i)))
+                    .append("\"\n");
         }
-        return text.append("[[distribution.key]]\nid = 1\nsecret = \"").append(KEY).append("\"\n").toString();
+        return text.append("[[distribution.key]]\nid = 1\nsecret = \"")
+                .append(KEY)
+                .append("\"\n")
+                .toString();
     }
 
     /** Returns the tables of a real proxy, but for its number and scopes: these go where {@code %s} is. */
     String proxy(String name, int real) throws IOException {
-        return text(name, "proxy", processes.length + real, processes.length + real).replaceFirst("\n\\[\\[distribution.control", "\n%s\n[[distribution.control");
+        return text(name, "proxy", processes.length + real, processes.length + real)
+                .replaceFirst("\n\\[\\[distribution.control", "\n%s\n[[distribution.control");
     }
 
     /** Returns where a real proxy may listen to its clients. */
@@ -121,8 +147,12 @@
     }
 
     void start(int machine) throws IOException {
-        processes[machine] = new Subprocess("m" + machine, FLAGS, jar, List.of("serve", "--installation", installation(machine).toString()),
-                line -> { });
+        processes[machine] = new Subprocess(
+                "m" + machine,
+                FLAGS,
+                jar,
+                List.of("serve", "--installation", installation(machine).toString()),
+                line -> {});
     }
 
     /** Waits until the door of a machine answers. */
@@ -139,7 +169,8 @@
 
     private boolean answers(int machine) {
         try {
-            var connection = (HttpURLConnection) URI.create("http://" + text(doors[machine]) + "/").toURL().openConnection();
+            var connection = (HttpURLConnection)
+                    URI.create("http://" + text(doors[machine]) + "/").toURL().openConnection();
             connection.setConnectTimeout(500);
             connection.setReadTimeout(500);
             return connection.getResponseCode() > 0;
--- a/trial/src/main/java/grebehoist/trial/scale/FaultDriver.java
+++ b/trial/src/main/java/grebehoist/trial/scale/FaultDriver.java
@@ -17,7 +17,7 @@
 
     private static final int DEAF_ONE_IN = 3;
 
-    private record Step(long atUs, boolean begins, Weather.Fault fault) { }
+    private record Step(long atUs, boolean begins, Weather.Fault fault) {}
 
     private final Plan plan;
     private final Layout layout;
@@ -31,7 +31,14 @@
     private long beganUs;
     private int unreached;
 
-    FaultDriver(Plan plan, Layout layout, double loss, ControlMachines machines, Hollows hollows, Judge judge, ScaleHistory history,
+    FaultDriver(
+            Plan plan,
+            Layout layout,
+            double loss,
+            ControlMachines machines,
+            Hollows hollows,
+            Judge judge,
+            ScaleHistory history,
             Restarts restarts) {
         this.plan = plan;
         this.layout = layout;
@@ -74,7 +81,11 @@
 
     static ArrayNode told(List<Weather.Fault> faults) {
         ArrayNode all = Wire.JSON.createArrayNode();
-        faults.forEach(f -> all.add(Wire.JSON.createObjectNode().put("kind", name(f)).put("from_s", f.fromUs() / 1e6).put("until_s", f.untilUs() / 1e6)
+        faults.forEach(f -> all.add(Wire.JSON
+                .createObjectNode()
+                .put("kind", name(f))
+                .put("from_s", f.fromUs() / 1e6)
+                .put("until_s", f.untilUs() / 1e6)
                 .put("who", f.who())));
         return all;
     }
@@ -84,7 +95,10 @@
     }
 
     private void begin(Weather.Fault f) throws IOException, InterruptedException {
-        history.line(Wire.referee("fault").put("kind", name(f)).put("who", f.who()).put("rate", f.kind() == Weather.Kind.LOSS ? loss : 0));
+        history.line(Wire.referee("fault")
+                .put("kind", name(f))
+                .put("who", f.who())
+                .put("rate", f.kind() == Weather.Kind.LOSS ? loss : 0));
         switch (f.kind()) {
             case LOSS -> lose(loss);
             case KILL -> {
@@ -96,7 +110,8 @@
                 history.process("m" + f.who(), "stopped");
             }
             case RESTART -> restarts.restart(f.who());
-            case ONEWAY -> hollows.tell(Hollows.what("deaf").put("machine", f.who()).put("one_in", DEAF_ONE_IN));
+            case ONEWAY ->
+                hollows.tell(Hollows.what("deaf").put("machine", f.who()).put("one_in", DEAF_ONE_IN));
             case REGION -> cut(f.who());
         }
     }
@@ -112,7 +127,7 @@
                 machines.signal(f.who(), "CONT");
                 history.process("m" + f.who(), "continued");
             }
-            case RESTART -> { }
+            case RESTART -> {}
             case ONEWAY -> hollows.tell(Hollows.what("deaf").put("machine", -1));
             case REGION -> {
                 cut(-1);
--- a/trial/src/main/java/grebehoist/trial/scale/HollowCommand.java
+++ b/trial/src/main/java/grebehoist/trial/scale/HollowCommand.java
@@ -18,8 +18,8 @@
     @Override
     public Integer call() throws IOException {
         var in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
-        var out = new PrintWriter(new OutputStreamWriter(new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16),
-                StandardCharsets.UTF_8));
+        var out = new PrintWriter(new OutputStreamWriter(
+                new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16), StandardCharsets.UTF_8));
         var loop = new HollowLoop(Wire.JSON.readTree(in.readLine()), out);
         loop.hear(in);
         loop.run();
--- a/trial/src/main/java/grebehoist/trial/scale/HollowLoop.java
+++ b/trial/src/main/java/grebehoist/trial/scale/HollowLoop.java
@@ -45,9 +45,11 @@
     private double loss;
     /** A machine whose datagrams some of the proxies do not hear, or -1. */
     private int unheard = -1;
+
     private int unheardByOneIn = 1;
     /** A region that hears nothing of the others, nor they of it, or -1. */
     private int cutRegion = -1;
+
     private boolean ended;
 
     HollowLoop(JsonNode setup, PrintWriter out) throws IOException {
@@ -63,7 +65,8 @@
             machines.add(address);
         }
         layout = new Layout(zones);
-        ring = new KeyRing(List.of(new KeyRing.Key(1, HexFormat.of().parseHex(setup.path("key").asText()))));
+        ring = new KeyRing(List.of(
+                new KeyRing.Key(1, HexFormat.of().parseHex(setup.path("key").asText()))));
         for (int i = 0; i < Math.max(1, terms.proxyTickUs() / SLOT_US); i++) {
             slots.add(new ArrayList<>());
         }
@@ -71,18 +74,20 @@
 
     /** Hears what it is told, on a thread of its own, until nobody tells anything more. */
     void hear(BufferedReader from) {
-        var hears = new Thread(() -> {
-            try {
-                for (String line = from.readLine(); line != null; line = from.readLine()) {
-                    told.add(Wire.JSON.readTree(line));
+        var hears = new Thread(
+                () -> {
+                    try {
+                        for (String line = from.readLine(); line != null; line = from.readLine()) {
+                            told.add(Wire.JSON.readTree(line));
+                            selector.wakeup();
+                        }
+                    } catch (IOException e) {
+                        out.println("what is told can't be read: " + e);
+                    }
+                    told.add(Wire.JSON.createObjectNode().put("do", "end"));
                     selector.wakeup();
-                }
-            } catch (IOException e) {
-                out.println("what is told can't be read: " + e);
-            }
-            told.add(Wire.JSON.createObjectNode().put("do", "end"));
-            selector.wakeup();
-        }, "hears");
+                },
+                "hears");
         hears.setDaemon(true);
         hears.start();
     }
@@ -94,7 +99,8 @@
         while (!ended) {
             long untilUs = (slot + 1) * SLOT_US - Wire.now();
             if (untilUs > 0) {
-                selector.select(key -> ((HollowProxy) key.attachment()).read(Wire.now(), buffer), Math.max(1, untilUs / 1_000));
+                selector.select(
+                        key -> ((HollowProxy) key.attachment()).read(Wire.now(), buffer), Math.max(1, untilUs / 1_000));
             } else {
                 selector.selectNow(key -> ((HollowProxy) key.attachment()).read(Wire.now(), buffer));
             }
@@ -172,14 +178,21 @@
         // Twice: what the first finds to be finalized goes with the second.
         System.gc();
         System.gc();
-        tell(Wire.line(Wire.now(), name, "heap").put("proxies", proxies.size())
-                .put("used", Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()));
+        tell(Wire.line(Wire.now(), name, "heap")
+                .put("proxies", proxies.size())
+                .put(
+                        "used",
+                        Runtime.getRuntime().totalMemory()
+                                - Runtime.getRuntime().freeMemory()));
     }
 
     @Override
     public DistributionNode node(int proxy, List<String> scopes, DistributionNode.Output to) {
-        return DistributionNode.proxy(new DistributionNode.Setup(plan.machines() + proxy, plan.machines() + plan.proxies(), layout, terms,
-                ring, random.split()), scopes, to);
+        return DistributionNode.proxy(
+                new DistributionNode.Setup(
+                        plan.machines() + proxy, plan.machines() + plan.proxies(), layout, terms, ring, random.split()),
+                scopes,
+                to);
     }
 
     @Override
@@ -200,7 +213,8 @@
         if (!toMachine && machine == unheard && proxy % unheardByOneIn == 0) {
             return false;
         }
-        return cutRegion < 0 || Plan.region(Plan.zone(proxy)) == cutRegion == (Plan.region(Plan.zone(machine)) == cutRegion);
+        return cutRegion < 0
+                || Plan.region(Plan.zone(proxy)) == cutRegion == (Plan.region(Plan.zone(machine)) == cutRegion);
     }
 
     @Override
--- a/trial/src/main/java/grebehoist/trial/scale/HollowProxy.java
+++ b/trial/src/main/java/grebehoist/trial/scale/HollowProxy.java
@@ -51,6 +51,7 @@
     private long now;
     /** What it is to have before it counts as filled; null once it does. */
     private long[] wanted;
+
     private int lacking;
     private long startedUs;
     private long filledUs;
@@ -111,7 +112,9 @@
     void read(long nowUs, ByteBuffer buffer) {
         now = nowUs;
         try {
-            for (var from = socket.receive(buffer.clear()); from != null; from = socket == null ? null : socket.receive(buffer.clear())) {
+            for (var from = socket.receive(buffer.clear());
+                    from != null;
+                    from = socket == null ? null : socket.receive(buffer.clear())) {
                 int machine = ground.machine((InetSocketAddress) from);
                 if (machine >= 0 && ground.passes(proxy, machine, false)) {
                     byte[] datagram = new byte[buffer.flip().remaining()];
@@ -171,7 +174,10 @@
 
     private void filled() {
         filledUs = now;
-        ground.tell(line("filled").put("started_us", startedUs).put("for_us", now - startedUs).put("bytes", fillBytes));
+        ground.tell(line("filled")
+                .put("started_us", startedUs)
+                .put("for_us", now - startedUs)
+                .put("bytes", fillBytes));
         long[] told = wanted;
         wanted = null;
         for (int i = 0; i < told.length; i++) {
@@ -201,12 +207,22 @@
 
     /** Returns its figures and what it has in force: for each scope its version and the digest of its contents. */
     ObjectNode figures(long nowUs) {
-        ObjectNode line = line("figures").put("for_us", nowUs - measuredFromUs).put("filled", wanted == null && node != null)
-                .put("bytes_in", bytesIn).put("bytes_out", bytesOut).put("datagrams_in", datagramsIn).put("datagrams_out", datagramsOut)
-                .put("window_in", in.greatest()).put("window_out", out.greatest()).put("window", both.greatest())
-                .put("fill_us", filledUs - startedUs).put("fill_bytes", fillBytes);
+        ObjectNode line = line("figures")
+                .put("for_us", nowUs - measuredFromUs)
+                .put("filled", wanted == null && node != null)
+                .put("bytes_in", bytesIn)
+                .put("bytes_out", bytesOut)
+                .put("datagrams_in", datagramsIn)
+                .put("datagrams_out", datagramsOut)
+                .put("window_in", in.greatest())
+                .put("window_out", out.greatest())
+                .put("window", both.greatest())
+                .put("fill_us", filledUs - startedUs)
+                .put("fill_bytes", fillBytes);
         if (node != null) {
-            node.refused().forEach((why, n) -> line.withObject("/refused").put(why.name().toLowerCase(Locale.ROOT), n));
+            node.refused()
+                    .forEach((why, n) ->
+                            line.withObject("/refused").put(why.name().toLowerCase(Locale.ROOT), n));
             line.put("unreadable", node.unreadable());
             for (int i = 0; i < names.size(); i++) {
                 long digest = 0;
@@ -214,7 +230,9 @@
                     digest += Contents.digest(item.kind(), item.key(), item.value());
                 }
                 ArrayNode one = line.withArray("has").addArray();
-                one.add(scopes.get(i)).add(versions.getOrDefault(names.get(i), 0L)).add(digest);
+                one.add(scopes.get(i))
+                        .add(versions.getOrDefault(names.get(i), 0L))
+                        .add(digest);
             }
         }
         return line;
--- a/trial/src/main/java/grebehoist/trial/scale/Hollows.java
+++ b/trial/src/main/java/grebehoist/trial/scale/Hollows.java
@@ -13,7 +13,8 @@
 
 /** The processes of hollow proxies: each has a part of them, and all are told the same. */
 final class Hollows implements AutoCloseable {
-    private static final List<String> FLAGS = List.of("-Djava.net.preferIPv4Stack=true", "-XX:+UseSerialGC", "-XX:-UsePerfData", "-Xss512k");
+    private static final List<String> FLAGS =
+            List.of("-Djava.net.preferIPv4Stack=true", "-XX:+UseSerialGC", "-XX:-UsePerfData", "-Xss512k");
 
     private final int each;
     private final List<Subprocess> processes = new ArrayList<>();
@@ -26,7 +27,8 @@
      * @param each so many proxies a process
      * @param lines hears what they tell, on a thread for each process
      */
-    Hollows(Plan plan, int each, Path jar, int heapMb, ControlMachines machines, Consumer<JsonNode> lines) throws IOException {
+    Hollows(Plan plan, int each, Path jar, int heapMb, ControlMachines machines, Consumer<JsonNode> lines)
+            throws IOException {
         this.each = each;
         int number = (plan.proxies() + each - 1) / each;
         ends = new CountDownLatch(number);
@@ -34,7 +36,11 @@
         flags.add("-Xmx" + heapMb + "m");
         for (int i = 0; i < number; i++) {
             processes.add(new Subprocess("h" + i, flags, jar, List.of("hollow"), line -> heard(line, lines)));
-            ObjectNode setup = Wire.JSON.createObjectNode().put("name", "h" + i).put("key", ControlMachines.KEY).put("seed", plan.seed() * 1_000 + i);
+            ObjectNode setup = Wire.JSON
+                    .createObjectNode()
+                    .put("name", "h" + i)
+                    .put("key", ControlMachines.KEY)
+                    .put("seed", plan.seed() * 1_000 + i);
             setup.set("plan", Wire.JSON.valueToTree(plan));
             for (int m = 0; m < machines.number(); m++) {
                 setup.withArray("machines").add(machines.port(m));
@@ -95,12 +101,17 @@
 
     /** Returns those that have ended although nobody told them to. */
     List<String> dead() {
-        return processes.stream().filter(p -> !p.alive()).map(p -> p.name() + " has ended: " + p.log()).toList();
+        return processes.stream()
+                .filter(p -> !p.alive())
+                .map(p -> p.name() + " has ended: " + p.log())
+                .toList();
     }
 
     /** Returns what all have written that is no JSON. */
     List<String> logs() {
-        return processes.stream().flatMap(p -> p.log().stream().map(l -> p.name() + ": " + l)).toList();
+        return processes.stream()
+                .flatMap(p -> p.log().stream().map(l -> p.name() + ": " + l))
+                .toList();
     }
 
     long cpuMs() {
--- a/trial/src/main/java/grebehoist/trial/scale/Judge.java
+++ b/trial/src/main/java/grebehoist/trial/scale/Judge.java
@@ -20,13 +20,14 @@
 final class Judge {
     /** A change is in force everywhere reachable within so long. */
     static final long WORST_US = 11_000_000;
+
     private static final int MOST_FINDINGS = 30;
 
     /** A version of a scope that was taken, and when. */
-    private record Taken(long version, long askedUs, long takenUs) { }
+    private record Taken(long version, long askedUs, long takenUs) {}
 
     /** A proxy has this version of a scope in force. */
-    private record Seen(long version, long atUs) { }
+    private record Seen(long version, long atUs) {}
 
     /** A fault of a kind, or a proxy that can't be reached: from when, until when. */
     private record Span(String kind, long fromUs, long untilUs) {
@@ -43,7 +44,13 @@
      * @param excused pairs of a change and a proxy that a fault kept from it, judged from the fault's end on in {@code delays}
      * @param gone pairs of a change and a proxy that was (re)started and took it with its fill, or that was still cut off at the end
      */
-    record Judgement(List<String> findings, Map<String, Histogram> delays, Histogram writer, long changes, long excused, long gone) {
+    record Judgement(
+            List<String> findings,
+            Map<String, Histogram> delays,
+            Histogram writer,
+            long changes,
+            long excused,
+            long gone) {
         Histogram all() {
             var all = new Histogram(3);
             delays.values().forEach(all::add);
@@ -58,6 +65,7 @@
     private final List<List<Span>> starts = new ArrayList<>();
     /** For each proxy, of the fleet's scope and of its cell's. */
     private final List<List<List<Span>>> cuts = new ArrayList<>();
+
     private final List<Span> faults = new ArrayList<>();
     private final Set<String> findings = new TreeSet<>();
     private long[] base;
@@ -94,7 +102,9 @@
 
     synchronized void inForce(int proxy, int scope, long version, long atUs) {
         List<Seen> of = seen.get(proxy).computeIfAbsent(scope, s -> new ArrayList<>());
-        long before = of.isEmpty() ? base == null ? 0 : base[scope] : of.get(of.size() - 1).version();
+        long before = of.isEmpty()
+                ? base == null ? 0 : base[scope]
+                : of.get(of.size() - 1).version();
         if (version < before) {
             found("p" + proxy + " goes back from " + before + " to " + version + " of " + names.get(scope));
         }
@@ -161,23 +171,29 @@
         return new Judgement(findings(), delays, writer, changes, excused[0], excused[1]);
     }
 
-    private void judge(int proxy, int scope, List<Taken> changes, long endUs, Map<String, Histogram> delays, long[] excused) {
+    private void judge(
+            int proxy, int scope, List<Taken> changes, long endUs, Map<String, Histogram> delays, long[] excused) {
         List<Seen> events = seen.get(proxy).getOrDefault(scope, List.of());
         int at = 0;
         for (Taken change : changes) {
             while (at < events.size() && events.get(at).version() < change.version()) {
                 at++;
             }
-            long inForceUs = at < events.size() ? Math.max(change.takenUs(), events.get(at).atUs()) : Long.MAX_VALUE;
+            long inForceUs = at < events.size()
+                    ? Math.max(change.takenUs(), events.get(at).atUs())
+                    : Long.MAX_VALUE;
             long untilUs = Math.min(inForceUs, endUs);
             if (starts.get(proxy).stream().anyMatch(s -> s.meets(change.takenUs(), untilUs))) {
                 excused[1]++;
                 continue;
             }
-            List<Span> cut = cuts.get(proxy).get(scope == 0 ? 0 : 1).stream().filter(s -> s.meets(change.takenUs(), untilUs)).toList();
+            List<Span> cut = cuts.get(proxy).get(scope == 0 ? 0 : 1).stream()
+                    .filter(s -> s.meets(change.takenUs(), untilUs))
+                    .toList();
             long fromUs = change.takenUs();
             if (!cut.isEmpty()) {
-                fromUs = Math.max(fromUs, cut.stream().mapToLong(Span::untilUs).max().orElseThrow());
+                fromUs = Math.max(
+                        fromUs, cut.stream().mapToLong(Span::untilUs).max().orElseThrow());
                 if (fromUs >= endUs) {
                     excused[1]++;
                     continue;
@@ -185,21 +201,30 @@
                 excused[0]++;
             }
             if (inForceUs == Long.MAX_VALUE) {
-                found("p" + proxy + " does not have version " + change.version() + " of " + names.get(scope) + " in force, "
-                        + (endUs - fromUs) / 1_000 + " ms after it was taken or the way to it is open");
+                found("p" + proxy + " does not have version " + change.version() + " of " + names.get(scope)
+                        + " in force, " + (endUs - fromUs) / 1_000 + " ms after it was taken or the way to it is open");
                 continue;
             }
             long delayUs = Math.max(0, inForceUs - fromUs);
-            delays.computeIfAbsent(cut.isEmpty() ? during(fromUs, inForceUs) : "after a cut", k -> new Histogram(3)).recordValue(delayUs);
+            delays.computeIfAbsent(cut.isEmpty() ? during(fromUs, inForceUs) : "after a cut", k -> new Histogram(3))
+                    .recordValue(delayUs);
             if (delayUs > WORST_US) {
-                found(String.format(Locale.ROOT, "p%d has version %d of %s in force %.1f s after it was taken", proxy, change.version(),
-                        names.get(scope), delayUs / 1e6));
+                found(String.format(
+                        Locale.ROOT,
+                        "p%d has version %d of %s in force %.1f s after it was taken",
+                        proxy,
+                        change.version(),
+                        names.get(scope),
+                        delayUs / 1e6));
             }
         }
     }
 
     private String during(long fromUs, long untilUs) {
-        var kinds = faults.stream().filter(f -> f.meets(fromUs, untilUs)).sorted(Comparator.comparing(Span::kind)).map(Span::kind)
+        var kinds = faults.stream()
+                .filter(f -> f.meets(fromUs, untilUs))
+                .sorted(Comparator.comparing(Span::kind))
+                .map(Span::kind)
                 .collect(Collectors.toCollection(LinkedHashSet::new));
         return kinds.isEmpty() ? "calm" : String.join("+", kinds);
     }
@@ -214,7 +239,9 @@
         for (int p = from; p < plan.everyone(); p++) {
             for (int scope : plan.scopesOf(p)) {
                 List<Seen> of = seen.get(p).getOrDefault(scope, List.of());
-                long have = of.isEmpty() ? base == null ? 0 : base[scope] : of.get(of.size() - 1).version();
+                long have = of.isEmpty()
+                        ? base == null ? 0 : base[scope]
+                        : of.get(of.size() - 1).version();
                 if (have < versions[scope]) {
                     return false;
                 }
--- a/trial/src/main/java/grebehoist/trial/scale/Loader.java
+++ b/trial/src/main/java/grebehoist/trial/scale/Loader.java
@@ -37,10 +37,16 @@
             again += round > 0 ? asked : 0;
         }
         if (books.items() < IntStream.of(sizes).sum()) {
-            judge.found("of " + IntStream.of(sizes).sum() + " items " + books.items() + " could be loaded: " + books.reasons());
+            judge.found("of " + IntStream.of(sizes).sum() + " items " + books.items() + " could be loaded: "
+                    + books.reasons());
         }
-        ObjectNode took = Wire.JSON.createObjectNode().put("scopes", sizes.length).put("items", books.items())
-                .put("create_s", Tally.seconds(created - began)).put("items_s", Tally.seconds(Wire.now() - created)).put("asked_again", again);
+        ObjectNode took = Wire.JSON
+                .createObjectNode()
+                .put("scopes", sizes.length)
+                .put("items", books.items())
+                .put("create_s", Tally.seconds(created - began))
+                .put("items_s", Tally.seconds(Wire.now() - created))
+                .put("asked_again", again);
         took.set("results", Wire.JSON.valueToTree(books.results()));
         return took;
     }
@@ -54,7 +60,12 @@
         for (int place = 0; place < most; place++) {
             for (int s = 0; s < sizes.length; s++) {
                 ObjectNode item = place < sizes[s] ? draw.item(s, place) : null;
-                if (item != null && !books.of(s, c -> c.has(item.path("kind").asInt(), item.path("key").asText()))) {
+                if (item != null
+                        && !books.of(
+                                s,
+                                c -> c.has(
+                                        item.path("kind").asInt(),
+                                        item.path("key").asText()))) {
                     ChangeFeed to = feeds.get(s % feeds.size());
                     to.submit(item);
                     to.await(AHEAD, ANSWER_MS);
@@ -76,9 +87,11 @@
             if (round > 0) {
                 TimeUnit.MILLISECONDS.sleep(AGAIN_MS);
             }
-            // One alone until that works: as long as the machines do not know of each other there is no use in asking for all.
+            // One alone until that works: as long as the machines do not know of each other there is no use in asking
+            // for all.
             for (int s : missing.size() == scopes.size() ? missing.subList(0, 1) : missing) {
-                feeds.get(s % feeds.size()).submit(Wire.JSON.createObjectNode().put("op", "create").put("scope", scopes.get(s)));
+                feeds.get(s % feeds.size())
+                        .submit(Wire.JSON.createObjectNode().put("op", "create").put("scope", scopes.get(s)));
             }
             awaitAnswers(feeds);
             missing = missing.stream().filter(s -> !books.created(s)).toList();
@@ -88,7 +101,8 @@
     private static void awaitAnswers(List<ChangeFeed> feeds) throws IOException, InterruptedException {
         for (ChangeFeed f : feeds) {
             if (!f.await(0, ANSWER_MS)) {
-                throw new IOException(f.process().name() + " does not answer: " + f.process().log());
+                throw new IOException(
+                        f.process().name() + " does not answer: " + f.process().log());
             }
         }
     }
--- a/trial/src/main/java/grebehoist/trial/scale/MachineRelay.java
+++ b/trial/src/main/java/grebehoist/trial/scale/MachineRelay.java
@@ -18,7 +18,7 @@
 final class MachineRelay implements AutoCloseable {
     private static final int LONGEST = 2_048;
 
-    private record Link(int from, int to) { }
+    private record Link(int from, int to) {}
 
     private final InetSocketAddress[] real;
     private final int[] zones;
@@ -48,7 +48,8 @@
             for (int b = 0; b < n; b++) {
                 if (a != b && (a < machines || b < machines)) {
                     DatagramChannel socket = DatagramChannel.open();
-                    socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).configureBlocking(false);
+                    socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                            .configureBlocking(false);
                     socket.register(selector, SelectionKey.OP_READ, new Link(a, b));
                     sockets[a][b] = socket;
                 }
@@ -92,7 +93,8 @@
     private void read(SelectionKey key, ByteBuffer buffer) {
         Link link = (Link) key.attachment();
         try {
-            for (SocketAddress from = ((DatagramChannel) key.channel()).receive(buffer.clear()); from != null;
+            for (SocketAddress from = ((DatagramChannel) key.channel()).receive(buffer.clear());
+                    from != null;
                     from = ((DatagramChannel) key.channel()).receive(buffer.clear())) {
                 // Whoever else sends here is none of the machines.
                 if (from.equals(real[link.from()]) && passes(link)) {
--- a/trial/src/main/java/grebehoist/trial/scale/Plan.java
+++ b/trial/src/main/java/grebehoist/trial/scale/Plan.java
@@ -22,6 +22,7 @@
     static final String FLEET = "fleet";
     /** Items of the fleet's scope. */
     static final int FLEET_ITEMS = 8;
+
     private static final int PROXIES_A_CELL = 60;
 
     /** Returns how many proxies there are, hollow and real. */
--- a/trial/src/main/java/grebehoist/trial/scale/RealProxies.java
+++ b/trial/src/main/java/grebehoist/trial/scale/RealProxies.java
@@ -28,8 +28,17 @@
  * harm what they are for.
  */
 final class RealProxies implements AutoCloseable {
-    private static final List<String> FLAGS = List.of("-Djava.net.preferIPv4Stack=true", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-            "-Xshare:auto", "-XX:-UsePerfData", "-Dio.netty.jfr.enabled=false", "-Xss512k", "-Xms24m", "-Xmx48m", "-XX:MaxDirectMemorySize=40m",
+    private static final List<String> FLAGS = List.of(
+            "-Djava.net.preferIPv4Stack=true",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-Xshare:auto",
+            "-XX:-UsePerfData",
+            "-Dio.netty.jfr.enabled=false",
+            "-Xss512k",
+            "-Xms24m",
+            "-Xmx48m",
+            "-XX:MaxDirectMemorySize=40m",
             "-XX:ReservedCodeCacheSize=16m");
     private static final long MS = 1_000;
     private static final long S = 1_000_000;
@@ -38,6 +47,7 @@
     private static final double LOAD = 0.3;
     /** As in {@code run}: so many processes share the machine's cores. */
     private static final long LATE_US = 500 * MS;
+
     private static final double MOST_LATE = 0.005;
     private static final double MOST_REFUSED = 0.10;
     private static final long START_MS = 60_000;
@@ -58,12 +68,27 @@
         this.machines = machines;
         this.judge = judge;
         this.lines = lines;
-        Balancer.Settings settings = new Balancer.Settings(plan.real(), 0, Plan.zoneName(0), 4 * MS,
-                List.of(new RequestClass("read", 600 * MS, 2 * S, 1, 0, Effect.SAFE, Scope.ALL, 0),
+        Balancer.Settings settings = new Balancer.Settings(
+                plan.real(),
+                0,
+                Plan.zoneName(0),
+                4 * MS,
+                List.of(
+                        new RequestClass("read", 600 * MS, 2 * S, 1, 0, Effect.SAFE, Scope.ALL, 0),
                         new RequestClass("invoice", 600 * MS, 2_500 * MS, 2, 0, Effect.KEYED, Scope.ZONE, 12 * S),
                         new RequestClass("vote", 600 * MS, 2 * S, 3, 0, Effect.UNSAFE, Scope.ALL, 0)),
-                List.of(), 1, false, new Balancer.Limits(true, false, false, true, 4, 2 * S), new Balancer.Rules(0.4, 8 * S, 4, S, 10 * S, false), 1);
-        rig = new Rig(new HttpWire(), settings, new double[] {0.5, 0.3, 0.2}, 15 * S, plan.seed(),
+                List.of(),
+                1,
+                false,
+                new Balancer.Limits(true, false, false, true, 4, 2 * S),
+                new Balancer.Rules(0.4, 8 * S, 4, S, 10 * S, false),
+                1);
+        rig = new Rig(
+                new HttpWire(),
+                settings,
+                new double[] {0.5, 0.3, 0.2},
+                15 * S,
+                plan.seed(),
                 Witness.Terms.of(settings, Rig.SLACK_US).lateBy(LATE_US));
     }
 
@@ -74,7 +99,12 @@
             Path file = directory.resolve("p" + i + ".toml");
             Files.writeString(file, text(i, rig.discoveryOfNextProxy()));
             rig.proxyAt(machines.clients(i));
-            processes.add(new Subprocess("p" + (plan.proxies() + i), FLAGS, jar, List.of("serve", "--installation", file.toString()), this::heard));
+            processes.add(new Subprocess(
+                    "p" + (plan.proxies() + i),
+                    FLAGS,
+                    jar,
+                    List.of("serve", "--installation", file.toString()),
+                    this::heard));
         }
         for (int i = 0; i < plan.real(); i++) {
             awaitReady(i);
@@ -84,8 +114,11 @@
     private String text(int i, InetSocketAddress discovery) throws IOException {
         int number = plan.proxies() + i;
         List<String> all = plan.scopes();
-        String scopes = plan.scopesOf(number).stream().map(s -> "\"" + all.get(s) + "\"").collect(Collectors.joining(", "));
-        return machines.proxy("p" + number, i).formatted("number = " + number + "\nscopes = [" + scopes + "]") + """
+        String scopes = plan.scopesOf(number).stream()
+                .map(s -> "\"" + all.get(s) + "\"")
+                .collect(Collectors.joining(", "));
+        return machines.proxy("p" + number, i).formatted("number = " + number + "\nscopes = [" + scopes + "]")
+                + """
                 [[pool]]
                 name = "all"
                 protocol = "http"
@@ -121,7 +154,8 @@
                 protocol = "http"
                 address = "127.0.0.1:%d"
                 pool = "all"
-                """.formatted(discovery.getPort(), plan.real(), i, machines.clients(i).getPort());
+                """.formatted(
+                        discovery.getPort(), plan.real(), i, machines.clients(i).getPort());
     }
 
     private void heard(String line) {
@@ -136,7 +170,8 @@
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MS);
         while (!ready(i)) {
             if (System.nanoTime() - until > 0 || !processes.get(i).alive()) {
-                throw new IOException(processes.get(i).name() + " does not get ready: " + processes.get(i).log());
+                throw new IOException(processes.get(i).name() + " does not get ready: "
+                        + processes.get(i).log());
             }
             TimeUnit.MILLISECONDS.sleep(20);
         }
@@ -144,7 +179,10 @@
 
     private boolean ready(int i) {
         try {
-            var connection = (HttpURLConnection) URI.create("http://127.0.0.1:" + machines.clients(i).getPort() + "/ready").toURL().openConnection();
+            var connection = (HttpURLConnection)
+                    URI.create("http://127.0.0.1:" + machines.clients(i).getPort() + "/ready")
+                            .toURL()
+                            .openConnection();
             connection.setConnectTimeout(500);
             connection.setReadTimeout(500);
             return connection.getResponseCode() == 200;
--- a/trial/src/main/java/grebehoist/trial/scale/ScalePlay.java
+++ b/trial/src/main/java/grebehoist/trial/scale/ScalePlay.java
@@ -29,10 +29,18 @@
      * @param each hollow proxies a process
      * @param history null for nowhere
      */
-    record Setting(Path daemon, Path trial, Set<Weather.Kind> faults, double loss, double changesAday, int seconds, int each, Path history) { }
+    record Setting(
+            Path daemon,
+            Path trial,
+            Set<Weather.Kind> faults,
+            double loss,
+            double changesAday,
+            int seconds,
+            int each,
+            Path history) {}
 
     /** How it ended. */
-    record Outcome(List<String> findings, ObjectNode summary) { }
+    record Outcome(List<String> findings, ObjectNode summary) {}
 
     private static final long S = 1_000_000;
     private static final long START_MS = 90_000;
@@ -55,12 +63,14 @@
     private final ControlMachines machines;
     /** Those that were killed and started from nothing. */
     private List<Integer> restarted = List.of();
+
     private Hollows hollows;
     private ChangeFeed feed;
     /** Null where there are none. */
     private RealProxies real;
     /** The versions that a proxy's present life began with: with these it counts as filled. */
     private final long[][] startedWith;
+
     private final List<JsonNode> heaps = new CopyOnWriteArrayList<>();
 
     ScalePlay(Plan plan, Setting setting) throws IOException {
@@ -71,7 +81,9 @@
         books = new Books(plan, judge);
         tally = new Tally(plan);
         startedWith = new long[plan.proxies()][];
-        layout = new Layout(IntStream.range(0, plan.machines()).mapToObj(m -> new Layout.Machine(Plan.zoneName(Plan.zone(m)))).toList());
+        layout = new Layout(IntStream.range(0, plan.machines())
+                .mapToObj(m -> new Layout.Machine(Plan.zoneName(Plan.zone(m))))
+                .toList());
         machines = new ControlMachines(plan, setting.daemon(), directory);
         open.add(machines);
     }
@@ -93,16 +105,23 @@
         try (var stalls = new Stalls()) {
             play(beganUs);
             finish();
-            summary.putObject("machine_stalls").put("worst_s", Tally.seconds(stalls.worstUs())).put("over_100_ms_s", Tally.seconds(stalls.sumUs()));
+            summary.putObject("machine_stalls")
+                    .put("worst_s", Tally.seconds(stalls.worstUs()))
+                    .put("over_100_ms_s", Tally.seconds(stalls.sumUs()));
         }
         double seconds = (Wire.now() - beganUs) / 1e6;
         long[] controlNow = machines.cpuMs();
         summary.putObject("processor_ms_a_second")
                 .put("hollow_proxy", Math.round(1e3 * (hollows.cpuMs() - cpuHollow) / seconds / plan.proxies()) / 1e3)
                 .put("writer", Math.round(feed.process().cpuMs() / seconds))
-                .set("control", Tally.spread(IntStream.range(0, controlNow.length).mapToDouble(m -> (controlNow[m] - cpuControl[m]) / seconds)
-                        .toArray()));
-        summary.putObject("resident_kib_most").put("hollow_process", hollows.peakKib()).put("hollow_processes", hollows.number())
+                .set(
+                        "control",
+                        Tally.spread(IntStream.range(0, controlNow.length)
+                                .mapToDouble(m -> (controlNow[m] - cpuControl[m]) / seconds)
+                                .toArray()));
+        summary.putObject("resident_kib_most")
+                .put("hollow_process", hollows.peakKib())
+                .put("hollow_processes", hollows.number())
                 .put("control", machines.peakKib());
         return judged();
     }
@@ -167,7 +186,8 @@
             throw new IOException(hollows.dead().toString());
         }
         if (tally.filled() < proxies) {
-            judge.found("of " + proxies + " proxies that were " + what + " " + tally.filled() + " are filled after " + FILL_MS / 1_000 + " s");
+            judge.found("of " + proxies + " proxies that were " + what + " " + tally.filled() + " are filled after "
+                    + FILL_MS / 1_000 + " s");
         }
     }
 
@@ -185,17 +205,25 @@
     private void heard(JsonNode line) {
         switch (line.path("what").asText()) {
             case "in_force" -> {
-                judge.inForce(proxy(line), books.number(line.path("scope").asText()), line.path("version").asLong(), line.path("t_us").asLong());
+                judge.inForce(
+                        proxy(line),
+                        books.number(line.path("scope").asText()),
+                        line.path("version").asLong(),
+                        line.path("t_us").asLong());
                 history.line(line);
             }
             case "filled" -> {
-                judge.filled(proxy(line), startedWith[proxy(line)], line.path("started_us").asLong(), line.path("t_us").asLong());
+                judge.filled(
+                        proxy(line),
+                        startedWith[proxy(line)],
+                        line.path("started_us").asLong(),
+                        line.path("t_us").asLong());
                 tally.filled(line);
                 history.line(line);
             }
             case "figures" -> tally.figures(line);
             case "heap" -> heaps.add(line);
-            default -> { }
+            default -> {}
         }
     }
 
@@ -245,7 +273,9 @@
         var draw = new ChangeDraw(plan, plan.seed() + 2);
         books.doubtful().forEach(s -> feed.submit(draw.settling(s)));
         feed.await(0, ANSWER_MS);
-        books.doubtful().forEach(s -> judge.found("it is not known what was taken in " + plan.scopes().get(s) + ", with no fault any more"));
+        books.doubtful()
+                .forEach(s -> judge.found(
+                        "it is not known what was taken in " + plan.scopes().get(s) + ", with no fault any more"));
         if (!restarted.isEmpty()) {
             awaitFilled(restarted.size(), "restarted");
             summary.set("zone_fill", tally.fills());
@@ -281,7 +311,9 @@
         times.set("all", times(before.all()));
         before.delays().forEach((kind, of) -> times.set(kind, times(of)));
         summary.set("writer", times(before.writer()));
-        summary.put("changes", before.changes()).put("lines_in_force", judge.lines()).put("pairs_after_a_cut", before.excused())
+        summary.put("changes", before.changes())
+                .put("lines_in_force", judge.lines())
+                .put("pairs_after_a_cut", before.excused())
                 .put("pairs_with_a_fill", before.gone());
         summary.set("results", Wire.JSON.valueToTree(books.results()));
         books.reasons().forEach(summary.withArray("not_taken_because")::add);
@@ -295,8 +327,12 @@
     }
 
     private static ObjectNode times(Histogram of) {
-        return Wire.JSON.createObjectNode().put("n", of.getTotalCount()).put("p50_s", Tally.seconds(of.getValueAtPercentile(50)))
-                .put("p99_s", Tally.seconds(of.getValueAtPercentile(99))).put("worst_s", Tally.seconds(of.getMaxValue()));
+        return Wire.JSON
+                .createObjectNode()
+                .put("n", of.getTotalCount())
+                .put("p50_s", Tally.seconds(of.getValueAtPercentile(50)))
+                .put("p99_s", Tally.seconds(of.getValueAtPercentile(99)))
+                .put("worst_s", Tally.seconds(of.getMaxValue()));
     }
 
     /** Returns what a hollow proxy costs in memory: half of them first, then the others, in one process. */
@@ -309,7 +345,11 @@
         summary.set("first_fill", tally.fills());
         startProxies(half, plan.proxies());
         long usedByAll = heap(2);
-        summary.putObject("memory").put("proxies", half).put("used", used).put("proxies_then", plan.proxies()).put("used_then", usedByAll)
+        summary.putObject("memory")
+                .put("proxies", half)
+                .put("used", used)
+                .put("proxies_then", plan.proxies())
+                .put("used_then", usedByAll)
                 .put("bytes_a_proxy", (usedByAll - used) / (plan.proxies() - half));
         List<String> findings = judge.findings();
         return new Outcome(findings, summary.put("findings", findings.size()));
--- a/trial/src/main/java/grebehoist/trial/scale/Subprocess.java
+++ b/trial/src/main/java/grebehoist/trial/scale/Subprocess.java
@@ -23,7 +23,8 @@
     private static final Set<Process> OPEN = ConcurrentHashMap.newKeySet();
 
     static {
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> OPEN.forEach(Process::destroyForcibly), "ends processes"));
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(() -> OPEN.forEach(Process::destroyForcibly), "ends processes"));
     }
 
     private final String name;
@@ -38,7 +39,8 @@
      *
      * @param json hears each line that begins with a brace
      */
-    Subprocess(String name, List<String> flags, Path jar, List<String> arguments, Consumer<String> json) throws IOException {
+    Subprocess(String name, List<String> flags, Path jar, List<String> arguments, Consumer<String> json)
+            throws IOException {
         this.name = name;
         var command = new ArrayList<String>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
@@ -48,7 +50,8 @@
         command.addAll(arguments);
         process = new ProcessBuilder(command).redirectErrorStream(true).start();
         OPEN.add(process);
-        to = new PrintWriter(new BufferedWriter(new OutputStreamWriter(process.getOutputStream(), StandardCharsets.UTF_8)));
+        to = new PrintWriter(
+                new BufferedWriter(new OutputStreamWriter(process.getOutputStream(), StandardCharsets.UTF_8)));
         var reader = new Thread(() -> read(json), "lines of " + name);
         reader.setDaemon(true);
         reader.start();
@@ -96,7 +99,9 @@
     /** Sends a signal, by the process's id. */
     void signal(String signal) throws IOException, InterruptedException {
         if (alive()) {
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
         }
     }
 
@@ -104,7 +109,8 @@
     long cpuMs() {
         try {
             String stat = Files.readString(Path.of("/proc", Long.toString(process.pid()), "stat"));
-            // The name stands in brackets and may hold anything; after it come the state and so on: fields 14 and 15 are user and system.
+            // The name stands in brackets and may hold anything; after it come the state and so on: fields 14 and 15
+            // are user and system.
             String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
             ticks = Long.parseLong(fields[11]) + Long.parseLong(fields[12]);
             return 10 * ticks;
@@ -117,8 +123,11 @@
     /** Returns the greatest memory that it had (VmHWM), in KiB, or 0 where it has ended. */
     long peakKib() {
         try {
-            return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status")).stream().filter(l -> l.startsWith("VmHWM:"))
-                    .mapToLong(l -> Long.parseLong(l.replaceAll("[^0-9]", ""))).findFirst().orElse(0);
+            return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status")).stream()
+                    .filter(l -> l.startsWith("VmHWM:"))
+                    .mapToLong(l -> Long.parseLong(l.replaceAll("[^0-9]", "")))
+                    .findFirst()
+                    .orElse(0);
         } catch (IOException e) {
             return 0;
         }
--- a/trial/src/main/java/grebehoist/trial/scale/Weather.java
+++ b/trial/src/main/java/grebehoist/trial/scale/Weather.java
@@ -31,9 +31,9 @@
      *
      * @param who a machine, a zone or a region, by its kind
      */
-    record Fault(Kind kind, long fromUs, long untilUs, int who) { }
+    record Fault(Kind kind, long fromUs, long untilUs, int who) {}
 
-    private Weather() { }
+    private Weather() {}
 
     /** Draws the faults of a play of this length. */
     static List<Fault> draw(Set<Kind> kinds, Plan plan, Layout layout, long lengthUs) {
@@ -43,14 +43,15 @@
         int first = random.nextInt(holders.size());
         var faults = new ArrayList<Fault>();
         for (Kind kind : kinds) {
-            faults.add(switch (kind) {
-                case LOSS -> part(kind, 0, 1, lengthUs, 0);
-                case KILL -> part(kind, 0.1, 0.4, lengthUs, holders.get(first));
-                case RESTART -> part(kind, 0.45, 0.46, lengthUs, random.nextInt(Plan.ZONES));
-                case ONEWAY -> part(kind, 0.55, 0.65, lengthUs, holders.get((first + 1) % holders.size()));
-                case PAUSE -> part(kind, 0.66, 0.72, lengthUs, holders.get((first + 2) % holders.size()));
-                case REGION -> part(kind, 0.75, 0.9, lengthUs, random.nextInt(Plan.REGIONS));
-            });
+            faults.add(
+                    switch (kind) {
+                        case LOSS -> part(kind, 0, 1, lengthUs, 0);
+                        case KILL -> part(kind, 0.1, 0.4, lengthUs, holders.get(first));
+                        case RESTART -> part(kind, 0.45, 0.46, lengthUs, random.nextInt(Plan.ZONES));
+                        case ONEWAY -> part(kind, 0.55, 0.65, lengthUs, holders.get((first + 1) % holders.size()));
+                        case PAUSE -> part(kind, 0.66, 0.72, lengthUs, holders.get((first + 2) % holders.size()));
+                        case REGION -> part(kind, 0.75, 0.9, lengthUs, random.nextInt(Plan.REGIONS));
+                    });
         }
         faults.sort(Comparator.comparingLong(Fault::fromUs));
         return faults;
@@ -68,6 +69,9 @@
 
     /** Returns the proxies of a zone. */
     static List<Integer> zone(Plan plan, int zone) {
-        return IntStream.range(0, plan.proxies()).filter(p -> Plan.zone(p) == zone).boxed().toList();
+        return IntStream.range(0, plan.proxies())
+                .filter(p -> Plan.zone(p) == zone)
+                .boxed()
+                .toList();
     }
 }
--- a/trial/src/main/java/grebehoist/trial/scale/Wire.java
+++ b/trial/src/main/java/grebehoist/trial/scale/Wire.java
@@ -7,7 +7,7 @@
 final class Wire {
     static final ObjectMapper JSON = new ObjectMapper();
 
-    private Wire() { }
+    private Wire() {}
 
     static long now() {
         return System.nanoTime() / 1_000;
--- a/trial/src/test/java/grebehoist/trial/DefectiveProgram.java
+++ b/trial/src/test/java/grebehoist/trial/DefectiveProgram.java
@@ -38,14 +38,22 @@
     DefectiveProgram change(String source, String sound, String defective) throws IOException {
         Path changed = classes.resolve("src").resolve(Path.of(source).getFileName());
         String text = Files.readString(Files.exists(changed) ? changed : ROOT.resolve(source));
-        assertThat(text.split(Pattern.quote(sound), -1)).as("%s has '%s' once", source, sound).hasSize(2);
+        assertThat(text.split(Pattern.quote(sound), -1))
+                .as("%s has '%s' once", source, sound)
+                .hasSize(2);
         Files.createDirectories(changed.getParent());
         Files.writeString(changed, text.replace(sound, defective));
         JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
         var messages = new StringWriter();
         try (StandardJavaFileManager files = compiler.getStandardFileManager(null, null, null)) {
-            boolean compiled = compiler.getTask(messages, files, null, List.of("-nowarn", "-cp", classes + ":" + JAR, "-d", classes.toString()), null,
-                    files.getJavaFileObjects(changed)).call();
+            boolean compiled = compiler.getTask(
+                            messages,
+                            files,
+                            null,
+                            List.of("-nowarn", "-cp", classes + ":" + JAR, "-d", classes.toString()),
+                            null,
+                            files.getJavaFileObjects(changed))
+                    .call();
             assertThat(compiled).as(messages.toString()).isTrue();
         }
         return this;
--- a/trial/src/test/java/grebehoist/trial/LeaseCheckerTest.java
+++ b/trial/src/test/java/grebehoist/trial/LeaseCheckerTest.java
@@ -9,20 +9,37 @@
 class LeaseCheckerTest {
     private final LeaseChecker checker = new LeaseChecker();
 
-    private LeaseCheckerTest effect(String kind, String holder, long token, long run, long beganMs, long endedMs) throws Exception {
-        checker.line(History.JSON.readTree(String.format(Locale.ROOT, "{\"what\":\"effect\",\"task\":\"t0\",\"class\":\"%s\",\"holder\":\"%s\",\"token\":%d,"
-                + "\"run\":%d,\"began_us\":%d,\"ended_us\":%d,\"accepted\":true}", kind, holder, token, run, beganMs * 1_000, endedMs * 1_000)));
+    private LeaseCheckerTest effect(String kind, String holder, long token, long run, long beganMs, long endedMs)
+            throws Exception {
+        checker.line(History.JSON.readTree(String.format(
+                Locale.ROOT,
+                "{\"what\":\"effect\",\"task\":\"t0\",\"class\":\"%s\",\"holder\":\"%s\",\"token\":%d,"
+                        + "\"run\":%d,\"began_us\":%d,\"ended_us\":%d,\"accepted\":true}",
+                kind,
+                holder,
+                token,
+                run,
+                beganMs * 1_000,
+                endedMs * 1_000)));
         return this;
     }
 
     private LeaseCheckerTest holding(String holder, long token, long fromMs) throws Exception {
-        checker.line(History.JSON.readTree(String.format(Locale.ROOT, "{\"what\":\"holding\",\"task\":\"t0\",\"holder\":\"%s\",\"token\":%d,\"from_us\":%d}",
-                holder, token, fromMs * 1_000)));
+        checker.line(History.JSON.readTree(String.format(
+                Locale.ROOT,
+                "{\"what\":\"holding\",\"task\":\"t0\",\"holder\":\"%s\",\"token\":%d,\"from_us\":%d}",
+                holder,
+                token,
+                fromMs * 1_000)));
         return this;
     }
 
     private LeaseCheckerTest process(String who, String state, long atMs) throws Exception {
-        checker.line(History.JSON.readTree(String.format(Locale.ROOT, "{\"what\":\"process\",\"who\":\"%s\",\"state\":\"%s\",\"t_us\":%d}", who, state,
+        checker.line(History.JSON.readTree(String.format(
+                Locale.ROOT,
+                "{\"what\":\"process\",\"who\":\"%s\",\"state\":\"%s\",\"t_us\":%d}",
+                who,
+                state,
                 atMs * 1_000)));
         return this;
     }
@@ -64,7 +81,8 @@
         effect("fenced", "n2", 8, 1, 100, 200).effect("fenced", "n1", 5, 2, 300, 400);
         assertThat(checker.judge().findings()).singleElement().asString().startsWith("token: run 2");
         holding("n1", 5, 0).holding("n2", 5, 10).holding("n3", 9, 20).holding("n4", 7, 30);
-        assertThat(checker.judge().findings()).anyMatch(f -> f.contains("held twice with token 5"))
+        assertThat(checker.judge().findings())
+                .anyMatch(f -> f.contains("held twice with token 5"))
                 .anyMatch(f -> f.contains("token 9 by n3 before token 7 by n4"));
     }
 
--- a/trial/src/test/java/grebehoist/trial/LeaseExplorerTest.java
+++ b/trial/src/test/java/grebehoist/trial/LeaseExplorerTest.java
@@ -99,17 +99,30 @@
     /** Each is found by the shortest way to it, with as few voters, tries and crashes as show it. */
     @Test
     void eachBrokenOneIsFound() {
-        broken(1).forEach((name, protocol) -> find(name, protocol, new Bounds(1, 3, 0, 0, 3_000_000),
-                "release", "wall clock", "answer", "drift", "way", "given back"));
-        broken(3).forEach((name, protocol) -> find(name, protocol, new Bounds(3, 2, 0, 0, 3_000_000), "majority", "old ballots"));
+        broken(1)
+                .forEach((name, protocol) -> find(
+                        name,
+                        protocol,
+                        new Bounds(1, 3, 0, 0, 3_000_000),
+                        "release",
+                        "wall clock",
+                        "answer",
+                        "drift",
+                        "way",
+                        "given back"));
+        broken(3)
+                .forEach((name, protocol) ->
+                        find(name, protocol, new Bounds(3, 2, 0, 0, 3_000_000), "majority", "old ballots"));
         broken(3).forEach((name, protocol) -> find(name, protocol, new Bounds(3, 2, 1, 0, 3_000_000), "silence"));
-        broken(3).forEach((name, protocol) -> find(name, protocol, new Bounds(3, 2, 1, 0, 6_000_000), "begins without"));
+        broken(3)
+                .forEach((name, protocol) -> find(name, protocol, new Bounds(3, 2, 1, 0, 6_000_000), "begins without"));
     }
 
     private static void find(String name, Protocol protocol, Bounds bounds, String... those) {
         if (Arrays.stream(those).anyMatch(name::contains)) {
             Result r = LeaseExplorer.explore(protocol, bounds);
-            System.out.println(name + ": " + r.states() + " states, " + r.depth() + " steps: " + String.join("; ", r.found()));
+            System.out.println(
+                    name + ": " + r.states() + " states, " + r.depth() + " steps: " + String.join("; ", r.found()));
             assertThat(r.found()).as(name).isNotEmpty();
         }
     }
--- a/trial/src/test/java/grebehoist/trial/SoakIT.java
+++ b/trial/src/test/java/grebehoist/trial/SoakIT.java
@@ -14,17 +14,20 @@
 /** The soak's short form: two seeds, twelve processes of the built jar. The long one is started by hand (docs/trial.md). */
 @Timeout(300)
 class SoakIT {
-    private static final Path JAR = Path.of("../daemon/target/grebehoist.jar").toAbsolutePath().normalize();
+    private static final Path JAR =
+            Path.of("../daemon/target/grebehoist.jar").toAbsolutePath().normalize();
 
     private static int soak(String... more) {
         var args = new ArrayList<String>(List.of("soak", "--daemon", JAR.toString()));
         args.addAll(List.of(more));
-        return Trial.execute(new PrintWriter(System.out, true), new PrintWriter(System.err, true), args.toArray(String[]::new));
+        return Trial.execute(
+                new PrintWriter(System.out, true), new PrintWriter(System.err, true), args.toArray(String[]::new));
     }
 
     @Test
     void twoSeedsHold() {
-        assertThat(soak("--seeds", "2", "--seed", "5200", "--processes", "12", "--seconds", "25")).isZero();
+        assertThat(soak("--seeds", "2", "--seed", "5200", "--processes", "12", "--seconds", "25"))
+                .isZero();
     }
 
     @Test
@@ -39,10 +42,24 @@
     @Test
     void badArgumentsAreNamed() {
         var err = new StringWriter();
-        assertThat(Trial.execute(new PrintWriter(System.out), new PrintWriter(err, true), "soak", "--daemon", JAR.toString(), "--faults", "earthquake"))
+        assertThat(Trial.execute(
+                        new PrintWriter(System.out),
+                        new PrintWriter(err, true),
+                        "soak",
+                        "--daemon",
+                        JAR.toString(),
+                        "--faults",
+                        "earthquake"))
                 .isEqualTo(2);
         assertThat(err.toString()).contains("there is no 'earthquake'");
-        assertThat(Trial.execute(new PrintWriter(System.out), new PrintWriter(err, true), "soak", "--daemon", JAR.toString(), "--processes", "many"))
+        assertThat(Trial.execute(
+                        new PrintWriter(System.out),
+                        new PrintWriter(err, true),
+                        "soak",
+                        "--daemon",
+                        JAR.toString(),
+                        "--processes",
+                        "many"))
                 .isEqualTo(2);
         assertThat(err.toString()).contains("'many' is neither a number nor a range");
     }
--- a/trial/src/test/java/grebehoist/trial/SoakOracleIT.java
+++ b/trial/src/test/java/grebehoist/trial/SoakOracleIT.java
@@ -32,7 +32,7 @@
     Path directory;
 
     /** One place that is changed. */
-    private record Change(String source, String sound, String defective) { }
+    private record Change(String source, String sound, String defective) {}
 
     /** A defect, what has to go wrong outside for it to show, and what the finding says. */
     private record Defect(String name, List<Change> changes, List<Kind> faults, String finding) {
@@ -44,39 +44,88 @@
 
     static Stream<Defect> defects() {
         return Stream.of(
-                new Defect("watch not reopened", List.of(
-                        new Change(DISCOVERY, "if (!wanted || watch != null && !watch.hasEnded()) {", "if (loop != null) {"),
-                        new Change(DISCOVERY, "sink.members(ListKind.FAILED, List.of());", "heard = true;")),
-                        List.of(Kind.DISCOVERY_DOWN), "asks discovery no more"),
-                new Defect("suspension lost on ENOSPC", List.of(
-                        new Change(DAEMON + "operations/StateDirectory.java", "pending.put(request.file, request);\n        tell();", "pending.put(request.file, request);"),
-                        new Change(DAEMON + "operations/StateFiles.java", "Files.createFile(file);", "throw new IOException(\"no space left on device\");")),
-                        List.of(Kind.SUSPEND), "rule: rule 3"),
-                new Defect("reload dropped", List.of(
-                        new Change(DAEMON + "cli/ConfigurationReloader.java", "if (number == requests.get()) {", "if (number > requests.get()) {")),
-                        List.of(Kind.RELOAD), "has not taken its new configuration over"),
-                new Defect("attempt after the client left", List.of(
-                        new Change(DAEMON + "http/Exchange.java", "            front.intake().clientGone(id);\n        }\n    }\n\n    /** How far",
+                new Defect(
+                        "watch not reopened",
+                        List.of(
+                                new Change(
+                                        DISCOVERY,
+                                        "if (!wanted || watch != null && !watch.hasEnded()) {",
+                                        "if (loop != null) {"),
+                                new Change(DISCOVERY, "sink.members(ListKind.FAILED, List.of());", "heard = true;")),
+                        List.of(Kind.DISCOVERY_DOWN),
+                        "asks discovery no more"),
+                new Defect(
+                        "suspension lost on ENOSPC",
+                        List.of(
+                                new Change(
+                                        DAEMON + "operations/StateDirectory.java",
+                                        "pending.put(request.file, request);\n        tell();",
+                                        "pending.put(request.file, request);"),
+                                new Change(
+                                        DAEMON + "operations/StateFiles.java",
+                                        "Files.createFile(file);",
+                                        "throw new IOException(\"no space left on device\");")),
+                        List.of(Kind.SUSPEND),
+                        "rule: rule 3"),
+                new Defect(
+                        "reload dropped",
+                        List.of(new Change(
+                                DAEMON + "cli/ConfigurationReloader.java",
+                                "if (number == requests.get()) {",
+                                "if (number > requests.get()) {")),
+                        List.of(Kind.RELOAD),
+                        "has not taken its new configuration over"),
+                new Defect(
+                        "attempt after the client left",
+                        List.of(new Change(
+                                DAEMON + "http/Exchange.java",
+                                "            front.intake().clientGone(id);\n        }\n    }\n\n    /** How far",
                                 "        }\n    }\n\n    /** How far")),
-                        List.of(Kind.HANG_UPS, Kind.HANG, Kind.CRASH), "rule: "),
-                new Defect("retry outside the window", List.of(
-                        new Change(POLICY, "r.type.effect() == Effect.KEYED && now < a.sentAt + r.type.windowUs()", "r.type.effect() == Effect.KEYED")),
-                        List.of(Kind.SLOW, Kind.RESET, Kind.SLOW, Kind.RESET), "invariant repeat"),
-                new Defect("close unanswered", List.of(
-                        new Change(DAEMON + "http/ClientConnection.java", "            next.begin();\n        } catch",
+                        List.of(Kind.HANG_UPS, Kind.HANG, Kind.CRASH),
+                        "rule: "),
+                new Defect(
+                        "retry outside the window",
+                        List.of(new Change(
+                                POLICY,
+                                "r.type.effect() == Effect.KEYED && now < a.sentAt + r.type.windowUs()",
+                                "r.type.effect() == Effect.KEYED")),
+                        List.of(Kind.SLOW, Kind.RESET, Kind.SLOW, Kind.RESET),
+                        "invariant repeat"),
+                new Defect(
+                        "close unanswered",
+                        List.of(new Change(
+                                DAEMON + "http/ClientConnection.java",
+                                "            next.begin();\n        } catch",
                                 "            next.begin();\n            if (exchange == next && System.nanoTime() % 16 == 0) {\n                close(CutOff.CLIENT_FAILED);\n"
                                         + "            }\n        } catch")),
-                        List.of(Kind.SLOW), "invariant unanswered_close"),
-                new Defect("cold budget ignored", List.of(
-                        new Change(POLICY, "return hasTurn(s, 0.75 * budgetPerUs * rules.fallUs()) ? tokens : 0;", "return 1e9;"),
-                        new Change(POLICY, "double deadline = s.deadline() * (trust ? 1 : DISTRUST);", "double deadline = s.warmth(now, rules) < 1 ? 0 : s.deadline();"),
-                        new Change(POLICY, "order.position(s) <= border || s.warmth(now, rules) < 1;\n            if (coldBudget(s) >= 1 && open && deadline < earliest && hasRoom(s)) {",
-                                "order.position(s) <= border || s.warmth(now, rules) < 1;\n            if (open && deadline < earliest) {")),
-                        List.of(Kind.CRASH), "invariant slow_start"),
-                new Defect("deadline too long", List.of(
-                        new Change(ENGINE, "attempt = transport.attempt(backend, request.request.payload(), startedAt + timeoutUs, this);",
-                                "attempt = transport.attempt(backend, request.request.payload(), request.deadlineUs + 500_000, this);")),
-                        List.of(), "invariant deadline"));
+                        List.of(Kind.SLOW),
+                        "invariant unanswered_close"),
+                new Defect(
+                        "cold budget ignored",
+                        List.of(
+                                new Change(
+                                        POLICY,
+                                        "return hasTurn(s, 0.75 * budgetPerUs * rules.fallUs()) ? tokens : 0;",
+                                        "return 1e9;"),
+                                new Change(
+                                        POLICY,
+                                        "double deadline = s.deadline() * (trust ? 1 : DISTRUST);",
+                                        "double deadline = s.warmth(now, rules) < 1 ? 0 : s.deadline();"),
+                                new Change(
+                                        POLICY,
+                                        "order.position(s) <= border || s.warmth(now, rules) < 1;\n            if (coldBudget(s) >= 1 && open && deadline < earliest && hasRoom(s)) {",
+                                        "order.position(s) <= border || s.warmth(now, rules) < 1;\n            if (open && deadline < earliest) {")),
+                        List.of(Kind.CRASH),
+                        "invariant slow_start"),
+                new Defect(
+                        "deadline too long",
+                        List.of(
+                                new Change(
+                                        ENGINE,
+                                        "attempt = transport.attempt(backend, request.request.payload(), startedAt + timeoutUs, this);",
+                                        "attempt = transport.attempt(backend, request.request.payload(), request.deadlineUs + 500_000, this);")),
+                        List.of(),
+                        "invariant deadline"));
     }
 
     private static SoakSchedule schedule(List<Kind> kinds) {
@@ -97,11 +146,16 @@
             program.change(change.source(), change.sound(), change.defective());
         }
         SoakPlay.Verdict verdict = play(schedule(defect.faults()), program.program());
-        System.out.println(defect + ": " + verdict.findings().stream().map(f -> f.substring(0, Math.min(160, f.length()))).limit(3).toList());
+        System.out.println(defect + ": "
+                + verdict.findings().stream()
+                        .map(f -> f.substring(0, Math.min(160, f.length())))
+                        .limit(3)
+                        .toList());
         assertThat(verdict.findings()).as(verdict.summary()).anyMatch(f -> f.contains(defect.finding()));
     }
 
-    private static SoakPlay.Verdict play(SoakSchedule schedule, SoakProgram program) throws IOException, InterruptedException {
+    private static SoakPlay.Verdict play(SoakSchedule schedule, SoakProgram program)
+            throws IOException, InterruptedException {
         try (var play = new SoakPlay(schedule, program, CORES_FOR_EACH)) {
             return play.run();
         }
--- a/trial/src/test/java/grebehoist/trial/SystemCallFaultsIT.java
+++ b/trial/src/test/java/grebehoist/trial/SystemCallFaultsIT.java
@@ -39,7 +39,8 @@
 /** A process of the built jar under load, of which system calls fail for a moment; the witness of the four rules looks on. */
 @Timeout(120)
 class SystemCallFaultsIT {
-    private static final Path JAR = Path.of("../daemon/target/grebehoist.jar").toAbsolutePath().normalize();
+    private static final Path JAR =
+            Path.of("../daemon/target/grebehoist.jar").toAbsolutePath().normalize();
     private static final long MS = 1_000;
     private static final long S = 1_000_000;
     /** An answer is lost half a second after its time (STANDING); builds and other tests may share the machine. */
@@ -49,6 +50,7 @@
 
     @TempDir
     Path files;
+
     private FaultLibrary library;
     private Rig rig;
     private InetSocketAddress door;
@@ -59,14 +61,27 @@
     @BeforeEach
     void begin() throws Exception {
         library = FaultLibrary.build(files);
-        rig = new Rig(new HttpWire(), settings(), new double[] {0.7, 0.3}, 15 * S, 52, Witness.Terms.of(settings(), Rig.SLACK_US).lateBy(LATE_US));
+        rig = new Rig(
+                new HttpWire(),
+                settings(),
+                new double[] {0.7, 0.3},
+                15 * S,
+                52,
+                Witness.Terms.of(settings(), Rig.SLACK_US).lateBy(LATE_US));
         rig.machines(5);
         InetSocketAddress listen = freeAddress();
         door = freeAddress();
-        config = Member.config("n0", listen, rig.discoveryOfNextProxy(), settings(), rig.on(rig.discovery()::known), listen, List.of(listen));
+        config = Member.config(
+                "n0",
+                listen,
+                rig.discoveryOfNextProxy(),
+                settings(),
+                rig.on(rig.discovery()::known),
+                listen,
+                List.of(listen));
         config.put("operator", "127.0.0.1:" + door.getPort());
         ((ObjectNode) config.path("settings").path("bounds")).put("peer_messages", false);
-        proxy = new Member("n0", JAR, files, listen, config, null, line -> { });
+        proxy = new Member("n0", JAR, files, listen, config, null, line -> {});
         proxy.environment("TMPDIR", files.toString());
         rig.proxyAt(listen);
     }
@@ -78,10 +93,20 @@
     }
 
     private static Balancer.Settings settings() {
-        return new Balancer.Settings(1, 0, "u", 4 * MS,
-                List.of(new RequestClass("read", 600 * MS, 2 * S, 1, 0, Effect.SAFE, Scope.ALL, 0),
+        return new Balancer.Settings(
+                1,
+                0,
+                "u",
+                4 * MS,
+                List.of(
+                        new RequestClass("read", 600 * MS, 2 * S, 1, 0, Effect.SAFE, Scope.ALL, 0),
                         new RequestClass("vote", 600 * MS, 2 * S, 3, 0, Effect.UNSAFE, Scope.ALL, 0)),
-                List.of(), 1, false, new Balancer.Limits(true, false, false, true, 4, 2 * S), new Balancer.Rules(0.4, 8 * S, 4, S, 10 * S, false), 1);
+                List.of(),
+                1,
+                false,
+                new Balancer.Limits(true, false, false, true, 4, 2 * S),
+                new Balancer.Rules(0.4, 8 * S, 4, S, 10 * S, false),
+                1);
     }
 
     private static InetSocketAddress freeAddress() throws IOException {
@@ -101,7 +126,8 @@
 
     /** Calls at the operators' door; returns the status. */
     private int call(String method, String path) throws IOException {
-        var connection = (HttpURLConnection) URI.create("http://127.0.0.1:" + door.getPort() + path).toURL().openConnection();
+        var connection = (HttpURLConnection)
+                URI.create("http://127.0.0.1:" + door.getPort() + path).toURL().openConnection();
         connection.setRequestMethod(method);
         connection.setConnectTimeout(2_000);
         connection.setReadTimeout(5_000);
@@ -122,7 +148,9 @@
 
     private boolean isKept(String prefix) throws IOException {
         try (Stream<Path> directories = Files.list(files)) {
-            for (Path directory : directories.filter(d -> d.getFileName().toString().startsWith("grebehoist-")).toList()) {
+            for (Path directory : directories
+                    .filter(d -> d.getFileName().toString().startsWith("grebehoist-"))
+                    .toList()) {
                 try (Stream<Path> names = Files.list(directory)) {
                     if (names.anyMatch(n -> n.getFileName().toString().startsWith(prefix))) {
                         return true;
@@ -175,12 +203,21 @@
 
     /** Each call fails for a second under load, as often as not; afterwards the process serves as before. */
     @ParameterizedTest
-    @ValueSource(strings = {
-        "call=accept,errno=ECONNABORTED,percent=50", "call=accept,errno=ENFILE", "call=socket,errno=EMFILE",
-        "call=connect,errno=EADDRNOTAVAIL,percent=50", "call=connect,errno=ENETUNREACH,percent=50",
-        "call=epoll_wait,errno=EINTR,percent=50", "call=receive,errno=EINTR,percent=30", "call=send,errno=EINTR,percent=30",
-        "call=send,action=short;call=receive,action=short",
-        "call=opendir,errno=EMFILE,path=grebehoist-", "call=clock,shift=3600000", "call=clock,shift=-3600000"})
+    @ValueSource(
+            strings = {
+                "call=accept,errno=ECONNABORTED,percent=50",
+                "call=accept,errno=ENFILE",
+                "call=socket,errno=EMFILE",
+                "call=connect,errno=EADDRNOTAVAIL,percent=50",
+                "call=connect,errno=ENETUNREACH,percent=50",
+                "call=epoll_wait,errno=EINTR,percent=50",
+                "call=receive,errno=EINTR,percent=30",
+                "call=send,errno=EINTR,percent=30",
+                "call=send,action=short;call=receive,action=short",
+                "call=opendir,errno=EMFILE,path=grebehoist-",
+                "call=clock,shift=3600000",
+                "call=clock,shift=-3600000"
+            })
     void theRulesHoldWhileCallsFail(String schedule) throws Exception {
         start(schedule);
         faults.resume();
@@ -188,7 +225,8 @@
         rig.run(() -> out.drainUntil(rig.now() + 2 * S));
         var idle = new ArrayList<Socket>();
         for (int i = 0; i < 5; i++) {
-            idle.add(new Socket(InetAddress.getLoopbackAddress(), proxy.address().getPort()));
+            idle.add(
+                    new Socket(InetAddress.getLoopbackAddress(), proxy.address().getPort()));
         }
         passTime(S);
         rig.await("faults were injected", () -> !faults.counts().isEmpty());
@@ -207,7 +245,8 @@
     void connectionsAreServedWhileNobodyCanBeAccepted() throws Exception {
         start("call=accept,errno=ECONNABORTED");
         faults.resume();
-        try (var waiting = new Socket(InetAddress.getLoopbackAddress(), proxy.address().getPort())) {
+        try (var waiting =
+                new Socket(InetAddress.getLoopbackAddress(), proxy.address().getPort())) {
             rig.await("accept fails", () -> faults.count(SystemCall.ACCEPT) > 0);
             rig.awaitServed(30);
             faults.pause();
@@ -220,16 +259,20 @@
 
     /** What a start needs fails in its first second and a half: the process is ready in time, and serves. */
     @ParameterizedTest
-    @ValueSource(strings = {
-        "call=bind,errno=EADDRINUSE,for=1500", "call=create,errno=ENOSPC,path=grebehoist-,for=1500",
-        "call=opendir,errno=EIO,path=grebehoist-,for=1500", "call=mkdir,errno=ENOSPC,path=grebehoist-,for=1500",
-        "call=open,errno=EMFILE,path=n0.json,for=1500", "call=socket,errno=ENFILE,for=1500"})
+    @ValueSource(
+            strings = {
+                "call=bind,errno=EADDRINUSE,for=1500", "call=create,errno=ENOSPC,path=grebehoist-,for=1500",
+                "call=opendir,errno=EIO,path=grebehoist-,for=1500", "call=mkdir,errno=ENOSPC,path=grebehoist-,for=1500",
+                "call=open,errno=EMFILE,path=n0.json,for=1500", "call=socket,errno=ENFILE,for=1500"
+            })
     void aStartOutlivesWhatFailsForAMoment(String schedule) throws Exception {
         faults = library.inject(proxy, schedule, 52, files.resolve("counts"));
         proxy.start();
         assertThat(proxy.awaitReady(10_000)).as("ready: %s", proxy.log()).isTrue();
         assertThat(faults.counts()).as("faults were injected").isNotEmpty();
-        assertThat(proxy.log()).as("the runtime knows all its sockets' options").noneMatch(l -> l.contains("Unknown channel option"));
+        assertThat(proxy.log())
+                .as("the runtime knows all its sockets' options")
+                .noneMatch(l -> l.contains("Unknown channel option"));
         rig.load(2, 60 * S);
         rig.awaitServed(100);
         assertRulesKept();
@@ -268,7 +311,9 @@
     }
 
     private long invariantViolations() throws IOException {
-        var connection = (HttpURLConnection) URI.create("http://127.0.0.1:" + door.getPort() + "/v1/metrics").toURL().openConnection();
+        var connection = (HttpURLConnection) URI.create("http://127.0.0.1:" + door.getPort() + "/v1/metrics")
+                .toURL()
+                .openConnection();
         JsonNode violations = History.JSON.readTree(connection.getInputStream()).path("invariant_violations");
         assertThat(violations.isObject()).isTrue();
         long sum = 0;
--- a/trial/src/test/java/grebehoist/trial/VirtualFleetTest.java
+++ b/trial/src/test/java/grebehoist/trial/VirtualFleetTest.java
@@ -28,7 +28,12 @@
     }
 
     /** Returns the findings of each seed that broke something, and counts what happened in all. */
-    private static Map<Long, String> broken(long from, int scripts, int members, Set<Fault.Kind> kinds, FleetNode.Maker maker,
+    private static Map<Long, String> broken(
+            long from,
+            int scripts,
+            int members,
+            Set<Fault.Kind> kinds,
+            FleetNode.Maker maker,
             Map<String, Integer> counts) {
         var found = new ConcurrentHashMap<Long, String>();
         LongStream.range(from, from + scripts).parallel().forEach(seed -> {
@@ -65,7 +70,14 @@
     enum Broken {
         NO_SUSPICION(Set.of(Fault.Kind.LOSS, Fault.Kind.PAUSE)) {
             @Override
-            Membership make(Terms t, int self, int members, String name, String zone, RandomGenerator random, Membership.Output out) {
+            Membership make(
+                    Terms t,
+                    int self,
+                    int members,
+                    String name,
+                    String zone,
+                    RandomGenerator random,
+                    Membership.Output out) {
                 return new Membership(t, self, members, name, zone, random, out) {
                     @Override
                     protected boolean isOver(long ageUs, int doubters, int buriers) {
@@ -77,7 +89,14 @@
         /** The last look before a burial bears most of it alone: so neither is there. */
         NO_PAUSE_CHECK(Set.of(Fault.Kind.PAUSE)) {
             @Override
-            Membership make(Terms t, int self, int members, String name, String zone, RandomGenerator random, Membership.Output out) {
+            Membership make(
+                    Terms t,
+                    int self,
+                    int members,
+                    String name,
+                    String zone,
+                    RandomGenerator random,
+                    Membership.Output out) {
                 return new Membership(t, self, members, name, zone, random, out) {
                     @Override
                     protected boolean wasAway(long gapUs) {
@@ -93,7 +112,14 @@
         },
         ONE_SIDED_CUTS_IGNORED(Set.of(Fault.Kind.ONEWAY, Fault.Kind.MUTE)) {
             @Override
-            Membership make(Terms t, int self, int members, String name, String zone, RandomGenerator random, Membership.Output out) {
+            Membership make(
+                    Terms t,
+                    int self,
+                    int members,
+                    String name,
+                    String zone,
+                    RandomGenerator random,
+                    Membership.Output out) {
                 return new Membership(t, self, members, name, zone, random, out) {
                     @Override
                     protected boolean livesOneSided(long silentUs) {
@@ -119,10 +145,18 @@
         },
         NO_INCARNATION(Set.of(Fault.Kind.KILL, Fault.Kind.LATE, Fault.Kind.TWICE)) {
             @Override
-            Membership make(Terms t, int self, int members, String name, String zone, RandomGenerator random, Membership.Output out) {
+            Membership make(
+                    Terms t,
+                    int self,
+                    int members,
+                    String name,
+                    String zone,
+                    RandomGenerator random,
+                    Membership.Output out) {
                 return new Membership(t, self, members, name, zone, random, out) {
                     @Override
-                    protected boolean outdates(grebehoist.fleet.membership.News.Rumour r, State held, long heldIncarnation) {
+                    protected boolean outdates(
+                            grebehoist.fleet.membership.News.Rumour r, State held, long heldIncarnation) {
                         return r.state() != held && r.incarnation() >= heldIncarnation;
                     }
                 };
@@ -135,7 +169,14 @@
             this.faults = faults;
         }
 
-        abstract Membership make(Terms t, int self, int members, String name, String zone, RandomGenerator random, Membership.Output out);
+        abstract Membership make(
+                Terms t,
+                int self,
+                int members,
+                String name,
+                String zone,
+                RandomGenerator random,
+                Membership.Output out);
     }
 
     @ParameterizedTest
@@ -143,21 +184,25 @@
     void aMachineBrokenOnPurposeIsFoundOut(Broken variant) {
         var counts = new TreeMap<String, Integer>();
         Map<Long, String> found = broken(700_000, 200, 5, variant.faults, variant::make, counts);
-        System.out.println(variant + ": found by " + found.size() + " of 200 scripts, such as " + found.entrySet().stream().findFirst());
+        System.out.println(variant + ": found by " + found.size() + " of 200 scripts, such as "
+                + found.entrySet().stream().findFirst());
         assertThat(found).isNotEmpty();
-        assertThat(broken(700_000, 200, 5, variant.faults, Membership::new, new TreeMap<>())).as("the same scripts, whole").isEmpty();
+        assertThat(broken(700_000, 200, 5, variant.faults, Membership::new, new TreeMap<>()))
+                .as("the same scripts, whole")
+                .isEmpty();
     }
 
     @Test
     void equalScriptsGiveEqualPlays() {
         Script script = script(11, 8, ALL);
-        assertThat(VirtualFleet.play(script, Terms.standard()).counts()).isEqualTo(VirtualFleet.play(script, Terms.standard()).counts());
+        assertThat(VirtualFleet.play(script, Terms.standard()).counts())
+                .isEqualTo(VirtualFleet.play(script, Terms.standard()).counts());
     }
 
     @Test
     void noDatagramIsTooLongAndNoMemberSaysTooMuch() {
         Script script = Script.draw(5, 50, 3, 5 * S, 40 * S, ALL, 4);
-        var fleet = new VirtualFleet(script, Terms.standard(), Membership::new, (at, by, change) -> { });
+        var fleet = new VirtualFleet(script, Terms.standard(), Membership::new, (at, by, change) -> {});
         fleet.begin();
         fleet.run(60 * S);
         assertThat(fleet.traffic().longest()).isLessThanOrEqualTo(256);
--- a/trial/src/test/java/grebehoist/trial/distribution/VirtualDistributionTest.java
+++ b/trial/src/test/java/grebehoist/trial/distribution/VirtualDistributionTest.java
@@ -91,9 +91,13 @@
     @Test
     void eachBrokenRuleIsFound() {
         broken().forEach((name, rules) -> {
-            var found = LongStream.rangeClosed(1, MOST_FOR_A_BROKEN_ONE).mapToObj(seed -> VirtualDistribution.play(DistributionScript.draw(seed), rules))
-                    .peek(r -> plays++).filter(r -> !r.findings().isEmpty()).findFirst();
-            System.out.println(name + ", script " + plays + ": " + found.map(r -> r.findings().get(0)));
+            var found = LongStream.rangeClosed(1, MOST_FOR_A_BROKEN_ONE)
+                    .mapToObj(seed -> VirtualDistribution.play(DistributionScript.draw(seed), rules))
+                    .peek(r -> plays++)
+                    .filter(r -> !r.findings().isEmpty())
+                    .findFirst();
+            System.out.println(name + ", script " + plays + ": "
+                    + found.map(r -> r.findings().get(0)));
             plays = 0;
             assertThat(found).as(name).isPresent();
         });
