--- a/trial/src/test/java/grebehoist/trial/scale/BooksTest.java
+++ b/trial/src/test/java/grebehoist/trial/scale/BooksTest.java
@@ -12,11 +12,22 @@
     private final Books books = new Books(plan, judge);
 
     private static ObjectNode set(String key, String value) {
-        return Wire.JSON.createObjectNode().put("op", "set").put("scope", "fleet").put("kind", 2).put("key", key).put("value", value);
+        return Wire.JSON
+                .createObjectNode()
+                .put("op", "set")
+                .put("scope", "fleet")
+                .put("kind", 2)
+                .put("key", key)
+                .put("value", value);
     }
 
     private static ObjectNode answer(String result, long version) {
-        return Wire.JSON.createObjectNode().put("t_us", 1).put("result", result).put("version", version).put("why", "so");
+        return Wire.JSON
+                .createObjectNode()
+                .put("t_us", 1)
+                .put("result", result)
+                .put("version", version)
+                .put("why", "so");
     }
 
     private static long digest(String key, String value) {
@@ -56,9 +67,23 @@
 
     @Test
     void suspensionsComeAndGo() {
-        books.answered(Wire.JSON.createObjectNode().put("op", "suspend").put("scope", "fleet").put("key", "b1"), 0, answer("taken", 1));
+        books.answered(
+                Wire.JSON
+                        .createObjectNode()
+                        .put("op", "suspend")
+                        .put("scope", "fleet")
+                        .put("key", "b1"),
+                0,
+                answer("taken", 1));
         assertThat(books.digests()[0]).isEqualTo(Contents.digest(1, "b1", new byte[0]));
-        books.answered(Wire.JSON.createObjectNode().put("op", "resume").put("scope", "fleet").put("key", "b1"), 0, answer("taken", 2));
+        books.answered(
+                Wire.JSON
+                        .createObjectNode()
+                        .put("op", "resume")
+                        .put("scope", "fleet")
+                        .put("key", "b1"),
+                0,
+                answer("taken", 2));
         assertThat(books.digests()[0]).isZero();
         assertThat(books.items()).isZero();
     }
@@ -69,12 +94,18 @@
         var tally = new Tally(plan);
         long[] versions = {1, 2, 0};
         long[] digests = {5, 6, 0};
-        ObjectNode figures = Wire.line(0, "p0", "figures").put("who", "p0").put("for_us", 1_000_000).put("window", 40_000);
+        ObjectNode figures = Wire.line(0, "p0", "figures")
+                .put("who", "p0")
+                .put("for_us", 1_000_000)
+                .put("window", 40_000);
         figures.withArray("has").addArray().add(0).add(1).add(5);
         figures.withArray("has").addArray().add(1).add(2).add(7);
         tally.figures(figures);
         tally.judge(judge, versions, digests);
-        assertThat(judge.findings()).hasSize(3).anyMatch(f -> f.contains("something else in force in c0/s0"))
-                .anyMatch(f -> f.contains("says nothing of c0/t")).anyMatch(f -> f.contains("3636 bytes a second"));
+        assertThat(judge.findings())
+                .hasSize(3)
+                .anyMatch(f -> f.contains("something else in force in c0/s0"))
+                .anyMatch(f -> f.contains("says nothing of c0/t"))
+                .anyMatch(f -> f.contains("3636 bytes a second"));
     }
 }
--- a/trial/src/test/java/grebehoist/trial/scale/JudgeTest.java
+++ b/trial/src/test/java/grebehoist/trial/scale/JudgeTest.java
@@ -56,7 +56,9 @@
         begun();
         judge.inForce(0, 1, 4, 2 * S);
         judge.taken(0, 3, 2 * S, 2 * S);
-        assertThat(judge.findings()).hasSize(2).anyMatch(f -> f.contains("p0 goes back from 5 to 4 of c0/s0"))
+        assertThat(judge.findings())
+                .hasSize(2)
+                .anyMatch(f -> f.contains("p0 goes back from 5 to 4 of c0/s0"))
                 .anyMatch(f -> f.contains("fleet: version 3 is taken after 3"));
     }
 
--- a/trial/src/test/java/grebehoist/trial/scale/PlanTest.java
+++ b/trial/src/test/java/grebehoist/trial/scale/PlanTest.java
@@ -17,16 +17,24 @@
     void thePlanOfTheWholeFleet() {
         var plan = new Plan(4_900, 35, 2_400, 970_000, 10, 0, 7);
         assertThat(plan.cells()).isEqualTo(81);
-        assertThat(plan.scopes()).hasSize(1 + 2_400 + 81).doesNotHaveDuplicates().allMatch(s -> s.length() <= 24);
+        assertThat(plan.scopes())
+                .hasSize(1 + 2_400 + 81)
+                .doesNotHaveDuplicates()
+                .allMatch(s -> s.length() <= 24);
         var served = new HashSet<Integer>();
         for (int p = 0; p < plan.proxies(); p++) {
-            assertThat(plan.scopesOf(p)).isSorted().hasSizeBetween(31, 32).startsWith(0).endsWith(2_401 + plan.cell(p));
+            assertThat(plan.scopesOf(p))
+                    .isSorted()
+                    .hasSizeBetween(31, 32)
+                    .startsWith(0)
+                    .endsWith(2_401 + plan.cell(p));
             served.addAll(plan.scopesOf(p));
         }
         assertThat(served).as("no scope is nobody's").hasSize(plan.scopes().size());
         assertThat(Weather.zone(plan, 3)).hasSize(377);
         assertThat(IntStream.of(plan.sizes()).skip(2_401).sum()).isEqualTo(970_000);
-        assertThat(IntStream.of(plan.sizes()).skip(1).limit(2_400).average().orElseThrow()).isBetween(9.0, 11.0);
+        assertThat(IntStream.of(plan.sizes()).skip(1).limit(2_400).average().orElseThrow())
+                .isBetween(9.0, 11.0);
     }
 
     @Test
@@ -53,18 +61,29 @@
             assertThat(scope).isEqualTo(other.scope());
             assertThat(one.change(scope, held)).isEqualTo(other.change(scope, held));
         }
-        assertThat(scopes).as("each scope changes some time").hasSize(plan.scopes().size());
+        assertThat(scopes)
+                .as("each scope changes some time")
+                .hasSize(plan.scopes().size());
     }
 
     @Test
     void oneFaultOfEachKindWithinThePlayAndOfHoldersOfTheFleetsScope() {
         var plan = new Plan(300, 35, 30, 50, 3, 0, 5);
-        var layout = new Layout(IntStream.range(0, 35).mapToObj(m -> new Layout.Machine(Plan.zoneName(Plan.zone(m)))).toList());
+        var layout = new Layout(IntStream.range(0, 35)
+                .mapToObj(m -> new Layout.Machine(Plan.zoneName(Plan.zone(m))))
+                .toList());
         List<Weather.Fault> faults = Weather.draw(EnumSet.allOf(Weather.Kind.class), plan, layout, 100 * S);
-        assertThat(faults).hasSize(Weather.Kind.values().length).allMatch(f -> f.fromUs() < f.untilUs() && f.untilUs() <= 100 * S)
+        assertThat(faults)
+                .hasSize(Weather.Kind.values().length)
+                .allMatch(f -> f.fromUs() < f.untilUs() && f.untilUs() <= 100 * S)
                 .isEqualTo(Weather.draw(EnumSet.allOf(Weather.Kind.class), plan, layout, 100 * S));
-        assertThat(faults.stream().filter(f -> f.kind() == Weather.Kind.KILL || f.kind() == Weather.Kind.PAUSE || f.kind() == Weather.Kind.ONEWAY)
-                .map(Weather.Fault::who)).doesNotHaveDuplicates().isSubsetOf(layout.holders(Plan.FLEET));
+        assertThat(faults.stream()
+                        .filter(f -> f.kind() == Weather.Kind.KILL
+                                || f.kind() == Weather.Kind.PAUSE
+                                || f.kind() == Weather.Kind.ONEWAY)
+                        .map(Weather.Fault::who))
+                .doesNotHaveDuplicates()
+                .isSubsetOf(layout.holders(Plan.FLEET));
     }
 
     @Test
--- a/trial/src/test/java/grebehoist/trial/scale/RateWindowTest.java
+++ b/trial/src/test/java/grebehoist/trial/scale/RateWindowTest.java
@@ -13,7 +13,7 @@
         for (long seed = 1; seed <= 50; seed++) {
             var random = new SplittableRandom(seed);
             var window = new RateWindow();
-            record Sent(long at, int bytes) { }
+            record Sent(long at, int bytes) {}
             List<Sent> all = new ArrayList<>();
             long at = 0;
             for (int i = 0; i < 400; i++) {
@@ -24,8 +24,18 @@
             long least = 0;
             long most = 0;
             for (Sent first : all) {
-                least = Math.max(least, all.stream().filter(s -> s.at() >= first.at() && s.at() < first.at() + 11_000_000).mapToLong(Sent::bytes).sum());
-                most = Math.max(most, all.stream().filter(s -> s.at() >= first.at() && s.at() < first.at() + 11_500_000).mapToLong(Sent::bytes).sum());
+                least = Math.max(
+                        least,
+                        all.stream()
+                                .filter(s -> s.at() >= first.at() && s.at() < first.at() + 11_000_000)
+                                .mapToLong(Sent::bytes)
+                                .sum());
+                most = Math.max(
+                        most,
+                        all.stream()
+                                .filter(s -> s.at() >= first.at() && s.at() < first.at() + 11_500_000)
+                                .mapToLong(Sent::bytes)
+                                .sum());
             }
             assertThat(window.greatest()).as("seed " + seed).isBetween(least, most);
         }
--- a/trial/src/test/java/grebehoist/trial/scale/ScaleCommandTest.java
+++ b/trial/src/test/java/grebehoist/trial/scale/ScaleCommandTest.java
@@ -11,7 +11,10 @@
     private final StringWriter err = new StringWriter();
 
     private int run(String... arguments) {
-        return new CommandLine(new ScaleCommand()).setCaseInsensitiveEnumValuesAllowed(true).setErr(new PrintWriter(err, true)).execute(arguments);
+        return new CommandLine(new ScaleCommand())
+                .setCaseInsensitiveEnumValuesAllowed(true)
+                .setErr(new PrintWriter(err, true))
+                .execute(arguments);
     }
 
     @Test
