--- a/daemon/src/test/java/grebehoist/cli/Peer.java
+++ b/daemon/src/test/java/grebehoist/cli/Peer.java
@@ -71,6 +71,7 @@
         return next;
     }
 
+    /** What runs on a thread of its own; its end is not waited for. */
     public interface Work {
         void run() throws IOException;
     }
--- a/daemon/src/test/java/grebehoist/cli/Wire.java
+++ b/daemon/src/test/java/grebehoist/cli/Wire.java
@@ -129,6 +129,7 @@
         socket.close();
     }
 
+    /** A message as it was read. */
     public record Message(String first, String headers, String body) {
         public int status() {
             return Integer.parseInt(first.split(" ")[1]);
--- a/fleet/src/main/java/grebehoist/fleet/membership/Membership.java
+++ b/fleet/src/main/java/grebehoist/fleet/membership/Membership.java
@@ -610,6 +610,7 @@
                 }
             }
             case NEWS -> {}
+            default -> throw new IllegalStateException("no handler for " + m.kind());
         }
     }
 
@@ -683,6 +684,7 @@
                 }
             }
             case UNKNOWN -> {}
+            default -> throw new IllegalStateException("no handler for " + r.state());
         }
     }
 
--- a/trial/src/main/java/grebehoist/trial/scale/FaultDriver.java
+++ b/trial/src/main/java/grebehoist/trial/scale/FaultDriver.java
@@ -113,6 +113,7 @@
             case ONEWAY ->
                 hollows.tell(Hollows.what("deaf").put("machine", f.who()).put("one_in", DEAF_ONE_IN));
             case REGION -> cut(f.who());
+            default -> throw new IllegalStateException("no such fault: " + f.kind());
         }
     }
 
@@ -133,6 +134,7 @@
                 cut(-1);
                 unreached(f.who(), beganUs + f.fromUs(), Wire.now());
             }
+            default -> throw new IllegalStateException("no such fault: " + f.kind());
         }
         judge.fault(name(f), beganUs + f.fromUs(), Wire.now());
         history.line(Wire.referee("heal").put("kind", name(f)).put("who", f.who()));
