--- a/trial/src/main/java/grebehoist/trial/Member.java
+++ b/trial/src/main/java/grebehoist/trial/Member.java
@@ -228,6 +228,11 @@
         return List.copyOf(log);
     }
 
+    /** Returns the exit code of a process that has ended. */
+    int exitCode() {
+        return process.exitValue();
+    }
+
     /** Waits until clients may come; false where it ends before, or takes longer than so long. */
     boolean awaitReady(long mostMs) throws InterruptedException {
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(mostMs);
--- a/trial/src/test/java/grebehoist/trial/SystemCallFaultsIT.java
+++ b/trial/src/test/java/grebehoist/trial/SystemCallFaultsIT.java
@@ -34,6 +34,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** A process of the built jar under load, of which system calls fail for a moment; the witness of the four rules looks on. */
@@ -257,6 +258,64 @@
         assertThat(invariantViolations()).as("%s", proxy.log()).isZero();
     }
 
+    /** The loop is held up for as long as the page grants (STANDING: 0.15 s) between reading its clock and writing to a backend. */
+    @Test
+    void theRulesHoldWhileWritesAreHeldUp() throws Exception {
+        start("call=send,action=delay,pause=150,percent=2,except="
+                + proxy.address().getPort());
+        faults.resume();
+        for (int i = 0; i < 2; i++) {
+            Fleet.Machine out = rig.fleet().staying().get(i);
+            rig.run(() -> out.drainUntil(rig.now() + 2 * S));
+            passTime(2 * S);
+        }
+        rig.await("writes were held up", () -> faults.count(SystemCall.SEND) > 5);
+        faults.pause();
+        rig.awaitServed(100);
+        assertRulesKept();
+        assertThat(invariantViolations()).as("%s", proxy.log()).isZero();
+    }
+
+    /** For so long that a retry's longest pause has come and gone. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "call=socket,errno=ENOBUFS,percent=80",
+                "call=connect,errno=EHOSTUNREACH,percent=80",
+                "call=opendir,errno=EIO,path=grebehoist-;call=open,errno=EIO,path=grebehoist-",
+                "call=create,errno=ENOSPC,path=grebehoist-;call=unlink,errno=EIO,path=grebehoist-"
+            })
+    void theRulesHoldWhileCallsFailForTenSeconds(String schedule) throws Exception {
+        start(schedule);
+        faults.resume();
+        Fleet.Machine suspended = rig.fleet().staying().get(0);
+        long calledAt = rig.now();
+        call("POST", "/v1/backends/" + suspended.id() + "/suspend");
+        rig.run(() -> rig.witness().told(0, suspended.id(), false, calledAt + CALL_US));
+        passTime(10 * S);
+        rig.await("faults were injected", () -> !faults.counts().isEmpty());
+        faults.pause();
+        rig.awaitServed(100);
+        assertRulesKept();
+        assertThat(invariantViolations()).as("%s", proxy.log()).isZero();
+    }
+
+    /** What a start needs never works: the process says what and where, and ends, so that whoever started it may try elsewhere. */
+    @ParameterizedTest
+    @CsvSource({
+        "'call=bind,errno=EADDRNOTAVAIL', listen",
+        "'call=open,errno=EIO,path=n0.json', n0.json",
+        "'call=mkdir,errno=EROFS,path=grebehoist-', grebehoist-",
+        "'call=socket,errno=ENFILE', listen"
+    })
+    void aStartThatNeverWorksEndsWithAClearError(String schedule, String named) throws Exception {
+        faults = library.inject(proxy, schedule, 52, files.resolve("counts"));
+        proxy.start();
+        proxy.awaitEnd(20_000);
+        assertThat(proxy.exitCode()).as("%s", proxy.log()).isEqualTo(2);
+        assertThat(proxy.log()).anyMatch(l -> l.startsWith("bad configuration") && l.contains(named));
+    }
+
     /** What a start needs fails in its first second and a half: the process is ready in time, and serves. */
     @ParameterizedTest
     @ValueSource(
