Discovery: asked again at once where the connection broke under an answer

What discovery has written counts as notified, also where the read fails; the call after a failed one came 125 to 375 ms later, and then had to be made.

Change: a call whose connection broke after it was asked is followed by another within 40 ms (drawn, as all proxies may lose their watch at once), once; the pauses after that are the module's, as before. aLostWatchIsOpenedAgain ended its call by a break, which would not test the supervisor any more: it ends it by a 503 now. Measured: DiscoveryTest, 24 pass; the new one fails without the change (the second call comes after 1.5 s).

--- a/daemon/src/main/java/grebehoist/discovery/Discovery.java
+++ b/daemon/src/main/java/grebehoist/discovery/Discovery.java
@@ -53,6 +53,12 @@
      */
     private static final long AGENT_RETRY_MS = 100;
 
+    /**
+     * What discovery has written counts as notified, also where the connection broke under it: of the 250 ms that are left until nothing
+     * new may go to a drained backend, this is the most that a new call waits. Drawn, as all proxies may have lost their watch at once.
+     */
+    private static final int BROKEN_RETRY_MS = 40;
+
     private static final long SUPERVISION_MS = 250;
     /** The module pauses for 1.2 s at most before it asks again: a watch that nobody opens for longer than this has been lost. */
     private static final long MOST_UNATTENDED_MS = 1_500;
@@ -230,9 +236,14 @@
             return;
         }
         heard = true;
+        // Once only: a discovery that goes down breaks connections, too, and the pauses after that are the module's.
+        boolean retryAtOnce = answers && call.isBroken();
         answering(list != null);
         if (list == null) {
             failed(call);
+            if (retryAtOnce && !pushed) {
+                later(1 + random.nextInt(BROKEN_RETRY_MS), this::openAgain);
+            }
             return;
         }
         if (call == second) {
@@ -259,6 +270,15 @@
         take(list.kind(), list);
     }
 
+    /** After a connection broke: the watch, or the second call beside an overdue one. */
+    private void openAgain() {
+        if (wanted && watch == null) {
+            watch = watchCall(0);
+        } else {
+            askAgain();
+        }
+    }
+
     private void answering(boolean now) {
         if (now != answers) {
             answers = now;
--- a/daemon/src/main/java/grebehoist/discovery/DiscoveryCall.java
+++ b/daemon/src/main/java/grebehoist/discovery/DiscoveryCall.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -69,6 +70,8 @@
     private final Future<?> overdueTimer;
     private final ChannelFuture connecting;
     private boolean overdue;
+    private boolean asked;
+    private boolean broken;
     private boolean ended;
 
     /** Makes the call. */
@@ -122,6 +125,11 @@
         return ended;
     }
 
+    /** Returns whether its connection broke after it was asked: an answer may have been on its way. */
+    boolean isBroken() {
+        return broken;
+    }
+
     private void becomeOverdue() {
         overdue = true;
         owner.overdue(this);
@@ -134,6 +142,7 @@
                 .set(HttpHeaderNames.HOST, question.address.getHostString() + ":" + question.address.getPort());
         HttpUtil.setKeepAlive(request, false);
         ctx.writeAndFlush(request);
+        asked = true;
     }
 
     @Override
@@ -154,11 +163,13 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        broken = asked;
         finish(null, "the connection broke");
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        broken = asked && (cause instanceof IOException || cause instanceof PrematureChannelClosureException);
         finish(null, cause.toString());
     }
 
--- a/daemon/src/test/java/grebehoist/discovery/DiscoveryTest.java
+++ b/daemon/src/test/java/grebehoist/discovery/DiscoveryTest.java
@@ -16,6 +16,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelException;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
@@ -195,11 +196,50 @@
         try (var proxy = new Fixture(forgetsToAskAgain)) {
             try (Wire call = proxy.discovery.accept()) {
                 call.read();
+                call.send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
             }
             assertThat(proxy.discovery.accept().read().first()).contains("from=41&hold_ms=0");
         }
     }
 
+    /**
+     * The soak's seed 6009: the connection broke under an answer, which counts as notified. It is asked again at once, whatever pause the
+     * module makes; but once only, as a discovery that goes down breaks connections, too.
+     */
+    @Test
+    void asksAgainAtOnceWhereTheConnectionBroke() throws Exception {
+        Fixture.Module forgetsToAskAgain = (event, actions) -> {
+            if (event instanceof Members m && m.kind() == ListKind.CACHED) {
+                actions.accept(new Watch(true));
+            }
+        };
+        try (var proxy = new Fixture(forgetsToAskAgain)) {
+            proxy.next(Members.class);
+            breakConnection(proxy.discovery.accept());
+            long brokeAt = System.nanoTime();
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.FAILED);
+            breakConnection(proxy.discovery.accept());
+            // Left to the supervisor it would have taken 1.5 s.
+            assertThat(msSince(brokeAt)).isLessThan(1_000);
+            brokeAt = System.nanoTime();
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.FAILED);
+            proxy.discovery.accept().read();
+            assertThat(msSince(brokeAt)).isGreaterThan(1_000);
+        }
+    }
+
+    private static long msSince(long ns) {
+        return (System.nanoTime() - ns) / 1_000_000;
+    }
+
+    /** Ends a call in the middle of its answer with a reset. */
+    private static void breakConnection(Wire call) throws IOException {
+        call.read();
+        call.send("HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"version\":42,");
+        call.socket.setSoLinger(true, 0);
+        call.close();
+    }
+
     /** A discovery that is cut off says nothing, and TCP tells nobody: only the time does. */
     @Test
     void noticesASilentDiscovery() throws Exception {
