--- a/daemon/src/test/java/grebehoist/discovery/DiscoveryTest.java
+++ b/daemon/src/test/java/grebehoist/discovery/DiscoveryTest.java
@@ -34,6 +34,15 @@
         };
     }
 
+    /** Asks to watch at its first event, and never again: what goes on does so by itself. */
+    private static Fixture.Module asksOnce() {
+        return (event, actions) -> {
+            if (event instanceof Members m && m.kind() == ListKind.CACHED) {
+                actions.accept(new Watch(true));
+            }
+        };
+    }
+
     /** A network whose client sockets can't be had for a while: the first of these numbers passes, so many fail. */
     private static Network withoutSockets(AtomicInteger failures) {
         Network sockets = Network.sockets();
@@ -188,12 +197,7 @@
     /** Whoever was to ask again does not: the supervisor notices that a watch is wanted and nothing is under way for it. */
     @Test
     void aLostWatchIsOpenedAgain() throws Exception {
-        Fixture.Module forgetsToAskAgain = (event, actions) -> {
-            if (event instanceof Members m && m.kind() == ListKind.CACHED) {
-                actions.accept(new Watch(true));
-            }
-        };
-        try (var proxy = new Fixture(forgetsToAskAgain)) {
+        try (var proxy = new Fixture(asksOnce())) {
             try (Wire call = proxy.discovery.accept()) {
                 call.read();
                 call.send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
@@ -208,12 +212,7 @@
      */
     @Test
     void asksAgainAtOnceWhereTheConnectionBroke() throws Exception {
-        Fixture.Module forgetsToAskAgain = (event, actions) -> {
-            if (event instanceof Members m && m.kind() == ListKind.CACHED) {
-                actions.accept(new Watch(true));
-            }
-        };
-        try (var proxy = new Fixture(forgetsToAskAgain)) {
+        try (var proxy = new Fixture(asksOnce())) {
             proxy.next(Members.class);
             breakConnection(proxy.discovery.accept());
             long brokeAt = System.nanoTime();
