--- a/daemon/src/main/java/grebehoist/discovery/Discovery.java
+++ b/daemon/src/main/java/grebehoist/discovery/Discovery.java
@@ -163,6 +163,8 @@
     }
 
     private DiscoveryCall watchCall(long waitMs) {
+        // Calls that fail at once come and go between two looks of the supervisor.
+        unattendedSince = 0;
         // A call that does not wait may be one of many that discovery works through in turn: asked twice, it takes
         // twice as long.
         long overdueMs = waitMs == 0 && !pushed ? -1 : waitMs + (pushed ? AGENT_RETRY_MS : OVERDUE_MS);
--- a/daemon/src/test/java/grebehoist/discovery/DiscoveryTest.java
+++ b/daemon/src/test/java/grebehoist/discovery/DiscoveryTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import beechfall.Balancer;
 import beechfall.Balancer.Backend;
 import beechfall.Balancer.Event;
 import beechfall.Balancer.Fetch;
@@ -12,12 +13,19 @@
 import grebehoist.cli.Fixture;
 import grebehoist.cli.Peer;
 import grebehoist.cli.Wire;
+import grebehoist.engine.Counter;
+import grebehoist.engine.Log;
+import grebehoist.net.LoopTimers;
 import grebehoist.net.Network;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelException;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -25,6 +33,9 @@
 
 /** The watch on the list of backends, with discovery played by the test. */
 class DiscoveryTest {
+    /** Well within the pauses that the decision module makes. */
+    private static final long MODULE_PAUSE_MS = 600;
+
     /** Asks to watch at its first event, and again whenever a call has failed. */
     private static Fixture.Module watcher() {
         return (event, actions) -> {
@@ -239,6 +250,86 @@
         call.close();
     }
 
+    /** Calls that are made again and again, and fail at once, are no watch that was lost: the supervisor counts none, and opens none. */
+    @Test
+    void callsThatFailAtOnceAreNoLostWatch() throws Exception {
+        Network network = Network.sockets();
+        var unattended = new AtomicInteger();
+        var log = new QuietLog(unattended);
+        var clock = new LoopTimers(network.loop(), log);
+        var discovery = new Discovery[1];
+        try (var service = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            var address = (InetSocketAddress) service.getLocalSocketAddress();
+            network.loop()
+                    .submit(() -> {
+                        discovery[0] = new Discovery(
+                                network,
+                                clock,
+                                log,
+                                (kind, listed) -> askLater(kind, network, discovery),
+                                address,
+                                settings());
+                        discovery[0].watch(true);
+                    })
+                    .sync();
+            long began = System.nanoTime();
+            int calls = 0;
+            for (; msSince(began) < 4_000; calls++) {
+                try (Wire call = new Wire(service.accept())) {
+                    call.read();
+                    call.send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+                }
+            }
+            assertThat(calls).isGreaterThan(3);
+            assertThat(unattended).hasValue(0);
+        } finally {
+            network.loop().submit(() -> discovery[0].end()).sync();
+            network.loop()
+                    .parent()
+                    .shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
+                    .sync();
+        }
+    }
+
+    private static Balancer.Settings settings() {
+        var read = new Balancer.RequestClass(
+                "read", 600_000, 2_000_000, 1, 0, Balancer.Effect.SAFE, Balancer.Scope.ALL, 0);
+        return new Balancer.Settings(
+                2,
+                0,
+                "a",
+                4_000,
+                List.of(read),
+                List.of(),
+                1,
+                false,
+                new Balancer.Limits(true, false, false, true, 4, 2_000_000),
+                new Balancer.Rules(0.4, 8_000_000, 4, 1_000_000, 10_000_000, false),
+                1);
+    }
+
+    private static void askLater(ListKind kind, Network network, Discovery[] discovery) {
+        if (kind == ListKind.FAILED) {
+            network.loop().schedule(() -> discovery[0].watch(true), MODULE_PAUSE_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Counts watches that were taken for lost. */
+    private record QuietLog(AtomicInteger unattended) implements Log {
+        @Override
+        public void line(String text) {}
+
+        @Override
+        public void failure(String what, Throwable cause) {}
+
+        @Override
+        public void count(Counter counter) {
+            if (counter == Counter.DISCOVERY_UNATTENDED) {
+                unattended.incrementAndGet();
+            }
+        }
+    }
+
     /** A discovery that is cut off says nothing, and TCP tells nobody: only the time does. */
     @Test
     void noticesASilentDiscovery() throws Exception {
