Logging: why requests are closed, retried and refused; how long they wait, and where

The log dated a request by its read ('58 ms after it came'), which is what was in doubt, and nothing told how long it had waited before that.

- An event loop keeps when its last polls of the kernel began (PollHistory): what a channel brings that the poll before did not name came after that poll.
So the longest time that bytes, or a connection in the accept queue, can have waited is known, however the process was held up.
- /v1/metrics: waits_us has histograms (HdrHistogram) of the accept queue, from accept to read, unread, and before the first byte; events has a count for each reason of a close, refusal, failure and retry.
The log has five of these a second, with id, attempts and outcomes.
'Not answered whole' says how old the request was.
- MacAddressUtil's two lines at each start are gone: Netty is told a machine id, which tells nothing here.

No decision rests on any of it yet.

--- a/core/src/main/java/grebehoist/engine/Counter.java
+++ b/core/src/main/java/grebehoist/engine/Counter.java
@@ -27,7 +27,47 @@
     /** What the operators asked could not be read; what was known last stayed in force. */
     STATE_READ_FAILED,
     /** A task of the event loop ended with an exception. */
-    TASK_FAILED;
+    TASK_FAILED,
+
+    /** A request was refused, as its time was up when it was read. */
+    REFUSED_OUT_OF_TIME,
+    /** A request was refused by the decision module. */
+    REFUSED_BY_POLICY,
+    /** A request was refused, as the rest of its body would have come too late. */
+    REFUSED_BODY_LATE,
+    /** A request was refused, as the process ended. */
+    REFUSED_AT_SHUTDOWN,
+    /** A request failed by a decision of the module. */
+    FAILED_BY_POLICY,
+    /** A request failed, as another with its id was open. */
+    FAILED_SAME_ID,
+    /** A request failed at its deadline, as the module had not answered it. */
+    FAILED_OVERDUE,
+    /** A request that may have run failed, as the process ended. */
+    FAILED_AT_SHUTDOWN,
+    /** A further attempt was made for a request. */
+    RETRIED,
+
+    /** A request was not answered whole, as its client had closed the connection. */
+    CLOSED_CLIENT_LEFT,
+    /** A request was not answered whole, as its client's connection was reset. */
+    CLOSED_CLIENT_RESET,
+    /** A connection was closed, as its client took nothing of its answer. */
+    CLOSED_CLIENT_TAKES_NOTHING,
+    /** A connection was closed, as a request came too slowly on it. */
+    CLOSED_REQUEST_SLOW,
+    /** A connection was closed, as the rest of a refused request came for too long. */
+    CLOSED_REST_DROPPED,
+    /** A client's connection failed in this program. */
+    CLOSED_CLIENT_FAILED,
+    /** A long answer was cut off, as its backend ended the connection. */
+    CLOSED_BACKEND_ENDED,
+    /** A long answer was cut off, as its backend gave nothing for too long. */
+    CLOSED_BACKEND_SILENT,
+    /** A long answer was cut off, as it could not be read. */
+    CLOSED_BACKEND_UNREADABLE,
+    /** A long answer was cut off, as its backend's connection failed in this program. */
+    CLOSED_BACKEND_FAILED;
 
     /** Returns its name in the metrics. */
     public String metric() {
--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -100,9 +100,9 @@
         Balancer.RequestClass type = types.get(r.request.requestClass());
         boolean safe = type != null && type.effect() == Balancer.Effect.SAFE;
         if (safe || r.attempts.stream().noneMatch(a -> a.ended ? a.ranForAllThatIsKnown() : a.mayHaveRun())) {
-            refuse(r, 0);
+            refuse(r, 0, Counter.REFUSED_AT_SHUTDOWN);
         } else {
-            fail(r);
+            fail(r, Counter.FAILED_AT_SHUTDOWN);
         }
         deliver(new Balancer.ClientGone(r.request.id()));
         forget(r);
@@ -128,6 +128,7 @@
         private final Request request;
         private final Responder responder;
         private final Tally.Row row;
+        private final long handedInAt = timers.now();
         /** By their numbers. */
         private final List<Out> attempts = new ArrayList<>(2);
 
@@ -147,6 +148,20 @@
             this.deadlineUs = Math.min(answerBy, request.deadlineUs() + request.comingUs());
         }
 
+        /** Returns its attempts and how they ended, for the log. */
+        private String history() {
+            var text = new StringBuilder().append(deadlineUs - timers.now()).append(" us left");
+            for (Out attempt : attempts) {
+                text.append(", ")
+                        .append(attempt.number)
+                        .append(" at ")
+                        .append(attempt.backend)
+                        .append(": ")
+                        .append(attempt.outcome == null ? "out" : attempt.outcome);
+            }
+            return text.toString();
+        }
+
         /** Returns until when a repeat's last byte may go out: until the key of an attempt that may have run is forgotten. */
         private long keyKnownUntil() {
             Balancer.RequestClass type = types.get(request.requestClass());
@@ -229,6 +244,9 @@
         @Override
         public boolean mayBegin(long deadlineUs) {
             long now = timers.now();
+            if (number == 0) {
+                log.waited(Wait.BEFORE_FIRST_BYTE, now - request.handedInAt);
+            }
             return !ended && guard.begins(facts(deadlineUs, now), now);
         }
 
@@ -340,6 +358,7 @@
         Tally.Row row = tally.row(request.requestClass());
         if (open.containsKey(request.id())) {
             // What the other one does is not this one's to promise anything about.
+            log.reason(Counter.FAILED_SAME_ID, request.id(), () -> "");
             row.countFailed();
             responder.failed();
             return;
@@ -347,6 +366,7 @@
         long deadline = Math.min(answerBy, request.deadlineUs());
         if (now >= deadline) {
             // Nobody has begun with it: whoever still waits for it may ask again.
+            log.reason(Counter.REFUSED_OUT_OF_TIME, request.id(), () -> now - deadline + " us after its time was up");
             row.countRefused();
             responder.refused(0);
             return;
@@ -379,7 +399,7 @@
     public void giveUp(String id) {
         Open r = open.get(id);
         if (r != null && !r.over && !r.whole) {
-            refuse(r, 0);
+            refuse(r, 0, Counter.REFUSED_BODY_LATE);
             deliver(new Balancer.ClientGone(id));
             forget(r);
         }
@@ -405,7 +425,7 @@
     /** Guards against a module that never answers: whatever happens, the client hears of its request in time. */
     private void overdue(Open r) {
         if (!r.over) {
-            fail(r);
+            fail(r, Counter.FAILED_OVERDUE);
             deliver(new Balancer.ClientGone(r.request.id()));
             forget(r);
         }
@@ -469,12 +489,14 @@
         withdraw(r);
     }
 
-    private void refuse(Open r, long retryAfterUs) {
+    private void refuse(Open r, long retryAfterUs, Counter reason) {
+        log.reason(reason, r.request.id(), r::history);
         r.row.countRefused();
         answer(r, responder -> responder.refused(retryAfterUs));
     }
 
-    private void fail(Open r) {
+    private void fail(Open r, Counter reason) {
+        log.reason(reason, r.request.id(), r::history);
         r.row.countFailed();
         answer(r, Responder::failed);
     }
@@ -542,7 +564,7 @@
         String id =
                 event instanceof Balancer.Arrival a ? a.id() : event instanceof Balancer.AttemptEnded a ? a.id() : null;
         if (id != null) {
-            finish(id, this::fail);
+            finish(id, r -> fail(r, Counter.FAILED_BY_POLICY));
         }
     }
 
@@ -554,9 +576,9 @@
         } else if (action instanceof Balancer.SetTimer a) {
             timers.at(a.atUs(), () -> deliver(new Balancer.TimerFired(a.token())));
         } else if (action instanceof Balancer.Refuse a) {
-            finish(a.id(), r -> refuse(r, a.retryAfterUs()));
+            finish(a.id(), r -> refuse(r, a.retryAfterUs(), Counter.REFUSED_BY_POLICY));
         } else if (action instanceof Balancer.Fail a) {
-            finish(a.id(), this::fail);
+            finish(a.id(), r -> fail(r, Counter.FAILED_BY_POLICY));
         } else if (action instanceof Balancer.Cancel a) {
             cancel(a);
         } else if (action instanceof Balancer.Release a) {
@@ -596,6 +618,9 @@
         if (r == null) {
             return;
         }
+        if (!r.attempts.isEmpty()) {
+            log.reason(Counter.RETRIED, send.id(), () -> "at " + send.backend() + ", " + r.history());
+        }
         long left = r.deadlineUs - timers.now();
         var out = new Out(
                 r, r.attempts.size(), send.backend(), send.timeoutUs() == 0 ? left : Math.min(send.timeoutUs(), left));
--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -1,6 +1,7 @@
 package grebehoist.http;
 
 import grebehoist.engine.Counter;
+import grebehoist.net.Arrival;
 import grebehoist.net.ClientFront;
 import grebehoist.net.LoopTasks;
 import grebehoist.net.Network;
@@ -78,6 +79,7 @@
     private ReadBacklog backlog;
     private long reads;
     private long lastReadAt;
+    private Arrival lastArrival;
     /** Since when nothing is open here: the connect, or the last answer. */
     private long idleSince;
 
@@ -133,6 +135,7 @@
         var read = (ByteBuf) message;
         lastReadAt = Math.min(cameAt, backlog.read(read.readableBytes(), front.arrivedAt()));
         cameAt = Long.MAX_VALUE;
+        lastArrival = front.arrival(channel, reads == 0);
         reads++;
         if (channel instanceof SocketChannel && read.isWritable()) {
             // There was room for more: nothing else was there.
@@ -241,7 +244,7 @@
         // Where several came in one read, all of them came when that read did.
         firstByteAt = -1;
         headCame = false;
-        var next = new Exchange(front, this, head, body, upload, lastReadAt);
+        var next = new Exchange(front, this, head, body, upload, lastReadAt, lastArrival);
         if (exchange == null) {
             sockets.clientBusy(channel);
             exchange = next;
--- a/daemon/src/main/java/grebehoist/http/CutOffs.java
+++ b/daemon/src/main/java/grebehoist/http/CutOffs.java
@@ -31,6 +31,7 @@
      * @param exchange its id and how far it came, in words
      */
     void tell(long nowUs, CutOff why, Object exchange) {
+        log.count(why.counter());
         if (nowUs / SECOND_US != second) {
             second = nowUs / SECOND_US;
             lines = 0;
--- a/daemon/src/main/java/grebehoist/http/Exchange.java
+++ b/daemon/src/main/java/grebehoist/http/Exchange.java
@@ -3,6 +3,7 @@
 import grebehoist.engine.Payload;
 import grebehoist.engine.Request;
 import grebehoist.engine.Responder;
+import grebehoist.net.Arrival;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -24,6 +25,7 @@
     private final int held;
 
     private final long cameAt;
+    private final Arrival arrival;
     private String id;
     /** How long the client waits, for a request whose end was yet to come. */
     private long patienceUs;
@@ -40,6 +42,7 @@
      *
      * @param upload the body where it is still coming, else null
      * @param cameAt when the last of its bytes so far came
+     * @param arrival what is known of that, for the log
      */
     Exchange(
             HttpFront front,
@@ -47,8 +50,10 @@
             HttpRequest request,
             ByteBuf body,
             Upload upload,
-            long cameAt) {
+            long cameAt,
+            Arrival arrival) {
         this.front = front;
+        this.arrival = arrival;
         this.connection = connection;
         this.request = request;
         this.body = body;
@@ -235,7 +240,7 @@
     @Override
     public String toString() {
         return id + " (" + (!answered ? "no answer" : passed == 0 ? "a short answer" : passed + " bytes of an answer")
-                + ", " + (front.now() - cameAt) / 1_000 + " ms after it came)";
+                + ", " + (front.now() - arrival.readUs()) / 1_000 + " ms after it was read; " + arrival + ")";
     }
 
     /** Gives up the request's bytes. */
--- a/daemon/src/main/java/grebehoist/operations/Operations.java
+++ b/daemon/src/main/java/grebehoist/operations/Operations.java
@@ -7,9 +7,11 @@
 import grebehoist.engine.MemberSource;
 import grebehoist.engine.RuleGuard.Rule;
 import grebehoist.engine.Tally;
+import grebehoist.engine.Wait;
 import grebehoist.members.Suspensions;
 import grebehoist.net.LoopTimers;
 import grebehoist.net.StderrLog;
+import grebehoist.net.WaitHistograms;
 import java.io.IOException;
 import java.util.Locale;
 import java.util.Map;
@@ -138,6 +140,16 @@
         for (Counter counter : Counter.values()) {
             events.put(counter.metric(), target.log.counted(counter));
         }
+        ObjectNode waits = figures.putObject("waits_us");
+        for (Wait stage : Wait.values()) {
+            WaitHistograms.Figures of = target.log.waits().figures(stage);
+            waits.putObject(stage.metric())
+                    .put("count", of.count())
+                    .put("p50", of.p50())
+                    .put("p90", of.p90())
+                    .put("p99", of.p99())
+                    .put("max", of.max());
+        }
         return figures.put("tries", tries)
                 .put("active", target.active.getAsInt())
                 .put("pool_size", suspensions.listed().size())
--- a/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
@@ -1,5 +1,7 @@
 package grebehoist.thrift;
 
+import grebehoist.engine.Counter;
+import grebehoist.net.Arrival;
 import grebehoist.net.ClientFront;
 import grebehoist.net.LoopTasks;
 import grebehoist.net.Sockets;
@@ -58,6 +60,7 @@
     private long unreadSince = -1;
 
     private long reads;
+    private Arrival lastArrival;
     /** Whether the last read left nothing in the socket. */
     private boolean drained;
 
@@ -95,6 +98,7 @@
         // Time that a call has waited unread is its client's all the same.
         readAt = Math.min(Math.min(cameAt, front.arrivedAt()), unreadSince < 0 ? Long.MAX_VALUE : unreadSince);
         cameAt = Long.MAX_VALUE;
+        lastArrival = front.arrival(channel, reads == 0);
         firstByteAt = firstByteAt < 0 ? readAt : firstByteAt;
         reads++;
         // A socket's read that does not fill its buffer has left nothing; channels inside the process put writes
@@ -131,6 +135,11 @@
             boolean wanted = !exchange.done();
             exchange.drop();
             if (wanted && exchange.id() != null) {
+                front.log()
+                        .reason(
+                                Counter.CLOSED_CLIENT_LEFT,
+                                exchange.id(),
+                                () -> exchange.arrival().toString());
                 front.intake().clientGone(exchange.id());
             }
         }
@@ -168,7 +177,7 @@
             part();
             return;
         }
-        var exchange = new ThriftExchange(this, message, frame);
+        var exchange = new ThriftExchange(this, message, frame, lastArrival);
         if (open.isEmpty()) {
             sockets.clientBusy(channel);
         }
--- a/daemon/src/main/java/grebehoist/thrift/ThriftExchange.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftExchange.java
@@ -2,6 +2,7 @@
 
 import grebehoist.engine.Payload;
 import grebehoist.engine.Responder;
+import grebehoist.net.Arrival;
 import io.netty.buffer.ByteBuf;
 
 /** A call and its one reply, which waits here until its turn has come. */
@@ -10,16 +11,23 @@
     private final Message message;
     private final ByteBuf frame;
     private final int bytes;
+    private final Arrival arrival;
     private ThriftMethod method;
     private String id;
     private ByteBuf reply;
     private boolean done;
 
-    ThriftExchange(ThriftClientConnection connection, Message message, ByteBuf frame) {
+    ThriftExchange(ThriftClientConnection connection, Message message, ByteBuf frame, Arrival arrival) {
         this.connection = connection;
         this.message = message;
         this.frame = frame;
         this.bytes = frame.readableBytes();
+        this.arrival = arrival;
+    }
+
+    /** Returns when the last of its bytes came. */
+    Arrival arrival() {
+        return arrival;
     }
 
     Message message() {
--- a/daemon/src/test/java/grebehoist/cli/LongMessagesIT.java
+++ b/daemon/src/test/java/grebehoist/cli/LongMessagesIT.java
@@ -104,7 +104,7 @@
                     .isTrue();
             long beside = median(proxy);
             Thread.sleep(LASTS_MS);
-            assertThat(cutOff).isEmpty();
+            assertThat(cutOff).as("%s", proxy.log()).isEmpty();
             assertThat(steps.get()).as("all of them go on").isGreaterThan(2 * SLOW * (int) (LASTS_MS / STEP_MS) / 2);
             long kb = proxy.peakKb();
             System.out.printf(
--- a/net/src/main/java/grebehoist/net/ClientFront.java
+++ b/net/src/main/java/grebehoist/net/ClientFront.java
@@ -2,6 +2,7 @@
 
 import grebehoist.engine.Intake;
 import grebehoist.engine.Log;
+import grebehoist.engine.Wait;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
@@ -224,6 +225,27 @@
         return firstByteAt + patienceUs - Math.min(ON_ITS_WAY_US, patienceUs / 10);
     }
 
+    /**
+     * Returns when bytes that have just been read from a client came, and records how long they waited.
+     *
+     * @param first whether they are the first on their connection
+     */
+    public final Arrival arrival(Channel channel, boolean first) {
+        long now = timers.now();
+        if (!(channel instanceof SocketConnection socket)) {
+            return new Arrival(timers.arrivedAt(), Arrival.NOT_FIRST, now);
+        }
+        long came = timers.at(socket.arrivedNs());
+        if (!first) {
+            log.waited(Wait.UNREAD, now - came);
+            return new Arrival(came, Arrival.NOT_FIRST, now);
+        }
+        long accepted = timers.at(socket.acceptedNs());
+        log.waited(Wait.ACCEPT_QUEUE, accepted - came);
+        log.waited(Wait.ACCEPT_TO_READ, now - accepted);
+        return new Arrival(came, accepted, now);
+    }
+
     /** Returns when a byte that is read now may have come. */
     public final long arrivedAt() {
         return timers.arrivedAt();
--- a/net/src/main/java/grebehoist/net/ListeningSocket.java
+++ b/net/src/main/java/grebehoist/net/ListeningSocket.java
@@ -4,6 +4,7 @@
 import io.netty.channel.nio.NioIoOps;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
+import java.net.SocketAddress;
 import java.nio.channels.SocketChannel;
 import java.util.List;
 import java.util.concurrent.Executor;
@@ -30,6 +31,10 @@
     private boolean calling;
     private boolean closeWanted;
     private Outcome outcome;
+    /** The last time at which nobody is known to have waited; whoever is accepted came after it. */
+    private long nobodyWaitedNs;
+    /** Since when polls name it if somebody waits; {@link Long#MAX_VALUE} while they don't. */
+    private long polledFromNs = Long.MAX_VALUE;
 
     /** Makes one that is not bound yet. */
     ListeningSocket(Executor worker) {
@@ -43,9 +48,31 @@
 
     @Override
     protected void doBeginRead() throws Exception {
-        if (!calling) {
-            super.doBeginRead();
+        if (calling) {
+            return;
+        }
+        super.doBeginRead();
+        if (polledFromNs == Long.MAX_VALUE) {
+            polledFromNs = nowNs();
+        }
+    }
+
+    @Override
+    protected void removeAndSubmit(NioIoOps removed) {
+        if (removed.contains(NioIoOps.ACCEPT)) {
+            polledFromNs = Long.MAX_VALUE;
         }
+        super.removeAndSubmit(removed);
+    }
+
+    @Override
+    protected void doBind(SocketAddress local) throws Exception {
+        nobodyWaitedNs = nowNs();
+        super.doBind(local);
+    }
+
+    private long nowNs() {
+        return eventLoop().ticker().nanoTime();
     }
 
     /** Called when somebody waits, and once more when the call that this begins has an outcome. */
@@ -78,9 +105,9 @@
         return failure instanceof Exception known ? known : new IOException("accept failed", failure);
     }
 
-    private InterruptibleSockets.Connection connection(SocketChannel socket) {
+    private SocketConnection connection(SocketChannel socket) {
         try {
-            return new InterruptibleSockets.Connection(this, socket);
+            return new SocketConnection(this, socket, nobodyWaitedNs, nowNs());
         } catch (RuntimeException e) {
             closeQuietly(socket);
             throw e;
@@ -88,7 +115,11 @@
     }
 
     private void beginCall() throws IOException {
-        long begunAt = eventLoop().ticker().nanoTime();
+        long begunAt = nowNs();
+        long completeNs = PollHistory.of(eventLoop()).completeNs();
+        if (completeNs >= polledFromNs) {
+            nobodyWaitedNs = Math.max(nobodyWaitedNs, completeNs);
+        }
         try {
             worker.execute(() -> call(begunAt));
         } catch (RejectedExecutionException | OutOfMemoryError e) {
--- a/net/src/main/java/grebehoist/net/LoopTimers.java
+++ b/net/src/main/java/grebehoist/net/LoopTimers.java
@@ -111,7 +111,12 @@
 
     @Override
     public long now() {
-        return originUs + ticker.nanoTime() / 1_000;
+        return at(ticker.nanoTime());
+    }
+
+    /** Returns the time that this clock showed at a time of the loop's ticker. */
+    long at(long tickerNs) {
+        return originUs + tickerNs / 1_000;
     }
 
     @Override
--- a/net/src/main/java/grebehoist/net/Network.java
+++ b/net/src/main/java/grebehoist/net/Network.java
@@ -5,14 +5,11 @@
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.local.LocalAddress;
 import io.netty.channel.local.LocalChannel;
-import io.netty.channel.local.LocalIoHandler;
 import io.netty.channel.local.LocalServerChannel;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioChannelOption;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -29,6 +26,17 @@
         ServerBootstrap server,
         Bootstrap client,
         Function<InetSocketAddress, SocketAddress> addresses) {
+    private static final String MACHINE_ID = "io.netty.machineId";
+
+    static {
+        // Netty would look for a hardware address first, in vain on most machines, and say so: it only tells channels
+        // of one process
+        // from another's.
+        if (System.getProperty(MACHINE_ID) == null) {
+            System.setProperty(MACHINE_ID, "02:00:00:00:00:01");
+        }
+    }
+
     private static final int BACKLOG = 1_024;
     /**
      * How much the kernel holds of what a client has yet to take, in bytes; Linux counts twice as much for its own needs. Left to
@@ -55,7 +63,7 @@
      * @param shared whether another process may listen at the same addresses (SO_REUSEPORT): by mistake, too, and unnoticed
      */
     public static Network sockets(boolean shared) {
-        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        EventLoop loop = PolledEventLoop.forSockets();
         var acceptWorker = new AcceptWorker(loop);
         ServerBootstrap server = new ServerBootstrap()
                 .group(loop)
@@ -74,7 +82,7 @@
                 server,
                 new Bootstrap()
                         .group(loop)
-                        .channelFactory(InterruptibleSockets.Connection::new)
+                        .channelFactory(SocketConnection::new)
                         .option(ChannelOption.SO_SNDBUF, UNSENT)
                         .option(ChannelOption.RECVBUF_ALLOCATOR, pieces())
                         .option(ChannelOption.WRITE_BUFFER_WATER_MARK, marks()),
@@ -91,7 +99,7 @@
 
     /** Returns channels inside the process, with an event loop of their own. */
     public static Network inProcess() {
-        return inProcess(new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory()).next(), new InProcess());
+        return inProcess(PolledEventLoop.inProcess(), new InProcess());
     }
 
     /** Returns channels inside the process, on a loop that handles such channels: all in one world reach one another. */
--- a/net/src/main/java/grebehoist/net/StderrLog.java
+++ b/net/src/main/java/grebehoist/net/StderrLog.java
@@ -5,10 +5,12 @@
 import grebehoist.engine.LogEvent;
 import grebehoist.engine.RuleGuard.Rule;
 import grebehoist.engine.RuleGuard.Violation;
+import grebehoist.engine.Wait;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLongArray;
+import java.util.function.Supplier;
 
 /**
  * The log on standard error, and the counts behind the metrics. One thread calls it: the event loop, or the main thread before that; only
@@ -17,6 +19,7 @@
  */
 public final class StderrLog implements Log {
     private static final int LINES_A_SECOND = 20;
+    private static final int REASONS_A_SECOND = 5;
     private static final int MOST_QUEUED = 1_024;
     private static final BlockingQueue<String> QUEUE = new ArrayBlockingQueue<>(MOST_QUEUED);
 
@@ -25,6 +28,8 @@
     private long second = Long.MIN_VALUE;
     private int lines;
     private int dropped;
+    private final RateLimit reasons = new RateLimit(REASONS_A_SECOND);
+    private final WaitHistograms waits = new WaitHistograms();
 
     /** Standard error belongs to the process, and so does its writer. */
     private static final class Writer {
@@ -113,6 +118,28 @@
         return counts.get(counter.ordinal());
     }
 
+    @Override
+    public void reason(Counter reason, String request, Supplier<String> detail) {
+        count(reason);
+        if (reasons.mayPass(System.nanoTime())) {
+            line(new JsonLine("request")
+                    .put("reason", reason.name())
+                    .put("request", request)
+                    .put("detail", detail.get())
+                    .toString());
+        }
+    }
+
+    @Override
+    public void waited(Wait stage, long us) {
+        waits.record(stage, us);
+    }
+
+    /** Returns how long requests have waited. Used by the engine's thread. */
+    public WaitHistograms waits() {
+        return waits;
+    }
+
     @Override
     public void violation(Violation violation) {
         violations.incrementAndGet(violation.rule().ordinal());
--- a/net/src/test/java/grebehoist/net/ListeningSocketTest.java
+++ b/net/src/test/java/grebehoist/net/ListeningSocketTest.java
@@ -7,8 +7,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.EventLoop;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -29,7 +28,7 @@
 class ListeningSocketTest {
     private static final String GREETING = "hello";
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = PolledEventLoop.forSockets();
     private final BlockingQueue<Runnable> calls = new LinkedBlockingQueue<>();
     private final BlockingQueue<Object> events = new LinkedBlockingQueue<>();
     private ListeningSocket listener;
@@ -37,7 +36,7 @@
     @BeforeEach
     void listen() {
         listener = (ListeningSocket) new ServerBootstrap()
-                .group(group)
+                .group(loop)
                 .channelFactory(() -> new ListeningSocket(calls::add))
                 .handler(new ChannelInboundHandlerAdapter() {
                     @Override
@@ -54,7 +53,7 @@
     @AfterEach
     void end() {
         calls.forEach(Runnable::run);
-        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+        loop.parent().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
     }
 
     /** Sends a line to whoever connects, and back what comes. */
@@ -88,7 +87,7 @@
     }
 
     private boolean onLoop(Callable<Boolean> question) {
-        return group.next().submit(question).syncUninterruptibly().getNow();
+        return loop.submit(question).syncUninterruptibly().getNow();
     }
 
     @Test
