--- a/daemon/src/test/java/grebehoist/cli/ThriftProcessIT.java
+++ b/daemon/src/test/java/grebehoist/cli/ThriftProcessIT.java
@@ -11,11 +11,15 @@
 import grebehoist.testkit.ThriftWire;
 import grebehoist.testkit.Witness;
 import grebehoist.testkit.Witness.Count;
+import java.io.DataInputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.apache.thrift.TApplicationException;
 import org.apache.thrift.TProcessor;
@@ -230,4 +234,94 @@
             Files.delete(file);
         }
     }
+
+    /** Reads calls and answers none of them; keeps when each came, and its connections. */
+    private static void hang(Peer backend, List<Long> cameNs, List<Wire> connections) {
+        Peer.background(() -> {
+            while (true) {
+                Wire wire = backend.accept();
+                connections.add(wire);
+                Peer.background(() -> {
+                    var in = new DataInputStream(wire.socket.getInputStream());
+                    while (true) {
+                        in.readNBytes(in.readInt());
+                        cameNs.add(System.nanoTime());
+                    }
+                });
+            }
+        });
+    }
+
+    private static void send(TProtocol client, int id) throws org.apache.thrift.TException {
+        client.writeMessageBegin(new TMessage("read", TMessageType.CALL, id));
+        client.writeStructBegin(new TStruct("args"));
+        text(client, 1, "call-" + id);
+        client.writeFieldBegin(new TField("", TType.STRUCT, (short) 2));
+        text(client, 2, "account-" + id);
+        client.writeFieldStop();
+        client.writeFieldBegin(new TField("", TType.I32, (short) 4));
+        client.writeI32(2_000);
+        client.writeFieldStop();
+        client.writeMessageEnd();
+        client.getTransport().flush();
+    }
+
+    /** Past its open calls a connection is not read: that its client has left shows only to who looks. */
+    @Test
+    void aClientThatLeftWithAsManyCallsOpenAsAreReadIsNotSentOn() throws Exception {
+        int open = 4;
+        long leaveGraceNs = TimeUnit.MILLISECONDS.toNanos(100);
+        Path file = Files.createTempFile("thrift", ".toml");
+        List<Long> cameNs = Collections.synchronizedList(new ArrayList<>());
+        List<Wire> connections = Collections.synchronizedList(new ArrayList<>());
+        try (var platform = new Peer();
+                var discovery = new Peer();
+                var first = new Peer();
+                var second = new Peer();
+                var proxy = new ProxyProcess("n0", SETTINGS)) {
+            hang(first, cameNs, connections);
+            hang(second, cameNs, connections);
+            String list = Fixture.list(
+                    41,
+                    true,
+                    Fixture.entry("s0", first.address(), "ready"),
+                    Fixture.entry("s1", second.address(), "ready"));
+            platform.always(Peer.ok(list));
+            discovery.always(Peer.ok(list));
+            InetSocketAddress address = ProxyProcess.freeAddress();
+            Files.writeString(
+                    file,
+                    installation(discovery.socketAddress(), address) + "max_open = " + open + System.lineSeparator());
+            proxy.configure(platform.socketAddress(), list)
+                    .start("--installation", file.toString())
+                    .awaitReady();
+            long leftNs;
+            try (var transport = new TFramedTransport(new TSocket("127.0.0.1", address.getPort(), 10_000))) {
+                transport.open();
+                var client = new TBinaryProtocol(transport);
+                for (int id = 1; id <= open; id++) {
+                    send(client, id);
+                }
+                long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+                while (cameNs.size() < open && System.nanoTime() < until) {
+                    Thread.sleep(5);
+                }
+                assertThat(cameNs).as("all calls are out: %s", proxy.log()).hasSize(open);
+            }
+            leftNs = System.nanoTime();
+            Thread.sleep(300);
+            // What is safe to repeat is tried elsewhere, if anybody waits for it.
+            for (Wire connection : List.copyOf(connections)) {
+                connection.close();
+            }
+            Thread.sleep(1_500);
+            assertThat(cameNs.stream()
+                            .filter(came -> came - leftNs > leaveGraceNs)
+                            .map(came -> (came - leftNs) / 1_000_000 + " ms after it left"))
+                    .as("%s", proxy.log())
+                    .isEmpty();
+        } finally {
+            Files.delete(file);
+        }
+    }
 }
--- a/testkit/src/main/java/grebehoist/testkit/HttpWire.java
+++ b/testkit/src/main/java/grebehoist/testkit/HttpWire.java
@@ -32,6 +32,7 @@
     private static final String TENANT = "x-tenant-id";
     private static final String KEY = "idempotency-key";
     private static final String WORK = "x-work-us";
+    private static final String TIMEOUT = "x-timeout";
 
     private final boolean shaped;
 
@@ -112,7 +113,7 @@
                         head.get(TENANT),
                         head.get(KEY),
                         Long.parseLong(head.get(WORK, "1000")),
-                        0,
+                        toldUs(head.get(TIMEOUT)),
                         head.contains("x-retried"),
                         false));
                 return true;
@@ -137,6 +138,15 @@
         };
     }
 
+    /** Returns the time that a request says is left, in microseconds. */
+    private static long toldUs(String timeout) {
+        if (timeout == null) {
+            return Call.NOT_TOLD;
+        }
+        long number = Long.parseLong(timeout.substring(0, timeout.length() - 1));
+        return timeout.endsWith("m") ? 1_000 * number : number;
+    }
+
     private static byte[] shapedAnswer(String body) {
         Shape shape = Shape.of(body);
         return framed("HTTP/1.1 200 OK\r\n", shape, shape.message(body));
@@ -251,7 +261,7 @@
         String head = (call.safe() ? "GET" : "POST") + " /api?k=" + call.operation() + " HTTP/1.1\r\nHost: service\r\n"
                 + REQUEST_ID + ": " + call.id() + "\r\n" + REQUEST_CLASS + ": " + call.requestClass() + "\r\n"
                 + (call.tenant() == null ? "" : TENANT + ": " + call.tenant() + "\r\n")
-                + "x-timeout: " + call.patienceUs() + "u\r\n" + WORK + ": " + call.workUs() + "\r\n"
+                + TIMEOUT + ": " + call.patienceUs() + "u\r\n" + WORK + ": " + call.workUs() + "\r\n"
                 + (call.retried() ? "x-retried: 1\r\n" : "")
                 + (call.key() == null ? "" : KEY + ": " + call.key() + "\r\n");
         if (shaped && !call.safe()) {
--- a/testkit/src/main/java/grebehoist/testkit/StandInBackend.java
+++ b/testkit/src/main/java/grebehoist/testkit/StandInBackend.java
@@ -296,7 +296,11 @@
         @Override
         public void began(StandInWire.Call begun) {
             call = begun;
-            sent = witness.began(machine.id(), group(classes.get(call.requestClass())), call.id(), timers.now());
+            long now = timers.now();
+            sent = witness.began(machine.id(), group(classes.get(call.requestClass())), call.id(), now);
+            if (call.patienceUs() != StandInWire.Call.NOT_TOLD) {
+                sent.told(call.patienceUs(), now);
+            }
             if (act == Act.RESET_EARLY) {
                 call = null;
                 channel.close();
--- a/testkit/src/main/java/grebehoist/testkit/StandInWire.java
+++ b/testkit/src/main/java/grebehoist/testkit/StandInWire.java
@@ -15,7 +15,7 @@
      * @param safe whether its class may be repeated at will
      * @param tenant or null
      * @param key or null
-     * @param patienceUs how long its client waits
+     * @param patienceUs how long its client waits; to a backend, what it is told to be left, or {@link #NOT_TOLD}
      * @param oneway whether nobody answers it
      */
     record Call(
@@ -28,7 +28,10 @@
             long workUs,
             long patienceUs,
             boolean retried,
-            boolean oneway) {}
+            boolean oneway) {
+        /** Nothing is said of the time that is left, or the client's own words are passed on as they are. */
+        static final long NOT_TOLD = -1;
+    }
 
     /**
      * How slowly a message is written.
--- a/testkit/src/main/java/grebehoist/testkit/ThriftWire.java
+++ b/testkit/src/main/java/grebehoist/testkit/ThriftWire.java
@@ -190,7 +190,7 @@
                     f.get("2.1"),
                     f.get("2.3"),
                     Long.parseLong(f.getOrDefault("6", "1000")),
-                    0,
+                    Call.NOT_TOLD,
                     Boolean.parseBoolean(f.get("5")),
                     oneway));
             side.whole();
--- a/testkit/src/main/java/grebehoist/testkit/Witness.java
+++ b/testkit/src/main/java/grebehoist/testkit/Witness.java
@@ -130,6 +130,9 @@
     /** Whoever holds back what a backend has given for so long loses it, by the operators' page. */
     private static final long HELD_BACK_US = 2_000_000;
 
+    /** By so much the deadline that a backend is told may be later than the client's (STANDING). */
+    private static final long DEADLINE_SLACK_US = 150_000;
+
     private static final class Stop {
         private final long byUs;
         private boolean writeSeen;
@@ -185,6 +188,22 @@
             return wholeUs != Long.MAX_VALUE && !turnedAway;
         }
 
+        /** The backend is told that so much is left to the client. */
+        public void told(long leftUs, long atUs) {
+            Known r = requests.get(id);
+            if (r == null || !r.whole || r.answer != null) {
+                return;
+            }
+            long tooLate = atUs + leftUs - r.ask.deadlineUs();
+            if (tooLate > DEADLINE_SLACK_US + terms.slackUs()) {
+                broken(
+                        Rule.ANSWER,
+                        id,
+                        atUs,
+                        backend + " was told a deadline " + tooLate / 1_000 + " ms after the client's" + history(r));
+            }
+        }
+
         /** Its last byte has come. */
         public void whole(long atUs) {
             if (wholeUs == Long.MAX_VALUE) {
