Before each attempt's first byte the kernel is asked whether the client is still there

Cause: the end of a client's connection counted only once the event loop had come to read it, and whether it might be waiting was guessed from how late the loop's heartbeat or one call of accept(2) was. Waits made of many short ones, in the accept queue or while a connection is not read, stay under every threshold.

Fix: an end that has come stands behind the request in the same socket. SocketConnection reads what is there, without waiting, until there is no more or the end (SocketPeek); what it finds comes to the handlers in their order, from a buffer that is bounded over all connections of a loop. Engine asks through Responder right before the first byte of every attempt: first, retry, hedge, after a late connect, on HTTP and Thrift alike; RuleGuard refuses, and ATTEMPT_CLIENT_LEFT counts. No time enters into it. A oneway call that has come within 50 ms is sent on though its client has closed behind it, which is within the 0.1 s of the rule. What the look can't prevent, a process held up between it and the write, is counted as CLIENT_GONE with its times if the end is found right behind.

--- a/core/src/main/java/grebehoist/engine/Counter.java
+++ b/core/src/main/java/grebehoist/engine/Counter.java
@@ -6,6 +6,8 @@
 public enum Counter {
     /** An attempt was not begun, as its request's time, or its key's window, had run out since it was decided on. */
     ATTEMPT_OUT_OF_TIME,
+    /** An attempt was not begun, as its client was found to have left right before its first byte. */
+    ATTEMPT_CLIENT_LEFT,
     /** A call that accepts a connection took long, as the system made it fail again and again. */
     ACCEPT_DELAYED,
     /** A listener could not accept a connection, and tried again. */
--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -25,6 +25,8 @@
     private static final long SAFETY_US = 2_000;
     /** An attempt whose answer has begun to come is not given up at its time-out as long as more comes each time. */
     private static final long MOVING_US = 100_000;
+    /** What is found so soon after a write was there when it was made, as far as can be known. */
+    private static final long FOUND_SOON_US = 20_000;
     /** How long a send waits, again and again, while the host takes in what came when it was held up. */
     private static final long SETTLE_US = 2_000;
 
@@ -134,6 +136,8 @@
 
         private int out;
         private boolean over;
+        /** Whether its client was found to have left, of which the front is yet to tell. */
+        private boolean clientLeft;
         /** When the answer is due; not before the payload has come whole, where it is still coming. */
         private long deadlineUs;
 
@@ -195,6 +199,10 @@
 
         private boolean ended;
         private Outcome outcome;
+        /** When its client was last looked for, right before the first byte, and when that had been written. */
+        private long lookedAt;
+
+        private long writtenAt = Long.MAX_VALUE;
 
         Out(Open request, int number, String backend, long timeoutUs) {
             this.request = request;
@@ -247,7 +255,12 @@
             if (number == 0) {
                 log.waited(Wait.BEFORE_FIRST_BYTE, now - request.handedInAt);
             }
-            return !ended && guard.begins(facts(deadlineUs, now), now);
+            if (ended) {
+                return false;
+            }
+            lookedAt = now;
+            request.clientLeft = !request.over && !request.responder.clientPresent();
+            return guard.begins(facts(deadlineUs, now), now);
         }
 
         private RuleGuard.Send facts(long toldDeadlineUs, long now) {
@@ -267,6 +280,7 @@
                     backend,
                     types.get(request.request.requestClass()),
                     !request.over,
+                    !request.clientLeft,
                     request.deadlineUs - now,
                     toldDeadlineUs - now,
                     othersOut,
@@ -276,6 +290,13 @@
                     module.slowStartAllowance(backend, now));
         }
 
+        /** Returns whether its client, whose end is found now, may have left long before the first byte. */
+        boolean begunForNobody(long now) {
+            return writtenAt != Long.MAX_VALUE
+                    && writtenAt - lookedAt > RuleGuard.LEAVE_GRACE_US
+                    && now - writtenAt < FOUND_SOON_US;
+        }
+
         boolean mayHaveRun() {
             return attempt != null && attempt.mayHaveRun();
         }
@@ -315,6 +336,7 @@
 
         @Override
         public void written() {
+            writtenAt = timers.now();
             request.row.countAttempt();
             if (request.request.comingUs() > 0 && !ended) {
                 timeout.cancel();
@@ -414,6 +436,10 @@
     public void clientGone(String id) {
         Open r = open.get(id);
         if (r != null && !r.over) {
+            long now = timers.now();
+            r.attempts.stream()
+                    .filter(a -> a.begunForNobody(now))
+                    .forEach(a -> guard.begunForNobody(id, a.number, a.backend, a.lookedAt, a.writtenAt, now));
             r.row.countFailed();
             over(r);
             withdraw(r);
@@ -443,6 +469,12 @@
     private void attemptEnded(Out out, Outcome outcome, Payload answer) {
         Open r = out.request;
         r.out--;
+        boolean leaves = r.clientLeft && !r.over;
+        if (leaves) {
+            r.row.countFailed();
+            over(r);
+            withdraw(r);
+        }
         if (outcome == Outcome.OK && !r.over) {
             if (answer instanceof StreamedPayload stream) {
                 serve(r, stream);
@@ -460,6 +492,9 @@
                 outcome,
                 outcome == Outcome.OK && answer == Payload.NONE ? Balancer.UNTIMED : timers.now() - out.startedAt,
                 r.over));
+        if (leaves) {
+            deliver(new Balancer.ClientGone(r.request.id()));
+        }
         forget(r);
     }
 
--- a/core/src/main/java/grebehoist/engine/Responder.java
+++ b/core/src/main/java/grebehoist/engine/Responder.java
@@ -21,4 +21,12 @@
 
     /** It is over, and nothing is promised about its effect. */
     void failed();
+
+    /**
+     * Returns whether its client is still there, by the newest that can be known without waiting: asked right before the first byte of each
+     * attempt. Not called after an answer.
+     */
+    default boolean clientPresent() {
+        return true;
+    }
 }
--- a/core/src/main/java/grebehoist/engine/RuleGuard.java
+++ b/core/src/main/java/grebehoist/engine/RuleGuard.java
@@ -56,6 +56,7 @@
      * An attempt that is about to begin.
      *
      * @param open whether the request still wants an answer
+     * @param clientPresent whether its client is still there, by what the kernel holds
      * @param leftUs what is left to the client
      * @param toldLeftUs what the server is told that is left
      * @param othersOut attempts of the same request that are out
@@ -70,6 +71,7 @@
             String endpoint,
             RequestClass type,
             boolean open,
+            boolean clientPresent,
             long leftUs,
             long toldLeftUs,
             int othersOut,
@@ -83,6 +85,8 @@
 
     /** Rule 3: the time between the notification and the last request that may begin. */
     static final long DRAIN_GRACE_US = 250_000;
+    /** An attempt may begin so long after its client has left. */
+    static final long LEAVE_GRACE_US = 100_000;
     /** What the deadline that a server is told may be too late by. */
     static final long DEADLINE_SLACK_US = 150_000;
     /** An endpoint that is gone is remembered for so long, for whatever still waits to be sent there. */
@@ -167,13 +171,17 @@
 
     /**
      * As {@link #maySend}, right before the first byte. That time has run out since the decision (a connection came up late, the process was
-     * held up) is no fault, and is refused without being counted as one. What begins counts towards the budget of slow start.
+     * held up), or that its client has left, is no fault, and is refused without being counted as one. What begins counts towards the budget of slow start.
      */
     public boolean begins(Send send, long nowUs) {
         if (send.leftUs <= 0 || outOfWindow(send, nowUs)) {
             log.count(Counter.ATTEMPT_OUT_OF_TIME);
             return false;
         }
+        if (!send.clientPresent) {
+            log.count(Counter.ATTEMPT_CLIENT_LEFT);
+            return false;
+        }
         return endpointTakes(send, nowUs)
                 && requestAllows(send, nowUs)
                 && repeatAllowed(send, nowUs)
@@ -258,6 +266,21 @@
         return true;
     }
 
+    /**
+     * A client's leaving is found right behind an attempt whose first byte was written long after the client was looked for: it may have left
+     * before that byte by more than the rules grant.
+     */
+    public void begunForNobody(
+            String request, int attempt, String endpoint, long lookedAtUs, long writtenAtUs, long nowUs) {
+        log.violation(new Violation(
+                Rule.CLIENT_GONE,
+                nowUs,
+                request,
+                attempt,
+                endpoint,
+                "looked for the client at " + lookedAtUs + ", wrote at " + writtenAtUs + ", its end found now"));
+    }
+
     /** A client's connection is closed from this side under a request that was read and has no answer. */
     public void closedUnanswered(String request, String why, long nowUs) {
         log.violation(new Violation(Rule.UNANSWERED_CLOSE, nowUs, request, -1, "", why));
--- a/core/src/test/java/grebehoist/engine/EngineTest.java
+++ b/core/src/test/java/grebehoist/engine/EngineTest.java
@@ -23,6 +23,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** One request, one answer; one attempt, one outcome: whatever the module, the transport and the clock do. */
@@ -316,6 +317,55 @@
         assertThat(host.events(ClientGone.class)).hasSize(1);
     }
 
+    /** Each attempt asks again: the second here is a repeat, whose client has left while the first was out. */
+    @Test
+    void aClientFoundGoneRightBeforeTheFirstByteIsNotSentOn() {
+        var host = new FakeHost((event, actions) -> {
+            if (event instanceof Arrival a) {
+                actions.accept(new Send(a.id(), "s0", 0));
+            } else if (event instanceof AttemptEnded e && !e.last()) {
+                actions.accept(new Send(e.id(), "s1", 0));
+            }
+        });
+        host.onStart = s -> {
+            s.written = s.end.mayBegin(s.deadlineUs);
+            if (!s.written) {
+                s.answer(Outcome.NOT_SENT, null);
+            }
+        };
+        var client = host.ask("r1");
+        assertThat(host.sent.get(0).written).isTrue();
+        client.present = false;
+        host.sent.get(0).answer(Outcome.RESET, null);
+        assertThat(host.sent).hasSize(2);
+        assertThat(host.sent.get(1).written).isFalse();
+        assertThat(host.events(AttemptEnded.class).get(1).last()).isTrue();
+        assertThat(host.events(ClientGone.class)).hasSize(1);
+        assertThat(host.engine.open()).isZero();
+        assertThat(host.engine.unanswered()).isZero();
+        host.engine.clientGone("r1");
+        assertThat(host.events(ClientGone.class)).hasSize(1);
+        assertThat(client.answers).isEmpty();
+        assertThat(host.log).isEmpty();
+    }
+
+    /** Held up between its look for the client and its write: what no program prevents is counted. */
+    @ParameterizedTest
+    @CsvSource({"99, 0, 0", "101, 0, 1", "101, 30, 0"})
+    void anEndFoundBehindALateWriteIsCounted(long heldUpMs, long foundMs, int counted) {
+        var host = new FakeHost(FakeHost.sendTo("s0", 0));
+        host.onStart = s -> {
+            s.written = s.end.mayBegin(s.deadlineUs);
+            host.now += heldUpMs * MS;
+            s.end.written();
+        };
+        host.ask("r1");
+        host.now += foundMs * MS;
+        host.engine.clientGone("r1");
+        assertThat(host.log).hasSize(counted);
+        assertThat(host.log).allMatch(l -> l.contains("CLIENT_GONE") && l.contains("r1"));
+    }
+
     @Test
     void anErrorInTheModuleCostsOneRequest() {
         var host = new FakeHost((event, actions) -> {
--- a/core/src/test/java/grebehoist/engine/FakeHost.java
+++ b/core/src/test/java/grebehoist/engine/FakeHost.java
@@ -37,6 +37,12 @@
     static final class Client implements Responder {
         final List<String> answers = new ArrayList<>();
         Runnable onAnswer = () -> {};
+        boolean present = true;
+
+        @Override
+        public boolean clientPresent() {
+            return present;
+        }
 
         @Override
         public void served(Payload answer) {
--- a/core/src/test/java/grebehoist/engine/RuleGuardTest.java
+++ b/core/src/test/java/grebehoist/engine/RuleGuardTest.java
@@ -52,6 +52,7 @@
         private String endpoint = "a1";
         private RequestClass type = READ;
         private boolean open = true;
+        private boolean clientPresent = true;
         private long leftUs = S;
         private long toldLeftUs = S;
         private int number;
@@ -61,7 +62,19 @@
 
         Send send() {
             return new Send(
-                    "r1", number, endpoint, type, open, leftUs, toldLeftUs, othersOut, 2, false, mayHaveRun, allowance);
+                    "r1",
+                    number,
+                    endpoint,
+                    type,
+                    open,
+                    clientPresent,
+                    leftUs,
+                    toldLeftUs,
+                    othersOut,
+                    2,
+                    false,
+                    mayHaveRun,
+                    allowance);
         }
     }
 
@@ -109,6 +122,15 @@
         assertThat(violations).containsExactly(Rule.CLIENT_GONE);
     }
 
+    @Test
+    void aClientThatIsFoundGoneRightBeforeTheFirstByteIsNoFault() {
+        notified(ListKind.FULL, 0, listed("a1", State.READY));
+        var facts = new Facts();
+        facts.clientPresent = false;
+        assertThat(guard.begins(facts.send(), 0)).isFalse();
+        assertThat(violations).isEmpty();
+    }
+
     @Test
     void theDeadlineThatIsToldIsTheClients() {
         var facts = new Facts();
--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -5,6 +5,7 @@
 import grebehoist.net.ClientFront;
 import grebehoist.net.LoopTasks;
 import grebehoist.net.Network;
+import grebehoist.net.SocketPeek;
 import grebehoist.net.Sockets;
 import grebehoist.net.TakeWatch;
 import io.netty.buffer.ByteBuf;
@@ -359,6 +360,11 @@
         return channel.writeAndFlush(answer);
     }
 
+    /** Returns whether its client has not ended it, by what the kernel holds. */
+    boolean clientPresent() {
+        return !SocketPeek.hasEnded(channel);
+    }
+
     boolean writable() {
         return channel.isWritable();
     }
--- a/daemon/src/main/java/grebehoist/http/Exchange.java
+++ b/daemon/src/main/java/grebehoist/http/Exchange.java
@@ -159,6 +159,11 @@
         answer(Answers.failed());
     }
 
+    @Override
+    public boolean clientPresent() {
+        return connection.clientPresent();
+    }
+
     private boolean keepAlive() {
         return HttpUtil.isKeepAlive(request) && !(front.partsSoon() && connection.last());
     }
--- a/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
@@ -4,6 +4,7 @@
 import grebehoist.net.Arrival;
 import grebehoist.net.ClientFront;
 import grebehoist.net.LoopTasks;
+import grebehoist.net.SocketPeek;
 import grebehoist.net.Sockets;
 import grebehoist.net.TakeWatch;
 import io.netty.buffer.ByteBuf;
@@ -85,6 +86,16 @@
         channel.pipeline().addLast(frames, new Calls());
     }
 
+    /** Returns whether its client has not ended it, by what the kernel holds. */
+    boolean clientPresent() {
+        return !SocketPeek.hasEnded(channel);
+    }
+
+    /** Returns whether bytes surely came not longer ago than so long. */
+    boolean cameWithin(Arrival arrival, long us) {
+        return front.now() - arrival.mayHaveComeUs() < us;
+    }
+
     ByteBufAllocator alloc() {
         return channel.alloc();
     }
--- a/daemon/src/main/java/grebehoist/thrift/ThriftExchange.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftExchange.java
@@ -7,6 +7,9 @@
 
 /** A call and its one reply, which waits here until its turn has come. */
 final class ThriftExchange implements Responder {
+    /** Half of the time after a client's leaving in which an attempt may still begin. */
+    private static final long ONEWAY_GRACE_US = 50_000;
+
     private final ThriftClientConnection connection;
     private final Message message;
     private final ByteBuf frame;
@@ -94,6 +97,12 @@
         finish(oneway() ? null : Replies.failed(connection.alloc(), message));
     }
 
+    /** Nobody waits for a oneway call, so a client may close right behind it: that is not held against one that has just come. */
+    @Override
+    public boolean clientPresent() {
+        return connection.clientPresent() || oneway() && connection.cameWithin(arrival, ONEWAY_GRACE_US);
+    }
+
     /** The call could not be passed on; its client is told why. */
     void rejected(CallReader.Rejected why) {
         if (why.harmless()) {
--- a/net/src/main/java/grebehoist/net/PolledEventLoop.java
+++ b/net/src/main/java/grebehoist/net/PolledEventLoop.java
@@ -13,6 +13,7 @@
 /** An event loop with a thread of its own that keeps a {@link PollHistory}. */
 final class PolledEventLoop extends SingleThreadIoEventLoop implements PollHistory.Owner {
     private final PollHistory polls;
+    private final ReadAhead readAhead = new ReadAhead();
 
     private PolledEventLoop(
             IoEventLoopGroup parent, Executor executor, IoHandlerFactory handlers, boolean tasksBringData) {
@@ -35,6 +36,11 @@
         return polls;
     }
 
+    /** Returns what its connections have read ahead. */
+    ReadAhead readAhead() {
+        return readAhead;
+    }
+
     @Override
     protected int runIo() {
         polls.begins();
--- a/net/src/main/java/grebehoist/net/SocketConnection.java
+++ b/net/src/main/java/grebehoist/net/SocketConnection.java
@@ -4,14 +4,18 @@
 import io.netty.channel.Channel;
 import io.netty.channel.nio.NioIoOps;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 
 /**
- * A connection over a socket that knows how old the bytes may be that are read from it. An interrupted read (EINTR) is no end of the
+ * A connection over a socket that can be asked what the kernel holds of it, its end above all, ahead of its handlers, and how old the bytes
+ * may be that are read from it. An interrupted read (EINTR) is no end of the
  * stream on it: the runtime tells it as a negative number other than -1, which Netty takes for the end.
  */
 final class SocketConnection extends NioSocketChannel {
     private static final int END_OF_STREAM = -1;
+    private static final int MOST_INTERRUPTED = 16;
 
     /** When it was accepted; 0 for one that this process opens. */
     private final long acceptedNs;
@@ -24,6 +28,16 @@
     private boolean moreLeft;
 
     private long arrivedNs;
+    /** What has been read and no handler has seen, or null, and since when it may have waited. */
+    private ByteBuf readAhead;
+
+    private long readAheadSinceNs;
+    /** Whether the end of the stream, or a failure of the connection, has been read. */
+    private boolean ended;
+    /** Null where the stream has ended in good order. */
+    private IOException failure;
+
+    private boolean readingSoon;
 
     /** Makes one that is yet to be connected. */
     SocketConnection() {
@@ -58,6 +72,9 @@
         if (polledFromNs == Long.MAX_VALUE) {
             polledFromNs = nowNs();
         }
+        if (holdsAny()) {
+            readSoon();
+        }
     }
 
     @Override
@@ -80,13 +97,150 @@
 
     @Override
     protected int doReadBytes(ByteBuf into) throws Exception {
+        if (readAhead != null && readAhead.isReadable()) {
+            return takeReadAhead(into);
+        }
+        if (ended) {
+            return endOfStream();
+        }
         arrivedNs = unreadSinceNs();
         long beforeNs = nowNs();
         int room = into.writableBytes();
         int read = super.doReadBytes(into);
+        countRead(read, room, beforeNs);
+        return read < END_OF_STREAM ? 0 : read;
+    }
+
+    private void countRead(int read, int room, long beforeNs) {
         moreLeft = read == room || read < END_OF_STREAM;
         // A read that leaves room has found all that there was (recv(2)).
-        readUpToNs = moreLeft ? arrivedNs : beforeNs;
-        return read < END_OF_STREAM ? 0 : read;
+        readUpToNs = moreLeft ? unreadSinceNs() : beforeNs;
+    }
+
+    private int endOfStream() throws IOException {
+        if (failure != null) {
+            throw failure;
+        }
+        return END_OF_STREAM;
+    }
+
+    private int takeReadAhead(ByteBuf into) {
+        unsafe().recvBufAllocHandle().attemptedBytesRead(into.writableBytes());
+        int taken = Math.min(into.writableBytes(), readAhead.readableBytes());
+        into.writeBytes(readAhead, taken);
+        arrivedNs = readAheadSinceNs;
+        aheadOfLoop().add(-taken);
+        if (!readAhead.isReadable()) {
+            dropReadAhead();
+        }
+        if (holdsAny()) {
+            readSoon();
+        }
+        return taken;
+    }
+
+    private void dropReadAhead() {
+        if (readAhead != null) {
+            aheadOfLoop().add(-readAhead.readableBytes());
+            readAhead.release();
+            readAhead = null;
+        }
+    }
+
+    private ReadAhead aheadOfLoop() {
+        return ((PolledEventLoop) eventLoop()).readAhead();
+    }
+
+    /** Returns whether something has been read that no handler has seen. */
+    private boolean holdsAny() {
+        return readAhead != null || ended;
+    }
+
+    /** Returns whether the kernel may hold bytes behind those that the handlers have seen. */
+    boolean mayHoldMore() {
+        return moreLeft || holdsAny();
+    }
+
+    /** Returns whether the other side has ended the connection, or reset it, by what the kernel holds now. */
+    boolean hasEnded() {
+        readWhatIsThere();
+        return ended || !isActive();
+    }
+
+    /** Returns whether anything has come that no handler has seen. */
+    boolean hasUnread() {
+        readWhatIsThere();
+        return holdsAny() || !isActive();
+    }
+
+    /** Reads until there is no more, or no more room, and does not wait. What it finds comes to the handlers soon. */
+    private void readWhatIsThere() {
+        int interrupted = 0;
+        while (isActive() && !ended && interrupted < MOST_INTERRUPTED) {
+            ByteBuffer piece = aheadOfLoop().piece();
+            if (piece == null) {
+                moreLeft = true;
+                break;
+            }
+            long sinceNs = unreadSinceNs();
+            long beforeNs = nowNs();
+            int read;
+            try {
+                read = javaChannel().read(piece);
+            } catch (IOException e) {
+                failure = e;
+                read = END_OF_STREAM;
+            }
+            if (read == 0) {
+                countRead(0, piece.capacity(), beforeNs);
+                break;
+            } else if (read > 0) {
+                countRead(read, piece.capacity(), beforeNs);
+                keep(piece.flip(), sinceNs);
+            } else if (read == END_OF_STREAM) {
+                ended = true;
+            } else {
+                interrupted++;
+            }
+        }
+        if (holdsAny()) {
+            readSoon();
+        }
+    }
+
+    private void keep(ByteBuffer bytes, long sinceNs) {
+        if (readAhead == null) {
+            readAhead = alloc().buffer(bytes.remaining());
+            readAheadSinceNs = sinceNs;
+        }
+        aheadOfLoop().add(bytes.remaining());
+        readAhead.writeBytes(bytes);
+    }
+
+    /** The kernel does not tell again of what has been read: the loop is told. */
+    private void readSoon() {
+        if (!readingSoon) {
+            readingSoon = true;
+            eventLoop().execute(this::readHeld);
+        }
+    }
+
+    private void readHeld() {
+        readingSoon = false;
+        if (!isOpen() || !holdsAny()) {
+            return;
+        }
+        if (config().isAutoRead()) {
+            unsafe().read();
+        } else if (ended) {
+            // Its handlers read nothing more for now, and whoever would hear an answer has gone.
+            unsafe().close(voidPromise());
+        }
+    }
+
+    @Override
+    protected void doClose() throws Exception {
+        dropReadAhead();
+        super.doClose();
     }
 }
--- /dev/null
+++ b/net/src/main/java/grebehoist/net/SocketPeek.java
@@ -0,0 +1,21 @@
+package grebehoist.net;
+
+import io.netty.channel.Channel;
+
+/**
+ * Asks the kernel, without waiting, what it holds of a connection that has not been read yet. Used by the channel's event loop. Of channels
+ * inside the process, which have no kernel behind them, it tells what is known.
+ */
+public final class SocketPeek {
+    private SocketPeek() {}
+
+    /** Returns whether the other side has ended the connection or reset it. */
+    public static boolean hasEnded(Channel channel) {
+        return channel instanceof SocketConnection socket ? socket.hasEnded() : !channel.isActive();
+    }
+
+    /** Returns whether bytes, or the end, wait to be read. */
+    public static boolean hasUnread(Channel channel) {
+        return channel instanceof SocketConnection socket ? socket.hasUnread() : !channel.isActive();
+    }
+}
