A request is as old as its bytes can be by the kernel's polls, not as its read

Cause: age was inferred from the process's own health: a heartbeat that was 20 ms late, a call of accept(2) that took 20 ms. Many short waits add up below both.

Fix: a request counts from the earliest time at which its bytes, or its new connection, may have come: the last poll of the kernel that did not name them, or the last time at which nobody waited in the accept queue (PollHistory, SocketConnection, ListeningSocket).

Gone, as nothing needs them: the heartbeat's thresholds, catchingUp, heldUpSince, ACCEPT_DELAYED, AcceptBacklog's guess of when a client came, and both fronts' 2 ms look.

--- a/core/src/main/java/grebehoist/engine/Counter.java
+++ b/core/src/main/java/grebehoist/engine/Counter.java
@@ -8,8 +8,6 @@
     ATTEMPT_OUT_OF_TIME,
     /** An attempt was not begun, as its client was found to have left right before its first byte. */
     ATTEMPT_CLIENT_LEFT,
-    /** A call that accepts a connection took long, as the system made it fail again and again. */
-    ACCEPT_DELAYED,
     /** A listener could not accept a connection, and tried again. */
     ACCEPT_FAILED,
     /** An address could not be bound, and was tried again. */
--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -71,10 +71,6 @@
     private final RequestAssembler assembler;
     private Channel channel;
     private Exchange exchange;
-    private long cameAt;
-    /** Whether its client may have waited to be accepted, and may have left by now. */
-    private boolean mayHaveWaited;
-
     private long firstByteAt = -1;
     private boolean headCame;
     private ReadBacklog backlog;
@@ -103,16 +99,10 @@
 
     private final TakeWatch takes = new TakeWatch(UNREAD_US);
 
-    /**
-     * Takes over an accepted connection.
-     *
-     * @param cameAt when its first request may have come, where it may have waited to be accepted
-     */
-    ClientConnection(HttpFront front, Sockets sockets, long cameAt) {
+    /** Takes over an accepted connection. */
+    ClientConnection(HttpFront front, Sockets sockets) {
         this.front = front;
         this.sockets = sockets;
-        this.cameAt = cameAt;
-        this.mayHaveWaited = cameAt != Long.MAX_VALUE;
         this.assembler = new RequestAssembler(this, front.heldBodies());
     }
 
@@ -134,12 +124,10 @@
         }
         // A request's time counts from its last byte: one that comes slowly is not older for that.
         var read = (ByteBuf) message;
-        lastReadAt = Math.min(cameAt, backlog.read(read.readableBytes(), front.arrivedAt()));
-        cameAt = Long.MAX_VALUE;
         lastArrival = front.arrival(channel, reads == 0);
+        lastReadAt = backlog.read(read.readableBytes(), front.countsFrom(lastArrival));
         reads++;
-        if (channel instanceof SocketChannel && read.isWritable()) {
-            // There was room for more: nothing else was there.
+        if (SocketPeek.drained(channel, read)) {
             backlog.drained();
         }
         if (firstByteAt < 0 && assembler.upload() == null) {
@@ -203,7 +191,7 @@
 
             @Override
             public void rests() {
-                backlog.rests(front.now());
+                backlog.rests(front.unreadSince(channel));
             }
 
             @Override
@@ -249,7 +237,7 @@
         if (exchange == null) {
             sockets.clientBusy(channel);
             exchange = next;
-            beginExchange(next);
+            begin(next);
         } else if (waiting.size() < PIPELINED) {
             waiting.add(next);
         } else {
@@ -261,24 +249,6 @@
         return next;
     }
 
-    /**
-     * After a long stop a client's request is read, and then that it has left: it is not to be sent for a client that gave
-     * up long ago, so its end is looked for first. So it is where the client has waited to be accepted.
-     */
-    private void beginExchange(Exchange next) {
-        boolean look = front.catchingUp() || mayHaveWaited;
-        mayHaveWaited = false;
-        if (!look) {
-            begin(next);
-            return;
-        }
-        LoopTasks.after(channel.eventLoop(), front.log(), LOOK_MS, TimeUnit.MILLISECONDS, () -> {
-            if (exchange == next) {
-                begin(next);
-            }
-        });
-    }
-
     /**
      * The exchange has its answer. It is over once the network has taken that: until then its connection is not idle, whoever looks
      * for idle ones, and what is read ahead waits.
@@ -303,7 +273,7 @@
         idleSince = front.now();
         exchange = keepAlive ? waiting.poll() : null;
         if (exchange != null) {
-            beginExchange(exchange);
+            begin(exchange);
         } else if (!keepAlive) {
             // What was asked behind the last answer has not been begun, and nothing is said of it.
             rejected(null);
@@ -395,7 +365,7 @@
 
     @Override
     public void partIfIdle() {
-        if (exchange == null && firstByteAt < 0) {
+        if (exchange == null && firstByteAt < 0 && !SocketPeek.hasUnread(channel)) {
             part(null);
         }
     }
--- a/daemon/src/main/java/grebehoist/http/HttpFront.java
+++ b/daemon/src/main/java/grebehoist/http/HttpFront.java
@@ -41,8 +41,8 @@
     }
 
     @Override
-    protected ClientConnection connection(long cameAt) {
-        return new ClientConnection(this, sockets(), cameAt);
+    protected ClientConnection connection() {
+        return new ClientConnection(this, sockets());
     }
 
     RequestReader reader() {
--- a/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
@@ -42,10 +42,6 @@
     private final Frames frames;
     private final List<ThriftExchange> open = new ArrayList<>();
     private Channel channel;
-    private long cameAt;
-    /** Whether its client may have waited to be accepted, and may have left by now. */
-    private boolean mayHaveWaited;
-
     private long firstByteAt = -1;
     /** When what is being read may have come. */
     private long readAt;
@@ -70,11 +66,9 @@
     private boolean parting;
     private boolean closed;
 
-    ThriftClientConnection(ThriftFront front, Sockets sockets, long cameAt) {
+    ThriftClientConnection(ThriftFront front, Sockets sockets) {
         this.front = front;
         this.sockets = sockets;
-        this.cameAt = cameAt;
-        this.mayHaveWaited = cameAt != Long.MAX_VALUE;
         this.frames = new Frames(front.options().maxFrame());
     }
 
@@ -107,14 +101,11 @@
             return;
         }
         // Time that a call has waited unread is its client's all the same.
-        readAt = Math.min(Math.min(cameAt, front.arrivedAt()), unreadSince < 0 ? Long.MAX_VALUE : unreadSince);
-        cameAt = Long.MAX_VALUE;
         lastArrival = front.arrival(channel, reads == 0);
+        readAt = Math.min(front.countsFrom(lastArrival), unreadSince < 0 ? Long.MAX_VALUE : unreadSince);
         firstByteAt = firstByteAt < 0 ? readAt : firstByteAt;
         reads++;
-        // A socket's read that does not fill its buffer has left nothing; channels inside the process put writes
-        // together.
-        drained = channel instanceof SocketChannel && ((ByteBuf) message).isWritable();
+        drained = SocketPeek.drained(channel, (ByteBuf) message);
         super.channelRead(ctx, message);
     }
 
@@ -197,15 +188,7 @@
         front.bytesOpen(exchange.bytes());
         pace();
         // A call's time counts from its last byte, as a request's over HTTP.
-        long came = readAt;
-        boolean look = front.catchingUp() || mayHaveWaited;
-        mayHaveWaited = false;
-        if (look) {
-            LoopTasks.after(
-                    channel.eventLoop(), front.log(), LOOK_MS, TimeUnit.MILLISECONDS, () -> begin(exchange, came));
-        } else {
-            begin(exchange, came);
-        }
+        begin(exchange, readAt);
     }
 
     private void begin(ThriftExchange exchange, long came) {
@@ -234,7 +217,7 @@
         if (!mayRead()) {
             if (channel.config().isAutoRead()) {
                 channel.config().setAutoRead(false);
-                unreadSince = drained || unreadSince < 0 ? front.arrivedAt() : unreadSince;
+                unreadSince = drained || unreadSince < 0 ? front.unreadSince(channel) : unreadSince;
             }
         } else if (!channel.config().isAutoRead() && !resuming) {
             // Never from inside a call: a channel that reads at once would give the decoder bytes while it still hands
@@ -369,7 +352,7 @@
 
     @Override
     public void partIfIdle() {
-        if (open.isEmpty() && firstByteAt < 0 && TakeWatch.unsent(channel) == 0) {
+        if (open.isEmpty() && firstByteAt < 0 && TakeWatch.unsent(channel) == 0 && !SocketPeek.hasUnread(channel)) {
             part();
         }
     }
--- a/daemon/src/main/java/grebehoist/thrift/ThriftFront.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftFront.java
@@ -40,8 +40,8 @@
     }
 
     @Override
-    protected ThriftClientConnection connection(long cameAt) {
-        return new ThriftClientConnection(this, sockets(), cameAt);
+    protected ThriftClientConnection connection() {
+        return new ThriftClientConnection(this, sockets());
     }
 
     /** Counts the bytes of open calls; when they fall below the bound, whoever had to wait goes on. */
--- a/net/src/main/java/grebehoist/net/AcceptRetry.java
+++ b/net/src/main/java/grebehoist/net/AcceptRetry.java
@@ -16,14 +16,11 @@
 
     /** What becomes of a listener that accepts badly. */
     interface Owner {
-        /** Nobody is accepted for a while: whoever is accepted next may have waited. */
+        /** Nobody is accepted for a while. */
         void paused();
 
         /** Begins to accept again, unless there is another reason not to. */
         void resume();
-
-        /** A call has taken so long, though others of the loop went on: whoever is accepted next may have waited. */
-        void delayed(long us);
     }
 
     private final Log log;
@@ -35,15 +32,6 @@
         this.owner = owner;
     }
 
-    @Override
-    public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
-        if (event instanceof ListeningSocket.Delayed delayed) {
-            log.count(Counter.ACCEPT_DELAYED);
-            owner.delayed(delayed.us());
-        }
-        super.userEventTriggered(ctx, event);
-    }
-
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         log.count(Counter.ACCEPT_FAILED);
--- a/net/src/main/java/grebehoist/net/ClientFront.java
+++ b/net/src/main/java/grebehoist/net/ClientFront.java
@@ -66,17 +66,13 @@
         this.sockets = sockets;
     }
 
-    /**
-     * Makes the handler of a connection that has been accepted.
-     *
-     * @param cameAt when its first request may have come, where it may have waited to be accepted
-     */
-    protected abstract C connection(long cameAt);
+    /** Makes the handler of a connection that has been accepted. */
+    protected abstract C connection();
 
     @Override
     public final ChannelFuture listen(Network network, InetSocketAddress address) {
         backlog = new AcceptBacklog(
-                timers, network.loop(), log, () -> listener instanceof ListeningSocket socket && socket.accepting());
+                network.loop(), log, () -> listener instanceof ListeningSocket socket && socket.accepting());
         sweep = LoopTasks.every(network.loop(), log, SWEEP_US, TimeUnit.MICROSECONDS, this::sweep);
         ChannelFuture bound = LoopChannels.bind(
                 network.server()
@@ -86,7 +82,8 @@
                             @Override
                             protected void initChannel(Channel channel) {
                                 sockets.clientOpened(channel);
-                                channel.pipeline().addLast(connection(backlog.accepted()));
+                                backlog.accepted();
+                                channel.pipeline().addLast(connection());
                             }
                         }),
                 network.address(address));
@@ -114,17 +111,12 @@
         public void resume() {
             sockets.accept();
         }
-
-        @Override
-        public void delayed(long us) {
-            backlog.delayed(us);
-        }
     }
 
     /** One timer for all: one for each connection would have to be set anew with each request. */
     private void sweep() {
         long now = timers.now();
-        if (!timers.catchingUp()) {
+        if (!timers.settling()) {
             // After a long stop of the process what clients have done meanwhile is yet to be read.
             List.copyOf(connections).forEach(c -> c.expire(now));
         }
@@ -246,14 +238,16 @@
         return new Arrival(came, accepted, now);
     }
 
-    /** Returns when a byte that is read now may have come. */
-    public final long arrivedAt() {
-        return timers.arrivedAt();
+    /** Returns from when on the client's time counts: from the earliest at which its bytes may have come. */
+    public final long countsFrom(Arrival arrival) {
+        return timers.resolved(arrival.mayHaveComeUs());
     }
 
-    /** Returns whether the end of a connection may wait behind a request that has just been read on it. */
-    public final boolean catchingUp() {
-        return timers.catchingUp();
+    /** Returns since when bytes of a client may be waiting that are yet to be read. */
+    public final long unreadSince(Channel channel) {
+        return channel instanceof SocketConnection socket
+                ? timers.resolved(timers.at(socket.unreadSinceNs()))
+                : timers.arrivedAt();
     }
 
     /** Returns where the operators read. */
--- a/net/src/main/java/grebehoist/net/ListeningSocket.java
+++ b/net/src/main/java/grebehoist/net/ListeningSocket.java
@@ -9,23 +9,16 @@
 import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.TimeUnit;
 
 /**
  * A listening socket whose calls of accept(2) are made elsewhere ({@link AcceptWorker}), one at a time; what they return is handled on the
  * event loop, as with any channel. While a call is under way the loop does not look whether somebody waits.
  *
- * <p>A call usually takes microseconds. Where it took long ({@link Delayed}), whoever is accepted next may have waited as long.
+ * <p>The kernel does not tell how long a connection has waited. What is known is when nobody waited, and whoever is accepted has come since.
  */
 final class ListeningSocket extends NioServerSocketChannel {
-    /** Tells the pipeline, ahead of the connection that a call has accepted, that the call took long. */
-    record Delayed(long us) {}
-
     private record Outcome(SocketChannel socket, Throwable failure) {}
 
-    /** Longer than a busy machine makes a thread wait; clients' time counts from their request, as far as it can be known. */
-    private static final long DELAYED_US = 20_000;
-
     private final Executor worker;
     // Used on the loop's thread alone.
     private boolean calling;
@@ -115,13 +108,12 @@
     }
 
     private void beginCall() throws IOException {
-        long begunAt = nowNs();
         long completeNs = PollHistory.of(eventLoop()).completeNs();
         if (completeNs >= polledFromNs) {
             nobodyWaitedNs = Math.max(nobodyWaitedNs, completeNs);
         }
         try {
-            worker.execute(() -> call(begunAt));
+            worker.execute(this::call);
         } catch (RejectedExecutionException | OutOfMemoryError e) {
             throw new IOException("no thread to accept on", e);
         }
@@ -130,10 +122,10 @@
     }
 
     /** On a thread of the worker's. */
-    private void call(long begunAt) {
+    private void call() {
         Outcome done = accept();
         try {
-            eventLoop().execute(() -> ended(done, begunAt));
+            eventLoop().execute(() -> ended(done));
         } catch (RejectedExecutionException e) {
             // The loop has ended, and the process with it.
             closeQuietly(done.socket);
@@ -148,7 +140,7 @@
         }
     }
 
-    private void ended(Outcome done, long begunAt) {
+    private void ended(Outcome done) {
         calling = false;
         if (closeWanted) {
             closeQuietly(done.socket);
@@ -156,10 +148,6 @@
             return;
         }
         outcome = done;
-        long us = TimeUnit.NANOSECONDS.toMicros(eventLoop().ticker().nanoTime() - begunAt);
-        if (us > DELAYED_US) {
-            pipeline().fireUserEventTriggered(new Delayed(us));
-        }
         unsafe().read();
     }
 
--- a/net/src/main/java/grebehoist/net/LoopChannels.java
+++ b/net/src/main/java/grebehoist/net/LoopChannels.java
@@ -53,9 +53,6 @@
         public void resume() {
             listener.config().setAutoRead(true);
         }
-
-        @Override
-        public void delayed(long us) {}
     }
 
     /** Closes the channel of a connect or bind, whatever has become of it. */
--- a/net/src/main/java/grebehoist/net/LoopTimers.java
+++ b/net/src/main/java/grebehoist/net/LoopTimers.java
@@ -15,27 +15,21 @@
  * system's time is set.
  */
 public final class LoopTimers implements Timers {
-    /** How often the loop shows that it runs. */
-    private static final long HEARTBEAT_US = 10_000;
-    /** A timer or a heartbeat that is later than this finds a loop that was held up. */
-    private static final long HELD_UP_US = 2 * HEARTBEAT_US;
-    /**
-     * Held up for longer than this, a loop may have missed a good part of the time that it has to take notice of a client's leaving,
-     * 0.1 s, and of a drain, 250 ms.
-     */
-    private static final long LONG_HELD_UP_US = 50_000;
-    /** So long at most a loop counts as catching up with what came while it was held up. */
-    private static final long MOST_CATCHING_UP_US = 3_000_000;
+    /** A loop that has nothing to do polls the kernel so often, so that what it reads is known to be that young. */
+    private static final long POLL_US = 10_000;
+    /** Two polls of an idle loop, and a new connection's way to its first read: times that are nearer than this are not told apart. */
+    private static final long RESOLUTION_US = 25_000;
+    /** Of the 250 ms that a drain's grace lasts 150 are for a process that is held up before its write; half of the rest. */
+    private static final long NEWS_AGE_US = 50_000;
+    /** A timer that is later than this looks for what came before its time. */
+    private static final long LATE_TIMER_US = 2 * POLL_US;
     /** Long enough that the loop looks at its sockets in between. */
     private static final long LOOK_US = 1_000;
 
     private final EventLoop loop;
     private final Ticker ticker;
     private final long originUs;
-    private long lastHeartbeatAt;
-    private long heldUpFrom = Long.MAX_VALUE;
-    private long catchingUpUntil;
-    private long lastHeldUpFrom = Long.MAX_VALUE;
+    private final PollHistory polls;
     private final Log log;
 
     /** Makes a clock that starts at the system's time. */
@@ -62,51 +56,28 @@
         this.log = log;
         this.ticker = loop.ticker();
         this.originUs = nowUs - ticker.nanoTime() / 1_000;
-        this.lastHeartbeatAt = nowUs;
-        LoopTasks.every(loop, log, HEARTBEAT_US, TimeUnit.MICROSECONDS, this::heartbeat);
-    }
-
-    private void heartbeat() {
-        long now = now();
-        heldUpFrom = now - lastHeartbeatAt > HELD_UP_US ? lastHeartbeatAt : Long.MAX_VALUE;
-        if (now - lastHeartbeatAt > LONG_HELD_UP_US) {
-            // Taking in what came during one stop may be the next: what has not been read yet is as old as the first.
-            lastHeldUpFrom = now < catchingUpUntil ? lastHeldUpFrom : lastHeartbeatAt;
-            catchingUpUntil = Math.max(catchingUpUntil, now + Math.min(now - lastHeldUpFrom, MOST_CATCHING_UP_US));
-        }
-        lastHeartbeatAt = now;
+        this.polls = PollHistory.of(loop);
+        LoopTasks.every(loop, log, POLL_US, TimeUnit.MICROSECONDS, () -> {});
     }
 
     /**
-     * Returns when a byte that is read now may have come. Where the loop was held up, by a pause of the process or a long
-     * batch, the byte may have waited all the while, and a deadline counted from now would be too late. That shows in an
-     * overdue heartbeat; the stop may have begun right after the one before it. As heartbeats and reads take turns, it
-     * holds until the one after it.
+     * Returns when a byte that is read now may have come, from a channel of which no more is known: when the loop last began a poll that
+     * it has worked off.
      */
     public long arrivedAt() {
-        long now = now();
-        return Math.min(heldUpFrom, now - lastHeartbeatAt > HELD_UP_US ? lastHeartbeatAt : now);
-    }
-
-    /**
-     * Returns whether the loop was held up for long, and not long ago: connections that came meanwhile are accepted one by
-     * one, and whoever is at their other end may have left.
-     */
-    public boolean catchingUp() {
-        return heldUpSince() != Long.MAX_VALUE;
+        return resolved(at(polls.completeNs()));
     }
 
-    /** Returns when the loop was last seen before the long stop that it is catching up with, or {@link Long#MAX_VALUE}. */
-    public long heldUpSince() {
+    /** Returns a time that has passed, or the time now where the two are not told apart. */
+    long resolved(long us) {
         long now = now();
-        return now - lastHeartbeatAt > LONG_HELD_UP_US
-                ? lastHeartbeatAt
-                : now < catchingUpUntil ? lastHeldUpFrom : Long.MAX_VALUE;
+        return now - us > RESOLUTION_US ? us : now;
     }
 
+    /** What this process was told may wait in its sockets for as long as the last poll that has been worked off is old. */
     @Override
     public boolean settling() {
-        return now() - arrivedAt() > LONG_HELD_UP_US;
+        return now() - at(polls.completeNs()) > NEWS_AGE_US;
     }
 
     @Override
@@ -139,7 +110,7 @@
 
         @Override
         public void run() {
-            if (!looked && now() - atUs > HELD_UP_US) {
+            if (!looked && now() - atUs > LATE_TIMER_US) {
                 looked = true;
                 future = LoopTasks.after(loop, log, LOOK_US, TimeUnit.MICROSECONDS, this);
             } else {
--- a/net/src/main/java/grebehoist/net/SocketPeek.java
+++ b/net/src/main/java/grebehoist/net/SocketPeek.java
@@ -1,6 +1,8 @@
 package grebehoist.net;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.socket.SocketChannel;
 
 /**
  * Asks the kernel, without waiting, what it holds of a connection that has not been read yet. Used by the channel's event loop. Of channels
@@ -14,6 +16,17 @@
         return channel instanceof SocketConnection socket ? socket.hasEnded() : !channel.isActive();
     }
 
+    /**
+     * Returns whether a read has left nothing.
+     *
+     * @param read what was read, in the buffer that was offered for it
+     */
+    public static boolean drained(Channel channel, ByteBuf read) {
+        return channel instanceof SocketConnection socket
+                ? !socket.mayHoldMore()
+                : channel instanceof SocketChannel && read.isWritable();
+    }
+
     /** Returns whether bytes, or the end, wait to be read. */
     public static boolean hasUnread(Channel channel) {
         return channel instanceof SocketConnection socket ? socket.hasUnread() : !channel.isActive();
