Accepting drains the queue: all that wait are accepted in one turn

Cause: one connection was accepted for each change of threads, between the loop and the thread that makes the call, and one pass of the loop each.

Fix: a turn calls accept(2) until nobody waits, as far as there is room, and hands each connection over as it is accepted. That nobody waits is then a fact (the call found nobody), so the end of a listener waits for it in place of two looks a millisecond apart; AcceptBacklog is gone.

--- a/net/src/main/java/grebehoist/net/AcceptRetry.java
+++ b/net/src/main/java/grebehoist/net/AcceptRetry.java
@@ -16,9 +16,6 @@
 
     /** What becomes of a listener that accepts badly. */
     interface Owner {
-        /** Nobody is accepted for a while. */
-        void paused();
-
         /** Begins to accept again, unless there is another reason not to. */
         void resume();
     }
@@ -37,7 +34,6 @@
         log.count(Counter.ACCEPT_FAILED);
         if (ctx.channel().config().isAutoRead()) {
             ctx.channel().config().setAutoRead(false);
-            owner.paused();
             LoopTasks.after(ctx.channel().eventLoop(), log, PAUSE_MS, TimeUnit.MILLISECONDS, owner::resume);
         }
     }
--- a/net/src/main/java/grebehoist/net/ClientFront.java
+++ b/net/src/main/java/grebehoist/net/ClientFront.java
@@ -36,6 +36,8 @@
     private static final long ON_ITS_WAY_US = 8_000;
     /** Clients go on coming for so long after a front was told to send them away. */
     private static final long AWAY_LAG_US = 500_000;
+    /** By then tasks that were there before have been run. */
+    private static final long ACCEPTED_MS = 1;
     /** A request that is on its way to a connection has come by then. */
     private static final long GREETING_US = 20_000;
     /** How often connections are looked at that hold no request. */
@@ -55,7 +57,6 @@
     /** Since when clients are sent away, or {@link Long#MAX_VALUE}. */
     private long awaySince = Long.MAX_VALUE;
 
-    private volatile AcceptBacklog backlog;
     private Future<?> sweep;
 
     /** Makes a front that is yet to listen. */
@@ -71,8 +72,6 @@
 
     @Override
     public final ChannelFuture listen(Network network, InetSocketAddress address) {
-        backlog = new AcceptBacklog(
-                network.loop(), log, () -> listener instanceof ListeningSocket socket && socket.accepting());
         sweep = LoopTasks.every(network.loop(), log, SWEEP_US, TimeUnit.MICROSECONDS, this::sweep);
         ChannelFuture bound = LoopChannels.bind(
                 network.server()
@@ -82,7 +81,6 @@
                             @Override
                             protected void initChannel(Channel channel) {
                                 sockets.clientOpened(channel);
-                                backlog.accepted();
                                 channel.pipeline().addLast(connection());
                             }
                         }),
@@ -93,7 +91,10 @@
                 // The process was told to end while it began to listen.
                 listener.close();
             } else if (f.isSuccess()) {
-                sockets.listener(listener, backlog::accepting);
+                if (listener instanceof ListeningSocket socket) {
+                    socket.room(sockets::roomForClients);
+                }
+                sockets.listener(listener);
             } else {
                 sweep.cancel(false);
             }
@@ -102,11 +103,6 @@
     }
 
     private final class Accepting implements AcceptRetry.Owner {
-        @Override
-        public void paused() {
-            backlog.accepting(false);
-        }
-
         @Override
         public void resume() {
             sockets.accept();
@@ -170,10 +166,13 @@
     }
 
     private void whenNobodyWaits(Runnable action) {
-        if (backlog == null) {
-            action.run();
+        if (listener instanceof ListeningSocket socket && socket.isOpen()) {
+            socket.whenNobodyWaits(action);
+        } else if (listener != null) {
+            // Inside the process a connection is accepted by a task.
+            LoopTasks.after(listener.eventLoop(), log, ACCEPTED_MS, TimeUnit.MILLISECONDS, action);
         } else {
-            backlog.whenEmpty(action);
+            action.run();
         }
     }
 
--- a/net/src/main/java/grebehoist/net/LoopChannels.java
+++ b/net/src/main/java/grebehoist/net/LoopChannels.java
@@ -46,9 +46,6 @@
 
     /** Of a listener whose clients' time is not counted. */
     private record AlwaysAccepting(Channel listener) implements AcceptRetry.Owner {
-        @Override
-        public void paused() {}
-
         @Override
         public void resume() {
             listener.config().setAutoRead(true);
--- a/net/src/main/java/grebehoist/net/Network.java
+++ b/net/src/main/java/grebehoist/net/Network.java
@@ -67,7 +67,7 @@
         var acceptWorker = new AcceptWorker(loop);
         ServerBootstrap server = new ServerBootstrap()
                 .group(loop)
-                .channelFactory(() -> new ListeningSocket(acceptWorker))
+                .channelFactory(() -> new ListeningSocket(acceptWorker, BACKLOG))
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.SO_SNDBUF, UNSENT)
--- a/net/src/main/java/grebehoist/net/Sockets.java
+++ b/net/src/main/java/grebehoist/net/Sockets.java
@@ -5,9 +5,10 @@
 import io.netty.channel.EventLoop;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
 /**
  * Counts the open connections, so that the process stays under its limit of descriptors: one too many fails at a place
@@ -47,7 +48,7 @@
     private int clients;
     private int backends;
     private boolean makingRoom;
-    private final Map<Channel, Consumer<Boolean>> listeners = new LinkedHashMap<>();
+    private final Set<Channel> listeners = new LinkedHashSet<>();
 
     /**
      * Makes the count of one process.
@@ -74,13 +75,9 @@
         return loop.ticker().nanoTime();
     }
 
-    /**
-     * Names a socket that is not to accept while there is no room.
-     *
-     * @param hears is told whenever it begins to accept again, or accepts nobody any more
-     */
-    public void listener(Channel channel, Consumer<Boolean> hears) {
-        listeners.put(channel, hears);
+    /** Names a socket that is not to accept while there is no room. */
+    public void listener(Channel channel) {
+        listeners.add(channel);
         channel.closeFuture().addListener(f -> listeners.remove(channel));
     }
 
@@ -120,15 +117,15 @@
         }
     }
 
+    /** Returns how many more clients may be accepted. */
+    int roomForClients() {
+        return mostClients + LOBBY - clients;
+    }
+
     /** Begins to accept again, where a listener has paused, as far as there is room. */
     void accept() {
-        boolean on = clients < mostClients + LOBBY;
-        listeners.forEach((listener, hears) -> {
-            if (listener.config().isAutoRead() != on) {
-                listener.config().setAutoRead(on);
-                hears.accept(on);
-            }
-        });
+        boolean on = roomForClients() > 0;
+        listeners.forEach(listener -> listener.config().setAutoRead(on));
     }
 
     /** Returns whether a client's connection is to end with its answer: no request of its client's meets that close. */
