An idle connection to a backend is asked for its end before it is used again

What callers saw: an error, or a reset that may have run and so is not repeated, where a request met a connection that its backend had closed already.

The end of an idle connection counted once the loop had read it; a request that was read first was written on it.

Evidence: aConnectionThatItsBackendHasEndedIsNotWrittenTo, the loop held up while the backend closes: no second connection in 10 s before, served now.

Fix: the pool asks the kernel (SocketPeek) of each idle connection that it is about to hand out; one that has ended, or on which bytes wait that nobody asked for, is closed and the next is taken.

--- a/daemon/src/main/java/grebehoist/backend/AttemptConnection.java
+++ b/daemon/src/main/java/grebehoist/backend/AttemptConnection.java
@@ -2,6 +2,7 @@
 
 import beechfall.Balancer.Outcome;
 import grebehoist.engine.Payload;
+import grebehoist.net.SocketPeek;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -137,6 +138,11 @@
         return true;
     }
 
+    @Override
+    public final boolean quiet() {
+        return !(SocketPeek.hasEnded(channel) || minds() && SocketPeek.hasUnread(channel));
+    }
+
     @Override
     public final void idleFrom(long nowUs) {
         idleSince = nowUs;
--- a/daemon/src/main/java/grebehoist/backend/ConnectionPool.java
+++ b/daemon/src/main/java/grebehoist/backend/ConnectionPool.java
@@ -56,7 +56,10 @@
             if (connection.settled(now)) {
                 i.remove();
                 sockets.backendIdle(connection.channel(), false);
-                return connection.channel();
+                if (connection.quiet()) {
+                    return connection.channel();
+                }
+                connection.channel().close();
             }
         }
         return null;
--- a/daemon/src/main/java/grebehoist/backend/PooledConnection.java
+++ b/daemon/src/main/java/grebehoist/backend/PooledConnection.java
@@ -27,6 +27,9 @@
      */
     boolean passOn();
 
+    /** Returns whether its backend has neither ended it nor said anything unasked, by what the kernel holds. */
+    boolean quiet();
+
     /** It carries nothing from now on. */
     void idleFrom(long nowUs);
 
--- a/daemon/src/test/java/grebehoist/cli/EndingsTest.java
+++ b/daemon/src/test/java/grebehoist/cli/EndingsTest.java
@@ -333,6 +333,33 @@
         }
     }
 
+    /** The end of an idle connection waits to be read as a request comes: it goes out on another. */
+    @Test
+    void aConnectionThatItsBackendHasEndedIsNotWrittenTo() throws Exception {
+        var gate = new Gate();
+        try (var backend = new Peer();
+                var proxy = new Fixture(holding("held", gate, Fixture.sendTo("s0")), backend);
+                Wire client = proxy.client()) {
+            client.send(Fixture.get("first"));
+            Wire idle = backend.accept();
+            idle.read();
+            idle.send(Peer.ok("x"));
+            assertThat(client.read().status()).isEqualTo(200);
+            long settled = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(50);
+            while (System.nanoTime() < settled) {
+                Thread.onSpinWait();
+            }
+            client.send(Fixture.get("held"));
+            gate.awaitReached();
+            idle.close();
+            gate.open();
+            Wire fresh = backend.accept();
+            assertThat(fresh.read().header("X-Request-ID")).isEqualTo("held");
+            fresh.send(Peer.ok("x"));
+            assertThat(client.read().status()).isEqualTo(200);
+        }
+    }
+
     /** A process that ends stops listening while somebody waits to be accepted, as its loop was held up: all of them are served. */
     @Test
     void whoWaitsToBeAcceptedIsServedBeforeTheListenerCloses() throws Exception {
