An answer that waits in the kernel as its attempt's time runs out is the answer

What callers saw: a failure, or a second attempt, though the first one's answer was there.

A time-out looked at what had been read; a timer's second look came only where it was over 20 ms late.

Evidence: anAnswerThatWaitsBehindATimeOutIsTaken, a loop that is held up for 10 ms beyond the time-out: failed before, served now.

Fix: at its time-out an attempt counts as being answered where the kernel holds something of its connection; what that is shows in the next pass.

--- a/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
+++ b/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
@@ -4,6 +4,7 @@
 import grebehoist.engine.Attempt;
 import grebehoist.engine.Payload;
 import grebehoist.net.LoopChannels;
+import grebehoist.net.SocketPeek;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
@@ -58,12 +59,13 @@
         return written;
     }
 
+    /** What has come and is yet to be read counts: an answer that waits in the kernel is no time-out. */
     @Override
     public final boolean answering() {
         return channel != null
                 && written
                 && !ended
-                && channel.attr(PooledConnection.KEY).get().moved();
+                && (channel.attr(PooledConnection.KEY).get().moved() || SocketPeek.hasUnread(channel));
     }
 
     private void connected(Future<Channel> f) {
--- a/daemon/src/test/java/grebehoist/cli/EndingsTest.java
+++ b/daemon/src/test/java/grebehoist/cli/EndingsTest.java
@@ -5,9 +5,11 @@
 import beechfall.Balancer.Arrival;
 import beechfall.Balancer.AttemptEnded;
 import beechfall.Balancer.ClientGone;
+import beechfall.Balancer.Fail;
 import beechfall.Balancer.ListKind;
 import beechfall.Balancer.Members;
 import beechfall.Balancer.Outcome;
+import beechfall.Balancer.Send;
 import beechfall.Balancer.Watch;
 import grebehoist.net.Listeners;
 import grebehoist.net.Network;
@@ -360,6 +362,36 @@
         }
     }
 
+    /** An answer waits to be read as its attempt's time runs out: it is the answer. */
+    @Test
+    void anAnswerThatWaitsBehindATimeOutIsTaken() throws Exception {
+        var gate = new Gate();
+        Fixture.Module module = holding("held", gate, (event, actions) -> {
+            if (event instanceof Arrival a) {
+                actions.accept(new Send(a.id(), "s0", 100_000));
+            } else if (event instanceof AttemptEnded e && !e.last()) {
+                actions.accept(new Fail(e.id()));
+            }
+        });
+        try (var backend = new Peer();
+                var proxy = new Fixture(module, backend);
+                Wire client = proxy.client();
+                Wire other = proxy.client()) {
+            client.send(Fixture.get("first"));
+            Wire answers = backend.accept();
+            answers.read();
+            other.send(Fixture.get("held"));
+            gate.awaitReached();
+            answers.send(Peer.ok("x"));
+            long late = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(110);
+            while (System.nanoTime() < late) {
+                Thread.onSpinWait();
+            }
+            gate.open();
+            assertThat(client.read().status()).isEqualTo(200);
+        }
+    }
+
     /** A process that ends stops listening while somebody waits to be accepted, as its loop was held up: all of them are served. */
     @Test
     void whoWaitsToBeAcceptedIsServedBeforeTheListenerCloses() throws Exception {
