Soak: slices of the processor, slow accepts, bursts of new clients; short stops excuse nothing

It had no waits that are short and many, and no clients that come all at once; a stop of 150 ms excused a process for a second.

New kinds: slices (12 ms stopped, 3 ms to run, by a program of the project's own, since a shell's kill is too slow), slow-accept (8 ms for each call) and new-clients (60 at once at one process, every other of which leaves after 0.12 to 0.36 s). Two planted defects: the look before the first byte left out, and the age taken at the read; the defect that left a client's end unheard has the look left out too, as the look alone finds it now.

Not built: a core that is shared with busy processes.

--- a/trial/src/main/java/grebehoist/trial/FaultLibrary.java
+++ b/trial/src/main/java/grebehoist/trial/FaultLibrary.java
@@ -1,14 +1,10 @@
 package grebehoist.trial;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.nio.ByteOrder;
 import java.nio.MappedByteBuffer;
 import java.nio.channels.FileChannel;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.EnumMap;
 import java.util.Map;
@@ -52,19 +48,8 @@
 
     /** Builds it in a directory. */
     static FaultLibrary build(Path directory) throws IOException, InterruptedException {
-        Path source = directory.resolve("faults.c");
         Path library = directory.resolve("libfaults.so");
-        try (InputStream text = FaultLibrary.class.getResourceAsStream("faults.c")) {
-            Files.copy(text, source, StandardCopyOption.REPLACE_EXISTING);
-        }
-        Process compiler = new ProcessBuilder(
-                        "cc", "-shared", "-fPIC", "-O2", "-o", library.toString(), source.toString(), "-ldl")
-                .redirectErrorStream(true)
-                .start();
-        String messages = new String(compiler.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        if (compiler.waitFor() != 0) {
-            throw new IOException("faults.c does not compile: " + messages);
-        }
+        Compiler.compile("faults.c", directory, library, "-shared", "-fPIC", "-ldl");
         return new FaultLibrary(library);
     }
 
--- a/trial/src/main/java/grebehoist/trial/SoakFault.java
+++ b/trial/src/main/java/grebehoist/trial/SoakFault.java
@@ -28,6 +28,8 @@
         CONNECT(Target.SYSTEM_CALL),
         /** accept(2) fails. */
         ACCEPT(Target.SYSTEM_CALL),
+        /** Each accept(2) takes some milliseconds. */
+        SLOW_ACCEPT(Target.SYSTEM_CALL),
         /** bind(2) fails, which shows at a start. */
         BIND(Target.SYSTEM_CALL),
         /** What operators ask can't be written. */
@@ -54,6 +56,8 @@
         KILL(Target.PROCESS),
         /** SIGSTOP for up to 150 ms, and SIGCONT. */
         PAUSE(Target.PROCESS),
+        /** Its processor in slices: stopped for some milliseconds, again and again, with less in between. */
+        SLICES(Target.PROCESS),
         /** A second process beside the first, which is then told to end. */
         UPGRADE(Target.PROCESS),
         /** The configuration is written several times, once half, with SIGHUP each time. */
@@ -82,6 +86,8 @@
         DISCOVERY_BUSY(Target.DISCOVERY),
         /** Clients hang up. */
         HANG_UPS(Target.CLIENTS),
+        /** A burst of new clients at one process, every other of which soon leaves. */
+        NEW_CLIENTS(Target.CLIENTS),
         /** Clients stop half-way through a request. */
         HALF_REQUESTS(Target.CLIENTS),
         /** Clients send in pieces. */
--- a/trial/src/main/java/grebehoist/trial/SoakPlay.java
+++ b/trial/src/main/java/grebehoist/trial/SoakPlay.java
@@ -11,6 +11,7 @@
 import grebehoist.testkit.Rig;
 import grebehoist.testkit.StandInBackend.Act;
 import grebehoist.testkit.StandInClients.Manner;
+import grebehoist.testkit.StandInClients.Order;
 import grebehoist.testkit.StandInDiscovery;
 import grebehoist.testkit.Witness;
 import grebehoist.testkit.Witness.Count;
@@ -67,8 +68,6 @@
     private static final long READY_MS = 10_000;
     /** Nine in ten are ready in time. */
     private static final int STARTS_FOR_A_LATE_ONE = 10;
-    /** So long after it goes on a process may still accept whoever came while it was stopped. */
-    private static final long CATCHING_UP_US = 1_000 * MS;
     /** Answers are lost half a second after their time, as on days at full size: many processes share the cores. */
     private static final long LATE_US = 500 * MS;
 
@@ -86,6 +85,12 @@
     private static final long RELOAD_MS = 6_000;
 
     private static final long LONGEST_PAUSE_MS = 150;
+    private static final long SLICE_STOP_MS = 12;
+    private static final long SLICE_RUN_MS = 3;
+    private static final int NEW_CLIENTS = 60;
+    private static final long NEW_CLIENTS_WORK_US = 2 * MS;
+    private static final long SOONEST_LEAVE_US = 120 * MS;
+    private static final long LATEST_LEAVE_US = 360 * MS;
     private static final int BACKENDS = 10;
     private static final int CROWD = 60;
     private static final long MOST_KB = 192 * 1_024;
@@ -104,6 +109,8 @@
     private final AtomicInteger lateStarts = new AtomicInteger();
     private final List<SocketChannel> held = new ArrayList<>();
     private final RigLag lag;
+    private final ProcessorSlices slices;
+    private final AtomicInteger newClients = new AtomicInteger();
     private final ScheduledExecutorService steps = Executors.newScheduledThreadPool(16);
     private final List<Socket> crowd = Collections.synchronizedList(new ArrayList<>());
     /** Where the play is broken off, its processes are not left behind. */
@@ -132,6 +139,7 @@
         rig.machines(BACKENDS);
         lag = new RigLag(rig);
         FaultLibrary library = FaultLibrary.build(directory);
+        slices = ProcessorSlices.build(directory);
         List<InetSocketAddress> addresses = addresses(3 * schedule.processes());
         for (int i = 0; i < schedule.processes(); i++) {
             InetSocketAddress listen = addresses.get(3 * i);
@@ -290,6 +298,9 @@
                 case RESTART -> restart(proxy);
                 case KILL -> kill(proxy, fault.forMs());
                 case PAUSE -> pause(proxy, Math.min(LONGEST_PAUSE_MS, fault.forMs()));
+                case SLICES ->
+                    slices.begin(proxy.current().pid(), SLICE_STOP_MS, SLICE_RUN_MS, fault.forMs())
+                            .waitFor();
                 case UPGRADE -> upgrade(proxy);
                 default -> reload(proxy);
             }
@@ -326,12 +337,11 @@
         awaitServing(proxy, READY_MS);
     }
 
+    /** A hold-up that the pages grant, and that limits have to cover: it excuses nothing. */
     private void pause(SoakProxy proxy, long forMs) throws IOException, InterruptedException {
-        rig.excuse(proxy.number(), Long.MAX_VALUE);
         proxy.current().signal("STOP");
         TimeUnit.MILLISECONDS.sleep(forMs);
         proxy.current().signal("CONT");
-        rig.excuse(proxy.number(), rig.now() + CATCHING_UP_US);
     }
 
     private void upgrade(SoakProxy proxy) throws IOException, InterruptedException {
@@ -467,6 +477,10 @@
             }
             return true;
         }
+        if (fault.kind() == SoakFault.Kind.NEW_CLIENTS) {
+            newClients(fault);
+            return true;
+        }
         Manner manner = switch (fault.kind()) {
             case HANG_UPS -> Manner.HANGS_UP;
             case HALF_REQUESTS -> Manner.HALF_WAY;
@@ -477,6 +491,31 @@
         return true;
     }
 
+    private void newClients(SoakFault fault) {
+        int proxy = fault.target() % proxies.size();
+        List<RequestClass> classes = settings(0, 0).classes();
+        rig.run(() -> {
+            for (int i = 0; i < NEW_CLIENTS; i++) {
+                int number = newClients.incrementAndGet();
+                RequestClass type = classes.get(number / 2 % classes.size());
+                long leavesUs = SOONEST_LEAVE_US + (LATEST_LEAVE_US - SOONEST_LEAVE_US) * (long) (number % 5) / 4;
+                rig.clients()
+                        .ask(
+                                proxy,
+                                new Order(
+                                        "new" + number,
+                                        type,
+                                        null,
+                                        NEW_CLIENTS_WORK_US,
+                                        type.deadlineUs() * 3 / 4,
+                                        number % 2 == 0 ? Manner.HANGS_UP : Manner.PLAIN,
+                                        leavesUs,
+                                        0,
+                                        false));
+            }
+        });
+    }
+
     // The end, and the oracle
 
     private void endFaults() throws InterruptedException {
@@ -603,6 +642,8 @@
         }
         Files.deleteIfExists(directory.resolve("faults.c"));
         Files.deleteIfExists(directory.resolve("libfaults.so"));
+        Files.deleteIfExists(directory.resolve("slices.c"));
+        Files.deleteIfExists(directory.resolve("slices"));
         Files.deleteIfExists(directory);
     }
 }
--- a/trial/src/main/java/grebehoist/trial/SoakSchedule.java
+++ b/trial/src/main/java/grebehoist/trial/SoakSchedule.java
@@ -81,6 +81,7 @@
             case SOCKET -> "call=socket" + error(SOCKET_ERRORS, f) + window;
             case CONNECT -> "call=connect" + error(CONNECT_ERRORS, f) + window;
             case ACCEPT -> "call=accept" + error(ACCEPT_ERRORS, f) + window;
+            case SLOW_ACCEPT -> "call=accept,action=delay,pause=8" + window;
             case BIND -> "call=bind" + error(BIND_ERRORS, f) + window;
             case STATE_WRITE -> "call=create,path=grebehoist-" + error(WRITE_ERRORS, f) + window;
             case STATE_READ ->
--- a/trial/src/test/java/grebehoist/trial/SoakOracleIT.java
+++ b/trial/src/test/java/grebehoist/trial/SoakOracleIT.java
@@ -36,6 +36,9 @@
     /** One place that is changed. */
     private record Change(String source, String sound, String defective) {}
 
+    private static final Change NO_LOOK =
+            new Change(DAEMON + "http/ClientConnection.java", "return !SocketPeek.hasEnded(channel);", "return true;");
+
     /** A defect, what has to go wrong outside for it to show, and what the finding says. */
     private record Defect(String name, List<Change> changes, List<Kind> faults, String finding) {
         @Override
@@ -79,10 +82,12 @@
                         "has not taken its new configuration over"),
                 new Defect(
                         "attempt after the client left",
-                        List.of(new Change(
-                                DAEMON + "http/Exchange.java",
-                                "            front.intake().clientGone(id);\n        }\n    }\n\n    /** How far",
-                                "        }\n    }\n\n    /** How far")),
+                        List.of(
+                                new Change(
+                                        DAEMON + "http/Exchange.java",
+                                        "            front.intake().clientGone(id);\n        }\n    }\n\n    /** How far",
+                                        "        }\n    }\n\n    /** How far"),
+                                NO_LOOK),
                         List.of(
                                 Kind.HANG_UPS,
                                 Kind.SLOW,
@@ -97,6 +102,19 @@
                                 Kind.SLOW,
                                 Kind.RESET),
                         "rule: "),
+                new Defect(
+                        "client not looked for before the first byte",
+                        List.of(NO_LOOK),
+                        List.of(Kind.SLOW_ACCEPT, Kind.NEW_CLIENTS),
+                        "after its client left"),
+                new Defect(
+                        "age taken at the read",
+                        List.of(new Change(
+                                "net/src/main/java/grebehoist/net/ClientFront.java",
+                                "return timers.resolved(arrival.mayHaveComeUs());",
+                                "return arrival.readUs();")),
+                        List.of(Kind.SLOW_ACCEPT, Kind.NEW_CLIENTS),
+                        "was told a deadline"),
                 new Defect(
                         "retry outside the window",
                         List.of(new Change(POLICY, "&& now < a.sentAt + r.type.windowUs()\n", "\n")),
