--- a/daemon/src/main/java/grebehoist/cli/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -241,7 +241,7 @@
     public static void train() {
         try {
             SocketProbe.addressesCanBeShared();
-            Config config = Config.read(file());
+            Config config = readAtStart(file());
             Warmup.run(config, TRAIN_MS, () -> false);
             HangUp.handle(new HangUp.Deferred());
             // On a port that is free: what it listens with and connects with is loaded too.
