Whether anything waits takes one read; an interrupted one is no end

A read that was interrupted 16 times would have counted as the end. SocketConnectionTest, ListeningSocketTest, EndingsTest, HttpTransportTest, LongMessagesTest, ThriftProcessIT, ClientsThatLeaveIT pass.

--- a/daemon/src/main/java/grebehoist/backend/AttemptConnection.java
+++ b/daemon/src/main/java/grebehoist/backend/AttemptConnection.java
@@ -140,7 +140,7 @@
 
     @Override
     public final boolean quiet() {
-        return !(SocketPeek.hasEnded(channel) || minds() && SocketPeek.hasUnread(channel));
+        return minds() ? !SocketPeek.hasUnread(channel) : !SocketPeek.hasEnded(channel);
     }
 
     @Override
--- a/net/src/main/java/grebehoist/net/SocketConnection.java
+++ b/net/src/main/java/grebehoist/net/SocketConnection.java
@@ -163,49 +163,60 @@
 
     /** Returns whether the other side has ended the connection, or reset it, by what the kernel holds now. */
     boolean hasEnded() {
-        readWhatIsThere();
+        while (!ended && readAheadOnce()) {
+            // Behind what has come there may be more, or the end.
+        }
         return ended || !isActive();
     }
 
     /** Returns whether anything has come that no handler has seen. */
     boolean hasUnread() {
-        readWhatIsThere();
+        if (!holdsAny()) {
+            readAheadOnce();
+        }
         return holdsAny() || !isActive();
     }
 
-    /** Reads until there is no more, or no more room, and does not wait. What it finds comes to the handlers soon. */
-    private void readWhatIsThere() {
-        int interrupted = 0;
-        while (isActive() && !ended && interrupted < MOST_INTERRUPTED) {
-            ByteBuffer piece = aheadOfLoop().piece();
-            if (piece == null) {
-                moreLeft = true;
-                break;
-            }
-            long sinceNs = unreadSinceNs();
-            long beforeNs = nowNs();
-            int read;
-            try {
-                read = javaChannel().read(piece);
-            } catch (IOException e) {
-                failure = e;
-                read = END_OF_STREAM;
-            }
-            if (read == 0) {
-                countRead(0, piece.capacity(), beforeNs);
-                break;
-            } else if (read > 0) {
-                countRead(read, piece.capacity(), beforeNs);
-                keep(piece.flip(), sinceNs);
-            } else if (read == END_OF_STREAM) {
-                ended = true;
-            } else {
-                interrupted++;
-            }
+    /**
+     * Reads what is there, as far as there is room for it, and does not wait. What it finds comes to the handlers soon.
+     *
+     * @return whether there may be more
+     */
+    private boolean readAheadOnce() {
+        ByteBuffer piece = isActive() ? aheadOfLoop().piece() : null;
+        if (piece == null) {
+            moreLeft = isActive();
+            return false;
         }
-        if (holdsAny()) {
+        long sinceNs = unreadSinceNs();
+        long beforeNs = nowNs();
+        int read = readUninterrupted(piece);
+        if (read == END_OF_STREAM) {
+            ended = true;
+        } else {
+            countRead(read, piece.capacity(), beforeNs);
+        }
+        if (read > 0) {
+            keep(piece.flip(), sinceNs);
+        }
+        if (read != 0) {
             readSoon();
         }
+        return read > 0;
+    }
+
+    /** Returns how many bytes were read, none where the call was interrupted again and again, or that the stream has ended, be it by a failure. */
+    private int readUninterrupted(ByteBuffer into) {
+        try {
+            int read = javaChannel().read(into);
+            for (int i = 0; read < END_OF_STREAM && i < MOST_INTERRUPTED; i++) {
+                read = javaChannel().read(into);
+            }
+            return read < END_OF_STREAM ? 0 : read;
+        } catch (IOException e) {
+            failure = e;
+            return END_OF_STREAM;
+        }
     }
 
     private void keep(ByteBuffer bytes, long sinceNs) {
