Review case 1: an unsafe payment runs twice after a late copy of another's refusal

A backend's second 503 with X-Not-Processed, 5 ms after the first, is taken for the answer of the payment that was sent on the same connection meanwhile, and the payment is sent to another backend.

--- /dev/null
+++ b/review/standins/Proxy.java
@@ -0,0 +1,142 @@
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+/** One proxy: a process of its own, started by the command 'run' of deploy/balancer.toml. */
+final class Proxy implements AutoCloseable {
+    /** The classes of innkreving-oslo-later. */
+    static final String CLASSES = "{\"name\":\"read-balance\",\"aim_us\":600000,\"deadline_us\":2000000,"
+            + "\"effect\":\"idempotent\",\"value\":1,\"late_worth\":0},"
+            + "{\"name\":\"issue-invoice\",\"aim_us\":600000,\"deadline_us\":2500000,\"effect\":\"deduplicated\","
+            + "\"key_scope\":\"zone\",\"window_us\":12000000,\"value\":2,\"late_worth\":0},"
+            + "{\"name\":\"post-payment\",\"aim_us\":400000,\"deadline_us\":2000000,\"effect\":\"deduplicated\","
+            + "\"key_scope\":\"zone\",\"window_us\":1200000,\"value\":10,\"late_worth\":0}";
+
+    /** The same with payments that are unsafe to repeat: STANDING, a day's settings may give a class another effect. */
+    static final String PAYMENTS_UNSAFE = CLASSES.replace(
+            "\"deduplicated\",\"key_scope\":\"zone\",\"window_us\":1200000,", "\"at_most_once\",");
+
+    private final Path folder;
+    private final Process process;
+    private final int port;
+
+    /**
+     * Starts one.
+     *
+     * @param sockets its limit of descriptors
+     * @param discovery where its list comes from
+     * @param classes of its settings
+     */
+    Proxy(int sockets, String discovery, String classes) throws IOException {
+        folder = Files.createTempDirectory("review");
+        try (var free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            port = free.getLocalPort();
+        }
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, config(sockets, discovery, classes));
+        var builder = new ProcessBuilder("/bin/sh", "-c", command());
+        builder.environment().put("PROXY_CONFIG", config.toString());
+        builder.environment().put("PROXY_NAME", "n0");
+        builder.environment().put("PROXY_LISTEN", "127.0.0.1:" + port);
+        builder.environment().put("PROXY_DISCOVERY", discovery);
+        builder.environment().put("TMPDIR", folder.toString());
+        builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
+        process = builder.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+    }
+
+    private static String command() throws IOException {
+        Matcher run = Pattern.compile("(?m)^run = \"(.*)\"$").matcher(Files.readString(Path.of("deploy/balancer.toml")));
+        if (!run.find()) {
+            throw new IOException("no 'run' in deploy/balancer.toml");
+        }
+        return run.group(1);
+    }
+
+    private String config(int sockets, String discovery, String classes) {
+        return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + discovery
+                + "\",\"seed\":\"92094eb940cf389a\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" + sockets
+                + "},\"settings\":{\"balancers\":1,\"rank\":0,\"locality\":\"ulven\",\"quantum_us\":4000,"
+                + "\"registry_mode\":\"on_request\",\"bounds\":{\"cancel\":true,\"may_duplicate\":false,"
+                + "\"probes\":false,\"most_tries\":4,\"max_retry_after_us\":2000000,\"conn_idle_us\":15000000,"
+                + "\"connect_timeout_us\":200000},\"invariants\":{\"cold_from\":0.4,\"cold_us\":8100000,"
+                + "\"fall_multiple\":4.0,\"fall_us\":1000000,\"must_ask_in_us\":10000000,"
+                + "\"drain_grace_us\":250000},\"over_share_worth\":0.05,\"profiles\":[" + classes
+                + "],\"projects\":[{\"name\":\"vestkraft\",\"allowance_per_s\":10000}]}}";
+    }
+
+    int port() {
+        return port;
+    }
+
+    boolean alive() {
+        return process.isAlive();
+    }
+
+    Process process() {
+        return process;
+    }
+
+    /** Connects as a client does. */
+    Socket connect() throws IOException {
+        var client = new Socket(InetAddress.getByName("127.0.0.1"), port);
+        client.setTcpNoDelay(true);
+        return client;
+    }
+
+    /** Waits until it says that it can serve. */
+    void awaitReady() throws Exception {
+        boolean ready = Threads.await(30_000, () -> {
+            try (Socket asks = connect()) {
+                asks.setSoTimeout(2_000);
+                asks.getOutputStream()
+                        .write("GET /ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+                                .getBytes(StandardCharsets.US_ASCII));
+                return Http.read(new BufferedInputStream(asks.getInputStream())).status() == 200;
+            } catch (IOException e) {
+                return false;
+            }
+        });
+        if (!ready) {
+            throw new IllegalStateException("the proxy is not ready within 30 s:\n" + log());
+        }
+    }
+
+    String log() throws IOException {
+        return Files.readString(folder.resolve("log"));
+    }
+
+    @Override
+    public void close() throws IOException {
+        process.destroyForcibly();
+        try {
+            process.waitFor(5, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(file);
+            }
+        }
+    }
+
+    /** Returns the head of a request, with its body's length; the deadline is the class's. */
+    static String head(String id, String type, int timeoutMs, String key, int length) {
+        boolean get = type.equals("read-balance");
+        return (get ? "GET" : "POST") + " /api?k=" + id + " HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: " + id
+                + "\r\nX-Priority-Class: " + type + "\r\nX-Tenant-Id: vestkraft\r\nX-Timeout: " + timeoutMs + "m\r\n"
+                + (key == null ? "" : "Idempotency-Key: " + key + "\r\n")
+                + (get ? "" : "Content-Length: " + length + "\r\n") + "\r\n";
+    }
+}
