--- a/review/standins/Proxy.java
+++ b/review/standins/Proxy.java
@@ -38,15 +38,24 @@
      * @param classes of its settings
      */
     Proxy(int sockets, String discovery, String classes) throws IOException {
+        this("n0", sockets, discovery, classes, null);
+    }
+
+    /**
+     * Starts one.
+     *
+     * @param installation what its installation file holds, or null for none
+     */
+    Proxy(String name, int sockets, String discovery, String classes, String installation) throws IOException {
         folder = Files.createTempDirectory("review");
         try (var free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             port = free.getLocalPort();
         }
         Path config = folder.resolve("config.json");
-        Files.writeString(config, config(sockets, discovery, classes));
-        var builder = new ProcessBuilder("/bin/sh", "-c", command());
+        Files.writeString(config, config(name, sockets, discovery, classes));
+        var builder = new ProcessBuilder("/bin/sh", "-c", command() + installed(installation));
         builder.environment().put("PROXY_CONFIG", config.toString());
-        builder.environment().put("PROXY_NAME", "n0");
+        builder.environment().put("PROXY_NAME", name);
         builder.environment().put("PROXY_LISTEN", "127.0.0.1:" + port);
         builder.environment().put("PROXY_DISCOVERY", discovery);
         builder.environment().put("TMPDIR", folder.toString());
@@ -63,8 +72,18 @@
         return run.group(1);
     }
 
-    private String config(int sockets, String discovery, String classes) {
-        return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + discovery
+    /** README: 'serve --installation FILE'. */
+    private String installed(String installation) throws IOException {
+        if (installation == null) {
+            return "";
+        }
+        Path file = folder.resolve("installation.toml");
+        Files.writeString(file, installation);
+        return " --installation " + file;
+    }
+
+    private String config(String name, int sockets, String discovery, String classes) {
+        return "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + discovery
                 + "\",\"seed\":\"92094eb940cf389a\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" + sockets
                 + "},\"settings\":{\"balancers\":1,\"rank\":0,\"locality\":\"ulven\",\"quantum_us\":4000,"
                 + "\"registry_mode\":\"on_request\",\"bounds\":{\"cancel\":true,\"may_duplicate\":false,"
