--- a/review/standins/Crowd.java
+++ b/review/standins/Crowd.java
@@ -1,12 +1,6 @@
-import java.io.BufferedInputStream;
 import java.io.IOException;
-import java.io.OutputStream;
 import java.net.Socket;
-import java.net.SocketTimeoutException;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Payments whose bodies come in two pieces, at 64 kB a second, each on a connection of its own, while idle clients fill the descriptors.
@@ -17,11 +11,6 @@
     private static final int IDLE = 300;
     private static final int USUAL = 8;
     private static final int SECONDS = 30;
-    private static final int BODY = 16 * 1024;
-    /** Half of the body later by what 64 kB a second take for the other half. */
-    private static final int HALF_MS = 125;
-    private static final int TIMEOUT_MS = 2_000;
-    private static final int SLACK_MS = 500;
 
     private Crowd() {}
 
@@ -56,22 +45,7 @@
             Threads.start(() -> sayNothing(proxy, record, end));
         }
         Threads.sleep(2_000);
-        var answered = new AtomicInteger();
-        var cutShort = new AtomicInteger();
-        var clients = new ArrayList<Thread>();
-        for (int i = 0; i < USUAL; i++) {
-            int number = i;
-            clients.add(Threads.start(() -> {
-                for (int n = 0; record.now() < end; n++) {
-                    pay(proxy, record, "pay-" + number + "-" + n, answered, cutShort);
-                    Threads.sleep(100);
-                }
-            }));
-        }
-        for (Thread client : clients) {
-            client.join();
-        }
-        record.line(answered + " payments answered, " + cutShort + " not written whole");
+        new Payments(proxy, record).play(USUAL, 100, end);
         if (!proxy.alive()) {
             record.broken("the proxy has crashed");
         }
@@ -89,42 +63,4 @@
             Threads.sleep(100);
         }
     }
-
-    /** Sends a payment in two pieces; what it takes for lost is a request that was read in part and whose last byte was written. */
-    private static void pay(
-            Proxy proxy, Record record, String id, AtomicInteger answered, AtomicInteger cutShort) {
-        byte[] head = Proxy.head(id, "post-payment", TIMEOUT_MS, "key-" + id, BODY).getBytes(StandardCharsets.US_ASCII);
-        byte[] body = new byte[BODY];
-        long first = 0;
-        long last = 0;
-        try (Socket client = proxy.connect()) {
-            OutputStream out = client.getOutputStream();
-            first = record.now();
-            out.write(head);
-            out.write(body, 0, BODY / 2);
-            Threads.sleep(HALF_MS);
-            out.write(body, BODY / 2, BODY / 2);
-            last = record.now();
-            client.setSoTimeout(TIMEOUT_MS + SLACK_MS);
-            Http answer = Http.read(new BufferedInputStream(client.getInputStream()));
-            long took = record.now() - last;
-            if (answer == null) {
-                record.broken(id + " was written whole, its head " + (last - first)
-                        + " ms before its last byte, and its connection ended with no answer " + took + " ms later");
-            } else {
-                record.line("answered " + id + ": " + answer.start() + " after " + took + " ms");
-                answered.incrementAndGet();
-            }
-        } catch (SocketTimeoutException e) {
-            record.broken(id + " was written whole and got no answer in " + (TIMEOUT_MS + SLACK_MS) + " ms");
-        } catch (IOException e) {
-            if (last > 0) {
-                record.broken(id + " was written whole, its head " + (last - first)
-                        + " ms before its last byte, and its connection was reset with no answer: " + e);
-            } else {
-                record.line("not written whole: " + id + ", " + (record.now() - first) + " ms after its head: " + e);
-                cutShort.incrementAndGet();
-            }
-        }
-    }
 }
--- a/review/standins/Duties.java
+++ b/review/standins/Duties.java
@@ -126,6 +126,6 @@
                 + "[lease]\nset = 1\nvoters = [0, 1, 2]\nlease_ms = 2000\n\n"
                 + "[[task]]\nname = \"remind\"\nclass = \"timed\"\ncall = \"" + receiver.address()
                 + "\"\npath = \"/remind\"\nevery_ms = " + EVERY_MS + "\nact_ms = 500\n";
-        return new Proxy("n" + number, 1_024, discovery.address(), Proxy.CLASSES, installation);
+        return new Proxy("n" + number, 1_024, discovery.address(), Proxy.CLASSES, installation, false);
     }
 }
--- a/review/standins/Proxy.java
+++ b/review/standins/Proxy.java
@@ -1,4 +1,5 @@
 import java.io.BufferedInputStream;
+import java.io.File;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -26,9 +27,18 @@
     static final String PAYMENTS_UNSAFE = CLASSES.replace(
             "\"deduplicated\",\"key_scope\":\"zone\",\"window_us\":1200000,", "\"at_most_once\",");
 
+    private final String name;
+    private final int sockets;
+    private final String discovery;
+    private final String classes;
     private final Path folder;
-    private final Process process;
     private final int port;
+    /** Where operators call, or null where there is no such door. */
+    private final String operator;
+
+    private final Process process;
+    /** Whether the folder is this one's, and not that of the process which it follows. */
+    private final boolean first;
 
     /**
      * Starts one.
@@ -38,30 +48,68 @@
      * @param classes of its settings
      */
     Proxy(int sockets, String discovery, String classes) throws IOException {
-        this("n0", sockets, discovery, classes, null);
+        this("n0", sockets, discovery, classes, null, false);
     }
 
     /**
      * Starts one.
      *
      * @param installation what its installation file holds, or null for none
+     * @param operators whether it has a door for operators
      */
-    Proxy(String name, int sockets, String discovery, String classes, String installation) throws IOException {
+    Proxy(String name, int sockets, String discovery, String classes, String installation, boolean operators)
+            throws IOException {
+        this.name = name;
+        this.sockets = sockets;
+        this.discovery = discovery;
+        this.classes = classes;
         folder = Files.createTempDirectory("review");
+        port = freePort();
+        operator = operators ? "127.0.0.1:" + freePort() : null;
+        process = start(installation);
+        first = true;
+    }
+
+    private Proxy(Proxy old) throws IOException {
+        name = old.name;
+        sockets = old.sockets;
+        discovery = old.discovery;
+        classes = old.classes;
+        folder = old.folder;
+        port = old.port;
+        operator = "127.0.0.1:" + freePort();
+        process = start(null);
+        first = false;
+    }
+
+    /** Starts a second process of the same proxy, as DAYS has it: with another second address and everything else unchanged. */
+    Proxy upgrade() throws IOException {
+        return new Proxy(this);
+    }
+
+    private static int freePort() throws IOException {
         try (var free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            port = free.getLocalPort();
+            return free.getLocalPort();
         }
-        Path config = folder.resolve("config.json");
-        Files.writeString(config, config(name, sockets, discovery, classes));
+    }
+
+    private Process start(String installation) throws IOException {
+        Path config = Files.createTempFile(folder, "config", ".json");
+        Files.writeString(config, config());
         var builder = new ProcessBuilder("/bin/sh", "-c", command() + installed(installation));
         builder.environment().put("PROXY_CONFIG", config.toString());
         builder.environment().put("PROXY_NAME", name);
         builder.environment().put("PROXY_LISTEN", "127.0.0.1:" + port);
         builder.environment().put("PROXY_DISCOVERY", discovery);
+        if (operator != null) {
+            builder.environment().put("PROXY_OPERATOR", operator);
+        }
         builder.environment().put("TMPDIR", folder.toString());
-        builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
-        process = builder.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+        File log = folder.resolve("log").toFile();
+        builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+        Process started = builder.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
+        return started;
     }
 
     private static String command() throws IOException {
@@ -82,8 +130,9 @@
         return " --installation " + file;
     }
 
-    private String config(String name, int sockets, String discovery, String classes) {
+    private String config() {
         return "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + discovery
+                + (operator == null ? "" : "\",\"operator\":\"" + operator)
                 + "\",\"seed\":\"92094eb940cf389a\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" + sockets
                 + "},\"settings\":{\"balancers\":1,\"rank\":0,\"locality\":\"ulven\",\"quantum_us\":4000,"
                 + "\"registry_mode\":\"on_request\",\"bounds\":{\"cancel\":true,\"may_duplicate\":false,"
@@ -113,13 +162,22 @@
         return client;
     }
 
-    /** Waits until it says that it can serve. */
+    /** Waits until it says to clients that it can serve. */
     void awaitReady() throws Exception {
+        await(port, "/ready");
+    }
+
+    /** Waits until it says to operators that it can serve. */
+    void awaitYes() throws Exception {
+        await(Integer.parseInt(operator.split(":")[1]), "/v1/readyz");
+    }
+
+    private void await(int at, String path) throws Exception {
         boolean ready = Threads.await(30_000, () -> {
-            try (Socket asks = connect()) {
+            try (var asks = new Socket(InetAddress.getByName("127.0.0.1"), at)) {
                 asks.setSoTimeout(2_000);
                 asks.getOutputStream()
-                        .write("GET /ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+                        .write(("GET " + path + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
                                 .getBytes(StandardCharsets.US_ASCII));
                 return Http.read(new BufferedInputStream(asks.getInputStream())).status() == 200;
             } catch (IOException e) {
@@ -143,6 +201,9 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        if (!first) {
+            return;
+        }
         try (Stream<Path> files = Files.walk(folder)) {
             for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
                 Files.deleteIfExists(file);
