--- a/review/standins/LateCopy.java
+++ b/review/standins/LateCopy.java
@@ -18,11 +18,11 @@
     /** BRIEF: 0.42 to 0.78 ms one way between server rooms. */
     private static final long ONE_WAY_US = 780;
 
-    private static final int COPY_AFTER_MS = Integer.getInteger("late", 5);
+    private static final int COPY_AFTER_MS = 5;
     private static final double SHARE = 0.05;
     private static final int CLIENTS = 40;
     private static final int PAUSE_MS = 100;
-    private static final int SECONDS = Integer.getInteger("seconds", 45);
+    private static final int SECONDS = 45;
     private static final int WORK_MS = 20;
     private static final int TIMEOUT_MS = 2_000;
 
--- a/review/standins/SmallChunks.java
+++ b/review/standins/SmallChunks.java
@@ -14,10 +14,10 @@
  * time. Without the trouble the same answers come in chunks of 8 KiB.
  */
 public final class SmallChunks {
-    private static final int LONG_ANSWERS = Integer.getInteger("long", 150);
-    private static final int SMALL = Integer.getInteger("chunk", 16);
+    private static final int LONG_ANSWERS = 300;
+    private static final int SMALL = 8;
     private static final int LARGE = 8 * 1024;
-    private static final int LENGTH = Integer.getInteger("mb", 8) * 1024 * 1024;
+    private static final int LENGTH = 8 * 1024 * 1024;
     /** DAYS: slow clients read 64 kB a second. */
     private static final int READ = 6_400;
 
@@ -96,7 +96,7 @@
                     Threads.sleep(500);
                 }
             }));
-            Threads.sleep(100);
+            Threads.sleep(60);
         }
         Threads.sleep(3_000);
         record.line(answered + " ordinary requests answered in time so far; the backends have the rest of the long answers");
--- a/review/standins/Upgrade.java
+++ b/review/standins/Upgrade.java
@@ -4,7 +4,7 @@
  */
 public final class Upgrade {
     private static final int SOCKETS = 256;
-    private static final int CLIENTS = Integer.getInteger("clients", 60);
+    private static final int CLIENTS = 60;
     private static final int PAUSE_MS = 20;
     private static final int BEFORE_MS = 6_000;
     private static final int SECONDS = 25;
