--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -7,6 +7,9 @@
 [ -d review/target/standins ] || { echo "review/build.sh has not been run"; exit 2; }
 [ -f daemon/target/grebehoist.jar ] || { echo "the build of deploy/balancer.toml has not been run"; exit 2; }
 timeout -k 5 115 java -Djava.net.preferIPv4Stack=true -Xmx512m -cp review/target/standins "$2" "$folder/record.txt"
-code=$?
-# Anything but a verdict, a time limit included, means that the case could not run.
-case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
+# The play's own codes; anything else, a time limit or a runtime that does not start included, means that the case could not run.
+case $? in
+  40) exit 0 ;;
+  41) exit 1 ;;
+  *) exit 2 ;;
+esac
--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -1,12 +1,16 @@
 import java.nio.file.Path;
 
-/** Runs a case and ends the process with its verdict: 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
+/** Runs a case and ends the process with its verdict, which run-case.sh knows from what the runtime itself may end with. */
 final class Case {
     /** What is played. */
     interface Play {
         void run(Record record) throws Exception;
     }
 
+    private static final int HELD = 40;
+    private static final int BROKEN = 41;
+    private static final int COULD_NOT_RUN = 42;
+
     private Case() {}
 
     static void run(String[] args, Play play) throws Exception {
@@ -17,11 +21,11 @@
                 String verdict = record.broken() > 0 ? "the rule was broken " + record.broken() + " times" : "the rule held";
                 record.line(verdict);
                 System.out.println(verdict);
-                code = record.broken() > 0 ? 1 : 0;
+                code = record.broken() > 0 ? BROKEN : HELD;
             } catch (Exception e) {
                 record.line("the case could not run: " + e);
                 e.printStackTrace();
-                code = 2;
+                code = COULD_NOT_RUN;
             }
         }
         System.exit(code);
--- a/review/standins/Proxy.java
+++ b/review/standins/Proxy.java
@@ -1,6 +1,7 @@
 import java.io.BufferedInputStream;
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -8,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Comparator;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -87,9 +89,15 @@
         return new Proxy(this);
     }
 
+    /** Returns a port that is free, below those that the system gives to connections that are opened meanwhile. */
     private static int freePort() throws IOException {
-        try (var free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return free.getLocalPort();
+        while (true) {
+            int candidate = ThreadLocalRandom.current().nextInt(15_000, 32_000);
+            try (var free = new ServerSocket(candidate, 1, InetAddress.getByName("127.0.0.1"))) {
+                return free.getLocalPort();
+            } catch (BindException e) {
+                // Another one.
+            }
         }
     }
 
