--- a/core/src/main/java/beechfall/Balancer.java
+++ b/core/src/main/java/beechfall/Balancer.java
@@ -185,9 +185,19 @@
     /** News of the server list. A backend missing from a full list is gone. */
     record Members(ListKind kind, List<Backend> backends) implements Event {}
 
-    /** A client's request; {@code key} and {@code tenant} may be null, {@code leftUs} is the client's patience. */
-    record Arrival(String id, String requestClass, String tenant, String key, long leftUs, boolean repeat)
-            implements Event {}
+    /**
+     * A client's request; {@code key} and {@code tenant} may be null.
+     *
+     * @param leftUs the client's patience
+     * @param readUs how long a backend may take to read it whole, in microseconds; 0 where it is read at once
+     */
+    record Arrival(String id, String requestClass, String tenant, String key, long leftUs, boolean repeat, long readUs)
+            implements Event {
+        /** A request that a backend reads at once. */
+        public Arrival(String id, String requestClass, String tenant, String key, long leftUs, boolean repeat) {
+            this(id, requestClass, tenant, key, leftUs, repeat, 0);
+        }
+    }
 
     /** An answer has begun to stream: the attempt is the client's from here on. */
     record StreamStarted(String id, int attempt) implements Event {}
--- a/core/src/main/java/beechfall/Policy.java
+++ b/core/src/main/java/beechfall/Policy.java
@@ -123,6 +123,7 @@
         private final double worth;
         private final long aimAt;
         private final long deadline;
+        private final long readUs;
         private final List<Attempt> attempts = new ArrayList<>(2);
         private int out;
         private boolean over;
@@ -130,8 +131,17 @@
         private double cheaper;
         private Server home;
 
-        Request(String id, RequestClass type, int flow, String key, double worth, long began, long deadline) {
+        Request(
+                String id,
+                RequestClass type,
+                int flow,
+                String key,
+                double worth,
+                long began,
+                long deadline,
+                long readUs) {
             this.id = id;
+            this.readUs = readUs;
             this.type = type;
             this.flow = flow;
             this.key = key;
@@ -299,7 +309,8 @@
         long least = leastLeft.merge(type.name(), a.repeat() ? Long.MAX_VALUE : a.leftUs(), Math::min);
         long began = a.leftUs() < least ? now + a.leftUs() - type.deadlineUs() : now;
         worth *= type.worth() * (now < began + type.aimUs() ? 1 : type.lateWorth());
-        var r = new Request(a.id(), type, flow, settings.warmKeys() ? a.key() : null, worth, began, now + a.leftUs());
+        String key = settings.warmKeys() ? a.key() : null;
+        var r = new Request(a.id(), type, flow, key, worth, began, now + a.leftUs(), a.readUs());
         requests.put(r.id, r);
         hold(r);
     }
@@ -425,14 +436,14 @@
         return s.out() < Math.max(1, Math.ceil(s.weight() * (outstanding + 1)));
     }
 
-    /** Rule 2: a request that may have run goes only where its class lets it run again. */
+    /** Rule 2: a request that may have run goes only where its class lets it run again, and where it is read while its key is known. */
     private boolean effectAllows(Server s, Request r) {
         return r.attempts.isEmpty()
                 || r.type.effect() == Effect.SAFE
                 || r.attempts.stream()
                         .allMatch(a -> !mayHaveRun(a)
                                 || r.type.effect() == Effect.KEYED
-                                        && now < a.sentAt + r.type.windowUs()
+                                        && now + r.readUs < a.sentAt + r.type.windowUs()
                                         && sameGroup(r.type.scope(), a.sentTo, s.listed()));
     }
 
--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -131,6 +131,8 @@
         private final Responder responder;
         private final Tally.Row row;
         private final long handedInAt = timers.now();
+        /** How long a backend may take to read it. One whose payload is still coming goes out once only. */
+        private final long readUs;
         /** By their numbers. */
         private final List<Out> attempts = new ArrayList<>(2);
 
@@ -149,9 +151,18 @@
             this.responder = responder;
             this.row = row;
             this.whole = request.comingUs() == 0;
+            this.readUs = mayRepeatInWindow()
+                    ? TransferTime.slowestUs(request.payload().bytes())
+                    : 0;
             this.deadlineUs = Math.min(answerBy, request.deadlineUs() + request.comingUs());
         }
 
+        /** Returns whether its class lets it run again while its key is known. */
+        private boolean mayRepeatInWindow() {
+            Balancer.RequestClass type = types.get(request.requestClass());
+            return type != null && type.effect() == Balancer.Effect.KEYED;
+        }
+
         /** Returns its attempts and how they ended, for the log. */
         private String history() {
             var text = new StringBuilder().append(deadlineUs - timers.now()).append(" us left");
@@ -166,15 +177,18 @@
             return text.toString();
         }
 
-        /** Returns until when a repeat's last byte may go out: until the key of an attempt that may have run is forgotten. */
-        private long keyKnownUntil() {
-            Balancer.RequestClass type = types.get(request.requestClass());
-            if (type == null || type.effect() != Balancer.Effect.KEYED) {
+        /**
+         * Returns until when a repeat's last byte may go out: early enough that a backend that reads slowly has it before the key of an
+         * attempt that may have run is forgotten.
+         */
+        private long repeatUntil() {
+            if (!mayRepeatInWindow()) {
                 return Long.MAX_VALUE;
             }
+            long windowUs = types.get(request.requestClass()).windowUs();
             return attempts.stream()
                     .filter(a -> a.ended && a.ranForAllThatIsKnown())
-                    .mapToLong(a -> a.sentAt + type.windowUs())
+                    .mapToLong(a -> a.sentAt + windowUs - readUs)
                     .min()
                     .orElse(Long.MAX_VALUE);
         }
@@ -214,7 +228,7 @@
         void start() {
             request.out++;
             timeout = timers.at(startedAt + timeoutUs, this::expire);
-            long window = request.keyKnownUntil();
+            long window = request.repeatUntil();
             if (window != Long.MAX_VALUE) {
                 windowEnd = timers.at(window, this::passWindow);
             }
@@ -237,7 +251,7 @@
                 timers.at(timers.now() + SETTLE_US, this::startSettled);
                 return;
             }
-            if (timers.now() >= request.keyKnownUntil()) {
+            if (timers.now() >= request.repeatUntil()) {
                 ended(Outcome.NOT_SENT, null);
                 return;
             }
@@ -287,6 +301,7 @@
                     limits.maxAttempts(),
                     limits.secondCopies(),
                     mayHaveRun,
+                    request.readUs,
                     module.slowStartAllowance(backend, now));
         }
 
@@ -403,7 +418,8 @@
                 request.tenant(),
                 request.key(),
                 deadline - now,
-                request.repeat()));
+                request.repeat(),
+                r.readUs));
     }
 
     @Override
--- a/core/src/main/java/grebehoist/engine/Payload.java
+++ b/core/src/main/java/grebehoist/engine/Payload.java
@@ -14,6 +14,11 @@
         public void release() {}
     };
 
+    /** Returns about how many bytes it takes on a connection to a backend; 0 for an answer, which the engine does not ask. */
+    default long bytes() {
+        return 0;
+    }
+
     /** Adds an owner. */
     void retain();
 
--- a/core/src/main/java/grebehoist/engine/RuleGuard.java
+++ b/core/src/main/java/grebehoist/engine/RuleGuard.java
@@ -63,6 +63,7 @@
      * @param mostAttempts how many attempts a request may have
      * @param mayOverlap whether two may be out at a time
      * @param mayHaveRun the earlier attempts that may have run
+     * @param readUs how long its server may take to read it whole
      * @param slowStartAllowance how many requests all proxies together may send the endpoint in a window
      */
     public record Send(
@@ -78,6 +79,7 @@
             int mostAttempts,
             boolean mayOverlap,
             List<Earlier> mayHaveRun,
+            long readUs,
             double slowStartAllowance) {}
 
     /** An earlier attempt of the same request that may have run. */
@@ -191,7 +193,12 @@
     private static boolean outOfWindow(Send send, long nowUs) {
         return send.type != null
                 && send.type.effect() == Effect.KEYED
-                && send.mayHaveRun.stream().anyMatch(earlier -> nowUs - earlier.sentAtUs >= send.type.windowUs());
+                && send.mayHaveRun.stream().anyMatch(earlier -> !readInWindow(send, earlier, nowUs));
+    }
+
+    /** Returns whether a repeat that begins now is read whole while its server still knows the key. */
+    private static boolean readInWindow(Send send, Earlier earlier, long nowUs) {
+        return nowUs + send.readUs - earlier.sentAtUs < send.type.windowUs();
     }
 
     private boolean endpointTakes(Send send, long nowUs) {
@@ -226,7 +233,7 @@
         for (Earlier earlier : send.mayHaveRun) {
             long since = nowUs - earlier.sentAtUs;
             if (send.type.effect() == Effect.UNSAFE
-                    || since >= send.type.windowUs()
+                    || !readInWindow(send, earlier, nowUs)
                     || !sameScope(send.type.scope(), earlier.endpoint, send.endpoint)) {
                 return violated(
                         Rule.REPEAT,
--- a/core/src/test/java/grebehoist/engine/RuleGuardTest.java
+++ b/core/src/test/java/grebehoist/engine/RuleGuardTest.java
@@ -58,6 +58,7 @@
         private int number;
         private int othersOut;
         private List<Earlier> mayHaveRun = List.of();
+        private long readUs;
         private double allowance = Double.POSITIVE_INFINITY;
 
         Send send() {
@@ -74,6 +75,7 @@
                     2,
                     false,
                     mayHaveRun,
+                    readUs,
                     allowance);
         }
     }
@@ -178,6 +180,13 @@
                 .as("its connection came up too late")
                 .isFalse();
         assertThat(violations).hasSize(2);
+        facts.readUs = 100 * MS;
+        assertThat(guard.begins(facts.send(), 399 * MS)).isTrue();
+        assertThat(guard.begins(facts.send(), 400 * MS))
+                .as("it may be read as its key has been forgotten")
+                .isFalse();
+        assertThat(violations).hasSize(2);
+        facts.readUs = 0;
         facts.endpoint = "b1";
         assertThat(guard.begins(facts.send(), 400 * MS)).as("in another zone").isFalse();
         assertThat(violations).containsExactly(Rule.REPEAT, Rule.REPEAT, Rule.REPEAT);
--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -1,6 +1,7 @@
 package grebehoist.http;
 
 import grebehoist.engine.Counter;
+import grebehoist.engine.TransferTime;
 import grebehoist.net.Arrival;
 import grebehoist.net.ClientFront;
 import grebehoist.net.LoopTasks;
@@ -41,7 +42,6 @@
     /** A body must have come by then and so much later for each byte: 32 kB a second, half of what slow clients are known for. */
     private static final long BODY_US = 2_600_000;
 
-    static final long US_A_BYTE = 31;
     /** A long body of which nothing more comes for so long, though it is read, will not be whole. */
     private static final long SILENT_US = 2_600_000;
     /**
@@ -401,7 +401,7 @@
         } else if (firstByteAt >= 0) {
             // A byte now and then renews nothing: the time is for the whole request.
             long since = now - (used ? firstByteAt : idleSince);
-            if (since > (headCame ? BODY_US + assembler.heldBytes() * US_A_BYTE : HEAD_US)) {
+            if (since > (headCame ? BODY_US + TransferTime.slowestUs(assembler.heldBytes()) : HEAD_US)) {
                 tell(CutOff.REQUEST_SLOW, assembler.heldBytes());
                 part(Answers.plain(HttpResponseStatus.REQUEST_TIMEOUT, "the request has not come in time"));
             }
--- a/daemon/src/main/java/grebehoist/http/RequestReader.java
+++ b/daemon/src/main/java/grebehoist/http/RequestReader.java
@@ -2,6 +2,7 @@
 
 import beechfall.Balancer;
 import grebehoist.engine.Request;
+import grebehoist.engine.TransferTime;
 import grebehoist.net.ClientFront;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -110,7 +111,7 @@
     private static long comingUs(Upload upload) {
         return upload.length() < 0
                 ? MOST_COMING_US
-                : Math.min(MOST_COMING_US, LEAST_COMING_US + upload.length() * ClientConnection.US_A_BYTE);
+                : Math.min(MOST_COMING_US, LEAST_COMING_US + TransferTime.slowestUs(upload.length()));
     }
 
     private static String header(HttpHeaders headers, String name) throws Rejected {
--- a/daemon/src/main/java/grebehoist/thrift/ThriftCall.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftCall.java
@@ -9,6 +9,11 @@
         return message.type() == Message.ONEWAY;
     }
 
+    @Override
+    public long bytes() {
+        return frame.readableBytes();
+    }
+
     @Override
     public void retain() {
         frame.retain();
--- a/daemon/src/test/java/grebehoist/cli/Peer.java
+++ b/daemon/src/test/java/grebehoist/cli/Peer.java
@@ -13,14 +13,29 @@
 
 /** A backend, or discovery, played by hand: the test accepts its connections and says what goes over them. */
 public final class Peer implements Closeable {
+    private static final int BACKLOG = 50;
+    private static final int NARROW_BYTES = 4 * 1024;
+
     private final ServerSocket server;
     private final List<Wire> open = new ArrayList<>();
 
     public Peer() throws IOException {
-        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this(new ServerSocket());
+    }
+
+    private Peer(ServerSocket server) throws IOException {
+        this.server = server;
+        server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
         server.setSoTimeout(10_000);
     }
 
+    /** One whose kernel holds little of what it has not read. */
+    public static Peer narrow() throws IOException {
+        var server = new ServerSocket();
+        server.setReceiveBufferSize(NARROW_BYTES);
+        return new Peer(server);
+    }
+
     public InetSocketAddress socketAddress() {
         return new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
     }
