The reset of a given-up attempt ends its sending at once, and bears a closed socket

Change: LoopChannels.reset ends the sending first, which takes effect at once, and closes in order where the option can't be set.

--- a/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
+++ b/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
@@ -8,7 +8,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
 
@@ -132,21 +131,14 @@
         // The close fails a write that is under way, and that is not to end it a second time.
         ended = true;
         if (channel != null) {
-            reset(channel);
+            // What the kernel has yet to send of the attempt is dropped, where an orderly close would send it on.
+            LoopChannels.reset(channel);
         } else if (connecting != null) {
             LoopChannels.close(connecting);
         }
         report(outcome, null);
     }
 
-    /** Closes it by a reset: what the kernel has yet to send of the attempt is dropped, where an orderly close would send it on. */
-    private static void reset(Channel unwanted) {
-        if (unwanted instanceof SocketChannel socket) {
-            socket.config().setSoLinger(0);
-        }
-        unwanted.close();
-    }
-
     /** What has come from the other side ends it. The answer, if any, is the receiver's to release. */
     public final void end(Outcome outcome, Payload answer) {
         if (!ended) {
--- a/daemon/src/test/java/grebehoist/cli/LateEffectsTest.java
+++ b/daemon/src/test/java/grebehoist/cli/LateEffectsTest.java
@@ -11,6 +11,7 @@
     /** At 32 kB a second it takes longer than the 1.2 s for which a key is known. */
     private static final String LARGE = "x".repeat(64_000);
 
+    private static final String READY = "GET /ready HTTP/1.1\r\n\r\n";
     private static final String ERROR = Peer.answer("500 Internal Server Error", "");
 
     private static int sent(BlockingQueue<Wire.Message> first, BlockingQueue<Wire.Message> second) {
@@ -42,6 +43,8 @@
             client.send(Fixture.post("r1", LARGE));
             try (Wire slow = backend.accept()) {
                 assertThat(client.read().status()).isEqualTo(502);
+                // The reset goes out as the loop polls again.
+                assertThat(client.send(READY).read()).isNotNull();
                 assertThat(readWhole(slow)).isFalse();
             }
         }
--- a/net/src/main/java/grebehoist/net/LoopChannels.java
+++ b/net/src/main/java/grebehoist/net/LoopChannels.java
@@ -4,11 +4,13 @@
 import io.netty.bootstrap.AbstractBootstrap;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.DefaultChannelPromise;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
 import java.net.SocketAddress;
 
 /**
@@ -60,6 +62,23 @@
         }
     }
 
+    /**
+     * Closes a connection by a reset, so that the kernel drops what it has yet to send; in order where the system refuses that. The
+     * runtime resets a channel only as its loop polls again, so its sending is ended first, which takes effect at once.
+     */
+    public static void reset(Channel channel) {
+        try {
+            if (channel instanceof SocketChannel socket && channel.isOpen()) {
+                socket.config().setSoLinger(0);
+                socket.shutdownOutput();
+            }
+        } catch (ChannelException e) {
+            // setsockopt(2) fails where the socket has just been closed, or as the system is short of memory.
+        } finally {
+            channel.close();
+        }
+    }
+
     private static EventLoop loopOf(AbstractBootstrap<?, ?> bootstrap) {
         // Each bootstrap of the program is given one loop as its group.
         return (EventLoop) bootstrap.config().group();
