A connection rests only while no request has begun on it

Cause: idle meant that no whole request had come. Change: the front that sees a request's first byte tells Sockets, for HTTP and Thrift, also behind a whole request. A request that began over 0.5 s ago is refused with 503 where its place is wanted, and read out; no Connection: close is said while the next request has begun.

--- a/core/src/main/java/grebehoist/engine/Counter.java
+++ b/core/src/main/java/grebehoist/engine/Counter.java
@@ -35,6 +35,8 @@
     REFUSED_BY_POLICY,
     /** A request was refused, as the rest of its body would have come too late. */
     REFUSED_BODY_LATE,
+    /** A request was refused before it had come whole, as the place of its connection was wanted. */
+    REFUSED_PLACE_WANTED,
     /** A request was refused, as the process ended. */
     REFUSED_AT_SHUTDOWN,
     /** A request failed by a decision of the module. */
--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -85,6 +85,9 @@
     private boolean parting;
 
     private FullHttpResponse lastWord;
+    /** Whether its client is still writing the request that was refused, and is to find the answer behind it. */
+    private boolean readsOut;
+
     private long partedAt = -1;
     private CutOff why = CutOff.CLIENT_LEFT;
     private long dropped;
@@ -130,10 +133,23 @@
         if (SocketPeek.drained(channel, read)) {
             backlog.drained();
         }
-        if (firstByteAt < 0 && assembler.upload() == null) {
-            firstByteAt = lastReadAt;
+        if (assembler.upload() == null) {
+            requestBegan();
         }
         super.channelRead(ctx, message);
+        if (!parting && (decoder.holdsMore() || assembler.holding() != null)) {
+            // Behind a request that has come whole another has begun.
+            requestBegan();
+        }
+    }
+
+    private void requestBegan() {
+        if (firstByteAt < 0) {
+            firstByteAt = lastReadAt;
+            if (exchange == null) {
+                sockets.clientReading(channel);
+            }
+        }
     }
 
     /** The request that is being read has its head. Returns whether nothing else is being answered, nor waits for that. */
@@ -281,7 +297,11 @@
             hangUp();
         } else {
             assembler.itsTurn(channel);
-            sockets.clientIdle(channel);
+            if (firstByteAt < 0) {
+                sockets.clientIdle(channel);
+            } else {
+                sockets.clientReading(channel);
+            }
         }
     }
 
@@ -360,25 +380,42 @@
 
     /** Returns whether nothing more is to be answered after the exchange that is under way. */
     boolean last() {
-        return waiting.isEmpty() && !parting;
+        return waiting.isEmpty() && firstByteAt < 0 && !parting;
     }
 
     @Override
     public void partIfIdle() {
-        if (exchange == null && firstByteAt < 0 && !SocketPeek.hasUnread(channel)) {
+        if (holdsNoRequest()) {
             part(null);
         }
     }
 
-    /** Its place is wanted: what was begun on it and not finished is not worth more than somebody's request. */
+    private boolean holdsNoRequest() {
+        return exchange == null && firstByteAt < 0 && !SocketPeek.hasUnread(channel);
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
-        if (event == Sockets.PART && exchange == null) {
-            part(null);
+        if (event == Sockets.PART && exchange == null && !parting) {
+            giveUpPlace();
         }
         super.userEventTriggered(ctx, event);
     }
 
+    /** Its place is wanted. A request that has begun to come is answered first: its client may be writing its last byte. */
+    private void giveUpPlace() {
+        if (holdsNoRequest()) {
+            part(null);
+        } else if (firstByteAt >= 0) {
+            front.log().reason(Counter.REFUSED_PLACE_WANTED, "", () -> "a request that has come in part");
+            readsOut = true;
+            part(Answers.refused(0));
+        } else {
+            // What has come is read soon.
+            sockets.clientBusy(channel);
+        }
+    }
+
     @Override
     public long idleSince() {
         return idleSince;
@@ -479,7 +516,11 @@
      */
     private void hangUp() {
         partedAt = front.now();
-        sockets.clientParting(channel);
+        if (readsOut) {
+            sockets.clientBusy(channel);
+        } else {
+            sockets.clientParting(channel);
+        }
         if (lastWord == null) {
             endSending(true);
             return;
--- a/daemon/src/main/java/grebehoist/http/Framing.java
+++ b/daemon/src/main/java/grebehoist/http/Framing.java
@@ -33,6 +33,11 @@
             super(config());
         }
 
+        /** Returns whether bytes have come that belong to no message so far. */
+        boolean holdsMore() {
+            return actualReadableBytes() > 0;
+        }
+
         @Override
         protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
             throw twoLengths();
--- a/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
@@ -103,7 +103,13 @@
         // Time that a call has waited unread is its client's all the same.
         lastArrival = front.arrival(channel, reads == 0);
         readAt = Math.min(front.countsFrom(lastArrival), unreadSince < 0 ? Long.MAX_VALUE : unreadSince);
-        firstByteAt = firstByteAt < 0 ? readAt : firstByteAt;
+        if (firstByteAt < 0) {
+            firstByteAt = readAt;
+            if (open.isEmpty()) {
+                // A frame has begun, which has a time of its own: its place is nobody else's meanwhile.
+                sockets.clientBusy(channel);
+            }
+        }
         reads++;
         drained = SocketPeek.drained(channel, (ByteBuf) message);
         super.channelRead(ctx, message);
@@ -113,6 +119,9 @@
     public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
         if (!frames.holdsMore()) {
             firstByteAt = -1;
+            if (open.isEmpty() && !parting && !closed) {
+                sockets.clientIdle(channel);
+            }
         }
         if (drained && channel.config().isAutoRead()) {
             unreadSince = -1;
@@ -281,10 +290,10 @@
     private void rest() {
         if (open.isEmpty() && !closed) {
             idleSince = front.now();
-            if (parting || front.partsSoon()) {
+            if (parting || front.partsSoon() && !callBegun()) {
                 parting = true;
                 hangUp();
-            } else {
+            } else if (!frames.holdsMore()) {
                 sockets.clientIdle(channel);
             }
         }
@@ -352,16 +361,28 @@
 
     @Override
     public void partIfIdle() {
-        if (open.isEmpty() && firstByteAt < 0 && TakeWatch.unsent(channel) == 0 && !SocketPeek.hasUnread(channel)) {
+        if (holdsNoCall() && TakeWatch.unsent(channel) == 0) {
             part();
         }
     }
 
-    /** Its place is wanted. */
+    private boolean callBegun() {
+        return frames.holdsMore() || SocketPeek.hasUnread(channel);
+    }
+
+    private boolean holdsNoCall() {
+        return open.isEmpty() && firstByteAt < 0 && !SocketPeek.hasUnread(channel);
+    }
+
+    /** Its place is wanted, which a call that has begun to come keeps. */
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
-        if (event == Sockets.PART && open.isEmpty()) {
-            part();
+        if (event == Sockets.PART) {
+            if (holdsNoCall()) {
+                part();
+            } else {
+                sockets.clientBusy(channel);
+            }
         }
         super.userEventTriggered(ctx, event);
     }
--- a/daemon/src/test/java/grebehoist/cli/EndingsTest.java
+++ b/daemon/src/test/java/grebehoist/cli/EndingsTest.java
@@ -150,6 +150,71 @@
         }
     }
 
+    private static List<Wire> idleCrowd(Fixture proxy, int clients) throws IOException {
+        var crowd = new ArrayList<Wire>();
+        for (int i = 0; i < clients; i++) {
+            crowd.add(proxy.client());
+        }
+        return crowd;
+    }
+
+    /** Guards against review case 3: where places ran short, requests that had been read in part were closed with no answer. */
+    @Test
+    void aRequestInTwoPiecesIsAnsweredWhileIdleClientsCrowd() throws Exception {
+        List<Wire> crowd = List.of();
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), SOCKETS, 15_000_000, backend)) {
+            backend.always(Peer.ok("x"));
+            String request = Fixture.get("r1");
+            Wire client = proxy.client().send(request.substring(0, 20));
+            crowd = idleCrowd(proxy, PLACES);
+            // The oldest of those that rest is the first to be given up.
+            assertThat(crowd.get(0).ended()).isTrue();
+            assertThat(client.send(request.substring(20)).read().status()).isEqualTo(200);
+            client.close();
+        } finally {
+            close(crowd);
+        }
+    }
+
+    /** As the one before, where the first piece came behind a request that had come whole. */
+    @Test
+    void aRequestThatBeganBehindAnotherIsAnsweredWhileIdleClientsCrowd() throws Exception {
+        List<Wire> crowd = List.of();
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), SOCKETS, 15_000_000, backend)) {
+            backend.always(Peer.ok("x"));
+            String request = Fixture.get("r2");
+            Wire client = proxy.client().send(Fixture.get("r1") + request.substring(0, 20));
+            assertThat(client.read().status()).isEqualTo(200);
+            crowd = idleCrowd(proxy, PLACES);
+            assertThat(crowd.get(0).ended()).isTrue();
+            assertThat(client.send(request.substring(20)).read().status()).isEqualTo(200);
+            client.close();
+        } finally {
+            close(crowd);
+        }
+    }
+
+    /** Half requests by the hundred take no place for long: the oldest are refused, and their clients read that. */
+    @Test
+    void aRequestThatComesSlowlyIsRefusedWhereItsPlaceIsWanted() throws Exception {
+        var slow = new ArrayList<Wire>();
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), SOCKETS, 15_000_000, backend)) {
+            backend.always(Peer.ok("x"));
+            for (int i = 0; i < PLACES; i++) {
+                slow.add(proxy.client().send(Fixture.get("slow" + i).substring(0, 20)));
+            }
+            try (Wire client = proxy.client().send(Fixture.get("r1"))) {
+                assertThat(slow.get(0).read().status()).isEqualTo(503);
+                assertThat(client.read().status()).isEqualTo(200);
+            }
+        } finally {
+            close(slow);
+        }
+    }
+
     /** The soak's seed 5310: accept(2) failed for a while, and whoever waited meanwhile was taken for fresh when it worked again. */
     @Test
     void aClientThatLeftWhileAcceptFailedIsNotServed() throws Exception {
--- a/daemon/src/test/java/grebehoist/thrift/ThriftFixture.java
+++ b/daemon/src/test/java/grebehoist/thrift/ThriftFixture.java
@@ -27,6 +27,7 @@
 /** A Thrift pool and its listener on loopback, with a module that the test gives. */
 final class ThriftFixture implements Closeable {
     static final long MS = 1_000;
+    private static final int DESCRIPTORS = 1_024;
     static final Balancer.Settings SETTINGS = new Balancer.Settings(
             1,
             0,
@@ -76,6 +77,15 @@
 
     ThriftFixture(Function<Balancer.Settings, Balancer> factory, ThriftOptions options, InetSocketAddress... backends)
             throws IOException {
+        this(factory, options, DESCRIPTORS, backends);
+    }
+
+    private ThriftFixture(
+            Function<Balancer.Settings, Balancer> factory,
+            ThriftOptions options,
+            int descriptors,
+            InetSocketAddress... backends)
+            throws IOException {
         var servers = new StringBuilder();
         for (int i = 0; i < backends.length; i++) {
             servers.append(i == 0 ? "" : ",")
@@ -86,7 +96,7 @@
         var host = new Pool.Host(
                 network,
                 new LoopTimers(network.loop()),
-                new Sockets(network.loop(), new StderrLog(), 1_024),
+                new Sockets(network.loop(), new StderrLog(), descriptors),
                 new StderrLog());
         var spec = new Pool.Spec(
                 "billing",
@@ -120,7 +130,12 @@
     }
 
     ThriftFixture(Fixture.Module module, ThriftOptions options, InetSocketAddress... backends) throws IOException {
-        this(settings -> (now, event, actions) -> module.handle(event, actions), options, backends);
+        this(module, options, DESCRIPTORS, backends);
+    }
+
+    ThriftFixture(Fixture.Module module, ThriftOptions options, int descriptors, InetSocketAddress... backends)
+            throws IOException {
+        this(settings -> (now, event, actions) -> module.handle(event, actions), options, descriptors, backends);
     }
 
     /** Waits for the next event of a type. */
--- a/daemon/src/test/java/grebehoist/thrift/ThriftProxyTest.java
+++ b/daemon/src/test/java/grebehoist/thrift/ThriftProxyTest.java
@@ -341,6 +341,34 @@
         }
     }
 
+    /** Guards against review case 3 over Thrift: where places ran short, half-read calls were cut off with no reply. */
+    @Test
+    void aCallInTwoPiecesIsAnsweredWhileIdleClientsCrowd() throws Exception {
+        byte[] call = FrameWire.framed(pay(Kind.COMPACT, 1, "r1"));
+        var crowd = new ArrayList<FrameWire>();
+        // So many descriptors are places for 40 clients, and 32 that wait.
+        try (ServerSocket backend = FrameWire.backend();
+                var proxy = new ThriftFixture(Fixture.sendTo("s0"), IN_ORDER, 128, FrameWire.at(backend));
+                var client = FrameWire.to(proxy.address).raw(Arrays.copyOf(call, 10))) {
+            for (int i = 0; i < 72; i++) {
+                crowd.add(FrameWire.to(proxy.address));
+            }
+            assertThat(crowd.get(0).read())
+                    .as("the oldest that rests is given up")
+                    .isNull();
+            client.raw(Arrays.copyOfRange(call, 10, call.length));
+            try (var attempt = FrameWire.accept(backend)) {
+                int own = head(attempt.read()).sequenceId();
+                attempt.send(reply(Kind.COMPACT, "pay", own, "done"));
+                assertThat(client.read()).isEqualTo(reply(Kind.COMPACT, "pay", 1, "done"));
+            }
+        } finally {
+            for (FrameWire wire : crowd) {
+                wire.close();
+            }
+        }
+    }
+
     @Test
     void refusalsAndFailuresCanBeToldApart() throws Exception {
         try (var proxy = new ThriftFixture(
--- a/net/src/main/java/grebehoist/net/Sockets.java
+++ b/net/src/main/java/grebehoist/net/Sockets.java
@@ -13,7 +13,8 @@
 /**
  * Counts the open connections, so that the process stays under its limit of descriptors: one too many fails at a place
  * where nothing can be done about it. As places run short, clients' connections end with their answers and those that
- * hold no request are given up; where all hold one, no further client is accepted for a while.
+ * hold no request are given up, then those whose request has begun long ago and is yet to come whole; where all hold one, no further
+ * client is accepted for a while. A request has begun with its first byte, of which the connection tells.
  *
  * <p>A client's connection that is given up is asked to end in order ({@link #PART}), and is closed a moment later if it has not: closed at
  * once, it would be reset if anything has come on it, and the answer that its client has not read yet would be lost.
@@ -28,6 +29,8 @@
     private static final int LOBBY = 32;
     /** A request that is on its way to a new connection has come by then. */
     private static final long GREETING_NS = TimeUnit.MILLISECONDS.toNanos(20);
+    /** A request that comes in pieces has come by then; what is slower is refused if its place is wanted. */
+    private static final long READING_NS = TimeUnit.MILLISECONDS.toNanos(500);
     /** So many may take their time to end, beyond those that are counted as places that are taken. */
     private static final int MOST_PARTING = 8;
     /** Tells a client's connection, as an event in its pipeline, to end in order: its place is wanted. */
@@ -38,10 +41,12 @@
     private int most;
     private int mostClients;
     private final Map<Channel, Long> idleBackends = new LinkedHashMap<>();
-    /** Connections on which no whole request has come yet, and those idle after an answer; the oldest first. */
+    /** Connections on which no request has begun yet, and those idle after an answer; the oldest first. */
     private final Map<Channel, Long> silentClients = new LinkedHashMap<>();
 
     private final Map<Channel, Long> idleClients = new LinkedHashMap<>();
+    /** Connections on which a request has begun to come, and since when; the oldest first. */
+    private final Map<Channel, Long> readingClients = new LinkedHashMap<>();
     /** Connections that are about to end, and since when; the oldest first. */
     private final Map<Channel, Long> partingClients = new LinkedHashMap<>();
 
@@ -108,10 +113,11 @@
             // They had their time.
         }
         while (clients - partingClients.size() > mostClients
-                && (part(silentClients, GREETING_NS) || part(idleClients, 0))) {
+                && (part(silentClients, GREETING_NS) || part(idleClients, 0) || part(readingClients, READING_NS))) {
             // One more will have left soon.
         }
-        if (clients > mostClients && !(silentClients.isEmpty() && partingClients.isEmpty())) {
+        if (clients > mostClients
+                && !(silentClients.isEmpty() && partingClients.isEmpty() && readingClients.isEmpty())) {
             makingRoom = true;
             LoopTasks.after(loop, log, GREETING_NS, TimeUnit.NANOSECONDS, this::makeRoom);
         }
@@ -133,10 +139,18 @@
         return clients > mostClients * 3 / 4;
     }
 
-    /** A client's connection holds a request. */
+    /** A request has begun to come on a client's connection, which can refuse it. */
+    public void clientReading(Channel channel) {
+        clientBusy(channel);
+        readingClients.put(channel, now());
+        makeRoomSoon();
+    }
+
+    /** A client's connection holds a request, or is to be left alone for another reason. */
     public void clientBusy(Channel channel) {
         silentClients.remove(channel);
         idleClients.remove(channel);
+        readingClients.remove(channel);
         partingClients.remove(channel);
     }
 
@@ -163,7 +177,10 @@
         return Math.min(clients, mostClients) + backends < most
                 || close(idleBackends, 0)
                 || close(partingClients, GREETING_NS)
-                || partingClients.size() < MOST_PARTING && (part(silentClients, GREETING_NS) || part(idleClients, 0));
+                || partingClients.size() < MOST_PARTING
+                        && (part(silentClients, GREETING_NS)
+                                || part(idleClients, 0)
+                                || part(readingClients, READING_NS));
     }
 
     /** A connection to a backend is being opened. */
