--- a/net/src/main/java/grebehoist/net/ReadBudget.java
+++ b/net/src/main/java/grebehoist/net/ReadBudget.java
@@ -7,7 +7,8 @@
 /**
  * Bounds what dear reads may take of one turn of an event loop. A byte costs what is made of it: the same number of them may be one piece
  * of a body or thousands of chunks, so connections are judged by how long their last reads were handled for. Those that are dear share
- * a part of each turn, one read after the other in a queue, and so hold up nobody whose reads are cheap.
+ * a part of each turn, one read after the other in a queue, and so hold up nobody whose reads are cheap. What brings few bytes, as an
+ * ordinary request does, is never put off for its time, which is the machine's more than its own.
  *
  * <p>Used by the loop's thread; times are the loop's ticker's, in nanoseconds.
  */
@@ -17,6 +18,9 @@
     /** A connection is dear while each of its last two reads took longer: one alone may have met a pause of the process. */
     static final long DEAR_NS = 200_000;
 
+    /** A read that brought less is not dear. */
+    static final int LARGE_BYTES = 4 * 1024;
+
     /** A connection that can be read later. */
     interface Reader {
         /** Reads once, unless reading has been stopped or the connection has been closed meanwhile. */
@@ -28,6 +32,7 @@
         private final Reader reader;
         private long lastNs;
         private long beforeLastNs;
+        private int bytes;
         private boolean queued;
 
         /** Makes the account of a connection that has not been read. */
@@ -39,9 +44,15 @@
             return Math.min(lastNs, beforeLastNs) > DEAR_NS;
         }
 
+        /** The read that is being handled has brought so many bytes. */
+        void brought(int read) {
+            bytes = read;
+        }
+
         private void took(long ns) {
             beforeLastNs = lastNs;
-            lastNs = ns;
+            lastNs = bytes < LARGE_BYTES ? 0 : ns;
+            bytes = 0;
         }
     }
 
--- a/net/src/main/java/grebehoist/net/SocketConnection.java
+++ b/net/src/main/java/grebehoist/net/SocketConnection.java
@@ -111,6 +111,7 @@
         arrivedNs = unreadSinceNs();
         int room = into.writableBytes();
         int read = super.doReadBytes(into);
+        account.brought(read);
         countRead(read, room, beforeNs);
         return read < END_OF_STREAM ? 0 : read;
     }
--- a/net/src/test/java/grebehoist/net/ReadBudgetTest.java
+++ b/net/src/test/java/grebehoist/net/ReadBudgetTest.java
@@ -18,9 +18,15 @@
     private final class Connection implements ReadBudget.Reader {
         private final ReadBudget.Account account = new ReadBudget.Account(this);
         private final long costNs;
+        private final int bytes;
 
         Connection(long costNs) {
+            this(costNs, ReadBudget.LARGE_BYTES);
+        }
+
+        Connection(long costNs, int bytes) {
             this.costNs = costNs;
+            this.bytes = bytes;
         }
 
         @Override
@@ -32,6 +38,7 @@
         private void poll() {
             if (budget.mayRead(account, nowNs)) {
                 read.add(this);
+                account.brought(bytes);
                 nowNs += costNs;
             }
         }
@@ -94,6 +101,7 @@
         var connection = new Connection(CHEAP_NS);
         turn(List.of(connection));
         assertThat(budget.mayRead(connection.account, nowNs)).isTrue();
+        connection.account.brought(ReadBudget.LARGE_BYTES);
         nowNs += 10 * ReadBudget.TURN_NS;
         for (int i = 0; i < 3; i++) {
             turn(List.of(connection, connection));
@@ -101,4 +109,14 @@
         }
         assertThat(budget.hasDeferred()).isFalse();
     }
+
+    /** On a slow machine all reads take long: what brings little is an ordinary request, or an end. */
+    @Test
+    void whatBringsLittleIsNotPutOff() {
+        var little = new Connection(DEAR_NS, ReadBudget.LARGE_BYTES - 1);
+        for (int i = 0; i < 5; i++) {
+            turn(List.of(little, little, little));
+            assertThat(read).hasSize(3);
+        }
+    }
 }
