A head has 256 fields at most

Cause: heads were bounded in bytes alone, and a field costs some hundred bytes of objects however short it is. Change: fields are counted as they come, from clients and backends; a client is told 431, as for a head that is too long.

--- a/daemon/src/main/java/grebehoist/http/Framing.java
+++ b/daemon/src/main/java/grebehoist/http/Framing.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.AsciiString;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -21,14 +22,35 @@
     /** Bodies are handed on in pieces of up to so many bytes. */
     private static final int PIECE = 64 * 1024;
 
+    /** A head and its trailers hold so many fields at most: as objects, short ones take some hundred times their bytes. */
+    static final int MOST_FIELDS = 256;
+
     private Framing() {}
 
+    /** Counts the fields of a message as they come, before anything is made of them. */
+    private static final class FieldCount {
+        private int fields;
+
+        void messageBegins() {
+            fields = 0;
+        }
+
+        void another() {
+            fields++;
+            if (fields > MOST_FIELDS) {
+                throw new TooLongHttpHeaderException("more than " + MOST_FIELDS + " header fields");
+            }
+        }
+    }
+
     private static HttpDecoderConfig config() {
         return new HttpDecoderConfig().setMaxChunkSize(PIECE);
     }
 
     /** Decodes what clients send. */
     static final class Requests extends HttpRequestDecoder {
+        private final FieldCount count = new FieldCount();
+
         Requests() {
             super(config());
         }
@@ -38,6 +60,12 @@
             return actualReadableBytes() > 0;
         }
 
+        @Override
+        protected HttpMessage createMessage(String[] initialLine) throws Exception {
+            count.messageBegins();
+            return super.createMessage(initialLine);
+        }
+
         @Override
         protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
             throw twoLengths();
@@ -46,6 +74,7 @@
         @Override
         protected AsciiString splitHeaderName(byte[] line, int start, int length) {
             requireColon(line, start + length);
+            count.another();
             return super.splitHeaderName(line, start, length);
         }
     }
@@ -54,6 +83,7 @@
     static final class Responses extends HttpResponseDecoder implements AttemptConnection.Counted {
         private static final byte[] PROTOCOL = "HTTP/".getBytes(StandardCharsets.US_ASCII);
 
+        private final FieldCount count = new FieldCount();
         private long bytes;
         private boolean reset;
 
@@ -117,6 +147,12 @@
             return actualReadableBytes() > 0;
         }
 
+        @Override
+        protected HttpMessage createMessage(String[] initialLine) {
+            count.messageBegins();
+            return super.createMessage(initialLine);
+        }
+
         @Override
         protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
             throw twoLengths();
@@ -125,6 +161,7 @@
         @Override
         protected AsciiString splitHeaderName(byte[] line, int start, int length) {
             requireColon(line, start + length);
+            count.another();
             return super.splitHeaderName(line, start, length);
         }
     }
--- a/daemon/src/main/java/grebehoist/http/RequestAssembler.java
+++ b/daemon/src/main/java/grebehoist/http/RequestAssembler.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import java.util.List;
 
 /**
@@ -63,6 +64,11 @@
     }
 
     private static FullHttpResponse judged(HttpRequest head) {
+        if (head.decoderResult().cause() instanceof TooLongHttpHeaderException) {
+            return Answers.plain(
+                    HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                    "a head of more than 8 KiB, or of more than " + Framing.MOST_FIELDS + " fields");
+        }
         if (head.decoderResult().isFailure()) {
             return Answers.plain(HttpResponseStatus.BAD_REQUEST, "not a request that can be read");
         }
--- a/daemon/src/test/java/grebehoist/cli/LongMessagesIT.java
+++ b/daemon/src/test/java/grebehoist/cli/LongMessagesIT.java
@@ -30,6 +30,10 @@
     /** What the least generous of the operators' days grants, less a tenth. */
     private static final long MOST_KB = 130 * 1_024;
 
+    private static final int MANY = 250;
+    /** Less than a head may have. */
+    private static final int HEAD_BYTES = 8_000;
+
     private static final int STEP = 16 * 1_024;
     /** 64 kB a second. */
     private static final long STEP_MS = 250;
@@ -130,6 +134,37 @@
         }
     }
 
+    /** Guards against picture (a) of issue 63: a bound on the bytes of heads was none on memory, and the process ended with OutOfMemoryError. */
+    @Test
+    void headsOfManyShortFieldsTakeNoMoreMemoryThanIsGranted() throws Exception {
+        String fields = "a:b\r\n".repeat(HEAD_BYTES / "a:b\r\n".length());
+        var clients = new ArrayList<Wire>();
+        try (var discovery = new Peer();
+                var backend = new Peer();
+                var proxy = new ProxyProcess("n0", ProcessIT.settings(0)).withDoor()) {
+            backend.always(Peer.ok("done"));
+            String entry =
+                    Fixture.entry("s0", backend.address(), "ready").replace("\"started_ms\":7", "\"started_ms\":0");
+            proxy.configure(discovery.socketAddress(), Fixture.list(41, true, entry))
+                    .start()
+                    .awaitReady();
+            median(proxy);
+            for (int i = 0; i < MANY; i++) {
+                clients.add(Wire.to(proxy.address()).send("GET /api HTTP/1.1\r\n" + fields));
+            }
+            // As each is told so, none of them waits for more of its head.
+            for (Wire client : clients) {
+                assertThat(client.read().status()).isEqualTo(431);
+            }
+            median(proxy);
+            assertThat(proxy.peakKb()).as("%s", proxy.log()).isLessThan(MOST_KB);
+        } finally {
+            for (Wire client : clients) {
+                client.close();
+            }
+        }
+    }
+
     private static Thread slow(List<String> cutOff, String id, Peer.Work work) {
         var thread = new Thread(() -> {
             try {
--- a/daemon/src/test/java/grebehoist/http/HttpFrontTest.java
+++ b/daemon/src/test/java/grebehoist/http/HttpFrontTest.java
@@ -85,6 +85,19 @@
         }
     }
 
+    /** Guards against picture (a) of issue 63: fields cost by the piece, so their number has a bound of its own. */
+    @ParameterizedTest
+    @CsvSource({"240,200", "257,431"})
+    void aHeadHasSoManyFieldsAtMost(int more, int status) throws Exception {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
+            backend.always(Peer.ok("x"));
+            String head = Fixture.get("r1").replace("\r\n\r\n", "\r\n" + "a:b\r\n".repeat(more) + "\r\n");
+            assertThat(client.send(head).read().status()).isEqualTo(status);
+        }
+    }
+
     /** Two readers of such a request may disagree on where it ends, and what one takes for its body may be another. */
     @ParameterizedTest
     @ValueSource(
