The time of a long body counts from when its end may have been written, wherever it waits

Cause: what the client's own kernel may hold, 4 MB on Linux, was taken for unwritten. Change: while this side's kernel is full, by its own count, what is left may have been written since it was last not full, and the request is refused in time. A body whose end can't have been written is begun though its client's end can't be seen.

--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -129,10 +129,13 @@
         // A request's time counts from its last byte: one that comes slowly is not older for that.
         var read = (ByteBuf) message;
         lastArrival = front.arrival(channel, reads == 0);
+        if (reads == 0) {
+            backlog.looked(0, front.countsFrom(lastArrival));
+        }
         lastReadAt = backlog.read(read.readableBytes(), front.countsFrom(lastArrival));
         reads++;
         if (SocketPeek.drained(channel, read)) {
-            backlog.drained();
+            backlog.drained(front.now());
         }
         if (assembler.upload() == null) {
             requestBegan();
@@ -166,7 +169,7 @@
             long seen = reads;
             LoopTasks.after(channel.eventLoop(), front.log(), LOOK_MS, TimeUnit.MILLISECONDS, () -> {
                 if (seen == reads && channel.config().isAutoRead()) {
-                    backlog.drained();
+                    backlog.drained(front.now());
                 }
             });
         }
@@ -356,6 +359,12 @@
         return front.clientState(channel, arrival);
     }
 
+    /** Returns whether the end of a long body may wait unread, be it on this side or at its client's. */
+    boolean mayHoldEndOf(Upload upload) {
+        lookAtBacklog();
+        return backlog.endMayHaveComeAt(upload.left()) != Long.MAX_VALUE;
+    }
+
     boolean writable() {
         return channel.isWritable();
     }
@@ -452,6 +461,7 @@
     private void lookAtStreams(long now) {
         Upload upload = assembler.upload();
         if (upload != null) {
+            lookAtBacklog();
             if (exchange.takes(upload) && exchange.tooLate(backlog.endMayHaveComeAt(upload.left()), now)) {
                 // Its client may have waited for so long as it waits at all, and its backend has begun with nothing.
                 exchange.giveUp();
@@ -472,6 +482,10 @@
         }
     }
 
+    private void lookAtBacklog() {
+        backlog.looked(SocketPeek.unreadBytes(channel), front.now());
+    }
+
     /** What has no request, or none any more, has no line of its own otherwise. */
     private void tell(CutOff cause, long bytes) {
         long ms = (front.now() - (partedAt >= 0 ? partedAt : firstByteAt >= 0 ? firstByteAt : uploadedAt)) / 1_000;
--- a/daemon/src/main/java/grebehoist/http/Exchange.java
+++ b/daemon/src/main/java/grebehoist/http/Exchange.java
@@ -162,7 +162,10 @@
 
     @Override
     public ClientState clientState() {
-        return connection.clientState(arrival);
+        ClientState state = connection.clientState(arrival);
+        // Of a body whose end has yet to be written nothing takes effect if its client leaves.
+        boolean unfinished = upload != null && !upload.over() && !connection.mayHoldEndOf(upload);
+        return state == ClientState.UNKNOWN && unfinished ? ClientState.PRESENT : state;
     }
 
     private boolean keepAlive() {
--- a/daemon/src/main/java/grebehoist/http/ReadBacklog.java
+++ b/daemon/src/main/java/grebehoist/http/ReadBacklog.java
@@ -8,12 +8,17 @@
  * When the bytes that are read from a client may have come, where reading has rested: they may have waited in the kernel, which
  * holds a bounded number of them, and a client's patience does not begin when they are read. What is told here is never too late.
  *
+ * <p>A client has written its bytes before they come: while this side's kernel is full they wait at the client's, which holds some more.
+ * So what comes after the kernel was full may have been written when it was last seen not to be.
+ *
  * <p>The kernel holds so many bytes at most ({@link #MOST_HELD}), so the byte with number n came no sooner than byte n - MOST_HELD was
  * read, and no sooner than reading began to rest. As little as that is kept: the times at which every sixteenth of that had been read.
  */
 final class ReadBacklog {
     /** Twice what is asked for (tcp(7), SO_RCVBUF): Linux counts its own needs in that, so it is less. */
     static final int MOST_HELD = 2 * Network.UNREAD;
+    /** What the client's side may hold beyond that, in bytes: Linux lets a connection's buffer grow to 4 MB (tcp(7), tcp_wmem). */
+    static final int MOST_HELD_BY_CLIENT = 4 * 1024 * 1024;
     /** Where nothing is known of how much is held. */
     static final int UNBOUNDED = Integer.MAX_VALUE;
 
@@ -24,8 +29,17 @@
     /** Empty while all that has come is read. */
     private final Deque<Mark> marks = new ArrayDeque<>(18);
 
+    private static final long NEVER = Long.MAX_VALUE;
+    private static final int LOOKS_NOT_FULL = 2;
+
     private final int mostHeld;
     private long bytes;
+    /** When this side's kernel was last seen not to be full, if it has been full since; else {@link #NEVER}. */
+    private long fullSinceUs = NEVER;
+
+    private long notFullAtUs = NEVER;
+    private int looksNotFull;
+    private long cameAtLastLook;
 
     /**
      * Makes one for a connection on which nothing has been read.
@@ -36,6 +50,27 @@
         this.mostHeld = mostHeld;
     }
 
+    /**
+     * This side's kernel was looked at, as happens now and then. Once it has been full, what it gives up is replaced from the client's side
+     * a moment later, or only when much is free: that it is not full any more shows where nothing is held, or more has come, twice running.
+     *
+     * @param unread how many bytes it holds
+     */
+    void looked(long unread, long nowUs) {
+        boolean moreCame = bytes + unread > cameAtLastLook;
+        cameAtLastLook = bytes + unread;
+        if (unread >= Network.FULL) {
+            looksNotFull = 0;
+            fullSinceUs = Math.min(fullSinceUs, Math.min(nowUs, notFullAtUs));
+            return;
+        }
+        looksNotFull = unread == 0 || moreCame ? looksNotFull + 1 : 0;
+        if (fullSinceUs == NEVER || looksNotFull >= LOOKS_NOT_FULL) {
+            fullSinceUs = NEVER;
+            notFullAtUs = nowUs;
+        }
+    }
+
     /** Reading rests from now on. */
     void rests(long nowUs) {
         if (marks.isEmpty()) {
@@ -46,10 +81,14 @@
     /**
      * Some bytes are read.
      *
-     * @return when the last of them may have come, at the earliest
+     * @return when the last of them may have been written, at the earliest
      */
     long read(int more, long nowUs) {
         bytes += more;
+        return Math.min(fullSinceUs, cameAt(nowUs));
+    }
+
+    private long cameAt(long nowUs) {
         if (marks.isEmpty()) {
             return nowUs;
         }
@@ -71,19 +110,27 @@
     }
 
     /** The kernel holds nothing more: what comes from here on is read as it comes. */
-    void drained() {
+    void drained(long nowUs) {
         marks.clear();
+        if (fullSinceUs == NEVER) {
+            notFullAtUs = nowUs;
+        }
     }
 
     /**
-     * Returns when the last byte of a message may have come at the earliest, if it is one of those that the kernel may hold now, in
+     * Returns when the last byte of a message may have been written at the earliest, if it is one of those that may be held unread now, in
      * microseconds; else {@link Long#MAX_VALUE}.
      *
      * @param left how many bytes of it are yet to be read, or -1 where that is not known
      */
     long endMayHaveComeAt(long left) {
+        long heldByClientSince = left - mostHeld <= MOST_HELD_BY_CLIENT ? fullSinceUs : NEVER;
+        return Math.min(heldByClientSince, endMayHaveArrivedAt(left));
+    }
+
+    private long endMayHaveArrivedAt(long left) {
         if (marks.isEmpty() || left > mostHeld) {
-            return Long.MAX_VALUE;
+            return NEVER;
         }
         long end = bytes + Math.max(left, 0);
         Mark came = marks.getFirst();
--- a/daemon/src/test/java/grebehoist/http/LongMessagesTest.java
+++ b/daemon/src/test/java/grebehoist/http/LongMessagesTest.java
@@ -13,9 +13,11 @@
 import grebehoist.cli.Peer;
 import grebehoist.cli.Wire;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -246,6 +248,55 @@
         }
     }
 
+    /**
+     * Guards against picture (d) of issue 63: a client that had written a long body at once waited for its answer until a slow backend had
+     * read it, long past its time.
+     */
+    @Test
+    void aLongBodyThatItsBackendReadsSlowlyIsAnsweredInTime() throws Exception {
+        try (var backend = Peer.narrow();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
+            client.send(Fixture.get("r0"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            attempt.send(Peer.ok("x"));
+            assertThat(client.read().status()).isEqualTo(200);
+            int length = 1_200_000;
+            client.send(Fixture.post("r1", "").replace("Content-Length: 0", "Content-Length: " + length));
+            CompletableFuture<Long> answeredAt = CompletableFuture.supplyAsync(() -> answeredAt(client));
+            client.send("x".repeat(length));
+            long writtenAt = System.nanoTime();
+            assertThat(answeredAt).as("the network has taken it at once").isNotDone();
+            attempt.head();
+            readSlowly(attempt, answeredAt);
+            long waitedMs = TimeUnit.NANOSECONDS.toMillis(answeredAt.get() - writtenAt);
+            // It waits 1.9 s, and half a second after that the answer is lost.
+            assertThat(waitedMs).isLessThan(2_400);
+        }
+    }
+
+    private static long answeredAt(Wire client) {
+        try {
+            assertThat(client.read().status()).isEqualTo(503);
+            return System.nanoTime();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Reads 64 kB a second until a client has its answer, or the connection ends. */
+    private static void readSlowly(Wire attempt, CompletableFuture<Long> answered) throws InterruptedException {
+        try {
+            while (!answered.isDone()) {
+                attempt.body(3_200);
+                TimeUnit.MILLISECONDS.sleep(50);
+            }
+        } catch (IOException e) {
+            // The proxy has given it up.
+        }
+    }
+
     /** Rule 2: what has gone to one backend is not there for another, and what never ran may be asked for again. */
     @Test
     void aLongBodyGoesOutOnce() throws Exception {
--- a/daemon/src/test/java/grebehoist/http/ReadBacklogTest.java
+++ b/daemon/src/test/java/grebehoist/http/ReadBacklogTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import grebehoist.net.Network;
 import org.junit.jupiter.api.Test;
 
 class ReadBacklogTest {
@@ -22,7 +23,7 @@
         assertThat(backlog.endMayHaveComeAt(ReadBacklog.MOST_HELD)).isEqualTo(10);
         assertThat(backlog.endMayHaveComeAt(ReadBacklog.MOST_HELD + 1)).isEqualTo(Long.MAX_VALUE);
         assertThat(backlog.read(ReadBacklog.MOST_HELD, 1_000)).isEqualTo(10);
-        backlog.drained();
+        backlog.drained(1_500);
         assertThat(backlog.read(1, 2_000)).isEqualTo(2_000);
     }
 
@@ -51,4 +52,30 @@
         }
         assertThat(backlog.size()).isLessThan(20);
     }
+
+    /** Guards against picture (d) of issue 63: what a client had written long ago and its own side held was taken for unwritten. */
+    @Test
+    void whatTheClientsSideHoldsMayHaveBeenWrittenWhenTheKernelWasLastNotFull() {
+        backlog.looked(0, 5);
+        backlog.rests(10);
+        backlog.looked(Network.FULL, 10);
+        backlog.looked(2 * Network.FULL, 500);
+        int held = ReadBacklog.MOST_HELD + ReadBacklog.MOST_HELD_BY_CLIENT;
+        assertThat(backlog.endMayHaveComeAt(held)).isEqualTo(5);
+        assertThat(backlog.endMayHaveComeAt(held + 1)).isEqualTo(Long.MAX_VALUE);
+        assertThat(backlog.read(2 * Network.FULL - 9, 600)).isEqualTo(5);
+        backlog.drained(650);
+        backlog.looked(9, 660);
+        backlog.looked(9, 670);
+        assertThat(backlog.endMayHaveComeAt(held))
+                .as("nothing more comes, as much has to be free first")
+                .isEqualTo(5);
+        backlog.looked(10, 680);
+        backlog.looked(11, 700);
+        assertThat(backlog.endMayHaveComeAt(held))
+                .as("its client's bytes come as they are written")
+                .isEqualTo(Long.MAX_VALUE);
+        backlog.looked(Network.FULL, 800);
+        assertThat(backlog.endMayHaveComeAt(held)).isEqualTo(700);
+    }
 }
--- a/net/src/main/java/grebehoist/net/Network.java
+++ b/net/src/main/java/grebehoist/net/Network.java
@@ -50,7 +50,7 @@
      */
     public static final int UNREAD = 64 * 1024;
     /** Where the kernel holds so much that nobody has read, its sender may have been kept from sending more. */
-    public static final int FULL = UNREAD / 2;
+    public static final int FULL = UNREAD / 4;
     /** The most that one read takes, and the most that waits in the program for one connection before its source rests, in bytes. */
     private static final int PIECE = 32 * 1024;
 
--- a/net/src/main/java/grebehoist/net/SocketConnection.java
+++ b/net/src/main/java/grebehoist/net/SocketConnection.java
@@ -216,6 +216,17 @@
         return dropsUnread || aheadOfLoop().hasRoom(readAhead == null ? 0 : readAhead.readableBytes());
     }
 
+    /** Returns how many bytes have come that no handler has seen; as many as it asks the system to hold where that does not tell. */
+    int unreadBytes() {
+        int held = readAhead == null ? 0 : readAhead.readableBytes();
+        try {
+            // FIONREAD, which does not wait.
+            return isActive() ? held + javaChannel().socket().getInputStream().available() : held;
+        } catch (IOException e) {
+            return Network.UNREAD;
+        }
+    }
+
     /** Returns whether anything has come that no handler has seen. */
     boolean hasUnread() {
         if (!holdsAny()) {
--- a/net/src/main/java/grebehoist/net/SocketPeek.java
+++ b/net/src/main/java/grebehoist/net/SocketPeek.java
@@ -42,6 +42,11 @@
                 : channel instanceof SocketChannel && read.isWritable();
     }
 
+    /** Returns how many bytes wait to be read; none inside the process. */
+    public static int unreadBytes(Channel channel) {
+        return channel instanceof SocketConnection socket ? socket.unreadBytes() : 0;
+    }
+
     /** Returns whether bytes, or the end, wait to be read. */
     public static boolean hasUnread(Channel channel) {
         return channel instanceof SocketConnection socket ? socket.hasUnread() : !channel.isActive();
