An id that comes again after its client has left does not run twice

EngineTest.whatComesAgainAfterItsClientHasLeftDoesNotRunTwice failed before (it was sent a second time), and passes. Not covered: the other process of an upgrade, which knows nothing of the first's ids.

--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -40,6 +40,7 @@
     private final RuleGuard guard;
     private final Map<String, Balancer.RequestClass> types = new HashMap<>();
     private final Map<String, Open> open = new HashMap<>();
+    private final DepartedRequests departed = new DepartedRequests();
     /** Of those that are open, how many still want their answer. */
     private int unanswered;
 
@@ -107,7 +108,7 @@
     private void refuseOrFail(Open r, Counter refused, Counter failed) {
         Balancer.RequestClass type = types.get(r.request.requestClass());
         boolean safe = type != null && type.effect() == Balancer.Effect.SAFE;
-        if (safe || r.attempts.stream().noneMatch(a -> a.ended ? a.ranForAllThatIsKnown() : a.mayHaveRun())) {
+        if (safe || !r.mayHaveRun()) {
             refuse(r, 0, refused);
         } else {
             fail(r, failed);
@@ -144,6 +145,8 @@
         private boolean over;
         /** Its client as it was last found; that it has left the front is yet to tell. */
         private ClientState client = ClientState.PRESENT;
+        /** Whether its client has left before its answer. */
+        private boolean leftUnanswered;
         /** When the answer is due; not before the payload has come whole, where it is still coming. */
         private long deadlineUs;
 
@@ -167,6 +170,11 @@
             return type != null && type.effect() == Balancer.Effect.KEYED;
         }
 
+        /** Returns whether an attempt may have taken effect, by what is known now. */
+        private boolean mayHaveRun() {
+            return attempts.stream().anyMatch(a -> a.ended ? a.ranForAllThatIsKnown() : a.mayHaveRun());
+        }
+
         /** Returns its attempts and how they ended, for the log. */
         private String history() {
             var text = new StringBuilder().append(deadlineUs - timers.now()).append(" us left");
@@ -404,6 +412,12 @@
             responder.failed();
             return;
         }
+        if (mayRunOnce(request.requestClass()) && departed.contains(request.id(), now)) {
+            log.reason(Counter.FAILED_SAME_ID, request.id(), () -> "its client had left, and it may have run");
+            row.countFailed();
+            responder.failed();
+            return;
+        }
         long deadline = Math.min(answerBy, request.deadlineUs());
         if (now >= deadline) {
             // Nobody has begun with it: whoever still waits for it may ask again.
@@ -426,6 +440,11 @@
                 r.readUs));
     }
 
+    private boolean mayRunOnce(String requestClass) {
+        Balancer.RequestClass type = types.get(requestClass);
+        return type != null && type.effect() != Balancer.Effect.SAFE;
+    }
+
     @Override
     public void whole(String id, long deadlineUs) {
         Open r = open.get(id);
@@ -461,6 +480,7 @@
                     .filter(a -> a.begunForNobody(now))
                     .forEach(a -> guard.begunForNobody(id, a.number, a.backend, a.lookedAt, a.writtenAt, now));
             r.row.countFailed();
+            r.leftUnanswered = true;
             over(r);
             withdraw(r);
             deliver(new Balancer.ClientGone(id));
@@ -493,6 +513,7 @@
         boolean unseen = r.client == ClientState.UNKNOWN && !r.over;
         if (leaves) {
             r.row.countFailed();
+            r.leftUnanswered = true;
             over(r);
             withdraw(r);
         } else if (unseen) {
@@ -579,8 +600,8 @@
     }
 
     private void forget(Open r) {
-        if (r.over && r.out == 0) {
-            open.remove(r.request.id(), r);
+        if (r.over && r.out == 0 && open.remove(r.request.id(), r) && r.leftUnanswered && r.mayHaveRun()) {
+            departed.add(r.request.id(), timers.now());
         }
     }
 
--- a/core/src/test/java/grebehoist/engine/EngineTest.java
+++ b/core/src/test/java/grebehoist/engine/EngineTest.java
@@ -286,6 +286,34 @@
         assertThat(host.sent.get(sent - 1).ended).isNull();
     }
 
+    /** Guards against picture (c) of issue 63: an id ran twice when it came again after its client had left. */
+    @Test
+    void whatComesAgainAfterItsClientHasLeftDoesNotRunTwice() {
+        var host = new FakeHost(FakeHost.sendTo("s0", 0));
+        host.ask("ran", FakeHost.KEYED, 1_900 * MS);
+        host.engine.clientGone("ran");
+        host.sent.get(0).answer(Outcome.RESET, null);
+        var again = host.ask("ran", FakeHost.KEYED, 1_900 * MS);
+        assertThat(again.answers).containsExactly("failed");
+        assertThat(host.sent).hasSize(1);
+
+        host.ask("never ran", FakeHost.KEYED, 1_900 * MS);
+        host.engine.clientGone("never ran");
+        host.sent.get(1).answer(Outcome.FULL, null);
+        host.ask("never ran", FakeHost.KEYED, 1_900 * MS);
+        assertThat(host.sent).hasSize(3);
+
+        host.ask("safe");
+        host.engine.clientGone("safe");
+        host.sent.get(3).answer(Outcome.RESET, null);
+        host.ask("safe");
+        assertThat(host.sent).as("what is safe may run again").hasSize(5);
+
+        host.run(DepartedRequests.KEPT_US + 1);
+        host.ask("ran", FakeHost.KEYED, 1_900 * MS);
+        assertThat(host.sent).as("nothing is kept for ever").hasSize(6);
+    }
+
     /** Whoever can't be seen to be there gets no further attempt, and its one answer: it may be there. */
     @Test
     void aClientThatCantBeSeenIsAnsweredAndNothingIsSentForIt() {
