--- a/core/src/main/java/beechfall/Policy.java
+++ b/core/src/main/java/beechfall/Policy.java
@@ -444,9 +444,15 @@
                         .allMatch(a -> !mayHaveRun(a)
                                 || r.type.effect() == Effect.KEYED
                                         && now + r.readUs < a.sentAt + r.type.windowUs()
+                                        && !mayBeReplaced(a, s)
                                         && sameGroup(r.type.scope(), a.sentTo, s.listed()));
     }
 
+    /** A connection that broke may have ended with its process: another at the same address knows nothing of what it has run. */
+    private static boolean mayBeReplaced(Attempt a, Server s) {
+        return a.outcome == Outcome.RESET && a.server.id().equals(s.id());
+    }
+
     /** Rule 5: where 'full' is no proof, it counts as any other failure, for sends and refusals alike. */
     private boolean mayHaveRun(Attempt a) {
         return a.outcome == null || !a.outcome.neverRan() || a.outcome == Outcome.FULL && rules.fullUnproven();
--- a/core/src/test/java/beechfall/RulesTest.java
+++ b/core/src/test/java/beechfall/RulesTest.java
@@ -155,6 +155,21 @@
             }
         }
 
+        /** Guards against picture (e) of issue 63: the process at an address may be another, which doesn't know the key. */
+        @Test
+        void aKeyedRequestIsNotSentAgainToABackendWhoseConnectionBroke() {
+            proxy.list(backend("a", "std", "a", 1), backend("b", "std", "b", 2));
+            for (int i = 0; i < 8; i++) {
+                String id = proxy.arrive(PAY);
+                assertThat(proxy.end(id, Outcome.RESET, MS)).contains(new Fail(id));
+                assertThat(proxy.sends(id)).isEqualTo(1);
+                String answered = proxy.arrive(PAY);
+                proxy.end(answered, Outcome.ERROR, MS);
+                assertThat(proxy.sends(answered)).as("it has answered").isEqualTo(2);
+                proxy.end(answered, Outcome.OK, MS);
+            }
+        }
+
         @Test
         void aKeyedRequestThatMayHaveRunStaysInItsCell() {
             proxy.list(backend("a", "std", "a", 1), backend("b", "std", "a", 2));
