--- a/trial/src/test/java/grebehoist/trial/SoakOracleIT.java
+++ b/trial/src/test/java/grebehoist/trial/SoakOracleIT.java
@@ -119,7 +119,7 @@
                         "was told a deadline"),
                 new Defect(
                         "retry outside the window",
-                        List.of(new Change(POLICY, "&& now < a.sentAt + r.type.windowUs()\n", "\n")),
+                        List.of(new Change(POLICY, "&& now + r.readUs < a.sentAt + r.type.windowUs()\n", "\n")),
                         List.of(Kind.SLOW, Kind.RESET, Kind.SLOW, Kind.RESET),
                         "invariant repeat"),
                 new Defect(
