What waited behind a long body ages no later request, and begins none

After a long body during which the kernel had been full, the next request on the connection counted as old as the body and was refused; and a piece of a chunk's head in the middle of a body counted as the begin of a next request, so that an idle connection would have been told 408.

Change: the mark ends with the body or the next empty look; only what comes behind a body begins a request.

LongMessagesTest.aRequestBehindALongBodyHasItsWholeTime failed before (503), and passes.

--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -135,13 +135,18 @@
         lastReadAt = backlog.read(read.readableBytes(), front.countsFrom(lastArrival));
         reads++;
         if (SocketPeek.drained(channel, read)) {
-            backlog.drained(front.now());
+            if (assembler.upload() == null) {
+                backlog.emptied(front.now());
+            } else {
+                backlog.drained(front.now());
+            }
         }
         if (assembler.upload() == null) {
             requestBegan();
         }
         super.channelRead(ctx, message);
-        if (!parting && (decoder.holdsMore() || assembler.holding() != null)) {
+        boolean holdsPart = decoder.holdsMore() || assembler.holding() != null;
+        if (holdsPart && !parting && assembler.upload() == null) {
             // Behind a request that has come whole another has begun.
             requestBegan();
         }
@@ -207,6 +212,9 @@
             @Override
             public void came() {
                 exchanges[0].bodyCame(lastReadAt);
+                if (SocketPeek.unreadBytes(channel) == 0) {
+                    backlog.emptied(front.now());
+                }
             }
 
             @Override
@@ -419,6 +427,9 @@
         } else if (firstByteAt >= 0) {
             front.log().reason(Counter.REFUSED_PLACE_WANTED, "", () -> "a request that has come in part");
             readsOut = true;
+            if (headCame) {
+                lingerUs = LINGER_OF_UPLOAD_US;
+            }
             part(Answers.refused(0));
         } else {
             // What has come is read soon.
--- a/daemon/src/main/java/grebehoist/http/ReadBacklog.java
+++ b/daemon/src/main/java/grebehoist/http/ReadBacklog.java
@@ -109,6 +109,12 @@
         return i.next();
     }
 
+    /** Neither side holds anything: what comes from here on has been written after this. */
+    void emptied(long nowUs) {
+        fullSinceUs = NEVER;
+        drained(nowUs);
+    }
+
     /** The kernel holds nothing more: what comes from here on is read as it comes. */
     void drained(long nowUs) {
         marks.clear();
--- a/daemon/src/test/java/grebehoist/http/HttpFrontTest.java
+++ b/daemon/src/test/java/grebehoist/http/HttpFrontTest.java
@@ -85,6 +85,18 @@
         }
     }
 
+    /** RFC 9112, 2.2: an empty line ahead of a request is none; the connection rests, and is closed in silence. */
+    @Test
+    void anEmptyLineBehindARequestIsNoRequest() throws Exception {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
+            backend.always(Peer.ok("x"));
+            assertThat(client.send(Fixture.get("r1") + "\r\n").read().status()).isEqualTo(200);
+            assertThat(client.read()).isNull();
+        }
+    }
+
     /** Guards against picture (a) of issue 63: fields cost by the piece, so their number has a bound of its own. */
     @ParameterizedTest
     @CsvSource({"240,200", "257,431"})
--- a/daemon/src/test/java/grebehoist/http/LongMessagesTest.java
+++ b/daemon/src/test/java/grebehoist/http/LongMessagesTest.java
@@ -276,6 +276,40 @@
         }
     }
 
+    /** What waited while a long body came is no age of the next request on its connection, and no begin of one. */
+    @Test
+    void aRequestBehindALongBodyHasItsWholeTime() throws Exception {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
+            String chunk = "4000\r\n" + PIECE + "\r\n";
+            client.send(Fixture.post("r1", "").replace("Content-Length: 0", "Transfer-Encoding: chunked"));
+            var sent = CompletableFuture.runAsync(() -> sendAll(client, chunk.repeat(100) + "0\r\n\r\n"));
+            Wire attempt = backend.accept();
+            attempt.head();
+            // Long enough that the backlog is looked at, in which all buffers are full.
+            TimeUnit.MILLISECONDS.sleep(500);
+            attempt.chunks();
+            sent.get();
+            attempt.send(Peer.ok("done"));
+            assertThat(client.read().status()).isEqualTo(200);
+            // Past the time of a request, and of a head.
+            TimeUnit.MILLISECONDS.sleep(2_000);
+            client.send(Fixture.get("r2"));
+            attempt.read();
+            attempt.send(Peer.ok("x"));
+            assertThat(client.read().status()).isEqualTo(200);
+        }
+    }
+
+    private static void sendAll(Wire client, String text) {
+        try {
+            client.send(text);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private static long answeredAt(Wire client) {
         try {
             assertThat(client.read().status()).isEqualTo(503);
--- a/daemon/src/test/java/grebehoist/http/ReadBacklogTest.java
+++ b/daemon/src/test/java/grebehoist/http/ReadBacklogTest.java
@@ -77,5 +77,7 @@
                 .isEqualTo(Long.MAX_VALUE);
         backlog.looked(Network.FULL, 800);
         assertThat(backlog.endMayHaveComeAt(held)).isEqualTo(700);
+        backlog.emptied(900);
+        assertThat(backlog.read(1, 1_000)).as("the next request").isEqualTo(1_000);
     }
 }
