Places that are refused to half-read requests count as places that are being left

Change: Sockets keeps them apart until they have been read out. Short pieces behind a sink that ended meanwhile are dropped.

SocketsTest.noMoreRequestsAreRefusedThanPlacesAreWanted: two places wanted, the two oldest refused.

--- a/daemon/src/main/java/grebehoist/http/Assembler.java
+++ b/daemon/src/main/java/grebehoist/http/Assembler.java
@@ -133,7 +133,9 @@
     private void pass(ChannelHandlerContext ctx, ByteBuf bytes) {
         if (bytes.readableBytes() >= LONG_PIECE) {
             passGathered();
-            sink.part(bytes.retain());
+            if (sink != null) {
+                sink.part(bytes.retain());
+            }
             return;
         }
         if (gathered == null) {
--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -544,7 +544,7 @@
     private void hangUp() {
         partedAt = front.now();
         if (readsOut) {
-            sockets.clientBusy(channel);
+            sockets.clientRefused(channel);
         } else {
             sockets.clientParting(channel);
         }
--- a/net/src/main/java/grebehoist/net/Sockets.java
+++ b/net/src/main/java/grebehoist/net/Sockets.java
@@ -3,6 +3,7 @@
 import grebehoist.engine.Log;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -50,6 +51,9 @@
     /** Connections that are about to end, and since when; the oldest first. */
     private final Map<Channel, Long> partingClients = new LinkedHashMap<>();
 
+    /** Connections whose request has been refused for their place, and is yet to be read out; they end by themselves. */
+    private final Set<Channel> refusedClients = new HashSet<>();
+
     private int clients;
     private int backends;
     private boolean makingRoom;
@@ -112,7 +116,7 @@
         while (clients > mostClients && close(partingClients, GREETING_NS)) {
             // They had their time.
         }
-        while (clients - partingClients.size() > mostClients
+        while (clients - leaving() > mostClients
                 && (part(silentClients, GREETING_NS) || part(idleClients, 0) || part(readingClients, READING_NS))) {
             // One more will have left soon.
         }
@@ -123,6 +127,10 @@
         }
     }
 
+    private int leaving() {
+        return partingClients.size() + refusedClients.size();
+    }
+
     /** Returns how many more clients may be accepted. */
     int roomForClients() {
         return mostClients + LOBBY - clients;
@@ -152,6 +160,15 @@
         idleClients.remove(channel);
         readingClients.remove(channel);
         partingClients.remove(channel);
+        refusedClients.remove(channel);
+    }
+
+    /** A client's connection ends once the request that was refused on it has been read out. */
+    public void clientRefused(Channel channel) {
+        clientBusy(channel);
+        if (channel.isOpen()) {
+            refusedClients.add(channel);
+        }
     }
 
     /** A client's connection has begun to end; all has been said on it, and it holds no request any more. */
@@ -177,10 +194,8 @@
         return Math.min(clients, mostClients) + backends < most
                 || close(idleBackends, 0)
                 || close(partingClients, GREETING_NS)
-                || partingClients.size() < MOST_PARTING
-                        && (part(silentClients, GREETING_NS)
-                                || part(idleClients, 0)
-                                || part(readingClients, READING_NS));
+                || partingClients.size() < MOST_PARTING && (part(silentClients, GREETING_NS) || part(idleClients, 0))
+                || refusedClients.size() < MOST_PARTING && part(readingClients, READING_NS);
     }
 
     /** A connection to a backend is being opened. */
--- a/net/src/test/java/grebehoist/net/SocketsTest.java
+++ b/net/src/test/java/grebehoist/net/SocketsTest.java
@@ -14,6 +14,8 @@
 /** What is accepted and opened at any one moment; the loop's tasks run only where a test says so. */
 class SocketsTest {
     private static final int LIMIT = 128;
+    /** Two clients more than there are places: they wait among the 32 that are accepted beyond. */
+    private static final int LOBBY_LEFT = 30;
 
     private final EmbeddedChannel listener = new EmbeddedChannel();
     private final Sockets sockets = new Sockets(listener.eventLoop(), new StderrLog(), LIMIT);
@@ -68,6 +70,31 @@
         assertThat(resting.isOpen()).isFalse();
     }
 
+    /** Guards against review case 3: a request that has begun to come keeps its place, and no more are refused than places are wanted. */
+    @Test
+    void noMoreRequestsAreRefusedThanPlacesAreWanted() {
+        listener.freezeTime();
+        var refused = new ArrayList<Channel>();
+        var reading = new ArrayList<Channel>();
+        while (sockets.roomForClients() > LOBBY_LEFT) {
+            var client = new EmbeddedChannel(new ChannelInboundHandlerAdapter() {
+                @Override
+                public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+                    refused.add(ctx.channel());
+                    sockets.clientRefused(ctx.channel());
+                }
+            });
+            reading.add(client);
+            sockets.clientOpened(client);
+            sockets.clientReading(client);
+        }
+        listener.runPendingTasks();
+        assertThat(refused).as("they have just begun").isEmpty();
+        listener.advanceTimeBy(600, TimeUnit.MILLISECONDS);
+        listener.runScheduledPendingTasks();
+        assertThat(refused).as("the oldest, one for each place").containsExactlyElementsOf(reading.subList(0, 2));
+    }
+
     @Test
     void staysUnderTheLimit() {
         crowd();
