--- a/net/src/main/java/grebehoist/net/Network.java
+++ b/net/src/main/java/grebehoist/net/Network.java
@@ -53,6 +53,8 @@
     public static final int FULL = UNREAD / 4;
     /** The most that one read takes, and the most that waits in the program for one connection before its source rests, in bytes. */
     private static final int PIECE = 32 * 1024;
+    /** What one read has room for at least, in bytes: a read that is put off counts as one that brought nothing. */
+    private static final int LEAST_READ = 2 * 1024;
 
     /** Returns the sockets of this machine, with an event loop of their own. */
     public static Network sockets() {
@@ -92,7 +94,7 @@
     }
 
     private static RecvByteBufAllocator pieces() {
-        return new AdaptiveRecvByteBufAllocator(64, 2_048, PIECE);
+        return new AdaptiveRecvByteBufAllocator(LEAST_READ, LEAST_READ, PIECE);
     }
 
     private static WriteBufferWaterMark marks() {
--- a/net/src/main/java/grebehoist/net/ReadBudget.java
+++ b/net/src/main/java/grebehoist/net/ReadBudget.java
@@ -5,21 +5,18 @@
 import java.util.function.LongSupplier;
 
 /**
- * Bounds what dear reads may take of one turn of an event loop. A byte costs what is made of it: the same number of them may be one piece
- * of a body or thousands of chunks, so connections are judged by how long their last reads were handled for. Those that are dear share
- * a part of each turn, one read after the other in a queue, and so hold up nobody whose reads are cheap. What brings few bytes, as an
- * ordinary request does, is never put off for its time, which is the machine's more than its own.
+ * Bounds what bulk reads may take of one turn of an event loop. A byte costs what is made of it: the same number of them may be one piece
+ * of a body or hundreds of chunks, and many connections together hold a turn up as well as one. So connections that bring much at each
+ * read share a part of the turn, in time, one read after the other in a queue. What brings little, as an ordinary request does, is
+ * never put off.
  *
  * <p>Used by the loop's thread; times are the loop's ticker's, in nanoseconds.
  */
 final class ReadBudget {
-    /** What dear reads may take of one turn. */
+    /** What bulk reads may take of one turn. */
     static final long TURN_NS = 5_000_000;
-    /** A connection is dear while each of its last two reads took longer: one alone may have met a pause of the process. */
-    static final long DEAR_NS = 200_000;
-
-    /** A read that brought less is not dear. */
-    static final int LARGE_BYTES = 4 * 1024;
+    /** A connection is in bulk while each of its last two reads brought so much: a single one may be a longer request. */
+    static final int LARGE_BYTES = 1024;
 
     /** A connection that can be read later. */
     interface Reader {
@@ -30,9 +27,8 @@
     /** What is known of one connection. */
     static final class Account {
         private final Reader reader;
-        private long lastNs;
-        private long beforeLastNs;
-        private int bytes;
+        private int lastBytes;
+        private int beforeLastBytes;
         private boolean queued;
 
         /** Makes the account of a connection that has not been read. */
@@ -40,19 +36,14 @@
             this.reader = reader;
         }
 
-        private boolean dear() {
-            return Math.min(lastNs, beforeLastNs) > DEAR_NS;
+        private boolean bulk() {
+            return Math.min(lastBytes, beforeLastBytes) >= LARGE_BYTES;
         }
 
         /** The read that is being handled has brought so many bytes. */
-        void brought(int read) {
-            bytes = read;
-        }
-
-        private void took(long ns) {
-            beforeLastNs = lastNs;
-            lastNs = bytes < LARGE_BYTES ? 0 : ns;
-            bytes = 0;
+        void brought(int bytes) {
+            beforeLastBytes = lastBytes;
+            lastBytes = bytes;
         }
     }
 
@@ -82,7 +73,7 @@
      */
     boolean mayRead(Account account, long nowNs) {
         handled(nowNs);
-        if (account != served && account.dear() && (account.queued || hasDeferred() || spentNs >= TURN_NS)) {
+        if (account != served && account.bulk() && (account.queued || hasDeferred() || spentNs >= TURN_NS)) {
             defer(account);
             return false;
         }
@@ -104,8 +95,7 @@
         if (current == null) {
             return;
         }
-        current.took(nowNs - currentSinceNs);
-        if (current.dear()) {
+        if (current.bulk()) {
             spentNs += nowNs - currentSinceNs;
         }
         current = null;
