--- a/net/src/main/java/grebehoist/net/ClientFront.java
+++ b/net/src/main/java/grebehoist/net/ClientFront.java
@@ -42,6 +42,8 @@
     private static final long ACCEPTED_MS = 1;
     /** A request that is on its way to a connection has come by then. */
     private static final long GREETING_US = 20_000;
+    /** Long enough that the loop reads on. */
+    private static final long SETTLE_US = 2_000;
     /** How often connections are looked at that hold no request. */
     protected static final long SWEEP_US = 100_000;
 
@@ -60,6 +62,8 @@
     private long awaySince = Long.MAX_VALUE;
 
     private Future<?> sweep;
+    /** Whether a sweep has put off its look at the connections. */
+    private boolean expiresSoon;
 
     /** Makes a front that is yet to listen. */
     protected ClientFront(LoopTimers timers, Log log, Intake intake, Sockets sockets) {
@@ -113,11 +117,8 @@
 
     /** One timer for all: one for each connection would have to be set anew with each request. */
     private void sweep() {
+        expire();
         long now = timers.now();
-        if (!timers.settling()) {
-            // After a long stop of the process what clients have done meanwhile is yet to be read.
-            List.copyOf(connections).forEach(c -> c.expire(now));
-        }
         if (stopped) {
             partIdle();
         } else if (now - AWAY_LAG_US >= awaySince) {
@@ -125,6 +126,28 @@
         }
     }
 
+    /**
+     * Looks at each connection, once what clients have done has been read: after a stop of the process some of it waits. A process that is
+     * stopped again and again may have done so only for a moment at a time, so this is tried again soon, not with the next sweep.
+     */
+    private void expire() {
+        if (!timers.settling()) {
+            expiresSoon = false;
+            long now = timers.now();
+            List.copyOf(connections).forEach(c -> c.expire(now));
+        } else if (!expiresSoon) {
+            expiresSoon = true;
+            timers.at(timers.now() + SETTLE_US, this::expireSettled);
+        }
+    }
+
+    private void expireSettled() {
+        if (expiresSoon) {
+            expiresSoon = false;
+            expire();
+        }
+    }
+
     @Override
     public final void sendAway(boolean away) {
         awaySince = !away ? Long.MAX_VALUE : Math.min(awaySince, now());
