Of what a client may have written and not sent, proof is asked that it is nothing

Cause: that a client's own system holds a part of a body was concluded from looks (each 0.1 s) that found this side's buffer full; where no look did, all was taken for unwritten, which is the late side. And two looks at the wrong moments took a slow writer for one whose end had long been written.

Change: ClientBacklog takes the client's side to hold something unless it is proven not to: this side's buffer was empty, and a round trip later less than a window had come. Each read and poll is evidence, not only the looks. A body longer than both sides hold has an end that was written after that was last so. REFUSED_BODY_LATE says how long ago the end may have been written, in place of a deadline that had not begun.

--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -177,7 +177,11 @@
 
         /** Returns its attempts and how they ended, for the log. */
         private String history() {
-            var text = new StringBuilder().append(deadlineUs - timers.now()).append(" us left");
+            return deadlineUs - timers.now() + " us left" + attemptsSoFar();
+        }
+
+        private String attemptsSoFar() {
+            var text = new StringBuilder();
             for (Out attempt : attempts) {
                 text.append(", ")
                         .append(attempt.number)
@@ -457,10 +461,12 @@
     }
 
     @Override
-    public void giveUp(String id) {
+    public void giveUp(String id, String why) {
         Open r = open.get(id);
         if (r != null && !r.over && !r.whole) {
-            refuse(r, 0, Counter.REFUSED_BODY_LATE);
+            log.reason(Counter.REFUSED_BODY_LATE, id, () -> why + r.attemptsSoFar());
+            r.row.countRefused();
+            answer(r, responder -> responder.refused(0));
             deliver(new Balancer.ClientGone(id));
             forget(r);
         }
--- a/core/src/main/java/grebehoist/engine/Intake.java
+++ b/core/src/main/java/grebehoist/engine/Intake.java
@@ -24,8 +24,10 @@
     /**
      * The payload of a request is not there as a whole, and would come too late: it is refused, as no backend can have begun with it.
      * Without effect where it is answered already.
+     *
+     * @param why what that rests on, for the log
      */
-    void giveUp(String id);
+    void giveUp(String id, String why);
 
     /** A client's connection is closed from this side under a request that has no answer, which is never to happen. */
     default void closedUnanswered(String id, String why) {}
--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -62,6 +62,8 @@
     private static final long LINGER_OF_UPLOAD_US = 6_000_000;
     /** Long enough that the loop reads on, and sees that a client has left. */
     private static final long LOOK_MS = 2;
+    /** Of what has no length in its head, or is held, it is not known how much is left. */
+    private static final long UNKNOWN_LEFT = -1;
     /** Requests read ahead on one connection; clients send one at a time, so more is not worth memory. */
     private static final int PIPELINED = 2;
 
@@ -113,8 +115,9 @@
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         channel = ctx.channel();
-        backlog = new ReadBacklog(channel instanceof SocketChannel ? ReadBacklog.MOST_HELD : ReadBacklog.UNBOUNDED);
         idleSince = front.now();
+        int mostHeld = channel instanceof SocketChannel ? ReadBacklog.MOST_HELD : ReadBacklog.UNBOUNDED;
+        backlog = new ReadBacklog(mostHeld, front.acceptedAfter(channel));
         front.opened(this);
         channel.pipeline().addLast(decoder, new HttpResponseEncoder(), assembler, new Failures());
     }
@@ -129,17 +132,14 @@
         // A request's time counts from its last byte: one that comes slowly is not older for that.
         var read = (ByteBuf) message;
         lastArrival = front.arrival(channel, reads == 0);
-        if (reads == 0) {
-            backlog.looked(0, front.countsFrom(lastArrival));
-        }
-        lastReadAt = backlog.read(read.readableBytes(), front.countsFrom(lastArrival));
+        int bytes = read.readableBytes();
+        Upload upload = assembler.upload();
+        long left = upload == null || upload.left() < 0 ? UNKNOWN_LEFT : Math.max(0, upload.left() - bytes);
+        lastReadAt = backlog.read(bytes, left, lastArrival.mayHaveComeUs(), front.countsFrom(lastArrival));
         reads++;
-        if (SocketPeek.drained(channel, read)) {
-            if (assembler.upload() == null) {
-                backlog.emptied(front.now());
-            } else {
-                backlog.drained(front.now());
-            }
+        boolean drained = SocketPeek.drained(channel, read);
+        if (drained) {
+            backlog.drained(front.now());
         }
         if (assembler.upload() == null) {
             requestBegan();
@@ -149,6 +149,8 @@
         if (holdsPart && !parting && assembler.upload() == null) {
             // Behind a request that has come whole another has begun.
             requestBegan();
+        } else if (drained && !holdsPart && assembler.upload() == null) {
+            backlog.emptied(front.now());
         }
     }
 
@@ -369,7 +371,7 @@
 
     /** Returns whether the end of a long body may wait unread, be it on this side or at its client's. */
     boolean mayHoldEndOf(Upload upload) {
-        lookAtBacklog();
+        lookAtBacklog(upload);
         return backlog.endMayHaveComeAt(upload.left()) != Long.MAX_VALUE;
     }
 
@@ -472,10 +474,11 @@
     private void lookAtStreams(long now) {
         Upload upload = assembler.upload();
         if (upload != null) {
-            lookAtBacklog();
-            if (exchange.takes(upload) && exchange.tooLate(backlog.endMayHaveComeAt(upload.left()), now)) {
+            lookAtBacklog(upload);
+            long endCameAt = backlog.endMayHaveComeAt(upload.left());
+            if (exchange.takes(upload) && exchange.tooLate(endCameAt, now)) {
                 // Its client may have waited for so long as it waits at all, and its backend has begun with nothing.
-                exchange.giveUp();
+                exchange.giveUp(endCameAt);
                 return;
             }
             if (upload.paused() || upload.bytes() != uploaded || !exchange.takes(upload)) {
@@ -493,8 +496,8 @@
         }
     }
 
-    private void lookAtBacklog() {
-        backlog.looked(SocketPeek.unreadBytes(channel), front.now());
+    private void lookAtBacklog(Upload upload) {
+        backlog.looked(SocketPeek.unreadBytes(channel), upload.left(), front.now());
     }
 
     /** What has no request, or none any more, has no line of its own otherwise. */
--- a/daemon/src/main/java/grebehoist/http/Exchange.java
+++ b/daemon/src/main/java/grebehoist/http/Exchange.java
@@ -115,8 +115,12 @@
     }
 
     /** The rest of a long body would come too late. */
-    void giveUp() {
-        front.intake().giveUp(id);
+    void giveUp(long endCameAt) {
+        front.intake()
+                .giveUp(
+                        id,
+                        "its end may have been written " + (front.now() - endCameAt) + " us ago, " + upload.left()
+                                + " bytes are yet to be read");
     }
 
     /** Returns whether a long body is this one's. */
--- a/daemon/src/main/java/grebehoist/http/ReadBacklog.java
+++ b/daemon/src/main/java/grebehoist/http/ReadBacklog.java
@@ -8,8 +8,7 @@
  * When the bytes that are read from a client may have come, where reading has rested: they may have waited in the kernel, which
  * holds a bounded number of them, and a client's patience does not begin when they are read. What is told here is never too late.
  *
- * <p>A client has written its bytes before they come: while this side's kernel is full they wait at the client's, which holds some more.
- * So what comes after the kernel was full may have been written when it was last seen not to be.
+ * <p>A client has written its bytes before they come, and its own system may hold some: {@link ClientBacklog}.
  *
  * <p>The kernel holds so many bytes at most ({@link #MOST_HELD}), so the byte with number n came no sooner than byte n - MOST_HELD was
  * read, and no sooner than reading began to rest. As little as that is kept: the times at which every sixteenth of that had been read.
@@ -17,60 +16,57 @@
 final class ReadBacklog {
     /** Twice what is asked for (tcp(7), SO_RCVBUF): Linux counts its own needs in that, so it is less. */
     static final int MOST_HELD = 2 * Network.UNREAD;
-    /** What the client's side may hold beyond that, in bytes: Linux lets a connection's buffer grow to 4 MB (tcp(7), tcp_wmem). */
-    static final int MOST_HELD_BY_CLIENT = 4 * 1024 * 1024;
     /** Where nothing is known of how much is held. */
     static final int UNBOUNDED = Integer.MAX_VALUE;
 
     private static final int STEPS = 16;
+    private static final long NEVER = Long.MAX_VALUE;
 
     private record Mark(long bytes, long atUs) {}
 
     /** Empty while all that has come is read. */
     private final Deque<Mark> marks = new ArrayDeque<>(18);
 
-    private static final long NEVER = Long.MAX_VALUE;
-    private static final int LOOKS_NOT_FULL = 2;
-
     private final int mostHeld;
-    private long bytes;
-    /** When this side's kernel was last seen not to be full, if it has been full since; else {@link #NEVER}. */
-    private long fullSinceUs = NEVER;
+    /** Null where nothing is known of how much is held. */
+    private final ClientBacklog client;
 
-    private long notFullAtUs = NEVER;
-    private int looksNotFull;
-    private long cameAtLastLook;
+    private long bytes;
+    /** When more of the message was last left than both sides hold: its end was written after that. */
+    private long endOutOfReachAtUs = Long.MIN_VALUE;
 
     /**
-     * Makes one for a connection on which nothing has been read.
+     * Makes one for a connection on which nothing has been written.
      *
      * @param mostHeld how many bytes may wait to be read
      */
-    ReadBacklog(int mostHeld) {
+    ReadBacklog(int mostHeld, long nowUs) {
         this.mostHeld = mostHeld;
+        this.client = mostHeld == UNBOUNDED ? null : new ClientBacklog(nowUs);
     }
 
     /**
-     * This side's kernel was looked at, as happens now and then. Once it has been full, what it gives up is replaced from the client's side
-     * a moment later, or only when much is free: that it is not full any more shows where nothing is held, or more has come, twice running.
+     * It was looked what waits to be read.
      *
-     * @param unread how many bytes it holds
+     * @param left how many bytes of the message are yet to be read, or -1 where that is not known
      */
-    void looked(long unread, long nowUs) {
-        boolean moreCame = bytes + unread > cameAtLastLook;
-        cameAtLastLook = bytes + unread;
-        if (unread >= Network.FULL) {
-            looksNotFull = 0;
-            fullSinceUs = Math.min(fullSinceUs, Math.min(nowUs, notFullAtUs));
-            return;
+    void looked(long unread, long left, long nowUs) {
+        if (client != null) {
+            client.looked(unread, nowUs);
+            noteReach(left, nowUs);
         }
-        looksNotFull = unread == 0 || moreCame ? looksNotFull + 1 : 0;
-        if (fullSinceUs == NEVER || looksNotFull >= LOOKS_NOT_FULL) {
-            fullSinceUs = NEVER;
-            notFullAtUs = nowUs;
+    }
+
+    private void noteReach(long left, long nowUs) {
+        if (outOfReach(left)) {
+            endOutOfReachAtUs = nowUs;
         }
     }
 
+    private boolean outOfReach(long left) {
+        return left - mostHeld > ClientBacklog.MOST_BYTES;
+    }
+
     /** Reading rests from now on. */
     void rests(long nowUs) {
         if (marks.isEmpty()) {
@@ -81,11 +77,26 @@
     /**
      * Some bytes are read.
      *
+     * @param left how many bytes of the message are left behind these, or -1 where that is not known
+     * @param emptyUntilUs all that had come by then was read before
+     * @param cameUs when the last of them may have come, at the earliest, if reading has not rested
      * @return when the last of them may have been written, at the earliest
      */
-    long read(int more, long nowUs) {
+    long read(int more, long left, long emptyUntilUs, long cameUs) {
         bytes += more;
-        return Math.min(fullSinceUs, cameAt(nowUs));
+        long came = cameAt(cameUs);
+        if (client == null) {
+            return came;
+        }
+        client.emptyAt(emptyUntilUs);
+        long written = client.mayHold() ? Math.min(writtenAfterUs(), came) : came;
+        client.read(more);
+        noteReach(left, cameUs);
+        return written;
+    }
+
+    private long writtenAfterUs() {
+        return Math.max(client.heldNothingAtUs(), endOutOfReachAtUs);
     }
 
     private long cameAt(long nowUs) {
@@ -109,17 +120,20 @@
         return i.next();
     }
 
-    /** Neither side holds anything: what comes from here on has been written after this. */
+    /** A message has come whole, and nothing waits behind it: what comes from here on has been written after this. */
     void emptied(long nowUs) {
-        fullSinceUs = NEVER;
-        drained(nowUs);
+        marks.clear();
+        endOutOfReachAtUs = Long.MIN_VALUE;
+        if (client != null) {
+            client.holdsNothing(nowUs);
+        }
     }
 
     /** The kernel holds nothing more: what comes from here on is read as it comes. */
     void drained(long nowUs) {
         marks.clear();
-        if (fullSinceUs == NEVER) {
-            notFullAtUs = nowUs;
+        if (client != null) {
+            client.emptyAt(nowUs);
         }
     }
 
@@ -130,8 +144,8 @@
      * @param left how many bytes of it are yet to be read, or -1 where that is not known
      */
     long endMayHaveComeAt(long left) {
-        long heldByClientSince = left - mostHeld <= MOST_HELD_BY_CLIENT ? fullSinceUs : NEVER;
-        return Math.min(heldByClientSince, endMayHaveArrivedAt(left));
+        boolean heldByClient = client != null && client.mayHold() && !outOfReach(left);
+        return Math.min(heldByClient ? writtenAfterUs() : NEVER, endMayHaveArrivedAt(left));
     }
 
     private long endMayHaveArrivedAt(long left) {
--- a/daemon/src/main/java/grebehoist/search/World.java
+++ b/daemon/src/main/java/grebehoist/search/World.java
@@ -504,8 +504,8 @@
         }
 
         @Override
-        public void giveUp(String id) {
-            intake.giveUp(id);
+        public void giveUp(String id, String why) {
+            intake.giveUp(id, why);
         }
 
         @Override
--- a/daemon/src/test/java/grebehoist/search/BrokenProxyTest.java
+++ b/daemon/src/test/java/grebehoist/search/BrokenProxyTest.java
@@ -314,8 +314,8 @@
         }
 
         @Override
-        public void giveUp(String id) {
-            to.giveUp(id);
+        public void giveUp(String id, String why) {
+            to.giveUp(id, why);
         }
 
         @Override
--- a/net/src/main/java/grebehoist/net/ClientFront.java
+++ b/net/src/main/java/grebehoist/net/ClientFront.java
@@ -267,6 +267,11 @@
         return timers.resolved(arrival.mayHaveComeUs());
     }
 
+    /** Returns a time before which the client of a connection can't have written anything on it. */
+    public final long acceptedAfter(Channel channel) {
+        return channel instanceof SocketConnection socket ? timers.at(socket.unreadSinceNs()) : timers.now();
+    }
+
     /** Returns since when bytes of a client may be waiting that are yet to be read. */
     public final long unreadSince(Channel channel) {
         return channel instanceof SocketConnection socket
