What may run once is sent on by one process: claims shared across an upgrade

Cause: each process knew the ids of its own requests alone. Both serve for up to 6 s, and the second goes on for the first.

Change: right before the first byte of what is not safe to repeat, the engine claims it (RequestClaims); a claim of another process fails the request, as it may have run there. It is given up with the answer, and kept for 10 s where the client left and it may have run, also when the process has ended. Where it can't be made it is tried again each 50 ms and counted (claims_not_shared). HTTP only: Thrift calls without an id have one of the process's own making.

OperationsIT.anIdThatComesAgain...: failed before, passes.

--- a/core/src/main/java/grebehoist/engine/Counter.java
+++ b/core/src/main/java/grebehoist/engine/Counter.java
@@ -28,6 +28,8 @@
     STATE_WRITE_FAILED,
     /** What the operators asked could not be read; what was known last stayed in force. */
     STATE_READ_FAILED,
+    /** What processes of one proxy claim could not be shared, and was tried again: an id may be sent on by two meanwhile. */
+    CLAIMS_NOT_SHARED,
     /** A task of the event loop ended with an exception. */
     TASK_FAILED,
 
--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -47,6 +47,7 @@
     private final Queue<Event> events = new ArrayDeque<>();
     private final List<Action> actions = new ArrayList<>();
     private MemberSource source;
+    private RequestClaims claims = RequestClaims.NONE;
     private boolean handling;
     /** The time that the module was given with the event that is being handled. */
     private long decidedAt;
@@ -75,6 +76,11 @@
         source = members;
     }
 
+    /** Names where it is seen what other processes of this proxy have sent on, before the first request. */
+    public void claims(RequestClaims shared) {
+        claims = shared;
+    }
+
     /** Tells the module that it acts for a part of one balancer from now on. */
     public void act(double part) {
         deliver(new Balancer.Acting(part));
@@ -145,6 +151,10 @@
         private boolean over;
         /** Its client as it was last found; that it has left the front is yet to tell. */
         private ClientState client = ClientState.PRESENT;
+        /** Whether this process has claimed it, and whether another one has. */
+        private boolean claimed;
+
+        private boolean claimedElsewhere;
         /** Whether its client has left before its answer. */
         private boolean leftUnanswered;
         /** When the answer is due; not before the payload has come whole, where it is still coming. */
@@ -170,6 +180,28 @@
             return type != null && type.effect() == Balancer.Effect.KEYED;
         }
 
+        /** Claims it, where it may run only once. Returns whether it may be sent on. */
+        private boolean claim() {
+            if (!claimed && mayRunOnce(request.requestClass())) {
+                long leftUs = Math.max(0, deadlineUs - timers.now());
+                claimed = claims.claim(request.id(), leftUs + DepartedRequests.KEPT_US);
+                claimedElsewhere = !claimed;
+            }
+            return !claimedElsewhere;
+        }
+
+        /** It is over: another process may send what comes under its id, unless it may have run for a client that has left. */
+        private void settleClaim() {
+            if (!claimed) {
+                return;
+            }
+            if (leftUnanswered && mayHaveRun()) {
+                claims.claim(request.id(), DepartedRequests.KEPT_US);
+            } else {
+                claims.release(request.id());
+            }
+        }
+
         /** Returns whether an attempt may have taken effect, by what is known now. */
         private boolean mayHaveRun() {
             return attempts.stream().anyMatch(a -> a.ended ? a.ranForAllThatIsKnown() : a.mayHaveRun());
@@ -290,7 +322,7 @@
             }
             lookedAt = now;
             request.client = request.over ? ClientState.PRESENT : request.responder.clientState();
-            return guard.begins(facts(deadlineUs, now), now);
+            return guard.begins(facts(deadlineUs, now), now) && request.claim();
         }
 
         private RuleGuard.Send facts(long toldDeadlineUs, long now) {
@@ -517,6 +549,7 @@
         r.out--;
         boolean leaves = r.client == ClientState.GONE && !r.over;
         boolean unseen = r.client == ClientState.UNKNOWN && !r.over;
+        boolean elsewhere = r.claimedElsewhere && !r.over;
         if (leaves) {
             r.row.countFailed();
             r.leftUnanswered = true;
@@ -525,6 +558,11 @@
         } else if (unseen) {
             // No attempt may begin any more, and whoever is still there has its answer.
             refuseOrFail(r, Counter.REFUSED_CLIENT_UNKNOWN, Counter.FAILED_CLIENT_UNKNOWN);
+        } else if (elsewhere) {
+            // It may have run there.
+            log.reason(Counter.FAILED_SAME_ID, r.request.id(), () -> "another process of this proxy has sent it on");
+            r.row.countFailed();
+            answer(r, Responder::failed);
         }
         if (outcome == Outcome.OK && !r.over) {
             if (answer instanceof StreamedPayload stream) {
@@ -543,7 +581,7 @@
                 outcome,
                 outcome == Outcome.OK && answer == Payload.NONE ? Balancer.UNTIMED : timers.now() - out.startedAt,
                 r.over));
-        if (leaves || unseen) {
+        if (leaves || unseen || elsewhere) {
             deliver(new Balancer.ClientGone(r.request.id()));
         }
         forget(r);
@@ -606,8 +644,11 @@
     }
 
     private void forget(Open r) {
-        if (r.over && r.out == 0 && open.remove(r.request.id(), r) && r.leftUnanswered && r.mayHaveRun()) {
-            departed.add(r.request.id(), timers.now());
+        if (r.over && r.out == 0 && open.remove(r.request.id(), r)) {
+            r.settleClaim();
+            if (r.leftUnanswered && r.mayHaveRun()) {
+                departed.add(r.request.id(), timers.now());
+            }
         }
     }
 
--- a/core/src/test/java/grebehoist/engine/EngineTest.java
+++ b/core/src/test/java/grebehoist/engine/EngineTest.java
@@ -21,7 +21,9 @@
 import beechfall.Balancer.TimerFired;
 import beechfall.Balancer.Watch;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -314,6 +316,55 @@
         assertThat(host.sent).as("nothing is kept for ever").hasSize(6);
     }
 
+    /** Guards against picture (b) of issue 67: an id that comes again at the other process of an upgrade. */
+    @Test
+    void whatAnotherProcessHasSentOnIsFailedAndNotSent() {
+        var host = new FakeHost(FakeHost.sendTo("s0", 0));
+        var claimed = new HashMap<String, Long>(Map.of("elsewhere", Long.MAX_VALUE));
+        host.engine.claims(new RequestClaims() {
+            @Override
+            public boolean claim(String id, long keepUs) {
+                if (id.startsWith("elsewhere")) {
+                    return false;
+                }
+                claimed.put(id, keepUs);
+                return true;
+            }
+
+            @Override
+            public void release(String id) {
+                claimed.remove(id);
+            }
+        });
+        var begun = new ArrayList<Boolean>();
+        host.onStart = sent -> {
+            sent.written = sent.end.mayBegin(sent.deadlineUs);
+            begun.add(sent.written);
+            if (!sent.written) {
+                sent.answer(Outcome.NOT_SENT, null);
+            }
+        };
+        assertThat(host.ask("elsewhere", FakeHost.KEYED, 1_900 * MS).answers).containsExactly("failed");
+        host.ask("elsewhere, safe");
+        host.ask("here", FakeHost.KEYED, 1_900 * MS);
+        assertThat(begun).as("what is safe may run twice").containsExactly(false, true, true);
+        assertThat(claimed).containsEntry("here", 1_900 * MS + DepartedRequests.KEPT_US);
+        assertThat(host.engine.knows("elsewhere")).isFalse();
+
+        host.sent.get(2).answer(Outcome.OK, new FakeHost.Counted());
+        assertThat(claimed).as("it has its answer").doesNotContainKey("here");
+
+        host.ask("left", FakeHost.KEYED, 1_900 * MS);
+        host.engine.clientGone("left");
+        host.sent.get(3).answer(Outcome.RESET, null);
+        assertThat(claimed).as("it may have run").containsEntry("left", DepartedRequests.KEPT_US);
+
+        host.ask("never ran", FakeHost.KEYED, 1_900 * MS);
+        host.engine.clientGone("never ran");
+        host.sent.get(4).answer(Outcome.FULL, null);
+        assertThat(claimed).doesNotContainKey("never ran");
+    }
+
     /** Whoever can't be seen to be there gets no further attempt, and its one answer: it may be there. */
     @Test
     void aClientThatCantBeSeenIsAnsweredAndNothingIsSentForIt() {
--- a/daemon/src/main/java/grebehoist/cli/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -126,6 +126,7 @@
             loop.execute(() ->
                     suspensions.join(operations.suspensions(), host.timers().now()));
         }
+        shareClaims(pool);
         pools.add(pool);
         listeners.add(new Listeners.Listener(config.name(), pool, pool.httpFront(this::ready), config.listen()));
     }
@@ -147,6 +148,13 @@
         suspensions = more == null || more.distribution() == null ? null : new CommonSuspensions();
     }
 
+    /** Where another process may be started beside this one, what may run only once is sent on by one of them. */
+    private void shareClaims(Pool pool) {
+        if (operations != null) {
+            pool.claims(operations.claims(pool.name()));
+        }
+    }
+
     /** What the distribution's own door may hold of the descriptors. */
     private static int doors(InstalledPools more) {
         return more == null
@@ -471,6 +479,10 @@
         var pool = suspensions == null
                 ? new Pool(host, spec)
                 : new Pool(host, spec, new Pool.Wiring(Policy::new, t -> t, i -> i, this::common));
+        if (spec.protocol() == Pool.Protocol.HTTP) {
+            // Thrift calls that bring no id have one of this process's own making.
+            shareClaims(pool);
+        }
         pools.add(pool);
         loop.execute(() -> pool.begin(null));
         return pool;
--- a/daemon/src/main/java/grebehoist/operations/Operations.java
+++ b/daemon/src/main/java/grebehoist/operations/Operations.java
@@ -5,6 +5,7 @@
 import grebehoist.engine.Counter;
 import grebehoist.engine.LogEvent;
 import grebehoist.engine.MemberSource;
+import grebehoist.engine.RequestClaims;
 import grebehoist.engine.RuleGuard.Rule;
 import grebehoist.engine.Tally;
 import grebehoist.engine.Wait;
@@ -72,6 +73,11 @@
         return state.atStart().others() > 0;
     }
 
+    /** Returns what the processes of this proxy have sent on of one pool. */
+    public RequestClaims claims(String pool) {
+        return state.claims(pool);
+    }
+
     /** Puts itself between the source of backends and the pool. */
     public MemberSource.Sink merge(MemberSource.Sink next) {
         suspensions = new Suspensions(next);
--- a/daemon/src/main/java/grebehoist/operations/StateDirectory.java
+++ b/daemon/src/main/java/grebehoist/operations/StateDirectory.java
@@ -2,6 +2,7 @@
 
 import grebehoist.engine.Counter;
 import grebehoist.engine.Log;
+import grebehoist.engine.RequestClaims;
 import grebehoist.net.Backoff;
 import grebehoist.net.BoundedRetry;
 import java.io.Closeable;
@@ -91,6 +92,8 @@
 
     private int looks;
     private boolean readable = true;
+    /** Null as long as it could not be mapped. */
+    private volatile ClaimTable claims;
 
     /** From here on for the executor of {@link #watch}: what the files say, what is asked beyond that, and what was told last. */
     private final Map<String, Pending> pending = new LinkedHashMap<>();
@@ -109,6 +112,7 @@
         this.log = log;
         this.files = new StateFiles(directory);
         this.census = new ProcessCensus(files);
+        mapClaims();
         this.read = read(null);
         this.onDisk = read;
         this.told = read;
@@ -128,6 +132,33 @@
                 });
     }
 
+    /** Returns what the processes of this proxy have sent on of one pool. While that can't be shared nobody else is known. */
+    public RequestClaims claims(String pool) {
+        return new RequestClaims() {
+            private RequestClaims shared;
+
+            @Override
+            public boolean claim(String id, long keepUs) {
+                return !isShared() || shared.claim(id, keepUs);
+            }
+
+            @Override
+            public void release(String id) {
+                if (isShared()) {
+                    shared.release(id);
+                }
+            }
+
+            private boolean isShared() {
+                ClaimTable table = claims;
+                if (shared == null && table != null) {
+                    shared = table.of(pool);
+                }
+                return shared != null;
+            }
+        };
+    }
+
     /** Returns what was there when it was opened. */
     public Shared atStart() {
         return told;
@@ -272,6 +303,7 @@
 
     /** A look that goes wrong changes nothing: what holds goes on to hold. */
     private void look() {
+        mapClaims();
         try {
             report(read(read));
             readable(true, null);
@@ -282,6 +314,17 @@
         }
     }
 
+    private void mapClaims() {
+        if (claims != null) {
+            return;
+        }
+        try {
+            claims = ClaimTable.map(files.resolve(StateFiles.CLAIMS));
+        } catch (IOException | RuntimeException e) {
+            log.count(Counter.CLAIMS_NOT_SHARED);
+        }
+    }
+
     private void readable(boolean now, Exception why) {
         if (now != readable) {
             readable = now;
--- a/daemon/src/main/java/grebehoist/operations/StateFiles.java
+++ b/daemon/src/main/java/grebehoist/operations/StateFiles.java
@@ -24,6 +24,8 @@
 final class StateFiles {
     /** The file that is there while clients are to be sent elsewhere. */
     static final String DRAINED = "drained";
+    /** The table of {@link ClaimTable}. */
+    static final String CLAIMS = "claims-1";
     /** What the names of processes' files begin with. */
     static final String PROCESS = "process-";
 
--- a/daemon/src/main/java/grebehoist/pool/Pool.java
+++ b/daemon/src/main/java/grebehoist/pool/Pool.java
@@ -8,6 +8,7 @@
 import grebehoist.engine.Intake;
 import grebehoist.engine.Log;
 import grebehoist.engine.MemberSource;
+import grebehoist.engine.RequestClaims;
 import grebehoist.engine.Tally;
 import grebehoist.engine.Transport;
 import grebehoist.http.HttpFront;
@@ -123,6 +124,11 @@
                 spec.maxFrame());
     }
 
+    /** Names where it is seen what other processes of this proxy have sent on, before the first request. */
+    public void claims(RequestClaims shared) {
+        engine.claims(shared);
+    }
+
     /** Returns its name. */
     public String name() {
         return spec.name();
--- a/daemon/src/test/java/grebehoist/cli/OperationsIT.java
+++ b/daemon/src/test/java/grebehoist/cli/OperationsIT.java
@@ -9,6 +9,11 @@
 import grebehoist.testkit.Witness.Count;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -150,4 +155,95 @@
             assertKept(rig);
         }
     }
+
+    private static final int IDS = 60;
+    private static final int BURSTS = 2;
+    private static final long LEAVES_MS = 50;
+    private static final long COMES_AGAIN_MS = 250;
+    /** So long that its client has left before it is done. */
+    private static final long WORK_MS = 100;
+
+    /** Guards against picture (b) of issue 67: an id came again at the other process of an upgrade, and ran there too. */
+    @Test
+    void anIdThatComesAgainDuringAnUpgradeDoesNotRunTwice() throws Exception {
+        var runs = new ConcurrentHashMap<String, AtomicInteger>();
+        var backends = new ArrayList<Peer>();
+        try (var discovery = new Peer();
+                var old = new ProxyProcess("n0", ProcessIT.settings(0)).withDoor();
+                var young = old.newVersion()) {
+            var entries = new ArrayList<String>();
+            for (int i = 0; i < 4; i++) {
+                var backend = new Peer();
+                backends.add(backend);
+                entries.add(Fixture.entry("s" + i, backend.address(), "ready")
+                        .replace("\"started_ms\":7", "\"started_ms\":0"));
+                Peer.background(() -> {
+                    while (true) {
+                        Wire wire = backend.accept();
+                        Peer.background(() -> count(wire, runs));
+                    }
+                });
+            }
+            String list = Fixture.list(41, true, entries.toArray(String[]::new));
+            old.configure(discovery.socketAddress(), list).start().awaitReady();
+            young.configure(discovery.socketAddress(), list).start();
+            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+            while (young.call("GET", "/v1/readyz") != 200 && System.nanoTime() < until) {
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+            for (int burst = 0; burst < BURSTS; burst++) {
+                var clients = new ArrayList<Thread>();
+                for (int i = 0; i < IDS; i++) {
+                    String id = "id" + burst + "-" + i;
+                    var client = new Thread(() -> leaveAndComeAgain(old.address(), id));
+                    client.start();
+                    clients.add(client);
+                }
+                for (Thread client : clients) {
+                    client.join();
+                }
+            }
+            assertThat(runs).as("%s%n%s", old.log(), young.log()).hasSizeGreaterThan(IDS / 2);
+            assertThat(runs)
+                    .allSatisfy((id, count) -> assertThat(count.get()).as(id).isEqualTo(1));
+        } finally {
+            for (Peer backend : backends) {
+                backend.close();
+            }
+        }
+    }
+
+    private static void count(Wire wire, Map<String, AtomicInteger> runs) throws IOException {
+        for (Wire.Message request = wire.read(); request != null; request = wire.read()) {
+            runs.computeIfAbsent(request.header("X-Request-ID"), id -> new AtomicInteger())
+                    .incrementAndGet();
+            pause(WORK_MS);
+            wire.send(Peer.ok("done"));
+        }
+    }
+
+    private static void leaveAndComeAgain(InetSocketAddress proxy, String id) {
+        String request = "POST /api?k=u1 HTTP/1.1\r\nHost: service\r\nX-Request-ID: " + id
+                + "\r\nX-Tenant-Id: large\r\nX-Timeout: 1900m\r\nX-Priority-Class: vote\r\nContent-Length: 0\r\n\r\n";
+        try {
+            try (var client = Wire.to(proxy)) {
+                client.send(request);
+                pause(LEAVES_MS);
+            }
+            pause(COMES_AGAIN_MS);
+            try (var client = Wire.to(proxy)) {
+                client.send(request).read();
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static void pause(long ms) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
