A read takes no more than can be handled in its time, and a crowd's first reads are short

Cause, by 25 stacks of the loop, all in the decoding of chunks: each connection's first two reads were free of the turn's budget and up to 32 KiB, 5 ms of chunks each, and a refused client came again with two more. What had been read ahead to see an end was handed on outside the budget. And a connection whose read had been put off was polled again with each turn.

Change: time counts for each read that brings 1 KiB or more, from the first. The room of a read follows from what the bytes before it cost to handle, half a millisecond a read, 2 KiB at least and before anything is known; one that has brought much goes on in the same turn only as long as there is time. What was read ahead is handed on under the same budget. A connection that waits for its turn is not polled.

--- a/net/src/main/java/grebehoist/net/ReadBudget.java
+++ b/net/src/main/java/grebehoist/net/ReadBudget.java
@@ -7,14 +7,18 @@
 /**
  * Bounds what bulk reads may take of one turn of an event loop. A byte costs what is made of it: the same number of them may be one piece
  * of a body or hundreds of chunks, and many connections together hold a turn up as well as one. So connections that bring much at each
- * read share a part of the turn, in time, one read after the other in a queue. What brings little, as an ordinary request does, is
- * never put off.
+ * read share a part of the turn, in time, one read after the other in a queue; and a read takes no more bytes than can be handled in a
+ * bounded time, by what those of the read before took. What brings little, as an ordinary request does, is never put off.
  *
  * <p>Used by the loop's thread; times are the loop's ticker's, in nanoseconds.
  */
 final class ReadBudget {
     /** What bulk reads may take of one turn. */
     static final long TURN_NS = 5_000_000;
+    /** What the handling of one read may take, as far as the one before tells. */
+    static final long READ_NS = TURN_NS / 10;
+    /** The room of a read of which nothing is known, and of the dearest. */
+    static final int LEAST_ROOM_BYTES = 2 * 1024;
     /** A connection is in bulk while each of its last two reads brought so much: a single one may be a longer request. */
     static final int LARGE_BYTES = 1024;
 
@@ -26,9 +30,15 @@
 
     /** What is known of one connection. */
     static final class Account {
+        private static final long UNKNOWN = -1;
+
         private final Reader reader;
         private int lastBytes;
         private int beforeLastBytes;
+        private long lastTurn;
+        /** What handling took for each of the bytes that were read last, or {@link #UNKNOWN}. */
+        private long costOfByteNs = UNKNOWN;
+
         private boolean queued;
 
         /** Makes the account of a connection that has not been read. */
@@ -40,11 +50,39 @@
             return Math.min(lastBytes, beforeLastBytes) >= LARGE_BYTES;
         }
 
+        /** Returns whether its read has been put off, until its turn comes. */
+        boolean queued() {
+            return queued;
+        }
+
+        private boolean large() {
+            return lastBytes >= LARGE_BYTES;
+        }
+
         /** The read that is being handled has brought so many bytes. */
         void brought(int bytes) {
             beforeLastBytes = lastBytes;
             lastBytes = bytes;
         }
+
+        private void handledIn(long ns) {
+            if (large()) {
+                costOfByteNs = ns / lastBytes;
+            }
+        }
+
+        /**
+         * Returns how many bytes the read that follows may take.
+         *
+         * @param most for how many there is room
+         */
+        int room(int most) {
+            if (costOfByteNs == UNKNOWN) {
+                return Math.min(most, LEAST_ROOM_BYTES);
+            }
+            long affordable = READ_NS / Math.max(1, costOfByteNs);
+            return (int) Math.min(most, Math.max(LEAST_ROOM_BYTES, affordable));
+        }
     }
 
     private final Queue<Account> deferred = new ArrayDeque<>();
@@ -53,12 +91,14 @@
 
     private long currentSinceNs;
     private long spentNs;
+    private long turn;
     /** The connection whose turn has come, until its read begins. */
     private Account served;
 
     /** A turn begins. */
     void turnBegins() {
         spentNs = 0;
+        turn++;
     }
 
     /** Returns whether reads have been put off. */
@@ -73,12 +113,16 @@
      */
     boolean mayRead(Account account, long nowNs) {
         handled(nowNs);
-        if (account != served && account.bulk() && (account.queued || hasDeferred() || spentNs >= TURN_NS)) {
+        // One that has brought much in this very turn goes on only as long as there is time.
+        boolean again = account.large() && account.lastTurn == turn && spentNs >= TURN_NS;
+        boolean bulk = account.bulk() && (account.queued || hasDeferred() || spentNs >= TURN_NS);
+        if (account != served && (again || bulk)) {
             defer(account);
             return false;
         }
         served = null;
         current = account;
+        account.lastTurn = turn;
         currentSinceNs = nowNs;
         return true;
     }
@@ -95,8 +139,10 @@
         if (current == null) {
             return;
         }
-        if (current.bulk()) {
-            spentNs += nowNs - currentSinceNs;
+        long tookNs = nowNs - currentSinceNs;
+        current.handledIn(tookNs);
+        if (current.large()) {
+            spentNs += tookNs;
         }
         current = null;
     }
--- a/net/src/main/java/grebehoist/net/SocketConnection.java
+++ b/net/src/main/java/grebehoist/net/SocketConnection.java
@@ -72,6 +72,10 @@
 
     @Override
     protected void doBeginRead() throws Exception {
+        if (account.queued()) {
+            // It is read when its turn comes: until then a poll need not name it.
+            return;
+        }
         super.doBeginRead();
         if (polledFromNs == Long.MAX_VALUE) {
             polledFromNs = nowNs();
@@ -101,19 +105,21 @@
 
     @Override
     protected int doReadBytes(ByteBuf into) throws Exception {
-        if (readAhead != null && readAhead.isReadable()) {
-            return takeReadAhead(into);
-        }
-        if (ended) {
+        boolean holdsBytes = readAhead != null && readAhead.isReadable();
+        if (!holdsBytes && ended) {
             return endOfStream();
         }
         long beforeNs = nowNs();
         if (!budgetOfLoop().mayRead(account, beforeNs)) {
             return putOff(into.writableBytes());
         }
+        int room = account.room(into.writableBytes());
+        unsafe().recvBufAllocHandle().attemptedBytesRead(room);
+        if (holdsBytes) {
+            return takeReadAhead(into, room);
+        }
         arrivedNs = unreadSinceNs();
-        int room = into.writableBytes();
-        int read = super.doReadBytes(into);
+        int read = into.writeBytes(javaChannel(), room);
         account.brought(read);
         countRead(read, room, beforeNs);
         return read < END_OF_STREAM ? 0 : read;
@@ -130,7 +136,6 @@
     @Override
     public void readDeferred() {
         if (isOpen() && config().isAutoRead()) {
-            read();
             unsafe().read();
         }
     }
@@ -152,10 +157,10 @@
         return END_OF_STREAM;
     }
 
-    private int takeReadAhead(ByteBuf into) {
-        unsafe().recvBufAllocHandle().attemptedBytesRead(into.writableBytes());
-        int taken = Math.min(into.writableBytes(), readAhead.readableBytes());
+    private int takeReadAhead(ByteBuf into, int room) {
+        int taken = Math.min(room, readAhead.readableBytes());
         into.writeBytes(readAhead, taken);
+        account.brought(taken);
         arrivedNs = readAheadSinceNs;
         aheadOfLoop().add(-taken);
         if (!readAhead.isReadable()) {
--- a/net/src/test/java/grebehoist/net/ReadBudgetTest.java
+++ b/net/src/test/java/grebehoist/net/ReadBudgetTest.java
@@ -103,6 +103,40 @@
         }
     }
 
+    /** Guards against a crowd of issue 67: the first two reads of each connection were free, and of 32 KiB. */
+    @Test
+    void aCrowdOfNewConnectionsTakesOneShortReadEachOfATurn() {
+        var crowd = new ArrayList<Connection>();
+        for (int i = 0; i < 500; i++) {
+            crowd.add(new Connection(LONG_NS / 10, ReadBudget.LEAST_ROOM_BYTES));
+        }
+        for (Connection connection : crowd) {
+            assertThat(connection.account.room(ReadBudget.LEAST_ROOM_BYTES * 16))
+                    .isEqualTo(ReadBudget.LEAST_ROOM_BYTES);
+        }
+        var twice = new ArrayList<>(crowd);
+        twice.addAll(crowd);
+        turn(twice);
+        assertThat(read).hasSizeBetween(crowd.size(), crowd.size() + 1);
+    }
+
+    @Test
+    void aReadTakesWhatCanBeHandledInItsTime() {
+        int dear = 10_000;
+        var connection = new Connection(ReadBudget.READ_NS, dear);
+        connection.poll();
+        budget.handled(nowNs);
+        assertThat(connection.account.room(4 * dear)).isBetween(dear * 9 / 10, dear);
+        var cheap = new Connection(dear, dear);
+        cheap.poll();
+        budget.handled(nowNs);
+        assertThat(cheap.account.room(4 * dear)).isEqualTo(4 * dear);
+        var dearest = new Connection(100 * ReadBudget.READ_NS, dear);
+        dearest.poll();
+        budget.handled(nowNs);
+        assertThat(dearest.account.room(4 * dear)).isEqualTo(ReadBudget.LEAST_ROOM_BYTES);
+    }
+
     /** A kept connection may bring a longer request now and then. */
     @Test
     void oneLargeReadPutsNothingOff() {
