Soak: open connections are used until the kill; signals in series, crowds, long slices

New kinds: signals (SIGHUP, SIGTERM, stops of 60 ms in a series, at a restart or an upgrade), long-slices (60 ms stopped, 60 ms to run), pieces-crowd (60 clients of chunks, many fields, half bodies). Each fourth seed has long and slow messages. The new kinds are drawn from a stream of their own, so that a seed's other faults are what they were (tested).

--- a/testkit/src/main/java/grebehoist/testkit/Rig.java
+++ b/testkit/src/main/java/grebehoist/testkit/Rig.java
@@ -36,6 +36,9 @@
     private final List<InetSocketAddress> proxies = new ArrayList<>();
     private final Map<Integer, Long> excusedUntilUs = new ConcurrentHashMap<>();
     private final Set<Integer> avoided = ConcurrentHashMap.newKeySet();
+    /** Those that get no new connections; the ones that are open are used on. */
+    private final Set<Integer> notDealtOut = ConcurrentHashMap.newKeySet();
+
     private final SplittableRandom random;
     private volatile double cores;
 
@@ -72,7 +75,7 @@
                 witness,
                 proxies::get,
                 (proxy, at) -> at < excusedUntilUs.getOrDefault(proxy, Long.MIN_VALUE));
-        clients.dealtOut(proxy -> !avoided.contains(proxy));
+        clients.dealtOut(proxy -> !avoided.contains(proxy) && !notDealtOut.contains(proxy));
         fleet = new Fleet(
                 wire, network, timers, witness, discovery, settings, connIdleUs, random, Rig::anyPort, false, f -> {});
         traffic = new Traffic(timers, clients, random, settings, shares, () -> cores, this::aProxy);
@@ -145,6 +148,15 @@
         }
     }
 
+    /** Whether a proxy gets new connections, as whoever deals clients out has it; they use those that are open as long as they are. */
+    public void dealOut(int proxy, boolean deal) {
+        if (deal) {
+            notDealtOut.remove(proxy);
+        } else {
+            notDealtOut.add(proxy);
+        }
+    }
+
     /** Does something on the stand-ins' thread at a time of {@link #now}'s clock. */
     public void later(long atUs, Runnable action) {
         timers.at(atUs, action);
--- a/trial/src/main/java/grebehoist/trial/SoakFault.java
+++ b/trial/src/main/java/grebehoist/trial/SoakFault.java
@@ -1,6 +1,8 @@
 package grebehoist.trial;
 
+import java.util.EnumSet;
 import java.util.Locale;
+import java.util.Set;
 
 /**
  * Something that goes wrong in a soak, for a time.
@@ -93,7 +95,16 @@
         /** Clients send in pieces. */
         SLOW_CLIENTS(Target.CLIENTS),
         /** Many connections on which nothing is asked. */
-        IDLE_CROWD(Target.CLIENTS);
+        IDLE_CROWD(Target.CLIENTS),
+        /** SIGHUP, SIGTERM and stops in a series, at a restart or an upgrade; SIGKILL at the earliest time that the pages allow. */
+        SIGNALS(Target.PROCESS),
+        /** Its processor in long slices: stopped for 60 ms, again and again, with as much in between. */
+        LONG_SLICES(Target.PROCESS),
+        /** Many clients at one process that send many short pieces, or stop half-way. */
+        PIECES_CROWD(Target.CLIENTS);
+
+        /** Those that a schedule draws by themselves, so that the others of a seed stay as they were before there were these. */
+        private static final Set<Kind> ADDED = EnumSet.of(SIGNALS, LONG_SLICES, PIECES_CROWD);
 
         private final Target target;
 
@@ -105,6 +116,10 @@
             return target;
         }
 
+        boolean added() {
+            return ADDED.contains(this);
+        }
+
         String word() {
             return name().toLowerCase(Locale.ROOT).replace('_', '-');
         }
--- a/trial/src/main/java/grebehoist/trial/SoakPlay.java
+++ b/trial/src/main/java/grebehoist/trial/SoakPlay.java
@@ -87,6 +87,11 @@
     private static final long LONGEST_PAUSE_MS = 150;
     private static final long SLICE_STOP_MS = 12;
     private static final long SLICE_RUN_MS = 3;
+    private static final long LONG_SLICE_MS = 60;
+    private static final long SERIES_STOP_MS = 60;
+    /** New connections go on coming for so long after SIGTERM. */
+    private static final long DEALT_OUT_MS = 300;
+
     private static final int NEW_CLIENTS = 60;
     private static final long NEW_CLIENTS_WORK_US = 2 * MS;
     private static final long SOONEST_LEAVE_US = 120 * MS;
@@ -130,7 +135,7 @@
         // On sockets each time limit is 50 ms longer (PROTOCOL): so long backends know a key beyond the window that
         // proxies are told.
         rig = new Rig(
-                new HttpWire(),
+                new HttpWire(schedule.longMessages()),
                 settings(0, Rig.SLACK_US),
                 new double[] {0.4, 0.2, 0.2, 0.2},
                 15 * S,
@@ -301,6 +306,10 @@
                 case SLICES ->
                     slices.begin(proxy.current().pid(), SLICE_STOP_MS, SLICE_RUN_MS, fault.forMs())
                             .waitFor();
+                case LONG_SLICES ->
+                    slices.begin(proxy.current().pid(), LONG_SLICE_MS, LONG_SLICE_MS, fault.forMs())
+                            .waitFor();
+                case SIGNALS -> signals(proxy, fault.target() % 2 == 0);
                 case UPGRADE -> upgrade(proxy);
                 default -> reload(proxy);
             }
@@ -314,11 +323,54 @@
     private void restart(SoakProxy proxy) throws IOException, InterruptedException {
         Member old = proxy.current();
         old.signal("TERM");
-        TimeUnit.MILLISECONDS.sleep(300);
+        TimeUnit.MILLISECONDS.sleep(DEALT_OUT_MS);
+        rig.dealOut(proxy.number(), false);
+        old.awaitEnd(SoakProxy.KILL_MS - DEALT_OUT_MS);
+        ended(proxy);
+        startAnew(proxy);
+    }
+
+    private void ended(SoakProxy proxy) {
         rig.avoid(proxy.number(), true);
-        old.awaitEnd(SoakProxy.KILL_MS - 300);
+        rig.dealOut(proxy.number(), true);
         rig.run(() -> rig.witness().forgetProxy(proxy.number()));
-        startAnew(proxy);
+    }
+
+    /** A restart, or an upgrade, with signals in a series before and after the one that ends it. */
+    private void signals(SoakProxy proxy, boolean beside) throws IOException, InterruptedException {
+        Member old = proxy.current();
+        Member next = beside ? proxy.start(known()) : null;
+        if (beside && !proxy.successorReady(READY_MS)) {
+            found("the successor of n" + proxy.number() + " is not ready: " + next.log());
+            next.close();
+            return;
+        }
+        signal(old, "HUP", "HUP", "STOP");
+        TimeUnit.MILLISECONDS.sleep(SERIES_STOP_MS);
+        signal(old, "TERM", "HUP", "CONT", "TERM");
+        long termNs = System.nanoTime();
+        if (beside) {
+            signal(next, "HUP", "HUP");
+        }
+        TimeUnit.MILLISECONDS.sleep(DEALT_OUT_MS);
+        rig.dealOut(proxy.number(), beside);
+        signal(old, "STOP");
+        TimeUnit.MILLISECONDS.sleep(SERIES_STOP_MS);
+        signal(old, "CONT", "HUP", "TERM");
+        old.awaitEnd(SoakProxy.KILL_MS - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - termNs));
+        if (beside) {
+            proxy.follow(next);
+        } else {
+            ended(proxy);
+            startAnew(proxy);
+        }
+    }
+
+    /** Each at once behind the one before. */
+    private static void signal(Member to, String... signals) throws IOException, InterruptedException {
+        for (String signal : signals) {
+            to.signal(signal);
+        }
     }
 
     private void kill(SoakProxy proxy, long downMs) throws IOException, InterruptedException {
@@ -477,6 +529,11 @@
             }
             return true;
         }
+        if (fault.kind() == SoakFault.Kind.PIECES_CROWD) {
+            SoakProxy proxy = proxies.get(fault.target() % proxies.size());
+            PiecesCrowd.send(proxy.current().address(), fault.forMs());
+            return true;
+        }
         if (fault.kind() == SoakFault.Kind.NEW_CLIENTS) {
             newClients(fault);
             return true;
--- a/trial/src/main/java/grebehoist/trial/SoakSchedule.java
+++ b/trial/src/main/java/grebehoist/trial/SoakSchedule.java
@@ -5,9 +5,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.StringJoiner;
+import java.util.stream.Collectors;
 
 /**
  * What goes wrong in one play of the soak, drawn from a seed.
@@ -16,6 +18,11 @@
  * @param seconds how long faults begin
  */
 record SoakSchedule(long seed, int processes, int seconds, List<SoakFault> faults) {
+    /** One seed in so many has long messages. */
+    private static final int LONG_MESSAGES_EACH = 4;
+    /** For so many of the others there is one of the kinds that were added. */
+    private static final int ADDED_EACH = 5;
+
     private static final long LONGEST_MS = 4_000;
     private static final long LONGEST_CALL_MS = 1_500;
     /** The first seconds of a process's life, in which it starts. */
@@ -40,18 +47,29 @@
     static SoakSchedule draw(long seed, int leastProcesses, int mostProcesses, int seconds, Set<Kind> kinds) {
         var random = new SplittableRandom(seed);
         int processes = random.nextInt(leastProcesses, mostProcesses + 1);
-        var all = new ArrayList<>(kinds);
-        var faults = new ArrayList<SoakFault>();
         // About a fault in each second and for each four processes: some overlap at any time.
         int number = seconds * (1 + processes / 4) / 2;
-        for (int i = 0; i < number; i++) {
-            Kind kind = all.get(random.nextInt(all.size()));
+        Map<Boolean, List<Kind>> byAge = kinds.stream().collect(Collectors.partitioningBy(Kind::added));
+        var faults = new ArrayList<SoakFault>(draw(random, byAge.get(false), number, seconds));
+        faults.addAll(draw(new SplittableRandom(~seed), byAge.get(true), number / ADDED_EACH, seconds));
+        faults.sort(Comparator.comparingLong(SoakFault::atMs));
+        return new SoakSchedule(seed, processes, seconds, faults);
+    }
+
+    private static List<SoakFault> draw(SplittableRandom random, List<Kind> kinds, int number, int seconds) {
+        var faults = new ArrayList<SoakFault>();
+        for (int i = 0; i < number && !kinds.isEmpty(); i++) {
+            Kind kind = kinds.get(random.nextInt(kinds.size()));
             long most = kind.target() == Target.SYSTEM_CALL ? LONGEST_CALL_MS : LONGEST_MS;
             faults.add(new SoakFault(
                     kind, random.nextLong(seconds * 1_000L), random.nextLong(300, most), random.nextInt(1_000)));
         }
-        faults.sort(Comparator.comparingLong(SoakFault::atMs));
-        return new SoakSchedule(seed, processes, seconds, faults);
+        return faults;
+    }
+
+    /** Returns whether there are long and slow messages among the others. */
+    boolean longMessages() {
+        return seed % LONG_MESSAGES_EACH == LONG_MESSAGES_EACH - 1;
     }
 
     SoakSchedule with(List<SoakFault> fewer) {
--- a/trial/src/test/java/grebehoist/trial/SoakIT.java
+++ b/trial/src/test/java/grebehoist/trial/SoakIT.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** The soak's short form: two seeds, twelve processes of the built jar. The long one is started by hand (docs/trial.md). */
+/** The soak's short form: three seeds, ten or twelve processes of the built jar. The long one is started by hand (docs/trial.md). */
 @Timeout(300)
 class SoakIT {
     private static final Path JAR =
@@ -30,6 +30,24 @@
                 .isZero();
     }
 
+    /** With long and slow messages among the others. */
+    @Test
+    void aSeedOfLongMessagesHolds() {
+        assertThat(soak("--seeds", "1", "--seed", "5203", "--processes", "10", "--seconds", "15"))
+                .isZero();
+    }
+
+    /** A seed that was found to fail is played again as it was, whatever kinds have been added since. */
+    @Test
+    void theKindsThatWereAddedChangeNothingOfTheOthers() {
+        var before = EnumSet.allOf(SoakFault.Kind.class);
+        before.removeIf(SoakFault.Kind::added);
+        SoakSchedule all = SoakSchedule.draw(7, 10, 40, 60, EnumSet.allOf(SoakFault.Kind.class));
+        assertThat(all.faults())
+                .containsAll(SoakSchedule.draw(7, 10, 40, 60, before).faults());
+        assertThat(all.faults()).anyMatch(f -> f.kind().added());
+    }
+
     @Test
     void aSeedDrawsTheSameScheduleEachTime() {
         var all = EnumSet.allOf(SoakFault.Kind.class);
