A request that was read too late says in the log where it had waited

Missing when ordinary requests were refused up to 4 s late beside a crowd during an upgrade: REFUSED_OUT_OF_TIME now ends with how long the request waited until it was read, and how much of that until its connection was accepted.

--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -457,7 +457,10 @@
         long deadline = Math.min(answerBy, request.deadlineUs());
         if (now >= deadline) {
             // Nobody has begun with it: whoever still waits for it may ask again.
-            log.reason(Counter.REFUSED_OUT_OF_TIME, request.id(), () -> now - deadline + " us after its time was up");
+            log.reason(
+                    Counter.REFUSED_OUT_OF_TIME,
+                    request.id(),
+                    () -> now - deadline + " us after its time was up; " + responder.whereItWaited());
             row.countRefused();
             responder.refused(0);
             return;
--- a/core/src/main/java/grebehoist/engine/Responder.java
+++ b/core/src/main/java/grebehoist/engine/Responder.java
@@ -29,4 +29,9 @@
     default ClientState clientState() {
         return ClientState.PRESENT;
     }
+
+    /** Returns where its request waited before it was handed in, for the log. */
+    default String whereItWaited() {
+        return "not known";
+    }
 }
--- a/daemon/src/main/java/grebehoist/http/Exchange.java
+++ b/daemon/src/main/java/grebehoist/http/Exchange.java
@@ -172,6 +172,11 @@
         return state == ClientState.UNKNOWN && unfinished ? ClientState.PRESENT : state;
     }
 
+    @Override
+    public String whereItWaited() {
+        return arrival.toString();
+    }
+
     private boolean keepAlive() {
         return HttpUtil.isKeepAlive(request) && !(front.partsSoon() && connection.last());
     }
--- a/daemon/src/main/java/grebehoist/thrift/ThriftExchange.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftExchange.java
@@ -30,6 +30,11 @@
     }
 
     /** Returns when the last of its bytes came. */
+    @Override
+    public String whereItWaited() {
+        return arrival.toString();
+    }
+
     Arrival arrival() {
         return arrival;
     }
