A claimant is drawn from its process and clock, not from a secure random source

A start is over its bound of CPU already, and the providers of secure random numbers are loaded for 16 bits that only have to differ between two processes. Not measured by itself; ClaimTableTest and OperationsIT's test of ids pass.

--- a/daemon/src/main/java/grebehoist/operations/ClaimTable.java
+++ b/daemon/src/main/java/grebehoist/operations/ClaimTable.java
@@ -9,7 +9,6 @@
 import java.nio.channels.FileChannel;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
-import java.security.SecureRandom;
 import java.util.function.LongSupplier;
 
 /**
@@ -75,7 +74,7 @@
             return new ClaimTable(
                     channel.map(FileChannel.MapMode.READ_WRITE, 0, FILE_BYTES),
                     () -> System.nanoTime() / 1_000_000,
-                    new SecureRandom().nextLong());
+                    HASH_PRIME * (ProcessHandle.current().pid() ^ System.nanoTime()) >>> Long.SIZE - CLAIMANT_BITS);
         }
     }
 
