--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -112,9 +112,7 @@
 
     /** Refuses what may harmlessly be asked again, and fails the rest. */
     private void refuseOrFail(Open r, Counter refused, Counter failed) {
-        Balancer.RequestClass type = types.get(r.request.requestClass());
-        boolean safe = type != null && type.effect() == Balancer.Effect.SAFE;
-        if (safe || !r.mayHaveRun()) {
+        if (r.hasEffect(Balancer.Effect.SAFE) || !r.mayHaveRun()) {
             refuse(r, 0, refused);
         } else {
             fail(r, failed);
@@ -141,6 +139,9 @@
         private final Request request;
         private final Responder responder;
         private final Tally.Row row;
+        /** Null for a class that the settings don't name. */
+        private final Balancer.RequestClass type;
+
         private final long handedInAt = timers.now();
         /** How long a backend may take to read it. One whose payload is still coming goes out once only. */
         private final long readUs;
@@ -167,22 +168,21 @@
             this.request = request;
             this.responder = responder;
             this.row = row;
+            this.type = types.get(request.requestClass());
             this.whole = request.comingUs() == 0;
-            this.readUs = mayRepeatInWindow()
+            this.readUs = hasEffect(Balancer.Effect.KEYED)
                     ? TransferTime.slowestUs(request.payload().bytes())
                     : 0;
             this.deadlineUs = Math.min(answerBy, request.deadlineUs() + request.comingUs());
         }
 
-        /** Returns whether its class lets it run again while its key is known. */
-        private boolean mayRepeatInWindow() {
-            Balancer.RequestClass type = types.get(request.requestClass());
-            return type != null && type.effect() == Balancer.Effect.KEYED;
+        private boolean hasEffect(Balancer.Effect effect) {
+            return type != null && type.effect() == effect;
         }
 
         /** Claims it, where it may run only once. Returns whether it may be sent on. */
         private boolean claim() {
-            if (!claimed && mayRunOnce(request.requestClass())) {
+            if (!claimed && mayRunOnce(type)) {
                 long leftUs = Math.max(0, deadlineUs - timers.now());
                 claimed = claims.claim(request.id(), leftUs + DepartedRequests.KEPT_US);
                 claimedElsewhere = !claimed;
@@ -230,13 +230,12 @@
          * attempt that may have run is forgotten.
          */
         private long repeatUntil() {
-            if (!mayRepeatInWindow()) {
+            if (!hasEffect(Balancer.Effect.KEYED)) {
                 return Long.MAX_VALUE;
             }
-            long windowUs = types.get(request.requestClass()).windowUs();
             return attempts.stream()
                     .filter(a -> a.ended && a.ranForAllThatIsKnown())
-                    .mapToLong(a -> a.sentAt + windowUs - readUs)
+                    .mapToLong(a -> a.sentAt + type.windowUs() - readUs)
                     .min()
                     .orElse(Long.MAX_VALUE);
         }
@@ -340,7 +339,7 @@
                     request.request.id(),
                     number,
                     backend,
-                    types.get(request.request.requestClass()),
+                    request.type,
                     !request.over,
                     request.client,
                     request.deadlineUs - now,
@@ -448,7 +447,7 @@
             responder.failed();
             return;
         }
-        if (mayRunOnce(request.requestClass()) && departed.contains(request.id(), now)) {
+        if (mayRunOnce(types.get(request.requestClass())) && departed.contains(request.id(), now)) {
             log.reason(Counter.FAILED_SAME_ID, request.id(), () -> "its client had left, and it may have run");
             row.countFailed();
             responder.failed();
@@ -479,8 +478,7 @@
                 r.readUs));
     }
 
-    private boolean mayRunOnce(String requestClass) {
-        Balancer.RequestClass type = types.get(requestClass);
+    private static boolean mayRunOnce(Balancer.RequestClass type) {
         return type != null && type.effect() != Balancer.Effect.SAFE;
     }
 
@@ -520,15 +518,20 @@
             r.attempts.stream()
                     .filter(a -> a.begunForNobody(now))
                     .forEach(a -> guard.begunForNobody(id, a.number, a.backend, a.lookedAt, a.writtenAt, now));
-            r.row.countFailed();
-            r.leftUnanswered = true;
-            over(r);
-            withdraw(r);
+            left(r);
             deliver(new Balancer.ClientGone(id));
             forget(r);
         }
     }
 
+    /** Its client has left before its answer. */
+    private void left(Open r) {
+        r.row.countFailed();
+        r.leftUnanswered = true;
+        over(r);
+        withdraw(r);
+    }
+
     /** Guards against a module that never answers: whatever happens, the client hears of its request in time. */
     private void overdue(Open r) {
         if (!r.over) {
@@ -550,23 +553,7 @@
     private void attemptEnded(Out out, Outcome outcome, Payload answer) {
         Open r = out.request;
         r.out--;
-        boolean leaves = r.client == ClientState.GONE && !r.over;
-        boolean unseen = r.client == ClientState.UNKNOWN && !r.over;
-        boolean elsewhere = r.claimedElsewhere && !r.over;
-        if (leaves) {
-            r.row.countFailed();
-            r.leftUnanswered = true;
-            over(r);
-            withdraw(r);
-        } else if (unseen) {
-            // No attempt may begin any more, and whoever is still there has its answer.
-            refuseOrFail(r, Counter.REFUSED_CLIENT_UNKNOWN, Counter.FAILED_CLIENT_UNKNOWN);
-        } else if (elsewhere) {
-            // It may have run there.
-            log.reason(Counter.FAILED_SAME_ID, r.request.id(), () -> "another process of this proxy has sent it on");
-            r.row.countFailed();
-            answer(r, Responder::failed);
-        }
+        boolean wentNoFurther = endWhereNoAttemptMayBegin(r);
         if (outcome == Outcome.OK && !r.over) {
             if (answer instanceof StreamedPayload stream) {
                 serve(r, stream);
@@ -584,12 +571,31 @@
                 outcome,
                 outcome == Outcome.OK && answer == Payload.NONE ? Balancer.UNTIMED : timers.now() - out.startedAt,
                 r.over));
-        if (leaves || unseen || elsewhere) {
+        if (wentNoFurther) {
             deliver(new Balancer.ClientGone(r.request.id()));
         }
         forget(r);
     }
 
+    /** Ends a request for which no further attempt may begin, by what was found right before a first byte. Returns whether it did. */
+    private boolean endWhereNoAttemptMayBegin(Open r) {
+        if (r.over) {
+            return false;
+        }
+        if (r.client == ClientState.GONE) {
+            left(r);
+        } else if (r.client == ClientState.UNKNOWN) {
+            // Whoever is still there has its answer.
+            refuseOrFail(r, Counter.REFUSED_CLIENT_UNKNOWN, Counter.FAILED_CLIENT_UNKNOWN);
+        } else if (r.claimedElsewhere) {
+            // It may have run there.
+            log.reason(Counter.FAILED_SAME_ID, r.request.id(), () -> "another process of this proxy has sent it on");
+            r.row.countFailed();
+            answer(r, Responder::failed);
+        }
+        return r.over;
+    }
+
     /** For the module this attempt is over, as its backend has answered; the request is, once the rest has come. */
     private void serve(Open r, StreamedPayload stream) {
         unanswered++;
