--- a/daemon/src/test/java/grebehoist/cli/CrowdIT.java
+++ b/daemon/src/test/java/grebehoist/cli/CrowdIT.java
@@ -77,31 +77,17 @@
 
     private final AtomicBoolean over = new AtomicBoolean();
     private final Queue<Ordinary> answers = new ConcurrentLinkedQueue<>();
-    private final List<Peer> backends = new ArrayList<>();
     private final List<Thread> asking = new ArrayList<>();
-    private String list;
+    private PeerFleet backends;
     private Peer discovery;
     private ProxyProcess proxy;
 
     @BeforeEach
     void begin() throws Exception {
         discovery = new Peer();
-        var entries = new ArrayList<String>();
-        for (int i = 0; i < BACKENDS; i++) {
-            var backend = new Peer();
-            backends.add(backend);
-            entries.add(
-                    Fixture.entry("s" + i, backend.address(), "ready").replace("\"started_ms\":7", "\"started_ms\":0"));
-            Peer.background(() -> {
-                while (true) {
-                    Wire wire = backend.accept();
-                    Peer.background(() -> serve(wire));
-                }
-            });
-        }
-        list = Fixture.list(41, true, entries.toArray(String[]::new));
+        backends = new PeerFleet(BACKENDS, CrowdIT::serve);
         proxy = new ProxyProcess("n0", ProcessIT.settings(0)).withDoor();
-        proxy.configure(discovery.socketAddress(), list).start().awaitReady();
+        proxy.configure(discovery.socketAddress(), backends.list()).start().awaitReady();
         for (int i = 0; i < CROWD; i++) {
             int number = i;
             Peer.background(() -> crowd(proxy, number, over));
@@ -132,9 +118,7 @@
         stopAsking();
         proxy.close();
         discovery.close();
-        for (Peer backend : backends) {
-            backend.close();
-        }
+        backends.close();
     }
 
     /** Guards against a crowd of issue 67: each had two long reads before its reads were put off, and a turn of the loop took seconds. */
@@ -157,7 +141,7 @@
     void ordinaryRequestsAreAnsweredInTimeBesideACrowdWhileANewVersionStarts() throws Exception {
         pause(LASTS_MS / 4);
         try (var young = proxy.newVersion()) {
-            young.configure(discovery.socketAddress(), list).start();
+            young.configure(discovery.socketAddress(), backends.list()).start();
             long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
             while (young.call("GET", "/v1/readyz") != 200 && System.nanoTime() < until) {
                 pause(PAUSE_MS);
--- a/daemon/src/test/java/grebehoist/cli/LongMessagesIT.java
+++ b/daemon/src/test/java/grebehoist/cli/LongMessagesIT.java
@@ -76,22 +76,12 @@
      */
     @Test
     void slowClientsTakeNoMoreMemoryThanIsGranted() throws Exception {
-        var backends = new ArrayList<Peer>();
         var over = new AtomicBoolean();
         var threads = new ArrayList<Thread>();
         try (var discovery = new Peer();
+                var backends = new PeerFleet(BACKENDS, wire -> serve(wire, over));
                 var proxy = new ProxyProcess("n0", ProcessIT.settings(0)).withDoor()) {
-            var entries = new ArrayList<String>();
-            for (int i = 0; i < BACKENDS; i++) {
-                var backend = new Peer();
-                backends.add(backend);
-                entries.add(Fixture.entry("s" + i, backend.address(), "ready")
-                        .replace("\"started_ms\":7", "\"started_ms\":0"));
-                Peer.background(() -> serve(backend, over));
-            }
-            proxy.configure(discovery.socketAddress(), Fixture.list(41, true, entries.toArray(String[]::new)))
-                    .start()
-                    .awaitReady();
+            proxy.configure(discovery.socketAddress(), backends.list()).start().awaitReady();
             // The first ones find the code cold.
             median(proxy);
             long alone = median(proxy);
@@ -128,9 +118,6 @@
                     .isZero();
         } finally {
             over.set(true);
-            for (Peer backend : backends) {
-                backend.close();
-            }
         }
     }
 
@@ -184,24 +171,19 @@
     }
 
     /** Serves what is asked: long answers to slow ids, short ones to others. */
-    private static void serve(Peer backend, AtomicBoolean over) throws IOException {
-        while (true) {
-            Wire wire = backend.accept();
-            Peer.background(() -> {
-                for (Wire.Message m = wire.head(); m != null; m = wire.head()) {
-                    if (m.first().startsWith("POST")) {
-                        wire.body(Integer.parseInt(m.header("Content-Length")));
-                    }
-                    if (m.first().startsWith("GET") && m.header("X-Request-ID").startsWith("slow")) {
-                        wire.send("HTTP/1.1 200 OK\r\nContent-Length: " + 2_000 * STEP + "\r\n\r\n");
-                        for (int i = 0; i < 2_000 && !over.get(); i++) {
-                            wire.send(PIECE);
-                        }
-                    } else {
-                        wire.send(Peer.ok("done"));
-                    }
+    private static void serve(Wire wire, AtomicBoolean over) throws IOException {
+        for (Wire.Message m = wire.head(); m != null; m = wire.head()) {
+            if (m.first().startsWith("POST")) {
+                wire.body(Integer.parseInt(m.header("Content-Length")));
+            }
+            if (m.first().startsWith("GET") && m.header("X-Request-ID").startsWith("slow")) {
+                wire.send("HTTP/1.1 200 OK\r\nContent-Length: " + 2_000 * STEP + "\r\n\r\n");
+                for (int i = 0; i < 2_000 && !over.get(); i++) {
+                    wire.send(PIECE);
                 }
-            });
+            } else {
+                wire.send(Peer.ok("done"));
+            }
         }
     }
 
--- a/daemon/src/test/java/grebehoist/cli/OperationsIT.java
+++ b/daemon/src/test/java/grebehoist/cli/OperationsIT.java
@@ -167,26 +167,12 @@
     @Test
     void anIdThatComesAgainDuringAnUpgradeDoesNotRunTwice() throws Exception {
         var runs = new ConcurrentHashMap<String, AtomicInteger>();
-        var backends = new ArrayList<Peer>();
         try (var discovery = new Peer();
+                var backends = new PeerFleet(4, wire -> count(wire, runs));
                 var old = new ProxyProcess("n0", ProcessIT.settings(0)).withDoor();
                 var young = old.newVersion()) {
-            var entries = new ArrayList<String>();
-            for (int i = 0; i < 4; i++) {
-                var backend = new Peer();
-                backends.add(backend);
-                entries.add(Fixture.entry("s" + i, backend.address(), "ready")
-                        .replace("\"started_ms\":7", "\"started_ms\":0"));
-                Peer.background(() -> {
-                    while (true) {
-                        Wire wire = backend.accept();
-                        Peer.background(() -> count(wire, runs));
-                    }
-                });
-            }
-            String list = Fixture.list(41, true, entries.toArray(String[]::new));
-            old.configure(discovery.socketAddress(), list).start().awaitReady();
-            young.configure(discovery.socketAddress(), list).start();
+            old.configure(discovery.socketAddress(), backends.list()).start().awaitReady();
+            young.configure(discovery.socketAddress(), backends.list()).start();
             long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
             while (young.call("GET", "/v1/readyz") != 200 && System.nanoTime() < until) {
                 TimeUnit.MILLISECONDS.sleep(20);
@@ -206,10 +192,6 @@
             assertThat(runs).as("%s%n%s", old.log(), young.log()).hasSizeGreaterThan(IDS / 2);
             assertThat(runs)
                     .allSatisfy((id, count) -> assertThat(count.get()).as(id).isEqualTo(1));
-        } finally {
-            for (Peer backend : backends) {
-                backend.close();
-            }
         }
     }
 
--- a/daemon/src/test/java/grebehoist/cli/ProcessorSlicesIT.java
+++ b/daemon/src/test/java/grebehoist/cli/ProcessorSlicesIT.java
@@ -4,7 +4,6 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -33,9 +32,9 @@
     /** STANDING: half a second after its time an answer is lost; PROTOCOL: on sockets each limit is 50 ms longer. */
     private static final long LATE_MS = 550;
 
-    private final List<Peer> backends = new ArrayList<>();
     private final AtomicBoolean over = new AtomicBoolean();
     private Peer discovery;
+    private PeerFleet backends;
     private ProxyProcess proxy;
     private Thread slices;
 
@@ -53,28 +52,14 @@
         }
         proxy.close();
         discovery.close();
-        for (Peer backend : backends) {
-            backend.close();
+        if (backends != null) {
+            backends.close();
         }
     }
 
     private void start(long msBetweenPieces) throws Exception {
-        var entries = new ArrayList<String>();
-        for (int i = 0; i < BACKENDS; i++) {
-            var backend = new Peer();
-            backends.add(backend);
-            entries.add(
-                    Fixture.entry("s" + i, backend.address(), "ready").replace("\"started_ms\":7", "\"started_ms\":0"));
-            Peer.background(() -> {
-                while (true) {
-                    Wire wire = backend.accept();
-                    Peer.background(() -> serve(wire, msBetweenPieces));
-                }
-            });
-        }
-        proxy.configure(discovery.socketAddress(), Fixture.list(41, true, entries.toArray(String[]::new)))
-                .start()
-                .awaitReady();
+        backends = new PeerFleet(BACKENDS, wire -> serve(wire, msBetweenPieces));
+        proxy.configure(discovery.socketAddress(), backends.list()).start().awaitReady();
     }
 
     /** Reads a long body slowly, or not at all beyond its first bytes where the time between pieces is negative. */
