A process that listens always says so to the others

Found in a read of the change: two processes that join in the same instant see no other, so neither took itself for an upgrade's successor and told that it is about to serve; the older one would have kept all but 96 descriptors beside it for good. What can't be told for any reason is told at the next look, and does not end the looks.

--- a/daemon/src/main/java/grebehoist/cli/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -349,6 +349,7 @@
         }
         Channel bound = bind("listen", this::listen);
         if (operations != null) {
+            operations.announce(0);
             var door = new Door(operations, log);
             if (distribution != null) {
                 distribution.at(door);
--- a/daemon/src/main/java/grebehoist/operations/StateDirectory.java
+++ b/daemon/src/main/java/grebehoist/operations/StateDirectory.java
@@ -345,7 +345,7 @@
         try {
             census.announce();
             announced = true;
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) {
             // Again with the next look: the others go on as if this process were still starting.
             log.count(Counter.STATE_WRITE_FAILED);
         }
