What may have run is kept by its id, whatever its client was answered

Cause, by one id's trace: the backend answered 14 ms after the client's close, which this process had yet to read. The answer was written to a connection that was gone, the request counted as answered, and its id was forgotten and its claim given up. No look can prevent that, as a client may leave right behind its answer, unread.

PROTOCOL: an id is new with every request, also with a client's retry; so nobody else has it.

EngineTest.whatComesAgainAfterItsAnswer... fails without the change. EngineTest's test of claims said that an answered request gives its claim up; it now says that it is kept, which is the stricter.

--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -40,7 +40,7 @@
     private final RuleGuard guard;
     private final Map<String, Balancer.RequestClass> types = new HashMap<>();
     private final Map<String, Open> open = new HashMap<>();
-    private final DepartedRequests departed = new DepartedRequests();
+    private final RecentRequests recent = new RecentRequests();
     /** Of those that are open, how many still want their answer. */
     private int unanswered;
 
@@ -156,8 +156,6 @@
         private boolean claimed;
 
         private boolean claimedElsewhere;
-        /** Whether its client has left before its answer. */
-        private boolean leftUnanswered;
         /** When the answer is due; not before the payload has come whole, where it is still coming. */
         private long deadlineUs;
 
@@ -184,20 +182,21 @@
         private boolean claim() {
             if (!claimed && mayRunOnce(type)) {
                 long leftUs = Math.max(0, deadlineUs - timers.now());
-                claimed = claims.claim(request.id(), leftUs + DepartedRequests.KEPT_US);
+                claimed = claims.claim(request.id(), leftUs + RecentRequests.KEPT_US);
                 claimedElsewhere = !claimed;
             }
             return !claimedElsewhere;
         }
 
-        /** It is over: another process may send what comes under its id, unless it may have run for a client that has left. */
-        private void settleClaim() {
-            if (!claimed) {
-                return;
+        /** It is over: what comes again under its id may be sent on only if it has not run, here and by another process. */
+        private void settleId() {
+            boolean ran = mayRunOnce(type) && mayHaveRun();
+            if (ran) {
+                recent.add(request.id(), timers.now());
             }
-            if (leftUnanswered && mayHaveRun()) {
-                claims.claim(request.id(), DepartedRequests.KEPT_US);
-            } else {
+            if (claimed && ran) {
+                claims.claim(request.id(), RecentRequests.KEPT_US);
+            } else if (claimed) {
                 claims.release(request.id());
             }
         }
@@ -447,8 +446,8 @@
             responder.failed();
             return;
         }
-        if (mayRunOnce(types.get(request.requestClass())) && departed.contains(request.id(), now)) {
-            log.reason(Counter.FAILED_SAME_ID, request.id(), () -> "its client had left, and it may have run");
+        if (mayRunOnce(types.get(request.requestClass())) && recent.contains(request.id(), now)) {
+            log.reason(Counter.FAILED_SAME_ID, request.id(), () -> "one of this id may have run");
             row.countFailed();
             responder.failed();
             return;
@@ -527,7 +526,6 @@
     /** Its client has left before its answer. */
     private void left(Open r) {
         r.row.countFailed();
-        r.leftUnanswered = true;
         over(r);
         withdraw(r);
     }
@@ -654,10 +652,7 @@
 
     private void forget(Open r) {
         if (r.over && r.out == 0 && open.remove(r.request.id(), r)) {
-            r.settleClaim();
-            if (r.leftUnanswered && r.mayHaveRun()) {
-                departed.add(r.request.id(), timers.now());
-            }
+            r.settleId();
         }
     }
 
--- a/core/src/main/java/grebehoist/engine/RequestClaims.java
+++ b/core/src/main/java/grebehoist/engine/RequestClaims.java
@@ -27,6 +27,6 @@
      */
     boolean claim(String id, long keepUs);
 
-    /** Gives a claim up: the request has its answer, or has not run and will not. Without effect where there is none. */
+    /** Gives a claim up: the request has not run, and will not. Without effect where there is none. */
     void release(String id);
 }
--- a/core/src/test/java/grebehoist/engine/EngineTest.java
+++ b/core/src/test/java/grebehoist/engine/EngineTest.java
@@ -311,11 +311,25 @@
         host.ask("safe");
         assertThat(host.sent).as("what is safe may run again").hasSize(5);
 
-        host.run(DepartedRequests.KEPT_US + 1);
+        host.run(RecentRequests.KEPT_US + 1);
         host.ask("ran", FakeHost.KEYED, 1_900 * MS);
         assertThat(host.sent).as("nothing is kept for ever").hasSize(6);
     }
 
+    /** Guards against picture (b) of issue 67: the answer was written when the client had left, and its id came again. */
+    @Test
+    void whatComesAgainAfterItsAnswerDoesNotRunTwice() {
+        var host = new FakeHost(FakeHost.sendTo("s0", 0));
+        host.ask("ran", FakeHost.KEYED, 1_900 * MS);
+        host.sent.get(0).answer(Outcome.OK, new FakeHost.Counted());
+        assertThat(host.ask("ran", FakeHost.KEYED, 1_900 * MS).answers).containsExactly("failed");
+        assertThat(host.sent).hasSize(1);
+        host.ask("safe");
+        host.sent.get(1).answer(Outcome.OK, new FakeHost.Counted());
+        host.ask("safe");
+        assertThat(host.sent).as("what is safe may run again").hasSize(3);
+    }
+
     /** Guards against picture (b) of issue 67: an id that comes again at the other process of an upgrade. */
     @Test
     void whatAnotherProcessHasSentOnIsFailedAndNotSent() {
@@ -348,16 +362,16 @@
         host.ask("elsewhere, safe");
         host.ask("here", FakeHost.KEYED, 1_900 * MS);
         assertThat(begun).as("what is safe may run twice").containsExactly(false, true, true);
-        assertThat(claimed).containsEntry("here", 1_900 * MS + DepartedRequests.KEPT_US);
+        assertThat(claimed).containsEntry("here", 1_900 * MS + RecentRequests.KEPT_US);
         assertThat(host.engine.knows("elsewhere")).isFalse();
 
         host.sent.get(2).answer(Outcome.OK, new FakeHost.Counted());
-        assertThat(claimed).as("it has its answer").doesNotContainKey("here");
+        assertThat(claimed).as("its client may not have read its answer").containsEntry("here", RecentRequests.KEPT_US);
 
         host.ask("left", FakeHost.KEYED, 1_900 * MS);
         host.engine.clientGone("left");
         host.sent.get(3).answer(Outcome.RESET, null);
-        assertThat(claimed).as("it may have run").containsEntry("left", DepartedRequests.KEPT_US);
+        assertThat(claimed).as("it may have run").containsEntry("left", RecentRequests.KEPT_US);
 
         host.ask("never ran", FakeHost.KEYED, 1_900 * MS);
         host.engine.clientGone("never ran");
