--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -2,6 +2,6 @@
 # Plays one case; see claim.txt. After the build of deploy/balancer.toml and review/build-2.sh.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-[ -f review/standins-2/build/LateCopy.class ] || { echo "review/build-2.sh has not been run"; exit 2; }
+[ -f review/standins-2/build/SlowReaders.class ] || { echo "review/build-2.sh has not been run"; exit 2; }
 command -v java >/dev/null || exit 2
-exec java -XX:+UseSerialGC -Xmx256m -cp review/standins-2/build LateCopy review/6
+exec java -XX:+UseSerialGC -Xmx256m -cp review/standins-2/build SlowReaders review/6
--- a/review/standins-2/SlowReaders.java
+++ b/review/standins-2/SlowReaders.java
@@ -1,13 +1,10 @@
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
-import java.io.DataOutputStream;
-import java.io.EOFException;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Semaphore;
@@ -26,10 +23,6 @@
     private static final int LONG = 60_000;
     private static final long PLAY_MS = 40_000;
     private static final int PATIENCE_MS = 2_000;
-    private static final byte CALL = 1;
-    private static final byte REPLY = 2;
-    private static final byte EXCEPTION = 3;
-    private static final int VERSION_1 = 0x80010000;
 
     private static final AtomicInteger asked = new AtomicInteger();
     private static final AtomicInteger answered = new AtomicInteger();
@@ -94,9 +87,9 @@
             }
             try (var connection = new Socket(InetAddress.getLoopbackAddress(), port)) {
                 connection.setSoTimeout(2_500);
-                connection.getOutputStream().write(frame(CALL, "balance", i, 1, "first-" + i));
-                Message reply = read(new DataInputStream(connection.getInputStream()));
-                if (reply != null && reply.type == REPLY) {
+                connection.getOutputStream().write(Thrift.frame(Thrift.CALL, "balance", i, 1, "first-" + i));
+                Thrift.Message reply = Thrift.read(new DataInputStream(connection.getInputStream()));
+                if (reply != null && reply.type() == Thrift.REPLY) {
                     return;
                 }
             } catch (IOException e) {
@@ -116,55 +109,6 @@
                 + "out_of_order = true\n";
     }
 
-    /** A frame of the binary protocol: a message whose struct has one text. */
-    private static byte[] frame(byte type, String name, int sequence, int field, String text) throws IOException {
-        var body = new ByteArrayOutputStream();
-        var out = new DataOutputStream(body);
-        out.writeInt(VERSION_1 | type);
-        text(out, name);
-        out.writeInt(sequence);
-        out.writeByte(11);
-        out.writeShort(field);
-        text(out, text);
-        out.writeByte(0);
-        var whole = new ByteArrayOutputStream();
-        new DataOutputStream(whole).writeInt(body.size());
-        body.writeTo(whole);
-        return whole.toByteArray();
-    }
-
-    private static void text(DataOutputStream out, String text) throws IOException {
-        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-        out.writeInt(bytes.length);
-        out.write(bytes);
-    }
-
-    /** A message that was read; the text is null where its struct begins with something else. */
-    private record Message(byte type, String name, int sequence, String text) {}
-
-    private static Message read(DataInputStream in) throws IOException {
-        int length;
-        try {
-            length = in.readInt();
-        } catch (EOFException e) {
-            return null;
-        }
-        return parse(in.readNBytes(length));
-    }
-
-    private static Message parse(byte[] frame) throws IOException {
-        var in = new DataInputStream(new java.io.ByteArrayInputStream(frame));
-        byte type = (byte) in.readInt();
-        String name = new String(in.readNBytes(in.readInt()), StandardCharsets.UTF_8);
-        int sequence = in.readInt();
-        String text = null;
-        if (in.readByte() == 11) {
-            in.readShort();
-            text = new String(in.readNBytes(in.readInt()), StandardCharsets.UTF_8);
-        }
-        return new Message(type, name, sequence, text);
-    }
-
     private static int backend() throws IOException {
         var socket = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
         String padding = "x".repeat(LONG);
@@ -175,10 +119,10 @@
                 Rig.daemon(() -> {
                     try (connection) {
                         var in = new DataInputStream(connection.getInputStream());
-                        for (Message call = read(in); call != null; call = read(in)) {
+                        for (Thrift.Message call = Thrift.read(in); call != null; call = Thrift.read(in)) {
                             Thread.sleep(2);
-                            String text = "for " + call.text + (call.name.equals("invoice") ? " " + padding : "");
-                            connection.getOutputStream().write(frame(REPLY, call.name, call.sequence, 0, text));
+                            String text = "for " + call.text() + (call.name().equals("invoice") ? " " + padding : "");
+                            connection.getOutputStream().write(Thrift.frame(Thrift.REPLY, call.name(), call.sequence(), 0, text));
                         }
                     }
                 });
@@ -207,22 +151,22 @@
             boolean written = false;
             try {
                 asked.incrementAndGet();
-                connection.getOutputStream().write(frame(CALL, "balance", i, 1, id));
+                connection.getOutputStream().write(Thrift.frame(Thrift.CALL, "balance", i, 1, id));
                 written = true;
                 rig.note(id + " sent");
-                Message reply = read(new DataInputStream(connection.getInputStream()));
+                Thrift.Message reply = Thrift.read(new DataInputStream(connection.getInputStream()));
                 if (reply == null) {
                     throw new IOException("the connection was closed");
                 }
-                if (reply.type == REPLY && reply.text.equals("for " + id)) {
+                if (reply.type() == Thrift.REPLY && reply.text().equals("for " + id)) {
                     answered.incrementAndGet();
                     rig.note(id + " answered");
-                } else if (reply.type == EXCEPTION) {
+                } else if (reply.type() == Thrift.EXCEPTION) {
                     turnedAway.incrementAndGet();
-                    rig.note(id + " answered with an exception: " + reply.text);
+                    rig.note(id + " answered with an exception: " + reply.text());
                 } else {
                     lost.incrementAndGet();
-                    rig.note("BROKEN: " + id + " was answered with " + reply.text);
+                    rig.note("BROKEN: " + id + " was answered with " + reply.text());
                 }
             } catch (SocketTimeoutException e) {
                 lost.incrementAndGet();
@@ -250,7 +194,7 @@
                 Rig.daemon(() -> {
                     for (int i = 0; ; i++) {
                         room.acquire();
-                        connection.getOutputStream().write(frame(CALL, "invoice", i, 1, name + i));
+                        connection.getOutputStream().write(Thrift.frame(Thrift.CALL, "invoice", i, 1, name + i));
                     }
                 });
                 var in = connection.getInputStream();
