--- a/review/standins-2/SlowReaders.java
+++ b/review/standins-2/SlowReaders.java
@@ -40,7 +40,7 @@
     private static boolean play(Rig rig) throws Exception {
         var servers = new ArrayList<String>();
         for (int i = 0; i < BACKENDS; i++) {
-            servers.add(Rig.server("s-" + i, backend(), "ulven"));
+            servers.add(Rig.server("s-" + i, backend(rig, "s-" + i), "ulven"));
         }
         int discovery = rig.discovery(String.join(",", servers));
         int listen = Rig.freePorts(1)[0];
@@ -109,7 +109,7 @@
                 + "out_of_order = true\n";
     }
 
-    private static int backend() throws IOException {
+    private static int backend(Rig rig, String name) throws IOException {
         var socket = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
         String padding = "x".repeat(LONG);
         Rig.daemon(() -> {
@@ -120,6 +120,7 @@
                     try (connection) {
                         var in = new DataInputStream(connection.getInputStream());
                         for (Thrift.Message call = Thrift.read(in); call != null; call = Thrift.read(in)) {
+                            rig.note(name + " runs " + call.text());
                             Thread.sleep(2);
                             String text = "for " + call.text() + (call.name().equals("invoice") ? " " + padding : "");
                             connection.getOutputStream().write(Thrift.frame(Thrift.REPLY, call.name(), call.sequence(), 0, text));
@@ -211,6 +212,7 @@
                         }
                         from += 4 + length;
                         slowAnswered.incrementAndGet();
+                        rig.note("slow client " + number + " has read a reply of " + length + " bytes");
                         room.release();
                     }
                     pending.reset();
