A process that is told to end finishes the long answers that have begun

Cause: Shutdown ended the process at a time chosen to lie just before the earliest SIGKILL. What is owed at that time are answers that have not begun, and the place among others; an answer that is on its way is owed until it is over.

Change: at that time the place is given up (leases, membership, listeners, door), and the process ends when no answer is owed any more, within 1 s of the last. What does not move ends by the limits of its own connection. TaskCalls looks for nothing more once it leaves. The upgrade's old process ends the same way. Tests' peers accept for as long as they are open: after 10 s without a connection they had stopped without a word.

LongAnswersAtEndTest.answersThatHaveBegunComeWhole, MembersIT.aLongAnswerDoesNotKeepTheMembersPlace and OperationsIT.anUpgradeLetsLongAnswersOfTheOldProcessComeWhole failed before and pass. ThriftProxyTest asks for what is owed in an existing test, which steps its front on the loop's thread now.

--- a/daemon/src/main/java/grebehoist/cli/Distribution.java
+++ b/daemon/src/main/java/grebehoist/cli/Distribution.java
@@ -15,6 +15,7 @@
 import grebehoist.operations.DistributionCalls;
 import grebehoist.operations.Door;
 import grebehoist.pool.Pool;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import java.util.HexFormat;
 
@@ -72,17 +73,19 @@
         door.distribution(new DistributionCalls(this));
     }
 
-    /** Opens the door that the file names, if there is one. */
-    void open() throws Config.BadConfig {
-        if (entry.door() != null) {
-            var own = new Door(null, host.log());
-            at(own);
-            ChannelFuture opened = own.listen(host.network(), entry.door()).awaitUninterruptibly();
-            if (!opened.isSuccess()) {
-                throw new Config.BadConfig("[distribution]: the door at " + entry.door() + ": "
-                        + opened.cause().getMessage());
-            }
+    /** Opens the door that the file names; returns null where it names none. */
+    Channel open() throws Config.BadConfig {
+        if (entry.door() == null) {
+            return null;
+        }
+        var own = new Door(null, host.log());
+        at(own);
+        ChannelFuture opened = own.listen(host.network(), entry.door()).awaitUninterruptibly();
+        if (!opened.isSuccess()) {
+            throw new Config.BadConfig("[distribution]: the door at " + entry.door() + ": "
+                    + opened.cause().getMessage());
         }
+        return opened.channel();
     }
 
     /** Returns whether clients may come; on the loop's thread. */
--- a/daemon/src/main/java/grebehoist/cli/Listeners.java
+++ b/daemon/src/main/java/grebehoist/cli/Listeners.java
@@ -46,6 +46,9 @@
     /** Added to by the main thread, and read by the loop's and by signals'. */
     private final List<Listener> listeners = new CopyOnWriteArrayList<>();
 
+    /** Where operators call; added to by the main thread, and read by the loop's. */
+    private final List<Channel> doors = new CopyOnWriteArrayList<>();
+
     private volatile boolean ending;
 
     /**
@@ -64,6 +67,11 @@
         listeners.add(listener);
     }
 
+    /** Adds a door for operators, which is open for as long as this process has its place. */
+    void addDoor(Channel door) {
+        doors.add(door);
+    }
+
     Listener first() {
         return listeners.get(0);
     }
@@ -156,6 +164,17 @@
                 l -> LoopTasks.contained(log, () -> step.accept(l.front())).run());
     }
 
+    /** Gives up all addresses, on the loop's thread; connections on which something is asked go on. */
+    void close() {
+        each(Front::closeListener);
+        doors.forEach(Channel::close);
+    }
+
+    /** Returns on how many connections an answer is owed, or has yet to be taken by its client. */
+    int answering() {
+        return listeners.stream().mapToInt(l -> l.front().answering()).sum();
+    }
+
     /** Returns whether any of them listens, or any client is still connected. */
     boolean busy() {
         return listeners.stream().anyMatch(l -> l.front().busy());
--- a/daemon/src/main/java/grebehoist/cli/Members.java
+++ b/daemon/src/main/java/grebehoist/cli/Members.java
@@ -21,9 +21,12 @@
 /** The other proxies of the fleet. Loaded only where they may be spoken to. */
 final class Members {
     private final PeerNode node;
+    /** Null where the fleet has no tasks. */
+    private final TaskCalls calls;
 
-    private Members(PeerNode node) {
+    private Members(PeerNode node, TaskCalls calls) {
         this.node = node;
+        this.calls = calls;
     }
 
     /** As the platform's settings allow it. */
@@ -76,17 +79,21 @@
             Log log,
             BiConsumer<Integer, Integer> share) {
         var node = new PeerNode(settings, loop, timers, log, count -> share.accept(count.sharedBy(), count.rank()));
+        TaskCalls calls = null;
         if (!tasks.isEmpty()) {
-            var calls = new TaskCalls(settings.identity().name(), tasks, node.leases(), loop, timers, log, node::tell);
+            calls = new TaskCalls(settings.identity().name(), tasks, node.leases(), loop, timers, log, node::tell);
             node.holdings(calls::changed);
             calls.begin();
         }
         node.begin();
-        return new Members(node);
+        return new Members(node, calls);
     }
 
     /** Tells them that this process ends; on the loop's thread. */
     void leave() {
+        if (calls != null) {
+            calls.end();
+        }
         node.leave();
     }
 
--- a/daemon/src/main/java/grebehoist/cli/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -354,7 +354,10 @@
             if (distribution != null) {
                 distribution.at(door);
             }
-            bind("operator", () -> door.listen(network, config.operator()));
+            Channel opened = bind("operator", () -> door.listen(network, config.operator()));
+            if (opened != null) {
+                listeners.addDoor(opened);
+            }
         }
         if (bound == null) {
             return null;
@@ -398,7 +401,10 @@
             return;
         }
         distribution = Distribution.begin(more.name(), more.distribution(), host, suspensions);
-        distribution.open();
+        Channel door = distribution.open();
+        if (door != null) {
+            listeners.addDoor(door);
+        }
     }
 
     private void share(int balancers, int rank) {
--- a/daemon/src/main/java/grebehoist/cli/Shutdown.java
+++ b/daemon/src/main/java/grebehoist/cli/Shutdown.java
@@ -13,8 +13,11 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The planned end of a process: answers all that it has taken, sends clients elsewhere, and ends before it is killed. Each step is contained, so
- * one that fails leaves the others, and the process ends in time whatever fails.
+ * The planned end of a process. First it answers all that it has taken and sends clients elsewhere; before it can be killed it gives up its place:
+ * it listens no more, and whoever shares something with it is told. Answers that have begun by then go on: the process ends when they are over, or
+ * is killed by whoever wants it gone. Each is bounded by its own connections, which end where nothing moves on them.
+ *
+ * <p>Each step is contained, so one that fails leaves the others. {@link #run} is called by a thread of its own; all else is done on the loop's.
  */
 final class Shutdown {
     /** New connections go on coming for so long after the signal. */
@@ -23,12 +26,18 @@
     private static final long HANDED_OVER_MS = 1_000;
 
     private static final long LOOK_MS = 10;
-    /** The process is killed so long after the longest deadline, counted from the signal; a little earlier it ends. */
-    private static final long KILL_MS = 600;
-    /** The longest deadline counts for no more than this in the time that a process has to end. */
+    /** Counted from the longest deadline: the process is killed no sooner than a little after this. */
+    private static final long GIVE_UP_PLACE_MS = 600;
+    /** The longest deadline counts for no more than this in the time that a process has to give up its place. */
     private static final long LONGEST_COUNTED_MS = 3_000;
-    /** So long before it ends the last answers are given, so that they get out. */
+    /** So long before the place is given up the last answers are given, so that they get out. */
     private static final long LAST_ANSWERS_MS = 100;
+    /** Clients have so long after the last answer to end their connections. */
+    private static final long PARTING_US = 1_000_000;
+    /** An event loop that has run nothing for so many of these periods has failed, and nothing can be finished on it. */
+    private static final long LIVENESS_PERIOD_MS = 1_000;
+
+    private static final int MOST_SILENT_PERIODS = 10;
 
     private final String process;
     private final EventLoop loop;
@@ -37,6 +46,13 @@
     private final Listeners listeners;
     private final List<Pool> pools;
     private final CountDownLatch drained = new CountDownLatch(1);
+    /** Counts the looks at the connections, which tell that the loop runs. */
+    private volatile long looks;
+
+    // Used by the loop's thread alone.
+    private boolean placeGivenUp;
+    private long lastAnsweringAt;
+    private boolean allClientsLeft;
 
     Shutdown(String process, EventLoop loop, LoopTimers timers, StderrLog log, Listeners listeners, List<Pool> pools) {
         this.process = process;
@@ -48,26 +64,40 @@
     }
 
     /**
-     * Ends in order; returns when all is done, or the time is up.
+     * Ends in order; returns when all is done.
      *
      * @param handsOver whether another process of this proxy takes the clients over
-     * @param leave on the loop's thread, what this process had to do with others is over: at once where it hands over, else at the end
+     * @param leave on the loop's thread, what this process had to do with others is over: at once where it hands over, else when the place is
+     *         given up
      */
     void run(boolean handsOver, Runnable leave) {
         long longestMs = pools.stream().mapToLong(Pool::longestDeadlineUs).max().orElse(0) / 1_000;
-        long mostMs = Math.min(longestMs, LONGEST_COUNTED_MS) + KILL_MS;
+        long mostMs = Math.min(longestMs, LONGEST_COUNTED_MS) + GIVE_UP_PLACE_MS;
         listeners.end();
         loop.execute(() -> begin(handsOver, leave, mostMs));
         LoopTasks.after(
                 loop, log, handsOver ? HANDED_OVER_MS : FRONT_LAG_MS, TimeUnit.MILLISECONDS, this::stopListening);
         try {
             boolean all = drained.await(mostMs, TimeUnit.MILLISECONDS);
-            loop.submit(() -> finish(all, leave)).awaitUninterruptibly(LOOK_MS);
+            loop.submit(() -> giveUpPlace(all, leave)).awaitUninterruptibly(LOOK_MS);
+            if (!all) {
+                awaitAnswers();
+            }
+            loop.submit(this::finish).awaitUninterruptibly(LOOK_MS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    private void awaitAnswers() throws InterruptedException {
+        int silentPeriods = 0;
+        long seen = looks;
+        while (silentPeriods < MOST_SILENT_PERIODS && !drained.await(LIVENESS_PERIOD_MS, TimeUnit.MILLISECONDS)) {
+            silentPeriods = looks == seen ? silentPeriods + 1 : 0;
+            seen = looks;
+        }
+    }
+
     private void begin(boolean handsOver, Runnable leave, long mostMs) {
         log.line(process
                 + (handsOver ? ": handing over to the process that has come up beside this one" : ": draining"));
@@ -85,21 +115,47 @@
 
     private void stopListening() {
         listeners.each(Front::stopListening);
-        LoopTasks.every(loop, log, LOOK_MS, TimeUnit.MILLISECONDS, () -> {
-            if (!listeners.busy()) {
-                drained.countDown();
-            }
-        });
+        LoopTasks.every(loop, log, LOOK_MS, TimeUnit.MILLISECONDS, this::look);
     }
 
-    private void finish(boolean all, Runnable leave) {
+    private void look() {
+        looks++;
+        long now = timers.now();
+        if (!listeners.busy()) {
+            allClientsLeft = true;
+            drained.countDown();
+        } else if (!placeGivenUp || listeners.answering() > 0) {
+            lastAnsweringAt = now;
+        } else if (now - lastAnsweringAt > PARTING_US) {
+            drained.countDown();
+        }
+    }
+
+    /** Whoever is to have this process's place can have it from now on, however long an answer takes. */
+    private void giveUpPlace(boolean all, Runnable leave) {
+        placeGivenUp = true;
         LoopTasks.contained(log, leave).run();
+        listeners.close();
+        if (!all) {
+            int answering = listeners.answering();
+            log.line(process + ": listens no more, ends when " + answering + " answers are over");
+            log.event(new LogEvent(
+                    "shutdown", process, "DRAINING", "FINISHING", answering + " answers are on their way"));
+        }
+    }
+
+    private void finish() {
         int unanswered = pools.stream().mapToInt(Pool::unanswered).sum();
         if (unanswered > 0) {
             log.count(Counter.ENDED_UNANSWERED);
             log.line(process + ": ends with " + unanswered + " requests unanswered");
         }
-        log.line(process + (all ? ": drained" : ": ends with clients still connected"));
-        log.event(new LogEvent("shutdown", process, "DRAINING", "ENDED", all ? "all clients have left" : "time is up"));
+        log.line(process + (allClientsLeft ? ": drained" : ": ends with clients still connected"));
+        log.event(new LogEvent(
+                "shutdown",
+                process,
+                "DRAINING",
+                "ENDED",
+                allClientsLeft ? "all clients have left" : "nothing is owed any more"));
     }
 }
--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -444,6 +444,11 @@
         return idleSince;
     }
 
+    @Override
+    public boolean answering() {
+        return exchange != null || unsent() > 0;
+    }
+
     /** Whatever a client does or leaves undone, its connection is not kept for longer than it is of use. */
     @Override
     public void expire(long now) {
--- a/daemon/src/main/java/grebehoist/tasks/TaskCalls.java
+++ b/daemon/src/main/java/grebehoist/tasks/TaskCalls.java
@@ -53,6 +53,8 @@
     private final Log log;
     private final Consumer<ObjectNode> lines;
     private final Bootstrap bootstrap;
+    /** Null before {@link #begin}. */
+    private Future<?> looks;
 
     /**
      * Makes them; {@link #begin} starts them.
@@ -84,7 +86,14 @@
 
     /** Begins to look what is due. */
     public void begin() {
-        LoopTasks.every(loop, log, LOOK_MS, TimeUnit.MILLISECONDS, this::look);
+        looks = LoopTasks.every(loop, log, LOOK_MS, TimeUnit.MILLISECONDS, this::look);
+    }
+
+    /** Begins no further call; on the loop's thread. One that is out may still be answered. */
+    public void end() {
+        if (looks != null) {
+            looks.cancel(false);
+        }
     }
 
     /** A holding has begun or ended. */
--- a/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
@@ -361,6 +361,11 @@
         return idleSince;
     }
 
+    @Override
+    public boolean answering() {
+        return !open.isEmpty() || TakeWatch.unsent(channel) > 0;
+    }
+
     @Override
     public void partIfIdle() {
         if (holdsNoCall() && TakeWatch.unsent(channel) == 0) {
--- a/daemon/src/test/java/grebehoist/cli/MembersIT.java
+++ b/daemon/src/test/java/grebehoist/cli/MembersIT.java
@@ -109,6 +109,40 @@
         }
     }
 
+    /**
+     * Issue 73, review/10: what is shared with others is given up in time, not at the end of a long answer. The address for other members is free for
+     * the next process of the same member, and the others hear that this one has left, while its clients still read.
+     */
+    @Test
+    void aLongAnswerDoesNotKeepTheMembersPlace() throws Exception {
+        int[] ports = ports();
+        try (var rig = ProcessIT.rig();
+                var discovery = new Peer();
+                var backends = new PeerFleet(4, LongAnswers::serve);
+                var first = new ProxyProcess("p0", ProcessIT.settings(0)).withDoor();
+                var second = new ProxyProcess("p1", ProcessIT.settings(1)).withDoor();
+                var twin = new ProxyProcess("p2", ProcessIT.settings(1)).withDoor()) {
+            begin(rig, first, file("m0", 0, ports, OLD));
+            second.configure(discovery.socketAddress(), backends.list())
+                    .start("--installation", file("m1", 1, ports, OLD))
+                    .awaitReady();
+            awaitState(rig, first, 1, "alive", 1);
+            try (var clients = new LongReaders(second.address(), 4)) {
+                second.signal("TERM");
+                begin(rig, twin, file("m1-twin", 1, ports, OLD));
+                awaitState(rig, first, 1, "alive", 2);
+                assertThat(clients.reading()).as("answers are on their way").isTrue();
+                assertThat(second.alive()).isTrue();
+                assertThat(second.call("GET", "/v1/readyz"))
+                        .as("nobody is at its door")
+                        .isZero();
+                assertThat(first.log()).contains("\"state\":\"left\"");
+                assertThat(clients.allWhole()).as("%s", second.log()).isTrue();
+            }
+            assertThat(second.awaitEnd()).isZero();
+        }
+    }
+
     /** A member with another key is heard by nobody; one whose ring has both is, whichever seals. */
     @Test
     void aKeyThatOthersDoNotHaveIsRefusedAndCounted() throws Exception {
--- a/daemon/src/test/java/grebehoist/cli/OperationsIT.java
+++ b/daemon/src/test/java/grebehoist/cli/OperationsIT.java
@@ -156,6 +156,36 @@
         }
     }
 
+    /** Guards against issue 73, review/10, in an upgrade: the old process ended 3.1 s after SIGTERM, with its long answers cut off. */
+    @Test
+    void anUpgradeLetsLongAnswersOfTheOldProcessComeWhole() throws Exception {
+        try (var discovery = new Peer();
+                var backends = new PeerFleet(4, LongAnswers::serve);
+                var old = new ProxyProcess("n0", ProcessIT.settings(0)).withDoor();
+                var young = old.newVersion()) {
+            old.configure(discovery.socketAddress(), backends.list()).start().awaitReady();
+            young.configure(discovery.socketAddress(), backends.list()).start();
+            awaitReadyAtDoor(young);
+            // Each of the two has some of them.
+            try (var clients = new LongReaders(old.address(), 20)) {
+                old.signal("TERM");
+                assertThat(clients.allWhole()).as("%s", old.log()).isTrue();
+                long over = System.nanoTime();
+                assertThat(old.awaitEnd()).isZero();
+                assertThat(TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - over))
+                        .isLessThan(5);
+                assertThat(old.log()).contains("handing over").contains("answers are over");
+            }
+        }
+    }
+
+    private static void awaitReadyAtDoor(ProxyProcess process) throws IOException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (process.call("GET", "/v1/readyz") != 200 && System.nanoTime() < until) {
+            pause(20);
+        }
+    }
+
     private static final int IDS = 60;
     private static final int BURSTS = 2;
     private static final long LEAVES_MS = 50;
@@ -173,10 +203,7 @@
                 var young = old.newVersion()) {
             old.configure(discovery.socketAddress(), backends.list()).start().awaitReady();
             young.configure(discovery.socketAddress(), backends.list()).start();
-            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
-            while (young.call("GET", "/v1/readyz") != 200 && System.nanoTime() < until) {
-                TimeUnit.MILLISECONDS.sleep(20);
-            }
+            awaitReadyAtDoor(young);
             for (int burst = 0; burst < BURSTS; burst++) {
                 var clients = new ArrayList<Thread>();
                 for (int i = 0; i < IDS; i++) {
--- a/daemon/src/test/java/grebehoist/cli/Peer.java
+++ b/daemon/src/test/java/grebehoist/cli/Peer.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -55,20 +56,34 @@
     /** Answers every request in the same way from now on, on threads of its own; returns the requests as they come. */
     public BlockingQueue<Wire.Message> always(String answer) {
         var seen = new LinkedBlockingQueue<Wire.Message>();
-        background(() -> {
-            while (true) {
-                Wire wire = accept();
-                background(() -> {
-                    for (Wire.Message m = wire.read(); m != null; m = wire.read()) {
-                        seen.add(m);
-                        wire.send(answer);
-                    }
-                });
+        serveAll(wire -> {
+            for (Wire.Message m = wire.read(); m != null; m = wire.read()) {
+                seen.add(m);
+                wire.send(answer);
             }
         });
         return seen;
     }
 
+    /** What is done on one connection. */
+    public interface Service {
+        void serve(Wire connection) throws IOException;
+    }
+
+    /** Serves every connection on a thread of its own until this is closed, however long none comes. */
+    public void serveAll(Service service) {
+        background(() -> {
+            while (!server.isClosed()) {
+                try {
+                    Wire connection = accept();
+                    background(() -> service.serve(connection));
+                } catch (SocketTimeoutException e) {
+                    // Nobody has come for a while.
+                }
+            }
+        });
+    }
+
     public static String ok(String body) {
         return answer("200 OK", body);
     }
--- a/daemon/src/test/java/grebehoist/thrift/ThriftProxyTest.java
+++ b/daemon/src/test/java/grebehoist/thrift/ThriftProxyTest.java
@@ -672,12 +672,14 @@
             client.send(call("readA", 1));
             try (var attempt = FrameWire.accept(backend)) {
                 byte[] came = attempt.read();
-                proxy.front.closeAfterAnswers();
-                proxy.front.stopListening();
+                proxy.on(proxy.front::closeAfterAnswers);
+                proxy.on(proxy.front::stopListening);
                 assertThat(idle.read()).isNull();
+                proxy.awaitOn(() -> proxy.front.answering() == 1);
                 attempt.send(reply(Kind.BINARY, "readA", head(came).sequenceId(), "ok"));
                 assertThat(text(client.read())).isEqualTo("ok");
                 assertThat(client.read()).isNull();
+                proxy.awaitOn(() -> proxy.front.answering() == 0);
             }
         }
     }
--- a/net/src/main/java/grebehoist/net/ClientFront.java
+++ b/net/src/main/java/grebehoist/net/ClientFront.java
@@ -32,6 +32,9 @@
 
         /** Returns since when nothing is open on it, in microseconds. */
         long idleSince();
+
+        /** Returns whether an answer is owed on it, or has yet to be taken by its client. */
+        boolean answering();
     }
 
     /** An answer is on its way for a moment, and the proxy may be late by a few milliseconds. */
@@ -178,11 +181,15 @@
     @Override
     public final void stopListening() {
         closing = true;
-        whenNobodyWaits(() -> {
-            stopped = true;
-            stopAccepting();
-            partIdle();
-        });
+        whenNobodyWaits(this::closeListener);
+    }
+
+    @Override
+    public final void closeListener() {
+        closing = true;
+        stopped = true;
+        stopAccepting();
+        partIdle();
     }
 
     private void whenNobodyWaits(Runnable action) {
@@ -202,6 +209,11 @@
         }
     }
 
+    @Override
+    public final int answering() {
+        return (int) connections.stream().filter(Connection::answering).count();
+    }
+
     @Override
     public final boolean busy() {
         return !connections.isEmpty() || listener != null && listener.isOpen();
--- a/net/src/main/java/grebehoist/net/Front.java
+++ b/net/src/main/java/grebehoist/net/Front.java
@@ -28,6 +28,12 @@
     /** Accepts all who wait, and no more, and ends the connections on which nothing is asked. */
     void stopListening();
 
+    /** Listens no more, whoever waits to be accepted, and ends the connections on which nothing is asked. */
+    void closeListener();
+
+    /** Returns on how many connections an answer is owed, or has yet to be taken by its client. */
+    int answering();
+
     /** Returns whether it listens, or any client is still connected: it waits for an answer, or has not taken it, or not read the end. */
     boolean busy();
 }
