A run of a task is done in the period of its number, whoever held the task before

Cause: Runs took "the last run that I know, plus one" for the run to do now, and a new holding dropped the time before which that was not due. The same plus one made a member whose clock is behind skip a run, and the next run's time was counted from the end of a call, which could cost a period its run.

A call whose period ended while it was connecting is not sent.

--- a/daemon/src/main/java/grebehoist/tasks/TaskCalls.java
+++ b/daemon/src/main/java/grebehoist/tasks/TaskCalls.java
@@ -164,6 +164,11 @@
             }
             TaskSpec spec = specs.get(task);
             run = runs[task].due(timers.now());
+            if (run == 0) {
+                // Its period ended while this was connecting.
+                finish();
+                return;
+            }
             var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, spec.path());
             request.headers()
                     .set(HttpHeaderNames.HOST, spec.to().getHostString())
