A process that only finishes long answers leaves its successor the descriptors

Need: since the old process of an upgrade lives for as long as its long answers take, the new one would have half of the descriptors, and a quarter less of what cold backends bear, for all that time. Before, that was 3.6 s at most.

Change: once its place is given up a process says so in the state directory, with the descriptors that it holds, by the length of its file as before; the other one counts it as no process that serves, and has the rest. Who starts beside it does not wait to take over from it. An older version takes it for one that serves. What is seen of other processes is one type (ProcessCount), which Shared holds in place of a copy of each field.

Tests: StateDirectoryTest.aProcessThatFinishesLongAnswersKeepsOnlyWhatItHolds.

--- a/daemon/src/main/java/grebehoist/cli/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -477,9 +477,12 @@
         }
     }
 
-    /** Two processes of one proxy share its descriptors: each has half of them while both serve. One that starts needs few. */
+    /**
+     * Two processes of one proxy share its descriptors: each has half of them while both serve. One that starts needs few, and one that only
+     * finishes long answers keeps what it holds.
+     */
     private void otherProcesses(StateDirectory.Shared shared) {
-        int limit = config.sockets() - Door.MOST_CALLERS;
+        int limit = config.sockets() - Door.MOST_CALLERS - shared.processes().finishingSockets();
         boolean otherStarts = shared.others() == 1 && shared.newer() && !shared.newerServes();
         int equalShare = Math.max(LEAST_SOCKETS, limit / (1 + shared.others()));
         host.sockets().limit(otherStarts ? Math.max(equalShare, limit - LEAST_SOCKETS) : equalShare);
@@ -565,12 +568,22 @@
     /** Answers all that is taken, sends the clients elsewhere, and ends the process in time. */
     void drain() {
         boolean handsOver = succeeded;
-        new Shutdown(name, loop, host.timers(), log, listeners, pools).run(handsOver, () -> {
-            if (handsOver) {
-                act(LEAVING);
-                leaving = true;
+        new Shutdown(name, loop, host.timers(), log, listeners, pools).run(handsOver, new Shutdown.Owner() {
+            @Override
+            public void leave() {
+                if (handsOver) {
+                    act(LEAVING);
+                    leaving = true;
+                }
+                Serve.this.leave();
+            }
+
+            @Override
+            public void finishing() {
+                if (operations != null) {
+                    operations.finishing(host.sockets().held());
+                }
             }
-            leave();
         });
     }
 
--- a/daemon/src/main/java/grebehoist/cli/Shutdown.java
+++ b/daemon/src/main/java/grebehoist/cli/Shutdown.java
@@ -20,12 +20,22 @@
  * <p>Each step is contained, so one that fails leaves the others. {@link #run} is called by a thread of its own; all else is done on the loop's.
  */
 final class Shutdown {
+    /** Whose end it is. Called on the loop's thread. */
+    interface Owner {
+        /** What this process had to do with other proxies is over; may be called again. */
+        void leave();
+
+        /** The place is given up, and answers that have begun go on; called again from time to time. */
+        void finishing();
+    }
+
     /** New connections go on coming for so long after the signal. */
     private static final long FRONT_LAG_MS = 500;
     /** An upgraded process is used for so long on the connections that it has, each of which ends with its next answer. */
     private static final long HANDED_OVER_MS = 1_000;
 
     private static final long LOOK_MS = 10;
+    private static final long FINISHING_EVERY_MS = 200;
     /** Counted from the longest deadline: the process is killed no sooner than a little after this. */
     private static final long GIVE_UP_PLACE_MS = 600;
     /** The longest deadline counts for no more than this in the time that a process has to give up its place. */
@@ -67,19 +77,18 @@
      * Ends in order; returns when all is done.
      *
      * @param handsOver whether another process of this proxy takes the clients over
-     * @param leave on the loop's thread, what this process had to do with others is over: at once where it hands over, else when the place is
-     *         given up
+     * @param owner leaves at once where it hands over, else when the place is given up
      */
-    void run(boolean handsOver, Runnable leave) {
+    void run(boolean handsOver, Owner owner) {
         long longestMs = pools.stream().mapToLong(Pool::longestDeadlineUs).max().orElse(0) / 1_000;
         long mostMs = Math.min(longestMs, LONGEST_COUNTED_MS) + GIVE_UP_PLACE_MS;
         listeners.end();
-        loop.execute(() -> begin(handsOver, leave, mostMs));
+        loop.execute(() -> begin(handsOver, owner, mostMs));
         LoopTasks.after(
                 loop, log, handsOver ? HANDED_OVER_MS : FRONT_LAG_MS, TimeUnit.MILLISECONDS, this::stopListening);
         try {
             boolean all = drained.await(mostMs, TimeUnit.MILLISECONDS);
-            loop.submit(() -> giveUpPlace(all, leave)).awaitUninterruptibly(LOOK_MS);
+            loop.submit(() -> giveUpPlace(all, owner)).awaitUninterruptibly(LOOK_MS);
             if (!all) {
                 awaitAnswers();
             }
@@ -98,7 +107,7 @@
         }
     }
 
-    private void begin(boolean handsOver, Runnable leave, long mostMs) {
+    private void begin(boolean handsOver, Owner owner, long mostMs) {
         log.line(process
                 + (handsOver ? ": handing over to the process that has come up beside this one" : ": draining"));
         log.event(new LogEvent("shutdown", process, "SERVING", handsOver ? "HANDING_OVER" : "DRAINING", "SIGTERM"));
@@ -108,7 +117,7 @@
                 p -> LoopTasks.contained(log, () -> p.answerAllBy(answerBy)).run());
         if (handsOver) {
             // The one that follows has this one's place among the members too.
-            LoopTasks.contained(log, leave).run();
+            LoopTasks.contained(log, owner::leave).run();
             listeners.each(l -> l.handOver(() -> log.line(process + ": listens no more")));
         }
     }
@@ -132,11 +141,13 @@
     }
 
     /** Whoever is to have this process's place can have it from now on, however long an answer takes. */
-    private void giveUpPlace(boolean all, Runnable leave) {
+    private void giveUpPlace(boolean all, Owner owner) {
         placeGivenUp = true;
-        LoopTasks.contained(log, leave).run();
+        LoopTasks.contained(log, owner::leave).run();
         listeners.close();
         if (!all) {
+            LoopTasks.contained(log, owner::finishing).run();
+            LoopTasks.every(loop, log, FINISHING_EVERY_MS, TimeUnit.MILLISECONDS, owner::finishing);
             int answering = listeners.answering();
             log.line(process + ": listens no more, ends when " + answering + " answers are over");
             log.event(new LogEvent(
--- a/daemon/src/main/java/grebehoist/operations/Operations.java
+++ b/daemon/src/main/java/grebehoist/operations/Operations.java
@@ -82,6 +82,15 @@
         state.announce(afterMs);
     }
 
+    /**
+     * Tells the other processes of this proxy that this one has given up its place, and only finishes what has begun.
+     *
+     * @param sockets descriptors that it holds for that
+     */
+    public void finishing(int sockets) {
+        state.finishing(sockets);
+    }
+
     /** Returns what the processes of this proxy have sent on of one pool. */
     public RequestClaims claims(String pool) {
         return state.claims(pool);
--- a/daemon/src/main/java/grebehoist/operations/ProcessCensus.java
+++ b/daemon/src/main/java/grebehoist/operations/ProcessCensus.java
@@ -18,20 +18,15 @@
  * lives, which the kernel gives up however it ends. A process's number is one more than the greatest that it found when it joined:
  * so the order of processes does not depend on the machine's wall clock, which may be stepped between two starts.
  *
- * <p>How many bytes a process's file has tells how far it is: {@value #STARTING} while it starts, more once it is about to serve. One that says
- * nothing, as older versions do, is taken to serve. Used by one thread.
+ * <p>How many bytes a process's file has tells how far it is: {@value #STARTING} while it starts, more once it is about to serve, and
+ * {@value #FINISHING} and one for each descriptor that it holds once it has given up its place. One that says nothing, as older versions do, is taken to
+ * serve. Used by one thread.
  */
 final class ProcessCensus {
-    /**
-     * What was found.
-     *
-     * @param others how many other processes live
-     * @param newer whether one of them joined after this one
-     * @param newerServes whether such a one serves, or is about to
-     */
-    record Count(int others, boolean newer, boolean newerServes) {}
-
+    private static final long DEAD = -1;
+    private static final long SILENT = 0;
     private static final long STARTING = 1;
+    private static final long FINISHING = 1_000;
     private static final byte MARK = '.';
 
     private static final Pattern NAME = Pattern.compile(StateFiles.PROCESS + "(\\d{1,18})-(\\d{1,18})");
@@ -93,47 +88,66 @@
         mark(locked, STARTING);
     }
 
+    /**
+     * Tells the others that this process has given up its place, and only finishes what has begun.
+     *
+     * @param sockets descriptors that it holds for that
+     */
+    void finish(int sockets) throws IOException {
+        long size = FINISHING + sockets;
+        mark(locked, size - 1);
+        locked.truncate(size);
+    }
+
     private static void mark(FileChannel file, long position) throws IOException {
         file.write(ByteBuffer.wrap(new byte[] {MARK}), position);
     }
 
-    Count count(List<Path> processes) throws IOException {
+    ProcessCount count(List<Path> processes) throws IOException {
         int others = 0;
         boolean newer = false;
         boolean newerServes = false;
+        long finishingSockets = 0;
         for (Path process : processes) {
-            if (!process.equals(own) && lives(process)) {
+            long mark = process.equals(own) ? DEAD : mark(process);
+            if (mark >= FINISHING) {
+                finishingSockets += mark - FINISHING;
+            } else if (mark != DEAD) {
                 others++;
                 boolean later = own != null && joinedLater(process, own);
                 newer |= later;
-                newerServes |= later && !starts(process);
+                newerServes |= later && mark != STARTING;
             }
         }
-        return new Count(others, newer, newerServes);
-    }
-
-    private static boolean starts(Path process) throws IOException {
-        try {
-            return Files.size(process) == STARTING;
-        } catch (NoSuchFileException e) {
-            // It has ended just now, which the next look sees.
-            return false;
-        }
+        return new ProcessCount(others, newer, newerServes, Math.toIntExact(finishingSockets));
     }
 
-    /** Whose lock can be had is dead, and its file is taken away. One whose file can't be opened may live, and counts. */
-    private static boolean lives(Path process) {
+    /**
+     * Returns how many bytes the file of a process that lives has. Whose lock can be had is dead, and its file is taken away. One whose file can't be
+     * opened may live, and counts as one that says nothing.
+     */
+    private static long mark(Path process) {
         try (FileChannel file = FileChannel.open(process, StandardOpenOption.WRITE)) {
             if (file.tryLock() == null) {
-                return true;
+                return file.size();
             }
             Files.deleteIfExists(process);
-            return false;
+            return DEAD;
         } catch (NoSuchFileException e) {
-            return false;
-        } catch (OverlappingFileLockException | IOException e) {
-            // The first: in this very process, two proxies of a test.
-            return true;
+            return DEAD;
+        } catch (OverlappingFileLockException e) {
+            // In this very process: two proxies of a test.
+            return size(process);
+        } catch (IOException e) {
+            return SILENT;
+        }
+    }
+
+    private static long size(Path process) {
+        try {
+            return Files.size(process);
+        } catch (IOException e) {
+            return SILENT;
         }
     }
 
--- a/daemon/src/main/java/grebehoist/operations/StateDirectory.java
+++ b/daemon/src/main/java/grebehoist/operations/StateDirectory.java
@@ -49,15 +49,33 @@
      *
      * @param suspended the ids of all backends that are suspended
      * @param drained whether clients are to be sent elsewhere
-     * @param others how many other processes of this proxy live
-     * @param newer whether one of them began after this one
-     * @param newerServes whether such a one serves, or is about to
+     * @param processes the other processes of this proxy
      */
-    public record Shared(Set<String> suspended, boolean drained, int others, boolean newer, boolean newerServes) {
+    public record Shared(Set<String> suspended, boolean drained, ProcessCount processes) {
         /** What is in force while no newer process serves. */
         public Shared(Set<String> suspended, boolean drained, int others, boolean newer) {
-            this(suspended, drained, others, newer, false);
+            this(suspended, drained, new ProcessCount(others, newer, false, 0));
         }
+
+        /** Returns how many other processes of this proxy live, but for those that only finish what has begun. */
+        public int others() {
+            return processes.others();
+        }
+
+        /** Returns whether one of them began after this one. */
+        public boolean newer() {
+            return processes.newer();
+        }
+
+        /** Returns whether such a one serves, or is about to. */
+        public boolean newerServes() {
+            return processes.newerServes();
+        }
+    }
+
+    /** What the other processes are to be told of this one. */
+    private interface Announcement {
+        void write(ProcessCensus census) throws IOException;
     }
 
     /** Something that operators have asked, in force here until it lasts on disk. */
@@ -98,8 +116,8 @@
 
     private int looks;
     private boolean readable = true;
-    /** Whether nothing is left to be told to the other processes. */
-    private boolean announced = true;
+    /** Null where nothing is left to be told to the other processes. */
+    private Announcement untold;
     /** Null as long as it could not be mapped. */
     private volatile ClaimTable claims;
 
@@ -146,13 +164,16 @@
      * @param afterMs in so many milliseconds
      */
     public void announce(long afterMs) {
-        thread.schedule(
-                () -> {
-                    announced = false;
-                    tellOthers();
-                },
-                afterMs,
-                TimeUnit.MILLISECONDS);
+        thread.schedule(() -> tellOthers(ProcessCensus::announce), afterMs, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Tells the other processes that this one has given up its place, and only finishes what has begun. May be called again.
+     *
+     * @param sockets descriptors that it holds for that
+     */
+    public void finishing(int sockets) {
+        thread.execute(() -> tellOthers(census -> census.finish(sockets)));
     }
 
     /** Returns what the processes of this proxy have sent on of one pool. While that can't be shared nobody else is known. */
@@ -267,7 +288,7 @@
                 suspended.remove(p.backend);
             }
         }
-        return new Shared(Set.copyOf(suspended), drained, onDisk.others, onDisk.newer, onDisk.newerServes);
+        return new Shared(Set.copyOf(suspended), drained, onDisk.processes);
     }
 
     private void tell() {
@@ -338,13 +359,18 @@
         }
     }
 
+    private void tellOthers(Announcement news) {
+        untold = news;
+        tellOthers();
+    }
+
     private void tellOthers() {
-        if (announced) {
+        if (untold == null) {
             return;
         }
         try {
-            census.announce();
-            announced = true;
+            untold.write(census);
+            untold = null;
         } catch (IOException | RuntimeException e) {
             // Again with the next look: the others go on as if this process were still starting.
             log.count(Counter.STATE_WRITE_FAILED);
@@ -386,11 +412,8 @@
             census.join(listing.processes());
         }
         boolean count = before == null || looks++ % LOOKS_FOR_EACH_CENSUS == 0;
-        ProcessCensus.Count processes = count
-                ? census.count(listing.processes())
-                : new ProcessCensus.Count(before.others, before.newer, before.newerServes);
-        return new Shared(
-                listing.suspended(), listing.drained(), processes.others(), processes.newer(), processes.newerServes());
+        ProcessCount processes = count ? census.count(listing.processes()) : before.processes;
+        return new Shared(listing.suspended(), listing.drained(), processes);
     }
 
     /** Leaves: the others see that at their next look. */
--- a/daemon/src/test/java/grebehoist/cli/LongReaders.java
+++ b/daemon/src/test/java/grebehoist/cli/LongReaders.java
@@ -10,38 +10,44 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
-/** Clients of a process, each of which has the head of a long answer ({@link LongAnswers}) and reads the rest as it comes. */
+/** Clients of a process, each of which has the head of a long answer ({@link EndlessAnswers}) and reads the rest as it comes. */
 final class LongReaders implements Closeable {
     private static final long PATIENCE_S = 30;
+    private static final long AGAIN_MS = 50;
 
     private final List<Wire> clients = new ArrayList<>();
     private final List<CompletableFuture<Boolean>> readings = new ArrayList<>();
 
-    /** Connects so many, and returns when all answers have begun. */
-    LongReaders(InetSocketAddress proxy, int number) throws IOException {
+    /** Connects so many, and returns when all answers have begun. A fresh proxy may refuse: then it is asked again. */
+    LongReaders(InetSocketAddress proxy, int number) throws IOException, InterruptedException {
         for (int i = 0; i < number; i++) {
-            String id = LongAnswers.WITH_LENGTH + i;
-            Wire client = Wire.to(proxy)
-                    .send("GET /api?k=" + id + " HTTP/1.1\r\nHost: service\r\nX-Request-ID: " + id
-                            + "\r\nX-Tenant-Id: large\r\nX-Timeout: 1900m\r\nX-Priority-Class: read\r\n\r\n");
+            Wire client = begun(proxy, i);
             clients.add(client);
-        }
-        for (Wire client : clients) {
-            int status = client.head().status();
-            if (status != 200) {
-                throw new IllegalStateException("answered " + status);
-            }
-        }
-        for (Wire client : clients) {
             var reading = new CompletableFuture<Boolean>();
             readings.add(reading);
             Peer.background(() -> reading.complete(isWhole(client)));
         }
     }
 
+    private static Wire begun(InetSocketAddress proxy, int number) throws IOException, InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        for (int attempt = 0; System.nanoTime() - until < 0; attempt++) {
+            String id = "long" + number + "-" + attempt;
+            Wire client = Wire.to(proxy)
+                    .send("GET /api?k=" + id + " HTTP/1.1\r\nHost: service\r\nX-Request-ID: " + id
+                            + "\r\nX-Tenant-Id: large\r\nX-Timeout: 1900m\r\nX-Priority-Class: read\r\n\r\n");
+            if (client.head().status() == 200) {
+                return client;
+            }
+            client.close();
+            TimeUnit.MILLISECONDS.sleep(AGAIN_MS);
+        }
+        throw new IllegalStateException("refused for " + PATIENCE_S + " s");
+    }
+
     private static boolean isWhole(Wire client) {
         try {
-            client.body(LongAnswers.LENGTH);
+            client.chunks();
             return true;
         } catch (IOException e) {
             return false;
--- a/daemon/src/test/java/grebehoist/cli/MembersIT.java
+++ b/daemon/src/test/java/grebehoist/cli/MembersIT.java
@@ -116,9 +116,10 @@
     @Test
     void aLongAnswerDoesNotKeepTheMembersPlace() throws Exception {
         int[] ports = ports();
+        var answers = new EndlessAnswers();
         try (var rig = ProcessIT.rig();
                 var discovery = new Peer();
-                var backends = new PeerFleet(4, LongAnswers::serve);
+                var backends = new PeerFleet(4, answers);
                 var first = new ProxyProcess("p0", ProcessIT.settings(0)).withDoor();
                 var second = new ProxyProcess("p1", ProcessIT.settings(1)).withDoor();
                 var twin = new ProxyProcess("p2", ProcessIT.settings(1)).withDoor()) {
@@ -137,6 +138,7 @@
                         .as("nobody is at its door")
                         .isZero();
                 assertThat(first.log()).contains("\"state\":\"left\"");
+                answers.finish();
                 assertThat(clients.allWhole()).as("%s", second.log()).isTrue();
             }
             assertThat(second.awaitEnd()).isZero();
--- a/daemon/src/test/java/grebehoist/cli/OperationsIT.java
+++ b/daemon/src/test/java/grebehoist/cli/OperationsIT.java
@@ -159,23 +159,36 @@
     /** Guards against issue 73, review/10, in an upgrade: the old process ended 3.1 s after SIGTERM, with its long answers cut off. */
     @Test
     void anUpgradeLetsLongAnswersOfTheOldProcessComeWhole() throws Exception {
+        var answers = new EndlessAnswers();
         try (var discovery = new Peer();
-                var backends = new PeerFleet(4, LongAnswers::serve);
+                var backends = new PeerFleet(4, answers);
                 var old = new ProxyProcess("n0", ProcessIT.settings(0)).withDoor();
                 var young = old.newVersion()) {
             old.configure(discovery.socketAddress(), backends.list()).start().awaitReady();
-            young.configure(discovery.socketAddress(), backends.list()).start();
-            awaitReadyAtDoor(young);
-            // Each of the two has some of them.
-            try (var clients = new LongReaders(old.address(), 20)) {
+            try (var clients = new LongReaders(old.address(), 4)) {
+                young.configure(discovery.socketAddress(), backends.list()).start();
+                awaitReadyAtDoor(young);
                 old.signal("TERM");
+                awaitLine(old, "listens no more, ends when 4 answers are over");
+                assertThat(old.log()).contains("handing over");
+                assertThat(old.call("GET", "/v1/readyz"))
+                        .as("nobody is at its door")
+                        .isZero();
+                assertThat(clients.reading()).isTrue();
+                answers.finish();
                 assertThat(clients.allWhole()).as("%s", old.log()).isTrue();
-                long over = System.nanoTime();
-                assertThat(old.awaitEnd()).isZero();
-                assertThat(TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - over))
-                        .isLessThan(5);
-                assertThat(old.log()).contains("handing over").contains("answers are over");
             }
+            long over = System.nanoTime();
+            assertThat(old.awaitEnd()).isZero();
+            assertThat(TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - over)).isLessThan(5);
+        }
+    }
+
+    private static void awaitLine(ProxyProcess process, String line) throws IOException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (!process.log().contains(line)) {
+            assertThat(System.nanoTime() - until).as("%s", process.log()).isNegative();
+            pause(20);
         }
     }
 
--- a/daemon/src/test/java/grebehoist/operations/StateDirectoryTest.java
+++ b/daemon/src/test/java/grebehoist/operations/StateDirectoryTest.java
@@ -119,6 +119,26 @@
         }
     }
 
+    /** Issue 73: the old process of an upgrade that finishes long answers would have half of the descriptors for as long as these take. */
+    @Test
+    void aProcessThatFinishesLongAnswersKeepsOnlyWhatItHolds() throws Exception {
+        try (var old = open();
+                var young = open()) {
+            BlockingQueue<Shared> seen = watch(young);
+            assertThat(await(seen, s -> true).others()).isEqualTo(1);
+            old.finishing(40);
+            Shared finishing = await(seen, s -> s.others() == 0);
+            assertThat(finishing.processes().finishingSockets()).isEqualTo(40);
+            old.finishing(3);
+            await(seen, s -> s.processes().finishingSockets() == 3);
+            try (var third = open()) {
+                assertThat(third.atStart().others())
+                        .as("it has nobody to take over from there")
+                        .isEqualTo(1);
+            }
+        }
+    }
+
     /** One of an older version says nothing, and may serve. */
     @Test
     void aNewProcessThatSaysNothingIsTakenToServe() throws Exception {
--- a/net/src/main/java/grebehoist/net/Sockets.java
+++ b/net/src/main/java/grebehoist/net/Sockets.java
@@ -80,6 +80,11 @@
         accept();
     }
 
+    /** Returns how many descriptors the process may hold at the moment, with those that have no place of their own. */
+    public int held() {
+        return clients + backends + SPARE;
+    }
+
     private long now() {
         return loop.ticker().nanoTime();
     }
