Tests: addresses of processes are held for them, so that no connection has them first

Change: ReservedAddress in the testkit holds each such port by a socket that does not listen. It takes the place of three methods of the same kind.

--- a/daemon/src/test/java/grebehoist/cli/ChangeCommandTest.java
+++ b/daemon/src/test/java/grebehoist/cli/ChangeCommandTest.java
@@ -10,6 +10,7 @@
 import grebehoist.net.Sockets;
 import grebehoist.net.StderrLog;
 import grebehoist.pool.Pool;
+import grebehoist.testkit.ReservedAddress;
 import grebehoist.writer.ChangeStream;
 import grebehoist.writer.FleetStatus;
 import java.io.ByteArrayInputStream;
@@ -70,7 +71,7 @@
     /** One machine holds all there is. */
     private Installation.DistributionEntry machine() throws Exception {
         Installation.DistributionEntry entry =
-                Installation.read(file(ProxyProcess.freeAddress())).distribution();
+                Installation.read(file(ReservedAddress.next())).distribution();
         Network network = Network.sockets();
         networks.add(network);
         var host = new Pool.Host(
@@ -181,7 +182,7 @@
 
     @Test
     void whereNobodyAnswersAChangeIsRefused() throws Exception {
-        Path file = file(ProxyProcess.freeAddress());
+        Path file = file(ReservedAddress.next());
         assertThat(changes(
                         Installation.read(file).distribution(), "{\"op\":\"suspend\",\"scope\":\"a\",\"key\":\"s\"}"))
                 .isFalse();
@@ -291,7 +292,7 @@
                 "--installation O --scope a --create"
             })
     void aBadCommandLineOrFileIsTwo(String words) throws Exception {
-        String good = file(ProxyProcess.freeAddress()).toString();
+        String good = file(ReservedAddress.next()).toString();
         String other = Files.writeString(
                         folder.resolve("other.toml"),
                         InstallationText.pool("p", new InetSocketAddress(1))
--- a/daemon/src/test/java/grebehoist/cli/ControlFleet.java
+++ b/daemon/src/test/java/grebehoist/cli/ControlFleet.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import grebehoist.testkit.ReservedAddress;
 import java.io.BufferedReader;
 import java.io.Closeable;
 import java.io.IOException;
@@ -34,7 +35,7 @@
         this.folder = folder;
         ports = ports(MACHINES + proxies);
         for (int i = 0; i < MACHINES; i++) {
-            doors.add(ProxyProcess.freeAddress());
+            doors.add(ReservedAddress.next());
         }
     }
 
--- a/daemon/src/test/java/grebehoist/cli/DistributionIT.java
+++ b/daemon/src/test/java/grebehoist/cli/DistributionIT.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import grebehoist.testkit.Fleet;
+import grebehoist.testkit.ReservedAddress;
 import grebehoist.testkit.Rig;
 import grebehoist.testkit.Witness;
 import java.io.IOException;
@@ -26,7 +27,7 @@
 
     /** Begins a proxy with two pools, which the witness knows as two proxies: the installation's and the platform's. */
     private static void begin(Rig rig, ControlFleet control, ProxyProcess proxy, int number) throws Exception {
-        InetSocketAddress more = ProxyProcess.freeAddress();
+        InetSocketAddress more = ReservedAddress.next();
         String file = control.proxyFile(
                 number,
                 InstallationText.pool("more", rig.discoveryOfNextProxy())
--- a/daemon/src/test/java/grebehoist/cli/ProcessIT.java
+++ b/daemon/src/test/java/grebehoist/cli/ProcessIT.java
@@ -7,6 +7,7 @@
 import beechfall.Balancer.RequestClass;
 import beechfall.Balancer.Scope;
 import grebehoist.testkit.Fleet;
+import grebehoist.testkit.ReservedAddress;
 import grebehoist.testkit.Rig;
 import grebehoist.testkit.Witness;
 import grebehoist.testkit.Witness.Count;
@@ -224,7 +225,7 @@
         try (var rig = rig();
                 var taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
                 var proxy = new ProxyProcess("n0", settings(0))) {
-            InetSocketAddress billing = ProxyProcess.freeAddress();
+            InetSocketAddress billing = ReservedAddress.next();
             Files.writeString(
                     file,
                     InstallationText.pool("billing", rig.discoveryOfNextProxy())
--- a/daemon/src/test/java/grebehoist/cli/ProxyProcess.java
+++ b/daemon/src/test/java/grebehoist/cli/ProxyProcess.java
@@ -2,13 +2,12 @@
 
 import beechfall.Balancer;
 import com.fasterxml.jackson.databind.JsonNode;
+import grebehoist.testkit.ReservedAddress;
 import grebehoist.testkit.Rig;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.HttpURLConnection;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -33,7 +32,7 @@
     private Process process;
 
     ProxyProcess(String name, Balancer.Settings settings) throws IOException {
-        this(name, settings, freeAddress());
+        this(name, settings, ReservedAddress.next());
     }
 
     private ProxyProcess(String name, Balancer.Settings settings, InetSocketAddress listen) throws IOException {
@@ -44,16 +43,9 @@
         this.log = Files.createTempFile("proxy", ".log");
     }
 
-    /** A port that nobody has; the process is to have the same one in each of its lives. */
-    static InetSocketAddress freeAddress() throws IOException {
-        try (var socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
-        }
-    }
-
     /** Gives it a door for operators. */
     ProxyProcess withDoor() throws IOException {
-        door = freeAddress();
+        door = ReservedAddress.next();
         files = Files.createTempDirectory("proxy-files");
         return this;
     }
@@ -61,7 +53,7 @@
     /** A new version of this proxy, to run beside it: all is the same but where operators call. */
     ProxyProcess newVersion() throws IOException {
         var next = new ProxyProcess(name, settings, listen);
-        next.door = freeAddress();
+        next.door = ReservedAddress.next();
         next.files = files;
         return next;
     }
--- a/daemon/src/test/java/grebehoist/cli/ThriftProcessIT.java
+++ b/daemon/src/test/java/grebehoist/cli/ThriftProcessIT.java
@@ -6,6 +6,7 @@
 import beechfall.Balancer.Effect;
 import beechfall.Balancer.RequestClass;
 import beechfall.Balancer.Scope;
+import grebehoist.testkit.ReservedAddress;
 import grebehoist.testkit.Rig;
 import grebehoist.testkit.StandInBackend.Act;
 import grebehoist.testkit.ThriftWire;
@@ -135,7 +136,7 @@
                             "s0", "127.0.0.1:" + socket.getServerSocket().getLocalPort(), "ready") + "]}";
             platform.always(Peer.ok(list));
             discovery.always(Peer.ok(list));
-            InetSocketAddress address = ProxyProcess.freeAddress();
+            InetSocketAddress address = ReservedAddress.next();
             String example = Files.readString(Path.of("../deploy/thrift-example.toml"));
             assertThat(example).contains("127.0.0.1:8502").contains("127.0.0.1:9090");
             Files.writeString(
@@ -207,7 +208,7 @@
                         42);
                 var proxy = new ProxyProcess("n0", SETTINGS)) {
             rig.machines(5);
-            InetSocketAddress address = ProxyProcess.freeAddress();
+            InetSocketAddress address = ReservedAddress.next();
             Files.writeString(file, installation(rig.discoveryOfNextProxy(), address));
             rig.proxyAt(address);
             proxy.configure(rig.discoveryOfNextProxy(), rig.on(rig.discovery()::known))
@@ -288,7 +289,7 @@
                     Fixture.entry("s1", second.address(), "ready"));
             platform.always(Peer.ok(list));
             discovery.always(Peer.ok(list));
-            InetSocketAddress address = ProxyProcess.freeAddress();
+            InetSocketAddress address = ReservedAddress.next();
             Files.writeString(
                     file,
                     installation(discovery.socketAddress(), address) + "max_open = " + open + System.lineSeparator());
--- a/trial/src/test/java/grebehoist/trial/ClientsThatLeaveIT.java
+++ b/trial/src/test/java/grebehoist/trial/ClientsThatLeaveIT.java
@@ -7,6 +7,7 @@
 import beechfall.Balancer.RequestClass;
 import beechfall.Balancer.Scope;
 import grebehoist.testkit.HttpWire;
+import grebehoist.testkit.ReservedAddress;
 import grebehoist.testkit.Rig;
 import grebehoist.testkit.StandInClients.Manner;
 import grebehoist.testkit.StandInClients.Order;
@@ -14,10 +15,7 @@
 import grebehoist.testkit.Witness.Count;
 import grebehoist.trial.FaultLibrary.Injection;
 import grebehoist.trial.FaultLibrary.SystemCall;
-import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
@@ -53,7 +51,7 @@
     void begin() throws Exception {
         rig = new Rig(new HttpWire(), settings(), new double[] {0.5, 0.3, 0.2}, 15 * S, 56);
         rig.machines(5);
-        InetSocketAddress listen = freeAddress();
+        InetSocketAddress listen = ReservedAddress.next();
         var config = Member.config(
                 "n0",
                 listen,
@@ -91,12 +89,6 @@
                 1);
     }
 
-    private static InetSocketAddress freeAddress() throws IOException {
-        try (var socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
-        }
-    }
-
     /** Starts it, and lets it serve for a while before calls are held up. */
     private void start(String schedule) throws Exception {
         faults = FaultLibrary.build(files)
--- a/trial/src/test/java/grebehoist/trial/SystemCallFaultsIT.java
+++ b/trial/src/test/java/grebehoist/trial/SystemCallFaultsIT.java
@@ -10,6 +10,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import grebehoist.testkit.Fleet;
 import grebehoist.testkit.HttpWire;
+import grebehoist.testkit.ReservedAddress;
 import grebehoist.testkit.Rig;
 import grebehoist.testkit.StandInBackend.Act;
 import grebehoist.testkit.Witness;
@@ -20,7 +21,6 @@
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.nio.file.Files;
@@ -70,8 +70,8 @@
                 52,
                 Witness.Terms.of(settings(), Rig.SLACK_US).lateBy(LATE_US));
         rig.machines(5);
-        InetSocketAddress listen = freeAddress();
-        door = freeAddress();
+        InetSocketAddress listen = ReservedAddress.next();
+        door = ReservedAddress.next();
         config = Member.config(
                 "n0",
                 listen,
@@ -110,12 +110,6 @@
                 1);
     }
 
-    private static InetSocketAddress freeAddress() throws IOException {
-        try (var socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
-        }
-    }
-
     /** Starts it under load; no call fails before {@link Injection#resume}. */
     private void start(String schedule) throws Exception {
         faults = library.inject(proxy, schedule, 52, files.resolve("counts")).pause();
