What one process of a proxy is told of drains, the other ones act on too

Cause: each process watches discovery by itself. The new one begins with the list that the platform gave it, and where discovery is silent it has nothing newer, though the proxy has been notified.

Change: each process writes what it is told of backends that drain or are gone into the state directory (a file of its own, replaced as a whole, 1,024 backends at most). The others, which look there every 50 ms, take these for draining for 30 s, or until their own discovery has told of that backend, or has given a whole list that can be no older (DrainNews, without I/O; DrainFiles). What can't be read there hides nothing else. Off where there is no door, as all of that directory.

Measured: OperationsIT.whatTheOldProcessWasTold... failed before and passes.

--- a/daemon/src/main/java/grebehoist/operations/Operations.java
+++ b/daemon/src/main/java/grebehoist/operations/Operations.java
@@ -9,13 +9,16 @@
 import grebehoist.engine.RuleGuard.Rule;
 import grebehoist.engine.Tally;
 import grebehoist.engine.Wait;
+import grebehoist.members.DrainNews;
 import grebehoist.members.Suspensions;
 import grebehoist.net.LoopTimers;
 import grebehoist.net.StderrLog;
 import grebehoist.net.WaitHistograms;
 import java.io.IOException;
+import java.util.HashSet;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
@@ -51,8 +54,11 @@
     /** A caller waits for 1 s. */
     private static final long ANSWER_US = 800_000;
 
+    private static final long HELD_LOOK_US = 50_000;
+
     private final StateDirectory state;
     private Suspensions suspensions;
+    private DrainNews drains;
     private Target target;
     private LoopTimers timers;
     /** Set once, before a call can come. */
@@ -60,6 +66,9 @@
     /** What the operators have asked, as it was applied last; null before that. */
     private StateDirectory.Shared inForce;
 
+    /** Whether what other processes were told of drains is looked at again soon. */
+    private boolean looksAgain;
+
     private int applied;
     private int rejected;
 
@@ -99,7 +108,8 @@
     /** Puts itself between the source of backends and the pool. */
     public MemberSource.Sink merge(MemberSource.Sink next) {
         suspensions = new Suspensions(next);
-        return suspensions;
+        drains = new DrainNews(suspensions, StateDirectory::clockMs, state::tellDrains);
+        return drains;
     }
 
     /** Returns what stands there, for others who suspend. */
@@ -112,7 +122,8 @@
         loop.execute(() -> {
             target = actsOn;
             timers = clock;
-            suspensions.set(state.atStart().suspended(), clock.now());
+            inForce = state.atStart();
+            suspend();
         });
         state.watch(loop, this::apply);
     }
@@ -122,11 +133,27 @@
             target.log.event(new LogEvent("operator", "state", describe(inForce), describe(shared), "in force"));
         }
         inForce = shared;
-        suspensions.set(shared.suspended(), timers.now());
+        suspend();
         target.sendAway.accept(shared.drained());
         target.otherProcesses.accept(shared);
     }
 
+    /** What operators have suspended, and what drains by what other processes were told; that one ends by itself, so it is looked at again. */
+    private void suspend() {
+        drains.toldElsewhere(inForce.drains());
+        Set<String> held = drains.held();
+        var all = new HashSet<>(inForce.suspended());
+        all.addAll(held);
+        suspensions.set(all, timers.now());
+        if (!held.isEmpty() && !looksAgain) {
+            looksAgain = true;
+            timers.at(timers.now() + HELD_LOOK_US, () -> {
+                looksAgain = false;
+                suspend();
+            });
+        }
+    }
+
     private static String describe(StateDirectory.Shared shared) {
         return (shared.drained() ? "DRAINED" : "ACTIVE") + ", suspended " + shared.suspended() + ", " + shared.others()
                 + " other processes";
--- a/daemon/src/main/java/grebehoist/operations/StateDirectory.java
+++ b/daemon/src/main/java/grebehoist/operations/StateDirectory.java
@@ -50,11 +50,12 @@
      * @param suspended the ids of all backends that are suspended
      * @param drained whether clients are to be sent elsewhere
      * @param processes the other processes of this proxy
+     * @param drains what these have been told by discovery of backends that drain or are gone, and when
      */
-    public record Shared(Set<String> suspended, boolean drained, ProcessCount processes) {
-        /** What is in force while no newer process serves. */
+    public record Shared(Set<String> suspended, boolean drained, ProcessCount processes, Map<String, Long> drains) {
+        /** What is in force while no newer process serves, and none has been told of drains. */
         public Shared(Set<String> suspended, boolean drained, int others, boolean newer) {
-            this(suspended, drained, new ProcessCount(others, newer, false, 0));
+            this(suspended, drained, new ProcessCount(others, newer, false, 0), Map.of());
         }
 
         /** Returns how many other processes of this proxy live, but for those that only finish what has begun. */
@@ -106,6 +107,7 @@
     private final Log log;
     private final StateFiles files;
     private final ProcessCensus census;
+    private final DrainFiles drainFiles;
     private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(task -> {
         var t = new Thread(task, "state");
         t.setDaemon(true);
@@ -118,6 +120,8 @@
     private boolean readable = true;
     /** Null where nothing is left to be told to the other processes. */
     private Announcement untold;
+    /** Null where no drain is left to be told to them. */
+    private Map<String, Long> untoldDrains;
     /** Null as long as it could not be mapped. */
     private volatile ClaimTable claims;
 
@@ -138,6 +142,7 @@
         this.log = log;
         this.files = new StateFiles(directory);
         this.census = new ProcessCensus(files);
+        this.drainFiles = new DrainFiles(files);
         mapClaims();
         this.read = read(null);
         this.onDisk = read;
@@ -176,6 +181,19 @@
         thread.execute(() -> tellOthers(census -> census.finish(sockets)));
     }
 
+    /** Tells the other processes what this one has been told by discovery of backends that drain or are gone, and when. */
+    public void tellDrains(Map<String, Long> told) {
+        thread.execute(() -> {
+            untoldDrains = told;
+            tellDrains();
+        });
+    }
+
+    /** Returns the clock by which it is told when something was, the same for all processes of this machine, in milliseconds. */
+    public static long clockMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
     /** Returns what the processes of this proxy have sent on of one pool. While that can't be shared nobody else is known. */
     public RequestClaims claims(String pool) {
         return new RequestClaims() {
@@ -288,7 +306,7 @@
                 suspended.remove(p.backend);
             }
         }
-        return new Shared(Set.copyOf(suspended), drained, onDisk.processes);
+        return new Shared(Set.copyOf(suspended), drained, onDisk.processes, onDisk.drains);
     }
 
     private void tell() {
@@ -349,6 +367,7 @@
     private void look() {
         mapClaims();
         tellOthers();
+        tellDrains();
         try {
             report(read(read));
             readable(true, null);
@@ -377,6 +396,19 @@
         }
     }
 
+    private void tellDrains() {
+        if (untoldDrains == null) {
+            return;
+        }
+        try {
+            drainFiles.write(untoldDrains);
+            untoldDrains = null;
+        } catch (IOException | RuntimeException e) {
+            // Again with the next look.
+            log.count(Counter.STATE_WRITE_FAILED);
+        }
+    }
+
     private void mapClaims() {
         if (claims != null) {
             return;
@@ -413,13 +445,24 @@
         }
         boolean count = before == null || looks++ % LOOKS_FOR_EACH_CENSUS == 0;
         ProcessCount processes = count ? census.count(listing.processes()) : before.processes;
-        return new Shared(listing.suspended(), listing.drained(), processes);
+        return new Shared(listing.suspended(), listing.drained(), processes, drains(listing, before));
+    }
+
+    /** What can't be read of drains leaves what was known of them, and hides nothing else. */
+    private Map<String, Long> drains(StateFiles.Listing listing, Shared before) {
+        try {
+            return drainFiles.readOthers(listing.drains(), clockMs());
+        } catch (IOException e) {
+            log.count(Counter.STATE_READ_FAILED);
+            return before == null ? Map.of() : before.drains;
+        }
     }
 
     /** Leaves: the others see that at their next look. */
     @Override
     public void close() throws IOException {
         thread.shutdownNow();
+        drainFiles.leave();
         census.leave();
     }
 }
--- a/daemon/src/main/java/grebehoist/operations/StateFiles.java
+++ b/daemon/src/main/java/grebehoist/operations/StateFiles.java
@@ -29,6 +29,9 @@
     /** What the names of processes' files begin with. */
     static final String PROCESS = "process-";
 
+    /** What the names of the files begin with that tell what a process has been told of drains. */
+    static final String DRAINS = "drains-";
+
     private static final String SUSPENDED = "suspended-";
     private static final int LONGEST_NAME = 200;
 
@@ -37,8 +40,9 @@
      *
      * @param suspended the ids of suspended backends
      * @param processes the files of processes, living or dead
+     * @param drains what processes, living or dead, have been told of drains
      */
-    record Listing(Set<String> suspended, boolean drained, List<Path> processes) {}
+    record Listing(Set<String> suspended, boolean drained, List<Path> processes, List<Path> drains) {}
 
     private final Path directory;
 
@@ -68,6 +72,7 @@
         var suspended = new HashSet<String>();
         boolean drained = false;
         var processes = new ArrayList<Path>();
+        var drains = new ArrayList<Path>();
         try (DirectoryStream<Path> files = Files.newDirectoryStream(directory)) {
             for (Path file : files) {
                 String name = file.getFileName().toString();
@@ -77,13 +82,15 @@
                     suspended.add(backendOf(name));
                 } else if (name.startsWith(PROCESS)) {
                     processes.add(file);
+                } else if (name.startsWith(DRAINS)) {
+                    drains.add(file);
                 }
             }
         } catch (DirectoryIteratorException e) {
             throw e.getCause();
         }
         suspended.remove(null);
-        return new Listing(Set.copyOf(suspended), drained, List.copyOf(processes));
+        return new Listing(Set.copyOf(suspended), drained, List.copyOf(processes), List.copyOf(drains));
     }
 
     /** Makes a file; one that is there already is touched, which tells a later request from an earlier one. */
--- a/daemon/src/test/java/grebehoist/cli/OperationsIT.java
+++ b/daemon/src/test/java/grebehoist/cli/OperationsIT.java
@@ -192,6 +192,64 @@
         }
     }
 
+    /** Rule 3 counts from when the proxy was notified, whichever of its processes heard it. Guards against soak 5203. */
+    @Test
+    void whatTheOldProcessWasToldHoldsForTheNewOneThatDiscoveryDoesNotAnswer() throws Exception {
+        var runs = new ConcurrentHashMap<String, AtomicInteger>();
+        try (var discovery = new Peer();
+                var silent = new Peer();
+                var stays = new Peer();
+                var drains = new Peer();
+                var old = new ProxyProcess("n0", ProcessIT.settings(0)).withDoor();
+                var young = old.newVersion()) {
+            stays.serveAll(wire -> countAs("stays", wire, runs));
+            drains.serveAll(wire -> countAs("drains", wire, runs));
+            String known = Fixture.list(41, true, listed("s0", stays, "ready"), listed("s1", drains, "ready"));
+            old.configure(discovery.socketAddress(), known).start();
+            Wire watch = discovery.accept();
+            watch.read();
+            watch.send(Peer.ok(known));
+            old.awaitReady();
+            young.configure(silent.socketAddress(), known).start();
+            Wire next = discovery.accept();
+            next.read();
+            next.send(Peer.ok(Fixture.list(42, false, listed("s1", drains, "draining"))));
+            old.signal("TERM");
+            assertThat(old.awaitEnd()).isZero();
+            awaitListening(young);
+            askAndLeave(young.address(), runs, "stays");
+            assertThat(runs).as("%s%n%s", old.log(), young.log()).doesNotContainKey("drains");
+        }
+    }
+
+    private static String listed(String id, Peer backend, String state) {
+        return Fixture.entry(id, backend.address(), state).replace("\"started_ms\":7", "\"started_ms\":0");
+    }
+
+    private static void countAs(String name, Wire wire, Map<String, AtomicInteger> runs) throws IOException {
+        while (wire.read() != null) {
+            runs.computeIfAbsent(name, n -> new AtomicInteger()).incrementAndGet();
+            wire.send(Peer.ok("done"));
+        }
+    }
+
+    private static void awaitListening(ProxyProcess process) throws IOException {
+        awaitLine(process, "listening on");
+    }
+
+    /** Asks until one backend has run so much that another would have been used as well. */
+    private static void askAndLeave(InetSocketAddress proxy, Map<String, AtomicInteger> runs, String until)
+            throws IOException {
+        for (int i = 0; i < 500 && runs.getOrDefault(until, new AtomicInteger()).get() < 50; i++) {
+            try (var client = Wire.to(proxy)) {
+                client.send("GET /api?k=u" + i + " HTTP/1.1\r\nHost: service\r\nX-Request-ID: ask" + i
+                                + "\r\nX-Tenant-Id: large\r\nX-Timeout: 1900m\r\nX-Priority-Class: read\r\n\r\n")
+                        .read();
+            }
+        }
+        assertThat(runs).containsKey(until);
+    }
+
     private static void awaitReadyAtDoor(ProxyProcess process) throws IOException {
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
         while (process.call("GET", "/v1/readyz") != 200 && System.nanoTime() < until) {
--- a/daemon/src/test/java/grebehoist/operations/StateDirectoryTest.java
+++ b/daemon/src/test/java/grebehoist/operations/StateDirectoryTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.Base64;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -119,6 +120,33 @@
         }
     }
 
+    @Test
+    void whatOneWasToldOfDrainsTheOtherHearsAndTheNextFinds() throws Exception {
+        long toldAt = StateDirectory.clockMs();
+        try (var old = open();
+                var young = open()) {
+            BlockingQueue<Shared> seen = watch(young);
+            old.tellDrains(Map.of("a/b ?", toldAt));
+            assertThat(await(seen, s -> !s.drains().isEmpty()).drains()).isEqualTo(Map.of("a/b ?", toldAt));
+            try (var third = open()) {
+                assertThat(third.atStart().drains()).isEqualTo(Map.of("a/b ?", toldAt));
+            }
+            old.tellDrains(Map.of());
+            await(seen, s -> s.drains().isEmpty());
+        }
+    }
+
+    /** What can't be read as a list of drains is no reason to forget what operators have asked. */
+    @Test
+    void aFileOfDrainsThatCannotBeReadHidesNothing() throws Exception {
+        try (var state = open()) {
+            BlockingQueue<Shared> seen = watch(state);
+            Files.writeString(directory.resolve("drains-1-x"), "no list\n");
+            assertThat(done(then -> state.suspend("a", then))).isTrue();
+            await(seen, s -> s.suspended().contains("a"));
+        }
+    }
+
     /** Issue 73: the old process of an upgrade that finishes long answers would have half of the descriptors for as long as these take. */
     @Test
     void aProcessThatFinishesLongAnswersKeepsOnlyWhatItHolds() throws Exception {
