What other processes were told of drains is looked at again until the own list is there

Cause: a new process that found the news as it started looked at it before it had its list, and next when anything else in the state directory changed: until then it sent to the backend. Found by reading.

--- a/daemon/src/main/java/grebehoist/operations/Operations.java
+++ b/daemon/src/main/java/grebehoist/operations/Operations.java
@@ -18,7 +18,6 @@
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
@@ -54,7 +53,7 @@
     /** A caller waits for 1 s. */
     private static final long ANSWER_US = 800_000;
 
-    private static final long HELD_LOOK_US = 50_000;
+    private static final long DRAINS_LOOK_US = 50_000;
 
     private final StateDirectory state;
     private Suspensions suspensions;
@@ -138,16 +137,16 @@
         target.otherProcesses.accept(shared);
     }
 
-    /** What operators have suspended, and what drains by what other processes were told; that one ends by itself, so it is looked at again. */
+    /** What operators have suspended, and what drains by what other processes were told; that changes with the own list and with time. */
     private void suspend() {
         drains.toldElsewhere(inForce.drains());
-        Set<String> held = drains.held();
         var all = new HashSet<>(inForce.suspended());
-        all.addAll(held);
+        all.addAll(drains.held());
         suspensions.set(all, timers.now());
-        if (!held.isEmpty() && !looksAgain) {
+        // Also where nothing is held yet: this process's own list may come later.
+        if (!inForce.drains().isEmpty() && !looksAgain) {
             looksAgain = true;
-            timers.at(timers.now() + HELD_LOOK_US, () -> {
+            timers.at(timers.now() + DRAINS_LOOK_US, () -> {
                 looksAgain = false;
                 suspend();
             });
--- a/daemon/src/test/java/grebehoist/cli/OperationsIT.java
+++ b/daemon/src/test/java/grebehoist/cli/OperationsIT.java
@@ -214,9 +214,11 @@
             Wire next = discovery.accept();
             next.read();
             next.send(Peer.ok(Fixture.list(42, false, listed("s1", drains, "draining"))));
+            awaitListening(young);
+            askAndLeave(young.address(), runs, "stays");
             old.signal("TERM");
             assertThat(old.awaitEnd()).isZero();
-            awaitListening(young);
+            runs.remove("stays");
             askAndLeave(young.address(), runs, "stays");
             assertThat(runs).as("%s%n%s", old.log(), young.log()).doesNotContainKey("drains");
         }
