Test: a process's log is awaited, as its line may come behind the call that follows it

The program writes the line before it asks; the line comes through its log's thread, a pipe and the test's reader, the call directly. The same line is asked for, and waited for as the call is: as strict.

--- a/trial/src/test/java/grebehoist/trial/SystemCallFaultsIT.java
+++ b/trial/src/test/java/grebehoist/trial/SystemCallFaultsIT.java
@@ -389,6 +389,6 @@
         assertThat(faults.count(SystemCall.OPEN)).isPositive();
         faults.pause();
         rig.await("the new address is asked", () -> rig.discovery().callsAt(1) > 0);
-        assertThat(proxy.log()).anyMatch(l -> l.contains("discovery is at"));
+        rig.await("it says so", () -> proxy.log().stream().anyMatch(l -> l.contains("discovery is at")));
     }
 }
