Thrift calls that bring an id are sent on once by both processes of an upgrade

Cause: Serve.add gave the table of claims that the processes of a proxy share to HTTP pools alone, as "Thrift calls that bring no id have one of this process's own making". Those that bring one (request_id) were left out with them: a request did not say whose its id was.

Change: Request.IdOrigin says who made the id. Ids of clients are claimed and remembered on every front; ids that a front made are neither, as both processes make the same ones and they never come again.

ThriftUpgradeIT and OperationsIT share the wait for a process's door (ProxyProcess.awaitReadyAtDoor), which now fails after 30 s where OperationsIT's own went on.

--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -180,7 +180,7 @@
 
         /** Claims it, where it may run only once. Returns whether it may be sent on. */
         private boolean claim() {
-            if (!claimed && mayRunOnce(type)) {
+            if (!claimed && mayComeAgain(request, type)) {
                 long leftUs = Math.max(0, deadlineUs - timers.now());
                 claimed = claims.claim(request.id(), leftUs + RecentRequests.KEPT_US);
                 claimedElsewhere = !claimed;
@@ -190,7 +190,7 @@
 
         /** It is over: what comes again under its id may be sent on only if it has not run, here and by another process. */
         private void settleId() {
-            boolean ran = mayRunOnce(type) && mayHaveRun();
+            boolean ran = mayComeAgain(request, type) && mayHaveRun();
             if (ran) {
                 recent.add(request.id(), timers.now());
             }
@@ -446,7 +446,7 @@
             responder.failed();
             return;
         }
-        if (mayRunOnce(types.get(request.requestClass())) && recent.contains(request.id(), now)) {
+        if (mayComeAgain(request, types.get(request.requestClass())) && recent.contains(request.id(), now)) {
             log.reason(Counter.FAILED_SAME_ID, request.id(), () -> "one of this id may have run");
             row.countFailed();
             responder.failed();
@@ -477,8 +477,9 @@
                 r.readUs));
     }
 
-    private static boolean mayRunOnce(Balancer.RequestClass type) {
-        return type != null && type.effect() != Balancer.Effect.SAFE;
+    /** Returns whether a request may run only once, and may come again under its id. */
+    private static boolean mayComeAgain(Request request, Balancer.RequestClass type) {
+        return type != null && type.effect() != Balancer.Effect.SAFE && request.idOrigin() == Request.IdOrigin.CLIENT;
     }
 
     @Override
--- a/core/src/test/java/grebehoist/engine/EngineTest.java
+++ b/core/src/test/java/grebehoist/engine/EngineTest.java
@@ -379,6 +379,42 @@
         assertThat(claimed).doesNotContainKey("never ran");
     }
 
+    /** Guards against issue 77, review/7: an id that a front made is no claim on another process's, and fills no table. */
+    @Test
+    void anIdOfTheProxysOwnIsNeitherClaimedNorRemembered() {
+        var host = new FakeHost(FakeHost.sendTo("s0", 0));
+        var claimed = new ArrayList<String>();
+        host.engine.claims(new RequestClaims() {
+            @Override
+            public boolean claim(String id, long keepUs) {
+                claimed.add(id);
+                return false;
+            }
+
+            @Override
+            public void release(String id) {}
+        });
+        host.onStart = sent -> sent.written = sent.end.mayBegin(sent.deadlineUs);
+        for (int i = 0; i < 2; i++) {
+            var client = new FakeHost.Client();
+            host.engine.arrived(
+                    new Request(
+                            "in-0",
+                            Request.IdOrigin.PROXY,
+                            FakeHost.KEYED.name(),
+                            null,
+                            null,
+                            false,
+                            host.now + 1_900 * MS,
+                            0,
+                            Payload.NONE),
+                    client);
+            host.sent.get(i).answer(Outcome.OK, new FakeHost.Counted());
+            assertThat(client.answers).containsExactly("served");
+        }
+        assertThat(claimed).isEmpty();
+    }
+
     /** Whoever can't be seen to be there gets no further attempt, and its one answer: it may be there. */
     @Test
     void aClientThatCantBeSeenIsAnsweredAndNothingIsSentForIt() {
--- a/daemon/src/main/java/grebehoist/cli/Serve.java
+++ b/daemon/src/main/java/grebehoist/cli/Serve.java
@@ -495,10 +495,7 @@
         var pool = suspensions == null
                 ? new Pool(host, spec)
                 : new Pool(host, spec, new Pool.Wiring(Policy::new, t -> t, i -> i, this::common));
-        if (spec.protocol() == Pool.Protocol.HTTP) {
-            // Thrift calls that bring no id have one of this process's own making.
-            shareClaims(pool);
-        }
+        shareClaims(pool);
         pools.add(pool);
         loop.execute(() -> pool.begin(null));
         return pool;
--- a/daemon/src/main/java/grebehoist/thrift/CallReader.java
+++ b/daemon/src/main/java/grebehoist/thrift/CallReader.java
@@ -118,18 +118,21 @@
         if (entry.type.effect() == Balancer.Effect.KEYED && (key == null || key.isEmpty())) {
             throw new Rejected(ThriftOutcomes.PROTOCOL_ERROR, false, "missing key");
         }
-        String id = entry.value(4, method.requestId(), found);
+        String clientId = entry.value(4, method.requestId(), found);
+        boolean identified = clientId != null && !clientId.isEmpty();
         long patienceUs = patienceUs(entry, entry.value(3, method.timeoutMs(), found));
         long deadline = ClientFront.deadline(firstByteAt, patienceUs);
         var call = new ThriftCall(message, frame);
         return new Read(
                 new Request(
-                        id == null || id.isEmpty() ? idPrefix + nextId++ : id,
+                        identified ? clientId : idPrefix + nextId++,
+                        identified ? Request.IdOrigin.CLIENT : Request.IdOrigin.PROXY,
                         method.requestClass(),
                         tenant,
                         entry.value(2, method.about(), found),
                         retried(entry.value(5, method.retried(), found)),
                         deadline,
+                        0,
                         call),
                 method);
     }
--- a/daemon/src/test/java/grebehoist/cli/OperationsIT.java
+++ b/daemon/src/test/java/grebehoist/cli/OperationsIT.java
@@ -167,7 +167,7 @@
             old.configure(discovery.socketAddress(), backends.list()).start().awaitReady();
             try (var clients = new LongReaders(old.address(), 4)) {
                 young.configure(discovery.socketAddress(), backends.list()).start();
-                awaitReadyAtDoor(young);
+                young.awaitReadyAtDoor();
                 old.signal("TERM");
                 awaitLine(old, "listens no more, ends when 4 answers are over");
                 assertThat(old.log()).contains("handing over");
@@ -252,13 +252,6 @@
         assertThat(runs).containsKey(until);
     }
 
-    private static void awaitReadyAtDoor(ProxyProcess process) throws IOException {
-        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
-        while (process.call("GET", "/v1/readyz") != 200 && System.nanoTime() < until) {
-            pause(20);
-        }
-    }
-
     private static final int IDS = 60;
     private static final int BURSTS = 2;
     private static final long LEAVES_MS = 50;
@@ -276,7 +269,7 @@
                 var young = old.newVersion()) {
             old.configure(discovery.socketAddress(), backends.list()).start().awaitReady();
             young.configure(discovery.socketAddress(), backends.list()).start();
-            awaitReadyAtDoor(young);
+            young.awaitReadyAtDoor();
             for (int burst = 0; burst < BURSTS; burst++) {
                 var clients = new ArrayList<Thread>();
                 for (int i = 0; i < IDS; i++) {
--- a/daemon/src/test/java/grebehoist/cli/ProxyProcess.java
+++ b/daemon/src/test/java/grebehoist/cli/ProxyProcess.java
@@ -148,6 +148,18 @@
         throw new IllegalStateException(name + " is not ready: " + Files.readString(log));
     }
 
+    /** Waits until it says at its door that it can serve: another process may listen at the same address. */
+    ProxyProcess awaitReadyAtDoor() throws IOException, InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (System.nanoTime() - until < 0) {
+            if (call("GET", "/v1/readyz") == 200) {
+                return this;
+            }
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        throw new IllegalStateException(name + " is not ready: " + Files.readString(log));
+    }
+
     static boolean ready(InetSocketAddress address) {
         try {
             var connection = (HttpURLConnection) URI.create("http://127.0.0.1:" + address.getPort() + "/ready")
