Thrift clients that read slowly hold up nobody else

Causes, one behind the other: (1) replies that clients had yet to take, or that waited for their turn, were bounded by nothing; with the direct memory used up the runtime sleeps in an allocation, on the loop's thread. (2) "Takes nothing for 10 s" never held for who reads a byte now and then. (3) Each refusal was answered by the next call at once, some 65,000 a second, which kept the module's queue full.

Change: AnswerMemory, one account for all listeners of a process; a call is begun when it has room for its reply (ReplySizes, CallQueue), and past the bound the largest holder is closed. TakeWatch wants 16 kB a second, on both fronts. CallWindow keeps the wait of a refusal for the other calls of its connection. Frames that fill little of their buffer are copied; open calls and half frames have a fifth of the direct memory each at most.

TakeWatchTest: the bound is a parameter now, and its tests ask for one byte as before; two more say what the least and the overhead do.

--- a/core/src/main/java/grebehoist/engine/Counter.java
+++ b/core/src/main/java/grebehoist/engine/Counter.java
@@ -62,8 +62,10 @@
     CLOSED_CLIENT_LEFT,
     /** A request was not answered whole, as its client's connection was reset. */
     CLOSED_CLIENT_RESET,
-    /** A connection was closed, as its client took nothing of its answer. */
+    /** A connection was closed, as its client took nothing of its answer, or less than the least. */
     CLOSED_CLIENT_TAKES_NOTHING,
+    /** A connection was closed, as of all clients its own had left the most of its answers, and there was no more room for them. */
+    CLOSED_ANSWERS_UNTAKEN,
     /** A connection was closed, as a request came too slowly on it. */
     CLOSED_REQUEST_SLOW,
     /** A connection was closed, as the rest of a refused request came for too long. */
--- a/daemon/src/main/java/grebehoist/http/ClientConnection.java
+++ b/daemon/src/main/java/grebehoist/http/ClientConnection.java
@@ -3,10 +3,10 @@
 import grebehoist.engine.ClientState;
 import grebehoist.engine.Counter;
 import grebehoist.engine.TransferTime;
+import grebehoist.net.AnswerMemory;
 import grebehoist.net.Arrival;
 import grebehoist.net.ClientFront;
 import grebehoist.net.LoopTasks;
-import grebehoist.net.Network;
 import grebehoist.net.SocketPeek;
 import grebehoist.net.Sockets;
 import grebehoist.net.TakeWatch;
@@ -45,12 +45,6 @@
 
     /** A long body of which nothing more comes for so long, though it is read, will not be whole. */
     private static final long SILENT_US = 2_600_000;
-    /**
-     * A client that takes nothing of its answer for so long has gone. What it takes shows in steps: its kernel says nothing before it
-     * has read a part of its buffer, and this side's, which is bounded ({@link Network#UNSENT}), asks for more when a
-     * third of it is free. In this time one that reads 32 kB a second makes both steps.
-     */
-    private static final long UNREAD_US = 10_000_000;
     /** After the last answer what else the client sends is dropped, so much at any speed, and for so long: see {@code hangUp}. */
     private static final long DROPPED = 256 * 1024;
     /** Past that, what one read takes in each so many milliseconds: what the kernel holds for it is read in 60 ms. */
@@ -103,13 +97,16 @@
     /** How much of long answers has been written to the client. */
     private long given;
 
-    private final TakeWatch takes = new TakeWatch(UNREAD_US);
+    private final TakeWatch takes = ClientFront.takeWatch();
+    private final AnswerMemory.Share answers;
 
     /** Takes over an accepted connection. */
     ClientConnection(HttpFront front, Sockets sockets) {
         this.front = front;
         this.sockets = sockets;
         this.assembler = new RequestAssembler(this, front.heldBodies());
+        // One answer at a time, of which the mark of the write buffer bounds what waits.
+        this.answers = front.answers().share(null);
     }
 
     @Override
@@ -194,6 +191,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) throws Exception {
         front.closed(this);
+        answers.close();
         dropWaiting();
         if (lastWord != null) {
             lastWord.release();
@@ -360,8 +358,14 @@
     }
 
     ChannelFuture write(HttpObject answer) {
-        given += answer instanceof HttpContent content ? content.content().readableBytes() : 0;
-        return channel.writeAndFlush(answer);
+        int bytes = answer instanceof HttpContent content ? content.content().readableBytes() : 0;
+        given += bytes;
+        ChannelFuture written = channel.writeAndFlush(answer);
+        if (bytes > 0 && !written.isDone()) {
+            answers.hold(bytes);
+            written.addListener(f -> answers.letGo(bytes));
+        }
+        return written;
     }
 
     /** Returns whether its client has not ended it, by what the kernel holds. */
--- a/daemon/src/main/java/grebehoist/http/CutOff.java
+++ b/daemon/src/main/java/grebehoist/http/CutOff.java
@@ -9,7 +9,7 @@
 enum CutOff {
     CLIENT_LEFT(Counter.CLOSED_CLIENT_LEFT, "the client has closed its connection"),
     CLIENT_RESET(Counter.CLOSED_CLIENT_RESET, "the client's connection was reset"),
-    CLIENT_TAKES_NOTHING(Counter.CLOSED_CLIENT_TAKES_NOTHING, "the client has taken nothing for too long"),
+    CLIENT_TAKES_NOTHING(Counter.CLOSED_CLIENT_TAKES_NOTHING, "the client has taken too little for too long"),
     REQUEST_SLOW(Counter.CLOSED_REQUEST_SLOW, "the request has come too slowly"),
     REST_DROPPED(Counter.CLOSED_REST_DROPPED, "it was refused, and its client went on sending the rest for too long"),
     CLIENT_FAILED(Counter.CLOSED_CLIENT_FAILED, "the client's connection failed in this program"),
--- a/daemon/src/main/java/grebehoist/http/HttpFront.java
+++ b/daemon/src/main/java/grebehoist/http/HttpFront.java
@@ -3,6 +3,7 @@
 import beechfall.Balancer;
 import grebehoist.engine.Intake;
 import grebehoist.engine.Log;
+import grebehoist.net.AnswerMemory;
 import grebehoist.net.ClientFront;
 import grebehoist.net.LoopTimers;
 import grebehoist.net.Sockets;
@@ -32,9 +33,10 @@
             Log log,
             Intake intake,
             Sockets sockets,
+            AnswerMemory answers,
             Balancer.Settings settings,
             BooleanSupplier ready) {
-        super(timers, log, intake, sockets);
+        super(timers, log, intake, sockets, answers);
         this.ready = ready;
         this.reader = new RequestReader(settings);
         this.cutOffs = new CutOffs(log);
--- a/daemon/src/main/java/grebehoist/pool/Pool.java
+++ b/daemon/src/main/java/grebehoist/pool/Pool.java
@@ -13,6 +13,7 @@
 import grebehoist.engine.Transport;
 import grebehoist.http.HttpFront;
 import grebehoist.http.HttpTransport;
+import grebehoist.net.AnswerMemory;
 import grebehoist.net.Front;
 import grebehoist.net.LoopTimers;
 import grebehoist.net.Network;
@@ -31,7 +32,12 @@
  */
 public final class Pool {
     /** What all pools of a process share. */
-    public record Host(Network network, LoopTimers timers, Sockets sockets, Log log) {}
+    public record Host(Network network, LoopTimers timers, Sockets sockets, AnswerMemory answers, Log log) {
+        /** Those of a process with an account of its own of what waits for clients. */
+        public Host(Network network, LoopTimers timers, Sockets sockets, Log log) {
+            this(network, timers, sockets, AnswerMemory.ofProcess(), log);
+        }
+    }
 
     /**
      * What a pool is told.
@@ -141,7 +147,8 @@
 
     /** Returns a new listener's front for Thrift clients, yet to listen. */
     public Front thriftFront(ThriftOptions options, String idPrefix) {
-        return new ThriftFront(host.timers(), host.log(), intake, host.sockets(), spec.settings(), options, idPrefix);
+        return new ThriftFront(
+                host.timers(), host.log(), intake, host.sockets(), host.answers(), spec.settings(), options, idPrefix);
     }
 
     /** Returns a new listener's front for HTTP clients, yet to listen. */
@@ -151,7 +158,7 @@
 
     /** Returns a new listener's front for HTTP clients, yet to listen, with an answer of its own for whoever asks if it is ready. */
     public Front httpFront(BooleanSupplier ready) {
-        return new HttpFront(host.timers(), host.log(), intake, host.sockets(), spec.settings(), ready);
+        return new HttpFront(host.timers(), host.log(), intake, host.sockets(), host.answers(), spec.settings(), ready);
     }
 
     /** Returns whether it has heard from discovery in this life, and knows a backend that is ready. */
--- a/daemon/src/main/java/grebehoist/thrift/Frames.java
+++ b/daemon/src/main/java/grebehoist/thrift/Frames.java
@@ -11,6 +11,9 @@
  * has come.
  */
 final class Frames extends LengthFieldBasedFrameDecoder implements AttemptConnection.Counted {
+    /** A frame that fills less of what has been read than so many of four parts is copied: it would hold the rest as well. */
+    private static final int QUARTERS_FILLED = 3;
+
     private long bytes;
 
     Frames(int maxFrame) {
@@ -34,6 +37,14 @@
         bytes = 0;
     }
 
+    @Override
+    protected ByteBuf extractFrame(ChannelHandlerContext ctx, ByteBuf buffer, int index, int length) {
+        if (4L * length >= (long) QUARTERS_FILLED * buffer.capacity()) {
+            return buffer.retainedSlice(index, length);
+        }
+        return ctx.alloc().buffer(length, length).writeBytes(buffer, index, length);
+    }
+
     /** Returns the memory that a frame takes which has not come whole: the buffers' size, and not the bytes in them. */
     int held() {
         return holdsMore() ? internalBuffer().capacity() : 0;
--- a/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
@@ -2,6 +2,8 @@
 
 import grebehoist.engine.ClientState;
 import grebehoist.engine.Counter;
+import grebehoist.engine.Request;
+import grebehoist.net.AnswerMemory;
 import grebehoist.net.Arrival;
 import grebehoist.net.ClientFront;
 import grebehoist.net.LoopTasks;
@@ -26,22 +28,29 @@
 /**
  * One client's connection. Many calls may be open on it; replies go back in the order of the calls, or as they come where
  * the listener allows that, but never two of the same sequence id out of order. Past the bounds of calls and bytes it is
- * not read any further, and nothing is dropped. What can't be read ends it, once the calls before have their replies.
+ * not read any further, and nothing is dropped. A call is begun when the memory for answers has room for its reply: who does not take
+ * replies waits with further calls. What can't be read ends it, once the calls before have their replies.
  */
 final class ThriftClientConnection extends ChannelInboundHandlerAdapter implements ClientFront.Connection {
     /** A frame must have come whole by then, counted from its first byte: the time in which HTTP clients are cut off. */
     private static final long WHOLE_US = 2_200_000;
-    /** A client that takes nothing of its replies for so long has gone. */
-    private static final long UNREAD_US = 10_000_000;
     /** After the last reply what else the client sends is dropped for so long. */
     private static final long LINGER_US = 1_000_000;
+    /** So long at most a timer keeps a connection that has ended. */
+    private static final long LONGEST_SLEEP_US = 1_000_000;
     /** Long enough that the loop reads on, and sees that a client has left. */
     private static final long LOOK_MS = 2;
 
     private final ThriftFront front;
     private final Sockets sockets;
     private final Frames frames;
+    /** Calls that have been read and whose replies are yet to be written, in their order. */
     private final List<ThriftExchange> open = new ArrayList<>();
+
+    private final AnswerMemory.Share answers;
+    /** Those of them that are yet to be begun. */
+    private final CallQueue calls;
+
     private Channel channel;
     private long firstByteAt = -1;
     /** When what is being read may have come. */
@@ -51,7 +60,10 @@
     /** How much of replies has been written. */
     private long given;
 
-    private final TakeWatch takes = new TakeWatch(UNREAD_US);
+    /** Replies that have been written and that the network has yet to take whole. */
+    private int untaken;
+
+    private final TakeWatch takes = ClientFront.takeWatch();
     private long openBytes;
     private long resumedAt;
     /** Since when what is read now may have waited in the socket, as reading had stopped; negative where it has not. */
@@ -62,6 +74,10 @@
     /** Whether the last read left nothing in the socket. */
     private boolean drained;
 
+    /** When the calls that wait are looked at again. */
+    private long wakesAt = Long.MAX_VALUE;
+
+    private boolean writing;
     private boolean resuming;
     private long partedAt = -1;
     private boolean parting;
@@ -71,6 +87,8 @@
         this.front = front;
         this.sockets = sockets;
         this.frames = new Frames(front.options().maxFrame());
+        this.answers = front.answers().share(this::giveUpAnswers);
+        this.calls = new CallQueue(answers, front.replySizes(), this::begin);
     }
 
     @Override
@@ -124,6 +142,8 @@
                 sockets.clientIdle(channel);
             }
         }
+        beginReady();
+        pace();
         if (drained && channel.config().isAutoRead()) {
             unreadSince = -1;
         }
@@ -139,6 +159,8 @@
         closed = true;
         front.closed(this);
         front.half(this, 0);
+        answers.close();
+        calls.clear();
         List<ThriftExchange> gone = List.copyOf(open);
         open.clear();
         front.bytesOpen(-openBytes);
@@ -197,23 +219,10 @@
         openBytes += exchange.bytes();
         front.bytesOpen(exchange.bytes());
         pace();
-        // A call's time counts from its last byte, as a request's over HTTP.
-        begin(exchange, readAt);
-    }
-
-    private void begin(ThriftExchange exchange, long came) {
-        if (closed || exchange.done()) {
-            return;
-        }
         try {
-            CallReader.Read read = front.reader().read(exchange.message(), exchange.frame(), came);
-            if (front.intake().knows(read.request().id())) {
-                exchange.rejected(new CallReader.Rejected(
-                        ThriftOutcomes.PROTOCOL_ERROR, false, "a request with this id is being served"));
-                return;
-            }
-            exchange.begun(read.request().id(), read.method());
-            front.intake().arrived(read.request(), exchange);
+            // A call's time counts from its last byte, as a request's over HTTP.
+            exchange.read(front.reader().read(exchange.message(), frame, readAt));
+            calls.add(exchange);
         } catch (CallReader.Rejected e) {
             exchange.rejected(e);
         } catch (BadFrame e) {
@@ -222,6 +231,50 @@
         }
     }
 
+    /** Hands a call in. One whose time is up is refused by that. */
+    private void begin(ThriftExchange exchange) {
+        Request request = exchange.read().request();
+        if (front.intake().knows(request.id())) {
+            calls.ended(exchange);
+            exchange.rejected(new CallReader.Rejected(
+                    ThriftOutcomes.PROTOCOL_ERROR, false, "a request with this id is being served"));
+        } else {
+            front.intake().arrived(request, exchange);
+        }
+    }
+
+    private void beginReady() {
+        long now = front.now();
+        calls.beginReady(now, open.size() == 1);
+        if (!calls.isEmpty()) {
+            wake(Math.min(calls.nextLookUs(now), now + LONGEST_SLEEP_US));
+        }
+    }
+
+    private void wake(long at) {
+        if (at < wakesAt) {
+            wakesAt = at;
+            front.at(at, this::woken);
+        }
+    }
+
+    private void woken() {
+        wakesAt = Long.MAX_VALUE;
+        if (!closed) {
+            calls.beginLate(front.now());
+            beginReady();
+            pace();
+        }
+    }
+
+    CallQueue calls() {
+        return calls;
+    }
+
+    long now() {
+        return front.now();
+    }
+
     /** Reading stops past the bounds, and goes on below them. */
     void pace() {
         if (!mayRead()) {
@@ -240,7 +293,7 @@
 
     private boolean mayRead() {
         ThriftOptions options = front.options();
-        return open.size() < options.maxOpen()
+        return open.size() + untaken < options.maxOpen()
                 && openBytes < options.maxOpenBytes()
                 && (open.isEmpty() || !front.full());
     }
@@ -260,6 +313,8 @@
             exchange.drop();
             return;
         }
+        answers.hold(exchange.replyBytes());
+        writing = true;
         ChannelFuture written = null;
         for (Iterator<ThriftExchange> i = open.iterator(); i.hasNext(); ) {
             ThriftExchange next = i.next();
@@ -269,8 +324,7 @@
                 front.bytesOpen(-next.bytes());
                 ByteBuf reply = next.takeReply();
                 if (reply != null) {
-                    given += reply.readableBytes();
-                    written = channel.write(reply);
+                    written = write(reply);
                 }
             } else if (!front.options().outOfOrder() && !next.oneway()) {
                 break;
@@ -278,7 +332,10 @@
         }
         if (written != null) {
             channel.flush();
+            answers.slow(untaken > 0);
         }
+        writing = false;
+        beginReady();
         pace();
         // Until the network has taken the last reply its connection is not idle, whoever looks for idle ones.
         if (written == null || written.isDone()) {
@@ -288,6 +345,34 @@
         }
     }
 
+    private ChannelFuture write(ByteBuf reply) {
+        long bytes = reply.readableBytes();
+        given += bytes;
+        untaken++;
+        return channel.write(reply).addListener(f -> taken(bytes));
+    }
+
+    private void taken(long bytes) {
+        untaken--;
+        answers.letGo(bytes);
+        // A reply may be taken, or fail, while others are still being written.
+        if (!closed && !writing) {
+            beginReady();
+            pace();
+        }
+    }
+
+    /** Of all clients this one has left the most of its replies, and there is no more room. */
+    private void giveUpAnswers() {
+        close(Counter.CLOSED_ANSWERS_UNTAKEN);
+    }
+
+    private void close(Counter why) {
+        front.log().reason(why, "", () -> open.size() + " calls open, " + untaken + " replies untaken");
+        calls.clear();
+        channel.close();
+    }
+
     private void rest() {
         if (open.isEmpty() && !closed) {
             idleSince = front.now();
@@ -399,7 +484,7 @@
     public void expire(long now) {
         long unsent = TakeWatch.unsent(channel);
         if (takes.stuck(given, unsent, now)) {
-            channel.close();
+            close(Counter.CLOSED_CLIENT_TAKES_NOTHING);
         } else if (partedAt >= 0) {
             if (unsent == 0 && now - partedAt > LINGER_US) {
                 channel.close();
--- a/daemon/src/main/java/grebehoist/thrift/ThriftExchange.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftExchange.java
@@ -16,8 +16,15 @@
     private final ByteBuf frame;
     private final int bytes;
     private final Arrival arrival;
-    private ThriftMethod method;
+    private CallReader.Read read;
+    /** Null as long as it is not handed in. */
     private String id;
+
+    /** Null as long as it is not begun. */
+    private CallWindow window;
+    /** What it has reserved of the memory for answers. */
+    private long reserved;
+
     private ByteBuf reply;
     private boolean done;
 
@@ -51,10 +58,33 @@
         return bytes;
     }
 
-    /** It is handed in under an id. */
-    void begun(String requestId, ThriftMethod called) {
-        id = requestId;
-        method = called;
+    /** It can be passed on. */
+    void read(CallReader.Read asked) {
+        read = asked;
+    }
+
+    CallReader.Read read() {
+        return read;
+    }
+
+    /** It is handed in under its id, in a window, and its reply may take so much memory. */
+    void begun(CallWindow in, long reservedBytes) {
+        id = read.request().id();
+        window = in;
+        reserved = reservedBytes;
+    }
+
+    CallWindow window() {
+        return window;
+    }
+
+    long reserved() {
+        return reserved;
+    }
+
+    /** Returns the bytes of the reply that waits here. */
+    long replyBytes() {
+        return reply == null ? 0 : reply.readableBytes();
     }
 
     String id() {
@@ -78,6 +108,7 @@
 
     @Override
     public void served(Payload answer) {
+        connection.calls().served(this, answer.bytes());
         ByteBuf framed = null;
         if (answer instanceof ThriftCall served) {
             try {
@@ -91,15 +122,18 @@
 
     @Override
     public void refused(long retryAfterUs) {
-        finish(
-                oneway()
-                        ? null
-                        : Replies.refused(
-                                connection.alloc(), message, method == null ? null : method.refusal(), retryAfterUs));
+        connection.calls().refused(this, retryAfterUs, connection.now());
+        finish(refusal(retryAfterUs));
+    }
+
+    private ByteBuf refusal(long retryAfterUs) {
+        ThriftMethod.Refusal declared = read == null ? null : read.method().refusal();
+        return oneway() ? null : Replies.refused(connection.alloc(), message, declared, retryAfterUs);
     }
 
     @Override
     public void failed() {
+        connection.calls().ended(this);
         finish(oneway() ? null : Replies.failed(connection.alloc(), message));
     }
 
@@ -114,7 +148,7 @@
     /** The call could not be passed on; its client is told why. */
     void rejected(CallReader.Rejected why) {
         if (why.harmless()) {
-            refused(0);
+            finish(refusal(0));
         } else {
             finish(oneway() ? null : Replies.exception(connection.alloc(), message, why.type(), why.getMessage()));
         }
--- a/daemon/src/main/java/grebehoist/thrift/ThriftFront.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftFront.java
@@ -3,16 +3,24 @@
 import beechfall.Balancer;
 import grebehoist.engine.Intake;
 import grebehoist.engine.Log;
+import grebehoist.net.AnswerMemory;
 import grebehoist.net.ClientFront;
 import grebehoist.net.LoopTimers;
 import grebehoist.net.Sockets;
+import io.netty.util.internal.PlatformDependent;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
 /** One listener for Thrift clients: takes calls in, turns bad ones away, and gives each good one exactly one reply. */
 public final class ThriftFront extends ClientFront<ThriftClientConnection> {
+    /** Open calls, and frames that have not come whole, may each take so much of the memory for buffers, whatever the settings say. */
+    private static final double PART_OF_DIRECT_MEMORY = 0.2;
+
     private final ThriftOptions options;
+    private final long mostOpenBytes;
+    private final long mostHalfBytes;
     private final CallReader reader;
+    private final ReplySizes replySizes;
     /** Connections in the middle of a frame, and the bytes that it takes; whoever began first comes first. */
     private final Map<ThriftClientConnection, Integer> halves = new LinkedHashMap<>();
 
@@ -31,11 +39,16 @@
             Log log,
             Intake intake,
             Sockets sockets,
+            AnswerMemory answers,
             Balancer.Settings settings,
             ThriftOptions options,
             String idPrefix) {
-        super(timers, log, intake, sockets);
+        super(timers, log, intake, sockets, answers);
+        this.replySizes = new ReplySizes(options.maxFrame());
         this.options = options;
+        long part = (long) (PART_OF_DIRECT_MEMORY * PlatformDependent.maxDirectMemory());
+        this.mostOpenBytes = Math.min(options.maxOpenBytesInAll(), part);
+        this.mostHalfBytes = Math.min(options.maxHalfBytesInAll(), part);
         this.reader = new CallReader(settings, options, idPrefix);
     }
 
@@ -47,9 +60,9 @@
     /** Counts the bytes of open calls; when they fall below the bound, whoever had to wait goes on. */
     void bytesOpen(long more) {
         bytesOpen += more;
-        if (bytesOpen >= options.maxOpenBytesInAll()) {
+        if (bytesOpen >= mostOpenBytes) {
             full = true;
-        } else if (full && bytesOpen < options.maxOpenBytesInAll() / 2) {
+        } else if (full && bytesOpen < mostOpenBytes / 2) {
             full = false;
             connections().forEach(ThriftClientConnection::pace);
         }
@@ -62,7 +75,7 @@
     void half(ThriftClientConnection connection, int bytes) {
         Integer before = bytes == 0 ? halves.remove(connection) : halves.put(connection, bytes);
         bytesHalf += bytes - (before == null ? 0 : before);
-        while (bytesHalf > options.maxHalfBytesInAll()) {
+        while (bytesHalf > mostHalfBytes) {
             ThriftClientConnection oldest = halves.keySet().iterator().next();
             bytesHalf -= halves.remove(oldest);
             oldest.cutOff();
@@ -83,6 +96,10 @@
         return reader;
     }
 
+    ReplySizes replySizes() {
+        return replySizes;
+    }
+
     ThriftOptions options() {
         return options;
     }
--- /dev/null
+++ b/net/src/main/java/grebehoist/net/AnswerMemory.java
@@ -0,0 +1,151 @@
+package grebehoist.net;
+
+import io.netty.util.internal.PlatformDependent;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * What answers that clients have yet to take hold of a process's memory: one account for all of its listeners. A connection that asks for
+ * an answer reserves what that may need, and is asked to wait where it has more than its share already. What is held all the same is
+ * bounded: past it the connection that holds the most is given up, so that the event loop never has to wait for memory.
+ *
+ * <p>Used by the loop's thread alone.
+ */
+public final class AnswerMemory {
+    /** Buffers are also needed for what is being read, on either side. */
+    private static final double PART_OF_DIRECT_MEMORY = 0.4;
+    /** One connection may reserve so much of what is still free of the first quarter; the rest is for those that have nothing yet. */
+    private static final double SHARE_OF_FREE = 0.25;
+
+    private static final double SHARED_PART = 0.25;
+    /** The most that one connection reserves, in bytes: about as much as the kernel takes of what its client has yet to read. */
+    private static final long MOST_RESERVED = 2L * Network.UNSENT;
+
+    private final long most;
+    private final Set<Share> holders = new LinkedHashSet<>();
+    private long held;
+    private long reserved;
+
+    /**
+     * Makes an account in which nothing is held.
+     *
+     * @param most what may be held, in bytes
+     */
+    public AnswerMemory(long most) {
+        this.most = most;
+    }
+
+    /** Returns an account of the part of this process's direct memory that may wait for clients. */
+    public static AnswerMemory ofProcess() {
+        return new AnswerMemory((long) (PART_OF_DIRECT_MEMORY * PlatformDependent.maxDirectMemory()));
+    }
+
+    /** Returns the bytes that are held now. */
+    public long held() {
+        return held;
+    }
+
+    /**
+     * Opens the account of one connection.
+     *
+     * @param giveUp closes it, or null where what it holds has a bound of its own
+     */
+    public Share share(Runnable giveUp) {
+        return new Share(giveUp);
+    }
+
+    private void enforce() {
+        while (held > most) {
+            Optional<Share> largest =
+                    holders.stream().filter(s -> s.giveUp != null).max(Comparator.comparingLong(s -> s.held));
+            if (largest.isEmpty()) {
+                return;
+            }
+            largest.get().closeByMemory();
+        }
+    }
+
+    /** What one connection has of the account. */
+    public final class Share {
+        private final Runnable giveUp;
+        private long held;
+        private long reserved;
+        private boolean closed;
+        /** Whether the last answers waited for its client. */
+        private boolean slow;
+
+        private Share(Runnable giveUp) {
+            this.giveUp = giveUp;
+        }
+
+        /** Returns whether its client may ask for an answer of so many bytes now; one at a time it always may, unless it takes them slowly. */
+        public boolean mayReserve(long bytes) {
+            long used = held + reserved;
+            long inUse = AnswerMemory.this.held + AnswerMemory.this.reserved;
+            if (used == 0) {
+                return !slow || inUse + bytes <= most;
+            }
+            return used + bytes <= Math.min(MOST_RESERVED, SHARE_OF_FREE * (SHARED_PART * most - inUse));
+        }
+
+        /** Whether its client takes answers slowly, so that the last ones had to wait. */
+        public void slow(boolean now) {
+            slow = now;
+        }
+
+        /** An answer of about so many bytes has been asked for. */
+        public void reserve(long bytes) {
+            addReserved(bytes);
+        }
+
+        /** That answer is there, or will not come. */
+        public void release(long bytes) {
+            addReserved(-bytes);
+        }
+
+        private void addReserved(long bytes) {
+            if (!closed) {
+                reserved += bytes;
+                AnswerMemory.this.reserved += bytes;
+            }
+        }
+
+        /** An answer waits for its client. May give up connections, this one among them. */
+        public void hold(long bytes) {
+            addHeld(bytes);
+            enforce();
+        }
+
+        /** That answer has been taken, or dropped. */
+        public void letGo(long bytes) {
+            addHeld(-bytes);
+        }
+
+        private void addHeld(long bytes) {
+            if (closed) {
+                return;
+            }
+            held += bytes;
+            AnswerMemory.this.held += bytes;
+            if (held > 0) {
+                holders.add(this);
+            } else {
+                holders.remove(this);
+            }
+        }
+
+        /** Its connection has ended: what it had is free. */
+        public void close() {
+            addHeld(-held);
+            addReserved(-reserved);
+            closed = true;
+        }
+
+        private void closeByMemory() {
+            close();
+            giveUp.run();
+        }
+    }
+}
--- a/net/src/main/java/grebehoist/net/ClientFront.java
+++ b/net/src/main/java/grebehoist/net/ClientFront.java
@@ -49,11 +49,20 @@
     private static final long SETTLE_US = 2_000;
     /** How often connections are looked at that hold no request. */
     protected static final long SWEEP_US = 100_000;
+    /**
+     * In each such time in which something waits for a client it has to take {@link #LEAST_TAKEN} bytes. What it takes shows in steps: its
+     * kernel says nothing before it has read a part of its buffer, and this side's, which is bounded ({@link Network#UNSENT}), asks for
+     * more when a third of it is free. In this time one that reads 32 kB a second makes both steps.
+     */
+    private static final long TAKEN_US = 10_000_000;
+    /** 16 kB a second: a quarter of what the slowest are known for. */
+    private static final long LEAST_TAKEN = 16_000 * TAKEN_US / 1_000_000;
 
     private final LoopTimers timers;
     private final Log log;
     private final Intake intake;
     private final Sockets sockets;
+    private final AnswerMemory answers;
     private final Set<C> connections = new LinkedHashSet<>();
     /** Null before it listens. */
     private volatile Channel listener;
@@ -69,11 +78,12 @@
     private boolean sweepsSoon;
 
     /** Makes a front that is yet to listen. */
-    protected ClientFront(LoopTimers timers, Log log, Intake intake, Sockets sockets) {
+    protected ClientFront(LoopTimers timers, Log log, Intake intake, Sockets sockets, AnswerMemory answers) {
         this.timers = timers;
         this.log = log;
         this.intake = intake;
         this.sockets = sockets;
+        this.answers = answers;
     }
 
     /** Makes the handler of a connection that has been accepted. */
@@ -234,6 +244,11 @@
         connections.remove(connection);
     }
 
+    /** Runs a task at a time, in microseconds. */
+    public final void at(long timeUs, Runnable task) {
+        timers.at(timeUs, task);
+    }
+
     /** Returns the time in microseconds. */
     public final long now() {
         return timers.now();
@@ -311,6 +326,16 @@
         return intake;
     }
 
+    /** Returns the account of what waits for clients. */
+    public final AnswerMemory answers() {
+        return answers;
+    }
+
+    /** Returns what tells clients that take their answers from those that don't, for a connection on which nothing has been written. */
+    public static TakeWatch takeWatch() {
+        return new TakeWatch(TAKEN_US, LEAST_TAKEN);
+    }
+
     /** Returns the count of the process's descriptors. */
     protected final Sockets sockets() {
         return sockets;
--- a/net/src/main/java/grebehoist/net/Network.java
+++ b/net/src/main/java/grebehoist/net/Network.java
@@ -27,6 +27,7 @@
         Bootstrap client,
         Function<InetSocketAddress, SocketAddress> addresses) {
     private static final String MACHINE_ID = "io.netty.machineId";
+    private static final String COUNTS_DIRECT_MEMORY = "io.netty.tryReflectionSetAccessible";
 
     static {
         // Netty would look for a hardware address first, in vain on most machines, and say so: it only tells channels
@@ -35,6 +36,12 @@
         if (System.getProperty(MACHINE_ID) == null) {
             System.setProperty(MACHINE_ID, "02:00:00:00:00:01");
         }
+        // Netty then counts direct memory itself, and what goes beyond it fails at once: the runtime's own way is to
+        // collect garbage and sleep for half a second, on the loop's thread. Takes effect where java.nio is open to it,
+        // as the manifest says.
+        if (System.getProperty(COUNTS_DIRECT_MEMORY) == null) {
+            System.setProperty(COUNTS_DIRECT_MEMORY, "true");
+        }
     }
 
     private static final int BACKLOG = 1_024;
--- a/net/src/test/java/grebehoist/net/TakeWatchTest.java
+++ b/net/src/test/java/grebehoist/net/TakeWatchTest.java
@@ -5,7 +5,7 @@
 import org.junit.jupiter.api.Test;
 
 class TakeWatchTest {
-    private final TakeWatch watch = new TakeWatch(1_000);
+    private final TakeWatch watch = new TakeWatch(1_000, 1);
 
     /** What cut off answers on the operators' days: whenever it was looked at, as much was left as the time before. */
     @Test
@@ -19,7 +19,7 @@
 
     @Test
     void whoTakesNothingIsStuckAfterItsTimeAndNotBefore() {
-        assertThat(new TakeWatch(1_000).stuck(50_000, 50_000, 9_000_000))
+        assertThat(new TakeWatch(1_000, 1).stuck(50_000, 50_000, 9_000_000))
                 .as("the first look is no standstill")
                 .isFalse();
         assertThat(watch.stuck(50_000, 40_000, 100)).isFalse();
@@ -29,4 +29,31 @@
         assertThat(watch.stuck(50_000, 0, 9_000)).as("there is nothing to take").isFalse();
         assertThat(watch.stuck(60_000, 10_000, 9_900)).isFalse();
     }
+
+    /** Guards against issue 77, review/6: whoever read a byte now and then was never cut off, and held its replies for good. */
+    @Test
+    void whoTakesLessThanTheLeastIsStuckAlthoughItTakesSome() {
+        var least = new TakeWatch(1_000, 100);
+        long given = 50_000;
+        for (int i = 0; i <= 10; i++) {
+            assertThat(least.stuck(given, 40_000 - 9 * i, 100 * i))
+                    .as("look %d", i)
+                    .isFalse();
+        }
+        assertThat(least.stuck(given, 39_901, 1_001)).as("99 bytes").isTrue();
+        assertThat(least.stuck(given, 39_900, 1_001)).as("100 bytes").isFalse();
+        assertThat(least.stuck(given, 39_900, 2_001)).as("its time begins anew").isFalse();
+        assertThat(least.stuck(given, 39_900, 2_002)).isTrue();
+    }
+
+    /** Each reply that is written counts a little more than its bytes as unsent: that is nothing that was taken. */
+    @Test
+    void whatIsCountedTooMuchOfUnsentBytesBeginsNoNewTime() {
+        var least = new TakeWatch(1_000, 1);
+        for (int i = 0; i <= 10; i++) {
+            assertThat(least.stuck(50_000 + 1_000 * i, 40_000 + 1_096 * i, 100 * i))
+                    .isFalse();
+        }
+        assertThat(least.stuck(60_000, 50_960, 1_001)).isTrue();
+    }
 }
