A oneway Thrift call waits behind no open call of its sequence id

Cause: mayGo asks whether an earlier call of the same sequence id is open, so that no two replies of one id change places. It was asked for oneway calls as well, which have no reply.

Change: what has no reply leaves when it is done.

Evidence: ThriftProxyTest.aOnewayCallHoldsNoPlace..., two forms, timed out before.

--- a/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
@@ -316,9 +316,11 @@
         answers.hold(exchange.replyBytes());
         writing = true;
         ChannelFuture written = null;
+        boolean inTurn = true;
         for (Iterator<ThriftExchange> i = open.iterator(); i.hasNext(); ) {
             ThriftExchange next = i.next();
-            if (next.done() && mayGo(next)) {
+            // A oneway call has no reply that could overtake another one.
+            if (next.done() && (next.oneway() || inTurn && mayGo(next))) {
                 i.remove();
                 openBytes -= next.bytes();
                 front.bytesOpen(-next.bytes());
@@ -327,7 +329,7 @@
                     written = write(reply);
                 }
             } else if (!front.options().outOfOrder() && !next.oneway()) {
-                break;
+                inTurn = false;
             }
         }
         if (written != null) {
--- a/daemon/src/test/java/grebehoist/thrift/ThriftProxyTest.java
+++ b/daemon/src/test/java/grebehoist/thrift/ThriftProxyTest.java
@@ -518,6 +518,33 @@
         }
     }
 
+    /**
+     * Guards against issue 74, 2: a oneway call whose sequence id was in use by an open call stayed open with it, and held one of the
+     * places of its connection, so that calls behind it were read too late.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aOnewayCallHoldsNoPlaceForACallOfTheSameSequenceId(boolean outOfOrder) throws Exception {
+        try (ServerSocket backend = FrameWire.backend();
+                var proxy = new ThriftFixture(
+                        Fixture.sendTo("s0"), ThriftFixture.options(outOfOrder, 2), FrameWire.at(backend));
+                FrameWire client = FrameWire.to(proxy.address)) {
+            client.send(call("readA", 1));
+            try (FrameWire first = FrameWire.accept(backend)) {
+                assertThat(head(first.read()).name()).isEqualTo("readA");
+                client.send(ThriftBytes.message(
+                        Kind.BINARY, TMessageType.ONEWAY, "pay", 1, ThriftBytes.payment("o1", "vestkraft", "k")));
+                try (FrameWire second = FrameWire.accept(backend)) {
+                    assertThat(head(second.read()).type()).isEqualTo(Message.ONEWAY);
+                }
+                client.send(call("readB", 2));
+                try (FrameWire third = FrameWire.accept(backend)) {
+                    assertThat(head(third.read()).name()).isEqualTo("readB");
+                }
+            }
+        }
+    }
+
     @Test
     void aClientThatHangsUpIsGoneForEachOfItsCalls() throws Exception {
         try (ServerSocket backend = FrameWire.backend();
