--- a/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
@@ -9,7 +9,6 @@
 import grebehoist.net.LoopTasks;
 import grebehoist.net.SocketPeek;
 import grebehoist.net.Sockets;
-import grebehoist.net.TakeWatch;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
@@ -52,18 +51,12 @@
     private final CallQueue calls;
 
     private Channel channel;
+    private ReplyWriter replies;
     private long firstByteAt = -1;
     /** When what is being read may have come. */
     private long readAt;
 
     private long idleSince;
-    /** How much of replies has been written. */
-    private long given;
-
-    /** Replies that have been written and that the network has yet to take whole. */
-    private int untaken;
-
-    private final TakeWatch takes = ClientFront.takeWatch();
     private long openBytes;
     private long resumedAt;
     /** Since when what is read now may have waited in the socket, as reading had stopped; negative where it has not. */
@@ -77,7 +70,6 @@
     /** When the calls that wait are looked at again. */
     private long wakesAt = Long.MAX_VALUE;
 
-    private boolean writing;
     private boolean resuming;
     private long partedAt = -1;
     private boolean parting;
@@ -94,6 +86,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         channel = ctx.channel();
+        replies = new ReplyWriter(channel, answers, this::room);
         idleSince = front.now();
         front.opened(this);
         channel.pipeline().addLast(frames, new Calls());
@@ -293,7 +286,7 @@
 
     private boolean mayRead() {
         ThriftOptions options = front.options();
-        return open.size() + untaken < options.maxOpen()
+        return open.size() + replies.untaken() < options.maxOpen()
                 && openBytes < options.maxOpenBytes()
                 && (open.isEmpty() || !front.full());
     }
@@ -314,8 +307,20 @@
             return;
         }
         answers.hold(exchange.replyBytes());
-        writing = true;
-        ChannelFuture written = null;
+        ChannelFuture written = replies.write(takeReplies());
+        beginReady();
+        pace();
+        // Until the network has taken the last reply its connection is not idle, whoever looks for idle ones.
+        if (written == null || written.isDone()) {
+            rest();
+        } else {
+            written.addListener(f -> rest());
+        }
+    }
+
+    /** Takes out the replies whose turn it is, and lets their calls go. */
+    private List<ByteBuf> takeReplies() {
+        var taken = new ArrayList<ByteBuf>();
         boolean inTurn = true;
         for (Iterator<ThriftExchange> i = open.iterator(); i.hasNext(); ) {
             ThriftExchange next = i.next();
@@ -326,39 +331,18 @@
                 front.bytesOpen(-next.bytes());
                 ByteBuf reply = next.takeReply();
                 if (reply != null) {
-                    written = write(reply);
+                    taken.add(reply);
                 }
             } else if (!front.options().outOfOrder() && !next.oneway()) {
                 inTurn = false;
             }
         }
-        if (written != null) {
-            channel.flush();
-            answers.slow(untaken > 0);
-        }
-        writing = false;
-        beginReady();
-        pace();
-        // Until the network has taken the last reply its connection is not idle, whoever looks for idle ones.
-        if (written == null || written.isDone()) {
-            rest();
-        } else {
-            written.addListener(f -> rest());
-        }
+        return taken;
     }
 
-    private ChannelFuture write(ByteBuf reply) {
-        long bytes = reply.readableBytes();
-        given += bytes;
-        untaken++;
-        return channel.write(reply).addListener(f -> taken(bytes));
-    }
-
-    private void taken(long bytes) {
-        untaken--;
-        answers.letGo(bytes);
-        // A reply may be taken, or fail, while others are still being written.
-        if (!closed && !writing) {
+    /** A reply has been taken: there is room for others. */
+    private void room() {
+        if (!closed) {
             beginReady();
             pace();
         }
@@ -370,7 +354,7 @@
     }
 
     private void close(Counter why) {
-        front.log().reason(why, "", () -> open.size() + " calls open, " + untaken + " replies untaken");
+        front.log().reason(why, "", () -> open.size() + " calls open, " + replies.untaken() + " replies untaken");
         calls.clear();
         channel.close();
     }
@@ -450,12 +434,12 @@
 
     @Override
     public boolean answering() {
-        return !open.isEmpty() || TakeWatch.unsent(channel) > 0;
+        return !open.isEmpty() || replies.unsent() > 0;
     }
 
     @Override
     public void partIfIdle() {
-        if (holdsNoCall() && TakeWatch.unsent(channel) == 0) {
+        if (holdsNoCall() && replies.unsent() == 0) {
             part();
         }
     }
@@ -484,8 +468,8 @@
     /** Whatever a client does or leaves undone, its connection is not kept for longer than it is of use. */
     @Override
     public void expire(long now) {
-        long unsent = TakeWatch.unsent(channel);
-        if (takes.stuck(given, unsent, now)) {
+        long unsent = replies.unsent();
+        if (replies.stuck(now)) {
             close(Counter.CLOSED_CLIENT_TAKES_NOTHING);
         } else if (partedAt >= 0) {
             if (unsent == 0 && now - partedAt > LINGER_US) {
