The queue of a connection's calls forgets windows at rest, and survives a call that fails to begin

Kept for each class and tenant of a connection, windows that were at rest went away only where a call had waited; they go with their last call now. A call whose beginning throws left the queue shut for good, and one whose reply could not be written down was settled twice. Found by reading.

--- a/daemon/src/main/java/grebehoist/thrift/CallQueue.java
+++ b/daemon/src/main/java/grebehoist/thrift/CallQueue.java
@@ -4,7 +4,6 @@
 import grebehoist.net.AnswerMemory;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -28,7 +27,7 @@
     /**
      * Makes one without calls.
      *
-     * @param begin hands a call in; its end is told by {@link #served}, {@link #refused} or {@link #ended}, perhaps before it returns
+     * @param begin hands a call in; its end is told by {@link #served}, {@link #refused} or {@link #failed}, perhaps before it returns
      */
     CallQueue(AnswerMemory.Share answers, ReplySizes replySizes, Consumer<ThriftExchange> begin) {
         this.answers = answers;
@@ -61,6 +60,14 @@
             return;
         }
         beginning = true;
+        try {
+            beginInTurn(nowUs, alone);
+        } finally {
+            beginning = false;
+        }
+    }
+
+    private void beginInTurn(long nowUs, boolean alone) {
         // A call that is begun may end at once, and that may end the connection and with it the queue.
         for (int i = 0; i < waiting.size() && hasMemoryFor(waiting.get(i)); ) {
             ThriftExchange next = waiting.get(i);
@@ -71,15 +78,11 @@
                 i++;
             }
         }
-        beginning = false;
     }
 
     /** Begins calls whose time is up: they are refused by that. */
     void beginLate(long nowUs) {
-        for (Iterator<ThriftExchange> late = takeLate(nowUs).iterator(); late.hasNext(); ) {
-            begin(late.next());
-        }
-        windows.values().removeIf(CallWindow::atRest);
+        takeLate(nowUs).forEach(this::begin);
     }
 
     /** Returns when one of the calls that wait is to be looked at again, if nothing happens before. */
@@ -108,9 +111,13 @@
         return answers.mayReserve(replySizes.expected(call.message()));
     }
 
-    private CallWindow window(ThriftExchange call) {
+    private static Flow flow(ThriftExchange call) {
         Request request = call.read().request();
-        return windows.computeIfAbsent(new Flow(request.requestClass(), request.tenant()), flow -> new CallWindow());
+        return new Flow(request.requestClass(), request.tenant());
+    }
+
+    private CallWindow window(ThriftExchange call) {
+        return windows.computeIfAbsent(flow(call), flow -> new CallWindow());
     }
 
     private void begin(ThriftExchange call) {
@@ -122,22 +129,31 @@
         begin.accept(call);
     }
 
-    /** A call that was begun has a reply of its backend's of so many bytes. */
+    /** A call that was begun has a reply of its backend's of so many bytes, or is oneway and has been written. */
     void served(ThriftExchange call, long bytes) {
-        replySizes.replied(call.message(), bytes);
+        if (!call.oneway()) {
+            replySizes.replied(call.message(), bytes);
+        }
         call.window().served();
-        answers.release(call.reserved());
+        over(call);
     }
 
     /** A call that was begun has been refused. */
     void refused(ThriftExchange call, long retryAfterUs, long nowUs) {
         call.window().refused(retryAfterUs, nowUs);
-        answers.release(call.reserved());
+        over(call);
     }
 
     /** A call that was begun has failed. */
-    void ended(ThriftExchange call) {
-        call.window().ended();
+    void failed(ThriftExchange call) {
+        call.window().failed();
+        over(call);
+    }
+
+    private void over(ThriftExchange call) {
         answers.release(call.reserved());
+        if (call.window().atRest()) {
+            windows.remove(flow(call));
+        }
     }
 }
--- a/daemon/src/main/java/grebehoist/thrift/CallWindow.java
+++ b/daemon/src/main/java/grebehoist/thrift/CallWindow.java
@@ -57,7 +57,7 @@
     }
 
     /** A call that was begun has failed. */
-    void ended() {
+    void failed() {
         begun--;
     }
 
--- a/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftClientConnection.java
@@ -228,7 +228,7 @@
     private void begin(ThriftExchange exchange) {
         Request request = exchange.read().request();
         if (front.intake().knows(request.id())) {
-            calls.ended(exchange);
+            calls.failed(exchange);
             exchange.rejected(new CallReader.Rejected(
                     ThriftOutcomes.PROTOCOL_ERROR, false, "a request with this id is being served"));
         } else {
--- a/daemon/src/main/java/grebehoist/thrift/ThriftExchange.java
+++ b/daemon/src/main/java/grebehoist/thrift/ThriftExchange.java
@@ -108,7 +108,7 @@
 
     @Override
     public void served(Payload answer) {
-        connection.calls().served(this, answer.bytes());
+        long bytes = answer.bytes();
         ByteBuf framed = null;
         if (answer instanceof ThriftCall served) {
             try {
@@ -117,6 +117,7 @@
                 served.release();
             }
         }
+        connection.calls().served(this, bytes);
         finish(framed);
     }
 
@@ -133,7 +134,7 @@
 
     @Override
     public void failed() {
-        connection.calls().ended(this);
+        connection.calls().failed(this);
         finish(oneway() ? null : Replies.failed(connection.alloc(), message));
     }
 
--- a/daemon/src/test/java/grebehoist/thrift/CallWindowTest.java
+++ b/daemon/src/test/java/grebehoist/thrift/CallWindowTest.java
@@ -68,7 +68,7 @@
         window.begun();
         window.refused(0, 0);
         window.begun();
-        window.ended();
+        window.failed();
         assertThat(window.atRest()).isTrue();
         assertThat(begin(0)).isEqualTo(1_000);
     }
