--- a/daemon/src/test/java/grebehoist/cli/Peer.java
+++ b/daemon/src/test/java/grebehoist/cli/Peer.java
@@ -57,9 +57,11 @@
     public BlockingQueue<Wire.Message> always(String answer) {
         var seen = new LinkedBlockingQueue<Wire.Message>();
         serveAll(wire -> {
-            for (Wire.Message m = wire.read(); m != null; m = wire.read()) {
-                seen.add(m);
-                wire.send(answer);
+            try (wire) {
+                for (Wire.Message m = wire.read(); m != null; m = wire.read()) {
+                    seen.add(m);
+                    wire.send(answer);
+                }
             }
         });
         return seen;
