Answers over HTTP that wait for their clients close no Thrift connection that holds little

Cause: answers over HTTP count in the account and can't be given up by it; the bound for giving up did not tell the two apart, so nothing that was closed could bring it below.

Change: those that can be given up have a bound of their own: what the others leave, and half of the memory at least. The same bound says what may be asked for, so that slow Thrift clients are not kept out by HTTP either.

--- a/net/src/main/java/grebehoist/net/AnswerMemory.java
+++ b/net/src/main/java/grebehoist/net/AnswerMemory.java
@@ -1,15 +1,16 @@
 package grebehoist.net;
 
 import io.netty.util.internal.PlatformDependent;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
-import java.util.Optional;
 import java.util.Set;
 
 /**
  * What answers that clients have yet to take hold of a process's memory: one account for all of its listeners. A connection that asks for
  * an answer reserves what that may need, and is asked to wait where it has more than its share already. What is held all the same is
- * bounded: past it the connection that holds the most is given up, so that the event loop never has to wait for memory.
+ * bounded: past it the connection that holds the most is given up, so that the event loop never has to wait for memory. Connections
+ * whose answers have a bound of their own are never given up; they leave less to the others, but half of the memory at least.
  *
  * <p>Used by the loop's thread alone.
  */
@@ -20,12 +21,19 @@
     private static final double SHARE_OF_FREE = 0.25;
 
     private static final double SHARED_PART = 0.25;
+    /** What those that can be given up may always hold, however much the others do. */
+    private static final double GUARANTEED_PART = 0.5;
     /** The most that one connection reserves, in bytes: about as much as the kernel takes of what its client has yet to read. */
     private static final long MOST_RESERVED = 2L * Network.UNSENT;
 
     private final long most;
+    /** Those that hold anything and can be given up. */
     private final Set<Share> holders = new LinkedHashSet<>();
+    /** What these hold. */
     private long held;
+    /** What is held by those that can't be given up. */
+    private long heldForGood;
+
     private long reserved;
 
     /**
@@ -44,7 +52,7 @@
 
     /** Returns the bytes that are held now. */
     public long held() {
-        return held;
+        return held + heldForGood;
     }
 
     /**
@@ -56,14 +64,15 @@
         return new Share(giveUp);
     }
 
+    /** Returns what those that can be given up may hold. */
+    private double bound() {
+        return Math.max(most - heldForGood, GUARANTEED_PART * most);
+    }
+
     private void enforce() {
-        while (held > most) {
-            Optional<Share> largest =
-                    holders.stream().filter(s -> s.giveUp != null).max(Comparator.comparingLong(s -> s.held));
-            if (largest.isEmpty()) {
-                return;
-            }
-            largest.get().closeByMemory();
+        while (held > bound()) {
+            Share largest = Collections.max(holders, Comparator.comparingLong(share -> share.held));
+            largest.closeByMemory();
         }
     }
 
@@ -85,9 +94,9 @@
             long used = held + reserved;
             long inUse = AnswerMemory.this.held + AnswerMemory.this.reserved;
             if (used == 0) {
-                return !slow || inUse + bytes <= most;
+                return !slow || inUse + bytes <= bound();
             }
-            return used + bytes <= Math.min(MOST_RESERVED, SHARE_OF_FREE * (SHARED_PART * most - inUse));
+            return used + bytes <= Math.min(MOST_RESERVED, SHARE_OF_FREE * (SHARED_PART * bound() - inUse));
         }
 
         /** Whether its client takes answers slowly, so that the last ones had to wait. */
@@ -128,6 +137,10 @@
                 return;
             }
             held += bytes;
+            if (giveUp == null) {
+                heldForGood += bytes;
+                return;
+            }
             AnswerMemory.this.held += bytes;
             if (held > 0) {
                 holders.add(this);
--- a/net/src/test/java/grebehoist/net/AnswerMemoryTest.java
+++ b/net/src/test/java/grebehoist/net/AnswerMemoryTest.java
@@ -66,4 +66,40 @@
         bounded.close();
         assertThat(memory.held()).isZero();
     }
+
+    /** Guards against a defect of the mend of issue 77: much waiting over HTTP closed every Thrift connection that held a reply. */
+    @Test
+    void answersThatCannotBeGivenUpCloseNobodyWhoHoldsLittle() {
+        int bounded = 400;
+        long each = 45_000;
+        int ordinary = 8;
+        for (int i = 0; i < bounded; i++) {
+            memory.share(null).hold(each);
+        }
+        for (int i = 0; i < ordinary; i++) {
+            AnswerMemory.Share share = share("ordinary" + i);
+            assertThat(share.mayReserve(LONG)).isTrue();
+            share.hold(60);
+        }
+        assertThat(givenUp).isEmpty();
+        assertThat(memory.held()).isEqualTo(bounded * each + ordinary * 60);
+    }
+
+    @Test
+    void besideAnswersThatCannotBeGivenUpTheOthersHoldHalfOfTheMemory() {
+        memory.share(null).hold(MOST);
+        share("largest").hold(MOST / 4 + 1);
+        share("smaller").hold(MOST / 4);
+        assertThat(givenUp).containsExactly("largest");
+    }
+
+    @Test
+    void whoTakesAnswersSlowlyIsNotKeptOutByAnswersThatCannotBeGivenUp() {
+        AnswerMemory.Share slow = share("slow");
+        slow.slow(true);
+        memory.share(null).hold(MOST);
+        assertThat(slow.mayReserve(LONG)).isTrue();
+        share("full").hold(MOST / 2 - LONG + 1);
+        assertThat(slow.mayReserve(LONG)).isFalse();
+    }
 }
