Test: ordinary calls are answered beside 400 slow readers over HTTP, too

The end of a play and its assertions are one method for both; the bounds and what is asserted are the same.

--- a/daemon/src/test/java/grebehoist/cli/SlowThriftReadersIT.java
+++ b/daemon/src/test/java/grebehoist/cli/SlowThriftReadersIT.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -30,6 +31,10 @@
 class SlowThriftReadersIT {
     private static final int BACKENDS = 6;
     private static final int ORDINARY = 8;
+    /** Many: an attempt that is out for each long answer is more than the module lets out before few. */
+    private static final int BACKENDS_OVER_HTTP = 60;
+
+    private static final int SLOW_OVER_HTTP = 400;
     /** Calls that a slow client has open: as many as a connection is read for. */
     private static final int OPEN = 64;
     /** The text of a long reply, in bytes: with its head it stays below 64 KiB. */
@@ -43,6 +48,10 @@
     private static final int GRACE_MS = 500;
 
     private static final long STEP_MS = 100;
+    /** 64 kB a second, as the slowest clients that the operators' pages name. */
+    private static final int STEP_OVER_HTTP = 16_384;
+
+    private static final long STEP_OVER_HTTP_MS = 250;
     /** A client that reads less, in bytes a second, is cut off. */
     private static final int LEAST_RATE = 16_000;
     /** What the least generous of the operators' days grants, less a tenth. */
@@ -55,6 +64,8 @@
         private final Path file = Files.createTempFile("thrift", ".toml");
         private final Peer discovery = new Peer();
         private final PeerFleet backends = new PeerFleet(BACKENDS, this::serve);
+        private final Peer discoveryOverHttp = new Peer();
+        private final PeerFleet backendsOverHttp;
         private final ProxyProcess proxy = new ProxyProcess("n0", ProcessIT.settings(0)).withDoor();
         private final AtomicInteger asked = new AtomicInteger();
         private final AtomicInteger served = new AtomicInteger();
@@ -62,14 +73,19 @@
         private final List<String> lost = java.util.Collections.synchronizedList(new ArrayList<>());
         private final AtomicLong longestNs = new AtomicLong();
         /** Of the answers of the HTTP listener in the same process. */
-        private final AtomicLong longestReadyNs = new AtomicLong();
+        private final AtomicLong longestOverHttpNs = new AtomicLong();
 
         private final AtomicInteger slowReplies = new AtomicInteger();
+        /** Long answers over HTTP that have begun. */
+        private final AtomicInteger slowOverHttp = new AtomicInteger();
+
         private final AtomicInteger slowEnded = new AtomicInteger();
         private volatile boolean over;
 
-        Play(boolean outOfOrder) throws Exception {
+        Play(boolean outOfOrder, int numberOverHttp) throws Exception {
             discovery.always(Peer.ok(backends.list()));
+            backendsOverHttp = new PeerFleet(numberOverHttp, LongAnswers::serve);
+            discoveryOverHttp.always(Peer.ok(backendsOverHttp.list()));
             Files.writeString(
                     file,
                     InstallationText.pool("billing", discovery.socketAddress()).replace("\"http\"", "\"thrift\"")
@@ -77,7 +93,7 @@
                             + InstallationText.listener("billing-in", address, "billing")
                                     .replace("\"http\"", "\"thrift\"")
                             + "out_of_order = " + outOfOrder + "\n");
-            proxy.configure(discovery.socketAddress(), backends.list())
+            proxy.configure(discoveryOverHttp.socketAddress(), backendsOverHttp.list())
                     .start("--installation", file.toString())
                     .awaitReadyAtDoor();
             awaitServed();
@@ -131,7 +147,7 @@
                     if (!ProxyProcess.ready(proxy.address())) {
                         lost.add("GET /ready");
                     }
-                    longestReadyNs.accumulateAndGet(System.nanoTime() - began, Math::max);
+                    longestOverHttpNs.accumulateAndGet(System.nanoTime() - began, Math::max);
                 }
             });
             thread.start();
@@ -175,6 +191,56 @@
             }
         }
 
+        private static String get(String id) {
+            return "GET /api HTTP/1.1\r\nHost: service\r\nX-Request-ID: " + id
+                    + "\r\nX-Tenant-Id: large\r\nX-Timeout: 1900m\r\nX-Priority-Class: read\r\n\r\n";
+        }
+
+        /** Reads long answers over HTTP, one after the other. */
+        void slowOverHttp(int number) {
+            Peer.background(() -> {
+                for (int round = 0; !over; round++) {
+                    try (Wire wire = Wire.narrow(proxy.address())) {
+                        wire.send(get(LongAnswers.AT_ONCE + number + "-" + round));
+                        if (wire.head().status() == 200) {
+                            slowOverHttp.incrementAndGet();
+                            while (!over) {
+                                wire.body(STEP_OVER_HTTP);
+                                pause(STEP_OVER_HTTP_MS);
+                            }
+                        }
+                    } catch (IOException e) {
+                        slowEnded.addAndGet(over ? 0 : 1);
+                    }
+                    pause(100);
+                }
+            });
+        }
+
+        Thread ordinaryOverHttp(int number) {
+            var thread = new Thread(() -> {
+                for (int i = 0; !over; i++) {
+                    pause(REST_MS);
+                    askOverHttp(LongAnswers.SHORT + number + "-" + i);
+                }
+            });
+            thread.start();
+            return thread;
+        }
+
+        private void askOverHttp(String id) {
+            long began = System.nanoTime();
+            try (Wire wire = Wire.to(proxy.address())) {
+                wire.socket.setSoTimeout(PATIENCE_MS + GRACE_MS);
+                asked.incrementAndGet();
+                int status = wire.send(get(id)).read().status();
+                (status == 200 ? served : refused).incrementAndGet();
+            } catch (IOException | RuntimeException e) {
+                lost.add(id + ": " + e);
+            }
+            longestOverHttpNs.accumulateAndGet(System.nanoTime() - began, Math::max);
+        }
+
         /** Has some calls for long replies open, reads so many bytes a second, and begins again where it is cut off. */
         void slow(int number, int bytesPerSecond) {
             Peer.background(() -> {
@@ -235,12 +301,46 @@
             return java.util.Arrays.copyOfRange(all, from, all.length);
         }
 
+        /** Goes on for a while, and ends the ordinary clients. */
+        void last(List<Thread> ordinary) throws InterruptedException {
+            Thread.sleep(LASTS_MS);
+            over = true;
+            for (Thread client : ordinary) {
+                client.join();
+            }
+        }
+
+        void assertOrdinaryOnesAreAnswered() throws IOException {
+            assertThat(lost).as("%s", proxy.log()).isEmpty();
+            assertThat(refused.get()).isLessThan(asked.get() / 20);
+            assertThat(longestNs.get()).isLessThan(TimeUnit.MILLISECONDS.toNanos(PATIENCE_MS + GRACE_MS));
+            assertThat(proxy.peakKb()).isLessThan(MOST_KB);
+            assertThat(closedByMemory()).as("%s", proxy.log()).isZero();
+        }
+
+        private int closedByMemory() throws IOException {
+            return proxy.figures().path("events").path("closed_answers_untaken").asInt();
+        }
+
+        @Override
+        public String toString() {
+            return String.format(
+                    "%d asked, %d refused, %d lost, worst %d ms, over HTTP %d ms",
+                    asked.get(),
+                    refused.get(),
+                    lost.size(),
+                    longestNs.get() / 1_000_000,
+                    longestOverHttpNs.get() / 1_000_000);
+        }
+
         @Override
         public void close() throws IOException {
             over = true;
             proxy.close();
             backends.close();
             discovery.close();
+            backendsOverHttp.close();
+            discoveryOverHttp.close();
             Files.delete(file);
         }
     }
@@ -256,7 +356,7 @@
     @ParameterizedTest(name = "{0} clients read {1} bytes a second, out of order {2}")
     @CsvSource({"24, 64000, true", "24, 64000, false", "24, 1000, true", "24, 0, true", "200, 64000, true"})
     void ordinaryCallsAreAnsweredBesideSlowReaders(int slow, int bytesPerSecond, boolean outOfOrder) throws Exception {
-        try (var play = new Play(outOfOrder)) {
+        try (var play = new Play(outOfOrder, 1)) {
             for (int i = 0; i < slow; i++) {
                 play.slow(i, bytesPerSecond);
             }
@@ -265,33 +365,13 @@
                 ordinary.add(play.ordinary(i));
             }
             ordinary.add(play.overHttp());
-            Thread.sleep(LASTS_MS);
-            play.over = true;
-            for (Thread client : ordinary) {
-                client.join();
-            }
+            play.last(ordinary);
             var events = play.proxy.figures().path("events");
             int cutOff = events.path("closed_client_takes_nothing").asInt();
-            int noRoom = events.path("closed_answers_untaken").asInt();
-            long kb = play.proxy.peakKb();
             System.out.printf(
-                    "%d slow readers, %d bytes a second: %d asked, %d refused, %d lost, worst %d ms, over HTTP %d ms; slow ones: %d replies, %d cut off by the rate, %d by the memory; %d MB%n",
-                    slow,
-                    bytesPerSecond,
-                    play.asked.get(),
-                    play.refused.get(),
-                    play.lost.size(),
-                    play.longestNs.get() / 1_000_000,
-                    play.longestReadyNs.get() / 1_000_000,
-                    play.slowReplies.get(),
-                    cutOff,
-                    noRoom,
-                    kb / 1_024);
-            assertThat(play.lost).as("%s", play.proxy.log()).isEmpty();
-            assertThat(play.refused.get()).isLessThan(play.asked.get() / 20);
-            assertThat(play.longestNs.get()).isLessThan(TimeUnit.MILLISECONDS.toNanos(PATIENCE_MS + GRACE_MS));
-            assertThat(kb).isLessThan(MOST_KB);
-            assertThat(noRoom).as("%s", play.proxy.log()).isZero();
+                    "%d slow readers, %d bytes a second: %s; slow ones: %d replies, %d cut off by the rate%n",
+                    slow, bytesPerSecond, play, play.slowReplies.get(), cutOff);
+            play.assertOrdinaryOnesAreAnswered();
             if (bytesPerSecond < LEAST_RATE) {
                 assertThat(cutOff).as("who reads less than the least").isGreaterThanOrEqualTo(slow);
             } else {
@@ -300,4 +380,26 @@
             }
         }
     }
+
+    /** The same where what waits for slow clients are answers over HTTP, on the other listener of the process. */
+    @Test
+    void ordinaryCallsAreAnsweredBesideSlowReadersOverHttp() throws Exception {
+        try (var play = new Play(true, BACKENDS_OVER_HTTP)) {
+            for (int i = 0; i < SLOW_OVER_HTTP; i++) {
+                play.slowOverHttp(i);
+            }
+            var ordinary = new ArrayList<Thread>();
+            for (int i = 0; i < ORDINARY; i++) {
+                ordinary.add(play.ordinary(i));
+                ordinary.add(play.ordinaryOverHttp(i));
+            }
+            play.last(ordinary);
+            System.out.printf(
+                    "%d slow readers over HTTP: %s; slow ones: %d answers begun%n",
+                    SLOW_OVER_HTTP, play, play.slowOverHttp.get());
+            play.assertOrdinaryOnesAreAnswered();
+            assertThat(play.slowOverHttp.get()).isEqualTo(SLOW_OVER_HTTP);
+            assertThat(play.slowEnded.get()).isZero();
+        }
+    }
 }
