Soak: an answer that its own SIGKILL breaks is told apart from one that the proxy cuts off

PROTOCOL: "An answer that the proxy has begun to pass on and can't finish through no fault of its own has failed and is not lost, as long as the client can tell that it is not whole."

Change: right before that SIGKILL the soak asks the kernel which connections the process holds (proc(5)), and answers that have begun on just these are excused and counted. What has no answer by then, what is cut off on any other connection or at any other time is found as before, and so is what a process that ends by itself cuts off.

--- a/testkit/src/main/java/grebehoist/testkit/Rig.java
+++ b/testkit/src/main/java/grebehoist/testkit/Rig.java
@@ -139,6 +139,11 @@
         excusedUntilUs.put(proxy, untilUs);
     }
 
+    /** A process is about to be killed as it has not ended in time: see {@link StandInClients#killing}. */
+    public void killing(Set<Integer> clientPorts) {
+        run(() -> clients.killing(clientPorts));
+    }
+
     /** Whether clients know that they must not ask a proxy, as whoever deals them out does after a while. */
     public void avoid(int proxy, boolean avoid) {
         if (avoid) {
--- a/testkit/src/main/java/grebehoist/testkit/StandInClients.java
+++ b/testkit/src/main/java/grebehoist/testkit/StandInClients.java
@@ -13,8 +13,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Set;
 import java.util.function.BiPredicate;
 import java.util.function.IntFunction;
 import java.util.function.IntPredicate;
@@ -77,6 +79,9 @@
     private final IntFunction<InetSocketAddress> proxies;
     private final BiPredicate<Integer, Long> excused;
     private final List<Deque<Connection>> roomy = new ArrayList<>();
+    /** The ports of connections whose process on the other side has been killed. */
+    private final Set<Integer> killed = new HashSet<>();
+
     private IntPredicate dealtOut = proxy -> true;
     private int waiting;
     private long rudeUnanswered;
@@ -111,6 +116,16 @@
         dealtOut = to;
     }
 
+    /**
+     * A process that was told to end, and has not ended in its time, is about to be killed. An answer that has begun on one of its connections
+     * can't be finished, through no fault of the proxy (PROTOCOL); what has no answer by then is lost as ever.
+     *
+     * @param clientPorts the ends on this side of its connections
+     */
+    public void killing(Set<Integer> clientPorts) {
+        killed.addAll(clientPorts);
+    }
+
     /** Returns how many requests still wait for an answer. */
     public int waiting() {
         return waiting;
@@ -366,7 +381,11 @@
                 witness.excused(id);
                 end();
             } else if (begunUs != Long.MAX_VALUE) {
-                witness.cutShort(id, begunUs, now);
+                if (killed.contains(connection.port)) {
+                    witness.excused(id);
+                } else {
+                    witness.cutShort(id, begunUs, now);
+                }
                 end();
             } else if (witness.cutOff(id, reused, now)) {
                 connect();
@@ -382,6 +401,9 @@
         private final List<Integer> tags = new ArrayList<>(1);
         private StandInWire.ClientEnd end;
         private Channel channel;
+        /** On this side; 0 as long as it is not connected, or where the network has no ports. */
+        private int port;
+
         private String last = "nobody";
         private int carried;
 
@@ -394,6 +416,15 @@
             channel = ctx.channel();
         }
 
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) throws Exception {
+            if (channel.localAddress() instanceof InetSocketAddress address) {
+                port = address.getPort();
+                killed.remove(port);
+            }
+            super.channelActive(ctx);
+        }
+
         void carry(Try next) {
             int tag = carried++ % TAGS;
             last = next.id;
@@ -480,6 +511,7 @@
             open.clear();
             tags.clear();
             cut.forEach(t -> t.cutOff(carried > 1));
+            killed.remove(port);
             super.channelInactive(ctx);
         }
 
--- a/trial/src/main/java/grebehoist/trial/SoakPlay.java
+++ b/trial/src/main/java/grebehoist/trial/SoakPlay.java
@@ -325,7 +325,7 @@
         old.signal("TERM");
         TimeUnit.MILLISECONDS.sleep(DEALT_OUT_MS);
         rig.dealOut(proxy.number(), false);
-        old.awaitEnd(SoakProxy.KILL_MS - DEALT_OUT_MS);
+        old.awaitEnd(SoakProxy.KILL_MS - DEALT_OUT_MS, rig::killing);
         ended(proxy);
         startAnew(proxy);
     }
@@ -357,7 +357,7 @@
         signal(old, "STOP");
         TimeUnit.MILLISECONDS.sleep(SERIES_STOP_MS);
         signal(old, "CONT", "HUP", "TERM");
-        old.awaitEnd(SoakProxy.KILL_MS - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - termNs));
+        old.awaitEnd(SoakProxy.KILL_MS - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - termNs), rig::killing);
         if (beside) {
             proxy.follow(next);
         } else {
@@ -405,7 +405,7 @@
             return;
         }
         old.signal("TERM");
-        old.awaitEnd(SoakProxy.KILL_MS);
+        old.awaitEnd(SoakProxy.KILL_MS, rig::killing);
         proxy.follow(next);
     }
 
