Trial: processes have ports that the trial's own sockets can't be given meanwhile

Cause: Play.ports found free ports and let them go before the relay opened a socket for each pair of members, and before the stand-ins listened, each at whichever port was free.

Change: addresses for clients are ReservedAddress's; ports for datagrams are held (DatagramPorts) until the relay has its sockets. ControlMachines, MembersIT and TaskPeriodsIT found theirs in the same way, and use the same.

--- a/daemon/src/test/java/grebehoist/cli/MembersIT.java
+++ b/daemon/src/test/java/grebehoist/cli/MembersIT.java
@@ -3,13 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import grebehoist.testkit.DatagramPorts;
 import grebehoist.testkit.Rig;
 import java.io.IOException;
-import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -24,9 +25,10 @@
     private Path folder;
 
     private static int[] ports() throws IOException {
-        try (var one = new DatagramSocket(0, InetAddress.getLoopbackAddress());
-                var other = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
-            return new int[] {one.getLocalPort(), other.getLocalPort()};
+        try (var ports = new DatagramPorts(2)) {
+            return Arrays.stream(ports.addresses())
+                    .mapToInt(InetSocketAddress::getPort)
+                    .toArray();
         }
     }
 
--- a/daemon/src/test/java/grebehoist/cli/TaskPeriodsIT.java
+++ b/daemon/src/test/java/grebehoist/cli/TaskPeriodsIT.java
@@ -2,12 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import grebehoist.testkit.DatagramPorts;
 import java.io.IOException;
-import java.net.DatagramSocket;
-import java.net.InetAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -65,15 +65,11 @@
     }
 
     private static List<String> addresses() throws IOException {
-        var sockets = new ArrayList<DatagramSocket>();
-        var addresses = new ArrayList<String>();
-        for (int i = 0; i < PROXIES; i++) {
-            var socket = new DatagramSocket(0, InetAddress.getLoopbackAddress());
-            sockets.add(socket);
-            addresses.add("127.0.0.1:" + socket.getLocalPort());
+        try (var ports = new DatagramPorts(PROXIES)) {
+            return Arrays.stream(ports.addresses())
+                    .map(address -> "127.0.0.1:" + address.getPort())
+                    .toList();
         }
-        sockets.forEach(DatagramSocket::close);
-        return addresses;
     }
 
     private String file(int number, List<String> addresses, Peer receiver) throws IOException {
--- a/trial/src/main/java/grebehoist/trial/Play.java
+++ b/trial/src/main/java/grebehoist/trial/Play.java
@@ -8,15 +8,14 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import grebehoist.fleet.membership.State;
+import grebehoist.testkit.DatagramPorts;
 import grebehoist.testkit.HttpWire;
+import grebehoist.testkit.ReservedAddress;
 import grebehoist.testkit.Rig;
 import grebehoist.testkit.Witness;
 import grebehoist.testkit.Witness.Count;
 import java.io.IOException;
-import java.net.DatagramSocket;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -108,10 +107,12 @@
                 script.seed(),
                 Witness.Terms.of(settings(0), Rig.SLACK_US).lateBy(LATE_US));
         rig.machines(setting.backends());
-        var real = new InetSocketAddress[n];
-        var listen = new InetSocketAddress[n];
-        ports(real, listen);
-        relay = new Relay(real, script.seed());
+        InetSocketAddress[] real;
+        try (var ports = new DatagramPorts(n)) {
+            real = ports.addresses();
+            // The relay opens a socket for each pair of members: none may get a port of theirs.
+            relay = new Relay(real, script.seed());
+        }
         receiver = setting.tasks() == 0 ? null : new Receiver(this::took);
         var plan = new TaskPlan(setting.tasks(), n);
         String known = rig.on(rig.discovery()::known);
@@ -121,17 +122,18 @@
                 peers.add(relay.address(i, j));
             }
             int number = i;
+            InetSocketAddress listen = ReservedAddress.next();
             members.add(new Member(
                     "n" + i,
                     setting.jar(),
                     directory,
-                    listen[i],
-                    Member.config("n" + i, listen[i], rig.discoveryOfNextProxy(), settings(i), known, real[i], peers),
+                    listen,
+                    Member.config("n" + i, listen, rig.discoveryOfNextProxy(), settings(i), known, real[i], peers),
                     receiver == null
                             ? null
                             : plan.installation("n" + i, i, script.zone(i), real[i], peers, receiver.address()),
                     line -> said(number, line)));
-            rig.proxyAt(listen[i]);
+            rig.proxyAt(listen);
             rig.avoid(i, true);
         }
     }
@@ -154,30 +156,6 @@
                 1);
     }
 
-    /** Ports that nobody has: a process is to have the same ones in each of its lives. All are held until all are found. */
-    private static void ports(InetSocketAddress[] datagrams, InetSocketAddress[] clients) throws IOException {
-        var held = new ArrayList<AutoCloseable>();
-        InetAddress here = InetAddress.getLoopbackAddress();
-        try {
-            for (int i = 0; i < datagrams.length; i++) {
-                var datagram = new DatagramSocket(0, here);
-                held.add(datagram);
-                datagrams[i] = new InetSocketAddress(here, datagram.getLocalPort());
-                var client = new ServerSocket(0, 1, here);
-                held.add(client);
-                clients[i] = new InetSocketAddress(here, client.getLocalPort());
-            }
-        } finally {
-            for (AutoCloseable h : held) {
-                try {
-                    h.close();
-                } catch (Exception e) {
-                    throw new IOException(e);
-                }
-            }
-        }
-    }
-
     private static long now() {
         return System.nanoTime() / 1_000;
     }
--- a/trial/src/main/java/grebehoist/trial/scale/ControlMachines.java
+++ b/trial/src/main/java/grebehoist/trial/scale/ControlMachines.java
@@ -1,15 +1,13 @@
 package grebehoist.trial.scale;
 
+import grebehoist.testkit.DatagramPorts;
+import grebehoist.testkit.ReservedAddress;
 import java.io.IOException;
-import java.net.DatagramSocket;
 import java.net.HttpURLConnection;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -46,21 +44,19 @@
         this.jar = jar;
         this.directory = directory;
         int number = plan.machines();
-        listen = new InetSocketAddress[number + plan.real()];
         doors = new InetSocketAddress[number + plan.real()];
+        for (int i = 0; i < doors.length; i++) {
+            doors[i] = ReservedAddress.next();
+        }
         processes = new Subprocess[number];
         spentMs = new long[number];
-        List<AutoCloseable> held = ports();
-        int[] zones = IntStream.range(0, listen.length)
-                .map(i -> Plan.zone(i < number ? i : plan.proxies() + i - number))
-                .toArray();
-        relay = new MachineRelay(listen, zones, number, plan.seed());
-        for (AutoCloseable h : held) {
-            try {
-                h.close();
-            } catch (Exception e) {
-                throw new IOException(e);
-            }
+        try (var ports = new DatagramPorts(doors.length)) {
+            listen = ports.addresses();
+            int[] zones = IntStream.range(0, listen.length)
+                    .map(i -> Plan.zone(i < number ? i : plan.proxies() + i - number))
+                    .toArray();
+            // The relay's sockets would get ports of the machines otherwise.
+            relay = new MachineRelay(listen, zones, number, plan.seed());
         }
         for (int i = 0; i < number; i++) {
             Files.writeString(installation(i), text("m" + i, "control", i, i));
@@ -68,24 +64,6 @@
         Files.writeString(writer(), text("writer", "control", 0, -1));
     }
 
-    /**
-     * Ports that nobody has: a machine is to have the same ones in each of its lives. What holds them is to be closed once no more ports
-     * are drawn: the relay's sockets would get them otherwise.
-     */
-    private List<AutoCloseable> ports() throws IOException {
-        var held = new ArrayList<AutoCloseable>();
-        InetAddress here = InetAddress.getLoopbackAddress();
-        for (int i = 0; i < listen.length; i++) {
-            var datagram = new DatagramSocket(0, here);
-            held.add(datagram);
-            listen[i] = new InetSocketAddress(here, datagram.getLocalPort());
-            var door = new ServerSocket(0, 1, here);
-            held.add(door);
-            doors[i] = new InetSocketAddress(here, door.getLocalPort());
-        }
-        return held;
-    }
-
     private Path installation(int machine) {
         return directory.resolve("m" + machine + ".toml");
     }
