--- a/core/src/main/java/beechfall/Policy.java
+++ b/core/src/main/java/beechfall/Policy.java
@@ -28,12 +28,6 @@
     private static final double DISTRUST = 1e18;
 
     private static final double TRIED = 1e6;
-    /** What others send unseen to a cold backend is to fit into this part of its present capacity, which is a guess. */
-    private static final double COLD_UNSEEN = 0.8;
-    /** The variance of a request's work in units of its mean squared, and how many deviations the cold budget keeps clear. */
-    private static final double WORK_VARIANCE = 4;
-
-    private static final double COLD_DEVIATIONS = 3;
     /** Attempts out may take this part of the shortest aim, by the rate of answers; held ones that again. */
     private static final double CROWD = 1 / 5.0;
     /** But never less than this part of the least mean response time, or backends idle and it cannot grow. */
@@ -55,9 +49,10 @@
 
     private Settings settings;
     private final Rules rules;
+    private final SlowStart slowStart;
     private final Random random;
     private final Map<String, RequestClass> classes = new HashMap<>();
-    private final Map<String, Quota> quotas = new HashMap<>();
+    private final Map<String, TenantQuota> quotas = new HashMap<>();
     private final Map<String, Long> leastLeft = new HashMap<>();
     private final Map<String, Kind> kinds = new HashMap<>();
     private final Kind all = new Kind();
@@ -92,28 +87,16 @@
     public Policy(Settings settings) {
         this.settings = settings;
         this.rules = settings.rules();
+        this.slowStart = new SlowStart(rules);
         this.random = new Random(settings.seed());
         settings.classes().forEach(c -> classes.put(c.name(), c));
-        settings.tenants().forEach(t -> quotas.put(t.name(), new Quota(t, quotas.size())));
+        settings.tenants().forEach(t -> quotas.put(t.name(), new TenantQuota(t, quotas.size())));
         this.flowsOfClass = 1 + quotas.size();
         var aims = settings.classes().stream().mapToLong(RequestClass::aimUs).summaryStatistics();
         this.crowdUs = (long) (CROWD * aims.getMin());
         this.refreshUs = 2 * aims.getMax();
     }
 
-    /** What a tenant may still send through this proxy as part of its share. */
-    private static final class Quota {
-        private final int number;
-        private final double perUs;
-        private double left;
-        private long at;
-
-        Quota(Tenant tenant, int number) {
-            this.number = number;
-            this.perUs = tenant.quotaPerS() / 1e6;
-        }
-    }
-
     /** A request that has no final answer yet, or has attempts still out, and the ledger of its attempts. */
     private static final class Request {
         private final String id;
@@ -301,10 +284,11 @@
             refresh();
         }
         retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_RATE);
-        Quota quota = quotas.get(a.tenant());
-        int tenant = quota == null ? quotas.size() : quota.number;
+        TenantQuota quota = quotas.get(a.tenant());
+        int tenant = quota == null ? quotas.size() : quota.number();
         int flow = settings.classes().indexOf(type) * flowsOfClass + tenant;
-        double worth = overShare(quota, a.repeat()) ? settings.overShareWorth() : 1;
+        boolean overShare = quota != null && quota.isOverShare(settings.balancers(), refreshUs, a.repeat(), now);
+        double worth = overShare ? settings.overShareWorth() : 1;
         // A repeat that is left less than first tries get began so long ago: past its aim, it ranks as late.
         long least = leastLeft.merge(type.name(), a.repeat() ? Long.MAX_VALUE : a.leftUs(), Math::min);
         long began = a.leftUs() < least ? now + a.leftUs() - type.deadlineUs() : now;
@@ -463,32 +447,19 @@
         return scope == Scope.ALL || (scope == Scope.ZONE ? sameZone : a.cell() == b.cell());
     }
 
-    /**
-     * Rule 4: what a cold backend may still be sent, in requests. A quarter of this proxy's part of the budget, or one, may come at
-     * once and the rest in the course of each window: of all proxies no window holds more than one and a half budgets and two.
-     * The capacity is a guess: what backends of its weight bear by our answers, or one request at a time.
-     */
+    /** Rule 4: what a cold backend may still be sent, in requests. */
     private double coldBudget(Server s) {
         double warmth = s.warmth(now, rules);
-        if (warmth >= 1) {
-            return Double.POSITIVE_INFINITY;
-        }
-        double perUs = borneBy(s);
-        double budgetPerUs =
-                acting * warmth * perUs * coldMultiple(warmth * perUs * settings.balancers() * rules.fallUs());
-        double tokens = s.fillColdTokens(0.75 * budgetPerUs, Math.max(1, budgetPerUs * rules.fallUs() / 4), now);
-        return hasTurn(s, 0.75 * budgetPerUs * rules.fallUs()) ? tokens : 0;
+        return warmth >= 1
+                ? Double.POSITIVE_INFINITY
+                : slowStart.budget(s, warmth, borneBy(s), acting, settings.balancers(), settings.rank(), now);
     }
 
     @Override
     public double slowStartAllowance(String backend, long nowUs) {
         Server s = byId.get(backend);
         double warmth = s == null ? 1 : s.warmth(nowUs, rules);
-        if (warmth >= 1) {
-            return Double.POSITIVE_INFINITY;
-        }
-        double n = rules.fallMultiple() * warmth * borneBy(s) * settings.balancers() * rules.fallUs();
-        return n < FEW ? n + 3 * Math.sqrt(n) + 3 : n + 2 * Math.sqrt(n) + 2;
+        return warmth >= 1 ? Double.POSITIVE_INFINITY : slowStart.allowance(warmth, borneBy(s), settings.balancers());
     }
 
     /** What a warm backend bears from each proxy, in requests a microsecond: what answers show, or one request at a time. */
@@ -499,26 +470,6 @@
         return Math.max(1 / (requestUs * settings.balancers()), borne * s.weight() * order.size());
     }
 
-    /** Where each may send less than one request in a window they take turns: what all have saved up would come at once. */
-    private boolean hasTurn(Server s, double inWindow) {
-        double together = inWindow * settings.balancers();
-        long passed = (long) (together * (now - s.listed().startedAtUs()) / rules.fallUs());
-        return Math.floorMod(settings.rank() - mix(s.id().hashCode()) - passed, (long) settings.balancers())
-                < Math.ceil(together);
-    }
-
-    /**
-     * How many times its capacity all proxies together may send a cold backend that bears so many requests in a window. So many, m, that
-     * m + z sqrt(m v) stays at what the rule allows, v = variance of the work + variance of how many the others send, (n - 1) / n.
-     * And of those it sees 1 / n alone: the rest comes whether or not the backend keeps up, and is to fit in.
-     */
-    private double coldMultiple(double windowful) {
-        double unseen = 1 - 1.0 / settings.balancers();
-        double clear = COLD_DEVIATIONS * Math.sqrt(WORK_VARIANCE + unseen);
-        double root = (Math.sqrt(clear * clear + 4 * rules.fallMultiple() * windowful) - clear) / 2;
-        return Math.min(root * root / windowful, COLD_UNSEEN / unseen);
-    }
-
     /** What may be out: what is answered in crowdUs, what keeps backends busy, or a floor. */
     private double crowd() {
         // A floor that falls with refusals feeds on itself: it rises where all is well, and chokes backends then.
@@ -628,21 +579,6 @@
 
     // Refusal
 
-    /** Returns whether a tenant is past this proxy's part of its share; a repeat was counted before. */
-    private boolean overShare(Quota quota, boolean repeat) {
-        if (quota == null) {
-            return false;
-        }
-        double perUs = quota.perUs / settings.balancers();
-        quota.left = Math.min(perUs * refreshUs, quota.left + perUs * (now - quota.at));
-        quota.at = now;
-        if (quota.left < 1) {
-            return true;
-        }
-        quota.left -= repeat ? 0 : 1;
-        return false;
-    }
-
     /** Queues a request, to be sent in this round if there is room: highest worth, then earliest aim. */
     private void hold(Request r) {
         // Sent at the last moment, it is to be answered in time: twice a crowd's time ahead.
--- a/core/src/main/java/beechfall/Server.java
+++ b/core/src/main/java/beechfall/Server.java
@@ -31,13 +31,12 @@
     private double ownUs;
     private double ownSamples;
     private boolean sound = true;
-    private double coldTokens = 1;
-    private long coldTokensAt;
+    private final TokenBucket coldTokens;
     private long putOffUntil = Long.MIN_VALUE;
 
     Server(String id, long now) {
         this.id = id;
-        this.coldTokensAt = now;
+        this.coldTokens = new TokenBucket(1, now);
     }
 
     String id() {
@@ -140,7 +139,7 @@
         flows = flows == null ? new Trust[allFlows] : flows;
         flows[flow] = flows[flow] == null ? new Trust() : flows[flow];
         flows[flow].sent(now);
-        coldTokens -= 1;
+        coldTokens.take();
     }
 
     void ended(int flow, long now, boolean heard) {
@@ -169,6 +168,11 @@
 
     // Warmth
 
+    /** Returns what this proxy may still send it in slow start. */
+    TokenBucket coldTokens() {
+        return coldTokens;
+    }
+
     /** Returns the part of its capacity that it is sure to have: 1 once it is warm. */
     double warmth(long now, Balancer.Rules rules) {
         long started = listed.startedAtUs();
@@ -177,11 +181,4 @@
         }
         return rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, now - started) / rules.coldUs();
     }
-
-    /** Fills its tokens up by a rate for each microsecond, to a most; returns how many there are. */
-    double fillColdTokens(double perUs, double most, long now) {
-        coldTokens = Math.min(most, coldTokens + perUs * (now - coldTokensAt));
-        coldTokensAt = now;
-        return coldTokens;
-    }
 }
--- a/trial/src/test/java/grebehoist/trial/SoakOracleIT.java
+++ b/trial/src/test/java/grebehoist/trial/SoakOracleIT.java
@@ -135,8 +135,8 @@
                         "cold budget ignored",
                         List.of(
                                 new Change(
-                                        POLICY,
-                                        "return hasTurn(s, 0.75 * budgetPerUs * rules.fallUs()) ? tokens : 0;",
+                                        "core/src/main/java/beechfall/SlowStart.java",
+                                        "return hasTurn(s, steadyPerUs * rules.fallUs(), balancers, rank, now) ? tokens : 0;",
                                         "return 1e9;"),
                                 new Change(
                                         POLICY,
