A second answer that comes late is taken for no other request's

Cause: a connection was used again 3 ms after its answer, and the first message that comes is taken for the answer of the attempt that waits. A copy that said "turned away" counted as proof that the payment had never run; the real answer was taken for the next request's, and so on.

Change: requests with an effect (Attempt.End.hasEffect) take a connection that has carried nothing for 25 ms, or a new one. What comes on an idle connection unasked puts its backend under suspicion for 10 s: its idle connections are closed, and each carries one attempt.

--- a/core/src/main/java/grebehoist/engine/Attempt.java
+++ b/core/src/main/java/grebehoist/engine/Attempt.java
@@ -26,6 +26,14 @@
             return true;
         }
 
+        /**
+         * Returns whether the request has an effect that may happen once at most, or that a repeat has to be kept from: what comes back is to be
+         * its own answer beyond doubt.
+         */
+        default boolean hasEffect() {
+            return false;
+        }
+
         /** The request's last byte has been handed to the network. Told once, before the end. */
         default void written() {}
     }
--- a/core/src/main/java/grebehoist/engine/Engine.java
+++ b/core/src/main/java/grebehoist/engine/Engine.java
@@ -309,6 +309,11 @@
             }
         }
 
+        @Override
+        public boolean hasEffect() {
+            return !request.hasEffect(Balancer.Effect.SAFE);
+        }
+
         @Override
         public boolean mayBegin(long deadlineUs) {
             long now = timers.now();
--- a/core/src/test/java/grebehoist/engine/EngineTest.java
+++ b/core/src/test/java/grebehoist/engine/EngineTest.java
@@ -235,6 +235,15 @@
         });
     }
 
+    /** Guards against review/2: what comes back for a request with an effect has to be its own answer beyond doubt. */
+    @Test
+    void aTransportIsToldWhichRequestsHaveAnEffect() {
+        var host = repeating();
+        host.ask("read", FakeHost.READ, 1_900 * MS);
+        host.ask("keyed", FakeHost.KEYED, 1_900 * MS);
+        assertThat(host.sent.stream().map(sent -> sent.end.hasEffect())).containsExactly(false, true);
+    }
+
     /** What is sent again waits as well while the host settles, but never past its key's window: then the module decides anew. */
     @Test
     void whatIsSentAgainWaitsInsideItsWindowAlone() {
--- a/daemon/src/main/java/grebehoist/backend/AttemptConnection.java
+++ b/daemon/src/main/java/grebehoist/backend/AttemptConnection.java
@@ -38,8 +38,6 @@
      */
     public record Verdict(Outcome outcome, boolean reusable, Payload answer) {}
 
-    private static final long SETTLE_US = 3_000;
-
     private final PooledTransport.Target target;
     private final Channel channel;
     private final Counted decoder;
@@ -126,7 +124,7 @@
     private void putBack(boolean reusable) {
         boolean clean = reusable && !unasked && !decoder.holdsMore();
         decoder.countAfresh();
-        if (clean && target.ready() && channel.isActive()) {
+        if (clean && target.reuses() && channel.isActive()) {
             target.pool().release(channel);
         } else {
             channel.close();
@@ -149,8 +147,8 @@
     }
 
     @Override
-    public final boolean settled(long nowUs) {
-        return nowUs - idleSince >= SETTLE_US;
+    public final long idleUs(long nowUs) {
+        return nowUs - idleSince;
     }
 
     @Override
@@ -170,7 +168,8 @@
             streamMoved();
         } else if (attempt == null) {
             if (decoder.bytes() > 0 && minds()) {
-                // Nobody has asked: what comes next on this connection can't be trusted.
+                // Nobody has asked: what comes next can't be trusted, on this connection and on others of its backend.
+                target.unasked();
                 ctx.close();
             }
         } else if (decoder.bytes() > mostBytes) {
--- a/daemon/src/main/java/grebehoist/backend/ConnectionPool.java
+++ b/daemon/src/main/java/grebehoist/backend/ConnectionPool.java
@@ -18,10 +18,17 @@
  * used last, so that the others grow old and are closed, and never one that was closed meanwhile.
  */
 public final class ConnectionPool extends SimpleChannelPool {
+    /** What comes right behind an answer, and does not belong to it, has shown by then. */
+    private static final long SETTLED_US = 3_000;
+    /** So has a second answer that comes some milliseconds late: taken for that of a request with an effect it would be believed. */
+    private static final long BEYOND_DOUBT_US = 25_000;
+
     private final Timers timers;
     private final Sockets sockets;
     private final Deque<PooledConnection> idle = new ArrayDeque<>();
     private ChannelFuture connecting;
+    /** For how long a connection has to have been idle that is taken now. */
+    private long leastIdleUs = SETTLED_US;
 
     ConnectionPool(Bootstrap bootstrap, ChannelPoolHandler handler, Timers timers, Sockets sockets) {
         super(bootstrap, handler);
@@ -29,10 +36,18 @@
         this.sockets = sockets;
     }
 
-    boolean hasIdle() {
-        long now = timers.now();
+    private static long leastIdleUs(boolean hasEffect) {
+        return hasEffect ? BEYOND_DOUBT_US : SETTLED_US;
+    }
+
+    /**
+     * Returns whether a connection is idle that may be used.
+     *
+     * @param hasEffect whether it is for a request with an effect
+     */
+    boolean hasIdle(boolean hasEffect) {
         // The first has been idle for longest.
-        return !idle.isEmpty() && idle.getFirst().settled(now);
+        return !idle.isEmpty() && idle.getFirst().idleUs(timers.now()) >= leastIdleUs(hasEffect);
     }
 
     @Override
@@ -41,9 +56,14 @@
         return connecting;
     }
 
-    /** Takes a connection; returns the one that is being opened for it, or null. */
-    ChannelFuture acquireOrConnect(Promise<Channel> promise) {
+    /**
+     * Takes a connection; returns the one that is being opened for it, or null.
+     *
+     * @param hasEffect whether it is for a request with an effect
+     */
+    ChannelFuture acquireOrConnect(Promise<Channel> promise, boolean hasEffect) {
         connecting = null;
+        leastIdleUs = leastIdleUs(hasEffect);
         acquire(promise);
         return connecting;
     }
@@ -53,7 +73,7 @@
         long now = timers.now();
         for (Iterator<PooledConnection> i = idle.descendingIterator(); i.hasNext(); ) {
             PooledConnection connection = i.next();
-            if (connection.settled(now)) {
+            if (connection.idleUs(now) >= leastIdleUs) {
                 i.remove();
                 sockets.backendIdle(connection.channel(), false);
                 if (connection.quiet()) {
--- a/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
+++ b/daemon/src/main/java/grebehoist/backend/PooledAttempt.java
@@ -50,7 +50,7 @@
     public final void start() {
         target.begun(this);
         Promise<Channel> promise = target.loop().newPromise();
-        connecting = target.pool().acquireOrConnect(promise);
+        connecting = target.pool().acquireOrConnect(promise, end.hasEffect());
         promise.addListener((Future<Channel> f) -> connected(f));
     }
 
@@ -93,7 +93,7 @@
     private void giveBack() {
         Channel unused = channel;
         channel = null;
-        if (target.ready()) {
+        if (target.reuses()) {
             target.pool().release(unused);
         } else {
             unused.close();
--- a/daemon/src/main/java/grebehoist/backend/PooledConnection.java
+++ b/daemon/src/main/java/grebehoist/backend/PooledConnection.java
@@ -33,6 +33,6 @@
     /** It carries nothing from now on. */
     void idleFrom(long nowUs);
 
-    /** Returns whether whatever came behind the last answer, and a little later, has shown by then. */
-    boolean settled(long nowUs);
+    /** Returns for how long it has carried nothing, in microseconds. */
+    long idleUs(long nowUs);
 }
--- a/daemon/src/main/java/grebehoist/backend/PooledTransport.java
+++ b/daemon/src/main/java/grebehoist/backend/PooledTransport.java
@@ -29,6 +29,8 @@
      * backend seldom would take up a place there that others are turned away for.
      */
     private static final int IDLE_PART = 6;
+    /** A backend that has sent what nobody asked for may do so again for some time: its connections carry one attempt each until then. */
+    private static final long SUSPICION_US = 10_000_000;
 
     private final Timers timers;
     private final Network network;
@@ -115,7 +117,7 @@
     @Override
     public final Attempt attempt(String backend, Payload request, long deadlineUs, Attempt.End end) {
         Target target = targets.get(backend);
-        if (target == null || !target.ready || !target.pool.hasIdle() && !sockets.roomForBackend()) {
+        if (target == null || !target.ready || !target.pool.hasIdle(end.hasEffect()) && !sockets.roomForBackend()) {
             return null;
         }
         return attempt(target, request, deadlineUs, end);
@@ -127,6 +129,7 @@
         private final Set<PooledAttempt> out = new LinkedHashSet<>();
         private final ConnectionPool pool;
         private boolean ready;
+        private long suspectUntilUs = Long.MIN_VALUE;
 
         private Target(String address) {
             this.address = address;
@@ -163,6 +166,20 @@
             return ready;
         }
 
+        /** Returns whether a connection that has carried an attempt may carry another. */
+        boolean reuses() {
+            return ready && timers.now() >= suspectUntilUs;
+        }
+
+        /**
+         * Something has come on an idle connection that nobody asked for. Had an attempt been out there by then it would have been taken for its
+         * answer, and so may what comes next on any other.
+         */
+        void unasked() {
+            suspectUntilUs = timers.now() + SUSPICION_US;
+            pool.closeIdle();
+        }
+
         void begun(PooledAttempt attempt) {
             out.add(attempt);
         }
--- a/daemon/src/test/java/grebehoist/http/HttpTransportTest.java
+++ b/daemon/src/test/java/grebehoist/http/HttpTransportTest.java
@@ -107,6 +107,31 @@
         }
     }
 
+    /** Guards against review/2: a second answer that came late was taken for that of the next request. */
+    @Test
+    void aBackendThatSendsWhatNobodyAskedForIsSentOneRequestAConnection() throws Exception {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire first = backend.accept();
+            first.read();
+            first.send(OK_X);
+            assertThat(client.read().status()).isEqualTo(200);
+            settle();
+            first.send(OK_X);
+            assertThat(first.ended()).isTrue();
+            for (String id : List.of("r2", "r3")) {
+                client.send(Fixture.get(id));
+                Wire next = backend.accept();
+                assertThat(next.read().header("X-Request-ID")).isEqualTo(id);
+                next.send(OK_X);
+                assertThat(client.read().status()).isEqualTo(200);
+                settle();
+            }
+        }
+    }
+
     /** The request has run, and no answer that can be believed will follow: that is told now, not when time is up. */
     @ParameterizedTest
     @ValueSource(
