Only what comes on an idle connection puts a backend under suspicion

Change: the connection has to be idle, put back with nothing begun since.

Evidence: the test passes, with ThriftSearchTest's and SearchTest's scripts, HttpTransportTest, ConnectionPoolTest and EndingsTest.

--- a/daemon/src/main/java/grebehoist/backend/AttemptConnection.java
+++ b/daemon/src/main/java/grebehoist/backend/AttemptConnection.java
@@ -48,6 +48,9 @@
     /** Whether an answer is passed on as it comes: its attempt has ended, and the connection is still its own. */
     private boolean streaming;
 
+    /** Whether it has been put back, and has carried nothing since. */
+    private boolean idle;
+
     private long idleSince;
     /** How much had come when that was last asked. */
     private long seen;
@@ -80,6 +83,7 @@
     @Override
     public final void begin(PooledAttempt next) {
         attempt = next;
+        idle = false;
         decoder.countAfresh();
         seen = 0;
     }
@@ -143,6 +147,7 @@
 
     @Override
     public final void idleFrom(long nowUs) {
+        idle = true;
         idleSince = nowUs;
     }
 
@@ -168,9 +173,12 @@
             streamMoved();
         } else if (attempt == null) {
             if (decoder.bytes() > 0 && minds()) {
-                // Nobody has asked: what comes next can't be trusted, on this connection and on others of its backend.
-                target.unasked();
+                // Nobody has asked: what comes next on this connection can't be trusted.
                 ctx.close();
+                if (idle) {
+                    // Nor on the others of its backend. The rest of an answer that was spoilt tells nothing of those.
+                    target.unasked();
+                }
             }
         } else if (decoder.bytes() > mostBytes) {
             spoilt();
